--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -17,6 +17,13 @@
 #: An estimate this old has lost half of its distance to the initial one, in
 #: seconds, so that a member that was slow is tried again.
 HALF_LIFE_S = 2.0
+#: Half-life of the longest running time seen, in seconds.
+LONGEST_HALF_LIFE_S = 10.0
+#: An answer is taken as lost after this multiple of the longest running time
+#: of late, and not before the least time (in seconds), which is above the
+#: longest work on the weather firm's sheet (140 ms).
+OVERDUE = 1.5
+OVERDUE_MIN_S = 0.16
 #: Pauses between attempts to reach a member that fails, in seconds.
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 0.5
@@ -52,6 +59,8 @@
         self._latency_s = initial_latency_s
         self._latency_at = now
         self._retry_at = now
+        self._longest_s = 0.0
+        self._longest_at = now
         self._tickets = itertools.count()
         self._sent_at_by_ticket: dict[int, float] = {}
         self._write_tickets: set[int] = set()
@@ -82,6 +91,8 @@
         if writes and fault is None:
             self.last_write_answer_at = now
         if fault is None:
+            self._longest_s = max(self._recent_longest_s(now), now - sent_at)
+            self._longest_at = now
             self._latency_s = self.latency_s(now) + WEIGHT * (
                 now - sent_at - self.latency_s(now)
             )
@@ -123,6 +134,23 @@
         )
         return max(learned, self.longest_wait_s(now) / 2)
 
+    def _recent_longest_s(self, now: float) -> float:
+        age_s = now - self._longest_at
+        return self._longest_s * 0.5 ** (age_s / LONGEST_HALF_LIFE_S)
+
+    def overdue_s(self, now: float) -> float:
+        """Return the running time after which an answer is taken as lost."""
+        return max(OVERDUE_MIN_S, OVERDUE * self._recent_longest_s(now))
+
+    def forget_silence(self, now: float) -> None:
+        """Take what was not heard while this process stood still as unknown.
+
+        The answers may lie unread in the sockets.
+        """
+        self.answered(now)
+        self.last_write_answer_at = now
+        self._sent_at_by_ticket = dict.fromkeys(self._sent_at_by_ticket, now)
+
     @property
     def running(self) -> int:
         """Number of statements on their way."""
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -60,6 +60,10 @@
             return answers
         except TimeoutError:
             fault, text = member_channel.MemberFault.SILENT, "no answer"
+        except asyncio.CancelledError:
+            # An answer that comes later would be taken for the next one.
+            self.close()
+            raise
         except iostream.StreamClosedError as error:
             fault, text = member_channel.MemberFault.BROKEN, str(error)
         except (wire.WireFault, iostream.UnsatisfiableReadError) as error:
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -16,10 +16,12 @@
 from burdockcart.connection import member_channel
 from burdockcart import errors
 from burdockcart import ids
+from burdockcart.process.gateway import connection_share
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover
 from burdockcart.process.gateway import followers
 from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import isolation
 from burdockcart.process.gateway import settings
 from burdockcart.process.gateway import shutdown_plan
 from burdockcart.process.gateway import statement_runner
@@ -89,7 +91,11 @@
         source = random.Random(config.daemon)
         self._source = source
         self._daemons = INITIAL_DAEMONS
+        self._daemon_count = connection_share.DaemonCount(
+            INITIAL_DAEMONS, self._clock.now()
+        )
         self._draining = False
+        self._isolated_since: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
         self.runner = statement_runner.StatementRunner(
@@ -127,6 +133,7 @@
         self._spawn(self._daemon_follower.run())
         self._spawn(self._failover.run())
         self._spawn(self._keep_samples())
+        self._spawn(self._watch_isolation())
         loguru.logger.info(
             "event=daemon_started id={} failure_domain={}",
             self._settings.daemon,
@@ -175,6 +182,7 @@
         """Return whether the balancer should send new clients."""
         return (
             not self._draining
+            and self._isolated_since is None
             and self.tables.current is not None
             and self.members.listed
         )
@@ -242,7 +250,8 @@
             for member in left:
                 group.drop_member(member, "left")
 
-    def _use_daemons(self, count: int) -> None:
+    def _use_daemons(self, counted: int) -> None:
+        count = self._daemon_count.counted(counted, self._clock.now())
         if count == self._daemons:
             return
         self._daemons = count
@@ -269,6 +278,51 @@
                 ):
                     group.prove_soon(pool)
 
+    async def _watch_isolation(self) -> None:
+        """Send clients elsewhere while no other failure domain answers."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            for group in self.group_by_id.values():
+                group.trim()
+            now = self._clock.now()
+            if not isolation.suspected(self._remote_members(), now):
+                self._set_isolated(None)
+                continue
+            if self._isolated_since is None:
+                reached = await self._platform.daemon_count()
+                if isinstance(reached, result.Success):
+                    continue
+                self._set_isolated(now)
+            self._send_away(now)
+
+    def _remote_members(self) -> list[isolation.RemoteMember]:
+        return [
+            isolation.RemoteMember(
+                pool.health.failing, pool.health.last_answer_at
+            )
+            for group in self.group_by_id.values()
+            for pool in group.pool_by_member.values()
+            if pool.entry.domain != self._settings.domain
+        ]
+
+    def _set_isolated(self, since: float | None) -> None:
+        if (since is None) == (self._isolated_since is None):
+            return
+        self._isolated_since = since
+        for group in self.group_by_id.values():
+            group.isolated = since is not None
+        loguru.logger.warning("event=isolated value={}", since is not None)
+
+    def _send_away(self, now: float) -> None:
+        """Close idle sessions once the balancer sends clients elsewhere."""
+        if self._isolated_since is None or self._draining:
+            return
+        idle = [each for each in self._connections() if each.idle]
+        for each in isolation.sessions_to_close(
+            now - self._isolated_since, idle, TICK_S
+        ):
+            each.leave_when_idle()
+
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         name = getattr(coroutine, "__qualname__", None)
         task = asyncio.create_task(coroutine, name=name)
--- /dev/null
+++ b/burdockcart/process/gateway/connection_share.py
@@ -0,0 +1,79 @@
+"""How many connections to a member this daemon may have.
+
+Explanation
+===========
+
+Load pattern: all daemons lose power at once and start again.  A member keeps
+the connections of the dead processes for some seconds, and refuses new ones
+beyond its limit.  So the daemons together keep no more than half of a
+member's connections open; a burst may use more, which are closed again when
+it is over.
+
+"""
+
+import collections
+
+import msgspec
+
+#: Share of a member's connections that all daemons keep open.
+KEPT = 0.5
+#: Share that they use in a burst; the rest is for daemons that just started
+#: and are not counted yet.
+BURST = 0.75
+#: An idle connection above the kept ones is closed after this time, in
+#: seconds; a new one costs its handshake, so a burst may pause for a moment.
+IDLE_S = 1.0
+#: A daemon that is no longer listed may just have lost its way to the store
+#: and still hold its connections; it counts for this time, in seconds.
+REMEMBER_S = 15.0
+
+
+class Share(msgspec.Struct, frozen=True):
+    """Connections to one member: kept open, and at most."""
+
+    kept: int
+    most: int
+
+
+def share_of(connections: int, daemons: int) -> Share:
+    """Return this daemon's share of a member's connections.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.gateway import connection_share
+    >>> connection_share.share_of(16, 4)
+    Share(kept=2, most=3)
+    >>> connection_share.share_of(46, 31)
+    Share(kept=1, most=1)
+
+    """
+    daemons = max(daemons, 1)
+    kept = max(int(KEPT * connections / daemons), 1)
+    return Share(kept, max(int(BURST * connections / daemons), kept))
+
+
+class DaemonCount:
+    """The largest number of daemons that was counted of late.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.gateway import connection_share
+    >>> count = connection_share.DaemonCount(4, now=0.0)
+    >>> count.counted(3, now=1.0)
+    4
+    >>> count.counted(3, now=30.0)
+    3
+
+    """
+
+    def __init__(self, initial: int, now: float):
+        self._seen = collections.deque([(now, initial)])
+
+    def counted(self, count: int, now: float) -> int:
+        """Take over a count and return the number to divide by."""
+        self._seen.append((now, count))
+        while now - self._seen[0][0] > REMEMBER_S:
+            self._seen.popleft()
+        return max(seen for _, seen in self._seen)
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -21,6 +21,12 @@
 #: Interval of looking at all primaries, in seconds; a quarter of the
 #: shortest time after which one is replaced would be finer than needed.
 LOOK_EVERY_S = 0.05
+#: A pause of the loop from which on this process is taken to have stood
+#: still, in seconds; below the time after which a member counts as silent.
+STALLED_AFTER_S = 0.2
+#: Limit for a connection that only shows whether a primary accepts any, in
+#: seconds; five times the dearest handshake on the users' sheets (27 ms).
+CHECK_TIMEOUT_S = 0.14
 #: Limit for asking a replica, in seconds.
 ASK_TIMEOUT_S = 0.4
 #: Time for the candidate to receive what the others hold, in seconds.
@@ -31,8 +37,8 @@
 #: compare again.
 COMPARISON_VALID_S = 0.3
 #: Time that the platform needs to promote, assumed before the first one, in
-#: seconds; the larger figure of the users' sheets.
-PROMOTION_S = 1.0
+#: seconds; the smaller figure of the users' sheets and its way.
+PROMOTION_S = 0.7
 #: Interval of asking a promoted member whether it leads, in seconds.
 LEADS_POLL_S = 0.03
 #: Time for which a promoted member is asked, in seconds.
@@ -80,16 +86,31 @@
         self._boot_clock = boot_clock
         self._turns = promotion_turn.PromotionTurns(daemon, turn_s)
         self._wall_ms = wall_ms
+        self._promotion_s = PROMOTION_S
         self._task_by_group: dict[ids.GroupId, asyncio.Task[None]] = {}
         self._checks: dict[ids.GroupId, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
         """Look at all primaries until cancelled."""
+        looked_at = self._clock.now()
         while True:
             await asyncio.sleep(LOOK_EVERY_S)
+            now = self._clock.now()
+            if now - looked_at > STALLED_AFTER_S:
+                self._after_stall(now - looked_at, now)
+            looked_at = now
             for group in list(self._group_by_id.values()):
                 self._look(group)
 
+    def _after_stall(self, stalled_s: float, now: float) -> None:
+        """Judge no member by the time in which this process stood still."""
+        loguru.logger.warning(
+            "event=process_stalled for_ms={}", int(stalled_s * 1000)
+        )
+        for group in self._group_by_id.values():
+            for pool in group.pool_by_member.values():
+                pool.health.forget_silence(now)
+
     def _look(self, group: groups.Group) -> None:
         running = self._task_by_group.get(group.id)
         if running is not None and not running.done():
@@ -103,6 +124,7 @@
         longest_wait_s = pool.health.longest_wait_s(now)
         if failover_rule.needs_check(view, longest_wait_s):
             self._check(group, self._try_connection(pool))
+        self._expect_primary(group, view)
         cause = failover_rule.cause_to_replace(view, now)
         if cause is None:
             return
@@ -114,6 +136,19 @@
             self._replace(group, pool.entry.id, cause), name="replace_primary"
         )
 
+    def _expect_primary(
+        self, group: groups.Group, view: failover_rule.PrimaryView
+    ) -> None:
+        """Estimate when a group whose primary fails has one again."""
+        if view.failures >= failover_rule.MIN_FAILURES:
+            assert view.first_failure_at is not None
+            due_at = view.first_failure_at + (
+                failover_rule.SILENT_FOR_S + self._promotion_s
+            )
+            group.primary_due_at = max(due_at, self._clock.now())
+        else:
+            group.primary_due_at = None
+
     def _lead_moved(self, group: groups.Group) -> bool:
         """Return whether another member's entry says that it leads."""
         return any(
@@ -132,7 +167,7 @@
     async def _try_connection(self, pool: member_pool.MemberPool) -> None:
         if not pool.health.usable(self._clock.now()):
             return
-        opened = await pool.connect()
+        opened = await pool.connect(CHECK_TIMEOUT_S)
         if opened is not None:
             opened.close()
 
@@ -440,13 +475,15 @@
     async def _follow(self, group: groups.Group, member: ids.MemberId) -> None:
         """Ask a promoted member until it leads."""
         term = group.leadership.term
-        group.primary_due_at = self._clock.now() + PROMOTION_S
-        until = self._clock.now() + LEADS_WITHIN_S
+        called_at = self._clock.now()
+        group.primary_due_at = called_at + self._promotion_s
+        until = called_at + LEADS_WITHIN_S
         while self._clock.now() < until:
             pool = group.pool_by_member.get(member)
             if pool is None:
                 break
             if await group.prove(pool) and group.leadership.term > term:
+                self._promotion_s = self._clock.now() - called_at
                 break
             await asyncio.sleep(LEADS_POLL_S)
         group.primary_due_at = None
--- a/burdockcart/process/gateway/failover_rule.py
+++ b/burdockcart/process/gateway/failover_rule.py
@@ -25,15 +25,15 @@
 #: Time between the first and the last refused connection, in seconds: a
 #: process that is started again at once is back sooner.
 REFUSED_FOR_S = 0.1
-#: Silence after which a primary is replaced, in seconds: above the longest
-#: statement behind a full queue at the users (16 statements in 2 slots of
-#: 8 ms each, and one of 140 ms).
-SILENT_FOR_S = 0.5
+#: Silence after which a primary is replaced, in seconds: twice the longest
+#: work on the weather firm's sheet (140 ms), during which a member of two
+#: slots may answer nothing.
+SILENT_FOR_S = 0.35
 #: Time for which a write stays unanswered although the member accepts
 #: connections, in seconds; above the time that replicas need under load.
 STALLED_FOR_S = 0.7
 #: Unanswered time after which a new connection is tried, in seconds.
-CHECK_AFTER_S = 0.2
+CHECK_AFTER_S = 0.15
 #: Least time between two promotions of a group by unplanned causes, in
 #: seconds: the effect of one must show before the next.
 UNPLANNED_GAP_S = 5.0
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -10,6 +10,7 @@
 from burdockcart.connection import member_channel
 from burdockcart import errors
 from burdockcart import ids
+from burdockcart.process.gateway import connection_share
 from burdockcart.process.gateway import leadership
 from burdockcart.process.gateway import member_pool
 from burdockcart.request import log_position
@@ -21,6 +22,9 @@
 #: Limit for a proof of leadership, in seconds; it takes no slot, so only the
 #: network and a stopped member delay it.
 PROOF_TIMEOUT_S = 0.3
+#: When a client may come back to a daemon that is cut off, in milliseconds:
+#: the time in which the balancer sends it elsewhere.
+ISOLATED_RETRY_MS = 1000
 
 
 class Group:
@@ -49,7 +53,8 @@
         self.pool_by_member: dict[ids.MemberId, member_pool.MemberPool] = {}
         self.queue = work_queue.WorkQueue()
         self.primary_due_at: float | None = None
-        self._share = 1
+        self.isolated = False
+        self._share = connection_share.Share(1, 1)
         self._domain = domain
         self._connector = connector
         self._clock = loop_clock
@@ -62,7 +67,7 @@
     def use_limits(self, limits: manifest.GroupLimits, daemons: int) -> None:
         """Use new limits, shared by a number of daemons."""
         self.limits = limits
-        self._share = max(limits.connections // max(daemons, 1), 1)
+        self._share = connection_share.share_of(limits.connections, daemons)
         for pool in self.pool_by_member.values():
             pool.resize(self._share)
         self.dispatch()
@@ -77,7 +82,7 @@
             pool = member_pool.MemberPool(
                 entry, self._connector, self._clock, self.dispatch
             )
-            pool.limit = self._share
+            pool.share = self._share
             self.pool_by_member[entry.id] = pool
         elif pool.entry != entry:
             pool.entry = entry
@@ -214,6 +219,12 @@
         """Return a refusal for work that cannot be served in time."""
         now = self._clock.now()
         left_s = work.give_up_at - now
+        if work.primary_only and self.isolated and not self._leads_here():
+            return errors.Failure(
+                errors.ErrorKind.NO_PRIMARY,
+                f"the primary of group {self.id} is out of reach",
+                retry_after_ms=ISOLATED_RETRY_MS,
+            )
         if work.primary_only and self.primary_due_at is not None:
             due_s = self.primary_due_at - now
             if due_s > left_s:
@@ -228,7 +239,7 @@
             if not work.primary_only
             or pool.entry.id == self.leadership.member
         ]
-        connections = sum(pool.limit for pool in pools)
+        connections = sum(pool.share.most for pool in pools)
         wait_s = self.queue.wait_s(work, connections)
         if wait_s <= left_s:
             return None
@@ -248,6 +259,16 @@
         work.connection.set_result(result.Failure(failure))
         self.queue.remove(work)
 
+    def _leads_here(self) -> bool:
+        """Return whether the primary is in this failure domain."""
+        pool = self.primary_pool()
+        return pool is not None and pool.entry.domain == self._domain
+
+    def trim(self) -> None:
+        """Close connections that a burst opened and nobody uses."""
+        for pool in self.pool_by_member.values():
+            pool.trim()
+
     def release(self, connection: member_pool.PooledConnection) -> None:
         """Return a connection after its work."""
         now = self._clock.now()
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -9,6 +9,7 @@
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_health
 from burdockcart.connection import member_session
+from burdockcart.process.gateway import connection_share
 from burdockcart.request import command
 from burdockcart.request import member_choice
 from burdockcart.request import replica_lag
@@ -19,7 +20,7 @@
 CONNECT_TIMEOUT_S = 0.3
 #: Pause after a member said that its connections are exhausted, in seconds;
 #: other daemons give connections back when they learn of a new daemon.
-EXHAUSTED_PAUSE_S = 0.25
+EXHAUSTED_PAUSE_S = 0.1
 
 
 class PooledConnection:
@@ -30,6 +31,7 @@
         self.channel = channel
         self.held = member_session.MemberSession()
         self.taken_at = 0.0
+        self.idle_since = 0.0
 
 
 class MemberPool:
@@ -51,7 +53,7 @@
         changed: Callable[[], None],
     ):
         self.entry = entry
-        self.limit = 1
+        self.share = connection_share.Share(1, 1)
         self.lag = replica_lag.ReplicaLag()
         self.retired = False
         self._connector = connector
@@ -100,7 +102,7 @@
         now = self._clock.now()
         return (
             not self.retired
-            and self.open_count < self.limit
+            and self.open_count < self.share.most
             and now >= self._exhausted_until
             and self.health.usable(now)
             and not (self.health.failing and self._opening)
@@ -110,8 +112,9 @@
         self, value_by_name: dict[str, str], shape: command.Shape | None
     ) -> PooledConnection:
         """Take the free connection that needs the fewest preparations."""
+        # The one used last among equals: the others may be left idle.
         best = min(
-            self._idle,
+            reversed(self._idle),
             key=lambda each: len(each.held.steps(value_by_name, shape)),
         )
         self._idle.remove(best)
@@ -125,10 +128,11 @@
         if (
             connection.channel.closed
             or self.retired
-            or self.open_count >= self.limit
+            or self.open_count >= self.share.most
         ):
             connection.channel.close()
         else:
+            connection.idle_since = self._clock.now()
             self._idle.append(connection)
         self._changed()
 
@@ -143,15 +147,19 @@
         assert task is not None
         self._opening.discard(task)
         if opened is not None:
-            if self.retired or self.open_count >= self.limit:
+            if self.retired or self.open_count >= self.share.most:
                 opened.close()
             else:
-                self._idle.append(PooledConnection(self, opened))
+                connection = PooledConnection(self, opened)
+                connection.idle_since = self._clock.now()
+                self._idle.append(connection)
         self._changed()
 
-    async def connect(self) -> member_channel.Channel | None:
+    async def connect(
+        self, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> member_channel.Channel | None:
         """Open a connection outside the pool's count, and learn from it."""
-        opened = await self._connector.connect(self.address, CONNECT_TIMEOUT_S)
+        opened = await self._connector.connect(self.address, timeout_s)
         now = self._clock.now()
         if not isinstance(opened, member_channel.MemberFault):
             self.health.answered(now)
@@ -168,7 +176,7 @@
             opened.value,
             self.health.failures,
             self.open_count,
-            self.limit,
+            self.share.most,
         )
         return None
 
@@ -183,11 +191,21 @@
         self._busy.add(connection)
         return connection
 
-    def resize(self, limit: int) -> None:
-        """Use a new limit; idle connections above it are closed."""
-        self.limit = limit
-        while self._idle and self.open_count > limit:
-            self._idle.pop().channel.close()
+    def resize(self, share: connection_share.Share) -> None:
+        """Use a new share; idle connections above it are closed."""
+        self.share = share
+        while self._idle and self.open_count > share.most:
+            self._idle.pop(0).channel.close()
+
+    def trim(self) -> None:
+        """Close connections that a burst opened and nobody uses."""
+        now = self._clock.now()
+        while (
+            self._idle
+            and self.open_count > self.share.kept
+            and now - self._idle[0].idle_since >= connection_share.IDLE_S
+        ):
+            self._idle.pop(0).channel.close()
 
     def retire(self) -> None:
         """Close idle connections and open no more."""
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -1,6 +1,9 @@
 """Runs the statements of client sessions on members."""
 
 import asyncio
+from typing import Any
+from typing import Coroutine
+from typing import TypeVar
 
 import loguru
 import msgspec
@@ -15,6 +18,7 @@
 from burdockcart.process.gateway import member_pool
 from burdockcart.request import attempt_rule
 from burdockcart.request import command
+from burdockcart.request import retry
 from burdockcart.request import sample_window
 from burdockcart.request import work_queue
 from burdockcart.version import manifest
@@ -22,6 +26,10 @@
 #: Share of a statement's timeout that it may wait for a connection; the rest
 #: is left for running it.
 WAIT_SHARE = 0.6
+#: Share of a route's latency goal after which a read is sent to a second
+#: member as well; on the users' sheets five to eight times the mean work, so
+#: that a few in a hundred reads are.
+HEDGE_AT_GOAL = 0.3
 #: Pause before a member with a full queue is asked again, in seconds; about
 #: one statement's work.
 QUEUE_FULL_PAUSE_S = 0.008
@@ -32,6 +40,8 @@
 #: for ending a transaction, in seconds; none of them takes a slot.
 PREPARE_TIMEOUT_S = 0.4
 
+T = TypeVar("T")
+
 Outcome = result.Result[member_channel.Answer, errors.Failure]
 
 
@@ -63,6 +73,45 @@
         return self.arrived_at + self.route.timeout_s
 
 
+class Course(msgspec.Struct, eq=False):
+    """The attempts of a read, which may race with a second course.
+
+    ``ended`` tells that the other course has won.
+    """
+
+    excluded: set[ids.MemberId] = msgspec.field(default_factory=set)
+    member: ids.MemberId | None = None
+    work: work_queue.Work | None = None
+    ended: bool = False
+
+    def end(self) -> None:
+        """Leave the queue; a statement at a member runs to its end."""
+        self.ended = True
+        work = self.work
+        if work is not None and not work.connection.done():
+            failure = errors.Failure(
+                errors.ErrorKind.OVERLOADED, "answered by another member"
+            )
+            work.connection.set_result(result.Failure(failure))
+
+
+async def _first_success(
+    course_by_task: dict[asyncio.Task[Outcome], Course],
+) -> Outcome:
+    """Return the first success, or the last failure."""
+    pending = set(course_by_task)
+    while True:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        outcomes = [task.result() for task in done]
+        won = [each for each in outcomes if isinstance(each, result.Success)]
+        if won or not pending:
+            for task in pending:
+                course_by_task[task].end()
+            return (won or outcomes)[0]
+
+
 class StatementRunner:
     """Places statements on members and repeats what may be repeated.
 
@@ -83,22 +132,64 @@
         self._group_by_id = group_by_id
         self._clock = loop_clock
         self._boot_clock = boot_clock
-        self._ending: set[asyncio.Task[None]] = set()
+        self._background: set[asyncio.Task[Any]] = set()
+        self._hedges = retry.RetryBudget()
 
     async def run_single(self, session: Session, request: Request) -> Outcome:
         """Run a statement outside of a transaction."""
         group = self._group_by_id.get(request.route.group)
         if group is None:
             return _no_group(request.route)
-        excluded: set[ids.MemberId] = set()
+        first = Course()
+        if (
+            request.writes
+            or request.route.consistency is manifest.Consistency.PRIMARY
+        ):
+            return await self._run_course(group, session, request, first)
+        self._hedges.earn()
+        running = self._spawn(
+            self._run_course(group, session, request, first)
+        )
+        done, _ = await asyncio.wait(
+            {running}, timeout=HEDGE_AT_GOAL * request.route.goal_s
+        )
+        if done or first.member is None or not self._hedges.spend():
+            return await running
+        second = Course(excluded={first.member})
+        _log_hedge(request, first.member)
+        hedge = self._spawn(
+            self._run_course(group, session, request, second)
+        )
+        return await _first_success(
+            {running: first, hedge: second}
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+        """Run work that may outlive the statement it belongs to."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return task
+
+    async def _run_course(
+        self,
+        group: groups.Group,
+        session: Session,
+        request: Request,
+        course: Course,
+    ) -> Outcome:
+        """Try members one after the other."""
+        excluded = course.excluded
         attempt = 0
         while True:
             attempt += 1
             work = self._work(group, session, request, excluded)
+            course.work = work
             acquired = await group.acquire(work)
             if isinstance(acquired, result.Failure):
                 return result.Failure(acquired.failure())
             connection = acquired.unwrap()
+            course.member = connection.pool.entry.id
             answer = await self._attempt(
                 group, session, request, connection, work
             )
@@ -109,7 +200,11 @@
                 answer.fault, request.writes, attempt
             )
             _log_attempt(request, connection, answer, attempt, step)
-            if step is attempt_rule.NextStep.GIVE_UP or self._late(request):
+            if (
+                step is attempt_rule.NextStep.GIVE_UP
+                or course.ended
+                or self._late(request)
+            ):
                 return result.Failure(
                     attempt_rule.failure_of(
                         answer.fault, answer.text, request.writes
@@ -210,10 +305,15 @@
         health = connection.pool.health
         now = self._clock.now()
         ticket = health.sent(now, waits_for_replica)
+        limit_s = max(request.ends_at - now, 0.0)
+        if not waits_for_replica:
+            # The answer to a write waits for a replica, and giving it up
+            # would leave the outcome unknown; the others can be repeated.
+            limit_s = min(limit_s, health.overdue_s(now))
         answer = await connection.channel.run(
             request.statement,
             request.shape,
-            max(request.ends_at - now, 0.0),
+            limit_s,
             after=None if work is None else work.position,
             prove=prove,
         )
@@ -477,11 +577,7 @@
         if connection.channel.closed:
             group.release(connection)
             return
-        task = asyncio.create_task(
-            self._roll_back(group, connection), name="roll_back"
-        )
-        self._ending.add(task)
-        task.add_done_callback(self._ending.discard)
+        self._spawn(self._roll_back(group, connection))
 
     async def _roll_back(
         self, group: groups.Group, connection: member_pool.PooledConnection
@@ -519,6 +615,12 @@
     )
 
 
+def _log_hedge(request: Request, member: ids.MemberId) -> None:
+    loguru.logger.info(
+        "event=read_hedged id={} member={}", request.statement.id, member
+    )
+
+
 def _log_attempt(
     request: Request,
     connection: member_pool.PooledConnection,
