Read on where a promotion discarded a position

Until its first commit a new primary tells positions of the old term. A session or sample that held a discarded position was refused by every member, and gave up after five refusals within 5 ms.

A refusal for lack of the position no longer counts as an attempt; a position that the primary itself lacks is asked for no more. Samples of the old primary are dropped when another member leads.

The test of the discarded position fails without the change.

--- a/burdockcart/connection/member_channel.py
+++ b/burdockcart/connection/member_channel.py
@@ -103,7 +103,9 @@
     means that the channel is closed.
     """
 
-    closed: bool
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended."""
 
     async def prepare(
         self, steps: list[member_session.Step], timeout_s: float
--- /dev/null
+++ b/burdockcart/emulator/wire_platform.py
@@ -0,0 +1,211 @@
+"""In-memory platform of a gateway: store, promotions, list of daemons."""
+
+import asyncio
+import copy
+import itertools
+
+from returns import result
+
+from burdockcart.emulator import wire_member
+from burdockcart import ids
+from burdockcart.process.gateway import coordination
+from burdockcart.version import manifest
+
+CallFault = coordination.CallFault
+PromotionFault = coordination.PromotionFault
+
+
+class EmulatedPlatform:
+    """The platform as all daemons of a test share it.
+
+    Parameters
+    ==========
+
+    group_by_id : dict of GroupId to EmulatedGroup
+        Groups whose members can be promoted.
+
+    """
+
+    def __init__(
+        self,
+        tables: manifest.Manifest,
+        group_by_id: dict[ids.GroupId, wire_member.EmulatedGroup],
+    ):
+        self.group_by_id = group_by_id
+        self.revisions = itertools.count(100)
+        self.revision = 99
+        self.tables = coordination.At(tables, self.revision)
+        self.history: list[coordination.At[manifest.Manifest]] = [self.tables]
+        self.oldest_kept = 0
+        self.entry_by_id: dict[ids.MemberId, manifest.MemberEntry] = {}
+        self.changes: list[
+            tuple[int, ids.MemberId, manifest.MemberEntry | None]
+        ] = []
+        self.record_by_group: dict[
+            ids.GroupId, tuple[coordination.PromotionRecord, int]
+        ] = {}
+        self.token_by_group: dict[ids.GroupId, ids.FencingToken] = {}
+        self.promotions: list[tuple[ids.GroupId, ids.MemberId, int]] = []
+        self.daemons: set[ids.DaemonId] = set()
+        #: Faults: the store is away, the answers of claims and promotions
+        #: are lost, promotions are carried out late.
+        self.away = False
+        self.lose_claims = 0
+        self.lose_promotions = 0
+        self.late_s = 0.0
+        self._late: set[asyncio.Task[None]] = set()
+        self._changed = asyncio.Event()
+
+    def _next_revision(self) -> int:
+        self.revision = next(self.revisions)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.revision
+
+    def put_tables(self, tables: manifest.Manifest) -> None:
+        """Write a manifest, as the operator does."""
+        self.tables = coordination.At(tables, self._next_revision())
+        self.history.append(self.tables)
+
+    def put_member(self, entry: manifest.MemberEntry) -> None:
+        """Write a member's entry."""
+        self.entry_by_id[entry.id] = entry
+        self.changes.append((self._next_revision(), entry.id, entry))
+
+    def remove_member(self, member: ids.MemberId) -> None:
+        """Remove a member's entry."""
+        del self.entry_by_id[member]
+        self.changes.append((self._next_revision(), member, None))
+
+    async def _answer(self):
+        await asyncio.sleep(0.004)
+        if self.away:
+            return result.Failure(CallFault.UNAVAILABLE)
+        return None
+
+    async def read_manifest(self):
+        """Return the manifest in force."""
+        return await self._answer() or result.Success(
+            coordination.At(self.tables.value, self.revision)
+        )
+
+    async def watch_manifest(self, after: int, wait_s: float):
+        """Wait for manifests written after a revision."""
+        refused = await self._answer()
+        if refused is not None:
+            return refused
+        if after < self.oldest_kept:
+            return result.Failure(CallFault.HISTORY_LOST)
+        until = asyncio.get_running_loop().time() + wait_s
+        while True:
+            found = [each for each in self.history if each.revision > after]
+            now = asyncio.get_running_loop().time()
+            if found or now >= until:
+                values = [each.value for each in found]
+                return result.Success(coordination.At(values, self.revision))
+            try:
+                async with asyncio.timeout(until - now):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+
+    async def list_members(self):
+        """Return all registered members."""
+        return await self._answer() or result.Success(
+            coordination.At(copy.copy(self.entry_by_id), self.revision)
+        )
+
+    async def watch_members(self, after: int):
+        """Return what changed after a revision."""
+        refused = await self._answer()
+        if refused is not None:
+            return refused
+        if after < self.oldest_kept:
+            return result.Failure(CallFault.HISTORY_LOST)
+        changed = {
+            member: entry
+            for revision, member, entry in self.changes
+            if revision > after
+        }
+        return result.Success(coordination.At(changed, self.revision))
+
+    async def claim_promotion(
+        self,
+        group: ids.GroupId,
+        record: coordination.PromotionRecord,
+        expected: int,
+    ):
+        """Claim the right to promote if the record is still at a revision."""
+        refused = await self._answer()
+        if refused is not None:
+            return refused
+        known, revision = self.record_by_group.get(group, (None, 0))
+        if revision != expected:
+            return result.Failure(coordination.ClaimLost(known, revision))
+        revision = self._next_revision()
+        self.record_by_group[group] = (record, revision)
+        if self.lose_claims:
+            self.lose_claims -= 1
+            return result.Failure(CallFault.NO_ANSWER)
+        return result.Success(ids.FencingToken(revision))
+
+    async def promote(
+        self,
+        group: ids.GroupId,
+        member: ids.MemberId,
+        holder: ids.DaemonId,
+        token: ids.FencingToken,
+    ):
+        """Make a member the primary of its group."""
+        await asyncio.sleep(0.004)
+        if self.lose_promotions:
+            self.lose_promotions -= 1
+            task = asyncio.create_task(self._later(group, member, token))
+            self._late.add(task)
+            return result.Failure(PromotionFault.NO_ANSWER)
+        return self._promote(group, member, token)
+
+    async def _later(
+        self,
+        group: ids.GroupId,
+        member: ids.MemberId,
+        token: ids.FencingToken,
+    ) -> None:
+        await asyncio.sleep(self.late_s)
+        self._promote(group, member, token)
+
+    def _promote(
+        self,
+        group: ids.GroupId,
+        member: ids.MemberId,
+        token: ids.FencingToken,
+    ):
+        if token < self.token_by_group.get(group, 0):
+            return result.Failure(PromotionFault.OUTRANKED)
+        emulated = self.group_by_id[group]
+        target = emulated.member_by_id[member]
+        if target.refuses:
+            return result.Failure(PromotionFault.OUTRANKED)
+        self.token_by_group[group] = token
+        self.promotions.append((group, member, token))
+        if not target.leads:
+            asyncio.get_running_loop().call_later(
+                emulated.promotion_s, emulated.promote, target
+            )
+        return result.Success(None)
+
+    async def register_daemon(self, daemon: ids.DaemonId, ttl_s: float):
+        """Enter a daemon into the list."""
+        refused = await self._answer()
+        if refused is not None:
+            return refused
+        self.daemons.add(daemon)
+        return result.Success(1)
+
+    async def renew_daemon(self, lease: int):
+        """Keep a daemon in the list."""
+        return await self._answer() or result.Success(None)
+
+    async def daemon_count(self):
+        """Return how many daemons are listed."""
+        return await self._answer() or result.Success(len(self.daemons))
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -242,9 +242,7 @@
             )
         )
 
-    async def watch_members(
-        self, after: int
-    ) -> result.Result[
+    async def watch_members(self, after: int) -> result.Result[
         coordination.At[dict[ids.MemberId, manifest.MemberEntry | None]],
         coordination.CallFault,
     ]:
--- a/burdockcart/platform/client_wire.py
+++ b/burdockcart/platform/client_wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from typing import Iterable
 from typing import Protocol
 
 import loguru
@@ -154,7 +155,12 @@
             max_buffer_size=READ_BUFFER_BYTES, read_chunk_size=16 * 1024
         )
         self._gateway = gateway
-        self.connections: set[ClientConnection] = set()
+        self._connections: set[ClientConnection] = set()
+
+    @property
+    def connections(self) -> Iterable[ClientConnection]:
+        """The open connections."""
+        return self._connections
 
     def listen_on(self, address: str) -> None:
         """Listen on ``ip:port``."""
@@ -167,8 +173,8 @@
         """Serve one client to its end."""
         sockets.detect_silence(stream.socket, USER_TIMEOUT_MS)
         connection = ClientConnection(stream, self._gateway)
-        self.connections.add(connection)
+        self._connections.add(connection)
         try:
             await connection.serve()
         finally:
-            self.connections.discard(connection)
+            self._connections.discard(connection)
--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -10,6 +10,7 @@
 import loguru
 from returns import result
 
+from burdockcart import clock
 from burdockcart.cmd import stop_signal
 from burdockcart.connection import client_session
 from burdockcart import errors
@@ -61,7 +62,7 @@
         signal.SIGHUP, _reload, path, platform
     )
     daemon = application.GatewayApplication(
-        config, platform, member_wire.WireConnector()
+        config, platform, member_wire.WireConnector(), clock.BootClock()
     )
     listener = client_wire.ClientListener(_Gateway(daemon))
     await daemon.start(listener)
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -1,7 +1,6 @@
 """Connections to members over the line protocol."""
 
 import asyncio
-import re
 import socket
 
 import loguru
@@ -15,10 +14,12 @@
 from burdockcart.request import log_position
 
 #: An answer ends with READY; a refused STARTUP is a single ERROR.
-_ANSWER_END = re.compile(rb"(?:^|\r\n)READY [^\r\n]*\r\n")
-_STARTUP_END = re.compile(rb"^(?:READY|ERROR)[^\r\n]*\r\n")
+_ANSWER_END = rb"(?:^|\r\n)READY [^\r\n]*\r\n"
+_STARTUP_END = rb"^(?:READY|ERROR)[^\r\n]*\r\n"
 
-_CONNECT_FAULT_BY_ERROR = {
+_CONNECT_FAULT_BY_ERROR: dict[
+    type[BaseException] | None, member_channel.MemberFault
+] = {
     ConnectionRefusedError: member_channel.MemberFault.REFUSED,
     ConnectionResetError: member_channel.MemberFault.REFUSED,
 }
@@ -224,7 +225,9 @@
             return member_channel.MemberFault.SILENT
         except iostream.StreamClosedError as error:
             stream.close()
-            cause = type(error.real_error)
+            cause = (
+                None if error.real_error is None else type(error.real_error)
+            )
             return _CONNECT_FAULT_BY_ERROR.get(
                 cause, member_channel.MemberFault.BROKEN
             )
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -57,7 +57,9 @@
 class Clients(Protocol):
     """The edge towards clients."""
 
-    connections: Iterable[Client]
+    @property
+    def connections(self) -> Iterable[Client]:
+        """The open connections."""
 
     def listen_on(self, address: str) -> None:
         """Listen on ``ip:port``."""
@@ -75,6 +77,12 @@
     Life-cycle hooks: :meth:`start` opens all sockets, :meth:`drain` lets the
     balancer and the clients move away, :meth:`stop` closes what is left.
 
+    Parameters
+    ==========
+
+    boot_clock : Clock
+        Counts the time in which the machine is suspended.
+
     """
 
     def __init__(
@@ -82,12 +90,13 @@
         config: settings.GatewaySettings,
         platform: coordination.Platform,
         connector: member_channel.Connector,
+        boot_clock: clock.Clock,
     ):
         self._settings = config
         self._platform = platform
         self._connector = connector
         self._clock = clock.LoopClock()
-        self._boot_clock = clock.BootClock()
+        self._boot_clock = boot_clock
         source = random.Random(config.daemon)
         self._source = source
         self._daemons = INITIAL_DAEMONS
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import enum
-import uuid
 from typing import Callable
+import uuid
 
 import loguru
 from returns import result
@@ -120,7 +120,7 @@
         if pool is None or (pool.health.failing and self._lead_moved(group)):
             self._check(group, self._search(group))
             return
-        view = _view(pool)
+        view = _view(pool, group.leadership.since)
         longest_wait_s = pool.health.longest_wait_s(now)
         if failover_rule.needs_check(view, longest_wait_s):
             self._check(group, self._try_connection(pool))
@@ -219,7 +219,11 @@
             for connection in connections
         }
         try:
-            done = await self._promote_one(group, channels)
+            done = await self._promote_one(
+                group,
+                channels,
+                lambda: self._needed(group, old, cause, started_at),
+            )
         finally:
             for connection in connections:
                 connection.pool.give_back(connection)
@@ -230,6 +234,21 @@
             int((self._clock.now() - started_at) * 1000),
         )
 
+    def _needed(
+        self,
+        group: groups.Group,
+        old: ids.MemberId,
+        cause: failover_rule.Cause,
+        began_at: float,
+    ) -> bool:
+        """Return whether the old primary is still to be replaced."""
+        pool = group.pool_by_member.get(old)
+        if group.leadership.member not in (None, old):
+            return False
+        return pool is None or failover_rule.still_needed(
+            cause, began_at, pool.health.last_answer_at
+        )
+
     async def _connections(
         self, pools: list[member_pool.MemberPool]
     ) -> list[member_pool.PooledConnection] | None:
@@ -246,6 +265,7 @@
         self,
         group: groups.Group,
         channels: dict[ids.MemberId, member_channel.Channel],
+        needed: Callable[[], bool],
     ) -> bool:
         """Claim the turn, choose a replica and promote it."""
         token = await self._claim(group)
@@ -253,7 +273,7 @@
             return False
         candidate = await self._candidate(group, channels)
         called = Called.NO
-        if candidate is not None:
+        if candidate is not None and needed():
             called = await self._call(group, candidate, token)
         if called is Called.DONE:
             assert candidate is not None
@@ -379,9 +399,9 @@
         if seen is None:
             return None
         candidate = failover_rule.first_candidate(seen)
-        term = 1 + max([group.leadership.term] + [
-            each.received.term for each in seen
-        ])
+        term = 1 + max(
+            [group.leadership.term] + [each.received.term for each in seen]
+        )
         rest = {
             member: channel
             for member, channel in channels.items()
@@ -474,7 +494,6 @@
 
     async def _follow(self, group: groups.Group, member: ids.MemberId) -> None:
         """Ask a promoted member until it leads."""
-        term = group.leadership.term
         called_at = self._clock.now()
         group.primary_due_at = called_at + self._promotion_s
         until = called_at + LEADS_WITHIN_S
@@ -482,16 +501,19 @@
             pool = group.pool_by_member.get(member)
             if pool is None:
                 break
-            if await group.prove(pool) and group.leadership.term > term:
+            if await group.prove(pool):
                 self._promotion_s = self._clock.now() - called_at
                 break
             await asyncio.sleep(LEADS_POLL_S)
         group.primary_due_at = None
 
 
-def _view(pool: member_pool.MemberPool) -> failover_rule.PrimaryView:
+def _view(
+    pool: member_pool.MemberPool, leads_since: float
+) -> failover_rule.PrimaryView:
     health = pool.health
     return failover_rule.PrimaryView(
+        leads_since=leads_since,
         draining=pool.entry.state is manifest.MemberState.DRAINING,
         failures=health.failures,
         refusals=health.refusals,
--- a/burdockcart/process/gateway/failover_rule.py
+++ b/burdockcart/process/gateway/failover_rule.py
@@ -52,9 +52,11 @@
 class PrimaryView(msgspec.Struct, frozen=True, kw_only=True):
     """What this daemon knows of the member that it takes for the primary.
 
-    Times are those of the event loop.
+    Times are those of the event loop.  ``leads_since`` is when it was first
+    taken for the primary: failures before that are no reason to replace it.
     """
 
+    leads_since: float
     draining: bool
     failures: int
     refusals: int
@@ -81,8 +83,8 @@
 
     >>> from burdockcart.process.gateway import failover_rule
     >>> view = failover_rule.PrimaryView(
-    ...     draining=False, failures=2, refusals=2, first_failure_at=9.8,
-    ...     last_answer_at=9.7, oldest_write_at=None,
+    ...     leads_since=0.0, draining=False, failures=2, refusals=2,
+    ...     first_failure_at=9.8, last_answer_at=9.7, oldest_write_at=None,
     ...     last_write_answer_at=9.7)
     >>> failover_rule.cause_to_replace(view, now=10.0).value
     'refuses connections'
@@ -91,10 +93,11 @@
     if view.draining:
         return Cause.DRAINING
     if view.failures >= MIN_FAILURES and view.first_failure_at is not None:
-        failing_s = now - view.first_failure_at
+        failing_s = now - max(view.first_failure_at, view.leads_since)
         if view.refusals >= MIN_FAILURES and failing_s >= REFUSED_FOR_S:
             return Cause.REFUSED
-        if now - view.last_answer_at >= SILENT_FOR_S:
+        silent_s = now - max(view.last_answer_at, view.leads_since)
+        if silent_s >= SILENT_FOR_S:
             return Cause.SILENT
     if view.oldest_write_at is not None:
         quiet_since = max(view.oldest_write_at, view.last_write_answer_at)
@@ -103,6 +106,17 @@
     return None
 
 
+def still_needed(cause: Cause, began_at: float, last_answer_at: float) -> bool:
+    """Return whether a primary that was to be replaced is still to be.
+
+    One that answered after the replacement began was cut off for a moment
+    only.
+    """
+    if cause in (Cause.REFUSED, Cause.SILENT):
+        return last_answer_at < began_at
+    return True
+
+
 class ReplicaView(msgspec.Struct, frozen=True):
     """A replica whose log stands still, or the one that goes on receiving."""
 
@@ -123,9 +137,7 @@
     )
 
 
-def holds_all(
-    candidate: ReplicaView, held: list[ReplicaView]
-) -> bool:
+def holds_all(candidate: ReplicaView, held: list[ReplicaView]) -> bool:
     """Return whether a replica has every commit that can be acknowledged.
 
     A commit is acknowledged once one replica has received it.  The others
@@ -134,5 +146,3 @@
     the others.
     """
     return all(candidate.received >= each.received for each in held)
-
-
--- a/burdockcart/process/gateway/followers.py
+++ b/burdockcart/process/gateway/followers.py
@@ -267,9 +267,7 @@
         """Renew and count until the lease has ended."""
         while True:
             await self._count()
-            await asyncio.sleep(
-                RENEW_EVERY_S * self._source.uniform(0.8, 1.0)
-            )
+            await asyncio.sleep(RENEW_EVERY_S * self._source.uniform(0.8, 1.0))
             renewed = await self._platform.renew_daemon(lease)
             if isinstance(renewed, result.Failure):
                 if renewed.failure() is coordination.CallFault.MISSING:
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -86,7 +86,7 @@
             self.pool_by_member[entry.id] = pool
         elif pool.entry != entry:
             pool.entry = entry
-        if entry.leads and self.leadership.hinted(entry.id):
+        if entry.leads and self.leadership.hinted(entry.id, self._clock.now()):
             self._log_primary("entry")
         self.dispatch()
 
@@ -124,7 +124,11 @@
         """
         if position is None:
             return
-        if self.leadership.proven(member, position.term):
+        if member != self.leadership.member:
+            # Until its first commit a new primary tells positions of the old
+            # term, which don't tell discarded commits from kept ones.
+            self.samples.clear()
+        if self.leadership.proven(member, position.term, self._clock.now()):
             self._log_primary("proof")
             self.primary_due_at = None
             self.dispatch()
@@ -141,7 +145,9 @@
             member,
         )
         for pool in self.pool_by_member.values():
-            if pool.entry.leads and self.leadership.hinted(pool.entry.id):
+            if pool.entry.leads and self.leadership.hinted(
+                pool.entry.id, self._clock.now()
+            ):
                 self._log_primary("entry")
 
     def _log_primary(self, cause: str) -> None:
@@ -195,9 +201,7 @@
             return result.Failure(refusal)
         self.queue.push(work)
         loop = asyncio.get_running_loop()
-        self._timers[work] = loop.call_at(
-            work.give_up_at, self._give_up, work
-        )
+        self._timers[work] = loop.call_at(work.give_up_at, self._give_up, work)
         self.dispatch()
         try:
             return await work.connection
@@ -236,8 +240,7 @@
         pools = [
             pool
             for pool in self.pool_by_member.values()
-            if not work.primary_only
-            or pool.entry.id == self.leadership.member
+            if not work.primary_only or pool.entry.id == self.leadership.member
         ]
         connections = sum(pool.share.most for pool in pools)
         wait_s = self.queue.wait_s(work, connections)
--- a/burdockcart/process/gateway/leadership.py
+++ b/burdockcart/process/gateway/leadership.py
@@ -20,12 +20,12 @@
 
     >>> from burdockcart.process.gateway import leadership
     >>> leads = leadership.Leadership()
-    >>> leads.hinted("a")
+    >>> leads.hinted("a", now=1.0)
     True
-    >>> leads.proven("b", term=4)
+    >>> leads.proven("b", term=4, now=2.0)
     True
-    >>> leads.hinted("a"), leads.member
-    (False, 'b')
+    >>> leads.hinted("a", now=3.0), leads.member, leads.since
+    (False, 'b', 2.0)
     >>> leads.denied("b"), leads.member is None
     (True, True)
 
@@ -34,14 +34,17 @@
     def __init__(self) -> None:
         self.member: ids.MemberId | None = None
         self.term = 0
+        #: Since when ``member`` is taken for the primary.
+        self.since = 0.0
         self._denied: set[ids.MemberId] = set()
 
-    def proven(self, member: ids.MemberId, term: int) -> bool:
+    def proven(self, member: ids.MemberId, term: int, now: float) -> bool:
         """Take over an answer that proves leadership; True if it is news."""
         if term < self.term:
             return False
         news = member != self.member or term > self.term
-        self.member, self.term = member, term
+        self.term = term
+        self._take(member, now)
         self._denied.clear()
         return news
 
@@ -53,17 +56,17 @@
         self.member = None
         return True
 
-    def hinted(self, member: ids.MemberId) -> bool:
+    def hinted(self, member: ids.MemberId, now: float) -> bool:
         """Take over that a member's entry says that it leads."""
         if self.member is not None or member in self._denied:
             return False
-        self.member = member
+        self._take(member, now)
         return True
 
-    def promoted(self, member: ids.MemberId) -> None:
-        """Expect a member to lead, which this daemon has promoted."""
-        self.member = member
-        self._denied.discard(member)
+    def _take(self, member: ids.MemberId, now: float) -> None:
+        if member != self.member:
+            self.member = member
+            self.since = now
 
     def forget(self, member: ids.MemberId) -> None:
         """Drop a member that left."""
--- a/burdockcart/process/gateway/promotion_turn.py
+++ b/burdockcart/process/gateway/promotion_turn.py
@@ -43,9 +43,7 @@
     ) -> None:
         """Take over that this daemon holds the turn."""
         self._revision_by_group[group] = token
-        self._unplanned_not_before[group] = (
-            now + failover_rule.UNPLANNED_GAP_S
-        )
+        self._unplanned_not_before[group] = now + failover_rule.UNPLANNED_GAP_S
 
     def failed(self, group: ids.GroupId, now: float) -> None:
         """Take over that an attempt ended without a promotion."""
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -76,10 +76,13 @@
 class Course(msgspec.Struct, eq=False):
     """The attempts of a read, which may race with a second course.
 
-    ``ended`` tells that the other course has won.
+    ``ended`` tells that the other course has won.  ``needs_leader`` is set
+    once the primary itself lacked the position that was asked for: a
+    promotion has discarded it, and the primary's log holds all that counts.
     """
 
     excluded: set[ids.MemberId] = msgspec.field(default_factory=set)
+    needs_leader: bool = False
     member: ids.MemberId | None = None
     work: work_queue.Work | None = None
     ended: bool = False
@@ -147,9 +150,7 @@
         ):
             return await self._run_course(group, session, request, first)
         self._hedges.earn()
-        running = self._spawn(
-            self._run_course(group, session, request, first)
-        )
+        running = self._spawn(self._run_course(group, session, request, first))
         done, _ = await asyncio.wait(
             {running}, timeout=HEDGE_AT_GOAL * request.route.goal_s
         )
@@ -157,12 +158,8 @@
             return await running
         second = Course(excluded={first.member})
         _log_hedge(request, first.member)
-        hedge = self._spawn(
-            self._run_course(group, session, request, second)
-        )
-        return await _first_success(
-            {running: first, hedge: second}
-        )
+        hedge = self._spawn(self._run_course(group, session, request, second))
+        return await _first_success({running: first, hedge: second})
 
     def _spawn(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         """Run work that may outlive the statement it belongs to."""
@@ -183,7 +180,9 @@
         attempt = 0
         while True:
             attempt += 1
-            work = self._work(group, session, request, excluded)
+            work = self._work(
+                group, session, request, excluded, course.needs_leader
+            )
             course.work = work
             acquired = await group.acquire(work)
             if isinstance(acquired, result.Failure):
@@ -210,6 +209,7 @@
                         answer.fault, answer.text, request.writes
                     )
                 )
+            course.needs_leader |= _discarded(group, connection, answer)
             await self._before_retry(group, connection, answer, excluded)
 
     def _late(self, request: Request) -> bool:
@@ -464,9 +464,7 @@
         attempt = 0
         while True:
             attempt += 1
-            work = self._work(
-                group, session, request, excluded, primary_only
-            )
+            work = self._work(group, session, request, excluded, primary_only)
             acquired = await group.acquire(work)
             if isinstance(acquired, result.Failure):
                 return result.Failure(acquired.failure())
@@ -487,6 +485,7 @@
                 return result.Failure(
                     attempt_rule.failure_of(answer.fault, answer.text, False)
                 )
+            primary_only |= _discarded(group, connection, answer)
             await self._before_retry(group, connection, answer, excluded)
 
     async def _begin_on(
@@ -606,6 +605,18 @@
         self.abandon(group, transaction)
 
 
+def _discarded(
+    group: groups.Group,
+    connection: member_pool.PooledConnection,
+    answer: member_channel.Answer,
+) -> bool:
+    """Return whether the primary lacks a position."""
+    return (
+        answer.fault is member_channel.MemberFault.BEHIND
+        and connection.pool.entry.id == group.leadership.member
+    )
+
+
 def _no_group(route: manifest.DatabaseRoute) -> Outcome:
     return result.Failure(
         errors.Failure(
--- /dev/null
+++ b/burdockcart/process/gateway/tests/test_sessions.py
@@ -0,0 +1,348 @@
+"""Guards what sessions are promised by the gateway."""
+
+import asyncio
+
+import testtools
+
+from burdockcart.connection import member_channel
+from burdockcart import errors
+from burdockcart.request import command
+from burdockcart.tests import gateway_world
+
+Kind = command.CommandKind
+Error = errors.ErrorKind
+State = member_channel.TransactionState
+
+
+def scenario(check, **options):
+    """Run a check against a started world."""
+
+    async def whole():
+        world = await gateway_world.World(**options).start()
+        try:
+            await check(world)
+        finally:
+            await world.stop()
+
+    gateway_world.run(whole())
+
+
+def runs_of(world, reply_pair):
+    """Return the runs of a statement, from the members' record."""
+    statement = reply_pair[0]
+    return [run for run in world.group.runs if run.statement == statement.id]
+
+
+class TestFreshness(testtools.TestCase):
+    """Reads see the commits that their route promises."""
+
+    def test_session_reads_its_write(self):
+        """Guards against a read on a replica that lacks the write."""
+
+        async def check(world):
+            client = await world.client("layers")
+            for _ in range(30):
+                self.assertTrue(gateway_world.ok(await client.write()))
+                wrote = world.group.primary.received()
+                reply = await client.read()
+                self.assertTrue(gateway_world.ok(reply))
+                run = runs_of(world, client.sent[-1])[-1]
+                self.assertGreaterEqual(run.position, wrote)
+
+        scenario(check, lag_s=0.3)
+
+    def test_bounded_read_sees_old_commits(self):
+        """Guards against a replica that is further behind than allowed."""
+
+        async def check(world):
+            writer = await world.client("live")
+            reader = await world.client("archive")
+            world.members[1].deaf = True
+            for _ in range(60):
+                await writer.write()
+                await asyncio.sleep(0.05)
+                began = asyncio.get_running_loop().time()
+                await reader.read()
+                run = runs_of(world, reader.sent[-1])[-1]
+                owed = [
+                    commit.position
+                    for commit in world.group.primary.log
+                    if commit.at <= began - 1.5
+                ]
+                for position in owed:
+                    self.assertGreaterEqual(run.position, position)
+
+        scenario(check, lag_s=0.2)
+
+    def test_bounded_reads_use_replicas(self):
+        """Guards the primary's slots against reads that others can run."""
+
+        async def check(world):
+            reader = await world.client("archive", daemon=1)
+            # Until there are samples of some age.
+            await asyncio.sleep(0.5)
+            # The first ones go where a connection is open already.
+            for _ in range(25):
+                await reader.read()
+            members = {
+                run.member
+                for sent in reader.sent[5:]
+                for run in runs_of(world, sent)
+            }
+            self.assertNotIn(world.group.primary.id, members)
+
+        scenario(check, daemons=2)
+
+    def test_old_primary_gives_no_primary_read(self):
+        """Guards against a read on a member that has lost the lead."""
+
+        async def check(world):
+            client = await world.client("live")
+            await client.write()
+            old = world.group.primary
+            world.group.promote(world.members[1])
+            other = await world.client("live", daemon=1)
+            await other.write()
+            reply = await client.read()
+            self.assertTrue(gateway_world.ok(reply))
+            used = runs_of(world, client.sent[-1])[-1]
+            self.assertNotEqual(old.id, used.member)
+
+        scenario(check)
+
+    def test_position_that_a_promotion_discarded(self):
+        """Guards against a session that waits for a discarded commit."""
+
+        async def check(world):
+            client = await world.client("layers")
+            await client.write()
+            primary = world.group.primary
+            for member in world.members[1:]:
+                member.deaf = True
+            primary.commit([("unacknowledged", "WRITE 1 x")])
+            # Until only samples are left that hold the commit.
+            await asyncio.sleep(3.5)
+            for member in world.members[1:]:
+                member.deaf = False
+            world.group.promote(world.members[1])
+            await asyncio.sleep(0.3)
+            reply = await client.read()
+            self.assertTrue(gateway_world.ok(reply))
+
+        scenario(check)
+
+    def test_no_sample_needs_the_primary(self):
+        """Guards against stale reads when the primary is out of reach."""
+
+        async def check(world):
+            reader = await world.client("archive")
+            world.platform.away = True
+            world.daemons[0].connector.cut.add(world.members[0].id)
+            for channel in list(world.members[0].connections):
+                channel.close()
+            await asyncio.sleep(0.7)
+            self.assertTrue(gateway_world.ok(await reader.read()))
+            await asyncio.sleep(2.0)
+            reply = await reader.read()
+            self.assertFalse(gateway_world.ok(reply))
+
+        scenario(check, daemons=1)
+
+
+class TestOutcomes(testtools.TestCase):
+    """What clients are told of a failure is true."""
+
+    def test_lost_answer_to_write(self):
+        """Guards against a write that is sent twice."""
+
+        async def check(world):
+            client = await world.client("live")
+            await client.write()
+            primary = world.group.primary
+            statement = f"s{int(client.sent[-1][0].id[1:]) + 1}"
+            primary.lose.add(statement)
+            reply = await client.write()
+            self.assertIs(Error.OUTCOME_UNKNOWN, gateway_world.kind_of(reply))
+            self.assertEqual(1, len(runs_of(world, client.sent[-1])))
+
+        scenario(check)
+
+    def test_lost_answer_to_read(self):
+        """Guards against a client that waits for a lost answer."""
+
+        async def check(world):
+            client = await world.client("archive")
+            await client.read()
+            upcoming = f"s{int(client.sent[-1][0].id[1:]) + 1}"
+            near = world.members[0]
+            for member in world.members:
+                if member is not near:
+                    member.lose.add(upcoming)
+            began = asyncio.get_running_loop().time()
+            reply = await client.read()
+            took = asyncio.get_running_loop().time() - began
+            self.assertTrue(gateway_world.ok(reply))
+            self.assertLess(took, 0.3)
+
+        scenario(check)
+
+    def test_lost_answer_to_commit(self):
+        """Guards against a commit that is reported as not kept."""
+
+        async def check(world):
+            client = await world.client("live")
+            await client.send(Kind.BEGIN)
+            await client.write()
+            upcoming = f"s{int(client.sent[-1][0].id[1:]) + 1}"
+            world.group.primary.lose.add(upcoming)
+            reply = await client.send(Kind.COMMIT, "COMMIT")
+            self.assertIs(Error.OUTCOME_UNKNOWN, gateway_world.kind_of(reply))
+            self.assertIs(State.IDLE, reply.state)
+
+        scenario(check)
+
+    def test_refused_transaction_keeps_nothing(self):
+        """Guards the promise that an aborted transaction left no trace."""
+
+        async def check(world):
+            client = await world.client("live")
+            await client.send(Kind.BEGIN)
+            self.assertTrue(gateway_world.ok(await client.write()))
+            world.group.promote(world.members[1])
+            reply = await client.write()
+            self.assertIs(Error.NO_PRIMARY, gateway_world.kind_of(reply))
+            self.assertIs(State.FAILED, reply.state)
+            reply = await client.send(Kind.ROLLBACK, "ROLLBACK")
+            self.assertIs(State.IDLE, reply.state)
+            for member in world.members:
+                self.assertEqual([], member.log)
+
+        scenario(check)
+
+    def test_unknown_database(self):
+        """Guards against a session without a route."""
+
+        async def check(world):
+            opened = await world.daemons[0].open_session("nowhere")
+            self.assertIs(Error.NO_ROUTE, opened.failure().kind)
+
+        scenario(check)
+
+    def test_dropped_route(self):
+        """Guards against work on a route that is no longer there."""
+
+        async def check(world):
+            client = await world.client("live")
+            await client.write()
+            left = {"layers": gateway_world.ROUTES["layers"]}
+            world.platform.put_tables(gateway_world.tables(2, left))
+            await asyncio.sleep(0.1)
+            reply = await client.write()
+            self.assertIs(Error.NO_ROUTE, gateway_world.kind_of(reply))
+
+        scenario(check)
+
+
+class TestSharedConnections(testtools.TestCase):
+    """Sessions that share connections do not see each other."""
+
+    def test_values_and_names(self):
+        """Guards against another session's values or prepared statement."""
+
+        async def check(world):
+            clients = [
+                await world.client("layers", number % 2) for number in range(6)
+            ]
+            shapes = [
+                command.Shape(False, f"q{number}") for number in range(6)
+            ]
+            for number, client in enumerate(clients):
+                await client.send(Kind.SET, name="zone", argument=str(number))
+                if number % 2:
+                    await client.send(Kind.SET, name="odd", argument="1")
+                await client.send(
+                    Kind.PREPARE, name="s1", shape=shapes[number]
+                )
+            for _ in range(5):
+                await asyncio.gather(
+                    *(
+                        client.send(
+                            Kind.EXECUTE,
+                            "EXECUTE s1 1a4",
+                            name="s1",
+                            argument="1a4",
+                        )
+                        for client in clients
+                    )
+                )
+            for number, client in enumerate(clients):
+                expected = {("zone", str(number))}
+                if number % 2:
+                    expected.add(("odd", "1"))
+                for sent in client.sent[2 + number % 2 :]:
+                    for run in runs_of(world, sent):
+                        self.assertEqual(expected, set(run.value_by_name))
+                        self.assertEqual(shapes[number], run.shape)
+
+        scenario(check)
+
+    def test_transactions_do_not_mix(self):
+        """Guards against a statement inside another's transaction."""
+
+        async def check(world):
+            async def transaction(client):
+                await client.send(Kind.BEGIN)
+                for _ in range(4):
+                    await client.write()
+                    await asyncio.sleep(0.01)
+                await client.send(Kind.COMMIT, "COMMIT")
+
+            clients = [await world.client("live") for _ in range(5)]
+            await asyncio.gather(*(transaction(each) for each in clients))
+            for client in clients:
+                inside = {
+                    run.transaction
+                    for sent in client.sent
+                    for run in runs_of(world, sent)
+                }
+                self.assertEqual(1, len(inside))
+                self.assertNotIn(None, inside)
+            commits = [commit.writes for commit in world.group.primary.log]
+            self.assertEqual(5, len(commits))
+
+        scenario(check)
+
+    def test_idle_transaction_is_ended(self):
+        """Guards the connections against clients that rest inside."""
+
+        async def check(world):
+            client = await world.client("live")
+            await client.send(Kind.BEGIN)
+            await client.write()
+            await asyncio.sleep(3.5)
+            reply = await client.write()
+            self.assertIs(Error.TRANSACTION_LOST, gateway_world.kind_of(reply))
+            self.assertIs(State.FAILED, reply.state)
+            reply = await client.send(Kind.ROLLBACK, "ROLLBACK")
+            self.assertIs(State.IDLE, reply.state)
+            self.assertTrue(gateway_world.ok(await client.write()))
+
+        scenario(check)
+
+    def test_client_that_leaves_inside(self):
+        """Guards against a transaction that outlives its client."""
+
+        async def check(world):
+            client = await world.client("live")
+            await client.send(Kind.BEGIN)
+            await client.write()
+            client.session.close()
+            await asyncio.sleep(0.1)
+            channels = [
+                channel.state
+                for member in world.members
+                for channel in member.connections
+            ]
+            self.assertNotIn(State.OPEN, channels)
+
+        scenario(check)
--- a/burdockcart/request/attempt_rule.py
+++ b/burdockcart/request/attempt_rule.py
@@ -41,6 +41,10 @@
     'tell the client'
 
     """
+    if fault is member_channel.MemberFault.BEHIND:
+        # Costs the members nothing and ends by itself, within the time that
+        # the statement may wait.
+        return NextStep.ELSEWHERE
     if attempt >= MAX_ATTEMPTS:
         return NextStep.GIVE_UP
     if fault in member_channel.NOT_RUN or not writes:
--- a/burdockcart/request/sample_window.py
+++ b/burdockcart/request/sample_window.py
@@ -83,6 +83,10 @@
             self._samples.pop()
         self._samples.append(Sample(sent_at, position))
 
+    def clear(self) -> None:
+        """Forget all samples, as when another member has taken the lead."""
+        self._samples.clear()
+
     def _drop_old(self, now: float) -> None:
         while self._samples and now - self._samples[0].sent_at > KEEP_S:
             self._samples.popleft()
--- /dev/null
+++ b/burdockcart/tests/gateway_world.py
@@ -0,0 +1,205 @@
+"""Gateway daemons on emulated members and platform, without sockets."""
+
+import asyncio
+
+from returns import result
+
+from burdockcart import clock
+from burdockcart.emulator import wire_member
+from burdockcart.emulator import wire_platform
+from burdockcart import ids
+from burdockcart.process.gateway import application
+from burdockcart.process.gateway import settings
+from burdockcart.request import command
+from burdockcart.tests import paused_loop
+from burdockcart.version import manifest
+
+GROUP = ids.GroupId("g")
+DOMAINS = ("a", "b", "c")
+ROUTES = {
+    "live": (manifest.Consistency.PRIMARY, 0.0, 0.8, 0.1, 1),
+    "archive": (manifest.Consistency.BOUNDED, 1.5, 1.2, 0.3, 2),
+    "layers": (manifest.Consistency.OWN_WRITES, 2.5, 0.8, 0.2, 2),
+}
+
+
+def tables(version=1, routes=ROUTES, connections=16):
+    """Return a manifest with the routes of the weather firm."""
+    return manifest.Manifest(
+        version=version,
+        route_by_database={
+            ids.DatabaseName(name): manifest.DatabaseRoute(
+                name=ids.RouteName(f"r-{name}"),
+                database=ids.DatabaseName(name),
+                group=GROUP,
+                consistency=consistency,
+                max_age_s=max_age_s,
+                timeout_s=timeout_s,
+                goal_s=goal_s,
+                priority=priority,
+            )
+            for name, (
+                consistency,
+                max_age_s,
+                timeout_s,
+                goal_s,
+                priority,
+            ) in routes.items()
+        },
+        limits_by_group={
+            GROUP: manifest.GroupLimits(
+                id=GROUP, connections=connections, synchronous=True
+            )
+        },
+        transaction_idle_s=3.0,
+    )
+
+
+class World:
+    """One group of three members, its platform, and some daemons."""
+
+    def __init__(self, daemons=2, **member_options):
+        self.members = [
+            wire_member.EmulatedMember(f"m-{domain}", domain, **member_options)
+            for domain in DOMAINS
+        ]
+        self.group = wire_member.EmulatedGroup(self.members)
+        self.platform = wire_platform.EmulatedPlatform(
+            tables(), {GROUP: self.group}
+        )
+        for member in self.members:
+            self.enter(member)
+        self.daemons = [self.daemon(number) for number in range(daemons)]
+
+    def enter(self, member, state=manifest.MemberState.READY):
+        """Write a member's entry as it sees itself."""
+        self.platform.put_member(
+            manifest.MemberEntry(
+                id=member.id,
+                group=GROUP,
+                address=f"{member.id}:1",
+                domain=member.domain,
+                slots=member.slots,
+                state=state,
+                leads=member.leads,
+                born_ms=1,
+            )
+        )
+
+    def daemon(self, number):
+        """Return a daemon in one of the failure domains."""
+        config = settings.GatewaySettings(
+            daemon=ids.DaemonId(f"d{number}"),
+            domain=ids.DomainName(DOMAINS[number % len(DOMAINS)]),
+            client_address="-",
+            ready_address="-",
+            store_address="-",
+            promotion_address="-",
+        )
+        connector = wire_member.EmulatedConnector(
+            {member.id: member for member in self.members}
+        )
+        daemon = application.GatewayApplication(
+            config, self.platform, connector, clock.LoopClock()
+        )
+        daemon.connector = connector
+        return daemon
+
+    async def start(self):
+        """Start all daemons and wait until they know the primary."""
+        for daemon in self.daemons:
+            await daemon.start(Clients())
+        await until(
+            lambda: all(
+                daemon.group_by_id and daemon.group_by_id[GROUP].samples.term
+                for daemon in self.daemons
+            )
+        )
+        return self
+
+    async def stop(self):
+        """Stop all daemons."""
+        for daemon in self.daemons:
+            await daemon.stop()
+
+    async def client(self, database="layers", daemon=0):
+        """Return a session of a client."""
+        opened = await self.daemons[daemon].open_session(database)
+        return Client(opened.unwrap())
+
+
+class Clients:
+    """The edge towards clients, without sockets."""
+
+    def __init__(self):
+        self.connections = []
+
+    def listen_on(self, address):
+        """Listen nowhere."""
+
+    def stop(self):
+        """Do nothing."""
+
+
+class Client:
+    """Sends statements and keeps what it was told."""
+
+    serials = iter(range(1, 10**9))
+
+    def __init__(self, session):
+        self.session = session
+        self.sent = []
+
+    async def send(self, kind, text="", name="", argument="", shape=None):
+        """Send one statement and return the reply."""
+        statement = command.Command(
+            ids.StatementId(f"s{next(self.serials)}"),
+            kind,
+            text or kind.value,
+            name,
+            argument,
+            shape,
+        )
+        reply = await self.session.handle(statement)
+        self.sent.append((statement, reply))
+        return reply
+
+    async def read(self):
+        """Read one item."""
+        return await self.send(command.CommandKind.READ, "READ 1a4")
+
+    async def write(self):
+        """Write one item."""
+        return await self.send(command.CommandKind.WRITE, "WRITE 1a4 x")
+
+
+def ok(reply):
+    """Return whether a reply is a success."""
+    return isinstance(reply.outcome, result.Success)
+
+
+def kind_of(reply):
+    """Return the kind of a failure."""
+    return reply.outcome.failure().kind
+
+
+async def until(condition, within_s=20.0):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(within_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def run(scenario):
+    """Run a scenario to its end on a loop whose time is emulated."""
+    loop = paused_loop.PausedLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(scenario)
+    finally:
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        loop.close()
+        asyncio.set_event_loop(None)
