--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Protocol
 
+import loguru
 import msgspec
 from returns import result
 
@@ -11,6 +12,7 @@
 from burdockcart.connection import open_transaction
 from burdockcart import errors
 from burdockcart import ids
+from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import statement_runner
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -56,8 +58,10 @@
         runner: statement_runner.StatementRunner,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
     ):
         self.database = database
+        self._metrics = metrics
         self._tables = tables
         self._runner = runner
         self._clock = loop_clock
@@ -78,12 +82,48 @@
             self._idle_timer.cancel()
             self._idle_timer = None
         transaction = self._transaction
+        arrived_at = self._clock.now()
         try:
             if transaction is not None and transaction.failure is not None:
-                return self._after_failure(transaction, statement)
-            return await self._handle(statement)
+                reply = self._after_failure(transaction, statement)
+            else:
+                reply = await self._handle(statement)
         finally:
             self._watch_idle()
+        self._account(statement, reply, arrived_at)
+        return reply
+
+    def _account(
+        self, statement: command.Command, reply: Reply, arrived_at: float
+    ) -> None:
+        """Count the answer, and log it if it is a failure."""
+        failure = None
+        if isinstance(reply.outcome, result.Failure):
+            failure = reply.outcome.failure()
+        elif statement.kind in _LOCAL or statement.kind in _BEGINS:
+            return
+        took_s = self._clock.now() - arrived_at
+        route, tables = self._route(), self._tables.current
+        self._metrics.answered(
+            "none" if route is None else route.name, failure, took_s
+        )
+        if failure is not None:
+            loguru.logger.info(
+                "event=statement_failed id={} kind={!r} database={!r} "
+                "route={} manifest={} error={} effect={!r} state={} "
+                "took_ms={} retry_after_ms={} message={!r}",
+                statement.id,
+                statement.kind.value,
+                self.database[:60],
+                route and route.name,
+                tables and tables.version,
+                failure.kind.value,
+                errors.answer_for(failure.kind).effect.value,
+                reply.state.value,
+                int(took_s * 1000),
+                failure.retry_after_ms,
+                failure.message,
+            )
 
     async def _handle(self, statement: command.Command) -> Reply:
         kind = statement.kind
--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -23,6 +23,7 @@
 from burdockcart.process import event_log
 from burdockcart.process.gateway import application
 from burdockcart.process.gateway import settings
+from burdockcart.process import log_sink
 
 SETTINGS_VARIABLE = "BURDOCKCART_SETTINGS"
 
@@ -48,12 +49,16 @@
         for fault in read.failure():
             print(fault, file=sys.stderr)
         return 2
-    event_log.configure("INFO")
-    asyncio.run(_serve(path, read.unwrap()))
+    limiter = event_log.configure_bounded("INFO", sys.stdout.fileno())
+    asyncio.run(_serve(path, read.unwrap(), limiter))
     return 0
 
 
-async def _serve(path: pathlib.Path, config: settings.GatewaySettings) -> None:
+async def _serve(
+    path: pathlib.Path,
+    config: settings.GatewaySettings,
+    limiter: log_sink.LineLimiter,
+) -> None:
     stopping = stop_signal.stop_event()
     platform = calls.PlatformCalls(
         config.store_address, config.promotion_address
@@ -66,17 +71,41 @@
     )
     listener = client_wire.ClientListener(_Gateway(daemon))
     await daemon.start(listener)
-    server = ready.serve_ready(config.ready_address, daemon.ready)
+    servers = [
+        ready.serve_ready(config.ready_address, daemon.ready),
+        ready.serve_metrics(_metrics_address(config), daemon.measure),
+    ]
+    reporting = asyncio.create_task(_report_suppressed(daemon, limiter))
     # What is loaded by now stays: left out of later collections.
     gc.collect()
     gc.freeze()
     await stopping.wait()
     await daemon.drain()
-    server.stop()
+    for server in servers:
+        server.stop()
     await daemon.stop()
+    reporting.cancel()
     platform.close()
 
 
+def _metrics_address(config: settings.GatewaySettings) -> str:
+    host, _, _ = config.ready_address.rpartition(":")
+    return f"{host}:{ready.METRICS_PORT}"
+
+
+async def _report_suppressed(
+    daemon: application.GatewayApplication, limiter: log_sink.LineLimiter
+) -> None:
+    """Tell from time to time which lines were left out."""
+    while True:
+        await asyncio.sleep(log_sink.REPORT_EVERY_S)
+        for event, count in limiter.take_suppressed().items():
+            daemon.metrics.log_lines_left_out.labels(event).inc(count)
+            loguru.logger.info(
+                "event=log_lines_suppressed of={} count={}", event, count
+            )
+
+
 def _reload(path: pathlib.Path, platform: calls.PlatformCalls) -> None:
     """Take over the settings that can change in a running process."""
     read = settings_file.read(path)
--- a/burdockcart/platform/ready.py
+++ b/burdockcart/platform/ready.py
@@ -1,4 +1,4 @@
-"""Answers the balancer's question whether to send clients."""
+"""HTTP server of a daemon: the balancer's question, and the metrics."""
 
 import socket
 from typing import Callable
@@ -7,6 +7,9 @@
 from tornado import web
 
 READY_PATH = "/api/ready"
+METRICS_PATH = "/metrics"
+#: Port of the metrics; deploy/system.toml names the same.
+METRICS_PORT = 9180
 
 
 class _ReadyHandler(web.RequestHandler):
@@ -25,14 +28,33 @@
         """Log nothing."""
 
 
+class _MetricsHandler(web.RequestHandler):
+    def initialize(self, measure: Callable[[], bytes]) -> None:
+        self._measure = measure
+
+    def get(self) -> None:
+        """Answer with all metrics in the text exposition format."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self._measure())
+
+
 def serve_ready(
     address: str, ready: Callable[[], bool]
 ) -> httpserver.HTTPServer:
-    """Listen on ``ip:port``."""
+    """Answer the balancer on ``ip:port``."""
+    return _serve(address, (READY_PATH, _ReadyHandler, {"ready": ready}))
+
+
+def serve_metrics(
+    address: str, measure: Callable[[], bytes]
+) -> httpserver.HTTPServer:
+    """Answer with the metrics on ``ip:port``."""
+    handler = (METRICS_PATH, _MetricsHandler, {"measure": measure})
+    return _serve(address, handler)
+
+
+def _serve(address: str, handler: tuple) -> httpserver.HTTPServer:
     host, _, port = address.rpartition(":")
-    application = _QuietApplication(
-        [(READY_PATH, _ReadyHandler, {"ready": ready})]
-    )
-    server = httpserver.HTTPServer(application)
+    server = httpserver.HTTPServer(_QuietApplication([handler]))
     server.listen(int(port), host, socket.AF_INET)
     return server
--- a/burdockcart/process/event_log.py
+++ b/burdockcart/process/event_log.py
@@ -7,6 +7,8 @@
 
 import loguru
 
+from burdockcart.process import log_sink
+
 _LINE = "time={time:YYYY-MM-DDTHH:mm:ss.SSS} level={level} {message}"
 
 
@@ -40,3 +42,27 @@
         backtrace=False,
         diagnose=False,
     )
+
+
+def configure_bounded(level: str, descriptor: int) -> log_sink.LineLimiter:
+    """Send events to a descriptor without blocking, and bound their number.
+
+    Returns
+    =======
+
+    LineLimiter
+        Knows how many lines of which event were left out.
+
+    """
+    limiter = log_sink.LineLimiter()
+    sink = log_sink.PipeSink(descriptor)
+    loguru.logger.remove()
+    loguru.logger.add(
+        sink.write,
+        level=level,
+        format=line_format,
+        filter=log_sink.limited(limiter),
+        backtrace=False,
+        diagnose=False,
+    )
+    return limiter
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -20,6 +20,7 @@
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover
 from burdockcart.process.gateway import followers
+from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import isolation
 from burdockcart.process.gateway import settings
@@ -107,8 +108,9 @@
         self._isolated_since: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
+        self.metrics = gateway_metrics.GatewayMetrics()
         self.runner = statement_runner.StatementRunner(
-            self.group_by_id, self._clock, self._boot_clock
+            self.group_by_id, self._clock, self._boot_clock, self.metrics
         )
         self.tables = followers.ManifestFollower(
             platform, self._use_manifest, self._clock, source
@@ -131,6 +133,7 @@
             self._boot_clock,
             config.promotion_turn_s,
             lambda: int(time.time() * 1000),
+            self.metrics,
         )
 
     async def start(self, clients: Clients) -> None:
@@ -224,6 +227,7 @@
                 self.runner,
                 self._clock,
                 self._boot_clock,
+                self.metrics,
             )
         )
 
@@ -246,6 +250,22 @@
         for removed in self.group_by_id.keys() - tables.limits_by_group.keys():
             self.group_by_id.pop(removed).close()
 
+    def measure(self) -> bytes:
+        """Return the metrics, with the gauges as they are now."""
+        tables = self.tables.current
+        self.metrics.sessions.set(len(self._connections()))
+        self.metrics.ready.set(self.ready())
+        self.metrics.manifest_version.set(tables.version if tables else 0)
+        for group in self.group_by_id.values():
+            pools = group.pool_by_member.values()
+            open_count = sum(pool.open_count for pool in pools)
+            busy_count = sum(pool.busy_count for pool in pools)
+            gauge = self.metrics.connections
+            gauge.labels(group.id, "open").set(open_count)
+            gauge.labels(group.id, "busy").set(busy_count)
+            self.metrics.waiting.labels(group.id).set(len(group.queue))
+        return self.metrics.text()
+
     def _use_members(
         self,
         entries: list[manifest.MemberEntry],
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -15,6 +15,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover_rule
+from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import member_pool
 from burdockcart.process.gateway import promotion_turn
@@ -80,7 +81,9 @@
         boot_clock: clock.Clock,
         turn_s: float,
         wall_ms: Callable[[], int],
+        metrics: gateway_metrics.GatewayMetrics,
     ):
+        self._metrics = metrics
         self._daemon = daemon
         self._group_by_id = group_by_id
         self._platform = platform
@@ -231,6 +234,7 @@
         finally:
             for connection in connections:
                 connection.pool.give_back(connection)
+        self._metrics.promotion_ended(cause.value, done)
         loguru.logger.info(
             "event=promotion_ended group={} done={} took_ms={}",
             group.id,
--- /dev/null
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -0,0 +1,117 @@
+"""Counters and latency histograms of a gateway daemon.
+
+The names are listed in docs/OPERATIONS.md.
+"""
+
+import prometheus_client
+
+from burdockcart import errors
+
+#: Bounds of the latency buckets, in seconds: around the goals (0.1 to 0.5 s)
+#: and timeouts (0.8 to 2 s) of the users' routes.
+LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.15,
+    0.2,
+    0.3,
+    0.5,
+    0.8,
+    1.2,
+    2.0,
+)
+
+
+class GatewayMetrics:
+    """All metrics of one daemon."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._answered = prometheus_client.Counter(
+            "burdockcart_statements",
+            "Statements answered, by route and outcome",
+            ["route", "outcome"],
+            registry=self.registry,
+        )
+        self._latency = prometheus_client.Histogram(
+            "burdockcart_statement_seconds",
+            "Time from reading a forwarded statement to its answer",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._attempts = prometheus_client.Counter(
+            "burdockcart_attempts_failed",
+            "Attempts at members that failed, by fault",
+            ["fault"],
+            registry=self.registry,
+        )
+        self._promotions = prometheus_client.Counter(
+            "burdockcart_promotions",
+            "Replacements of a primary, by cause and whether they were done",
+            ["cause", "done"],
+            registry=self.registry,
+        )
+        self._hedges = prometheus_client.Counter(
+            "burdockcart_reads_hedged",
+            "Reads that were sent to a second member",
+            registry=self.registry,
+        )
+        self.sessions = prometheus_client.Gauge(
+            "burdockcart_sessions", "Open sessions", registry=self.registry
+        )
+        self.ready = prometheus_client.Gauge(
+            "burdockcart_ready",
+            "Whether the daemon takes new clients",
+            registry=self.registry,
+        )
+        self.manifest_version = prometheus_client.Gauge(
+            "burdockcart_manifest_version",
+            "Version of the manifest in force",
+            registry=self.registry,
+        )
+        self.connections = prometheus_client.Gauge(
+            "burdockcart_member_connections",
+            "Open connections to members",
+            ["group", "state"],
+            registry=self.registry,
+        )
+        self.waiting = prometheus_client.Gauge(
+            "burdockcart_waiting",
+            "Statements that wait for a connection",
+            ["group"],
+            registry=self.registry,
+        )
+        self.log_lines_left_out = prometheus_client.Counter(
+            "burdockcart_log_lines_left_out",
+            "Log lines suppressed or dropped, by event",
+            ["event"],
+            registry=self.registry,
+        )
+
+    def answered(
+        self, route: str, failure: errors.Failure | None, took_s: float
+    ) -> None:
+        """Count a statement that was forwarded or refused."""
+        outcome = "ok" if failure is None else failure.kind.value
+        self._answered.labels(route, outcome).inc()
+        self._latency.labels(route).observe(took_s)
+
+    def attempt_failed(self, fault: str) -> None:
+        """Count an attempt at a member that failed."""
+        self._attempts.labels(fault).inc()
+
+    def promotion_ended(self, cause: str, done: bool) -> None:
+        """Count a replacement of a primary."""
+        self._promotions.labels(cause, str(done).lower()).inc()
+
+    def read_hedged(self) -> None:
+        """Count a read that was sent to a second member."""
+        self._hedges.inc()
+
+    def text(self) -> bytes:
+        """Return all metrics in the text exposition format."""
+        return prometheus_client.generate_latest(self.registry)
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -14,6 +14,7 @@
 from burdockcart.connection import open_transaction
 from burdockcart import errors
 from burdockcart import ids
+from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import member_pool
 from burdockcart.request import attempt_rule
@@ -131,8 +132,10 @@
         group_by_id: dict[ids.GroupId, groups.Group],
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
     ):
         self._group_by_id = group_by_id
+        self._metrics = metrics
         self._clock = loop_clock
         self._boot_clock = boot_clock
         self._background: set[asyncio.Task[Any]] = set()
@@ -158,6 +161,7 @@
             return await running
         second = Course(excluded={first.member})
         _log_hedge(request, first.member)
+        self._metrics.read_hedged()
         hedge = self._spawn(self._run_course(group, session, request, second))
         return await _first_success({running: first, hedge: second})
 
@@ -189,6 +193,7 @@
                 return result.Failure(acquired.failure())
             connection = acquired.unwrap()
             course.member = connection.pool.entry.id
+            self._placed(group, request, connection, work, attempt)
             answer = await self._attempt(
                 group, session, request, connection, work
             )
@@ -198,7 +203,7 @@
             step = attempt_rule.after_single(
                 answer.fault, request.writes, attempt
             )
-            _log_attempt(request, connection, answer, attempt, step)
+            self._attempt_failed(request, connection, answer, attempt, step)
             if (
                 step is attempt_rule.NextStep.GIVE_UP
                 or course.ended
@@ -212,6 +217,55 @@
             course.needs_leader |= _discarded(group, connection, answer)
             await self._before_retry(group, connection, answer, excluded)
 
+    def _attempt_failed(
+        self,
+        request: Request,
+        connection: member_pool.PooledConnection,
+        answer: member_channel.Answer,
+        attempt: int,
+        step: attempt_rule.NextStep,
+    ) -> None:
+        """Log and count an attempt that failed."""
+        assert answer.fault is not None
+        self._metrics.attempt_failed(answer.fault.value)
+        loguru.logger.info(
+            "event=attempt_failed id={} kind={!r} member={} fault={!r} "
+            "attempt={} next={!r}",
+            request.statement.id,
+            request.statement.kind.value,
+            connection.pool.entry.id,
+            answer.fault.value,
+            attempt,
+            step.value,
+        )
+
+    def _placed(
+        self,
+        group: groups.Group,
+        request: Request,
+        connection: member_pool.PooledConnection,
+        work: work_queue.Work,
+        attempt: int,
+    ) -> None:
+        """Log where a statement goes and what decided it."""
+        now = self._clock.now()
+        loguru.logger.info(
+            "event=placed id={} kind={!r} route={} group={} member={} "
+            "primary={} term={} position={} position_age_ms={} waited_ms={} "
+            "attempt={}",
+            request.statement.id,
+            request.statement.kind.value,
+            request.route.name,
+            group.id,
+            connection.pool.entry.id,
+            group.leadership.member,
+            group.leadership.term,
+            work.position and f"{work.position.term}.{work.position.number}",
+            int(work.position_age_s * 1000),
+            int((now - request.arrived_at) * 1000),
+            attempt,
+        )
+
     def _late(self, request: Request) -> bool:
         return self._clock.now() >= request.ends_at
 
@@ -426,7 +480,7 @@
             if answer.fault is None:
                 return result.Success(answer)
             step = attempt_rule.in_transaction(answer.fault, attempt, first)
-            _log_attempt(request, connection, answer, attempt, step)
+            self._attempt_failed(request, connection, answer, attempt, step)
             if step is attempt_rule.NextStep.GIVE_UP or self._late(request):
                 return self._fail(group, transaction, request, answer)
             if step is attempt_rule.NextStep.ELSEWHERE:
@@ -469,6 +523,7 @@
             if isinstance(acquired, result.Failure):
                 return result.Failure(acquired.failure())
             connection = acquired.unwrap()
+            self._placed(group, request, connection, work, attempt)
             answer = await self._prepare(session, request, connection)
             if answer is None:
                 answer = await self._begin_on(group, connection, work)
@@ -480,7 +535,7 @@
             step = attempt_rule.NextStep.GIVE_UP
             if attempt < attempt_rule.MAX_ATTEMPTS:
                 step = attempt_rule.NextStep.ELSEWHERE
-            _log_attempt(request, connection, answer, attempt, step)
+            self._attempt_failed(request, connection, answer, attempt, step)
             if step is attempt_rule.NextStep.GIVE_UP or self._late(request):
                 return result.Failure(
                     attempt_rule.failure_of(answer.fault, answer.text, False)
@@ -630,23 +685,3 @@
     loguru.logger.info(
         "event=read_hedged id={} member={}", request.statement.id, member
     )
-
-
-def _log_attempt(
-    request: Request,
-    connection: member_pool.PooledConnection,
-    answer: member_channel.Answer,
-    attempt: int,
-    step: attempt_rule.NextStep,
-) -> None:
-    assert answer.fault is not None
-    loguru.logger.info(
-        "event=attempt_failed id={} kind={!r} member={} fault={!r} "
-        "attempt={} next={!r}",
-        request.statement.id,
-        request.statement.kind.value,
-        connection.pool.entry.id,
-        answer.fault.value,
-        attempt,
-        step.value,
-    )
