--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -112,19 +112,10 @@
         self.runner = statement_runner.StatementRunner(
             self.group_by_id, self._clock, self._boot_clock, self.metrics
         )
-        self.tables = followers.ManifestFollower(
-            platform, self._use_manifest, self._clock, source
-        )
-        self.members = followers.MemberFollower(
-            platform,
-            self._use_members,
-            self._awaits_primary,
-            self._clock,
-            source,
-        )
-        self._daemon_follower = followers.DaemonFollower(
-            config.daemon, platform, self._use_daemons, source
+        self.tables = followers.StoreFollower(
+            platform, self, self._clock, source
         )
+        self._listing = followers.Listing(config.daemon, platform, source)
         self._failover = failover.Failover(
             config.daemon,
             self.group_by_id,
@@ -141,8 +132,7 @@
         self._clients = clients
         clients.listen_on(self._settings.client_address)
         self._spawn(self.tables.run())
-        self._spawn(self.members.run())
-        self._spawn(self._daemon_follower.run())
+        self._spawn(self._listing.run())
         self._spawn(self._failover.run())
         self._spawn(self._keep_samples())
         self._spawn(self._watch_isolation())
@@ -196,7 +186,7 @@
             not self._draining
             and self._isolated_since is None
             and self.tables.current is not None
-            and self.members.listed
+            and self.tables.listed
         )
 
     async def open_session(
@@ -231,8 +221,9 @@
             )
         )
 
-    def _use_manifest(self, tables: manifest.Manifest) -> None:
-        for limits in tables.limits_by_group.values():
+    def manifest_changed(self, found: manifest.Manifest) -> None:
+        """Take a manifest that comes into force."""
+        for limits in found.limits_by_group.values():
             group = self.group_by_id.get(limits.id)
             if group is None:
                 group = groups.Group(
@@ -243,11 +234,11 @@
                     self._boot_clock,
                 )
                 self.group_by_id[limits.id] = group
-                for entry in self.members.catalog.entry_by_id.values():
+                for entry in self.tables.catalog.entry_by_id.values():
                     if entry.group == limits.id:
                         group.use_member(entry)
             group.use_limits(limits, self._daemons)
-        for removed in self.group_by_id.keys() - tables.limits_by_group.keys():
+        for removed in self.group_by_id.keys() - found.limits_by_group.keys():
             self.group_by_id.pop(removed).close()
 
     def measure(self) -> bytes:
@@ -266,11 +257,12 @@
             self.metrics.waiting.labels(group.id).set(len(group.queue))
         return self.metrics.text()
 
-    def _use_members(
+    def members_changed(
         self,
         entries: list[manifest.MemberEntry],
         left: list[ids.MemberId],
     ) -> None:
+        """Take new entries, and members that left."""
         for entry in entries:
             group = self.group_by_id.get(entry.group)
             if group is not None:
@@ -279,16 +271,20 @@
             for member in left:
                 group.drop_member(member, "left")
 
-    def _use_daemons(self, counted: int) -> None:
-        count = self._daemon_count.counted(counted, self._clock.now())
-        if count == self._daemons:
+    def daemons_counted(self, count: int) -> None:
+        """Take the number of listed daemons."""
+        share = self._daemon_count.counted(count, self._clock.now())
+        if share == self._daemons:
             return
-        self._daemons = count
-        loguru.logger.info("event=daemons_counted count={}", count)
+        self._daemons = share
+        loguru.logger.info(
+            "event=daemons_counted listed={} share={}", count, share
+        )
         for group in self.group_by_id.values():
-            group.use_limits(group.limits, count)
+            group.use_limits(group.limits, share)
 
-    def _awaits_primary(self) -> bool:
+    def awaits_primary(self) -> bool:
+        """Return whether changes of the store are awaited."""
         return any(
             group.primary_pool() is None or group.primary_failing()
             for group in self.group_by_id.values()
@@ -318,8 +314,7 @@
                 self._set_isolated(None)
                 continue
             if self._isolated_since is None:
-                reached = await self._platform.daemon_count()
-                if isinstance(reached, result.Success):
+                if await self._platform.reachable():
                     continue
                 self._set_isolated(now)
             self._send_away(now)
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/coordination.py
@@ -1,9 +1,7 @@
 """What the gateway asks of the platform: tables, members, promotions."""
 
 import enum
-from typing import Generic
 from typing import Protocol
-from typing import TypeVar
 
 import msgspec
 from returns import result
@@ -11,8 +9,6 @@
 from burdockcart import ids
 from burdockcart.version import manifest
 
-T = TypeVar("T")
-
 
 class CallFault(enum.Enum):
     """Why a call to the platform has no result.
@@ -27,10 +23,24 @@
     UNREADABLE = "unreadable"
 
 
-class At(msgspec.Struct, Generic[T], frozen=True):
-    """A value as of a revision of the store."""
+class Contents(msgspec.Struct, frozen=True, kw_only=True):
+    """What the store holds for the gateway, as of a revision."""
+
+    tables: manifest.Manifest | None
+    entry_by_member: dict[ids.MemberId, manifest.MemberEntry]
+    daemons: frozenset[ids.DaemonId]
+    revision: int
+
+
+class Changes(msgspec.Struct, frozen=True, kw_only=True):
+    """What changed in the store up to a revision; None for what was removed.
 
-    value: T
+    ``tables`` are in the order in which they were written.
+    """
+
+    tables: list[manifest.Manifest]
+    entry_by_member: dict[ids.MemberId, manifest.MemberEntry | None]
+    listed_by_daemon: dict[ids.DaemonId, bool]
     revision: int
 
 
@@ -68,29 +78,11 @@
 class Platform(Protocol):
     """The platform's store and its promotion service."""
 
-    async def read_manifest(
-        self,
-    ) -> result.Result[At[manifest.Manifest], CallFault]:
-        """Return the manifest in force."""
+    async def read_store(self) -> result.Result[Contents, CallFault]:
+        """Return what the store holds."""
 
-    async def watch_manifest(
-        self, after: int, wait_s: float
-    ) -> result.Result[At[list[manifest.Manifest]], CallFault]:
-        """Wait for manifests written after a revision."""
-
-    async def list_members(
-        self,
-    ) -> result.Result[
-        At[dict[ids.MemberId, manifest.MemberEntry]], CallFault
-    ]:
-        """Return all registered members."""
-
-    async def watch_members(
-        self, after: int
-    ) -> result.Result[
-        At[dict[ids.MemberId, manifest.MemberEntry | None]], CallFault
-    ]:
-        """Return what changed after a revision; None for entries removed."""
+    async def changes(self, after: int) -> result.Result[Changes, CallFault]:
+        """Return what changed after a revision."""
 
     async def claim_promotion(
         self, group: ids.GroupId, record: PromotionRecord, expected: int
@@ -114,5 +106,5 @@
     async def renew_daemon(self, lease: int) -> result.Result[None, CallFault]:
         """Keep a daemon in the list."""
 
-    async def daemon_count(self) -> result.Result[int, CallFault]:
-        """Return how many daemons are listed; may be seconds old."""
+    async def reachable(self) -> bool:
+        """Return whether the store answers at all."""
