--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -113,7 +113,7 @@
             self.group_by_id, self._clock, self._boot_clock, self.metrics
         )
         self.tables = followers.StoreFollower(
-            platform, self, self._clock, source
+            platform, self, self._clock, source, config.manifest_s
         )
         self._listing = followers.Listing(config.daemon, platform, source)
         self._failover = failover.Failover(
--- a/burdockcart/process/gateway/followers.py
+++ b/burdockcart/process/gateway/followers.py
@@ -13,10 +13,10 @@
 from burdockcart.process.gateway import member_catalog
 from burdockcart.version import manifest
 
-#: Interval of asking the store for changes, in seconds: half of the 3 s in
-#: which a manifest must be in force, so that one lost call is borne.
-EVERY_S = 1.5
-#: The same while a group has no primary.
+#: Share of the time in which a manifest must be in force that passes between
+#: two questions to the store; one question that is lost is borne.
+ASK_AT = 0.55
+#: Interval of asking while a group has no primary, in seconds.
 SOON_S = 0.3
 #: Pauses after a failed call, in seconds, with jitter: all daemons fail at
 #: the same moment when the store goes.
@@ -112,6 +112,8 @@
 
     listener : Listener
         Told of all changes.
+    manifest_s : float
+        Time in which a manifest must be in force, in seconds.
 
     """
 
@@ -121,7 +123,9 @@
         listener: Listener,
         loop_clock: clock.Clock,
         source: random.Random,
+        manifest_s: float,
     ):
+        self._every_s = ASK_AT * manifest_s
         self.current: manifest.Manifest | None = None
         self.catalog = member_catalog.MemberCatalog()
         self.dependency = Dependency("store", loop_clock)
@@ -147,7 +151,7 @@
         """Follow changes until the history is lost."""
         while True:
             await asyncio.sleep(
-                SOON_S if self._listener.awaits_primary() else EVERY_S
+                SOON_S if self._listener.awaits_primary() else self._every_s
             )
             seen = await self._platform.changes(revision)
             if isinstance(seen, result.Failure):
--- a/burdockcart/process/gateway/settings.py
+++ b/burdockcart/process/gateway/settings.py
@@ -21,6 +21,8 @@
         Time from SIGTERM to SIGKILL.
     drain_s : float
         Time in which a draining member must stop getting new work.
+    manifest_s : float
+        Time in which a manifest must be in force.
     promotion_turn_s : float
         Least time between promotions of one group by different daemons.
 
@@ -37,3 +39,4 @@
     drain_s: float = 7.0
     contact_s: float = 4.0
     promotion_turn_s: float = 3.0
+    manifest_s: float = 3.0
