Begin with one connection to a member after a start

After a full loss of power the members held 8 to 12 connections of the dead processes.

A daemon opens one connection to a member in its first 0.5 s, and its kept share until 3.2 s. test_late_starter_finds_room fails without it.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -104,6 +104,7 @@
         self._daemon_count = connection_share.DaemonCount(
             INITIAL_DAEMONS, self._clock.now()
         )
+        self._started_at = self._clock.now()
         self._draining = False
         self._isolated_since: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -237,7 +238,7 @@
                 for entry in self.tables.catalog.entry_by_id.values():
                     if entry.group == limits.id:
                         group.use_member(entry)
-            group.use_limits(limits, self._daemons)
+            group.use_limits(limits, self._daemons, self._uptime_s())
         for removed in self.group_by_id.keys() - found.limits_by_group.keys():
             self.group_by_id.pop(removed).close()
 
@@ -280,8 +281,15 @@
         loguru.logger.info(
             "event=daemons_counted listed={} share={}", count, share
         )
+        self._divide_connections()
+
+    def _uptime_s(self) -> float:
+        return self._clock.now() - self._started_at
+
+    def _divide_connections(self) -> None:
+        uptime_s = self._uptime_s()
         for group in self.group_by_id.values():
-            group.use_limits(group.limits, share)
+            group.use_limits(group.limits, self._daemons, uptime_s)
 
     def awaits_primary(self) -> bool:
         """Return whether changes of the store are awaited."""
@@ -307,6 +315,7 @@
         """Send clients elsewhere while no other failure domain answers."""
         while True:
             await asyncio.sleep(TICK_S)
+            self._divide_connections()
             for group in self.group_by_id.values():
                 group.trim()
             now = self._clock.now()
--- a/burdockcart/process/gateway/connection_share.py
+++ b/burdockcart/process/gateway/connection_share.py
@@ -23,6 +23,12 @@
 #: An idle connection above the kept ones is closed after this time, in
 #: seconds; a new one costs its handshake, so a burst may pause for a moment.
 IDLE_S = 1.0
+#: Time after the start in which a daemon opens one connection to a member, in
+#: seconds: all daemons start within 0.3 s of each other.
+FIRST_S = 0.5
+#: Time after the start in which members may hold the connections of dead
+#: processes, in seconds; they drop them after 3 s.
+LINGER_S = 3.2
 #: A daemon that is no longer listed may just have lost its way to the store
 #: and still hold its connections; it counts for this time, in seconds.
 REMEMBER_S = 15.0
@@ -35,21 +41,33 @@
     most: int
 
 
-def share_of(connections: int, daemons: int) -> Share:
+def share_of(connections: int, daemons: int, uptime_s: float) -> Share:
     """Return this daemon's share of a member's connections.
 
+    A daemon that has just started begins with one connection, so that the
+    daemons that start with it get one as well while the members still hold
+    those of the dead processes.
+
     Examples
     ========
 
     >>> from burdockcart.process.gateway import connection_share
-    >>> connection_share.share_of(16, 4)
+    >>> connection_share.share_of(16, 4, uptime_s=60.0)
     Share(kept=2, most=3)
-    >>> connection_share.share_of(46, 31)
+    >>> connection_share.share_of(16, 4, uptime_s=1.0)
+    Share(kept=2, most=2)
+    >>> connection_share.share_of(16, 4, uptime_s=0.1)
+    Share(kept=1, most=1)
+    >>> connection_share.share_of(46, 31, uptime_s=60.0)
     Share(kept=1, most=1)
 
     """
+    if uptime_s < FIRST_S:
+        return Share(1, 1)
     daemons = max(daemons, 1)
     kept = max(int(KEPT * connections / daemons), 1)
+    if uptime_s < LINGER_S:
+        return Share(kept, kept)
     return Share(kept, max(int(BURST * connections / daemons), kept))
 
 
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -64,10 +64,17 @@
 
     # Members
 
-    def use_limits(self, limits: manifest.GroupLimits, daemons: int) -> None:
+    def use_limits(
+        self, limits: manifest.GroupLimits, daemons: int, uptime_s: float
+    ) -> None:
         """Use new limits, shared by a number of daemons."""
         self.limits = limits
-        self._share = connection_share.share_of(limits.connections, daemons)
+        share = connection_share.share_of(
+            limits.connections, daemons, uptime_s
+        )
+        if share == self._share:
+            return
+        self._share = share
         for pool in self.pool_by_member.values():
             pool.resize(self._share)
         self.dispatch()
--- a/burdockcart/process/gateway/tests/test_load.py
+++ b/burdockcart/process/gateway/tests/test_load.py
@@ -91,6 +91,42 @@
 
         scenario(check, daemons=4)
 
+    def test_late_starter_finds_room(self):
+        """Guards the last daemon that starts after a power loss in a burst.
+
+        Seen on the incident inc-d673 of albuquerque-clima at 43 s: one of
+        four daemons had no connection to a primary for a second.
+        """
+
+        async def check(world):
+            await world.stop()
+            for member in world.members:
+                member.connections.clear()
+                member.lingering = 12
+            world.daemons = [world.daemon(number) for number in range(4)]
+
+            async def load(number):
+                daemon = world.daemons[number]
+                await asyncio.sleep(number * 0.1)
+                daemon.clients = gateway_world.Clients()
+                await daemon.start(daemon.clients)
+                clients = [
+                    await world.client("live", number) for _ in range(6)
+                ]
+                outcomes = []
+                for _ in range(5):
+                    replies = await asyncio.gather(
+                        *(each.write() for each in clients)
+                    )
+                    outcomes += map(gateway_world.ok, replies)
+                return outcomes
+
+            outcomes = await asyncio.gather(*(load(each) for each in range(4)))
+            for each in outcomes:
+                self.assertNotIn(False, each)
+
+        scenario(check, daemons=4)
+
 
 class TestCutDomain(testtools.TestCase):
     """A failure domain is cut off while clients still reach it.
