--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 # Runs every shell block of the pages against a demo deployment.
 check-docs: $(VENV)/.installed
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python docs/check_commands.py \
-	    docs/interface.md docs/operating.md
+	    docs/interface.md docs/OPERATIONS.md
 
 clean:
 	rm -rf $(VENV) build dist report
--- a/burdockcart/cmd/main.py
+++ b/burdockcart/cmd/main.py
@@ -22,6 +22,7 @@
     "history",
     "rollback",
     "status",
+    "trace",
     "emulate",
     "demo",
     "measure",
--- a/burdockcart/tests/test_operating_page.py
+++ b/burdockcart/tests/test_operations_page.py
@@ -1,4 +1,4 @@
-"""Guards docs/operating.md against names that the source no longer has."""
+"""Guards docs/OPERATIONS.md against names that the source no longer has."""
 
 import ast
 import pathlib
@@ -10,7 +10,7 @@
 from burdockcart.process import settings
 
 PACKAGE = pathlib.Path(__file__).parent.parent
-PAGE = PACKAGE.parent / "docs" / "operating.md"
+PAGE = PACKAGE.parent / "docs" / "OPERATIONS.md"
 #: Parts of the package that run in no daemon and no operator's command.
 OTHER = ("tests", "measure", "emulator")
 EVENT = re.compile(r"\bevent=(\S+)")
