--- a/burdockcart/process/gateway/followers.py
+++ b/burdockcart/process/gateway/followers.py
@@ -18,6 +18,8 @@
 ASK_AT = 0.55
 #: Interval of asking while a group has no primary, in seconds.
 SOON_S = 0.3
+#: Failures in a row after which the store is read anew.
+READ_ANEW_AFTER = 2
 #: Pauses after a failed call, in seconds, with jitter: all daemons fail at
 #: the same moment when the store goes.
 RETRY_MIN_S = 0.1
@@ -148,7 +150,12 @@
             await self._follow(read.unwrap().revision)
 
     async def _follow(self, revision: int) -> None:
-        """Follow changes until the history is lost."""
+        """Follow changes until they have to be read anew.
+
+        After failures in a row all versions of a large manifest may be too
+        much for a narrow link; the newest one alone is less.
+        """
+        failures = 0
         while True:
             await asyncio.sleep(
                 SOON_S if self._listener.awaits_primary() else self._every_s
@@ -161,7 +168,11 @@
                     )
                     return
                 await self._failed(seen.failure())
+                failures += 1
+                if failures >= READ_ANEW_AFTER:
+                    return
                 continue
+            failures = 0
             self._answered()
             changes = seen.unwrap()
             revision = max(revision, changes.revision)
--- a/burdockcart/process/gateway/tests/test_sessions.py
+++ b/burdockcart/process/gateway/tests/test_sessions.py
@@ -376,9 +376,7 @@
                 # All connections to the primary are in transactions.
                 while primary.has_idle():
                     primary.take({}, None)
-                group.samples.add(
-                    loop.time(), world.group.primary.received()
-                )
+                group.samples.add(loop.time(), world.group.primary.received())
                 await client.read()
                 await asyncio.sleep(0.05)
             late = [
