Refuse writes that would stay in doubt

Ruled out: a replica left held by the promotion; the positions compared were equal and the platform releases it.

While a write has been unanswered for 0.4 s and none was answered since, further writes are refused at once and commits are rolled back; both are told that nothing was run or kept, and when to come back. Daemons that are cut off no longer try to promote.

--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -24,6 +24,10 @@
 #: longest work on the weather firm's sheet (140 ms).
 OVERDUE = 1.5
 OVERDUE_MIN_S = 0.16
+#: Time after which an unanswered write stands for a primary that no replica
+#: receives from, in seconds; above the time that a write behind a full queue
+#: needs at the users (16 statements of 15 ms in 3 slots, and one of 160 ms).
+STALLED_S = 0.4
 #: Pauses between attempts to reach a member that fails, in seconds.
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 0.5
@@ -161,6 +165,17 @@
         oldest = min(self._sent_at_by_ticket.values(), default=now)
         return now - oldest
 
+    def writes_stalled(self, now: float) -> bool:
+        """Return whether writes stay unanswered, and another would too.
+
+        Once the unanswered ones have been given up, the next write shows
+        whether it is still so.
+        """
+        oldest_at = self.oldest_write_at()
+        if oldest_at is None:
+            return False
+        return now - max(oldest_at, self.last_write_answer_at) >= STALLED_S
+
     def oldest_write_at(self) -> float | None:
         """Return when the oldest unanswered write was sent."""
         return min(
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -130,7 +130,7 @@
             self._check("connect", group, self._try_connection(pool))
         self._expect_primary(group, view)
         cause = failover_rule.cause_to_replace(view, now)
-        if cause is None:
+        if cause is None or group.isolated:
             return
         planned = cause is failover_rule.Cause.DRAINING
         if not self._turns.may_try(group.id, planned, now):
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -37,6 +37,9 @@
 #: Pause before all members are asked again when none could run a read, in
 #: seconds; a third of a replica's usual lag.
 ALL_REFUSED_PAUSE_S = 0.02
+#: When a client may come back to a primary that finishes no writes, in
+#: milliseconds; about the time until the next write is let through.
+STALLED_RETRY_MS = 400
 #: Limit for the statements that bring a connection to a session's state, and
 #: for ending a transaction, in seconds; none of them takes a slot.
 PREPARE_TIMEOUT_S = 0.4
@@ -188,6 +191,8 @@
                 group, session, request, excluded, course.needs_leader
             )
             course.work = work
+            if request.writes and self._stalled(group):
+                return _writes_stalled(group)
             acquired = await group.acquire(work)
             if isinstance(acquired, result.Failure):
                 return result.Failure(acquired.failure())
@@ -476,6 +481,9 @@
                     return result.Failure(begun.failure())
             connection = transaction.connection
             assert connection is not None
+            if _commits(transaction, request) and self._stalled(group):
+                self.abandon(group, transaction)
+                return _writes_stalled(group)
             answer = await self._step(group, session, transaction, request)
             if answer.fault is None:
                 return result.Success(answer)
@@ -497,14 +505,20 @@
         answer: member_channel.Answer,
     ) -> Outcome:
         assert answer.fault is not None
-        commits = request.statement.kind is command.CommandKind.COMMIT
         self.abandon(group, transaction)
         return result.Failure(
             attempt_rule.failure_of(
-                answer.fault, answer.text, commits and transaction.wrote
+                answer.fault, answer.text, _commits(transaction, request)
             )
         )
 
+    def _stalled(self, group: groups.Group) -> bool:
+        """Return whether the primary finishes no writes at present."""
+        pool = group.primary_pool()
+        return pool is not None and pool.health.writes_stalled(
+            self._clock.now()
+        )
+
     async def _begin(
         self,
         group: groups.Group,
@@ -660,6 +674,25 @@
         self.abandon(group, transaction)
 
 
+def _commits(
+    transaction: open_transaction.OpenTransaction, request: Request
+) -> bool:
+    """Return whether a statement commits writes of a transaction."""
+    commits = request.statement.kind is command.CommandKind.COMMIT
+    return commits and transaction.wrote
+
+
+def _writes_stalled(group: groups.Group) -> Outcome:
+    """Refuse a write at once that would stay in doubt."""
+    return result.Failure(
+        errors.Failure(
+            errors.ErrorKind.NO_PRIMARY,
+            f"the primary of group {group.id} finishes no writes",
+            retry_after_ms=STALLED_RETRY_MS,
+        )
+    )
+
+
 def _discarded(
     group: groups.Group,
     connection: member_pool.PooledConnection,
--- a/burdockcart/process/gateway/tests/test_load.py
+++ b/burdockcart/process/gateway/tests/test_load.py
@@ -7,6 +7,7 @@
 
 import testtools
 
+from burdockcart import errors
 from burdockcart.process.gateway import shutdown_plan
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.request import command
@@ -274,6 +275,54 @@
         scenario(check, daemons=1)
 
 
+class TestStalledWrites(testtools.TestCase):
+    """A primary runs writes that no replica receives.
+
+    Seen on the incident inc-ce8d of campanas-coop from 10.7 s: the only
+    replica that was left received nothing, and each write stayed in doubt
+    after 0.8 s.
+    """
+
+    def test_writes_are_refused_and_come_back(self):
+        """Guards clients against writes that must stay in doubt."""
+
+        async def check(world):
+            world.platform.away = True
+            clients = [await world.client("live") for _ in range(4)]
+            await clients[0].write()
+            for member in world.members[1:]:
+                member.deaf = True
+            hanging = asyncio.create_task(clients[0].write())
+            await asyncio.sleep(0.5)
+            await clients[1].send(command.CommandKind.BEGIN)
+            await clients[1].write()
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            refused = [
+                await clients[2].write(),
+                await clients[1].send(command.CommandKind.COMMIT, "COMMIT"),
+            ]
+            self.assertLess(loop.time() - began, 0.1)
+            for reply in refused:
+                self.assertIs(
+                    errors.ErrorKind.NO_PRIMARY, gateway_world.kind_of(reply)
+                )
+                self.assertGreater(reply.outcome.failure().retry_after_ms, 0)
+            await hanging
+            kept = [commit.writes[0][0] for commit in world.group.primary.log]
+            refused_ids = {
+                clients[2].sent[-1][0].id,
+                clients[1].sent[-2][0].id,
+            }
+            self.assertEqual(set(), refused_ids & set(kept))
+            for member in world.members[1:]:
+                member.deaf = False
+            await asyncio.sleep(0.5)
+            self.assertTrue(gateway_world.ok(await clients[3].write()))
+
+        scenario(check, daemons=1)
+
+
 class TestShutdown(testtools.TestCase):
     """All sessions of a daemon move to the few others."""
 
