Let each daemon use one connection above its kept ones

With 46 connections for 31 daemons each had one to a member, so a client that rested inside a transaction stopped all others of its daemon for 3 s. test_others_are_served_meanwhile fails without the change.

--- a/burdockcart/process/gateway/connection_share.py
+++ b/burdockcart/process/gateway/connection_share.py
@@ -18,7 +18,9 @@
 #: Share of a member's connections that all daemons keep open.
 KEPT = 0.5
 #: Share that they use in a burst; the rest is for daemons that just started
-#: and are not counted yet.
+#: and are not counted yet.  Each daemon may use at least one connection above
+#: the kept ones, or a client that rests inside a transaction would stop all
+#: others of a daemon in a large fleet.
 BURST = 0.75
 #: An idle connection above the kept ones is closed after this time, in
 #: seconds; a new one costs its handshake, so a burst may pause for a moment.
@@ -59,7 +61,7 @@
     >>> connection_share.share_of(16, 4, uptime_s=0.1)
     Share(kept=1, most=1)
     >>> connection_share.share_of(46, 31, uptime_s=60.0)
-    Share(kept=1, most=1)
+    Share(kept=1, most=2)
 
     """
     if uptime_s < FIRST_S:
@@ -68,7 +70,7 @@
     kept = max(int(KEPT * connections / daemons), 1)
     if uptime_s < LINGER_S:
         return Share(kept, kept)
-    return Share(kept, max(int(BURST * connections / daemons), kept))
+    return Share(kept, max(int(BURST * connections / daemons), kept + 1))
 
 
 class DaemonCount:
--- a/burdockcart/process/gateway/tests/test_load.py
+++ b/burdockcart/process/gateway/tests/test_load.py
@@ -275,6 +275,30 @@
         scenario(check, daemons=1)
 
 
+class TestRestingClients(testtools.TestCase):
+    """Clients rest inside transactions, in a fleet of 31 daemons."""
+
+    def test_others_are_served_meanwhile(self):
+        """Guards writes against a transaction that holds a connection.
+
+        With 46 connections for 31 daemons each had one, and a client that
+        rested inside a transaction stopped all others for 3 s.
+        """
+
+        async def check(world):
+            world.platform.daemons |= {f"d{number}" for number in range(31)}
+            world.platform.put_tables(gateway_world.tables(2, connections=46))
+            await asyncio.sleep(5.0)
+            resting = await world.client("live")
+            await resting.send(command.CommandKind.BEGIN)
+            await resting.write()
+            client = await world.client("live")
+            for _ in range(10):
+                self.assertTrue(gateway_world.ok(await client.write()))
+
+        scenario(check, daemons=1)
+
+
 class TestStalledWrites(testtools.TestCase):
     """A primary runs writes that no replica receives.
 
