--- /dev/null
+++ b/burdockcart/process/gateway/tests/test_followers.py
@@ -0,0 +1,180 @@
+"""Guards what a daemon takes over from the platform's store."""
+
+import asyncio
+
+import testtools
+
+from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import member_catalog
+from burdockcart.process.gateway import promotion_turn
+from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.tests import gateway_world
+from burdockcart.version import manifest
+
+scenario = test_sessions.scenario
+
+
+def version(world, daemon=0):
+    """Return the version that a daemon has in force."""
+    return world.daemons[daemon].tables.current.version
+
+
+class TestManifest(testtools.TestCase):
+    """Versions of the manifest."""
+
+    def test_in_force_within_the_limit(self):
+        """Guards against a manifest that comes into force too late."""
+
+        async def check(world):
+            world.platform.put_tables(gateway_world.tables(2))
+            await asyncio.sleep(2.5)
+            self.assertEqual([2, 2], [version(world, each) for each in (0, 1)])
+
+        scenario(check)
+
+    def test_versions_only_go_up(self):
+        """Guards against an older manifest that is read again."""
+
+        async def check(world):
+            world.platform.put_tables(gateway_world.tables(5))
+            await asyncio.sleep(2.0)
+            world.platform.put_tables(gateway_world.tables(4))
+            world.platform.oldest_kept = world.platform.revision + 1
+            await asyncio.sleep(4.0)
+            self.assertEqual(5, version(world))
+
+        scenario(check)
+
+    def test_lost_history(self):
+        """Guards against a change that fell into lost history."""
+
+        async def check(world):
+            world.platform.put_tables(gateway_world.tables(2))
+            world.platform.oldest_kept = world.platform.revision + 1
+            await asyncio.sleep(3.0)
+            self.assertEqual(2, version(world))
+
+        scenario(check)
+
+    def test_store_away(self):
+        """Guards the work and the way back while the store is away."""
+
+        async def check(world):
+            client = await world.client("layers")
+            world.platform.away = True
+            for _ in range(20):
+                self.assertTrue(gateway_world.ok(await client.write()))
+                await asyncio.sleep(0.2)
+            world.platform.put_tables(gateway_world.tables(3))
+            world.platform.away = False
+            await asyncio.sleep(2.0)
+            self.assertEqual(3, version(world))
+
+        scenario(check)
+
+    def test_start_without_a_store(self):
+        """Guards the balancer against a daemon that knows nothing."""
+
+        async def check(world):
+            world.platform.away = True
+            late = world.daemon(2)
+            late.clients = gateway_world.Clients()
+            world.daemons.append(late)
+            await late.start(late.clients)
+            await asyncio.sleep(2.0)
+            self.assertFalse(late.ready())
+            opened = await late.open_session("live")
+            self.assertEqual("draining", opened.failure().kind.value)
+            world.platform.away = False
+            await gateway_world.until(late.ready, within_s=2.0)
+
+        scenario(check)
+
+
+class TestMembers(testtools.TestCase):
+    """Entries of members."""
+
+    def test_entry_that_lapsed_with_the_store(self):
+        """Guards members whose entries vanish while the store is away."""
+
+        async def check(world):
+            client = await world.client("layers")
+            entries = dict(world.platform.entry_by_id)
+            world.platform.away = True
+            await asyncio.sleep(3.0)
+            for member in entries:
+                world.platform.remove_member(member)
+            world.platform.away = False
+            for _ in range(9):
+                self.assertTrue(gateway_world.ok(await client.write()))
+                await asyncio.sleep(0.2)
+            for entry in entries.values():
+                world.platform.put_member(entry)
+            await asyncio.sleep(4.0)
+            group = world.daemons[0].group_by_id[gateway_world.GROUP]
+            self.assertEqual(set(entries), set(group.pool_by_member))
+
+        scenario(check)
+
+    def test_entry_that_stays_away(self):
+        """Guards statements against a member that has left."""
+
+        async def check(world):
+            gone = world.members[2].id
+            world.platform.remove_member(gone)
+            await asyncio.sleep(6.0)
+            group = world.daemons[0].group_by_id[gateway_world.GROUP]
+            self.assertNotIn(gone, group.pool_by_member)
+
+        scenario(check)
+
+    def test_drained_member_leaves_at_once(self):
+        """Guards against work for an address that is used again."""
+        entry = manifest.MemberEntry(
+            id="m",
+            group="g",
+            address="a:1",
+            domain="a",
+            slots=1,
+            state=manifest.MemberState.DRAINING,
+            leads=False,
+            born_ms=1,
+        )
+        catalog = member_catalog.MemberCatalog()
+        catalog.changed({"m": entry}, now=1.0)
+        catalog.changed({"m": None}, now=2.0)
+        self.assertEqual(["m"], catalog.gone(now=2.0))
+
+
+class TestTurns(testtools.TestCase):
+    """Turns of promotions."""
+
+    def lost(self, holder, claimed_at_ms):
+        """Return another record."""
+        record = coordination.PromotionRecord(holder, "x", claimed_at_ms)
+        return coordination.ClaimLost(record, 7)
+
+    def test_new_record_is_left_alone(self):
+        """Guards against two promotions at the same time."""
+        turns = promotion_turn.PromotionTurns("d1", 3.0)
+        self.assertFalse(
+            turns.lost("g", self.lost("d2", 10_000), 10_500, now=50.0)
+        )
+        self.assertFalse(turns.may_try("g", planned=False, now=52.0))
+        self.assertTrue(turns.may_try("g", planned=False, now=52.6))
+        self.assertEqual(7, turns.revision("g"))
+
+    def test_record_from_the_future(self):
+        """Guards against a clock that runs ahead."""
+        turns = promotion_turn.PromotionTurns("d1", 3.0)
+        self.assertFalse(
+            turns.lost("g", self.lost("d2", 99_000), 10_000, now=50.0)
+        )
+        self.assertTrue(turns.may_try("g", planned=False, now=53.1))
+
+    def test_old_record(self):
+        """Guards against a holder that died with its turn."""
+        turns = promotion_turn.PromotionTurns("d1", 3.0)
+        self.assertTrue(
+            turns.lost("g", self.lost("d2", 10_000), 14_000, now=50.0)
+        )
