Replace a primary that was lost before its first commit

Two causes: the term to hold the replicas at was computed from their logs, which do not show the term of a primary that has not committed yet; and a stale entry of the old primary kept the new one from being judged. test_primary_lost_before_its_first_commit fails without either change.

--- a/burdockcart/emulator/wire_member.py
+++ b/burdockcart/emulator/wire_member.py
@@ -436,6 +436,8 @@
         """Stop a replica from receiving."""
 
         async def work() -> member_channel.Answer:
+            if term <= self.member.group.term:
+                return self._answer(Fault.OTHER)
             self.member.held_term = term
             return self._answer()
 
--- a/burdockcart/process/gateway/failover_rule.py
+++ b/burdockcart/process/gateway/failover_rule.py
@@ -123,6 +123,9 @@
     id: ids.MemberId
     received: log_position.LogPosition
     draining: bool
+    #: Newest term that the replica knows; a primary that has not committed
+    #: yet leads a higher one than its log shows.
+    term: int = 0
 
 
 def first_candidate(
--- /dev/null
+++ b/burdockcart/process/gateway/log_comparison.py
@@ -0,0 +1,156 @@
+"""Finds a replica that holds every acknowledged commit."""
+
+import asyncio
+from typing import Awaitable
+from typing import Callable
+
+import loguru
+
+from burdockcart import clock
+from burdockcart.connection import member_channel
+from burdockcart import ids
+from burdockcart.process.gateway import failover_rule
+from burdockcart.process.gateway import group as groups
+
+#: Limit for asking a replica, in seconds.
+ASK_TIMEOUT_S = 0.4
+#: Time for the candidate to receive what the others hold, in seconds.
+CATCH_UP_S = 0.25
+CATCH_UP_PAUSE_S = 0.02
+
+
+class LogComparison:
+    """Compares the logs of the replicas of one group.
+
+    Parameters
+    ==========
+
+    channels : dict of MemberId to Channel
+        A connection to each member but the primary.
+
+    """
+
+    def __init__(
+        self,
+        group: groups.Group,
+        channels: dict[ids.MemberId, member_channel.Channel],
+        loop_clock: clock.Clock,
+    ):
+        self._group = group
+        self._channels = channels
+        self._clock = loop_clock
+
+    async def candidate(self) -> ids.MemberId | None:
+        """Return a replica that holds every acknowledged commit.
+
+        The others have stopped to receive; None if that cannot be reached.
+        """
+        seen = await self._ask_all(
+            self._channels, lambda each: each.status(ASK_TIMEOUT_S)
+        )
+        if seen is None:
+            return None
+        candidate = failover_rule.first_candidate(seen)
+        term = 1 + max(
+            [self._group.leadership.term]
+            + [max(each.received.term, each.term) for each in seen]
+        )
+        rest = {
+            member: channel
+            for member, channel in self._channels.items()
+            if member != candidate.id
+        }
+        held = await self._ask_all(
+            rest,
+            lambda each: each.hold_replication(term, ASK_TIMEOUT_S),
+        )
+        if held is None:
+            return None
+        if await self._catches_up(candidate, held):
+            return candidate.id
+        loguru.logger.info(
+            "event=candidate_behind group={} member={} received={} others={}",
+            self._group.id,
+            candidate.id,
+            candidate.received,
+            [each.received for each in held],
+        )
+        return await self._longest(candidate, term, held)
+
+    async def _catches_up(
+        self,
+        candidate: failover_rule.ReplicaView,
+        held: list[failover_rule.ReplicaView],
+    ) -> bool:
+        """Wait until the candidate holds what the others hold."""
+        until = self._clock.now() + CATCH_UP_S
+        only = {candidate.id: self._channels[candidate.id]}
+        now_at = candidate
+        while not failover_rule.holds_all(now_at, held):
+            if self._clock.now() >= until:
+                return False
+            await asyncio.sleep(CATCH_UP_PAUSE_S)
+            seen = await self._ask_all(
+                only, lambda each: each.status(ASK_TIMEOUT_S)
+            )
+            if seen is None:
+                return False
+            now_at = seen[0]
+        return True
+
+    async def _longest(
+        self,
+        candidate: failover_rule.ReplicaView,
+        term: int,
+        held: list[failover_rule.ReplicaView],
+    ) -> ids.MemberId | None:
+        """Stop the candidate too, and take the longest log of all."""
+        stopped = await self._ask_all(
+            {candidate.id: self._channels[candidate.id]},
+            lambda each: each.hold_replication(term, ASK_TIMEOUT_S),
+        )
+        if stopped is None:
+            return None
+        return max(
+            stopped + held, key=lambda each: (each.received, each.id)
+        ).id
+
+    async def _ask_all(
+        self,
+        channels: dict[ids.MemberId, member_channel.Channel],
+        ask: Callable[
+            [member_channel.Channel],
+            Awaitable[
+                member_channel.MemberStatus | member_channel.MemberFault
+            ],
+        ],
+    ) -> list[failover_rule.ReplicaView] | None:
+        """Ask replicas for their logs; None if one does not tell."""
+        answers = await asyncio.gather(
+            *(ask(channel) for channel in channels.values())
+        )
+        views = []
+        for member, answer in zip(channels, answers, strict=True):
+            pool = self._group.pool_by_member.get(member)
+            if isinstance(answer, member_channel.MemberFault) or pool is None:
+                loguru.logger.info(
+                    "event=replica_not_asked group={} member={} fault={!r}",
+                    self._group.id,
+                    member,
+                    getattr(answer, "value", "left"),
+                )
+                return None
+            if answer.role is member_channel.Role.PRIMARY:
+                # Holding the other replicas would stop its writes.
+                loguru.logger.info(
+                    "event=primary_found group={} member={}",
+                    self._group.id,
+                    member,
+                )
+                return None
+            views.append(
+                failover_rule.ReplicaView(
+                    member, answer.received, pool.draining, answer.term
+                )
+            )
+        return views
--- a/burdockcart/process/gateway/tests/test_failover.py
+++ b/burdockcart/process/gateway/tests/test_failover.py
@@ -208,6 +208,23 @@
 
         scenario(check, daemons=2)
 
+    def test_primary_lost_before_its_first_commit(self):
+        """Guards against a term that the logs do not show yet."""
+
+        async def check(world):
+            await writes_for(world, 0.3)
+            for _ in range(3):
+                lost = world.group.primary
+                lost.crash()
+                await gateway_world.until(lambda: not lost.leads)
+                lost.refuses = False
+                # No write; the next loss comes after the turn.
+                await asyncio.sleep(6.0)
+            self.assertEqual([], lost_commits(world))
+            self.assertEqual(3, len(world.platform.promotions))
+
+        scenario(check, daemons=2)
+
     def test_lost_answer_to_the_claim(self):
         """Guards against a claim that locks its own holder out."""
 
