Split the runner of statements, the emulated members and the calls

No behaviour changes: attempts.py has what single statements and transactions share. 113 tests of the gateway and the adapter pass before and after.

--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -12,8 +12,10 @@
 from burdockcart.connection import open_transaction
 from burdockcart import errors
 from burdockcart import ids
+from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import statement_runner
+from burdockcart.process.gateway import transaction_runner
 from burdockcart.request import command
 from burdockcart.request import log_position
 from burdockcart.version import manifest
@@ -28,7 +30,7 @@
 class Reply(msgspec.Struct, frozen=True):
     """What a client gets for one statement."""
 
-    outcome: statement_runner.Outcome
+    outcome: attempts.Outcome
     state: member_channel.TransactionState
     position: log_position.LogPosition | None = None
 
@@ -55,7 +57,8 @@
         self,
         database: ids.DatabaseName,
         tables: Tables,
-        runner: statement_runner.StatementRunner,
+        statements: statement_runner.StatementRunner,
+        transactions: transaction_runner.TransactionRunner,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
         metrics: gateway_metrics.GatewayMetrics,
@@ -63,10 +66,11 @@
         self.database = database
         self._metrics = metrics
         self._tables = tables
-        self._runner = runner
+        self._statements = statements
+        self._transactions = transactions
         self._clock = loop_clock
         self._boot_clock = boot_clock
-        self._session = statement_runner.Session()
+        self._session = attempts.Session()
         self._shape_by_name: dict[str, command.Shape] = {}
         self._transaction: open_transaction.OpenTransaction | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -142,7 +146,7 @@
                 return self._unknown(statement.name)
         return await self._forward(statement, shape)
 
-    def _reply(self, outcome: statement_runner.Outcome) -> Reply:
+    def _reply(self, outcome: attempts.Outcome) -> Reply:
         """Return a reply in the session's present state."""
         transaction = self._transaction
         answer = outcome.value_or(None)
@@ -189,7 +193,7 @@
             return self._reply(result.Failure(transaction.failure))
         return self._refuse("the transaction has failed; end it first")
 
-    def _local(self, statement: command.Command) -> statement_runner.Outcome:
+    def _local(self, statement: command.Command) -> attempts.Outcome:
         """Change the session's values or prepared names."""
         values, shapes = self._session.value_by_name, self._shape_by_name
         if statement.kind is command.CommandKind.DEALLOCATE:
@@ -214,7 +218,7 @@
             shapes[statement.name] = statement.shape
         return result.Success(_DONE)
 
-    def _begin(self, statement: command.Command) -> statement_runner.Outcome:
+    def _begin(self, statement: command.Command) -> attempts.Outcome:
         if self._transaction is not None:
             return result.Failure(
                 errors.Failure(
@@ -229,9 +233,9 @@
         )
         return result.Success(_DONE)
 
-    def _roll_back(self) -> statement_runner.Outcome:
+    def _roll_back(self) -> attempts.Outcome:
         if self._transaction is not None:
-            self._runner.abandon_for(self._transaction)
+            self._transactions.abandon_for(self._transaction)
             self._transaction = None
         return result.Success(_DONE)
 
@@ -258,7 +262,7 @@
         writes = statement.kind is command.CommandKind.WRITE or (
             shape is not None and shape.writes
         )
-        request = statement_runner.Request(
+        request = attempts.Request(
             statement=statement,
             shape=shape,
             writes=writes,
@@ -268,7 +272,7 @@
         )
         if transaction is None:
             return self._reply(
-                await self._runner.run_single(self._session, request)
+                await self._statements.run(self._session, request)
             )
         if writes and transaction.read_only:
             failure = errors.Failure(
@@ -276,7 +280,7 @@
             )
             self._fail(failure)
             return self._reply(result.Failure(failure))
-        outcome = await self._runner.run_in_transaction(
+        outcome = await self._transactions.run(
             self._session, transaction, request
         )
         if statement.kind is command.CommandKind.COMMIT:
@@ -290,7 +294,7 @@
         transaction = self._transaction
         if transaction is None:
             return
-        self._runner.abandon_for(transaction)
+        self._transactions.abandon_for(transaction)
         transaction.failure = failure
         transaction.untold = untold
 
@@ -318,7 +322,7 @@
         if self._idle_timer is not None:
             self._idle_timer.cancel()
         if self._transaction is not None:
-            self._runner.abandon_for(self._transaction)
+            self._transactions.abandon_for(self._transaction)
             self._transaction = None
 
 
--- /dev/null
+++ b/burdockcart/emulator/wire_channel.py
@@ -0,0 +1,319 @@
+"""In-memory channels to emulated members."""
+
+import asyncio
+
+from burdockcart.connection import member_channel
+from burdockcart.connection import member_session
+from burdockcart.emulator import wire_member
+from burdockcart import ids
+from burdockcart.request import command
+from burdockcart.request import log_position
+
+Fault = member_channel.MemberFault
+State = member_channel.TransactionState
+
+
+class EmulatedChannel:
+    """One connection to an emulated member."""
+
+    def __init__(self, member: wire_member.EmulatedMember, latency_s: float):
+        self.member = member
+        self.latency_s = latency_s
+        self.closed = False
+        self.value_by_name: dict[str, str] = {}
+        self.prepared: set[command.Shape] = set()
+        self.state = State.IDLE
+        self.plain = False
+        self.transaction: int | None = None
+        self.writes: list[tuple[str, str]] = []
+        member.connections.add(self)
+
+    def close(self) -> None:
+        """Close the connection; an open transaction is rolled back."""
+        self.closed = True
+        self.member.connections.discard(self)
+
+    def _answer(
+        self, fault: Fault | None = None, **fields
+    ) -> member_channel.Answer:
+        return member_channel.Answer(
+            fault=fault,
+            text="" if fault is None else fault.value,
+            state=self.state,
+            position=self.member.applied(),
+            **fields,
+        )
+
+    async def _travel(self) -> None:
+        await asyncio.sleep(self.latency_s)
+
+    async def _within(self, work, timeout_s: float) -> member_channel.Answer:
+        """Run work, or lose the connection as a member that fails does."""
+        if self.closed:
+            return member_channel.Answer(fault=Fault.BROKEN)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._travel()
+                if self.member.refuses:
+                    self.close()
+                    return member_channel.Answer(fault=Fault.BROKEN)
+                if self.member.dark:
+                    await asyncio.Event().wait()
+                answer = await work()
+                if self.member.dark:
+                    await asyncio.Event().wait()
+                await self._travel()
+                return answer
+        except TimeoutError:
+            self.close()
+            return member_channel.Answer(fault=Fault.SILENT)
+
+    async def prepare(
+        self, steps: list[member_session.Step], timeout_s: float
+    ) -> list[member_channel.Answer]:
+        """Run preparing statements."""
+
+        async def work() -> member_channel.Answer:
+            for step in steps:
+                if step.kind is member_session.StepKind.RESET:
+                    self.value_by_name, self.prepared = {}, set()
+                elif step.kind is member_session.StepKind.SET:
+                    self.value_by_name[step.name] = step.value
+                elif step.shape is not None:
+                    self.prepared.add(step.shape)
+            return self._answer()
+
+        answer = await self._within(work, timeout_s)
+        return [answer] * (1 if answer.fault else len(steps))
+
+    async def run(
+        self,
+        statement: command.Command,
+        shape: command.Shape | None,
+        timeout_s: float,
+        after: log_position.LogPosition | None = None,
+        prove: bool = False,
+    ) -> member_channel.Answer:
+        """Run a client's statement."""
+        return await self._within(
+            lambda: self._run(statement, shape, after, prove), timeout_s
+        )
+
+    async def _run(
+        self,
+        statement: command.Command,
+        shape: command.Shape | None,
+        after: log_position.LogPosition | None,
+        prove: bool,
+    ) -> member_channel.Answer:
+        member = self.member
+        writes = statement.kind is command.CommandKind.WRITE or (
+            shape is not None and shape.writes
+        )
+        commits = statement.kind is command.CommandKind.COMMIT
+        wrong = self._refusal(shape, writes, commits, after, prove)
+        if wrong is not None:
+            return self._answer(wrong)
+        if not await member.slot():
+            return self._answer(Fault.QUEUE_FULL)
+        try:
+            await asyncio.sleep(member.work_s)
+            wrong = self._refusal(shape, writes, commits, after, prove)
+            if wrong is not None:
+                return self._answer(wrong)
+            self._record(statement, shape)
+            if writes:
+                self.writes.append((statement.id, statement.text))
+            if not await self._finish(writes, commits):
+                await asyncio.Event().wait()
+        finally:
+            await member.free_slot()
+        if statement.id in member.lose:
+            await asyncio.Event().wait()
+        return self._answer(receipt=f"receipt-{statement.id}")
+
+    async def _finish(self, writes: bool, commits: bool) -> bool:
+        """Commit what is to be kept; False if no replica receives it."""
+        ends = commits or (writes and self.state is State.IDLE)
+        if commits:
+            self.state, self.transaction = State.IDLE, None
+        if not ends:
+            return True
+        kept, self.writes = self.writes, []
+        return not kept or self.member.commit(kept) is not None
+
+    def _refusal(
+        self,
+        shape: command.Shape | None,
+        writes: bool,
+        commits: bool,
+        after: log_position.LogPosition | None,
+        prove: bool,
+    ) -> Fault | None:
+        member = self.member
+        if shape is not None and shape not in self.prepared:
+            return Fault.UNKNOWN_NAME
+        if after is not None and member.applied() < after:
+            return Fault.BEHIND
+        needs_lead = writes or prove or self.plain
+        if commits and not self.writes:
+            needs_lead = False
+        if needs_lead and not member.leads:
+            if self.state is State.OPEN:
+                self.state = State.IDLE if commits else State.FAILED
+            return Fault.NOT_PRIMARY
+        return None
+
+    def _record(
+        self, statement: command.Command, shape: command.Shape | None
+    ) -> None:
+        member = self.member
+        member.group.runs.append(
+            wire_member.Run(
+                member=member.id,
+                statement=statement.id,
+                kind=statement.kind,
+                text=statement.text,
+                value_by_name=tuple(sorted(self.value_by_name.items())),
+                shape=shape,
+                transaction=self.transaction,
+                position=member.applied(),
+                at=asyncio.get_running_loop().time(),
+            )
+        )
+
+    async def begin(
+        self,
+        read_only: bool,
+        timeout_s: float,
+        after: log_position.LogPosition | None = None,
+    ) -> member_channel.Answer:
+        """Begin a transaction."""
+
+        async def work() -> member_channel.Answer:
+            if not read_only and not self.member.leads:
+                return self._answer(Fault.NOT_PRIMARY)
+            if after is not None and self.member.applied() < after:
+                return self._answer(Fault.BEHIND)
+            self.state, self.plain = State.OPEN, not read_only
+            self.transaction = next(self.member.group.serials)
+            self.writes = []
+            return self._answer()
+
+        return await self._within(work, timeout_s)
+
+    async def roll_back(self, timeout_s: float) -> member_channel.Answer:
+        """End a transaction without effect."""
+
+        async def work() -> member_channel.Answer:
+            self.state, self.plain = State.IDLE, False
+            self.transaction, self.writes = None, []
+            return self._answer()
+
+        return await self._within(work, timeout_s)
+
+    async def prove_primary(self, timeout_s: float) -> member_channel.Answer:
+        """Show that the member leads."""
+
+        async def work() -> member_channel.Answer:
+            fault = None if self.member.leads else Fault.NOT_PRIMARY
+            return self._answer(fault)
+
+        return await self._within(work, timeout_s)
+
+    async def hold_replication(
+        self, term: int, timeout_s: float
+    ) -> member_channel.MemberStatus | Fault:
+        """Stop a replica from receiving."""
+
+        async def work() -> member_channel.Answer:
+            if term <= self.member.group.term:
+                return self._answer(Fault.OTHER)
+            self.member.held_term = term
+            return self._answer()
+
+        answer = await self._within(work, timeout_s)
+        return answer.fault or self._status()
+
+    async def release_replication(
+        self, timeout_s: float
+    ) -> member_channel.Answer:
+        """Let a replica receive again."""
+
+        async def work() -> member_channel.Answer:
+            self.member.held_term = None
+            known = self.member.log
+            missing = [
+                each
+                for each in self.member.group.primary.log
+                if each not in known
+            ]
+            self.member.receive(missing)
+            return self._answer()
+
+        return await self._within(work, timeout_s)
+
+    async def status(
+        self, timeout_s: float
+    ) -> member_channel.MemberStatus | Fault:
+        """Ask for the member's state."""
+
+        async def work() -> member_channel.Answer:
+            return self._answer()
+
+        answer = await self._within(work, timeout_s)
+        return answer.fault or self._status()
+
+    def _status(self) -> member_channel.MemberStatus:
+        role = (
+            member_channel.Role.PRIMARY
+            if self.member.leads
+            else member_channel.Role.REPLICA
+        )
+        return member_channel.MemberStatus(
+            role, self.member.group.term, self.member.received()
+        )
+
+
+class EmulatedConnector:
+    """Connects one daemon to emulated members.
+
+    Parameters
+    ==========
+
+    cut : set of MemberId
+        Members that this daemon cannot reach.
+
+    """
+
+    def __init__(
+        self,
+        member_by_id: dict[ids.MemberId, wire_member.EmulatedMember],
+        latency_s: float = 0.0005,
+        handshake_s: float = 0.012,
+    ):
+        self.member_by_id = member_by_id
+        self.cut: set[ids.MemberId] = set()
+        self.latency_s = latency_s
+        self.handshake_s = handshake_s
+        self.channels: list[EmulatedChannel] = []
+
+    async def connect(
+        self, member: member_channel.MemberAddress, timeout_s: float
+    ) -> member_channel.Channel | Fault:
+        """Open a connection and check which member answers."""
+        target = self.member_by_id.get(member.id)
+        if target is None or target.refuses:
+            await asyncio.sleep(self.latency_s)
+            return Fault.REFUSED
+        if target.dark or member.id in self.cut:
+            await asyncio.sleep(timeout_s)
+            return Fault.SILENT
+        await asyncio.sleep(self.handshake_s)
+        if len(target.connections) + target.lingering >= (
+            target.most_connections
+        ):
+            return Fault.CONNECTIONS_EXHAUSTED
+        channel = EmulatedChannel(target, self.latency_s)
+        self.channels.append(channel)
+        return channel
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -13,6 +13,7 @@
 
 from burdockcart import ids
 from burdockcart.platform import formats
+from burdockcart.platform import store_messages
 from burdockcart.process.gateway import coordination
 from burdockcart.version import manifest
 
@@ -34,40 +35,6 @@
 DAEMON_PREFIX = "daemons/"
 
 
-class _StoredItem(msgspec.Struct, rename="kebab"):
-    key: str
-    revision: int
-    value: str = ""
-    tombstone: bool = False
-
-    @property
-    def data(self) -> bytes:
-        return base64.b64decode(self.value)
-
-
-class _OneItem(_StoredItem, rename="kebab"):
-    store_revision: int = 0
-
-
-class _Range(msgspec.Struct, rename="kebab"):
-    items: list[_StoredItem]
-    store_revision: int = 0
-    has_more: bool = False
-
-
-class _Events(msgspec.Struct, rename="kebab"):
-    events: list[_StoredItem]
-    store_revision: int
-
-
-class _Written(msgspec.Struct):
-    revision: int
-
-
-class _Lease(msgspec.Struct):
-    lease: int
-
-
 class _AddressResolver:
     """Takes addresses as they are: there are only IP addresses."""
 
@@ -166,7 +133,7 @@
         """
         path = "/api/kv-key?" + parse.urlencode({"key": MANIFEST_KEY})
         answers = await asyncio.gather(
-            self._read(path, _OneItem),
+            self._read(path, store_messages.OneItem),
             self._range(MEMBER_PREFIX),
             self._range(DAEMON_PREFIX),
         )
@@ -206,7 +173,7 @@
         """
         query = {"prefix": "", "after": after, "wait-ms": 0}
         path = "/api/kv-watch?" + parse.urlencode(query)
-        answer = await self._read(path, _Events)
+        answer = await self._read(path, store_messages.Events)
         return answer.map(_changes)
 
     async def _read(
@@ -224,16 +191,16 @@
 
     async def _range(
         self, prefix: str
-    ) -> result.Result[_Range, coordination.CallFault]:
+    ) -> result.Result[store_messages.Range, coordination.CallFault]:
         """Return all items of a prefix, as of the first page's revision."""
-        items: list[_StoredItem] = []
+        items: list[store_messages.StoredItem] = []
         first_revision = None
         while True:
             query = {"prefix": prefix}
             if items:
                 query["after"] = items[-1].key
             path = "/api/kv-range?" + parse.urlencode(query)
-            answer = await self._read(path, _Range)
+            answer = await self._read(path, store_messages.Range)
             page = answer.value_or(None)
             if page is None:
                 return answer
@@ -241,7 +208,9 @@
                 first_revision = page.store_revision
             items += page.items
             if not page.has_more or not page.items:
-                return result.Success(_Range(items, first_revision))
+                return result.Success(
+                    store_messages.Range(items, first_revision)
+                )
 
     async def claim_promotion(
         self,
@@ -266,7 +235,9 @@
         url = f"http://{self.store_address}/api/kv-txn"
         answer = await self._send(url, "POST", body)
         if answer is not None and answer.code == 200:
-            written = msgspec.json.decode(answer.body, type=_Written)
+            written = msgspec.json.decode(
+                answer.body, type=store_messages.Written
+            )
             return result.Success(ids.FencingToken(written.revision))
         if answer is not None and answer.code == 412:
             return result.Failure(_claim_lost(answer.body, key))
@@ -305,7 +276,7 @@
         """Enter a daemon into the list for a time; return the lease."""
         granted = await self._call(
             "/api/kv-lease",
-            _Lease,
+            store_messages.Lease,
             "POST",
             body={"ttl-ms": int(ttl_s * 1000)},
         )
@@ -318,7 +289,9 @@
             "writes": [{"key": key, "value": "", "lease": lease.lease}],
             "deletes": [],
         }
-        written = await self._call("/api/kv-txn", _Written, "POST", body=body)
+        written = await self._call(
+            "/api/kv-txn", store_messages.Written, "POST", body=body
+        )
         return written.map(lambda _: lease.lease)
 
     async def renew_daemon(
@@ -332,7 +305,7 @@
         """Return whether the store answers at all."""
         query = {"prefix": DAEMON_PREFIX, "serializable": "1"}
         path = "/api/kv-range?" + parse.urlencode(query)
-        answer = await self._call(path, _Range)
+        answer = await self._call(path, store_messages.Range)
         return isinstance(answer, result.Success)
 
 
@@ -345,7 +318,7 @@
         return None
 
 
-def _changes(seen: _Events) -> coordination.Changes:
+def _changes(seen: store_messages.Events) -> coordination.Changes:
     """Sort the events of all keys by what they tell of."""
     manifests = [
         found
@@ -373,15 +346,15 @@
     )
 
 
-def _daemon_id(item: _StoredItem) -> ids.DaemonId:
+def _daemon_id(item: store_messages.StoredItem) -> ids.DaemonId:
     return ids.DaemonId(item.key.removeprefix(DAEMON_PREFIX))
 
 
-def _member_id(item: _StoredItem) -> ids.MemberId:
+def _member_id(item: store_messages.StoredItem) -> ids.MemberId:
     return ids.MemberId(item.key.removeprefix(MEMBER_PREFIX))
 
 
-def _member(item: _StoredItem) -> manifest.MemberEntry | None:
+def _member(item: store_messages.StoredItem) -> manifest.MemberEntry | None:
     """Return a member; None for a removed or unusable entry."""
     if item.tombstone:
         return None
@@ -397,7 +370,7 @@
 
 
 def _claim_lost(body: bytes, key: str) -> coordination.ClaimLost:
-    page = msgspec.json.decode(body, type=_Range)
+    page = msgspec.json.decode(body, type=store_messages.Range)
     item = next((each for each in page.items if each.key == key), None)
     if item is None:
         return coordination.ClaimLost(None, 0)
--- /dev/null
+++ b/burdockcart/platform/store_messages.py
@@ -0,0 +1,52 @@
+"""Answers of the platform's store, as they are on the wire."""
+
+import base64
+
+import msgspec
+
+
+class StoredItem(msgspec.Struct, rename="kebab"):
+    """An item, or the event of its change; ``value`` is base64."""
+
+    key: str
+    revision: int
+    value: str = ""
+    tombstone: bool = False
+
+    @property
+    def data(self) -> bytes:
+        """The value as it was written."""
+        return base64.b64decode(self.value)
+
+
+class OneItem(StoredItem, rename="kebab"):
+    """Answer to a question for one key."""
+
+    store_revision: int = 0
+
+
+class Range(msgspec.Struct, rename="kebab"):
+    """One page of the items below a prefix."""
+
+    items: list[StoredItem]
+    store_revision: int = 0
+    has_more: bool = False
+
+
+class Events(msgspec.Struct, rename="kebab"):
+    """Answer to a watch."""
+
+    events: list[StoredItem]
+    store_revision: int
+
+
+class Written(msgspec.Struct):
+    """Answer to a transaction that was carried out."""
+
+    revision: int
+
+
+class Lease(msgspec.Struct):
+    """Answer to the grant of a lease."""
+
+    lease: int
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -16,6 +16,7 @@
 from burdockcart.connection import member_channel
 from burdockcart import errors
 from burdockcart import ids
+from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import connection_share
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover
@@ -26,6 +27,7 @@
 from burdockcart.process.gateway import settings
 from burdockcart.process.gateway import shutdown_plan
 from burdockcart.process.gateway import statement_runner
+from burdockcart.process.gateway import transaction_runner
 from burdockcart.version import manifest
 
 #: Daemons assumed before the first count; as many as the smaller of the
@@ -110,8 +112,12 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
         self.metrics = gateway_metrics.GatewayMetrics()
-        self.runner = statement_runner.StatementRunner(
-            self.group_by_id, self._clock, self._boot_clock, self.metrics
+        shared = attempts.Attempts(self._clock, self._boot_clock, self.metrics)
+        self.statements = statement_runner.StatementRunner(
+            self.group_by_id, shared
+        )
+        self.transactions = transaction_runner.TransactionRunner(
+            self.group_by_id, shared
         )
         self.tables = followers.StoreFollower(
             platform, self, self._clock, source, config.manifest_s
@@ -215,7 +221,8 @@
             client_session.ClientSession(
                 database,
                 self.tables,
-                self.runner,
+                self.statements,
+                self.transactions,
                 self._clock,
                 self._boot_clock,
                 self.metrics,
--- /dev/null
+++ b/burdockcart/process/gateway/attempts.py
@@ -0,0 +1,342 @@
+"""What single statements and transactions share: attempts at members."""
+
+import asyncio
+from typing import Any
+from typing import Coroutine
+from typing import TypeVar
+
+import loguru
+import msgspec
+from returns import result
+
+from burdockcart import clock
+from burdockcart.connection import member_channel
+from burdockcart import errors
+from burdockcart import ids
+from burdockcart.process.gateway import gateway_metrics
+from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import member_pool
+from burdockcart.request import attempt_rule
+from burdockcart.request import command
+from burdockcart.request import sample_window
+from burdockcart.request import work_queue
+from burdockcart.version import manifest
+
+#: Share of a statement's timeout that it may wait for a connection; the rest
+#: is left for running it.
+WAIT_SHARE = 0.6
+#: Pause before a member with a full queue is asked again, in seconds; about
+#: one statement's work.
+QUEUE_FULL_PAUSE_S = 0.008
+#: Pause before all members are asked again when none could run a read, in
+#: seconds; a third of a replica's usual lag.
+ALL_REFUSED_PAUSE_S = 0.02
+#: When a client may come back to a primary that finishes no writes, in
+#: milliseconds; about the time until the next write is let through.
+STALLED_RETRY_MS = 400
+#: Limit for the statements that bring a connection to a session's state, and
+#: for ending a transaction, in seconds; none of them takes a slot.
+PREPARE_TIMEOUT_S = 0.4
+
+T = TypeVar("T")
+
+Outcome = result.Result[member_channel.Answer, errors.Failure]
+
+
+class Session(msgspec.Struct, eq=False):
+    """What a client session keeps between statements."""
+
+    value_by_name: dict[str, str] = msgspec.field(default_factory=dict)
+    #: Last commit and the time (boot clock) of its acknowledgement.
+    own_commit: sample_window.Sample | None = None
+
+
+class Request(msgspec.Struct, frozen=True, kw_only=True):
+    """A statement to run.
+
+    ``arrived_at`` is time of the event loop, ``read_at`` the same moment on
+    the boot clock.
+    """
+
+    statement: command.Command
+    shape: command.Shape | None
+    writes: bool
+    route: manifest.DatabaseRoute
+    arrived_at: float
+    read_at: float
+
+    @property
+    def ends_at(self) -> float:
+        """Time at which the statement's limit is reached."""
+        return self.arrived_at + self.route.timeout_s
+
+
+class Attempts:
+    """Sends statements to members and learns from their answers."""
+
+    def __init__(
+        self,
+        loop_clock: clock.Clock,
+        boot_clock: clock.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
+    ):
+        self.loop_clock = loop_clock
+        self.boot_clock = boot_clock
+        self.metrics = metrics
+        self._background: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+        """Run work that may outlive the statement it belongs to."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return task
+
+    def attempt_failed(
+        self,
+        request: Request,
+        connection: member_pool.PooledConnection,
+        answer: member_channel.Answer,
+        attempt: int,
+        step: attempt_rule.NextStep,
+    ) -> None:
+        """Log and count an attempt that failed."""
+        assert answer.fault is not None
+        self.metrics.attempt_failed(answer.fault.value)
+        loguru.logger.info(
+            "event=attempt_failed id={} kind={!r} member={} fault={!r} "
+            "attempt={} next={!r}",
+            request.statement.id,
+            request.statement.kind.value,
+            connection.pool.entry.id,
+            answer.fault.value,
+            attempt,
+            step.value,
+        )
+
+    def placed(
+        self,
+        group: groups.Group,
+        request: Request,
+        connection: member_pool.PooledConnection,
+        work: work_queue.Work,
+        attempt: int,
+    ) -> None:
+        """Log where a statement goes and what decided it."""
+        now = self.loop_clock.now()
+        loguru.logger.info(
+            "event=placed id={} kind={!r} route={} group={} member={} "
+            "primary={} term={} position={} position_age_ms={} waited_ms={} "
+            "attempt={}",
+            request.statement.id,
+            request.statement.kind.value,
+            request.route.name,
+            group.id,
+            connection.pool.entry.id,
+            group.leadership.member,
+            group.leadership.term,
+            work.position and f"{work.position.term}.{work.position.number}",
+            int(work.position_age_s * 1000),
+            int((now - request.arrived_at) * 1000),
+            attempt,
+        )
+
+    def late(self, request: Request) -> bool:
+        return self.loop_clock.now() >= request.ends_at
+
+    async def before_retry(
+        self,
+        group: groups.Group,
+        connection: member_pool.PooledConnection,
+        answer: member_channel.Answer,
+        excluded: set[ids.MemberId],
+    ) -> None:
+        """Exclude the member, or pause where there is no other."""
+        member = connection.pool.entry.id
+        excluded.add(member)
+        if excluded >= group.pool_by_member.keys():
+            excluded.clear()
+            await asyncio.sleep(ALL_REFUSED_PAUSE_S)
+        elif (
+            answer.fault is member_channel.MemberFault.QUEUE_FULL
+            and member == group.leadership.member
+        ):
+            await asyncio.sleep(QUEUE_FULL_PAUSE_S)
+
+    def work(
+        self,
+        group: groups.Group,
+        session: Session,
+        request: Request,
+        excluded: set[ids.MemberId],
+        primary_only: bool = False,
+    ) -> work_queue.Work:
+        """Return the claim on a connection."""
+        route = request.route
+        needed = None
+        if (
+            not primary_only
+            and not request.writes
+            and route.consistency is not manifest.Consistency.PRIMARY
+        ):
+            own = None
+            if route.consistency is manifest.Consistency.OWN_WRITES:
+                own = session.own_commit
+            needed = sample_window.required_sample(
+                group.samples, request.read_at, route.max_age_s, own
+            )
+        return work_queue.Work(
+            priority=route.priority,
+            goal_at=request.arrived_at + route.goal_s,
+            give_up_at=request.arrived_at + WAIT_SHARE * route.timeout_s,
+            connection=asyncio.get_running_loop().create_future(),
+            position=None if needed is None else needed.position,
+            position_age_s=(
+                0.0
+                if needed is None
+                else self.boot_clock.now() - needed.sent_at
+            ),
+            excluded=excluded,
+            value_by_name=session.value_by_name,
+            shape=request.shape,
+        )
+
+    async def send(
+        self,
+        request: Request,
+        connection: member_pool.PooledConnection,
+        work: work_queue.Work | None,
+        waits_for_replica: bool,
+        prove: bool = False,
+    ) -> member_channel.Answer:
+        health = connection.pool.health
+        now = self.loop_clock.now()
+        ticket = health.sent(now, waits_for_replica)
+        limit_s = max(request.ends_at - now, 0.0)
+        if not waits_for_replica:
+            # The answer to a write waits for a replica, and giving it up
+            # would leave the outcome unknown; the others can be repeated.
+            limit_s = min(limit_s, health.overdue_s(now))
+        answer = await connection.channel.run(
+            request.statement,
+            request.shape,
+            limit_s,
+            after=None if work is None else work.position,
+            prove=prove,
+        )
+        health.ended(ticket, self.loop_clock.now(), answer.fault)
+        if answer.fault is member_channel.MemberFault.UNKNOWN_NAME:
+            connection.channel.close()
+        return answer
+
+    def release_idle(
+        self,
+        group: groups.Group,
+        connection: member_pool.PooledConnection,
+        answer: member_channel.Answer,
+    ) -> None:
+        """Return a connection that must have no transaction open."""
+        if answer.state is not member_channel.TransactionState.IDLE:
+            connection.channel.close()
+        group.release(connection)
+
+    async def prepare(
+        self,
+        session: Session,
+        request: Request,
+        connection: member_pool.PooledConnection,
+    ) -> member_channel.Answer | None:
+        """Bring a connection to the session's state; the fault if any."""
+        steps = connection.held.steps(session.value_by_name, request.shape)
+        if not steps:
+            return None
+        answers = await connection.channel.prepare(steps, PREPARE_TIMEOUT_S)
+        for step, answer in zip(steps, answers, strict=False):
+            if answer.fault is None:
+                connection.held.done(step)
+        last = answers[-1]
+        if last.fault is None:
+            return None
+        # What the connection holds is unknown; nothing of the statement was
+        # sent, so it may be tried elsewhere.
+        connection.channel.close()
+        if last.fault in member_channel.NO_ANSWER:
+            connection.pool.health.failed(self.loop_clock.now(), last.fault)
+        return member_channel.Answer(
+            fault=member_channel.MemberFault.REFUSED,
+            text=f"preparing failed: {last.text}",
+        )
+
+    def learn(
+        self,
+        group: groups.Group,
+        connection: member_pool.PooledConnection,
+        work: work_queue.Work,
+        answer: member_channel.Answer,
+        sent_at: float,
+    ) -> None:
+        """Take over what an answer tells of its member."""
+        pool = connection.pool
+        member = pool.entry.id
+        if work.primary_only:
+            if answer.fault is None:
+                group.proven(member, sent_at, answer.position)
+            elif answer.fault is member_channel.MemberFault.NOT_PRIMARY:
+                group.denied(member)
+            return
+        if answer.position is not None:
+            pool.lag.seen_at(answer.position)
+        assert work.position is not None
+        if answer.fault is None:
+            pool.lag.served(work.position_age_s)
+        elif answer.fault is member_channel.MemberFault.BEHIND:
+            pool.lag.refused(
+                work.position, work.position_age_s, self.loop_clock.now()
+            )
+
+    def remember_commit(
+        self, session: Session, answer: member_channel.Answer
+    ) -> None:
+        if answer.position is not None:
+            session.own_commit = sample_window.Sample(
+                self.boot_clock.now(), answer.position
+            )
+
+    def stalled(self, group: groups.Group) -> bool:
+        """Return whether the primary finishes no writes at present."""
+        pool = group.primary_pool()
+        return pool is not None and pool.health.writes_stalled(
+            self.loop_clock.now()
+        )
+
+
+def writes_stalled(group: groups.Group) -> Outcome:
+    """Refuse a write at once that would stay in doubt."""
+    return result.Failure(
+        errors.Failure(
+            errors.ErrorKind.NO_PRIMARY,
+            f"the primary of group {group.id} finishes no writes",
+            retry_after_ms=STALLED_RETRY_MS,
+        )
+    )
+
+
+def discarded(
+    group: groups.Group,
+    connection: member_pool.PooledConnection,
+    answer: member_channel.Answer,
+) -> bool:
+    """Return whether the primary lacks a position."""
+    return (
+        answer.fault is member_channel.MemberFault.BEHIND
+        and connection.pool.entry.id == group.leadership.member
+    )
+
+
+def no_group(route: manifest.DatabaseRoute) -> Outcome:
+    return result.Failure(
+        errors.Failure(
+            errors.ErrorKind.NO_ROUTE,
+            f"route {route.name} names no known group",
+        )
+    )
--- /dev/null
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -0,0 +1,274 @@
+"""Runs the transactions of client sessions on members."""
+
+import asyncio
+
+from returns import result
+
+from burdockcart.connection import member_channel
+from burdockcart.connection import open_transaction
+from burdockcart import errors
+from burdockcart import ids
+from burdockcart.process.gateway import attempts
+from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import member_pool
+from burdockcart.request import attempt_rule
+from burdockcart.request import command
+from burdockcart.request import work_queue
+
+
+class TransactionRunner:
+    """Keeps each transaction on one connection, from its first statement.
+
+    Parameters
+    ==========
+
+    group_by_id : dict of GroupId to Group
+        Owned by the application, which adds and removes groups.
+
+    """
+
+    def __init__(
+        self,
+        group_by_id: dict[ids.GroupId, groups.Group],
+        shared: attempts.Attempts,
+    ):
+        self._group_by_id = group_by_id
+        self._attempts = shared
+
+    async def run(
+        self,
+        session: attempts.Session,
+        transaction: open_transaction.OpenTransaction,
+        request: attempts.Request,
+    ) -> attempts.Outcome:
+        """Run a statement of a transaction, its COMMIT included.
+
+        After a failure the transaction has no connection and nothing of it
+        is kept, unless the failure says that the outcome is unknown.
+        """
+        group = self._group_by_id.get(request.route.group)
+        if group is None:
+            return attempts.no_group(request.route)
+        excluded: set[ids.MemberId] = set()
+        attempt = 0
+        first = transaction.connection is None
+        while True:
+            attempt += 1
+            if transaction.connection is None:
+                begun = await self._begin(
+                    group, session, transaction, request, excluded
+                )
+                if isinstance(begun, result.Failure):
+                    return result.Failure(begun.failure())
+            connection = transaction.connection
+            assert connection is not None
+            if _commits(transaction, request) and self._attempts.stalled(
+                group
+            ):
+                self.abandon(group, transaction)
+                return attempts.writes_stalled(group)
+            answer = await self._step(group, session, transaction, request)
+            if answer.fault is None:
+                return result.Success(answer)
+            step = attempt_rule.in_transaction(answer.fault, attempt, first)
+            self._attempts.attempt_failed(
+                request, connection, answer, attempt, step
+            )
+            if step is attempt_rule.NextStep.GIVE_UP or self._attempts.late(
+                request
+            ):
+                return self._fail(group, transaction, request, answer)
+            if step is attempt_rule.NextStep.ELSEWHERE:
+                self.abandon(group, transaction)
+                await self._attempts.before_retry(
+                    group, connection, answer, excluded
+                )
+            else:
+                await asyncio.sleep(attempts.QUEUE_FULL_PAUSE_S)
+
+    def _fail(
+        self,
+        group: groups.Group,
+        transaction: open_transaction.OpenTransaction,
+        request: attempts.Request,
+        answer: member_channel.Answer,
+    ) -> attempts.Outcome:
+        assert answer.fault is not None
+        self.abandon(group, transaction)
+        return result.Failure(
+            attempt_rule.failure_of(
+                answer.fault, answer.text, _commits(transaction, request)
+            )
+        )
+
+    async def _begin(
+        self,
+        group: groups.Group,
+        session: attempts.Session,
+        transaction: open_transaction.OpenTransaction,
+        request: attempts.Request,
+        excluded: set[ids.MemberId],
+    ) -> result.Result[None, errors.Failure]:
+        """Get a connection on which the transaction has begun."""
+        primary_only = not transaction.read_only
+        attempt = 0
+        while True:
+            attempt += 1
+            work = self._attempts.work(
+                group, session, request, excluded, primary_only
+            )
+            acquired = await group.acquire(work)
+            if isinstance(acquired, result.Failure):
+                return result.Failure(acquired.failure())
+            connection = acquired.unwrap()
+            self._attempts.placed(group, request, connection, work, attempt)
+            answer = await self._attempts.prepare(session, request, connection)
+            if answer is None:
+                answer = await self._begin_on(group, connection, work)
+            if answer.fault is None:
+                transaction.connection = connection
+                transaction.needs_leader = work.primary_only
+                return result.Success(None)
+            group.release(connection)
+            step = attempt_rule.NextStep.GIVE_UP
+            if attempt < attempt_rule.MAX_ATTEMPTS:
+                step = attempt_rule.NextStep.ELSEWHERE
+            self._attempts.attempt_failed(
+                request, connection, answer, attempt, step
+            )
+            if step is attempt_rule.NextStep.GIVE_UP or self._attempts.late(
+                request
+            ):
+                return result.Failure(
+                    attempt_rule.failure_of(answer.fault, answer.text, False)
+                )
+            primary_only |= attempts.discarded(group, connection, answer)
+            await self._attempts.before_retry(
+                group, connection, answer, excluded
+            )
+
+    async def _begin_on(
+        self,
+        group: groups.Group,
+        connection: member_pool.PooledConnection,
+        work: work_queue.Work,
+    ) -> member_channel.Answer:
+        sent_at = self._attempts.boot_clock.now()
+        # A transaction that may write runs only while its member leads, so
+        # it also serves reads that need the primary.
+        answer = await connection.channel.begin(
+            not work.primary_only, attempts.PREPARE_TIMEOUT_S, work.position
+        )
+        if answer.fault in member_channel.NO_ANSWER:
+            connection.pool.health.failed(
+                self._attempts.loop_clock.now(), answer.fault
+            )
+        self._attempts.learn(group, connection, work, answer, sent_at)
+        if (
+            answer.fault is None
+            and answer.state is not member_channel.TransactionState.OPEN
+        ):
+            connection.channel.close()
+            return member_channel.Answer(
+                fault=member_channel.MemberFault.BROKEN, text="no transaction"
+            )
+        return answer
+
+    async def _step(
+        self,
+        group: groups.Group,
+        session: attempts.Session,
+        transaction: open_transaction.OpenTransaction,
+        request: attempts.Request,
+    ) -> member_channel.Answer:
+        """Run one statement on the transaction's connection."""
+        connection = transaction.connection
+        assert connection is not None
+        refused = await self._attempts.prepare(session, request, connection)
+        if refused is not None:
+            return refused
+        commits = request.statement.kind is command.CommandKind.COMMIT
+        transaction.wrote |= request.writes
+        sent_at = self._attempts.boot_clock.now()
+        answer = await self._attempts.send(
+            request, connection, None, commits and transaction.wrote
+        )
+        self._learn_in_transaction(
+            group, transaction, commits, answer, sent_at
+        )
+        if answer.fault is None and commits:
+            if transaction.wrote:
+                self._attempts.remember_commit(session, answer)
+            transaction.connection = None
+            self._attempts.release_idle(group, connection, answer)
+        return answer
+
+    def _learn_in_transaction(
+        self,
+        group: groups.Group,
+        transaction: open_transaction.OpenTransaction,
+        commits: bool,
+        answer: member_channel.Answer,
+        sent_at: float,
+    ) -> None:
+        connection = transaction.connection
+        assert connection is not None
+        member = connection.pool.entry.id
+        if answer.fault is member_channel.MemberFault.NOT_PRIMARY:
+            group.denied(member)
+        # A commit of a transaction that wrote nothing succeeds on a member
+        # that has lost the lead.
+        proves = transaction.needs_leader and (
+            transaction.wrote or not commits
+        )
+        if answer.fault is None and proves:
+            group.proven(member, sent_at, answer.position)
+
+    def abandon(
+        self,
+        group: groups.Group,
+        transaction: open_transaction.OpenTransaction,
+    ) -> None:
+        """Roll back and return the connection, without waiting for it."""
+        connection = transaction.connection
+        transaction.connection = None
+        if connection is None:
+            return
+        if connection.channel.closed:
+            group.release(connection)
+            return
+        self._attempts.spawn(self._roll_back(group, connection))
+
+    async def _roll_back(
+        self, group: groups.Group, connection: member_pool.PooledConnection
+    ) -> None:
+        answer = await connection.channel.roll_back(attempts.PREPARE_TIMEOUT_S)
+        if (
+            answer.fault is not None
+            or answer.state is not member_channel.TransactionState.IDLE
+        ):
+            connection.channel.close()
+        group.release(connection)
+
+    def abandon_for(
+        self, transaction: open_transaction.OpenTransaction
+    ) -> None:
+        """Abandon the transaction of a session that ends or idles."""
+        connection = transaction.connection
+        if connection is None:
+            return
+        group = self._group_by_id.get(connection.pool.entry.group)
+        if group is None:
+            connection.channel.close()
+            connection.pool.give_back(connection)
+            transaction.connection = None
+            return
+        self.abandon(group, transaction)
+
+
+def _commits(
+    transaction: open_transaction.OpenTransaction, request: attempts.Request
+) -> bool:
+    """Return whether a statement commits writes of a transaction."""
+    commits = request.statement.kind is command.CommandKind.COMMIT
+    return commits and transaction.wrote
--- a/burdockcart/tests/gateway_world.py
+++ b/burdockcart/tests/gateway_world.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from burdockcart import clock
+from burdockcart.emulator import wire_channel
 from burdockcart.emulator import wire_member
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
@@ -96,7 +97,7 @@
             store_address="-",
             promotion_address="-",
         )
-        connector = wire_member.EmulatedConnector(
+        connector = wire_channel.EmulatedConnector(
             {member.id: member for member in self.members}
         )
         link = wire_platform.PlatformLink(self.platform)
