--- a/burdockcart/platform/settings_file.py
+++ b/burdockcart/platform/settings_file.py
@@ -55,10 +55,8 @@
     ("cloud-api.address", "promotion_address", _endpoint),
 )
 _OPTIONAL: tuple[tuple[str, str, Callable[[str], object]], ...] = (
-    ("heartbeat-ms", "heartbeat_s", _milliseconds),
     ("contract-params.grace-s", "shutdown_s", _seconds),
     ("contract-params.drain-ms", "drain_s", _milliseconds),
-    ("contract-params.contact-ms", "contact_s", _milliseconds),
     ("contract-params.config-apply-ms", "manifest_s", _milliseconds),
     ("contract-params.lease-ms", "promotion_turn_s", _milliseconds),
 )
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -55,7 +55,9 @@
         self.samples = sample_window.SampleWindow()
         self.pool_by_member: dict[ids.MemberId, member_pool.MemberPool] = {}
         self.queue = work_queue.WorkQueue()
+        #: When a new primary is expected, while the present one fails.
         self.primary_due_at: float | None = None
+        #: Whether no other failure domain is in reach.
         self.isolated = False
         self._share = connection_share.Share(1, 1)
         self._domain = domain
@@ -86,8 +88,8 @@
     def use_member(self, entry: manifest.MemberEntry) -> None:
         """Add a member or take over its new entry."""
         pool = self.pool_by_member.get(entry.id)
-        if pool is not None and pool.entry.address != entry.address:
-            self.drop_member(entry.id, "address changed")
+        if pool is not None and _restarted(pool.entry, entry):
+            self.drop_member(entry.id, "started again")
             pool = None
         if pool is None:
             pool = member_pool.MemberPool(
@@ -360,3 +362,14 @@
         """Close all connections."""
         for pool in self.pool_by_member.values():
             pool.retire()
+
+
+def _restarted(
+    known: manifest.MemberEntry, entry: manifest.MemberEntry
+) -> bool:
+    """Return whether a member started again since its entry was known.
+
+    It has forgotten what its connections were told, and what traffic showed
+    of it before no longer counts.
+    """
+    return known.address != entry.address or known.born_ms != entry.born_ms
--- a/burdockcart/process/gateway/member_catalog.py
+++ b/burdockcart/process/gateway/member_catalog.py
@@ -58,10 +58,9 @@
 
     def store_away(self) -> None:
         """Start the waits for missing entries again: the store is away."""
-        now_unknown = float("inf")
         for member in self._missing_since:
             if not self._drains(member):
-                self._missing_since[member] = now_unknown
+                self._missing_since[member] = float("inf")
 
     def store_back(self, now: float) -> None:
         """Count from now how long entries have been missing."""
@@ -72,10 +71,6 @@
         state = self.entry_by_id[member].state
         return state is manifest.MemberState.DRAINING
 
-    def missing(self, member: ids.MemberId) -> bool:
-        """Return whether a member's entry is missing."""
-        return member in self._missing_since
-
     def gone(self, now: float) -> list[ids.MemberId]:
         """Remove and return the members that have left."""
         left = [
--- a/burdockcart/process/gateway/settings.py
+++ b/burdockcart/process/gateway/settings.py
@@ -15,8 +15,6 @@
         ``ip:port`` on which clients connect.
     ready_address : str
         ``ip:port`` on which the balancer asks whether to send clients.
-    heartbeat_s : float
-        Interval at which members renew their entries.
     shutdown_s : float
         Time from SIGTERM to SIGKILL.
     drain_s : float
@@ -34,9 +32,7 @@
     ready_address: str
     store_address: str
     promotion_address: str
-    heartbeat_s: float = 1.2
     shutdown_s: float = 6.0
     drain_s: float = 7.0
-    contact_s: float = 4.0
     promotion_turn_s: float = 3.0
     manifest_s: float = 3.0
--- a/burdockcart/process/gateway/tests/test_followers.py
+++ b/burdockcart/process/gateway/tests/test_followers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import testtools
 
 from burdockcart.process.gateway import coordination
@@ -128,6 +129,27 @@
 
         scenario(check)
 
+    def test_member_that_started_again(self):
+        """Guards against connections that the member has forgotten."""
+
+        async def check(world):
+            group = world.daemons[0].group_by_id[gateway_world.GROUP]
+            member = world.members[0]
+            before = group.pool_by_member[member.id]
+            entry = world.platform.entry_by_id[member.id]
+            world.platform.put_member(
+                msgspec.structs.replace(entry, born_ms=entry.born_ms + 9)
+            )
+            await asyncio.sleep(3.0)
+            after = group.pool_by_member[member.id]
+            self.assertIsNot(before, after)
+            self.assertTrue(before.retired)
+            self.assertFalse(before.has_idle())
+            client = await world.client("live")
+            self.assertTrue(gateway_world.ok(await client.write()))
+
+        scenario(check)
+
     def test_drained_member_leaves_at_once(self):
         """Guards against work for an address that is used again."""
         entry = manifest.MemberEntry(
