--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -142,7 +142,7 @@
         self._spawn(self._listing.run())
         self._spawn(self._failover.run())
         self._spawn(self._keep_samples())
-        self._spawn(self._watch_isolation())
+        self._spawn(self._maintain())
         loguru.logger.info(
             "event=daemon_started id={} failure_domain={}",
             self._settings.daemon,
@@ -319,22 +319,25 @@
                 ):
                     group.prove_soon(pool)
 
-    async def _watch_isolation(self) -> None:
-        """Send clients elsewhere while no other failure domain answers."""
+    async def _maintain(self) -> None:
+        """Share out connections, and notice when no one else is in reach."""
         while True:
             await asyncio.sleep(TICK_S)
             self._divide_connections()
             for group in self.group_by_id.values():
                 group.trim()
-            now = self._clock.now()
-            if not isolation.suspected(self._remote_members(), now):
-                self._set_isolated(None)
-                continue
-            if self._isolated_since is None:
-                if await self._platform.reachable():
-                    continue
-                self._set_isolated(now)
-            self._send_away(now)
+            await self._check_isolation(self._clock.now())
+
+    async def _check_isolation(self, now: float) -> None:
+        """Send clients elsewhere while no other failure domain answers."""
+        if not isolation.suspected(self._remote_members(), now):
+            self._set_isolated(None)
+            return
+        if self._isolated_since is None:
+            if await self._platform.reachable():
+                return
+            self._set_isolated(now)
+        self._send_away(now)
 
     def _remote_members(self) -> list[isolation.RemoteMember]:
         return [
