Count replicas that left before a primary is replaced

Ruled out: the comparison of the logs, which held for the members that were still listed.

After a replica has left, a promotion needs a position that the primary told later, and a candidate that holds it. The test fails without the change.

--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -59,6 +59,8 @@
         self.primary_due_at: float | None = None
         #: Whether no other failure domain is in reach.
         self.isolated = False
+        self._departed_at: float | None = None
+        self._owed: log_position.LogPosition | None = None
         self._share = connection_share.Share(1, 1)
         self._domain = domain
         self._drain_s = drain_s
@@ -108,6 +110,8 @@
         pool = self.pool_by_member.pop(member, None)
         if pool is not None:
             pool.retire()
+            if member != self.leadership.member:
+                self._departed_at = self._boot_clock.now()
             self.leadership.forget(member)
             loguru.logger.info(
                 "event=member_dropped group={} member={} cause={!r}",
@@ -147,6 +151,20 @@
             self.dispatch()
         if self.leadership.member == member:
             self.samples.add(sent_at, position)
+            if self._departed_at is not None and sent_at >= self._departed_at:
+                self._departed_at = None
+                self._owed = position
+
+    def covers_departed(self, received: log_position.LogPosition) -> bool:
+        """Return whether a log holds what replicas that left acknowledged.
+
+        A replica that left may have been the only one to receive a commit.
+        The primary's position, asked for after it was seen to be gone,
+        covers all such commits; without one nobody knows them.
+        """
+        if self._departed_at is not None:
+            return False
+        return self._owed is None or received >= self._owed
 
     def denied(self, member: ids.MemberId) -> None:
         """Take over that a member refused what a primary runs."""
--- a/burdockcart/process/gateway/log_comparison.py
+++ b/burdockcart/process/gateway/log_comparison.py
@@ -11,6 +11,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import group as groups
+from burdockcart.request import log_position
 
 #: Limit for asking a replica, in seconds.
 ASK_TIMEOUT_S = 0.4
@@ -66,8 +67,9 @@
         )
         if held is None:
             return None
-        if await self._catches_up(candidate, held):
-            return candidate.id
+        received = await self._catches_up(candidate, held)
+        if received is not None:
+            return self._unless_short(candidate.id, received)
         loguru.logger.info(
             "event=candidate_behind group={} member={} received={} others={}",
             self._group.id,
@@ -81,22 +83,38 @@
         self,
         candidate: failover_rule.ReplicaView,
         held: list[failover_rule.ReplicaView],
-    ) -> bool:
-        """Wait until the candidate holds what the others hold."""
+    ) -> log_position.LogPosition | None:
+        """Wait until the candidate holds what the others hold.
+
+        Returns its position then, or None if it stays behind.
+        """
         until = self._clock.now() + CATCH_UP_S
         only = {candidate.id: self._channels[candidate.id]}
         now_at = candidate
         while not failover_rule.holds_all(now_at, held):
             if self._clock.now() >= until:
-                return False
+                return None
             await asyncio.sleep(CATCH_UP_PAUSE_S)
             seen = await self._ask_all(
                 only, lambda each: each.status(ASK_TIMEOUT_S)
             )
             if seen is None:
-                return False
+                return None
             now_at = seen[0]
-        return True
+        return now_at.received
+
+    def _unless_short(
+        self, member: ids.MemberId, received: log_position.LogPosition
+    ) -> ids.MemberId | None:
+        """Return a member if its log holds what departed ones held."""
+        if self._group.covers_departed(received):
+            return member
+        loguru.logger.warning(
+            "event=promotion_put_off group={} reason='a replica that left "
+            "may have held a commit alone'",
+            self._group.id,
+        )
+        return None
 
     async def _longest(
         self,
@@ -111,9 +129,10 @@
         )
         if stopped is None:
             return None
-        return max(
+        longest = max(
             stopped + held, key=lambda each: (each.received, each.id)
-        ).id
+        )
+        return self._unless_short(longest.id, longest.received)
 
     async def _ask_all(
         self,
--- a/burdockcart/process/gateway/tests/test_failover.py
+++ b/burdockcart/process/gateway/tests/test_failover.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from burdockcart.emulator import wire_member
 from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.request import log_position
@@ -208,6 +209,41 @@
 
         scenario(check, daemons=2)
 
+    def test_commit_that_only_a_departed_replica_received(self):
+        """Guards commits whose replica left just before the primary failed.
+
+        Seen on a hunted day of campanas-coop (trouble-3, seed 149693447379):
+        a draining replica acknowledged commits and left, another was dark,
+        and the new member that remained was promoted without them.
+        """
+
+        async def check(world):
+            late = wire_member.EmulatedMember("m-d", "a")
+            late.group, late.deaf = world.group, True
+            world.group.member_by_id[late.id] = late
+            for daemon in world.daemons:
+                daemon.connector.member_by_id[late.id] = late
+            world.enter(late)
+            await asyncio.sleep(2.0)
+            primary, leaving, dark = world.members
+            dark.dark = True
+            world.enter(leaving, manifest.MemberState.DRAINING)
+            await writes_for(world, 2.0)
+            self.assertNotEqual([], world.group.acknowledged)
+            # The primary goes on where these daemons cannot reach it.
+            for daemon in world.daemons:
+                daemon.connector.cut.add(primary.id)
+            for channel in list(primary.connections):
+                channel.close()
+            leaving.crash()
+            world.platform.remove_member(leaving.id)
+            world.platform.remove_member(dark.id)
+            await writes_for(world, 12.0)
+            self.assertEqual([], world.platform.promotions)
+            self.assertEqual([], lost_commits(world))
+
+        scenario(check, daemons=2)
+
     def test_primary_lost_before_its_first_commit(self):
         """Guards against a term that the logs do not show yet."""
 
