--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -273,6 +273,12 @@
     return log_position.LogPosition(int(term), int(number))
 
 
+def _fault_of(fields: str) -> member_channel.MemberFault:
+    """Return the fault that the fields of an ERROR name."""
+    code = fields.partition(" ")[0]
+    return _FAULT_BY_WORD.get(code, member_channel.MemberFault.OTHER)
+
+
 def read_answer(data: bytes) -> member_channel.Answer:
     """Return the answer in the lines of a member, READY included.
 
@@ -294,16 +300,12 @@
         elif word == "COMPLETE":
             receipt = rest
         elif word == "ERROR":
-            code, _, text = rest.partition(" ")
-            fault = _FAULT_BY_WORD.get(code, member_channel.MemberFault.OTHER)
-            text = f"{code} {text}"
+            fault, text = _fault_of(rest), rest
     word, _, rest = lines[-1].partition(" ")
     letter, _, position = rest.partition(" ")
     if word == "ERROR":
         # A refused STARTUP ends without READY.
-        code, _, text = rest.partition(" ")
-        fault = _FAULT_BY_WORD.get(code, member_channel.MemberFault.OTHER)
-        return member_channel.Answer(fault=fault, text=f"{code} {text}")
+        return member_channel.Answer(fault=_fault_of(rest), text=rest)
     if word != "READY" or letter not in _STATE_BY_LETTER:
         raise WireFault(f"a member sent {lines[-1][:40]!r}")
     return member_channel.Answer(
--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -334,6 +334,7 @@
 
 
 def no_group(route: manifest.DatabaseRoute) -> Outcome:
+    """Refuse a statement whose route names a group that is not known."""
     return result.Failure(
         errors.Failure(
             errors.ErrorKind.NO_ROUTE,
