--- a/burdockcart/connection/member_channel.py
+++ b/burdockcart/connection/member_channel.py
@@ -28,6 +28,7 @@
     OTHER_MEMBER = "another member at this address"
     CONNECTIONS_EXHAUSTED = "connections exhausted"
     UNKNOWN_NAME = "unknown prepared name"
+    UNCONFIRMED = "no replica confirmed the primary's term"
     FAILED = "failed"
     TIMED_OUT = "timed out at the member"
     REFUSED = "connection refused"
@@ -45,6 +46,7 @@
         MemberFault.OTHER_MEMBER,
         MemberFault.CONNECTIONS_EXHAUSTED,
         MemberFault.UNKNOWN_NAME,
+        MemberFault.UNCONFIRMED,
         MemberFault.REFUSED,
     }
 )
@@ -88,7 +90,9 @@
     """Status that a member reports.
 
     ``received`` is the position of its log on disk, which may be ahead of
-    the position that is visible to reads.
+    the position that is visible to reads.  ``term`` is the newest term that
+    the member knows, for a primary the one that it leads; it exceeds the
+    term of the position until the first commit of a new primary.
     """
 
     role: Role
@@ -137,8 +141,13 @@
     async def roll_back(self, timeout_s: float) -> Answer:
         """Roll back the open transaction."""
 
-    async def prove_primary(self, timeout_s: float) -> Answer:
-        """Confirm that the member is the primary; takes none of its slots."""
+    async def observe(self, timeout_s: float) -> MemberStatus | MemberFault:
+        """Ask for the member's status; takes none of its slots."""
+
+    async def demote(
+        self, term: int, timeout_s: float
+    ) -> MemberStatus | MemberFault:
+        """Make the member a replica if it leads a term below ``term``."""
 
     async def hold_replication(
         self, term: int, timeout_s: float
@@ -148,9 +157,6 @@
     async def release_replication(self, timeout_s: float) -> Answer:
         """Resume replication on a replica."""
 
-    async def status(self, timeout_s: float) -> MemberStatus | MemberFault:
-        """Ask for the member's state; takes one of its slots."""
-
     def close(self) -> None:
         """Close the connection; an open transaction is rolled back."""
 
--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -16,9 +16,15 @@
 class EmulatedChannel:
     """One connection to an emulated member."""
 
-    def __init__(self, member: wire_member.EmulatedMember, latency_s: float):
+    def __init__(
+        self,
+        member: wire_member.EmulatedMember,
+        latency_s: float,
+        cut: set[ids.MemberId],
+    ):
         self.member = member
         self.latency_s = latency_s
+        self._cut = cut
         self.closed = False
         self.value_by_name: dict[str, str] = {}
         self.prepared: set[command.Shape] = set()
@@ -47,6 +53,11 @@
     async def _wait_latency(self) -> None:
         await asyncio.sleep(self.latency_s)
 
+    async def _while_reachable(self) -> None:
+        """Wait for ever if the member answers nothing to this daemon."""
+        if self.member.unresponsive or self.member.id in self._cut:
+            await asyncio.Event().wait()
+
     async def _with_timeout(
         self, work, timeout_s: float
     ) -> member_channel.Answer:
@@ -59,11 +70,9 @@
                 if self.member.crashed:
                     self.close()
                     return member_channel.Answer(fault=Fault.BROKEN)
-                if self.member.unresponsive:
-                    await asyncio.Event().wait()
+                await self._while_reachable()
                 answer = await work()
-                if self.member.unresponsive:
-                    await asyncio.Event().wait()
+                await self._while_reachable()
                 await self._wait_latency()
                 return answer
         except TimeoutError:
@@ -214,14 +223,29 @@
 
         return await self._with_timeout(work, timeout_s)
 
-    async def prove_primary(self, timeout_s: float) -> member_channel.Answer:
-        """Check that the member is the primary."""
+    async def observe(
+        self, timeout_s: float
+    ) -> member_channel.MemberStatus | Fault:
+        """Ask for the member's status, without a slot."""
 
         async def work() -> member_channel.Answer:
-            fault = None if self.member.leads else Fault.NOT_PRIMARY
-            return self._answer(fault)
+            return self._answer()
 
-        return await self._with_timeout(work, timeout_s)
+        answer = await self._with_timeout(work, timeout_s)
+        return answer.fault or self._status()
+
+    async def demote(
+        self, term: int, timeout_s: float
+    ) -> member_channel.MemberStatus | Fault:
+        """Make the member a replica if it leads a lower term."""
+
+        async def work() -> member_channel.Answer:
+            if self.member.leads and self.member.term < term:
+                self.member.follow(self.member.group.primary)
+            return self._answer()
+
+        answer = await self._with_timeout(work, timeout_s)
+        return answer.fault or self._status()
 
     async def hold_replication(
         self, term: int, timeout_s: float
@@ -229,7 +253,7 @@
         """Stop replication to the member."""
 
         async def work() -> member_channel.Answer:
-            if term <= self.member.group.term:
+            if term <= self.member.term:
                 return self._answer(Fault.OTHER)
             self.member.held_term = term
             return self._answer()
@@ -255,17 +279,6 @@
 
         return await self._with_timeout(work, timeout_s)
 
-    async def status(
-        self, timeout_s: float
-    ) -> member_channel.MemberStatus | Fault:
-        """Ask for the member's state."""
-
-        async def work() -> member_channel.Answer:
-            return self._answer()
-
-        answer = await self._with_timeout(work, timeout_s)
-        return answer.fault or self._status()
-
     def _status(self) -> member_channel.MemberStatus:
         role = (
             member_channel.Role.PRIMARY
@@ -273,7 +286,7 @@
             else member_channel.Role.REPLICA
         )
         return member_channel.MemberStatus(
-            role, self.member.group.term, self.member.received()
+            role, self.member.term, self.member.received()
         )
 
 
@@ -339,6 +352,6 @@
             target.connection_limit
         ):
             return Fault.CONNECTIONS_EXHAUSTED
-        channel = EmulatedChannel(target, self.latency_s)
+        channel = EmulatedChannel(target, self.latency_s, self.cut)
         self.channels.append(channel)
         return channel
--- a/burdockcart/emulator/wire_member.py
+++ b/burdockcart/emulator/wire_member.py
@@ -22,6 +22,10 @@
 Fault = member_channel.MemberFault
 State = member_channel.TransactionState
 
+#: Time until an old primary that is not deposed notices a new one that it can
+#: reach, in seconds.
+DEPOSED_AFTER_S = 1.0
+
 
 @dataclasses.dataclass(frozen=True)
 class Commit:
@@ -55,6 +59,10 @@
 
     members : list of EmulatedMember
         The first one is the primary.
+    deposes : bool
+        Whether a promotion ends the lead of the old primary.  Otherwise it
+        goes on until it is demoted, or for ``DEPOSED_AFTER_S`` once commits
+        of the new primary reach it.
 
     """
 
@@ -63,10 +71,12 @@
         members: list["EmulatedMember"],
         synchronous: bool = True,
         promotion_s: float = 0.6,
+        deposes: bool = True,
     ):
         self.member_by_id = {member.id: member for member in members}
         self.synchronous = synchronous
         self.promotion_s = promotion_s
+        self.deposes = deposes
         self.runs: list[Run] = []
         self.acknowledged: list[log_position.LogPosition] = []
         self.serials = itertools.count(1)
@@ -77,25 +87,29 @@
 
     @property
     def primary(self) -> "EmulatedMember":
-        """The member that is the primary."""
-        return next(each for each in self.member_by_id.values() if each.leads)
+        """The member that leads the newest term."""
+        return max(
+            (each for each in self.member_by_id.values() if each.leads),
+            key=lambda each: each.term,
+        )
 
     def promote(self, member: "EmulatedMember") -> None:
         """Make a member the primary; others drop what it lacks."""
         self.term += 1
+        member.leads, member.term, member.held_term = True, self.term, None
         for each in self.member_by_id.values():
-            each.leads = each is member
-            each.held_term = None
-            each.pending = [
-                (due, commit)
-                for due, commit in each.pending
-                if commit in member.log
-            ]
-            each.log = [commit for commit in each.log if commit in member.log]
-        for each in self.member_by_id.values():
-            missing = [one for one in member.log if one not in each.log]
-            if each is not member and not each.replication_cut:
-                each.receive(missing)
+            if each is member:
+                continue
+            if not each.leads or self.deposes:
+                each.follow(member)
+            elif not each.replication_cut:
+                asyncio.get_running_loop().call_later(
+                    DEPOSED_AFTER_S, each.follow, member
+                )
+
+    def hears_of(self, member: "EmulatedMember") -> bool:
+        """Return whether replication reaches a member."""
+        return not (member.replication_cut or member.crashed)
 
 
 class EmulatedMember:
@@ -128,6 +142,8 @@
         self.connection_limit = connection_limit
         self.group: EmulatedGroup
         self.leads = False
+        #: Newest term that it knows; the one that it leads as a primary.
+        self.term = 1
         self.log: list[Commit] = []
         self.pending: list[tuple[float, Commit]] = []
         self.held_term: int | None = None
@@ -169,6 +185,23 @@
         self.log += commits
         self.pending += [(due, commit) for commit in commits]
 
+    def follow(self, primary: "EmulatedMember") -> None:
+        """Become a replica of a primary; drop the commits that it lacks."""
+        if not primary.leads or primary.term < self.term:
+            return
+        self.leads, self.held_term = False, None
+        self.pending = [
+            (due, commit)
+            for due, commit in self.pending
+            if commit in primary.log
+        ]
+        self.log = [commit for commit in self.log if commit in primary.log]
+        if self.group.hears_of(self):
+            self.term = primary.term
+            self.receive(
+                [commit for commit in primary.log if commit not in self.log]
+            )
+
     @property
     def receives(self) -> bool:
         """Whether commits of the primary reach this member."""
@@ -219,17 +252,16 @@
         receivers = [
             each
             for each in self.group.member_by_id.values()
-            if each is not self and each.receives
+            if each is not self and each.receives and each.term <= self.term
         ]
         commit = Commit(
-            log_position.LogPosition(
-                self.group.term, self.received().number + 1
-            ),
+            log_position.LogPosition(self.term, self.received().number + 1),
             tuple(writes),
             asyncio.get_running_loop().time(),
         )
         self.log.append(commit)
         for each in receivers:
+            each.term = self.term
             each.receive([commit])
         if self.group.synchronous and not receivers:
             return None
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -122,10 +122,20 @@
         """Roll back the open transaction."""
         return await self._run_single("ROLLBACK", timeout_s)
 
-    async def prove_primary(self, timeout_s: float) -> member_channel.Answer:
-        """Check that the member is the primary; uses none of its slots."""
-        return _primary_check_result(
-            await self._exchange(_PRIMARY_CHECK_LINES, timeout_s)
+    async def observe(
+        self, timeout_s: float
+    ) -> member_channel.MemberStatus | member_channel.MemberFault:
+        """Return the member's status; uses none of its slots."""
+        # A hold with a term that is not newer changes nothing, and unlike
+        # STATUS it is answered although all slots are taken.
+        return self._status(await self._run_single("PAUSE 0", timeout_s))
+
+    async def demote(
+        self, term: int, timeout_s: float
+    ) -> member_channel.MemberStatus | member_channel.MemberFault:
+        """Make the member a replica if it leads a term below ``term``."""
+        return self._status(
+            await self._run_single(f"DEMOTE {term}", timeout_s)
         )
 
     async def hold_replication(
@@ -140,12 +150,6 @@
         """Resume replication on a replica."""
         return await self._run_single("RESUME", timeout_s)
 
-    async def status(
-        self, timeout_s: float
-    ) -> member_channel.MemberStatus | member_channel.MemberFault:
-        """Return the member's status; uses one of its slots."""
-        return self._status(await self._run_single("STATUS", timeout_s))
-
     def _status(
         self, answer: member_channel.Answer
     ) -> member_channel.MemberStatus | member_channel.MemberFault:
--- a/burdockcart/platform/settings_file.py
+++ b/burdockcart/platform/settings_file.py
@@ -39,6 +39,12 @@
     return _seconds(text) / 1000
 
 
+def _flag(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is neither 'true' nor 'false'")
+    return text == "true"
+
+
 def _name(text: str) -> str:
     if not text:
         raise ValueError("must not be empty")
@@ -59,6 +65,7 @@
     ("contract-params.drain-ms", "drain_s", _milliseconds),
     ("contract-params.config-apply-ms", "manifest_s", _milliseconds),
     ("contract-params.lease-ms", "promotion_claim_s", _milliseconds),
+    ("contract-params.fencing-required", "promotions_fenced", _flag),
 )
 
 
--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -325,7 +325,7 @@
 
 
 def read_status(answer: member_channel.Answer) -> member_channel.MemberStatus:
-    """Decode the row in the answer to STATUS, PAUSE or DEMOTE."""
+    """Decode the row in the answer to PAUSE or DEMOTE."""
     fields = answer.rows[0].split(" ") if answer.rows else []
     received = read_position(fields[2]) if len(fields) > 2 else None
     role = _ROLE_BY_WORD.get(fields[0]) if fields else None
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -159,7 +159,10 @@
         self._spawn(self._listing.run())
         self._spawn(self._failover.run())
         self._spawn(self._reachability.run())
-        self._spawn(self._reserved.run())
+        if self._settings.promotions_fenced:
+            # Without fencing, a token claimed in advance could be used after
+            # a higher one.
+            self._spawn(self._reserved.run())
         self._spawn(self._keep_samples())
         self._spawn(self._maintain())
         loguru.logger.info(
@@ -260,6 +263,7 @@
                     self._connector,
                     self._clock,
                     self._boot_clock,
+                    self._settings.promotions_fenced,
                 )
                 self.group_by_id[limits.id] = group
                 for entry in self.tables.catalog.entry_by_id.values():
@@ -321,7 +325,7 @@
     def awaits_primary(self) -> bool:
         """Return whether a group waits for a new primary."""
         return any(
-            group.primary_pool() is None or group.primary_failing()
+            group.primary.pool() is None or group.primary.failing()
             for group in self.group_by_id.values()
         )
 
@@ -330,13 +334,13 @@
         while True:
             await asyncio.sleep(TICK_S)
             for group in list(self.group_by_id.values()):
-                newest = group.samples.newest_at
+                newest = group.primary.samples.newest_at
                 now = self._boot_clock.now()
-                pool = group.primary_pool()
+                pool = group.primary.pool()
                 if pool is not None and (
                     newest is None or now - newest >= MAX_SAMPLE_AGE_S
                 ):
-                    group.start_leadership_check(pool)
+                    group.primary.start_check(pool)
 
     async def _maintain(self) -> None:
         """Divide connections, close idle ones and check for isolation."""
--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -41,6 +41,13 @@
 #: none of them needs one of the member's slots.
 PREPARE_TIMEOUT_S = 0.4
 
+#: A statement that was not sent, because no replica confirmed that the
+#: presumed primary has not been replaced.
+UNCONFIRMED = member_channel.Answer(
+    fault=member_channel.MemberFault.UNCONFIRMED,
+    text="no replica confirms the primary's term",
+)
+
 T = TypeVar("T")
 
 Outcome = result.Result[member_channel.Answer, errors.Failure]
@@ -137,8 +144,8 @@
             request.route.name,
             group.id,
             connection.pool.entry.id,
-            group.leadership.member,
-            group.leadership.term,
+            group.primary.leadership.member,
+            group.primary.leadership.term,
             work.position and f"{work.position.term}.{work.position.number}",
             int(work.position_age_s * 1000),
             int((now - request.arrived_at) * 1000),
@@ -163,9 +170,9 @@
         if excluded >= group.pool_by_member.keys():
             excluded.clear()
             await asyncio.sleep(ALL_REFUSED_PAUSE_S)
-        elif (
+        elif answer.fault is member_channel.MemberFault.UNCONFIRMED or (
             answer.fault is member_channel.MemberFault.QUEUE_FULL
-            and member == group.leadership.member
+            and member == group.primary.leadership.member
         ):
             await asyncio.sleep(queue_full_pause_s(attempt))
 
@@ -189,7 +196,7 @@
             if route.consistency is manifest.Consistency.READ_YOUR_WRITES:
                 own = session.own_commit
             needed = sample_window.required_sample(
-                group.samples, request.read_at, route.max_age_s, own
+                group.primary.samples, request.read_at, route.max_age_s, own
             )
         return work_queue.Work(
             priority=route.priority,
@@ -307,16 +314,26 @@
         connection: member_pool.PooledConnection,
         work: work_queue.Work,
         answer: member_channel.Answer,
-        sent_at: float,
+        since: float | None,
     ) -> None:
-        """Record what an answer shows about its member."""
+        """Record what an answer shows about its member.
+
+        Parameters
+        ==========
+
+        since : float or None
+            Boot-clock time up to which the log of the primary was complete.
+
+        """
         pool = connection.pool
         member = pool.entry.id
         if work.primary_only:
-            if answer.fault is None:
-                group.confirm_leader(member, sent_at, answer.position)
+            if answer.fault is None and answer.position is not None:
+                group.primary.confirm(
+                    member, answer.position.term, answer.position, since
+                )
             elif answer.fault is member_channel.MemberFault.NOT_PRIMARY:
-                group.reject_leader(member)
+                group.primary.reject(member)
             return
         if answer.position is not None:
             pool.lag.record_position(answer.position)
@@ -339,7 +356,7 @@
 
     def primary_stalled(self, group: groups.Group) -> bool:
         """Return whether the primary's writes are stalled."""
-        pool = group.primary_pool()
+        pool = group.primary.pool()
         return pool is not None and pool.health.writes_stalled(
             self.loop_clock.now()
         )
@@ -369,7 +386,7 @@
     """Return whether the primary itself lacks the position of a read."""
     return (
         answer.fault is member_channel.MemberFault.BEHIND
-        and connection.pool.entry.id == group.leadership.member
+        and connection.pool.entry.id == group.primary.leadership.member
     )
 
 
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/coordination.py
@@ -50,12 +50,17 @@
     ``claimed_at_ms`` is the holder's wall-clock time, for operators and as an
     estimate of the record's age; clocks may differ by seconds.  ``reserved``
     marks a claim in advance, whose holder does not promote now.
+    ``candidate`` is the member that the holder calls the platform for, if the
+    platform checks no tokens; ``settled`` tells that each call was answered,
+    so that none can be executed later.
     """
 
     holder: ids.DaemonId
     attempt: str
     claimed_at_ms: int
     reserved: bool = False
+    candidate: ids.MemberId | None = None
+    settled: bool = False
 
 
 class ClaimLost(msgspec.Struct, frozen=True):
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -78,11 +78,15 @@
             group.restart_timers()
 
     def _scan(self, group: groups.Group) -> None:
+        if group.primary.superseded is not None:
+            self._start_check(
+                "demote", group, group.primary.check_superseded()
+            )
         running = self._task_by_group.get(group.id)
         if running is not None and not running.done():
             return
         now = self._clock.now()
-        pool = group.primary_pool()
+        pool = group.primary.pool()
         if pool is None:
             self._start_check("search", group, self._search(group))
             return
@@ -109,21 +113,21 @@
     ) -> None:
         """Estimate when a group with a failing primary has a new one."""
         if failover_rule.is_lost(view, self._clock.now()):
-            assert view.first_failure_at is not None
-            group.primary_expected_at = failover_rule.estimate_primary_at(
-                view.first_failure_at,
+            group.primary.expected_at = failover_rule.estimate_primary_at(
+                failover_rule.replacement_begins_at(view),
                 self._claims.failed_at(group.id),
                 self._promoter.promotion_s,
                 self._clock.now(),
             )
             group.refuse_unservable()
         else:
-            group.primary_expected_at = None
+            group.primary.expected_at = None
 
     def _other_claims_leadership(self, group: groups.Group) -> bool:
         """Return whether another member's entry claims leadership."""
         return any(
-            pool.entry.leads and pool.entry.id != group.leadership.member
+            pool.entry.leads
+            and pool.entry.id != group.primary.leadership.member
             for pool in group.pool_by_member.values()
         )
 
@@ -144,7 +148,7 @@
             for pool in group.pool_by_member.values()
             if pool.health.usable(self._clock.now())
         ]
-        await asyncio.gather(*(group.check_leadership(pool) for pool in pools))
+        await asyncio.gather(*(group.primary.check(pool) for pool in pools))
         await asyncio.sleep(SCAN_INTERVAL_S)
 
 
@@ -158,7 +162,7 @@
         if each is not pool
     ]
     return failover_rule.PrimaryView(
-        leads_since=group.leadership.since,
+        leads_since=group.primary.leadership.since,
         draining=pool.draining,
         failures=health.failures,
         refusals=health.refusals,
--- a/burdockcart/process/gateway/failover_rule.py
+++ b/burdockcart/process/gateway/failover_rule.py
@@ -136,8 +136,18 @@
     )
 
 
+def replacement_begins_at(view: PrimaryView) -> float:
+    """Return when the replacement of an unreachable primary begins."""
+    assert view.first_failure_at is not None
+    begins_at = max(view.last_answer_at, view.leads_since) + SILENT_FOR_S
+    if view.refusals >= MIN_FAILURES:
+        failing_since = max(view.first_failure_at, view.leads_since)
+        begins_at = min(begins_at, failing_since + REFUSED_FOR_S)
+    return max(begins_at, view.first_failure_at)
+
+
 def estimate_primary_at(
-    first_failure_at: float,
+    begins_at: float,
     attempt_failed_at: float | None,
     promotion_s: float,
     now: float,
@@ -147,20 +157,25 @@
     Work that cannot wait that long is refused.  Once the estimate has passed,
     it is extended by the time by which it was missed.
 
+    Parameters
+    ==========
+
+    begins_at : float
+        Time at which its replacement begins.
+
     Examples
     ========
 
     >>> from burdockcart.process.gateway import failover_rule
-    >>> failover_rule.estimate_primary_at(1.0, None, promotion_s=0.6, now=1.1)
+    >>> failover_rule.estimate_primary_at(1.25, None, 0.6, now=1.1)
     1.85
-    >>> failover_rule.estimate_primary_at(1.0, None, promotion_s=0.6, now=2.85)
+    >>> failover_rule.estimate_primary_at(1.25, None, 0.6, now=2.85)
     3.85
 
     """
-    began_at = first_failure_at
     if attempt_failed_at is not None:
-        began_at = max(began_at, attempt_failed_at)
-    expected_at = began_at + SILENT_FOR_S + promotion_s
+        begins_at = max(begins_at, attempt_failed_at + SILENT_FOR_S)
+    expected_at = begins_at + promotion_s
     return max(expected_at, now + (now - expected_at))
 
 
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -11,17 +11,12 @@
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import connection_share
-from burdockcart.process.gateway import leadership
 from burdockcart.process.gateway import member_pool
-from burdockcart.request import log_position
+from burdockcart.process.gateway import primary_tracker
 from burdockcart.request import member_choice
-from burdockcart.request import sample_window
 from burdockcart.request import work_queue
 from burdockcart.version import manifest
 
-#: Timeout of a leadership check, in seconds; the check needs no slot, so only
-#: the network or a stopped member delays it.
-LEADERSHIP_CHECK_TIMEOUT_S = 0.3
 #: Retry hint for clients of a daemon that is cut off, in milliseconds: the
 #: load balancer sends them elsewhere by then.
 ISOLATED_RETRY_MS = 1000
@@ -48,28 +43,28 @@
         connector: member_channel.Connector,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
+        promotions_fenced: bool = True,
     ):
         self.id = limits.id
         self.limits = limits
-        self.leadership = leadership.Leadership()
-        self.samples = sample_window.SampleWindow()
+        self.promotions_fenced = promotions_fenced
         self.pool_by_member: dict[ids.MemberId, member_pool.MemberPool] = {}
+        self.primary = primary_tracker.PrimaryTracker(
+            limits.id,
+            self.pool_by_member,
+            promotions_fenced,
+            loop_clock,
+            boot_clock,
+            self.dispatch,
+        )
         self.queue = work_queue.WorkQueue()
-        #: When a new primary is expected, while the current one is failing.
-        self.primary_expected_at: float | None = None
         #: Whether no other failure domain is reachable.
         self.isolated = False
-        #: When the last replica left, until the primary has reported a
-        #: position after that; then the position that a candidate must hold.
-        self._departed_at: float | None = None
-        self._required_position: log_position.LogPosition | None = None
         self._share = connection_share.Share(1, 1)
         self._domain = domain
         self._drain_s = drain_s
         self._connector = connector
         self._clock = loop_clock
-        self._boot_clock = boot_clock
-        self._leadership_check: asyncio.Task[bool] | None = None
         self._timers: dict[work_queue.Work, asyncio.TimerHandle] = {}
 
     # Members
@@ -103,10 +98,8 @@
             self.pool_by_member[entry.id] = pool
         elif pool.entry != entry:
             pool.use_entry(entry)
-        if entry.leads and self.leadership.suggest_leader(
-            entry.id, self._clock.now()
-        ):
-            self._log_primary("entry")
+        if entry.leads:
+            self.primary.suggest(entry.id)
         self.dispatch()
 
     def drop_member(self, member: ids.MemberId, cause: str) -> None:
@@ -114,9 +107,7 @@
         pool = self.pool_by_member.pop(member, None)
         if pool is not None:
             pool.retire()
-            if member != self.leadership.member:
-                self._departed_at = self._boot_clock.now()
-            self.leadership.forget(member)
+            self.primary.record_departure(member)
             loguru.logger.info(
                 "event=member_dropped group={} member={} cause={!r}",
                 self.id,
@@ -124,129 +115,12 @@
                 cause,
             )
 
-    def primary_pool(self) -> member_pool.MemberPool | None:
-        """Return the pool of the presumed primary."""
-        if self.leadership.member is None:
-            return None
-        return self.pool_by_member.get(self.leadership.member)
-
     def restart_timers(self) -> None:
         """Ignore how long members were silent until now."""
         now = self._clock.now()
         for pool in self.pool_by_member.values():
             pool.health.restart_timers(now)
 
-    # Leadership and positions from answers
-
-    def confirm_leader(
-        self,
-        member: ids.MemberId,
-        sent_at: float,
-        position: log_position.LogPosition | None,
-    ) -> None:
-        """Record an answer that only a primary gives.
-
-        ``sent_at`` is the boot-clock time at which the statement was sent;
-        the position covers every commit that was acknowledged before.
-        """
-        if position is None:
-            return
-        if member != self.leadership.member:
-            # Until its first commit a new primary reports positions of the
-            # old term, which do not distinguish the commits that the
-            # promotion discarded.
-            self.samples.clear()
-        if self.leadership.confirm_leader(
-            member, position.term, self._clock.now()
-        ):
-            self._log_primary("proof")
-            self.primary_expected_at = None
-            self.dispatch()
-        if self.leadership.member == member:
-            self.samples.add(sent_at, position)
-            if self._departed_at is not None and sent_at >= self._departed_at:
-                self._departed_at = None
-                self._required_position = position
-
-    def covers_departed_replicas(
-        self, received: log_position.LogPosition
-    ) -> bool:
-        """Return whether a log covers the commits of departed replicas.
-
-        A replica that has left may have been the only one to receive a
-        commit.  A position that the primary reports after the departure
-        covers all such commits; until there is one, they are unknown.
-        """
-        if self._departed_at is not None:
-            return False
-        return (
-            self._required_position is None
-            or received >= self._required_position
-        )
-
-    def reject_leader(self, member: ids.MemberId) -> None:
-        """Record that a member refused a statement that needs the primary."""
-        if not self.leadership.reject_leader(member):
-            return
-        loguru.logger.info(
-            "event=primary_unknown group={} member={} cause=refused",
-            self.id,
-            member,
-        )
-        for pool in self.pool_by_member.values():
-            if pool.entry.leads and self.leadership.suggest_leader(
-                pool.entry.id, self._clock.now()
-            ):
-                self._log_primary("entry")
-
-    def _log_primary(self, cause: str) -> None:
-        loguru.logger.info(
-            "event=primary_known group={} member={} term={} cause={}",
-            self.id,
-            self.leadership.member,
-            self.leadership.term,
-            cause,
-        )
-
-    async def check_leadership(self, pool: member_pool.MemberPool) -> bool:
-        """Ask a member on an idle connection whether it is the primary."""
-        if not pool.has_idle():
-            if pool.may_open():
-                pool.open()
-            return False
-        connection = pool.take({}, None)
-        sent_at = self._boot_clock.now()
-        ticket = pool.health.record_sent(self._clock.now())
-        answer = await connection.channel.prove_primary(
-            LEADERSHIP_CHECK_TIMEOUT_S
-        )
-        pool.health.record_ended(ticket, self._clock.now(), answer.fault)
-        if answer.fault is member_channel.MemberFault.SILENT:
-            # The check needs no slot, so even a busy member answers it.
-            pool.health.record_failure(self._clock.now(), answer.fault)
-        if answer.fault is None:
-            self.confirm_leader(pool.entry.id, sent_at, answer.position)
-        elif answer.fault is member_channel.MemberFault.NOT_PRIMARY:
-            self.reject_leader(pool.entry.id)
-        pool.give_back(connection)
-        return answer.fault is None
-
-    def start_leadership_check(self, pool: member_pool.MemberPool) -> None:
-        """Start a check of a member unless one is running."""
-        if (
-            self._leadership_check is not None
-            and not self._leadership_check.done()
-        ):
-            return
-        self._leadership_check = asyncio.create_task(
-            self.check_leadership(pool), name="prove_primary"
-        )
-
-    def primary_failing(self) -> bool:
-        """Return whether the presumed primary is failing."""
-        pool = self.primary_pool()
-        return pool is not None and pool.health.failing
-
     # Queue
 
     async def acquire(
@@ -290,8 +164,8 @@
                 f"the primary of group {self.id} is unreachable",
                 retry_after_ms=ISOLATED_RETRY_MS,
             )
-        if work.primary_only and self.primary_expected_at is not None:
-            due_s = self.primary_expected_at - now
+        if work.primary_only and self.primary.expected_at is not None:
+            due_s = self.primary.expected_at - now
             if due_s > left_s:
                 return errors.Failure(
                     errors.ErrorKind.NO_PRIMARY,
@@ -301,7 +175,8 @@
         pools = [
             pool
             for pool in self.pool_by_member.values()
-            if not work.primary_only or pool.entry.id == self.leadership.member
+            if not work.primary_only
+            or pool.entry.id == self.primary.leadership.member
         ]
         connections = sum(pool.share.hard_limit for pool in pools)
         wait_s = self.queue.wait_s(work, connections)
@@ -325,7 +200,7 @@
         if work.connection.done():
             return
         kind = errors.ErrorKind.OVERLOADED
-        if work.primary_only and self.leadership.member is None:
+        if work.primary_only and self.primary.leadership.member is None:
             kind = errors.ErrorKind.NO_PRIMARY
         failure = errors.Failure(kind, f"no connection to group {self.id}")
         work.connection.set_result(result.Failure(failure))
@@ -333,7 +208,7 @@
 
     def _primary_is_local(self) -> bool:
         """Return whether the primary is in this failure domain."""
-        pool = self.primary_pool()
+        pool = self.primary.pool()
         return pool is not None and pool.entry.domain == self._domain
 
     def trim(self) -> None:
@@ -385,7 +260,7 @@
     ) -> list[member_pool.MemberPool]:
         """Return the pools of the members that can run the work."""
         if work.primary_only:
-            pool = self.primary_pool()
+            pool = self.primary.pool()
             if pool is None or not pool.takes_new_work(self._drain_s):
                 return []
             return [pool]
@@ -401,13 +276,15 @@
         holding = [
             pool
             for pool in usable
-            if pool.entry.id == self.leadership.member
+            if pool.entry.id == self.primary.leadership.member
             or pool.lag.likely_holds(position, work.position_age_s, now)
         ]
         replicas = [
-            pool for pool in holding if pool.entry.id != self.leadership.member
+            pool
+            for pool in holding
+            if pool.entry.id != self.primary.leadership.member
         ]
-        primary = self.primary_pool()
+        primary = self.primary.pool()
         if replicas and primary and primary.limit.recently_full(now):
             # The primary's slots are reserved for work that only it can run.
             holding = replicas
@@ -430,7 +307,7 @@
                 running=pool.health.running,
                 slots=pool.entry.slots,
                 same_domain=pool.entry.domain == self._domain,
-                leads=pool.entry.id == self.leadership.member,
+                leads=pool.entry.id == self.primary.leadership.member,
             )
             for pool in pools
         )
--- a/burdockcart/process/gateway/leadership.py
+++ b/burdockcart/process/gateway/leadership.py
@@ -50,6 +50,13 @@
         self._rejected.clear()
         return changed
 
+    def supersede(self, term: int) -> ids.MemberId | None:
+        """Record that a later term has begun; return the former primary."""
+        former, self.member, self.term = self.member, None, term
+        if former is not None:
+            self._rejected.add(former)
+        return former
+
     def reject_leader(self, member: ids.MemberId) -> bool:
         """Record that a member is not the primary; True if it was presumed."""
         self._rejected.add(member)
--- a/burdockcart/process/gateway/log_comparison.py
+++ b/burdockcart/process/gateway/log_comparison.py
@@ -41,20 +41,32 @@
         self._channels = channels
         self._clock = loop_clock
 
-    async def candidate(self) -> ids.MemberId | None:
+    async def candidate(
+        self, only: ids.MemberId | None = None
+    ) -> ids.MemberId | None:
         """Return a replica that holds every acknowledged commit.
 
         All other replicas are on hold by then.  None if no replica can be
         shown to hold all commits.
+
+        Parameters
+        ==========
+
+        only : MemberId or None
+            The replica that may be promoted, if no other one may.
+
         """
         seen = await self._query_all(
-            self._channels, lambda each: each.status(QUERY_TIMEOUT_S)
+            self._channels, lambda each: each.observe(QUERY_TIMEOUT_S)
         )
         if seen is None:
             return None
-        candidate = failover_rule.first_candidate(seen)
+        eligible = [each for each in seen if only in (None, each.id)]
+        if not eligible:
+            return None
+        candidate = failover_rule.first_candidate(eligible)
         term = 1 + max(
-            [self._group.leadership.term]
+            [self._group.primary.leadership.term]
             + [max(each.received.term, each.term) for each in seen]
         )
         rest = {
@@ -78,7 +90,8 @@
             candidate.received,
             [each.received for each in held],
         )
-        return await self._choose_longest(candidate, term, held)
+        longest = await self._choose_longest(candidate, term, held)
+        return longest if only in (None, longest) else None
 
     async def _wait_for_catch_up(
         self,
@@ -97,7 +110,7 @@
                 return None
             await asyncio.sleep(CATCH_UP_PAUSE_S)
             seen = await self._query_all(
-                only, lambda each: each.status(QUERY_TIMEOUT_S)
+                only, lambda each: each.observe(QUERY_TIMEOUT_S)
             )
             if seen is None:
                 return None
@@ -108,7 +121,7 @@
         self, member: ids.MemberId, received: log_position.LogPosition
     ) -> ids.MemberId | None:
         """Return a member if its log covers the replicas that have left."""
-        if self._group.covers_departed_replicas(received):
+        if self._group.primary.covers_departed_replicas(received):
             return member
         loguru.logger.warning(
             "event=promotion_put_off group={} reason='a replica that left "
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -1,6 +1,7 @@
 """Connection pool of this daemon for one member."""
 
 import asyncio
+from typing import Awaitable
 from typing import Callable
 
 import loguru
@@ -26,6 +27,8 @@
 #: Pause after a member reported that its connections are exhausted, in
 #: seconds; other daemons close connections when they learn of a new daemon.
 EXHAUSTED_PAUSE_S = 0.1
+#: Weight of a new answer time of a status query in its moving average.
+OBSERVED_WEIGHT = 0.2
 
 
 class PooledConnection:
@@ -76,6 +79,8 @@
         self._busy: set[PooledConnection] = set()
         self._opening: dict[asyncio.Task[None], float] = {}
         self._exhausted_until = 0.0
+        #: Moving average of the answer time of status queries, in seconds.
+        self.observed_s = 0.0
         self.limit = member_limit.MemberLimit(self.share.hard_limit)
         self.health = member_health.MemberHealth(
             loop_clock.now(), member_choice.INITIAL_LATENCY_S
@@ -256,6 +261,66 @@
                 connection.aborted_locally = True
                 connection.channel.close()
 
+    async def observe(
+        self, timeout_s: float
+    ) -> member_channel.MemberStatus | member_channel.MemberFault:
+        """Ask for the member's status; takes none of its slots."""
+        return await self._query(lambda channel: channel.observe(timeout_s))
+
+    async def demote(
+        self, term: int, timeout_s: float
+    ) -> member_channel.MemberStatus | member_channel.MemberFault:
+        """Make the member a replica if it leads a term below ``term``."""
+        loguru.logger.info(
+            "event=primary_demoted group={} member={} term={}",
+            self.entry.group,
+            self.entry.id,
+            term,
+        )
+        return await self._query(
+            lambda channel: channel.demote(term, timeout_s)
+        )
+
+    async def _query(
+        self,
+        query: Callable[
+            [member_channel.Channel],
+            Awaitable[
+                member_channel.MemberStatus | member_channel.MemberFault
+            ],
+        ],
+    ) -> member_channel.MemberStatus | member_channel.MemberFault:
+        """Run a query that takes no slot; update health."""
+        if not self.has_idle() and not self.health.usable(self._clock.now()):
+            return member_channel.MemberFault.REFUSED
+        connection = await self.take_or_open()
+        if connection is None:
+            return member_channel.MemberFault.REFUSED
+        sent_at = self._clock.now()
+        ticket = self.health.record_sent(sent_at)
+        try:
+            answer = await query(connection.channel)
+        except asyncio.CancelledError:
+            self.health.record_ended(
+                ticket, self._clock.now(), member_channel.MemberFault.SILENT
+            )
+            self.give_back(connection)
+            raise
+        now = self._clock.now()
+        fault = (
+            answer if isinstance(answer, member_channel.MemberFault) else None
+        )
+        self.health.record_ended(ticket, now, fault)
+        if fault is member_channel.MemberFault.SILENT:
+            # The query needs no slot, so even a busy member answers it.
+            self.health.record_failure(now, fault)
+        elif fault is None:
+            self.observed_s += OBSERVED_WEIGHT * (
+                now - sent_at - self.observed_s
+            )
+        self.give_back(connection)
+        return answer
+
     async def take_or_open(self) -> PooledConnection | None:
         """Take a connection for control, above the limit if necessary."""
         if self.has_idle():
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -93,7 +93,7 @@
             group.id,
             old,
             cause.value,
-            group.leadership.term,
+            group.primary.leadership.term,
         )
         others = [
             pool
@@ -142,7 +142,7 @@
     ) -> bool:
         """Return whether the old primary must still be replaced."""
         pool = group.pool_by_member.get(old)
-        if group.leadership.member not in (None, old):
+        if group.primary.leadership.member not in (None, old):
             return False
         return pool is None or failover_rule.still_needed(
             cause, began_at, pool.health.last_answer_at
@@ -172,13 +172,14 @@
             return False
         candidate = await log_comparison.LogComparison(
             group, channels, self._clock
-        ).candidate()
+        ).candidate(self._claims.pinned(group.id, self._clock.now()))
         outcome = CallOutcome.NOT_DONE
         if candidate is not None and needed():
             outcome = await self._call_platform(group, candidate, token)
         if outcome is CallOutcome.DONE:
             assert candidate is not None
             await self._await_leadership(group, candidate)
+            await self._settle(group)
             return True
         self._claims.failed(group.id, self._clock.now())
         if outcome is CallOutcome.NOT_DONE:
@@ -195,6 +196,11 @@
         outcome = CallOutcome.NOT_DONE
         compared_at = self._boot_clock.now()
         for _ in range(MAX_CALLS):
+            if not group.promotions_fenced:
+                announced = await self._announce(group, candidate)
+                if announced is None:
+                    return outcome
+                token = announced
             if self._boot_clock.now() - compared_at > COMPARISON_VALID_S:
                 loguru.logger.info(
                     "event=promotion_put_off group={} "
@@ -218,12 +224,14 @@
             )
             if fault is coordination.PromotionFault.REJECTED:
                 self._reserved.drop_token(group.id)
+                await self._settle(group)
                 return outcome
             if fault is coordination.PromotionFault.NO_ANSWER:
                 # The call may be executed later, until one with a higher
                 # token has been answered.
                 outcome = CallOutcome.UNANSWERED
                 self._reserved.drop_token(group.id)
+                self._claims.pin(group.id, candidate, self._clock.now())
             next_token = await self._claim(group)
             if next_token is None:
                 return outcome
@@ -232,6 +240,43 @@
             compared_at = self._boot_clock.now()
         return outcome
 
+    async def _announce(
+        self, group: groups.Group, candidate: ids.MemberId
+    ) -> ids.FencingToken | None:
+        """Record for which member the platform is called.
+
+        The platform checks no tokens, so this write must fail if another
+        daemon has claimed the promotion meanwhile.  None if it failed.
+        """
+        return await self._write_record(group, candidate, settled=False)
+
+    async def _settle(self, group: groups.Group) -> None:
+        """Record that no call for the group can be executed later."""
+        pinned = self._claims.pinned(group.id, self._clock.now())
+        if not group.promotions_fenced and pinned is None:
+            await self._write_record(group, None, settled=True)
+
+    async def _write_record(
+        self,
+        group: groups.Group,
+        candidate: ids.MemberId | None,
+        settled: bool,
+    ) -> ids.FencingToken | None:
+        record = coordination.PromotionRecord(
+            self._daemon,
+            uuid.uuid4().hex,
+            self._wall_ms(),
+            candidate=candidate,
+            settled=settled,
+        )
+        written = await self._platform.claim_promotion(
+            group.id, record, self._claims.revision(group.id)
+        )
+        token = written.value_or(None)
+        if token is not None:
+            self._claims.claimed(group.id, token, self._clock.now())
+        return token
+
     async def _release(
         self,
         group: groups.Group,
@@ -253,7 +298,7 @@
 
     def _reserved_token(self, group: groups.Group) -> ids.FencingToken | None:
         """Return a token claimed in advance if the store is unavailable."""
-        pool = group.primary_pool()
+        pool = group.primary.pool()
         if not self._claims.store_silent(group.id) or pool is None:
             return None
         failing_since = pool.health.first_failure_at
@@ -271,7 +316,10 @@
     async def _claim(self, group: groups.Group) -> ids.FencingToken | None:
         """Claim the right to promote; None if the claim failed."""
         record = coordination.PromotionRecord(
-            self._daemon, uuid.uuid4().hex, self._wall_ms()
+            self._daemon,
+            uuid.uuid4().hex,
+            self._wall_ms(),
+            candidate=self._claims.pinned(group.id, self._clock.now()),
         )
         for _ in range(MAX_CALLS):
             claimed = await self._platform.claim_promotion(
@@ -313,14 +361,14 @@
     ) -> None:
         """Wait until a promoted member has become the primary."""
         called_at = self._clock.now()
-        group.primary_expected_at = called_at + self.promotion_s
+        group.primary.expected_at = called_at + self.promotion_s
         until = called_at + LEADERSHIP_TIMEOUT_S
         while self._clock.now() < until:
             pool = group.pool_by_member.get(member)
             if pool is None:
                 break
-            if await group.check_leadership(pool):
+            if await group.primary.check(pool):
                 self.promotion_s = self._clock.now() - called_at
                 break
             await asyncio.sleep(LEADERSHIP_POLL_S)
-        group.primary_expected_at = None
+        group.primary.expected_at = None
--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -6,6 +6,9 @@
 
 #: Pause after an attempt without a promotion, in seconds.
 FAILED_PAUSE_S = 0.4
+#: Time for which an unanswered promotion may still be executed, in seconds;
+#: the platform delays calls by up to 6 s.
+LATE_CALL_S = 8.0
 
 
 class PromotionClaims:
@@ -29,6 +32,27 @@
         self._unplanned_not_before: dict[ids.GroupId, float] = {}
         self._failed_at: dict[ids.GroupId, float] = {}
         self._store_silent: set[ids.GroupId] = set()
+        #: Member of a call that may still be executed, and until when.
+        self._pin_by_group: dict[ids.GroupId, tuple[ids.MemberId, float]] = {}
+
+    def pin(
+        self, group: ids.GroupId, member: ids.MemberId, now: float
+    ) -> None:
+        """Record that a call for a member may still be executed.
+
+        Until it can no longer be, no other member may be promoted: without
+        fencing the late call would then depose the newer primary.
+        """
+        self._pin_by_group[group] = (member, now + LATE_CALL_S)
+
+    def unpin(self, group: ids.GroupId) -> None:
+        """Record that each call for a group was answered."""
+        self._pin_by_group.pop(group, None)
+
+    def pinned(self, group: ids.GroupId, now: float) -> ids.MemberId | None:
+        """Return the only member that may be promoted, if there is one."""
+        member, until = self._pin_by_group.get(group, (None, 0.0))
+        return member if now < until else None
 
     def store_silent(self, group: ids.GroupId) -> bool:
         """Return whether the store was unavailable at the last claim."""
@@ -78,9 +102,12 @@
         The wall clocks of two daemons may differ, so a record with a time in
         the future counts as new.
         """
+        seen_before = self._revision_by_group.get(group) == lost.revision
         self._revision_by_group[group] = lost.revision
         self._store_silent.discard(group)
         record = lost.record
+        if record is not None and not seen_before:
+            self._note_candidate(group, record, now)
         if record is None or record.reserved or record.holder == self._daemon:
             return True
         age_s = (wall_ms - record.claimed_at_ms) / 1000
@@ -88,3 +115,14 @@
             return True
         self._not_before[group] = now + self._claim_ttl_s - max(age_s, 0.0)
         return False
+
+    def _note_candidate(
+        self,
+        group: ids.GroupId,
+        record: coordination.PromotionRecord,
+        now: float,
+    ) -> None:
+        if record.settled:
+            self.unpin(group)
+        elif record.candidate is not None:
+            self.pin(group, record.candidate, now)
--- a/burdockcart/process/gateway/reserved_claims.py
+++ b/burdockcart/process/gateway/reserved_claims.py
@@ -143,11 +143,12 @@
         """
         if rank(self._daemon, group.id, self._daemons()) is None:
             return False
-        if group.primary_pool() is None or group.primary_failing():
+        if group.primary.pool() is None or group.primary.failing():
             return False
         return (
             group.id not in self._token_by_group
-            or self._term_by_group.get(group.id) != group.leadership.term
+            or self._term_by_group.get(group.id)
+            != group.primary.leadership.term
         )
 
     async def _claim(self, group: groups.Group) -> None:
@@ -159,7 +160,7 @@
         record = coordination.PromotionRecord(
             self._daemon, uuid.uuid4().hex, self._wall_ms(), reserved=True
         )
-        term = group.leadership.term
+        term = group.primary.leadership.term
         for _ in range(HOLDERS + 1):
             claimed = await self._platform.claim_promotion(
                 group.id, record, expected
--- a/burdockcart/process/gateway/settings.py
+++ b/burdockcart/process/gateway/settings.py
@@ -25,6 +25,10 @@
     promotion_claim_s : float
         Least time between promotions of one group by different daemons,
         in seconds.
+    promotions_fenced : bool
+        Whether the platform rejects a promotion with an old token, and ends
+        the lead of the old primary at a promotion.  Otherwise the old
+        primary goes on until it is demoted or reaches the new one.
 
     """
 
@@ -38,3 +42,4 @@
     drain_s: float = 7.0
     promotion_claim_s: float = 3.0
     manifest_s: float = 3.0
+    promotions_fenced: bool = True
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -128,6 +128,7 @@
         """Try members one after the other until an attempt succeeds."""
         excluded = series.excluded
         attempt = 0
+        refusal: errors.Failure | None = None
         while True:
             attempt += 1
             work = self._attempts.work(
@@ -138,7 +139,7 @@
                 return attempts.writes_stalled(group)
             acquired = await group.acquire(work)
             if isinstance(acquired, result.Failure):
-                return result.Failure(acquired.failure())
+                return result.Failure(refusal or acquired.failure())
             connection = acquired.unwrap()
             series.member = connection.pool.entry.id
             self._attempts.log_placement(
@@ -166,6 +167,10 @@
                         answer.fault, answer.text, request.writes
                     )
                 )
+            if answer.fault in member_channel.NOT_RUN:
+                refusal = retry_policy.failure_of(
+                    answer.fault, answer.text, request.writes
+                )
             series.needs_primary |= attempts.primary_lacks_position(
                 group, connection, answer
             )
@@ -191,11 +196,17 @@
         if refused is not None:
             return refused
         prove = work.primary_only and not request.writes
-        sent_at = self._attempts.boot_clock.now()
+        # The commit of a synchronous write is evidence of the term itself:
+        # no replica acknowledges it to the primary of an earlier term.
+        since: float | None = self._attempts.boot_clock.now()
+        if prove or (request.writes and not group.limits.synchronous):
+            since = await group.primary.confirm_term(connection.pool.entry.id)
+            if since is None:
+                return attempts.UNCONFIRMED
         answer = await self._attempts.send(
             request, connection, work, request.writes, prove, timeout_factor
         )
-        self._attempts.learn(group, connection, work, answer, sent_at)
+        self._attempts.learn(group, connection, work, answer, since)
         if answer.fault is None and request.writes:
             self._attempts.remember_commit(session, answer)
         return answer
--- /dev/null
+++ b/burdockcart/process/gateway/term_witness.py
@@ -0,0 +1,182 @@
+"""Asks the replicas of a group whether a later term has begun.
+
+Explanation
+===========
+
+Some platforms do not end the lead of the old primary at a promotion: it goes
+on to serve reads until it reaches the new primary.  Its own word that it leads
+proves nothing then.  In a synchronous group every acknowledged commit of a
+later term has been received by two members other than the old primary: the new
+primary and a replica.  So if all of these members but one report no later
+term, no commit of a later term had been acknowledged when they were asked.
+
+"""
+
+import asyncio
+from typing import Callable
+
+import loguru
+import msgspec
+
+from burdockcart import clock
+from burdockcart.connection import member_channel
+from burdockcart import ids
+from burdockcart.process.gateway import member_pool
+
+#: Timeout of a replica's answer, in seconds; the query takes no slot, so only
+#: the network or a stopped member delays it.
+QUERY_TIMEOUT_S = 0.15
+#: Time without an answer after which the remaining replicas are asked too, in
+#: seconds; ten times a round trip between failure domains.
+SPARE_AFTER_S = 0.02
+
+
+class Witness(msgspec.Struct, frozen=True):
+    """Evidence that no later term had acknowledged a commit.
+
+    Parameters
+    ==========
+
+    since : float
+        Boot-clock time before the replicas were asked.
+    term : int
+        Newest term that one of them knows.
+
+    """
+
+    since: float
+    term: int
+
+
+def answers_needed(others: int) -> int:
+    """Return how many of the members other than the primary must answer.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.gateway import term_witness
+    >>> [term_witness.answers_needed(others) for others in (0, 1, 2, 3)]
+    [0, 0, 1, 2]
+
+    """
+    return max(others - 1, 0)
+
+
+class TermWitness:
+    """Queries the replicas of one group, with one inquiry at a time.
+
+    Parameters
+    ==========
+
+    pool_by_member : dict of MemberId to MemberPool
+        Owned by the group.
+    found : callable
+        Called with each answer: member, status, and the boot-clock time at
+        which it was asked.
+
+    """
+
+    def __init__(
+        self,
+        pool_by_member: dict[ids.MemberId, member_pool.MemberPool],
+        boot_clock: clock.Clock,
+        found: Callable[
+            [ids.MemberId, member_channel.MemberStatus, float], None
+        ],
+    ):
+        self._pool_by_member = pool_by_member
+        self._boot_clock = boot_clock
+        self._found = found
+        self._running: asyncio.Task[Witness | None] | None = None
+        self._next: asyncio.Task[Witness | None] | None = None
+        #: Queries in flight; the event loop holds only weak references.
+        self._queries: set[asyncio.Task[int | None]] = set()
+
+    async def ask(self, primary: ids.MemberId) -> Witness | None:
+        """Return the evidence of an inquiry that starts after this call.
+
+        None if too few replicas answer.  Callers that arrive while an inquiry
+        is running share the next one.
+        """
+        running = self._running
+        if running is None or running.done():
+            self._running = asyncio.create_task(
+                self._inquire(primary), name="term_inquiry"
+            )
+            return await asyncio.shield(self._running)
+        if self._next is None:
+            self._next = asyncio.create_task(
+                self._inquire_after(running, primary), name="term_inquiry"
+            )
+        return await asyncio.shield(self._next)
+
+    async def _inquire_after(
+        self, running: asyncio.Task[Witness | None], primary: ids.MemberId
+    ) -> Witness | None:
+        await asyncio.wait({running})
+        self._running, self._next = asyncio.current_task(), None
+        return await self._inquire(primary)
+
+    async def _inquire(self, primary: ids.MemberId) -> Witness | None:
+        since = self._boot_clock.now()
+        pools = self._in_order(primary)
+        needed = answers_needed(len(pools))
+        queries = {self._start_query(pool, since) for pool in pools[:needed]}
+        spare = pools[needed:]
+        terms: list[int] = []
+        while len(terms) < needed and queries:
+            done, queries = await asyncio.wait(
+                queries,
+                timeout=SPARE_AFTER_S if spare else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            found = [task.result() for task in done]
+            terms += [each for each in found if each is not None]
+            if spare and len(terms) < needed:
+                queries |= {self._start_query(pool, since) for pool in spare}
+                spare = []
+        if len(terms) < needed:
+            return None
+        return Witness(since, max(terms, default=0))
+
+    def _start_query(
+        self, pool: member_pool.MemberPool, since: float
+    ) -> asyncio.Task[int | None]:
+        task = asyncio.create_task(self._term(pool, since), name="term_query")
+        self._queries.add(task)
+        task.add_done_callback(self._queries.discard)
+        return task
+
+    def _in_order(self, primary: ids.MemberId) -> list[member_pool.MemberPool]:
+        """Return the pools of the other members, best to ask first."""
+        return sorted(
+            (
+                pool
+                for member, pool in self._pool_by_member.items()
+                if member != primary
+            ),
+            key=lambda pool: (
+                pool.health.failing,
+                not pool.has_idle(),
+                pool.observed_s,
+            ),
+        )
+
+    async def _term(
+        self, pool: member_pool.MemberPool, since: float
+    ) -> int | None:
+        try:
+            async with asyncio.timeout(QUERY_TIMEOUT_S):
+                status = await pool.observe(QUERY_TIMEOUT_S)
+        except TimeoutError:
+            status = member_channel.MemberFault.SILENT
+        if isinstance(status, member_channel.MemberFault):
+            loguru.logger.info(
+                "event=term_not_confirmed group={} member={} fault={!r}",
+                pool.entry.group,
+                pool.entry.id,
+                status.value,
+            )
+            return None
+        self._found(pool.entry.id, status, since)
+        return max(status.term, status.received.term)
--- a/burdockcart/process/gateway/tests/test_failover.py
+++ b/burdockcart/process/gateway/tests/test_failover.py
@@ -345,7 +345,7 @@
             health = (
                 deployment.daemons[0]
                 .group_by_id[gateway_deployment.GROUP]
-                .primary_pool()
+                .primary.pool()
                 .health
             )
             loop = asyncio.get_running_loop()
--- a/burdockcart/process/gateway/tests/test_isolation.py
+++ b/burdockcart/process/gateway/tests/test_isolation.py
@@ -81,7 +81,7 @@
 
         async def check(deployment):
             daemon = deployment.daemons[0]
-            pool = daemon.group_by_id[gateway_deployment.GROUP].primary_pool()
+            pool = daemon.group_by_id[gateway_deployment.GROUP].primary.pool()
             now = asyncio.get_running_loop().time()
             daemon._set_isolated(now)
             for _ in range(3):
--- a/burdockcart/process/gateway/tests/test_sessions.py
+++ b/burdockcart/process/gateway/tests/test_sessions.py
@@ -389,7 +389,7 @@
                 # Keep all connections to the primary busy.
                 while primary.has_idle():
                     primary.take({}, None)
-                group.samples.add(
+                group.primary.samples.add(
                     loop.time(), deployment.group.primary.received()
                 )
                 await client.read()
--- a/burdockcart/process/gateway/transaction_runner.py
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -136,7 +136,7 @@
                 return result.Success(None)
             group.release(connection)
             step = retry_policy.NextStep.GIVE_UP
-            if attempt < retry_policy.MAX_ATTEMPTS:
+            if attempt < retry_policy.max_attempts(answer.fault):
                 step = retry_policy.NextStep.OTHER_MEMBER
             self._attempts.attempt_failed(
                 request, connection, answer, attempt, step
@@ -161,9 +161,13 @@
         connection: member_pool.PooledConnection,
         work: work_queue.Work,
     ) -> member_channel.Answer:
-        sent_at = self._attempts.boot_clock.now()
-        # A transaction that may write requires the primary, so it also serves
-        # reads that need the primary.
+        since: float | None = None
+        if work.primary_only:
+            # A transaction that may write requires the primary, so it also
+            # serves reads that need the primary.
+            since = await group.primary.confirm_term(connection.pool.entry.id)
+            if since is None:
+                return attempts.UNCONFIRMED
         answer = await connection.channel.begin(
             not work.primary_only, attempts.PREPARE_TIMEOUT_S, work.position
         )
@@ -171,7 +175,7 @@
             connection.pool.health.record_failure(
                 self._attempts.loop_clock.now(), answer.fault
             )
-        self._attempts.learn(group, connection, work, answer, sent_at)
+        self._attempts.learn(group, connection, work, answer, since)
         if (
             answer.fault is None
             and answer.state is not member_channel.TransactionState.OPEN
@@ -227,14 +231,23 @@
         assert connection is not None
         member = connection.pool.entry.id
         if answer.fault is member_channel.MemberFault.NOT_PRIMARY:
-            group.reject_leader(member)
+            group.primary.reject(member)
         # The commit of a transaction without writes succeeds even on a former
         # primary.
         proves = transaction.needs_primary and (
             transaction.wrote or not commits
         )
-        if answer.fault is None and proves:
-            group.confirm_leader(member, sent_at, answer.position)
+        if answer.fault is not None or not proves or answer.position is None:
+            return
+        # Without fencing only the commit of a synchronous write is evidence
+        # that no later term has begun.
+        covered = group.promotions_fenced or (commits and transaction.wrote)
+        group.primary.confirm(
+            member,
+            answer.position.term,
+            answer.position,
+            sent_at if covered else None,
+        )
 
     def abandon(
         self,
--- a/burdockcart/request/retry_policy.py
+++ b/burdockcart/request/retry_policy.py
@@ -8,6 +8,9 @@
 #: Attempts per statement, including the first; more would only add load to a
 #: group whose members all refuse.
 MAX_ATTEMPTS = 5
+#: Attempts after which a primary without evidence of its term is not tried
+#: again: the replicas that could give it are unreachable.
+MAX_UNCONFIRMED_ATTEMPTS = 2
 
 
 class NextStep(enum.Enum):
@@ -22,6 +25,13 @@
 _TRANSIENT = frozenset({member_channel.MemberFault.QUEUE_FULL})
 
 
+def max_attempts(fault: member_channel.MemberFault) -> int:
+    """Return the number of attempts after which a fault is final."""
+    if fault is member_channel.MemberFault.UNCONFIRMED:
+        return MAX_UNCONFIRMED_ATTEMPTS
+    return MAX_ATTEMPTS
+
+
 def next_step_single(
     fault: member_channel.MemberFault, writes: bool, attempt: int
 ) -> NextStep:
@@ -45,7 +55,7 @@
         # Not counted against MAX_ATTEMPTS: it costs the members nothing and
         # is bounded by the time that the statement may wait.
         return NextStep.OTHER_MEMBER
-    if attempt >= MAX_ATTEMPTS:
+    if attempt >= max_attempts(fault):
         return NextStep.GIVE_UP
     if fault in member_channel.NOT_RUN or not writes:
         return NextStep.OTHER_MEMBER
@@ -73,6 +83,7 @@
     member_channel.MemberFault.QUEUE_FULL: errors.ErrorKind.OVERLOADED,
     member_channel.MemberFault.BEHIND: errors.ErrorKind.NO_FRESH_MEMBER,
     member_channel.MemberFault.NOT_PRIMARY: errors.ErrorKind.NO_PRIMARY,
+    member_channel.MemberFault.UNCONFIRMED: errors.ErrorKind.NO_PRIMARY,
     member_channel.MemberFault.OTHER_MEMBER: errors.ErrorKind.OVERLOADED,
     member_channel.MemberFault.CONNECTIONS_EXHAUSTED: (
         errors.ErrorKind.OVERLOADED
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -62,12 +62,13 @@
 class GatewayDeployment:
     """One group of three members, its platform and some daemons."""
 
-    def __init__(self, daemons=2, **member_options):
+    def __init__(self, daemons=2, fenced=True, deposes=True, **member_options):
+        self.fenced = fenced
         self.members = [
             wire_member.EmulatedMember(f"m-{domain}", domain, **member_options)
             for domain in DOMAINS
         ]
-        self.group = wire_member.EmulatedGroup(self.members)
+        self.group = wire_member.EmulatedGroup(self.members, deposes=deposes)
         self.platform = wire_platform.EmulatedPlatform(
             tables(), {GROUP: self.group}
         )
@@ -99,6 +100,7 @@
             ready_address="-",
             store_address="-",
             promotion_address="-",
+            promotions_fenced=self.fenced,
         )
         connector = wire_channel.EmulatedConnector(
             {member.id: member for member in self.members}
@@ -118,7 +120,8 @@
             await daemon.start(daemon.clients)
         await until(
             lambda: all(
-                daemon.group_by_id and daemon.group_by_id[GROUP].samples.term
+                daemon.group_by_id
+                and daemon.group_by_id[GROUP].primary.samples.term
                 for daemon in self.daemons
             )
         )
