--- a/burdockcart/connection/member_channel.py
+++ b/burdockcart/connection/member_channel.py
@@ -34,6 +34,8 @@
     REFUSED = "connection refused"
     SILENT = "no answer"
     BROKEN = "connection lost"
+    RELAY_REFUSED = "not sent by the relaying daemon"
+    RELAY_LOST = "lost by the relaying daemon"
     OTHER = "other"
 
 
@@ -48,10 +50,13 @@
         MemberFault.UNKNOWN_NAME,
         MemberFault.UNCONFIRMED,
         MemberFault.REFUSED,
+        MemberFault.RELAY_REFUSED,
     }
 )
 #: Faults after which the connection cannot be used.
 NO_ANSWER = frozenset({MemberFault.SILENT, MemberFault.BROKEN})
+#: Faults of a relaying daemon, which say nothing about the member.
+OF_RELAY = frozenset({MemberFault.RELAY_REFUSED, MemberFault.RELAY_LOST})
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -111,6 +116,21 @@
     def closed(self) -> bool:
         """Whether the connection has ended."""
 
+    def relay_silent(self) -> bool:
+        """Return whether a daemon that relays statements is silent."""
+
+    def set_urgency(self, priority: int, goal_s: float, wait_s: float) -> None:
+        """Set how the next statements are ordered if they are relayed.
+
+        Parameters
+        ==========
+
+        goal_s, wait_s : float
+            Seconds left until the latency goal, and until a statement may no
+            longer wait for a connection.
+
+        """
+
     async def prepare(
         self, steps: list[member_session.Step], timeout_s: float
     ) -> list[Answer]:
--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -9,6 +9,7 @@
 """
 
 import itertools
+from typing import Callable
 
 from burdockcart.connection import member_channel
 
@@ -35,6 +36,11 @@
 RETRY_MAX_S = 0.5
 
 
+_FAILURES = frozenset(
+    {member_channel.MemberFault.BROKEN, member_channel.MemberFault.REFUSED}
+)
+
+
 class MemberHealth:
     """Answers, failures and running times of one member.
 
@@ -70,19 +76,35 @@
         self._tickets = itertools.count()
         self._sent_at_by_ticket: dict[int, float] = {}
         self._write_tickets: set[int] = set()
+        self._relay_silent_by_ticket: dict[int, Callable[[], bool]] = {}
         #: Whether no write has succeeded since one stalled.
         self._stalled = False
         #: Whether a statement was abandoned since the last answer.
         self._abandoned = False
 
-    def record_sent(self, now: float, waits_for_replica: bool = False) -> int:
+    def record_sent(
+        self,
+        now: float,
+        waits_for_replica: bool = False,
+        relay_silent: Callable[[], bool] | None = None,
+    ) -> int:
         """Record that a statement was sent; return its ticket.
 
-        ``waits_for_replica`` is true for writes and commits, whose answer
-        also depends on a replica.
+        Parameters
+        ==========
+
+        waits_for_replica : bool
+            True for writes and commits, whose answer also depends on a
+            replica.
+        relay_silent : callable
+            Returns whether the daemon that relays the statement is silent;
+            the missing answer then says nothing about the member.
+
         """
         ticket = next(self._tickets)
         self._sent_at_by_ticket[ticket] = now
+        if relay_silent is not None:
+            self._relay_silent_by_ticket[ticket] = relay_silent
         if waits_for_replica:
             self._write_tickets.add(ticket)
         return ticket
@@ -96,12 +118,15 @@
         only this answer may be lost.  A probe tells if it can be reached.
         """
         sent_at = self._sent_at_by_ticket.pop(ticket)
+        self._relay_silent_by_ticket.pop(ticket, None)
         writes = ticket in self._write_tickets
         self._write_tickets.discard(ticket)
+        if fault in member_channel.OF_RELAY:
+            return
         if fault is member_channel.MemberFault.SILENT:
             self._abandoned = True
             return
-        if fault is member_channel.MemberFault.BROKEN:
+        if fault in _FAILURES:
             self.record_failure(now, fault)
             return
         if writes and fault is None:
@@ -203,9 +228,21 @@
 
     def longest_wait_s(self, now: float) -> float:
         """Return for how long the oldest statement has been unanswered."""
-        oldest = min(self._sent_at_by_ticket.values(), default=now)
+        oldest = min(
+            (
+                sent_at
+                for ticket, sent_at in self._sent_at_by_ticket.items()
+                if self._awaits_member(ticket)
+            ),
+            default=now,
+        )
         return now - oldest
 
+    def _awaits_member(self, ticket: int) -> bool:
+        """Return whether only the member can delay an answer."""
+        relay_silent = self._relay_silent_by_ticket.get(ticket)
+        return relay_silent is None or not relay_silent()
+
     def writes_stalled(self, now: float) -> bool:
         """Return whether another write would stay unanswered, too.
 
@@ -224,6 +261,10 @@
     def oldest_write_at(self) -> float | None:
         """Return when the oldest unanswered write was sent."""
         return min(
-            (self._sent_at_by_ticket[each] for each in self._write_tickets),
+            (
+                self._sent_at_by_ticket[each]
+                for each in self._write_tickets
+                if self._awaits_member(each)
+            ),
             default=None,
         )
--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -39,6 +39,13 @@
         self.closed = True
         self.member.connections.discard(self)
 
+    def relay_silent(self) -> bool:
+        """Return False: nothing relays statements on this connection."""
+        return False
+
+    def set_urgency(self, priority: int, goal_s: float, wait_s: float) -> None:
+        """Do nothing: statements on a direct connection do not wait."""
+
     def _answer(
         self, fault: Fault | None = None, **fields
     ) -> member_channel.Answer:
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -45,13 +45,15 @@
         ] = {}
         self.token_by_group: dict[ids.GroupId, ids.FencingToken] = {}
         self.promotions: list[tuple[ids.GroupId, ids.MemberId, int]] = []
-        self.daemons: set[ids.DaemonId] = set()
+        self.daemon_by_id: dict[ids.DaemonId, coordination.DaemonEntry] = {}
+        self.fleet_key: bytes | None = None
         #: Faults: the store is unavailable, that many answers to claims or
         #: promotions are lost, lost promotions take effect late.
         self.outage = False
         self.lose_claims = 0
         self.lose_promotions = 0
         self.late_s = 0.0
+        self._daemon_by_lease: dict[int, ids.DaemonId] = {}
         self._late_promotions: set[asyncio.Task[None]] = set()
 
     def _next_revision(self) -> int:
@@ -85,7 +87,8 @@
             coordination.StoreSnapshot(
                 tables=self.tables,
                 entry_by_member=dict(self.entry_by_id),
-                daemons=frozenset(self.daemons),
+                daemon_by_id=dict(self.daemon_by_id),
+                fleet_key=self.fleet_key,
                 revision=self.revision,
             )
         )
@@ -109,7 +112,8 @@
                     for revision, member, entry in self.entry_changes
                     if revision > after
                 },
-                listed_by_daemon=dict.fromkeys(self.daemons, True),
+                entry_by_daemon=dict(self.daemon_by_id),
+                fleet_key=self.fleet_key,
                 revision=self.revision,
             )
         )
@@ -181,13 +185,31 @@
             )
         return result.Success(None)
 
-    async def register_daemon(self, daemon: ids.DaemonId, ttl_s: float):
+    async def create_fleet_key(self, key: bytes):
+        """Write the key that all daemons share unless there is one."""
+        fault = await self._store_fault()
+        if fault is not None:
+            return fault
+        self.fleet_key = self.fleet_key or key
+        return result.Success(self.fleet_key)
+
+    async def unregister_daemon(self, lease: int) -> None:
+        """Remove the daemon with a lease from the list."""
+        daemon = self._daemon_by_lease.pop(lease, None)
+        if daemon is not None:
+            self.daemon_by_id.pop(daemon, None)
+
+    async def register_daemon(
+        self, daemon: coordination.DaemonEntry, ttl_s: float
+    ):
         """Add a daemon to the list."""
         fault = await self._store_fault()
         if fault is not None:
             return fault
-        self.daemons.add(daemon)
-        return result.Success(1)
+        self.daemon_by_id[daemon.id] = daemon
+        lease = self._next_revision()
+        self._daemon_by_lease[lease] = daemon.id
+        return result.Success(lease)
 
     async def renew_daemon(self, lease: int):
         """Renew a daemon's lease in the list."""
--- a/burdockcart/ids.py
+++ b/burdockcart/ids.py
@@ -12,6 +12,9 @@
 RouteName = NewType("RouteName", str)
 TransactionId = NewType("TransactionId", str)
 
+#: Random name of one start of a daemon.
+Incarnation = NewType("Incarnation", str)
+
 #: Term of a group's primary; increases with each promotion.
 Term = NewType("Term", int)
 
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -1,6 +1,5 @@
 """HTTP client of the platform's key-value store and promotion service."""
 
-import asyncio
 import base64
 from typing import Any
 from urllib import parse
@@ -34,6 +33,7 @@
 MEMBER_PREFIX = "servers/"
 PROMOTION_PREFIX = "promotions/"
 DAEMON_PREFIX = "daemons/"
+FLEET_KEY = "fleet/key"
 
 
 class _AddressResolver:
@@ -127,45 +127,36 @@
     async def read_store(
         self,
     ) -> result.Result[coordination.StoreSnapshot, coordination.CallFault]:
-        """Return the manifest, members and daemons in the store.
+        """Return the manifest, members, daemons and key in the store.
 
-        The calls may read different revisions.  The lowest one is returned,
-        so that no later change is missed; some may be seen twice.
+        One range over all keys costs one call for each page.  The pages may
+        be of different revisions; the first one's is returned, so that no
+        later change is missed; some may be seen twice.
         """
-        path = "/api/kv-key?" + parse.urlencode({"key": MANIFEST_KEY})
-        answers = await asyncio.gather(
-            self._read(path, store_messages.OneItem),
-            self._range(MEMBER_PREFIX),
-            self._range(DAEMON_PREFIX),
-        )
-        config, members, daemons = answers
-        for answer in (members, daemons):
-            if isinstance(answer, result.Failure):
-                return answer
-        member_range, daemon_range = members.unwrap(), daemons.unwrap()
-        revisions = [
-            member_range.store_revision,
-            daemon_range.store_revision,
-        ]
-        found = None
-        if isinstance(config, result.Success):
-            item = config.unwrap()
-            found = _manifest(item.data)
-            revisions.append(item.store_revision)
-        elif config.failure() is not coordination.CallFault.MISSING:
-            return config
+        read = await self._range("")
+        if isinstance(read, result.Failure):
+            return read
+        page = read.unwrap()
+        item_by_key = {item.key: item for item in page.items}
+        config = item_by_key.get(MANIFEST_KEY)
+        key = item_by_key.get(FLEET_KEY)
         return result.Success(
             coordination.StoreSnapshot(
-                tables=found,
+                tables=None if config is None else _manifest(config.data),
                 entry_by_member={
                     entry.id: entry
-                    for item in member_range.items
+                    for item in page.items
+                    if item.key.startswith(MEMBER_PREFIX)
                     if (entry := _member(item)) is not None
                 },
-                daemons=frozenset(
-                    _daemon_id(each) for each in daemon_range.items
-                ),
-                revision=min(revisions),
+                daemon_by_id={
+                    daemon.id: daemon
+                    for item in page.items
+                    if item.key.startswith(DAEMON_PREFIX)
+                    if (daemon := _daemon(item)) is not None
+                },
+                fleet_key=None if key is None else key.data,
+                revision=page.store_revision,
             )
         )
 
@@ -276,8 +267,29 @@
         )
         return result.Failure(coordination.PromotionFault.UNAVAILABLE)
 
+    async def create_fleet_key(
+        self, key: bytes
+    ) -> result.Result[bytes, coordination.CallFault]:
+        """Write the key that all daemons share unless there is one."""
+        value = base64.b64encode(key).decode()
+        body = {
+            "expect-rev": [{"key": FLEET_KEY, "revision": 0}],
+            "writes": [{"key": FLEET_KEY, "value": value, "lease": 0}],
+            "deletes": [],
+        }
+        url = f"http://{self.store_address}/api/kv-txn"
+        answer = await self._send(url, "POST", body)
+        if answer is not None and answer.code == 200:
+            return result.Success(key)
+        # Another daemon was first, or an earlier answer was lost.
+        found = await self._range(FLEET_KEY)
+        item = next(iter(found.map(_items).value_or([])), None)
+        if item is None:
+            return result.Failure(coordination.CallFault.NO_ANSWER)
+        return result.Success(item.data)
+
     async def register_daemon(
-        self, daemon: ids.DaemonId, ttl_s: float
+        self, entry: coordination.DaemonEntry, ttl_s: float
     ) -> result.Result[int, coordination.CallFault]:
         """Register a daemon under a new lease and return the lease."""
         granted = await self._call(
@@ -289,10 +301,11 @@
         lease = granted.value_or(None)
         if lease is None:
             return granted
-        key = DAEMON_PREFIX + daemon
+        key = DAEMON_PREFIX + entry.id
+        value = base64.b64encode(formats.encode_daemon(entry)).decode()
         body = {
             "expect-rev": [],
-            "writes": [{"key": key, "value": "", "lease": lease.lease}],
+            "writes": [{"key": key, "value": value, "lease": lease.lease}],
             "deletes": [],
         }
         written = await self._call(
@@ -307,6 +320,10 @@
         answer = await self._call(f"/api/kv-keep/{lease}", Any, "POST")
         return answer.map(lambda _: None)
 
+    async def unregister_daemon(self, lease: int) -> None:
+        """End the lease of a registered daemon."""
+        await self._call(f"/api/kv-lease-end/{lease}", Any, "DELETE")
+
     async def reachable(self) -> bool:
         """Return whether the store answers at all."""
         query = {"prefix": DAEMON_PREFIX, "serializable": "1"}
@@ -339,15 +356,23 @@
         for entry in [_member(event)]
         if event.tombstone or entry is not None
     }
-    listed_by_daemon = {
-        _daemon_id(event): not event.tombstone
+    entry_by_daemon = {
+        _daemon_id(event): entry
         for event in seen.events
         if event.key.startswith(DAEMON_PREFIX)
+        for entry in [_daemon(event)]
+        if event.tombstone or entry is not None
     }
+    keys = [
+        event.data
+        for event in seen.events
+        if event.key == FLEET_KEY and not event.tombstone
+    ]
     return coordination.StoreChanges(
         tables=manifests,
         entry_by_member=entry_by_member,
-        listed_by_daemon=listed_by_daemon,
+        entry_by_daemon=entry_by_daemon,
+        fleet_key=keys[-1] if keys else None,
         revision=seen.store_revision,
     )
 
@@ -356,6 +381,29 @@
     return ids.DaemonId(item.key.removeprefix(DAEMON_PREFIX))
 
 
+def _items(
+    page: store_messages.Range,
+) -> list[store_messages.StoredItem]:
+    return page.items
+
+
+def _daemon(
+    item: store_messages.StoredItem,
+) -> coordination.DaemonEntry | None:
+    """Return a daemon; None for a removed or unusable entry."""
+    if item.tombstone:
+        return None
+    try:
+        return formats.read_daemon(_daemon_id(item), item.data)
+    except (msgspec.MsgspecError, ValueError) as error:
+        loguru.logger.warning(
+            "event=daemon_entry_unusable key={} error={!r}",
+            item.key,
+            str(error)[:200],
+        )
+        return None
+
+
 def _member_id(item: store_messages.StoredItem) -> ids.MemberId:
     return ids.MemberId(item.key.removeprefix(MEMBER_PREFIX))
 
--- a/burdockcart/platform/client_wire.py
+++ b/burdockcart/platform/client_wire.py
@@ -12,8 +12,8 @@
 
 from burdockcart.connection import client_session
 from burdockcart.connection import member_channel
+from burdockcart.connection import sockets
 from burdockcart import errors
-from burdockcart.platform import sockets
 from burdockcart.platform import wire
 
 #: Timeout of a client's first message, in seconds; the platform abandons a
--- a/burdockcart/platform/formats.py
+++ b/burdockcart/platform/formats.py
@@ -151,3 +151,40 @@
 def encode_promotion(record: coordination.PromotionRecord) -> bytes:
     """Encode a promotion record for the store."""
     return msgspec.json.encode(record)
+
+
+class _Daemon(msgspec.Struct):
+    address: str
+    domain: str
+    incarnation: str
+
+
+def read_daemon(
+    daemon: ids.DaemonId, value: bytes
+) -> coordination.DaemonEntry:
+    """Decode a daemon's registration.
+
+    Raises
+    ======
+
+    msgspec.MsgspecError
+        If the value is no registration.
+
+    """
+    raw = msgspec.json.decode(value, type=_Daemon)
+    host, _, port = raw.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise msgspec.ValidationError(f"invalid address {raw.address!r}")
+    return coordination.DaemonEntry(
+        daemon,
+        raw.address,
+        ids.DomainName(raw.domain),
+        ids.Incarnation(raw.incarnation),
+    )
+
+
+def encode_daemon(entry: coordination.DaemonEntry) -> bytes:
+    """Encode a daemon's registration for the store."""
+    return msgspec.json.encode(
+        _Daemon(entry.address, entry.domain, entry.incarnation)
+    )
--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import sys
+import uuid
 
 import loguru
 from returns import result
@@ -14,6 +15,7 @@
 from burdockcart.cmd import stop_signal
 from burdockcart.connection import client_session
 from burdockcart import errors
+from burdockcart import ids
 from burdockcart.platform import calls
 from burdockcart.platform import client_wire
 from burdockcart.platform import member_wire
@@ -24,6 +26,8 @@
 from burdockcart.process.gateway import application
 from burdockcart.process.gateway import settings
 from burdockcart.process import log_sink
+from burdockcart.process.peers import fleet_key
+from burdockcart.process.peers import tcp
 
 SETTINGS_VARIABLE = "BURDOCKCART_SETTINGS"
 #: Interval of reading the settings file, in seconds.  The file may change
@@ -69,8 +73,16 @@
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGHUP, _reload, path, platform
     )
+    key = fleet_key.FleetKey()
+    incarnation = ids.Incarnation(uuid.uuid4().hex[:12])
     daemon = application.GatewayApplication(
-        config, platform, member_wire.WireConnector(), clock.BootClock()
+        config,
+        platform,
+        member_wire.WireConnector(),
+        clock.BootClock(),
+        tcp.TcpPeers(config.daemon, incarnation, key.get),
+        key,
+        incarnation,
     )
     listener = client_wire.ClientListener(_Gateway(daemon))
     await daemon.start(listener)
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -8,7 +8,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
-from burdockcart.platform import sockets
+from burdockcart.connection import sockets
 from burdockcart.platform import wire
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -45,6 +45,13 @@
         """Close the connection; the member rolls back an open transaction."""
         self._stream.close()
 
+    def relay_silent(self) -> bool:
+        """Return False: nothing relays statements on this connection."""
+        return False
+
+    def set_urgency(self, priority: int, goal_s: float, wait_s: float) -> None:
+        """Do nothing: statements on a direct connection do not wait."""
+
     async def _exchange(
         self, lines: list[bytes], timeout_s: float
     ) -> list[member_channel.Answer]:
--- a/burdockcart/platform/settings_file.py
+++ b/burdockcart/platform/settings_file.py
@@ -45,6 +45,13 @@
     return text == "true"
 
 
+def _first_port(text: str) -> int:
+    first, _, _ = text.partition(",")
+    if not first.isdigit():
+        raise ValueError(f"{text!r} does not begin with a port")
+    return int(first)
+
+
 def _name(text: str) -> str:
     if not text:
         raise ValueError("must not be empty")
@@ -59,12 +66,15 @@
     ("listen-addrs.ready", "ready_address", _endpoint),
     ("platform.address", "store_address", _endpoint),
     ("cloud-api.address", "promotion_address", _endpoint),
+    ("ip", "peer_host", _name),
+    ("port-range", "peer_port", _first_port),
 )
 _OPTIONAL: tuple[tuple[str, str, Callable[[str], object]], ...] = (
     ("contract-params.grace-s", "shutdown_s", _seconds),
     ("contract-params.drain-ms", "drain_s", _milliseconds),
     ("contract-params.config-apply-ms", "manifest_s", _milliseconds),
     ("contract-params.lease-ms", "promotion_claim_s", _milliseconds),
+    ("bootstrap", "first_start", _flag),
     ("contract-params.fencing-required", "promotions_fenced", _flag),
 )
 
--- a/burdockcart/platform/store_messages.py
+++ b/burdockcart/platform/store_messages.py
@@ -19,12 +19,6 @@
         return base64.b64decode(self.value)
 
 
-class OneItem(StoredItem, rename="kebab"):
-    """Answer to a read of one key."""
-
-    store_revision: int = 0
-
-
 class Range(msgspec.Struct, rename="kebab"):
     """One page of the items under a prefix."""
 
--- a/burdockcart/platform/tests/test_formats.py
+++ b/burdockcart/platform/tests/test_formats.py
@@ -34,6 +34,8 @@
 zone=recife
 listen-addrs.front=10.1.0.8:8784
 listen-addrs.ready=10.1.0.8:8785
+ip=10.1.0.8
+port-range=7440,7455
 platform.address=10.200.1.7:8783
 cloud-api.address=10.200.0.160:8783
 contract-params.grace-s=6
@@ -114,6 +116,7 @@
         read = settings_file.parse(SETTINGS).unwrap()
         self.assertEqual("front-recife-1", read.daemon)
         self.assertEqual("10.1.0.8:8784", read.client_address)
+        self.assertEqual("10.1.0.8:7440", read.peer_address)
         self.assertEqual(6.0, read.shutdown_s)
 
     def test_faults_name_their_place(self):
@@ -121,6 +124,6 @@
         text = SETTINGS.replace("zone=recife\n", "").replace("=6", "=six")
         faults = settings_file.parse(text + "no equals sign\n").failure()
         self.assertEqual(
-            ["line 8", "zone", "contract-params.grace-s"],
+            ["line 10", "zone", "contract-params.grace-s"],
             [fault.key for fault in faults],
         )
--- a/burdockcart/platform/tests/test_launch.py
+++ b/burdockcart/platform/tests/test_launch.py
@@ -14,6 +14,8 @@
 zone=a
 listen-addrs.front=10.0.0.1:1
 listen-addrs.ready=10.0.0.1:2
+ip=10.0.0.1
+port-range=7440,7455
 platform.address={store}
 cloud-api.address=10.0.0.3:4
 """
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -4,6 +4,7 @@
 import random
 import time
 from typing import Any
+from typing import Callable
 from typing import Coroutine
 from typing import Iterable
 from typing import Protocol
@@ -17,7 +18,6 @@
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
-from burdockcart.process.gateway import connection_share
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover
 from burdockcart.process.gateway import gateway_metrics
@@ -30,10 +30,10 @@
 from burdockcart.process.gateway import statement_runner
 from burdockcart.process.gateway import store_follower
 from burdockcart.process.gateway import transaction_runner
+from burdockcart.process.peers import fleet_key
+from burdockcart.process.peers import relay
 from burdockcart.version import manifest
 
-#: Assumed number of daemons before the first count.
-INITIAL_DAEMONS = 4
 #: Time for which a new session waits for the first manifest, in seconds;
 #: clients time out after 2 s.
 MANIFEST_WAIT_S = 1.5
@@ -41,6 +41,14 @@
 #: the shortest staleness that the routes allow (1.5 s).
 MAX_SAMPLE_AGE_S = 0.4
 TICK_S = 0.1
+#: Time after the start from which on members are contacted although the list
+#: of daemons may be incomplete, in seconds.
+SETTLE_TIMEOUT_S = 5.0
+#: Interval between attempts to create the fleet's key, in seconds.
+KEY_RETRY_S = 0.5
+#: Time over which the first attempts of a fleet are spread, in seconds; most
+#: daemons find the key in the store before their turn comes.
+KEY_SPREAD_S = 2.0
 
 
 class Client(Protocol):
@@ -96,19 +104,17 @@
         platform: coordination.Platform,
         connector: member_channel.Connector,
         boot_clock: clock.Clock,
+        peers: relay.Peers,
+        key: fleet_key.FleetKey,
+        incarnation: ids.Incarnation,
     ):
         self._settings = config
         self._platform = platform
-        self._connector = connector
+        self._fleet_key = key
         self._clock = clock.LoopClock()
         self._boot_clock = boot_clock
         rng = random.Random(config.daemon)
         self._rng = rng
-        self._daemons = INITIAL_DAEMONS
-        self._daemon_count = connection_share.DaemonCount(
-            INITIAL_DAEMONS, self._clock.now()
-        )
-        self._started_at = self._clock.now()
         self._draining = False
         self._isolated_since: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -123,10 +129,30 @@
         self.transactions = transaction_runner.TransactionRunner(
             self.group_by_id, shared
         )
+        self.relay = relay.Relay(
+            config.daemon,
+            peers,
+            connector,
+            self.group_by_id,
+            shared,
+            self._clock,
+            rng,
+        )
         self.tables = store_follower.StoreFollower(
-            platform, self, self._clock, rng, config.manifest_s
+            platform,
+            self,
+            self._clock,
+            rng,
+            config.manifest_s,
+            config.first_start,
+        )
+        self._listing = store_follower.Listing(
+            coordination.DaemonEntry(
+                config.daemon, config.peer_address, config.domain, incarnation
+            ),
+            platform,
+            rng,
         )
-        self._listing = store_follower.Listing(config.daemon, platform, rng)
         self._reachability = reachability.Reachability(
             self.group_by_id, self._clock
         )
@@ -149,21 +175,24 @@
             _wall_ms,
             self.metrics,
             self._reserved,
+            lambda: self.tables.daemons,
         )
 
     async def start(self, clients: ClientListener) -> None:
         """Open all sockets and start the tasks."""
         self._clients = clients
         clients.listen_on(self._settings.client_address)
+        await self.relay.start(self._settings.peer_address)
         self._spawn(self.tables.run())
+        self._spawn(self._create_fleet_key())
         self._spawn(self._listing.run())
-        self._spawn(self._failover.run())
-        self._spawn(self._reachability.run())
+        self._spawn(self._once_settled(self._failover.run))
+        self._spawn(self._once_settled(self._reachability.run))
         if self._settings.promotions_fenced:
             # Without fencing, a token claimed in advance could be used after
             # a higher one.
             self._spawn(self._reserved.run())
-        self._spawn(self._keep_samples())
+        self._spawn(self._once_settled(self._keep_samples))
         self._spawn(self._maintain())
         loguru.logger.info(
             "event=daemon_started id={} failure_domain={}",
@@ -171,9 +200,26 @@
             self._settings.domain,
         )
 
+    async def _once_settled(
+        self, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a task that connects to all members without client work.
+
+        Before the list of daemons is complete, this daemon does not know
+        which members it holds.
+        """
+        try:
+            async with asyncio.timeout(SETTLE_TIMEOUT_S):
+                await self.tables.settled.wait()
+        except TimeoutError:
+            pass
+        await run()
+
     async def drain(self) -> None:
         """Close sessions gradually, within the time granted for shutdown."""
         self._draining = True
+        self.relay.leave()
+        self._spawn(self._listing.leave())
         plan = shutdown_plan.ShutdownPlan(self._settings.shutdown_s)
         began_at = self._clock.now()
         loguru.logger.info(
@@ -182,7 +228,8 @@
         while True:
             elapsed_s = self._clock.now() - began_at
             connections = self._connections()
-            if plan.finished(elapsed_s, len(connections)):
+            open_work = len(connections) + self.relay.service.pending
+            if plan.finished(elapsed_s, open_work):
                 break
             idle = [each for each in connections if each.idle]
             for each in plan.to_close(elapsed_s, idle):
@@ -207,6 +254,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for group in self.group_by_id.values():
             group.close()
+        self.relay.stop()
         loguru.logger.info("event=daemon_stopped id={}", self._settings.daemon)
 
     def ready(self) -> bool:
@@ -260,16 +308,17 @@
                     limits,
                     self._settings.domain,
                     self._settings.drain_s,
-                    self._connector,
+                    self.relay.connector,
                     self._clock,
                     self._boot_clock,
+                    self.relay.holding,
                     self._settings.promotions_fenced,
                 )
                 self.group_by_id[limits.id] = group
                 for entry in self.tables.catalog.entry_by_id.values():
                     if entry.group == limits.id:
                         group.use_member(entry)
-            group.use_limits(limits, self._daemons, self._uptime_s())
+            group.use_limits(limits)
         for removed in self.group_by_id.keys() - found.limits_by_group.keys():
             self.group_by_id.pop(removed).close()
 
@@ -303,30 +352,47 @@
             for member in left:
                 group.drop_member(member, "left")
 
-    def daemons_counted(self, count: int) -> None:
-        """Apply the number of registered daemons."""
-        share = self._daemon_count.record_count(count, self._clock.now())
-        if share == self._daemons:
-            return
-        self._daemons = share
-        loguru.logger.info(
-            "event=daemons_counted listed={} share={}", count, share
-        )
+    def daemons_changed(
+        self, entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry]
+    ) -> None:
+        """Apply a new list of the registered daemons."""
+        self.relay.use_daemons(entry_by_id)
+        loguru.logger.info("event=daemons_listed count={}", len(entry_by_id))
         self._divide_connections()
 
-    def _uptime_s(self) -> float:
-        return self._clock.now() - self._started_at
+    def fleet_key_changed(self, key: bytes) -> None:
+        """Use another key for links between daemons."""
+        if key == self._fleet_key.value:
+            return
+        if self._fleet_key.value is not None:
+            self.relay.close_links()
+        self._fleet_key.value = key
+        loguru.logger.info("event=fleet_key_in_force")
+
+    async def _create_fleet_key(self) -> None:
+        """Create the key that all daemons share, if there is none."""
+        pause_s = self._rng.uniform(0.0, KEY_SPREAD_S)
+        while self._fleet_key.value is None:
+            await asyncio.sleep(pause_s)
+            pause_s = KEY_RETRY_S
+            if self.tables.current is None or self._fleet_key.value:
+                continue
+            created = await self._platform.create_fleet_key(
+                fleet_key.new_key()
+            )
+            if isinstance(created, result.Success):
+                self.fleet_key_changed(created.unwrap())
 
     def _divide_connections(self) -> None:
-        uptime_s = self._uptime_s()
         for group in self.group_by_id.values():
-            group.use_limits(group.limits, self._daemons, uptime_s)
+            group.apply_shares()
 
     def awaits_primary(self) -> bool:
         """Return whether a group waits for a new primary."""
         return any(
             group.primary.pool() is None or group.primary.failing()
             for group in self.group_by_id.values()
+            if self._failover.acts_early(group.id)
         )
 
     async def _keep_samples(self) -> None:
--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from typing import Any
+from typing import Awaitable
+from typing import Callable
 from typing import Coroutine
 from typing import TypeVar
 
@@ -234,22 +236,48 @@
         """
         health = connection.pool.health
         now = self.loop_clock.now()
-        ticket = health.record_sent(now, waits_for_replica)
         limit_s = max(request.deadline_at - now, 0.0)
         if not waits_for_replica:
             # Giving up a write, whose answer depends on a replica, would
             # leave its outcome unknown; other statements can be retried.
             overdue_s = health.overdue_s(now, request.route.latency_goal_s)
             limit_s = min(limit_s, timeout_factor * overdue_s)
+        return await self.exchange(
+            connection,
+            lambda: connection.channel.run(
+                request.statement,
+                request.shape,
+                limit_s,
+                after=None if work is None else work.position,
+                prove=prove,
+            ),
+            waits_for_replica,
+        )
+
+    async def exchange(
+        self,
+        connection: member_pool.PooledConnection,
+        run: Callable[[], Awaitable[member_channel.Answer]],
+        waits_for_replica: bool,
+    ) -> member_channel.Answer:
+        """Run a statement on a connection; record what its answer shows.
+
+        Parameters
+        ==========
+
+        waits_for_replica : bool
+            Whether the answer also depends on a replica, as that to a write
+            or a commit does.
+
+        """
+        health = connection.pool.health
+        now = self.loop_clock.now()
+        ticket = health.record_sent(
+            now, waits_for_replica, connection.channel.relay_silent
+        )
         connection.retryable = not waits_for_replica
         connection.active = True
-        answer = await connection.channel.run(
-            request.statement,
-            request.shape,
-            limit_s,
-            after=None if work is None else work.position,
-            prove=prove,
-        )
+        answer = await run()
         connection.active = connection.retryable = False
         fault = answer.fault
         if connection.aborted_locally:
@@ -279,14 +307,12 @@
 
     async def prepare(
         self,
-        session: Session,
-        request: Request,
+        value_by_name: dict[str, str],
+        shape: command.Shape | None,
         connection: member_pool.PooledConnection,
     ) -> member_channel.Answer | None:
-        """Apply the session's state to a connection; return a fault if any."""
-        steps = connection.session_state.steps(
-            session.value_by_name, request.shape
-        )
+        """Apply a session's state to a connection; return a fault if any."""
+        steps = connection.session_state.steps(value_by_name, shape)
         if not steps:
             return None
         answers = await connection.channel.prepare(steps, PREPARE_TIMEOUT_S)
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/coordination.py
@@ -23,24 +23,44 @@
     UNREADABLE = "unreadable"
 
 
+class DaemonEntry(msgspec.Struct, frozen=True):
+    """Registration of one daemon.
+
+    Parameters
+    ==========
+
+    address : str
+        ``ip:port`` on which it accepts links of other daemons.
+
+    """
+
+    id: ids.DaemonId
+    address: str
+    domain: ids.DomainName
+    incarnation: ids.Incarnation
+
+
 class StoreSnapshot(msgspec.Struct, frozen=True, kw_only=True):
     """The gateway's data in the store at a revision."""
 
     tables: manifest.Manifest | None
     entry_by_member: dict[ids.MemberId, manifest.MemberEntry]
-    daemons: frozenset[ids.DaemonId]
+    daemon_by_id: dict[ids.DaemonId, DaemonEntry]
+    fleet_key: bytes | None
     revision: int
 
 
 class StoreChanges(msgspec.Struct, frozen=True, kw_only=True):
     """Changes of the store up to a revision; None for a removed entry.
 
-    ``tables`` holds the manifests in the order in which they were written.
+    ``tables`` holds the manifests in the order in which they were written;
+    ``fleet_key`` is None if the key has not changed.
     """
 
     tables: list[manifest.Manifest]
     entry_by_member: dict[ids.MemberId, manifest.MemberEntry | None]
-    listed_by_daemon: dict[ids.DaemonId, bool]
+    entry_by_daemon: dict[ids.DaemonId, DaemonEntry | None]
+    fleet_key: bytes | None
     revision: int
 
 
@@ -107,13 +127,24 @@
     ) -> result.Result[None, PromotionFault]:
         """Make a member the primary of its group."""
 
+    async def create_fleet_key(
+        self, key: bytes
+    ) -> result.Result[bytes, CallFault]:
+        """Write the key that all daemons share unless there is one.
+
+        Returns the key that is in force.
+        """
+
     async def register_daemon(
-        self, daemon: ids.DaemonId, ttl_s: float
+        self, entry: DaemonEntry, ttl_s: float
     ) -> result.Result[int, CallFault]:
         """Register a daemon for a limited time; return its lease."""
 
     async def renew_daemon(self, lease: int) -> result.Result[None, CallFault]:
         """Renew the lease of a registered daemon."""
 
+    async def unregister_daemon(self, lease: int) -> None:
+        """End the lease of a registered daemon that is shutting down."""
+
     async def reachable(self) -> bool:
         """Return whether the store answers."""
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 from typing import Callable
+from typing import Collection
 from typing import Coroutine
 
 import loguru
@@ -17,10 +18,14 @@
 from burdockcart.process.gateway import promoter
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
+from burdockcart.process.gateway import turn
 
 #: Interval between scans of all primaries, in seconds; half of the shortest
 #: time after which a failing primary is replaced.
 SCAN_INTERVAL_S = 0.05
+#: Pause between two queries of all members of a group for the primary, in
+#: seconds; a promotion takes at least 0.6 s.
+SEARCH_PAUSE_S = 0.1
 #: Pause of the loop from which on this process counts as stalled, in seconds;
 #: less than the time after which a member counts as silent.
 STALL_THRESHOLD_S = 0.2
@@ -40,7 +45,12 @@
         wall_ms: Callable[[], int],
         metrics: gateway_metrics.GatewayMetrics,
         reserved: reserved_claims.ReservedClaims,
+        daemons: Callable[[], Collection[ids.DaemonId]],
     ):
+        self._daemon = daemon
+        self._daemons = daemons
+        #: Since when there has been a cause to replace a group's primary.
+        self._cause_since: dict[ids.GroupId, float] = {}
         self._group_by_id = group_by_id
         self._clock = loop_clock
         self._claims = promotion_claims.PromotionClaims(daemon, claim_ttl_s)
@@ -98,6 +108,10 @@
         self._expect_primary(group, view)
         cause = failover_rule.cause_to_replace(view, now)
         if cause is None or group.isolated:
+            self._cause_since.pop(group.id, None)
+            return
+        if not self._has_turn(group.id, now):
+            self._start_check("search", group, self._search(group))
             return
         planned = cause is failover_rule.Cause.DRAINING
         if not self._claims.may_try(group.id, planned, now):
@@ -108,6 +122,17 @@
             name="replace_primary",
         )
 
+    def acts_early(self, group: ids.GroupId) -> bool:
+        """Return whether this daemon is among the first to act."""
+        place = turn.rank(self._daemon, group, self._daemons())
+        return turn.delay_s(place) < turn.LATE_S
+
+    def _has_turn(self, group: ids.GroupId, now: float) -> bool:
+        """Return whether this daemon may act on the cause now."""
+        since = self._cause_since.setdefault(group, now)
+        place = turn.rank(self._daemon, group, self._daemons())
+        return now - since >= turn.delay_s(place)
+
     def _expect_primary(
         self, group: groups.Group, view: failover_rule.PrimaryView
     ) -> None:
@@ -149,7 +174,7 @@
             if pool.health.usable(self._clock.now())
         ]
         await asyncio.gather(*(group.primary.check(pool) for pool in pools))
-        await asyncio.sleep(SCAN_INTERVAL_S)
+        await asyncio.sleep(SEARCH_PAUSE_S)
 
 
 def _view(
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from typing import Iterable
+from typing import Protocol
 
 import loguru
 from returns import result
@@ -22,6 +23,18 @@
 ISOLATED_RETRY_MS = 1000
 
 
+class ConnectionPlan(Protocol):
+    """Divides a member's connections among the daemons."""
+
+    def share(
+        self, member: manifest.MemberEntry, connections: int
+    ) -> connection_share.Share:
+        """Return the limits of this daemon's connections to a member."""
+
+    def holds(self, member: manifest.MemberEntry, connections: int) -> bool:
+        """Return whether this daemon connects to a member directly."""
+
+
 class Group:
     """Connection pools, presumed primary, samples and queue of one group.
 
@@ -43,6 +56,7 @@
         connector: member_channel.Connector,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
+        plan: ConnectionPlan,
         promotions_fenced: bool = True,
     ):
         self.id = limits.id
@@ -60,7 +74,7 @@
         self.queue = work_queue.WorkQueue()
         #: Whether no other failure domain is reachable.
         self.isolated = False
-        self._share = connection_share.Share(1, 1)
+        self._plan = plan
         self._domain = domain
         self._drain_s = drain_s
         self._connector = connector
@@ -69,20 +83,28 @@
 
     # Members
 
-    def use_limits(
-        self, limits: manifest.GroupLimits, daemons: int, uptime_s: float
-    ) -> None:
-        """Apply new limits, divided by the number of daemons."""
+    def use_limits(self, limits: manifest.GroupLimits) -> None:
+        """Apply new limits."""
         self.limits = limits
-        share = connection_share.share_of(
-            limits.connections, daemons, uptime_s
-        )
-        if share == self._share:
-            return
-        self._share = share
-        for pool in self.pool_by_member.values():
-            pool.resize(self._share)
-        self.dispatch()
+        self.apply_shares()
+
+    def apply_shares(self) -> None:
+        """Apply the plan for connections to each member."""
+        changed = [
+            self._apply_share(pool) for pool in self.pool_by_member.values()
+        ]
+        if any(changed):
+            self.dispatch()
+
+    def _apply_share(self, pool: member_pool.MemberPool) -> bool:
+        """Apply the plan to one member; True if that changed its share."""
+        connections = self.limits.connections
+        share = self._plan.share(pool.entry, connections)
+        direct = self._plan.holds(pool.entry, connections)
+        if (share, direct) == (pool.share, pool.direct):
+            return False
+        pool.resize(share, direct)
+        return True
 
     def use_member(self, entry: manifest.MemberEntry) -> None:
         """Add a member or use its new entry."""
@@ -94,7 +116,7 @@
             pool = member_pool.MemberPool(
                 entry, self._connector, self._clock, self.dispatch
             )
-            pool.share = self._share
+            self._apply_share(pool)
             self.pool_by_member[entry.id] = pool
         elif pool.entry != entry:
             pool.use_entry(entry)
@@ -154,6 +176,8 @@
         """Return a failure if work cannot be served in time."""
         now = self._clock.now()
         left_s = work.give_up_at - now
+        if work.member is not None:
+            return self._refusal_for_backlog(work, left_s)
         if (
             work.primary_only
             and self.isolated
@@ -172,11 +196,20 @@
                     f"group {self.id} is waiting for a new primary",
                     retry_after_ms=int(due_s * 1000),
                 )
+        return self._refusal_for_backlog(work, left_s)
+
+    def _refusal_for_backlog(
+        self, work: work_queue.Work, left_s: float
+    ) -> errors.Failure | None:
+        """Return a failure if the queue is too long for work."""
+        only = work.member
+        if only is None and work.primary_only:
+            only = self.primary.leadership.member
         pools = [
             pool
             for pool in self.pool_by_member.values()
-            if not work.primary_only
-            or pool.entry.id == self.primary.leadership.member
+            if (only is None and not work.primary_only)
+            or pool.entry.id == only
         ]
         connections = sum(pool.share.hard_limit for pool in pools)
         wait_s = self.queue.wait_s(work, connections)
@@ -241,6 +274,9 @@
             if chosen is None:
                 continue
             connection = chosen.take(work.value_by_name, work.shape)
+            connection.channel.set_urgency(
+                work.priority, work.goal_at - now, work.give_up_at - now
+            )
             self.queue.remove(work)
             work.connection.set_result(result.Success(connection))
 
@@ -259,6 +295,9 @@
         self, work: work_queue.Work, now: float
     ) -> list[member_pool.MemberPool]:
         """Return the pools of the members that can run the work."""
+        if work.member is not None:
+            pool = self.pool_by_member.get(work.member)
+            return [] if pool is None else [pool]
         if work.primary_only:
             pool = self.primary.pool()
             if pool is None or not pool.takes_new_work(self._drain_s):
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -1,6 +1,7 @@
 """Connection pool of this daemon for one member."""
 
 import asyncio
+import random
 from typing import Awaitable
 from typing import Callable
 
@@ -24,9 +25,11 @@
 #: no other member can run; the rest covers the delay until this daemon learns
 #: of the draining, and the latency of the last statement.
 DRAIN_SHARE = 0.5
-#: Pause after a member reported that its connections are exhausted, in
-#: seconds; other daemons close connections when they learn of a new daemon.
-EXHAUSTED_PAUSE_S = 0.1
+#: Backoff after a member reported that its connections are exhausted, in
+#: seconds, with jitter.  Daemons that tried again after a fixed pause kept a
+#: member busy with up to 1,000 refusals a second.
+EXHAUSTED_MIN_S = 0.1
+EXHAUSTED_MAX_S = 3.2
 #: Weight of a new answer time of a status query in its moving average.
 OBSERVED_WEIGHT = 0.2
 
@@ -43,6 +46,9 @@
         #: Whether a statement runs or is about to; False while a transaction
         #: is idle.
         self.active = False
+        #: Whether it must be closed after its work: it was opened before the
+        #: pool changed between direct and relayed connections.
+        self.stale = False
         #: Whether the running statement can be retried on another member.
         self.retryable = False
         #: Whether this daemon aborted the running statement.
@@ -69,6 +75,8 @@
     ):
         self.entry = entry
         self.share = connection_share.Share(1, 1)
+        #: Whether its connections go to the member and not to a holder.
+        self.direct = True
         self.lag = replica_lag.ReplicaLag()
         self.retired = False
         self._draining_since: float | None = None
@@ -79,6 +87,8 @@
         self._busy: set[PooledConnection] = set()
         self._opening: dict[asyncio.Task[None], float] = {}
         self._exhausted_until = 0.0
+        self._exhausted_count = 0
+        self._rng = random.Random(f"{entry.id}/{id(self)}")
         #: Moving average of the answer time of status queries, in seconds.
         self.observed_s = 0.0
         self.limit = member_limit.MemberLimit(self.share.hard_limit)
@@ -188,6 +198,7 @@
         self._busy.discard(connection)
         if (
             connection.channel.closed
+            or connection.stale
             or self.retired
             or self.open_count >= self.share.hard_limit
         ):
@@ -224,9 +235,10 @@
         now = self._clock.now()
         if not isinstance(opened, member_channel.MemberFault):
             self.health.record_answer(now)
+            self._exhausted_count = 0
             return opened
         if opened is member_channel.MemberFault.CONNECTIONS_EXHAUSTED:
-            self._exhausted_until = now + EXHAUSTED_PAUSE_S
+            self._exhausted_until = now + self._exhausted_pause_s()
             self.health.record_answer(now)
         else:
             self.health.record_failure(now, opened)
@@ -241,6 +253,14 @@
         )
         return None
 
+    def _exhausted_pause_s(self) -> float:
+        """Return the pause after another refusal for lack of connections."""
+        self._exhausted_count += 1
+        longest_s = min(
+            EXHAUSTED_MIN_S * 2**self._exhausted_count, EXHAUSTED_MAX_S
+        )
+        return self._rng.uniform(EXHAUSTED_MIN_S, longest_s)
+
     async def reach(
         self, timeout_s: float
     ) -> member_channel.MemberFault | None:
@@ -265,7 +285,7 @@
         self, timeout_s: float
     ) -> member_channel.MemberStatus | member_channel.MemberFault:
         """Ask for the member's status; takes none of its slots."""
-        return await self._query(lambda channel: channel.observe(timeout_s))
+        return await self.query(lambda channel: channel.observe(timeout_s))
 
     async def demote(
         self, term: int, timeout_s: float
@@ -277,11 +297,11 @@
             self.entry.id,
             term,
         )
-        return await self._query(
+        return await self.query(
             lambda channel: channel.demote(term, timeout_s)
         )
 
-    async def _query(
+    async def query(
         self,
         query: Callable[
             [member_channel.Channel],
@@ -325,6 +345,8 @@
         """Take a connection for control, above the limit if necessary."""
         if self.has_idle():
             return self.take({}, None)
+        if self._clock.now() < self._exhausted_until:
+            return None
         opened = await self.connect()
         if opened is None:
             return None
@@ -332,8 +354,25 @@
         self._busy.add(connection)
         return connection
 
-    def resize(self, share: connection_share.Share) -> None:
-        """Apply a new share; close idle connections above it."""
+    def resize(
+        self, share: connection_share.Share, direct: bool = True
+    ) -> None:
+        """Apply a new share; close idle connections above it.
+
+        Parameters
+        ==========
+
+        direct : bool
+            Whether connections go to the member and not to a holder; those of
+            the other kind are closed after their work.
+
+        """
+        if direct != self.direct:
+            self.direct = direct
+            for connection in self._busy:
+                connection.stale = True
+            while self._idle:
+                self._idle.pop().channel.close()
         self.share = share
         self.limit.set_maximum(share.hard_limit)
         while self._idle and self.open_count > share.hard_limit:
--- a/burdockcart/process/gateway/reserved_claims.py
+++ b/burdockcart/process/gateway/reserved_claims.py
@@ -16,7 +16,6 @@
 """
 
 import asyncio
-import hashlib
 from typing import Callable
 from typing import Collection
 import uuid
@@ -28,6 +27,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import turn
 
 #: Daemons that hold a reserved token of a group: one may be cut off together
 #: with the primary.
@@ -50,8 +50,7 @@
 ) -> int | None:
     """Return a daemon's rank among the holders of a group, from 0.
 
-    None if it is not a holder.  Uses rendezvous hashing: daemons with the
-    same list agree, and a daemon that joins or leaves changes few groups.
+    None if it is not a holder.
 
     Examples
     ========
@@ -63,12 +62,10 @@
     [0, 1]
 
     """
-
-    def weight(each: ids.DaemonId) -> bytes:
-        return hashlib.blake2b(f"{group}/{each}".encode()).digest()
-
-    holders = sorted(daemons, key=weight)[:HOLDERS]
-    return holders.index(daemon) if daemon in holders else None
+    if daemon not in daemons:
+        return None
+    place = turn.rank(daemon, group, daemons)
+    return place if place < HOLDERS else None
 
 
 class ReservedClaims:
--- a/burdockcart/process/gateway/settings.py
+++ b/burdockcart/process/gateway/settings.py
@@ -15,6 +15,8 @@
         ``ip:port`` on which clients connect.
     ready_address : str
         ``ip:port`` of the load balancer's readiness checks.
+    peer_host, peer_port : str, int
+        Address on which other daemons connect.
     shutdown_s : float
         Time from SIGTERM to SIGKILL, in seconds.
     drain_s : float
@@ -25,6 +27,8 @@
     promotion_claim_s : float
         Least time between promotions of one group by different daemons,
         in seconds.
+    first_start : bool
+        Whether the whole deployment starts for the first time.
     promotions_fenced : bool
         Whether the platform rejects a promotion with an old token, and ends
         the lead of the old primary at a promotion.  Otherwise the old
@@ -38,8 +42,16 @@
     ready_address: str
     store_address: str
     promotion_address: str
+    peer_host: str = "127.0.0.1"
+    peer_port: int = 7440
     shutdown_s: float = 6.0
     drain_s: float = 7.0
     promotion_claim_s: float = 3.0
     manifest_s: float = 3.0
     promotions_fenced: bool = True
+    first_start: bool = False
+
+    @property
+    def peer_address(self) -> str:
+        """``ip:port`` on which other daemons connect."""
+        return f"{self.peer_host}:{self.peer_port}"
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -192,7 +192,9 @@
         A read that was given up at one member may simply be long, so the
         next member gets twice the time for it (``timeout_factor``).
         """
-        refused = await self._attempts.prepare(session, request, connection)
+        refused = await self._attempts.prepare(
+            session.value_by_name, request.shape, connection
+        )
         if refused is not None:
             return refused
         prove = work.primary_only and not request.writes
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -16,6 +16,9 @@
 #: Interval between two polls of the store, as a share of the time in which a
 #: manifest must be in force; one failed poll is tolerated.
 POLL_SHARE = 0.55
+#: Pauses before the first polls, the last one first, in seconds: all daemons
+#: of a new deployment register within about a second of each other.
+FIRST_PAUSES_S = (1.0, 0.6)
 #: Interval between polls while a group waits for a primary, in seconds.
 FAST_POLL_INTERVAL_S = 0.3
 #: Consecutive failures after which the whole store is read again.
@@ -43,8 +46,13 @@
     ) -> None:
         """Apply new entries and remove members that have left."""
 
-    def daemons_counted(self, count: int) -> None:
-        """Apply the number of registered daemons."""
+    def daemons_changed(
+        self, entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry]
+    ) -> None:
+        """Apply a new list of the registered daemons."""
+
+    def fleet_key_changed(self, key: bytes) -> None:
+        """Use another key for links between daemons."""
 
     def awaits_primary(self) -> bool:
         """Return whether a group waits for a new primary."""
@@ -116,6 +124,9 @@
         Receives all changes.
     manifest_s : float
         Time in which a manifest must be in force, in seconds.
+    first_start : bool
+        Whether all daemons are starting for the first time, so that the list
+        of daemons is still incomplete.
 
     """
 
@@ -126,13 +137,19 @@
         loop_clock: clock.Clock,
         rng: random.Random,
         manifest_s: float,
+        first_start: bool,
     ):
+        self._first_pauses_s = list(FIRST_PAUSES_S) if first_start else []
         self._interval_s = POLL_SHARE * manifest_s
         self.current: manifest.Manifest | None = None
         self.catalog = member_catalog.MemberCatalog()
         self.dependency = DependencyState("store", loop_clock)
         self.listed = False
-        self._daemons: set[ids.DaemonId] = set()
+        #: Set once the list of daemons is likely to be complete.
+        self.settled = asyncio.Event()
+        self._entry_by_daemon: dict[ids.DaemonId, coordination.DaemonEntry] = (
+            {}
+        )
         self._platform = platform
         self._listener = listener
         self._clock = loop_clock
@@ -141,7 +158,7 @@
     @property
     def daemons(self) -> frozenset[ids.DaemonId]:
         """The registered daemons."""
-        return frozenset(self._daemons)
+        return frozenset(self._entry_by_daemon)
 
     async def run(self) -> None:
         """Read the store and poll its changes until cancelled."""
@@ -162,11 +179,7 @@
         """
         failures = 0
         while True:
-            await asyncio.sleep(
-                FAST_POLL_INTERVAL_S
-                if self._listener.awaits_primary()
-                else self._interval_s
-            )
+            await asyncio.sleep(self._pause_s())
             seen = await self._platform.changes(revision)
             if isinstance(seen, result.Failure):
                 if seen.failure() is coordination.CallFault.HISTORY_LOST:
@@ -184,6 +197,16 @@
             changes = seen.unwrap()
             revision = max(revision, changes.revision)
             self._use_changes(changes)
+            if not self._first_pauses_s:
+                self.settled.set()
+
+    def _pause_s(self) -> float:
+        """Return the pause before the next poll."""
+        if self._first_pauses_s:
+            return self._first_pauses_s.pop()
+        if self._listener.awaits_primary():
+            return FAST_POLL_INTERVAL_S
+        return self._interval_s
 
     def _use_contents(self, found: coordination.StoreSnapshot) -> None:
         self.catalog.listed(found.entry_by_member, self._clock.now())
@@ -191,8 +214,12 @@
         if found.tables is not None:
             self._use_manifest(found.tables)
         self._notify_members(list(found.entry_by_member.values()))
-        self._daemons = set(found.daemons)
-        self._listener.daemons_counted(len(self._daemons))
+        if found.fleet_key is not None:
+            self._listener.fleet_key_changed(found.fleet_key)
+        self._entry_by_daemon = dict(found.daemon_by_id)
+        if not self._first_pauses_s:
+            self.settled.set()
+        self._listener.daemons_changed(self._entry_by_daemon)
 
     def _use_changes(self, changes: coordination.StoreChanges) -> None:
         for found in changes.tables:
@@ -202,12 +229,15 @@
         self._notify_members(
             [each for each in entries.values() if each is not None]
         )
-        for daemon, listed in changes.listed_by_daemon.items():
-            if listed:
-                self._daemons.add(daemon)
+        if changes.fleet_key is not None:
+            self._listener.fleet_key_changed(changes.fleet_key)
+        for daemon, entry in changes.entry_by_daemon.items():
+            if entry is None:
+                self._entry_by_daemon.pop(daemon, None)
             else:
-                self._daemons.discard(daemon)
-        self._listener.daemons_counted(len(self._daemons))
+                self._entry_by_daemon[daemon] = entry
+        if changes.entry_by_daemon:
+            self._listener.daemons_changed(self._entry_by_daemon)
 
     async def _failed(self, fault: coordination.CallFault) -> None:
         self.dependency.failed(fault)
@@ -240,17 +270,18 @@
 class Listing:
     """Keeps this daemon registered in the list of daemons.
 
-    Each daemon may use an equal share of the connections that a member
-    accepts, and the share follows from the number of registered daemons.
+    The connections that members accept are divided among the registered
+    daemons, and these find each other's addresses there.
     """
 
     def __init__(
         self,
-        daemon: ids.DaemonId,
+        entry: coordination.DaemonEntry,
         platform: coordination.Platform,
         rng: random.Random,
     ):
-        self._daemon = daemon
+        self._entry = entry
+        self._lease: int | None = None
         self._platform = platform
         self._backoff = Backoff(rng)
         self._rng = rng
@@ -259,13 +290,19 @@
         """Stay registered until cancelled."""
         while True:
             registered = await self._platform.register_daemon(
-                self._daemon, REGISTRATION_TTL_S
+                self._entry, REGISTRATION_TTL_S
             )
             if isinstance(registered, result.Failure):
                 await self._backoff.pause()
                 continue
             self._backoff.succeeded()
-            await self._renew(registered.unwrap())
+            self._lease = registered.unwrap()
+            await self._renew(self._lease)
+
+    async def leave(self) -> None:
+        """End the registration, so that no daemon relies on this one."""
+        if self._lease is not None:
+            await self._platform.unregister_daemon(self._lease)
 
     async def _renew(self, lease: int) -> None:
         """Renew the lease until it has ended."""
--- a/burdockcart/process/gateway/tests/test_load.py
+++ b/burdockcart/process/gateway/tests/test_load.py
@@ -5,6 +5,7 @@
 import testtools
 
 from burdockcart import errors
+from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import shutdown_plan
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.request import command
@@ -276,8 +277,12 @@
         """
 
         async def check(deployment):
-            deployment.platform.daemons |= {
-                f"d{number}" for number in range(31)
+            # The others cannot be reached, so this one connects directly.
+            deployment.platform.daemon_by_id |= {
+                f"x{number}": coordination.DaemonEntry(
+                    f"x{number}", f"x{number}:1", "a", "1"
+                )
+                for number in range(30)
             }
             deployment.platform.put_tables(
                 gateway_deployment.tables(2, connections=46)
--- a/burdockcart/process/gateway/transaction_runner.py
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -127,7 +127,9 @@
             self._attempts.log_placement(
                 group, request, connection, work, attempt
             )
-            answer = await self._attempts.prepare(session, request, connection)
+            answer = await self._attempts.prepare(
+                session.value_by_name, request.shape, connection
+            )
             if answer is None:
                 answer = await self._begin_on(group, connection, work)
             if answer.fault is None:
@@ -196,7 +198,9 @@
         """Run one statement on the transaction's connection."""
         connection = transaction.connection
         assert connection is not None
-        refused = await self._attempts.prepare(session, request, connection)
+        refused = await self._attempts.prepare(
+            session.value_by_name, request.shape, connection
+        )
         if refused is not None:
             return refused
         commits = request.statement.kind is command.CommandKind.COMMIT
--- /dev/null
+++ b/burdockcart/process/peers/holder_link.py
@@ -0,0 +1,147 @@
+"""Client side of a link: requests to a holder and their answers."""
+
+import asyncio
+import itertools
+from typing import Callable
+
+import loguru
+import msgspec
+
+from burdockcart import clock
+from burdockcart import ids
+from burdockcart.process.peers import frames
+from burdockcart.process.peers import messages
+from burdockcart.process.peers import tcp
+
+#: Time without an answer after which the holder is pinged, in seconds.
+PING_AFTER_S = 0.1
+#: Time without anything from a pinged holder after which no new statements
+#: are sent to it, in seconds: it may be frozen or cut off.  What it has
+#: accepted goes on.
+SUSPECT_AFTER_S = 0.25
+
+
+class HolderLink:
+    """Link to one holder, shared by all statements that it relays.
+
+    Parameters
+    ==========
+
+    daemon : DaemonId
+        The holder.
+
+    """
+
+    def __init__(
+        self,
+        daemon: ids.DaemonId,
+        transport: tcp.Transport,
+        loop_clock: clock.Clock,
+    ):
+        self.daemon = daemon
+        self.leaving = False
+        self._transport = transport
+        self._clock = loop_clock
+        self._numbers = itertools.count(1)
+        self.transactions = itertools.count(1)
+        self._future_by_number: dict[
+            int, asyncio.Future[messages.Reply | None]
+        ] = {}
+        self._received_at = loop_clock.now()
+        #: When the oldest request or ping that nothing followed was sent.
+        self._awaiting_since: float | None = None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the link has ended."""
+        return self._transport.is_closed
+
+    @property
+    def pending(self) -> int:
+        """Number of requests without an answer."""
+        return len(self._future_by_number)
+
+    def usable(self) -> bool:
+        """Return whether new statements may be sent to the holder."""
+        return not (self.is_closed or self.leaving or self.suspect())
+
+    def suspect(self) -> bool:
+        """Return whether the holder has been silent for too long."""
+        since = self._awaiting_since
+        return (
+            since is not None and self._clock.now() - since >= SUSPECT_AFTER_S
+        )
+
+    async def request(
+        self,
+        build: Callable[[int], messages.Request],
+        timeout_s: float,
+    ) -> messages.Reply | None:
+        """Send a request; return its answer, or None if the link ended.
+
+        Raises
+        ======
+
+        TimeoutError
+            If there is no answer in time.
+
+        """
+        number = next(self._numbers)
+        future: asyncio.Future[messages.Reply | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        if self.is_closed:
+            return None
+        self._future_by_number[number] = future
+        self._send(build(number))
+        try:
+            async with asyncio.timeout(timeout_s):
+                while True:
+                    done, _ = await asyncio.wait(
+                        {future}, timeout=PING_AFTER_S
+                    )
+                    if done:
+                        return future.result()
+                    self._ping_if_silent()
+        finally:
+            self._future_by_number.pop(number, None)
+
+    def _ping_if_silent(self) -> None:
+        if self._clock.now() - self._received_at >= PING_AFTER_S:
+            self._send(messages.Ping(0))
+
+    def send(self, message: messages.Request) -> None:
+        """Send a message that is not answered."""
+        self._transport.send(messages.encode(message))
+
+    def _send(self, message: messages.Request) -> None:
+        if self._awaiting_since is None:
+            self._awaiting_since = self._clock.now()
+        self.send(message)
+
+    def received(self, content: bytes) -> None:
+        """Handle a message of the holder."""
+        self._received_at = self._clock.now()
+        self._awaiting_since = None
+        try:
+            message = messages.reply_decoder.decode(content)
+        except msgspec.MsgspecError as error:
+            raise frames.FrameError(f"invalid message: {error}") from None
+        if isinstance(message, messages.Leaving):
+            self.leaving = True
+            loguru.logger.info("event=holder_leaving daemon={}", self.daemon)
+        elif not isinstance(message, messages.Pong):
+            # The answer to a request that was given up is dropped.
+            future = self._future_by_number.get(message.number)
+            if future is not None and not future.done():
+                future.set_result(message)
+
+    def closed(self) -> None:
+        """End all requests without an answer."""
+        for future in self._future_by_number.values():
+            if not future.done():
+                future.set_result(None)
+
+    def close(self) -> None:
+        """End the link."""
+        self._transport.close()
--- /dev/null
+++ b/burdockcart/process/peers/holding.py
@@ -0,0 +1,100 @@
+"""Members whose connections this daemon holds."""
+
+from typing import Iterable
+
+from burdockcart import clock
+from burdockcart import ids
+from burdockcart.process.gateway import connection_share
+from burdockcart.process.gateway import coordination
+from burdockcart.process.peers import holder_choice
+from burdockcart.version import manifest
+
+#: Assumed number of daemons before the first list.
+INITIAL_DAEMONS = 4
+#: Daemons that follow the holders and take over when they are lost.
+SUCCESSORS = 2
+#: Time for which a daemon goes on to hold a member after another daemon last
+#: relayed through it, in seconds: longer than the pause between two polls of
+#: the list of daemons, so that its connections last until all lists agree.
+DRAFTED_S = 4.0
+#: Connections of a daemon to a member by way of its holders.  They cost the
+#: member nothing; the number bounds what one daemon has at a member.
+RELAYED = connection_share.Share(16, 16)
+
+
+class Holding:
+    """Chooses the holders of members from the list of daemons."""
+
+    def __init__(self, daemon: ids.DaemonId, loop_clock: clock.Clock):
+        self._daemon = daemon
+        self._clock = loop_clock
+        self._started_at = loop_clock.now()
+        self._entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry] = {}
+        self._count = connection_share.DaemonCount(
+            INITIAL_DAEMONS, loop_clock.now()
+        )
+        self._daemons = INITIAL_DAEMONS
+        self._drafted_until: dict[ids.MemberId, float] = {}
+        self._holders_by_member: dict[
+            tuple[ids.MemberId, int], holder_choice.Holders
+        ] = {}
+
+    def use_daemons(self, entries: Iterable[coordination.DaemonEntry]) -> None:
+        """Use a new list of daemons."""
+        self._entry_by_id = {each.id: each for each in entries}
+        self._daemons = self._count.record_count(
+            len(self._entry_by_id), self._clock.now()
+        )
+        self._holders_by_member.clear()
+
+    def holders(
+        self, member: manifest.MemberEntry, connections: int
+    ) -> holder_choice.Holders | None:
+        """Return the holders of a member; None if all daemons hold it."""
+        count = holder_choice.holder_count(connections, self._daemons)
+        if count >= self._daemons or not self._entry_by_id:
+            return None
+        key = (member.id, count)
+        found = self._holders_by_member.get(key)
+        if found is None:
+            ranked = holder_choice.rank(
+                member.id, member.domain, self._entry_by_id.values()
+            )
+            found = holder_choice.Holders(
+                tuple(ranked[: count + SUCCESSORS]), count
+            )
+            self._holders_by_member[key] = found
+        return found
+
+    def draft(self, member: ids.MemberId) -> bool:
+        """Hold a member because another daemon relays through this one.
+
+        Returns True if the daemon did not hold it before.
+        """
+        now = self._clock.now()
+        new = self._drafted_until.get(member, 0.0) < now
+        self._drafted_until[member] = now + DRAFTED_S
+        return new
+
+    def holds(self, member: manifest.MemberEntry, connections: int) -> bool:
+        """Return whether this daemon connects to a member directly."""
+        holders = self.holders(member, connections)
+        if holders is None:
+            return True
+        if self._drafted_until.get(member.id, 0.0) >= self._clock.now():
+            return True
+        active = holders.ranked[: holders.count]
+        return any(each.id == self._daemon for each in active)
+
+    def share(
+        self, member: manifest.MemberEntry, connections: int
+    ) -> connection_share.Share:
+        """Return the limits of this daemon's connections to a member."""
+        if not self.holds(member, connections):
+            return RELAYED
+        holders = self.holders(member, connections)
+        return connection_share.share_of(
+            connections,
+            self._daemons if holders is None else holders.count,
+            self._clock.now() - self._started_at,
+        )
--- /dev/null
+++ b/burdockcart/process/peers/messages.py
@@ -0,0 +1,202 @@
+"""Messages between a daemon and the holder of a member's connections.
+
+They are encoded as msgpack arrays.  ``number`` connects an answer to its
+request and increases on each link.  Durations are milliseconds.
+"""
+
+from typing import Union
+
+import msgspec
+
+from burdockcart.connection import member_channel
+from burdockcart import ids
+from burdockcart.request import command
+from burdockcart.request import log_position
+
+
+class Urgency(msgspec.Struct, frozen=True, array_like=True):
+    """How a statement is ordered among the waiting ones.
+
+    Parameters
+    ==========
+
+    goal_ms, wait_ms : int
+        Time left until its latency goal, and until it may no longer wait for
+        a connection.
+
+    """
+
+    priority: int = 0
+    goal_ms: int = 0
+    wait_ms: int = 0
+
+
+class Run(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Run a client's statement.
+
+    Parameters
+    ==========
+
+    transaction : int
+        Transaction of this link that it belongs to; 0 for none.
+
+    """
+
+    number: int
+    group: ids.GroupId
+    member: ids.MemberId
+    transaction: int
+    statement: ids.StatementId
+    kind: command.CommandKind
+    text: str
+    argument: str
+    shape: tuple[bool, str] | None
+    value_by_name: dict[str, str]
+    after: tuple[int, int] | None
+    prove: bool
+    timeout_ms: int
+    urgency: Urgency
+
+
+class Begin(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Begin a transaction on a connection of its own."""
+
+    number: int
+    group: ids.GroupId
+    member: ids.MemberId
+    transaction: int
+    read_only: bool
+    shape: tuple[bool, str] | None
+    value_by_name: dict[str, str]
+    after: tuple[int, int] | None
+    timeout_ms: int
+    urgency: Urgency
+
+
+class RollBack(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """End a transaction and return its connection; it is answered."""
+
+    number: int
+    transaction: int
+    timeout_ms: int
+
+
+class Discard(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Close the connection of a transaction; there is no answer."""
+
+    transaction: int
+
+
+class Action(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Query or change the replication state of a member.
+
+    Parameters
+    ==========
+
+    action : str
+        Name of a method of :class:`member_channel.Channel`.
+
+    """
+
+    number: int
+    group: ids.GroupId
+    member: ids.MemberId
+    action: str
+    term: int
+    timeout_ms: int
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Ask whether the other daemon is running."""
+
+    number: int
+
+
+class Answered(msgspec.Struct, frozen=True, array_like=True, tag=20):
+    """Answer of a member, or the reason why it has none."""
+
+    number: int
+    fault: member_channel.MemberFault | None
+    text: str
+    rows: tuple[str, ...]
+    receipt: str
+    state: member_channel.TransactionState
+    position: tuple[int, int] | None
+
+
+class Status(msgspec.Struct, frozen=True, array_like=True, tag=21):
+    """Status of a member."""
+
+    number: int
+    role: member_channel.Role
+    term: int
+    received: tuple[int, int]
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag=22):
+    """Answer to a ping."""
+
+    number: int
+
+
+class Leaving(msgspec.Struct, frozen=True, array_like=True, tag=23):
+    """The sender is shutting down and takes no new statements."""
+
+
+Request = Union[Run, Begin, RollBack, Discard, Action, Ping]
+Reply = Union[Answered, Status, Pong, Leaving]
+
+encode = msgspec.msgpack.Encoder().encode
+request_decoder: msgspec.msgpack.Decoder[Request] = msgspec.msgpack.Decoder(
+    Request
+)
+reply_decoder: msgspec.msgpack.Decoder[Reply] = msgspec.msgpack.Decoder(Reply)
+
+
+def position_pair(
+    position: log_position.LogPosition | None,
+) -> tuple[int, int] | None:
+    """Return a log position as it is sent."""
+    return None if position is None else (position.term, position.number)
+
+
+def read_position(
+    pair: tuple[int, int] | None,
+) -> log_position.LogPosition | None:
+    """Return a log position that was received."""
+    return None if pair is None else log_position.LogPosition(*pair)
+
+
+def shape_pair(shape: command.Shape | None) -> tuple[bool, str] | None:
+    """Return a prepared shape as it is sent."""
+    return None if shape is None else (shape.writes, shape.text)
+
+
+def read_shape(pair: tuple[bool, str] | None) -> command.Shape | None:
+    """Return a prepared shape that was received."""
+    return None if pair is None else command.Shape(*pair)
+
+
+def answered(number: int, answer: member_channel.Answer) -> Answered:
+    """Return the message for an answer."""
+    return Answered(
+        number,
+        answer.fault,
+        answer.text,
+        answer.rows,
+        answer.receipt,
+        answer.state,
+        position_pair(answer.position),
+    )
+
+
+def read_answer(message: Answered) -> member_channel.Answer:
+    """Return the answer in a message."""
+    return member_channel.Answer(
+        rows=message.rows,
+        receipt=message.receipt,
+        fault=message.fault,
+        text=message.text,
+        state=message.state,
+        position=read_position(message.position),
+    )
--- /dev/null
+++ b/burdockcart/process/peers/relay.py
@@ -0,0 +1,148 @@
+"""The part of a daemon that acts together with other daemons."""
+
+import random
+from typing import Protocol
+
+import loguru
+
+from burdockcart import clock
+from burdockcart.connection import member_channel
+from burdockcart import ids
+from burdockcart.process.gateway import attempts
+from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import member_pool
+from burdockcart.process.peers import holder_choice
+from burdockcart.process.peers import holding
+from burdockcart.process.peers import relay_connector
+from burdockcart.process.peers import relay_service
+
+
+class Peers(relay_connector.Dialer, Protocol):
+    """Opens and accepts links."""
+
+    async def listen(
+        self,
+        address: str,
+        accept: relay_service.Accept,
+    ) -> None:
+        """Accept links on ``ip:port``."""
+
+    def close_links(self) -> None:
+        """Close all accepted links."""
+
+    def stop(self) -> None:
+        """Close all accepted links and accept no more."""
+
+
+class Relay:
+    """Holds members for other daemons and relays through them.
+
+    Parameters
+    ==========
+
+    direct : Connector
+        Opens connections to members.
+    group_by_id : dict of GroupId to Group
+        Owned by the application.
+
+    """
+
+    def __init__(
+        self,
+        daemon: ids.DaemonId,
+        peers: Peers,
+        direct: member_channel.Connector,
+        group_by_id: dict[ids.GroupId, groups.Group],
+        sender: attempts.StatementSender,
+        loop_clock: clock.Clock,
+        rng: random.Random,
+    ):
+        self.holding = holding.Holding(daemon, loop_clock)
+        self._daemon = daemon
+        self._peers = peers
+        self._group_by_id = group_by_id
+        self._links = relay_connector.HolderLinks(peers, loop_clock, rng)
+        self.service = relay_service.RelayService(self, sender, loop_clock)
+        self.connector = relay_connector.RelayConnector(
+            direct, self._links, self
+        )
+
+    async def start(self, address: str) -> None:
+        """Accept links of other daemons."""
+        await self._peers.listen(address, self.service.accept)
+
+    def leave(self) -> None:
+        """Tell all daemons that this one takes no new statements."""
+        self.service.leave()
+
+    def stop(self) -> None:
+        """Close all links."""
+        self._links.close()
+        self._peers.stop()
+
+    def close_links(self) -> None:
+        """End all links, for example when the fleet's key has changed."""
+        self._links.close()
+        self._peers.close_links()
+
+    @property
+    def open_links(self) -> int:
+        """Number of links that this daemon has opened."""
+        return self._links.open_count
+
+    def use_daemons(
+        self, entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry]
+    ) -> None:
+        """Use a new list of daemons."""
+        self.holding.use_daemons(entry_by_id.values())
+        self._links.keep(set(entry_by_id))
+
+    def _pool(
+        self, member: ids.MemberId
+    ) -> tuple[groups.Group, member_pool.MemberPool] | None:
+        for group in self._group_by_id.values():
+            pool = group.pool_by_member.get(member)
+            if pool is not None:
+                return group, pool
+        return None
+
+    def holders_of(
+        self, member: ids.MemberId
+    ) -> list[coordination.DaemonEntry] | None:
+        """Return the daemons to relay through; None to connect directly."""
+        found = self._pool(member)
+        if found is None:
+            return None
+        group, pool = found
+        connections = group.limits.connections
+        if self.holding.holds(pool.entry, connections):
+            return None
+        holders = self.holding.holders(pool.entry, connections)
+        assert holders is not None
+        return [
+            entry
+            for entry in holder_choice.in_order(self._daemon, member, holders)
+            if entry.id != self._daemon
+        ]
+
+    def hold(self, member: ids.MemberId) -> None:
+        """Connect to a member directly from now on."""
+        found = self._pool(member)
+        if found is None:
+            return
+        if self.holding.draft(member):
+            loguru.logger.info("event=member_held member={}", member)
+        found[0].apply_shares()
+
+    def held_pool(
+        self, group: ids.GroupId, member: ids.MemberId
+    ) -> tuple[groups.Group, member_pool.MemberPool] | None:
+        """Return a member's pool of direct connections, if it is known."""
+        found = self._group_by_id.get(group)
+        pool = None if found is None else found.pool_by_member.get(member)
+        if found is None or pool is None:
+            return None
+        if not pool.direct:
+            self.hold(member)
+        return found, pool
--- /dev/null
+++ b/burdockcart/process/peers/relay_connector.py
@@ -0,0 +1,199 @@
+"""Opens connections to members, directly or by way of their holders."""
+
+import asyncio
+import random
+from typing import Callable
+from typing import Protocol
+
+import loguru
+
+from burdockcart import clock
+from burdockcart.connection import member_channel
+from burdockcart import ids
+from burdockcart.process.gateway import coordination
+from burdockcart.process.peers import holder_link
+from burdockcart.process.peers import relayed_channel
+from burdockcart.process.peers import tcp
+
+#: Backoff after a link could not be opened, in seconds, with jitter: all
+#: daemons lose a holder at the same moment.
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 2.0
+
+
+class Dialer(Protocol):
+    """Opens links to daemons."""
+
+    async def dial(
+        self,
+        daemon: ids.DaemonId,
+        address: str,
+        accept: Callable[[tcp.Transport], tcp.Receiver],
+    ) -> tcp.Transport | None:
+        """Open a link to a daemon; None if it cannot be opened."""
+
+
+class Route(Protocol):
+    """Tells how members are reached."""
+
+    def holders_of(
+        self, member: ids.MemberId
+    ) -> list[coordination.DaemonEntry] | None:
+        """Return the daemons to relay through; None to connect directly."""
+
+    def hold(self, member: ids.MemberId) -> None:
+        """Connect to a member directly from now on."""
+
+
+class HolderLinks:
+    """Links to the holders that this daemon uses, opened on demand."""
+
+    def __init__(
+        self,
+        dialer: Dialer,
+        loop_clock: clock.Clock,
+        rng: random.Random,
+    ):
+        self._dialer = dialer
+        self._clock = loop_clock
+        self._rng = rng
+        self._link_by_daemon: dict[ids.DaemonId, holder_link.HolderLink] = {}
+        self._incarnation_by_daemon: dict[ids.DaemonId, ids.Incarnation] = {}
+        self._dial_by_daemon: dict[
+            ids.DaemonId, asyncio.Task[holder_link.HolderLink | None]
+        ] = {}
+        self._failures: dict[ids.DaemonId, int] = {}
+        self._retry_at: dict[ids.DaemonId, float] = {}
+        self._listed: set[ids.DaemonId] = set()
+        #: Counts the changes of the list of daemons.
+        self._generation = 0
+
+    @property
+    def open_count(self) -> int:
+        """Number of open links."""
+        links = self._link_by_daemon.values()
+        return sum(not link.is_closed for link in links)
+
+    async def link(
+        self, entry: coordination.DaemonEntry
+    ) -> holder_link.HolderLink | None:
+        """Return a usable link to a daemon; None if there is none now."""
+        link = self._link_by_daemon.get(entry.id)
+        known = self._incarnation_by_daemon.get(entry.id)
+        if known != entry.incarnation:
+            # It has started again; failures of the former process are past.
+            self._retry_at.pop(entry.id, None)
+            self._failures.pop(entry.id, None)
+            self._incarnation_by_daemon[entry.id] = entry.incarnation
+        if link is not None and not link.is_closed:
+            return link if link.usable() else None
+        if self._clock.now() < self._retry_at.get(entry.id, 0.0):
+            return None
+        running = self._dial_by_daemon.get(entry.id)
+        if running is None:
+            running = asyncio.create_task(
+                self._dial(entry), name="dial_holder"
+            )
+            self._dial_by_daemon[entry.id] = running
+            running.add_done_callback(
+                lambda _: self._dial_by_daemon.pop(entry.id, None)
+            )
+        return await asyncio.shield(running)
+
+    async def _dial(
+        self, entry: coordination.DaemonEntry
+    ) -> holder_link.HolderLink | None:
+        opened: list[holder_link.HolderLink] = []
+
+        def accept(transport: tcp.Transport) -> tcp.Receiver:
+            opened.append(
+                holder_link.HolderLink(entry.id, transport, self._clock)
+            )
+            return opened[0]
+
+        if await self._dialer.dial(entry.id, entry.address, accept) is None:
+            failures = self._failures.get(entry.id, 0) + 1
+            self._failures[entry.id] = failures
+            longest_s = min(RETRY_MIN_S * 2**failures, RETRY_MAX_S)
+            pause_s = self._rng.uniform(RETRY_MIN_S, longest_s)
+            self._retry_at[entry.id] = self._clock.now() + pause_s
+            loguru.logger.info(
+                "event=holder_unreachable daemon={} failures={}",
+                entry.id,
+                failures,
+            )
+            return None
+        self._failures.pop(entry.id, None)
+        self._link_by_daemon[entry.id] = opened[0]
+        return opened[0]
+
+    def keep(self, daemons: set[ids.DaemonId]) -> None:
+        """Close unused links to daemons that are no longer listed."""
+        if daemons != self._listed:
+            self._listed = daemons
+            self._generation += 1
+        for daemon, link in list(self._link_by_daemon.items()):
+            if daemon not in daemons and not link.pending:
+                link.close()
+                del self._link_by_daemon[daemon]
+
+    def unchanged(self) -> Callable[[], bool]:
+        """Return a function that tells whether the list is as it is now."""
+        generation = self._generation
+        return lambda: generation == self._generation
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self._link_by_daemon.values():
+            link.close()
+
+
+class RelayConnector:
+    """Connects to members directly or by way of a holder.
+
+    Parameters
+    ==========
+
+    direct : Connector
+        Opens connections to members.
+
+    """
+
+    def __init__(
+        self,
+        direct: member_channel.Connector,
+        links: HolderLinks,
+        route: Route,
+    ):
+        self._direct = direct
+        self._links = links
+        self._route = route
+
+    async def reach(
+        self, member: member_channel.MemberAddress, timeout_s: float
+    ) -> member_channel.MemberFault | None:
+        """Return why a member accepts no connection; None if it accepts.
+
+        The check is direct: it tells a lost member from a lost holder, and
+        takes none of the member's connections.
+        """
+        return await self._direct.reach(member, timeout_s)
+
+    async def connect(
+        self, member: member_channel.MemberAddress, timeout_s: float
+    ) -> member_channel.Channel | member_channel.MemberFault:
+        """Open a connection, or choose a holder to relay through.
+
+        If no holder can be reached, this daemon becomes one: the daemons
+        between which the network is partitioned each use what they reach.
+        """
+        holders = self._route.holders_of(member.id)
+        if holders is not None:
+            for entry in holders:
+                link = await self._links.link(entry)
+                if link is not None:
+                    return relayed_channel.RelayedChannel(
+                        link, member, self._links.unchanged()
+                    )
+            self._route.hold(member.id)
+        return await self._direct.connect(member, timeout_s)
--- /dev/null
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -0,0 +1,253 @@
+"""Connection to a member by way of one of its holders."""
+
+import asyncio
+from typing import Callable
+
+from burdockcart.connection import member_channel
+from burdockcart.connection import member_session
+from burdockcart.process.peers import holder_link
+from burdockcart.process.peers import messages
+from burdockcart.request import command
+from burdockcart.request import log_position
+
+#: Added to the time that a member has for an answer, in seconds: the way to
+#: the holder and back.
+HOP_S = 0.02
+#: Time that a statement has for its latency goal if none was given.
+DEFAULT_WAIT_MS = 300
+
+Fault = member_channel.MemberFault
+
+
+class RelayedChannel:
+    """One statement or transaction at a time; see :class:`Channel`.
+
+    Explanation
+    ===========
+
+    The holder chooses a connection for each statement outside of a
+    transaction, and prepares it; so the steps that prepare a session are kept
+    here and sent with the statement.
+
+    Parameters
+    ==========
+
+    chosen : callable
+        Returns whether the holder is still the one to relay through.
+
+    """
+
+    def __init__(
+        self,
+        link: holder_link.HolderLink,
+        member: member_channel.MemberAddress,
+        chosen: Callable[[], bool] = lambda: True,
+    ):
+        self._chosen = chosen
+        self._link = link
+        self._member = member
+        self._value_by_name: dict[str, str] = {}
+        self._transaction = 0
+        self._shape: command.Shape | None = None
+        self._urgency = messages.Urgency(wait_ms=DEFAULT_WAIT_MS)
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended.
+
+        An unused one also ends when its holder leaves or falls silent, or
+        when another holder may have to be chosen.
+        """
+        if self._closed or self._link.is_closed:
+            return True
+        if self._transaction:
+            return False
+        return not (self._link.usable() and self._chosen())
+
+    def close(self) -> None:
+        """End the transaction, whatever its state."""
+        self._closed = True
+        if self._transaction:
+            self._link.send(messages.Discard(self._transaction))
+            self._transaction = 0
+
+    def relay_silent(self) -> bool:
+        """Return whether the holder is silent."""
+        return self._link.is_closed or self._link.suspect()
+
+    def set_urgency(self, priority: int, goal_s: float, wait_s: float) -> None:
+        """Set how the next statements are ordered at the holder."""
+        self._urgency = messages.Urgency(
+            priority, int(goal_s * 1000), max(int(wait_s * 1000), 1)
+        )
+
+    async def _answer(self, build, timeout_s: float) -> member_channel.Answer:
+        """Send a request; return the answer or the fault of the relay."""
+        try:
+            reply = await self._link.request(build, timeout_s + HOP_S)
+        except TimeoutError:
+            self.close()
+            if self._link.suspect():
+                return _fault(Fault.RELAY_LOST, "the holder is silent")
+            return _fault(Fault.SILENT, "no answer")
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        if isinstance(reply, messages.Answered):
+            return messages.read_answer(reply)
+        self._closed = True
+        return _fault(Fault.RELAY_LOST, "the link to the holder ended")
+
+    async def prepare(
+        self, steps: list[member_session.Step], timeout_s: float
+    ) -> list[member_channel.Answer]:
+        """Keep the session's state for the next statement."""
+        for step in steps:
+            if step.kind is member_session.StepKind.RESET:
+                self._value_by_name = {}
+            elif step.kind is member_session.StepKind.SET:
+                self._value_by_name[step.name] = step.value
+        return [member_channel.Answer() for _ in steps]
+
+    async def run(
+        self,
+        statement: command.Command,
+        shape: command.Shape | None,
+        timeout_s: float,
+        after: log_position.LogPosition | None = None,
+        prove: bool = False,
+    ) -> member_channel.Answer:
+        """Run a client's statement."""
+
+        def build(number: int) -> messages.Run:
+            return messages.Run(
+                number,
+                self._member.group,
+                self._member.id,
+                self._transaction,
+                statement.id,
+                statement.kind,
+                statement.text,
+                statement.argument,
+                messages.shape_pair(shape),
+                self._value_by_name,
+                messages.position_pair(after),
+                prove,
+                int(timeout_s * 1000),
+                self._urgency,
+            )
+
+        answer = await self._answer(build, timeout_s)
+        if answer.state is member_channel.TransactionState.IDLE and (
+            answer.fault is None
+        ):
+            # The holder has taken the connection back.
+            self._transaction = 0
+        return answer
+
+    async def begin(
+        self,
+        read_only: bool,
+        timeout_s: float,
+        after: log_position.LogPosition | None = None,
+    ) -> member_channel.Answer:
+        """Begin a transaction on a connection of its own."""
+        transaction = next(self._link.transactions)
+        wait_s = self._urgency.wait_ms / 1000
+
+        def build(number: int) -> messages.Begin:
+            return messages.Begin(
+                number,
+                self._member.group,
+                self._member.id,
+                transaction,
+                read_only,
+                None,
+                self._value_by_name,
+                messages.position_pair(after),
+                int(timeout_s * 1000),
+                self._urgency,
+            )
+
+        self._transaction = transaction
+        answer = await self._answer(build, timeout_s + wait_s)
+        if answer.fault is not None:
+            self._transaction = 0
+        return answer
+
+    async def roll_back(self, timeout_s: float) -> member_channel.Answer:
+        """Roll back the open transaction; the holder keeps the connection."""
+        transaction, self._transaction = self._transaction, 0
+        if not transaction:
+            return member_channel.Answer()
+        return await self._answer(
+            lambda number: messages.RollBack(
+                number, transaction, int(timeout_s * 1000)
+            ),
+            timeout_s,
+        )
+
+    async def observe(
+        self, timeout_s: float
+    ) -> member_channel.MemberStatus | Fault:
+        """Ask for the member's status; takes none of its slots."""
+        return await self._status("observe", 0, timeout_s)
+
+    async def demote(
+        self, term: int, timeout_s: float
+    ) -> member_channel.MemberStatus | Fault:
+        """Make the member a replica if it leads a term below ``term``."""
+        return await self._status("demote", term, timeout_s)
+
+    async def hold_replication(
+        self, term: int, timeout_s: float
+    ) -> member_channel.MemberStatus | Fault:
+        """Pause replication on a replica until it is released."""
+        return await self._status("hold_replication", term, timeout_s)
+
+    async def _status(
+        self, action: str, term: int, timeout_s: float
+    ) -> member_channel.MemberStatus | Fault:
+        try:
+            reply = await self._link.request(
+                lambda number: self._action(number, action, term, timeout_s),
+                timeout_s + HOP_S,
+            )
+        except TimeoutError:
+            silent = Fault.RELAY_LOST if self._link.suspect() else Fault.SILENT
+            return silent
+        if isinstance(reply, messages.Status):
+            return member_channel.MemberStatus(
+                reply.role,
+                reply.term,
+                log_position.LogPosition(*reply.received),
+            )
+        if isinstance(reply, messages.Answered) and reply.fault is not None:
+            return reply.fault
+        return Fault.RELAY_LOST
+
+    def _action(
+        self, number: int, action: str, term: int, timeout_s: float
+    ) -> messages.Action:
+        return messages.Action(
+            number,
+            self._member.group,
+            self._member.id,
+            action,
+            term,
+            int(timeout_s * 1000),
+        )
+
+    async def release_replication(
+        self, timeout_s: float
+    ) -> member_channel.Answer:
+        """Resume replication on a replica."""
+        status = await self._status("release_replication", 0, timeout_s)
+        if isinstance(status, Fault):
+            return _fault(status, status.value)
+        return member_channel.Answer()
+
+
+def _fault(fault: Fault, text: str) -> member_channel.Answer:
+    return member_channel.Answer(fault=fault, text=text)
--- /dev/null
+++ b/burdockcart/process/peers/tests/test_tcp.py
@@ -0,0 +1,180 @@
+"""Tests links over real sockets."""
+
+import asyncio
+
+import testtools
+
+from burdockcart.process.peers import frames
+from burdockcart.process.peers import tcp
+
+HOST = "127.0.0.1"
+
+
+class Recorder:
+    """Records what arrives on a link."""
+
+    def __init__(self, transport):
+        self.transport = transport
+        self.contents = []
+        self.ended = asyncio.Event()
+        self.arrived = asyncio.Event()
+
+    def received(self, content):
+        """Record a frame; 'bad' is invalid, 'boom' an unexpected error."""
+        if content == b"bad":
+            raise frames.FrameError("bad")
+        if content == b"boom":
+            raise RuntimeError("boom")
+        self.contents.append(content)
+        self.arrived.set()
+
+    def closed(self):
+        """Record the end."""
+        self.ended.set()
+
+
+class Pair:
+    """A listening and a dialing daemon."""
+
+    def __init__(self, listener_key=b"key", dialer_key=b"key"):
+        self.accepted = []
+        self.listener = tcp.TcpPeers("holder", "1", lambda: listener_key)
+        self.dialer = tcp.TcpPeers("sender", "1", lambda: dialer_key)
+
+    async def start(self):
+        """Listen on a free port."""
+        await self.listener.listen(f"{HOST}:0", self._accept)
+        socket = self.listener._server.sockets[0]
+        self.port = socket.getsockname()[1]
+        return self
+
+    def _accept(self, daemon, transport):
+        self.accepted.append(Recorder(transport))
+        return self.accepted[-1]
+
+    async def dial(self, daemon="holder"):
+        """Open a link; return its recorder or None."""
+        opened = []
+
+        def accept(transport):
+            opened.append(Recorder(transport))
+            return opened[0]
+
+        link = await self.dialer.dial(daemon, f"{HOST}:{self.port}", accept)
+        return None if link is None else opened[0]
+
+
+def run(check, **keys):
+    """Run a check with a pair of daemons."""
+
+    async def whole():
+        pair = await Pair(**keys).start()
+        try:
+            async with asyncio.timeout(10.0):
+                await check(pair)
+        finally:
+            pair.listener.stop()
+
+    asyncio.run(whole())
+
+
+class TestLinks(testtools.TestCase):
+    """Opening, using and ending links."""
+
+    def test_frames_in_both_directions(self):
+        """Frames must arrive whole and in order."""
+
+        async def check(pair):
+            own = await pair.dial()
+            contents = [bytes([each]) * 5000 for each in range(20)]
+            for content in contents:
+                own.transport.send(content)
+            while len(pair.accepted[0].contents) < len(contents):
+                await asyncio.sleep(0.01)
+            self.assertEqual(contents, pair.accepted[0].contents)
+            pair.accepted[0].transport.send(b"back")
+            await own.arrived.wait()
+            self.assertEqual([b"back"], own.contents)
+
+        run(check)
+
+    def test_wrong_key(self):
+        """The first frame of a stranger must end the link."""
+
+        async def check(pair):
+            own = await pair.dial()
+            own.transport.send(b"x")
+            await own.ended.wait()
+            self.assertEqual([], pair.accepted[0].contents)
+
+        run(check, dialer_key=b"other")
+
+    def test_no_key_yet(self):
+        """Without a key no link is accepted."""
+
+        async def check(pair):
+            self.assertIsNone(await pair.dial())
+
+        run(check, listener_key=None)
+
+    def test_other_daemon_at_the_address(self):
+        """An address that another daemon uses now must not be used."""
+
+        async def check(pair):
+            self.assertIsNone(await pair.dial("former-holder"))
+
+        run(check)
+
+    def test_invalid_message_ends_one_link(self):
+        """An invalid message or an unexpected error must end its link only."""
+
+        async def check(pair):
+            other = await pair.dial()
+            for content in (b"bad", b"boom"):
+                own = await pair.dial()
+                own.transport.send(content)
+                await own.ended.wait()
+            other.transport.send(b"fine")
+            await pair.accepted[0].arrived.wait()
+            self.assertEqual([b"fine"], pair.accepted[0].contents)
+
+        run(check)
+
+    def test_garbage(self):
+        """Bytes that are no frames must end the connection."""
+
+        async def check(pair):
+            for data in (b"GET / HTTP/1.1\r\n\r\n" * 9, bytes(5000)):
+                reader, writer = await asyncio.open_connection(HOST, pair.port)
+                writer.write(data)
+                try:
+                    while await reader.read(1000):
+                        pass
+                except ConnectionError:
+                    pass
+                writer.close()
+            self.assertIsNotNone(await pair.dial())
+
+        run(check)
+
+    def test_silent_stranger(self):
+        """A connection without a greeting must be closed."""
+
+        async def check(pair):
+            reader, writer = await asyncio.open_connection(HOST, pair.port)
+            async with asyncio.timeout(tcp.GREETING_TIMEOUT_S + 1.0):
+                while await reader.read(1000):
+                    pass
+            writer.close()
+
+        run(check)
+
+    def test_refused(self):
+        """A daemon that is gone must be noticed at once."""
+
+        async def check(pair):
+            pair.listener.stop()
+            await asyncio.sleep(0.05)
+            self.assertIsNone(await pair.dial())
+
+        run(check)
--- a/burdockcart/request/retry_policy.py
+++ b/burdockcart/request/retry_policy.py
@@ -89,6 +89,7 @@
         errors.ErrorKind.OVERLOADED
     ),
     member_channel.MemberFault.REFUSED: errors.ErrorKind.OVERLOADED,
+    member_channel.MemberFault.RELAY_REFUSED: errors.ErrorKind.OVERLOADED,
     # The proxy prepares a statement before it runs it, so the member has lost
     # its prepared statements; this one was not run.
     member_channel.MemberFault.UNKNOWN_NAME: errors.ErrorKind.OVERLOADED,
--- a/burdockcart/request/work_queue.py
+++ b/burdockcart/request/work_queue.py
@@ -47,6 +47,9 @@
         Position that the member's log must hold; None requires the primary.
     position_age_s : float
         Seconds since the primary was known to hold that position.
+    member : MemberId or None
+        The only member that may run it; for a relayed statement, whose
+        sender has chosen the member.
     excluded : set of MemberId
         Members that refused it or failed to run it.
     connection : Future
@@ -60,6 +63,7 @@
     connection: asyncio.Future
     position: log_position.LogPosition | None = None
     position_age_s: float = 0.0
+    member: ids.MemberId | None = None
     excluded: set[ids.MemberId] = msgspec.field(default_factory=set)
     value_by_name: dict[str, str] = msgspec.field(default_factory=dict)
     shape: command.Shape | None = None
@@ -67,7 +71,13 @@
     @property
     def primary_only(self) -> bool:
         """Whether only the primary can run it."""
-        return self.position is None
+        return self.position is None and self.member is None
+
+    def competes_with(self, other: "Work") -> bool:
+        """Return whether other work may need the same connections."""
+        if None not in (self.member, other.member):
+            return self.member == other.member
+        return self.primary_only or not other.primary_only
 
 
 class WorkQueue:
@@ -151,8 +161,7 @@
 
         """
         ahead = sum(
-            other.priority <= work.priority
-            and (other.primary_only or not work.primary_only)
+            other.priority <= work.priority and other.competes_with(work)
             for other in self._waiting
         )
         return ahead * self._hold_s / max(connections, 1)
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -5,12 +5,14 @@
 from returns import result
 
 from burdockcart import clock
+from burdockcart.emulator import peer_network
 from burdockcart.emulator import wire_channel
 from burdockcart.emulator import wire_member
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
 from burdockcart.process.gateway import application
 from burdockcart.process.gateway import settings
+from burdockcart.process.peers import fleet_key
 from burdockcart.request import command
 from burdockcart.tests import virtual_time
 from burdockcart.version import manifest
@@ -64,6 +66,7 @@
 
     def __init__(self, daemons=2, fenced=True, deposes=True, **member_options):
         self.fenced = fenced
+        self.peers = peer_network.PeerNetwork()
         self.members = [
             wire_member.EmulatedMember(f"m-{domain}", domain, **member_options)
             for domain in DOMAINS
@@ -101,13 +104,20 @@
             store_address="-",
             promotion_address="-",
             promotions_fenced=self.fenced,
+            peer_host=f"d{number}",
         )
         connector = wire_channel.EmulatedConnector(
             {member.id: member for member in self.members}
         )
         link = wire_platform.EmulatedPlatformClient(self.platform)
         daemon = application.GatewayApplication(
-            config, link, connector, clock.LoopClock()
+            config,
+            link,
+            connector,
+            clock.LoopClock(),
+            peer_network.MemoryPeers(self.peers, config.daemon),
+            fleet_key.FleetKey(),
+            ids.Incarnation(f"{number}/{id(config)}"),
         )
         daemon.connector = connector
         daemon.link = link
