Measure the age of claims by the own clock

Cause: the age of another daemon's claim was taken from its wall clock. Clocks jump by 2.4 s on some machines, so two clocks can be 4.8 s apart and a claim of the same moment looked expired (3 s); two daemons then compare the logs at once.

Change: a recent claim expires after this daemon has known it for the claim's lifetime; wall clocks only tell claims of long ago. A claim that was settled does not delay the next one.

Two tests encoded the old rule (a claim expires by the holder's clock) and now demand the new one: the wait may not be shortened, and ends. A relayed request that fails unexpectedly ends alone, not its link.

--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -6,6 +6,9 @@
 
 #: Pause after an attempt without a promotion, in seconds.
 FAILED_PAUSE_S = 0.4
+#: Largest difference between the wall clocks of two daemons that is taken into
+#: account, in seconds; clocks jump by seconds and back.
+CLOCK_SKEW_S = 5.0
 #: Time for which an unanswered promotion may still be executed, in seconds;
 #: the platform delays calls by up to 6 s.
 LATE_CALL_S = 8.0
@@ -28,6 +31,8 @@
         self._daemon = daemon
         self._claim_ttl_s = claim_ttl_s
         self._revision_by_group: dict[ids.GroupId, int] = {}
+        #: When the latest known revision was first seen.
+        self._seen_at: dict[ids.GroupId, float] = {}
         self._not_before: dict[ids.GroupId, float] = {}
         self._unplanned_not_before: dict[ids.GroupId, float] = {}
         self._failed_at: dict[ids.GroupId, float] = {}
@@ -99,8 +104,9 @@
     ) -> bool:
         """Record another daemon's claim; True if it has expired.
 
-        The wall clocks of two daemons may differ, so a record with a time in
-        the future counts as new.
+        The wall clocks of two daemons may differ, so the time in a record
+        only tells claims of long ago from recent ones.  A recent claim
+        expires after this daemon has known it for the claim's lifetime.
         """
         seen_before = self._revision_by_group.get(group) == lost.revision
         self._revision_by_group[group] = lost.revision
@@ -111,9 +117,14 @@
         if record is None or record.reserved or record.holder == self._daemon:
             return True
         age_s = (wall_ms - record.claimed_at_ms) / 1000
-        if age_s >= self._claim_ttl_s:
+        if record.settled or age_s >= self._claim_ttl_s + CLOCK_SKEW_S:
             return True
-        self._not_before[group] = now + self._claim_ttl_s - max(age_s, 0.0)
+        if not seen_before:
+            self._seen_at[group] = now
+        expires_at = self._seen_at.get(group, now) + self._claim_ttl_s
+        if now >= expires_at:
+            return True
+        self._not_before[group] = expires_at
         return False
 
     def _note_candidate(
--- /dev/null
+++ b/burdockcart/process/gateway/tests/test_promotion_claims.py
@@ -0,0 +1,64 @@
+"""Tests how promotions by several daemons are kept apart."""
+
+import testtools
+
+from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import promotion_claims
+
+GROUP = "g"
+
+
+def lost(revision, claimed_at_ms, **fields):
+    """Return another daemon's claim at a revision."""
+    record = coordination.PromotionRecord(
+        "other", "x", claimed_at_ms, **fields
+    )
+    return coordination.ClaimLost(record, revision)
+
+
+class TestExpiry(testtools.TestCase):
+    """When another daemon's claim no longer counts."""
+
+    def setUp(self):
+        super().setUp()
+        self.claims = promotion_claims.PromotionClaims("own", 3.0)
+
+    def test_clock_ahead(self):
+        """A clock that is ahead must not end another daemon's claim.
+
+        With clocks 4.8 s apart a claim of the same moment looked expired, and
+        two daemons compared the logs at the same time.
+        """
+        found = lost(5, claimed_at_ms=100_000)
+        self.assertFalse(self.claims.lost(GROUP, found, 104_800, now=50.0))
+        self.assertFalse(self.claims.may_try(GROUP, False, 52.9))
+
+    def test_expires_by_own_clock(self):
+        """A claim must expire after its lifetime, whatever clocks say."""
+        found = lost(5, claimed_at_ms=100_000)
+        self.assertFalse(self.claims.lost(GROUP, found, 90_000, now=50.0))
+        self.assertTrue(self.claims.lost(GROUP, found, 93_000, now=53.0))
+
+    def test_newer_claim_starts_anew(self):
+        """Another claim of the other daemon has a lifetime of its own."""
+        self.claims.lost(GROUP, lost(5, 100_000), 100_000, now=50.0)
+        newer = lost(6, 102_000)
+        self.assertFalse(self.claims.lost(GROUP, newer, 103_000, now=53.0))
+
+    def test_old_claim(self):
+        """The claim of an earlier failover must not delay the next one."""
+        found = lost(5, claimed_at_ms=100_000)
+        self.assertTrue(self.claims.lost(GROUP, found, 160_000, now=50.0))
+
+    def test_settled_claim(self):
+        """A claim that has ended must not delay the next one."""
+        found = lost(5, claimed_at_ms=100_000, settled=True)
+        self.assertTrue(self.claims.lost(GROUP, found, 100_500, now=50.0))
+
+    def test_candidate_of_an_open_call(self):
+        """The member of another daemon's open call must be remembered."""
+        found = lost(5, claimed_at_ms=100_000, candidate="m-b")
+        self.claims.lost(GROUP, found, 100_000, now=50.0)
+        self.assertEqual("m-b", self.claims.pinned(GROUP, 54.0))
+        self.claims.lost(GROUP, lost(6, 104_000, settled=True), 104_000, 54.0)
+        self.assertIsNone(self.claims.pinned(GROUP, 54.0))
--- a/burdockcart/process/gateway/tests/test_store_follower.py
+++ b/burdockcart/process/gateway/tests/test_store_follower.py
@@ -188,7 +188,9 @@
             claims.lost("g", self.lost("d2", 10_000), 10_500, now=50.0)
         )
         self.assertFalse(claims.may_try("g", planned=False, now=52.0))
-        self.assertTrue(claims.may_try("g", planned=False, now=52.6))
+        # The age by the other daemon's clock does not shorten the wait.
+        self.assertFalse(claims.may_try("g", planned=False, now=52.9))
+        self.assertTrue(claims.may_try("g", planned=False, now=53.1))
         self.assertEqual(7, claims.revision("g"))
 
     def test_record_from_the_future(self):
@@ -203,5 +205,9 @@
         """A holder that died must not block promotions."""
         claims = promotion_claims.PromotionClaims("d1", 3.0)
         self.assertTrue(
-            claims.lost("g", self.lost("d2", 10_000), 14_000, now=50.0)
+            claims.lost("g", self.lost("d2", 10_000), 19_000, now=50.0)
         )
+        claims = promotion_claims.PromotionClaims("d1", 3.0)
+        recent = self.lost("d2", 10_000)
+        self.assertFalse(claims.lost("g", recent, 14_000, now=50.0))
+        self.assertTrue(claims.lost("g", recent, 17_000, now=53.1))
--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -170,7 +170,11 @@
                 self._daemon,
                 message.number,
             )
-            self._transport.close()
+            if isinstance(message, (messages.Run, messages.Begin)):
+                self._discard(message.transaction)
+            self._answer(
+                message.number, _fault(Fault.RELAY_LOST, "fault in the holder")
+            )
 
     # Statements
 
