--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -221,6 +221,13 @@
         self.last_write_answer_at = now
         self._sent_at_by_ticket = dict.fromkeys(self._sent_at_by_ticket, now)
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Whether the member owes an answer, or has failed to give one."""
+        return bool(
+            self._sent_at_by_ticket or self.failures or self._abandoned
+        )
+
     @property
     def running(self) -> int:
         """Number of statements sent and not yet answered."""
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -41,6 +41,9 @@
 #: the shortest staleness that the routes allow (1.5 s).
 MAX_SAMPLE_AGE_S = 0.4
 TICK_S = 0.1
+#: Interval of dividing the connections anew, in seconds; the shares also
+#: depend on the time since the start.
+DIVIDE_INTERVAL_S = 0.5
 #: Time after the start from which on members are contacted although the list
 #: of daemons may be incomplete, in seconds.
 SETTLE_TIMEOUT_S = 5.0
@@ -410,9 +413,12 @@
 
     async def _maintain(self) -> None:
         """Divide connections, close idle ones and check for isolation."""
+        divided_at = self._clock.now()
         while True:
             await asyncio.sleep(TICK_S)
-            self._divide_connections()
+            if self._clock.now() - divided_at >= DIVIDE_INTERVAL_S:
+                divided_at = self._clock.now()
+                self._divide_connections()
             for group in self.group_by_id.values():
                 group.trim()
             await self._check_isolation(self._clock.now())
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -95,11 +95,18 @@
         running = self._task_by_group.get(group.id)
         if running is not None and not running.done():
             return
-        now = self._clock.now()
         pool = group.primary.pool()
         if pool is None:
             self._start_check("search", group, self._search(group))
             return
+        if not (
+            pool.awaits_answer
+            or pool.draining
+            or group.primary.expected_at is not None
+            or group.id in self._cause_since
+        ):
+            return
+        now = self._clock.now()
         if pool.health.failing and self._other_claims_leadership(group):
             # That entry may be a stale one of a failed primary, so the
             # current primary is examined as well.
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -143,6 +143,11 @@
         """Connections that are being opened."""
         return len(self._opening)
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Whether the member owes an answer, or has failed to give one."""
+        return bool(self._opening) or self.health.awaits_answer
+
     def opening_for_s(self, now: float) -> float:
         """Return the age of the oldest attempt to open a connection."""
         return now - min(self._opening.values(), default=now)
--- a/burdockcart/process/gateway/reachability.py
+++ b/burdockcart/process/gateway/reachability.py
@@ -28,7 +28,8 @@
 #: 1 ms, and a slow link (5 Mbit/s) that transfers a manifest adds 50 ms.
 CHECK_TIMEOUT_S = 0.1
 #: For CHECK_ALL_S after a member has failed, every member without an answer
-#: for QUIET_S is checked, in seconds: a partitioned daemon must notice soon.
+#: since shortly before is checked once, in seconds: a partitioned daemon must
+#: notice soon, but a large fleet must not check all members all the time.
 CHECK_ALL_S = 1.0
 QUIET_S = 0.15
 #: Interval between scans of all members, in seconds.
@@ -53,12 +54,24 @@
             await asyncio.sleep(SCAN_INTERVAL_S)
             now = self._clock.now()
             pools = self._pools()
-            check_all = any(_recently_lost(pool, now) for pool in pools)
-            for pool in pools:
-                if _needs_check(pool, now) or (
-                    check_all and _quiet(pool, now)
-                ):
+            watched = [pool for pool in pools if pool.awaits_answer]
+            if not watched:
+                continue
+            lost_at = max(
+                (
+                    pool.health.first_failure_at or 0.0
+                    for pool in watched
+                    if _recently_lost(pool, now)
+                ),
+                default=None,
+            )
+            for pool in watched:
+                if _needs_check(pool, now):
                     self._start_check(pool)
+            if lost_at is not None:
+                for pool in pools:
+                    if _quiet(pool, lost_at):
+                        self._start_check(pool)
 
     def _pools(self) -> list[member_pool.MemberPool]:
         return [
@@ -100,13 +113,17 @@
     )
 
 
-def _quiet(pool: member_pool.MemberPool, now: float) -> bool:
-    """Return whether a member has not answered for some time.
+def _quiet(pool: member_pool.MemberPool, lost_at: float) -> bool:
+    """Return whether a member has not answered since another was lost.
 
     If one member is unreachable, others may be as well: the network between
     failure domains may be partitioned.
     """
-    return not pool.retired and now - pool.health.last_answer_at >= QUIET_S
+    return (
+        not pool.retired
+        and not pool.health.failing
+        and lost_at - pool.health.last_answer_at >= QUIET_S
+    )
 
 
 def _needs_check(pool: member_pool.MemberPool, now: float) -> bool:
