--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -339,6 +339,16 @@
             gauge.labels(group.id, "open").set(open_count)
             gauge.labels(group.id, "busy").set(busy_count)
             self.metrics.waiting.labels(group.id).set(len(group.queue))
+        self.metrics.links.labels("this").set(self.relay.open_links)
+        self.metrics.links.labels("other").set(self.relay.service.links)
+        self.metrics.relayed.set(self.relay.service.pending)
+        self.metrics.members_held.set(
+            sum(
+                pool.direct
+                for group in self.group_by_id.values()
+                for pool in group.pool_by_member.values()
+            )
+        )
         return self.metrics.text()
 
     def members_changed(
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -85,6 +85,22 @@
             ["group"],
             registry=self.registry,
         )
+        self.links = prometheus_client.Gauge(
+            "burdockcart_peer_links",
+            "Links to other daemons, by the side that opened them",
+            ["opened_by"],
+            registry=self.registry,
+        )
+        self.relayed = prometheus_client.Gauge(
+            "burdockcart_relayed_running",
+            "Statements and transactions of other daemons that are running",
+            registry=self.registry,
+        )
+        self.members_held = prometheus_client.Gauge(
+            "burdockcart_members_held",
+            "Members that this daemon connects to directly",
+            registry=self.registry,
+        )
         self.log_lines_left_out = prometheus_client.Counter(
             "burdockcart_log_lines_left_out",
             "Log lines suppressed or dropped, by event",
