Reach a member through another daemon

Change: when a direct connection times out, three other daemons are asked for the member's status at the same time; the first that reaches it relays. Checks of reachability and detection go on as before.

The tests of isolation and of stale samples now also cut the links between daemons, as a partition of a failure domain does.

--- a/burdockcart/connection/member_channel.py
+++ b/burdockcart/connection/member_channel.py
@@ -116,6 +116,10 @@
     def closed(self) -> bool:
         """Whether the connection has ended."""
 
+    @property
+    def direct(self) -> bool:
+        """Whether it is a connection to the member itself."""
+
     def relay_silent(self) -> bool:
         """Return whether a daemon that relays statements is silent."""
 
@@ -197,6 +201,9 @@
     ) -> Channel | MemberFault:
         """Open a connection and check which member answers."""
 
+    async def detour(self, member: MemberAddress) -> Channel | None:
+        """Find a way to a member that this daemon cannot reach itself."""
+
     async def reach(
         self, member: MemberAddress, timeout_s: float
     ) -> MemberFault | None:
--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -39,6 +39,11 @@
         self.closed = True
         self.member.connections.discard(self)
 
+    @property
+    def direct(self) -> bool:
+        """Whether it is a connection to the member itself."""
+        return True
+
     def relay_silent(self) -> bool:
         """Return False: nothing relays statements on this connection."""
         return False
@@ -320,6 +325,12 @@
         self.handshake_s = handshake_s
         self.channels: list[EmulatedChannel] = []
 
+    async def detour(
+        self, member: member_channel.MemberAddress
+    ) -> member_channel.Channel | None:
+        """Return None: this connector knows direct connections only."""
+        return None
+
     async def reach(
         self, member: member_channel.MemberAddress, timeout_s: float
     ) -> Fault | None:
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -45,6 +45,11 @@
         """Close the connection; the member rolls back an open transaction."""
         self._stream.close()
 
+    @property
+    def direct(self) -> bool:
+        """Whether it is a connection to the member itself."""
+        return True
+
     def relay_silent(self) -> bool:
         """Return False: nothing relays statements on this connection."""
         return False
@@ -229,6 +234,12 @@
 class WireConnector:
     """Opens connections to members over the line protocol."""
 
+    async def detour(
+        self, member: member_channel.MemberAddress
+    ) -> member_channel.Channel | None:
+        """Return None: this connector knows direct connections only."""
+        return None
+
     async def reach(
         self, member: member_channel.MemberAddress, timeout_s: float
     ) -> member_channel.MemberFault | None:
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -88,6 +88,7 @@
         self._opening: dict[asyncio.Task[None], float] = {}
         self._exhausted_until = 0.0
         self._exhausted_count = 0
+        self._detour_task: asyncio.Task[None] | None = None
         self._rng = random.Random(f"{entry.id}/{id(self)}")
         #: Moving average of the answer time of status queries, in seconds.
         self.observed_s = 0.0
@@ -245,18 +246,49 @@
         if opened is member_channel.MemberFault.CONNECTIONS_EXHAUSTED:
             self._exhausted_until = now + self._exhausted_pause_s()
             self.health.record_answer(now)
+            self._log_connect_failure(opened)
         else:
-            self.health.record_failure(now, opened)
+            self._record_connect_failure(opened)
+        return None
+
+    def _start_detour(self) -> None:
+        """Look for a way to the member through another daemon."""
+        if self.direct and (
+            self._detour_task is None or self._detour_task.done()
+        ):
+            self._detour_task = asyncio.create_task(
+                self._detour(), name="detour"
+            )
+
+    async def _detour(self) -> None:
+        channel = await self._connector.detour(self.address)
+        if channel is None:
+            return
+        # Another daemon reaches the member, so it is not lost.
+        self.health.record_answer(self._clock.now())
+        connection = PooledConnection(self, channel)
+        connection.idle_since = self._clock.now()
+        self._idle.append(connection)
+        self._changed()
+
+    def _record_connect_failure(
+        self, fault: member_channel.MemberFault
+    ) -> None:
+        self.health.record_failure(self._clock.now(), fault)
+        if fault is member_channel.MemberFault.SILENT:
+            self._start_detour()
+        self._log_connect_failure(fault)
+
+    def _log_connect_failure(self, fault: member_channel.MemberFault) -> None:
         loguru.logger.info(
             "event=member_connect_failed member={} cause={!r} failures={} "
             "open={} limit={}",
             self.entry.id,
-            opened.value,
+            fault.value,
             self.health.failures,
             self.open_count,
             self.share.hard_limit,
         )
-        return None
 
     def _exhausted_pause_s(self) -> float:
         """Return the pause after another refusal for lack of connections."""
@@ -277,6 +309,8 @@
             self._changed()
         else:
             self.health.record_failure(now, fault)
+            if fault is member_channel.MemberFault.SILENT:
+                self._start_detour()
         return fault
 
     def abort_reads(self) -> None:
@@ -314,13 +348,25 @@
                 member_channel.MemberStatus | member_channel.MemberFault
             ],
         ],
+        direct: bool = False,
     ) -> member_channel.MemberStatus | member_channel.MemberFault:
-        """Run a query that takes no slot; update health."""
+        """Run a query that takes no slot; update health.
+
+        Parameters
+        ==========
+
+        direct : bool
+            Whether a relayed connection may not be used.
+
+        """
         if not self.has_idle() and not self.health.usable(self._clock.now()):
             return member_channel.MemberFault.REFUSED
         connection = await self.take_or_open()
         if connection is None:
             return member_channel.MemberFault.REFUSED
+        if direct and not connection.channel.direct:
+            self.give_back(connection)
+            return member_channel.MemberFault.RELAY_REFUSED
         sent_at = self._clock.now()
         ticket = self.health.record_sent(sent_at)
         try:
--- a/burdockcart/process/gateway/tests/test_isolation.py
+++ b/burdockcart/process/gateway/tests/test_isolation.py
@@ -39,6 +39,9 @@
             ]
             cut_at = loop.time()
             daemon.link.cut = True
+            deployment.peers.cut |= {
+                frozenset(("d1", other)) for other in ("d0", "d2")
+            }
             for member in (deployment.members[0], deployment.members[2]):
                 daemon.connector.cut.add(member.id)
                 for channel in list(daemon.connector.channels):
--- a/burdockcart/process/gateway/tests/test_old_primary.py
+++ b/burdockcart/process/gateway/tests/test_old_primary.py
@@ -50,6 +50,7 @@
     old.replication_cut = True
     cut(deployment.daemons[0], replicas)
     cut(deployment.daemons[1], [old])
+    deployment.peers.cut.add(frozenset(("d0", "d1")))
     await gateway_deployment.until(lambda: deployment.group.primary is not old)
     writer = await deployment.client("live", daemon=1)
     async with asyncio.timeout(5.0):
--- a/burdockcart/process/peers/holding.py
+++ b/burdockcart/process/peers/holding.py
@@ -66,6 +66,18 @@
             self._holders_by_member[key] = found
         return found
 
+    def others(
+        self, member: manifest.MemberEntry
+    ) -> list[coordination.DaemonEntry]:
+        """Return the other daemons, those most likely to reach it first."""
+        return [
+            entry
+            for entry in holder_choice.rank(
+                member.id, member.domain, self._entry_by_id.values()
+            )
+            if entry.id != self._daemon
+        ]
+
     def draft(self, member: ids.MemberId) -> bool:
         """Hold a member because another daemon relays through this one.
 
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -17,6 +17,9 @@
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.peers import relay_service
 
+#: Daemons that are asked for a way to a member that this one cannot reach.
+DETOURS = 3
+
 
 class Peers(relay_connector.Dialer, Protocol):
     """Opens and accepts links."""
@@ -65,7 +68,7 @@
         self._links = relay_connector.HolderLinks(peers, loop_clock, rng)
         self.service = relay_service.RelayService(self, sender, loop_clock)
         self.connector = relay_connector.RelayConnector(
-            direct, self._links, self
+            direct, self._links, self, loop_clock
         )
 
     async def start(self, address: str) -> None:
@@ -126,6 +129,13 @@
             if entry.id != self._daemon
         ]
 
+    def detours(self, member: ids.MemberId) -> list[coordination.DaemonEntry]:
+        """Return daemons that may reach a member that this one cannot."""
+        found = self._pool(member)
+        if found is None:
+            return []
+        return self.holding.others(found[1].entry)[:DETOURS]
+
     def hold(self, member: ids.MemberId) -> None:
         """Connect to a member directly from now on."""
         found = self._pool(member)
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -19,6 +19,11 @@
 #: daemons lose a holder at the same moment.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 2.0
+#: Timeout of asking a daemon for a member's status on a detour, in seconds.
+DETOUR_QUERY_S = 0.15
+#: Time after which an unused detour ends, in seconds: the direct way may be
+#: open again.
+DETOUR_S = 1.0
 
 
 class Dialer(Protocol):
@@ -41,6 +46,9 @@
     ) -> list[coordination.DaemonEntry] | None:
         """Return the daemons to relay through; None to connect directly."""
 
+    def detours(self, member: ids.MemberId) -> list[coordination.DaemonEntry]:
+        """Return daemons that may reach a member that this one cannot."""
+
     def hold(self, member: ids.MemberId) -> None:
         """Connect to a member directly from now on."""
 
@@ -164,11 +172,54 @@
         direct: member_channel.Connector,
         links: HolderLinks,
         route: Route,
+        loop_clock: clock.Clock,
     ):
+        self._clock = loop_clock
         self._direct = direct
         self._links = links
         self._route = route
 
+    async def detour(
+        self, member: member_channel.MemberAddress
+    ) -> member_channel.Channel | None:
+        """Find another daemon that reaches a member.
+
+        A network partition may separate a member from some daemons only.
+        """
+        attempts = [
+            asyncio.create_task(self._try_detour(member, entry))
+            for entry in self._route.detours(member.id)
+        ]
+        try:
+            for attempt in asyncio.as_completed(attempts):
+                channel = await attempt
+                if channel is not None:
+                    return channel
+        finally:
+            for each in attempts:
+                each.cancel()
+        return None
+
+    async def _try_detour(
+        self,
+        member: member_channel.MemberAddress,
+        entry: coordination.DaemonEntry,
+    ) -> member_channel.Channel | None:
+        link = await self._links.link(entry)
+        if link is None:
+            return None
+        expires_at = self._clock.now() + DETOUR_S
+        channel = relayed_channel.RelayedChannel(
+            link, member, lambda: self._clock.now() < expires_at
+        )
+        status = await channel.observe(DETOUR_QUERY_S)
+        if isinstance(status, member_channel.MemberFault):
+            return None
+        loguru.logger.info(
+            "event=detour_found member={} daemon={}", member.id, entry.id
+        )
+        return channel
+
     async def reach(
         self, member: member_channel.MemberAddress, timeout_s: float
     ) -> member_channel.MemberFault | None:
--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -263,10 +263,11 @@
         if isinstance(acquired, result.Failure):
             return _fault(Fault.QUEUE_FULL, acquired.failure().message)
         connection = acquired.unwrap()
-        if self._closed:
-            # The sender takes the statement for lost; it must not run now.
+        if self._closed or not connection.channel.direct:
+            # The sender takes the statement for lost, or this daemon does not
+            # reach the member itself; the statement must not travel on.
             group.release(connection)
-            return _fault(Fault.RELAY_REFUSED, "the link has ended")
+            return _fault(Fault.RELAY_REFUSED, "no way to the member")
         return group, connection
 
     # Transactions
@@ -353,7 +354,7 @@
         if call is None:
             self._refuse(message.number, f"unknown action {message.action!r}")
             return
-        status = await pool.query(call)
+        status = await pool.query(call, direct=True)
         if isinstance(status, member_channel.MemberStatus):
             self._send(
                 messages.Status(
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -72,6 +72,11 @@
             self._link.send(messages.Discard(self._transaction))
             self._transaction = 0
 
+    @property
+    def direct(self) -> bool:
+        """Whether it is a connection to the member itself."""
+        return False
+
     def relay_silent(self) -> bool:
         """Return whether the holder is silent."""
         return self._link.is_closed or self._link.suspect()
--- a/burdockcart/process/peers/tests/test_relay.py
+++ b/burdockcart/process/peers/tests/test_relay.py
@@ -402,6 +402,47 @@
         scenario(check)
 
 
+class TestDetour(testtools.TestCase):
+    """A member that some daemons cannot reach themselves."""
+
+    def served_behind_a_cut(self, cut_peers):
+        """Return the replies of a daemon that is cut off from the primary."""
+        found = []
+
+        async def check(deployment):
+            # Until the daemons know each other.
+            await asyncio.sleep(3.0)
+            daemon = deployment.daemons[0]
+            primary = deployment.group.primary
+            client = await deployment.client("live", 0)
+            await client.write()
+            daemon.connector.cut.add(primary.id)
+            if cut_peers:
+                deployment.peers.cut.add(frozenset(("d0", "d1")))
+            deployment.platform.outage = True
+            await asyncio.sleep(0.7)
+            for _ in range(20):
+                found.append(gateway_deployment.ok(await client.write()))
+                await asyncio.sleep(0.05)
+            self.assertEqual([], deployment.platform.promotions)
+
+        test_sessions.scenario(check, daemons=2)
+        return found
+
+    def test_through_another_daemon(self):
+        """Statements must take the way through a daemon that reaches it.
+
+        Three of four daemons were cut off from a new primary for 7 s, and
+        refused the statements of their clients.
+        """
+        served = self.served_behind_a_cut(cut_peers=False)
+        self.assertGreater(sum(served), 0.9 * len(served))
+
+    def test_no_other_way(self):
+        """Without another daemon the statements must be refused."""
+        self.assertEqual(0, sum(self.served_behind_a_cut(cut_peers=True)))
+
+
 class Outbox:
     """Transport of a relay session that records what it sends."""
 
