Let positions of the primary travel with relayed answers

Each answer of a holder carries its newest sample of the group's primary with its age; the sender dates it before its request, so it can only look older than it is. Reads of replicas then renew samples without queries.

Test: test_answers_renew_samples (no queries allowed).

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -128,6 +128,7 @@
         rng = random.Random(config.daemon)
         self._rng = rng
         self._draining = False
+        self._divided_at = self._clock.now()
         self._isolated_since: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
@@ -148,6 +149,7 @@
             self.group_by_id,
             shared,
             self._clock,
+            self._boot_clock,
             rng,
         )
         self.tables = store_follower.StoreFollower(
@@ -203,7 +205,6 @@
             # Without fencing, a token claimed in advance could be used after
             # a higher one.
             self._spawn(self._reserved.run())
-        self._spawn(self._maintain())
         loguru.logger.info(
             "event=daemon_started id={} failure_domain={}",
             self._settings.daemon,
@@ -421,12 +422,17 @@
         One loop for all: each wake-up costs, and a large fleet has many
         daemons that are mostly idle.
         """
+        maintenance: asyncio.Task[None] | None = None
         for step in itertools.count():
             await asyncio.sleep(SCAN_INTERVAL_S)
             self._reachability.scan()
             self._failover.scan()
             if step % SCANS_PER_RENEWAL == 0:
                 self._renew_samples()
+                if maintenance is None or maintenance.done():
+                    # It may wait for the store, which must not delay the
+                    # next scan.
+                    maintenance = asyncio.create_task(self._maintain())
 
     def _renew_samples(self) -> None:
         """Renew the samples of groups without traffic to their primary."""
@@ -444,15 +450,13 @@
 
     async def _maintain(self) -> None:
         """Divide connections, close idle ones and check for isolation."""
-        divided_at = self._clock.now()
-        while True:
-            await asyncio.sleep(TICK_S)
-            if self._clock.now() - divided_at >= DIVIDE_INTERVAL_S:
-                divided_at = self._clock.now()
-                self._divide_connections()
-            for group in self.group_by_id.values():
-                group.trim()
-            await self._check_isolation(self._clock.now())
+        now = self._clock.now()
+        if now - self._divided_at >= DIVIDE_INTERVAL_S:
+            self._divided_at = now
+            self._divide_connections()
+        for group in self.group_by_id.values():
+            group.trim()
+        await self._check_isolation(now)
 
     async def _check_isolation(self, now: float) -> None:
         """Mark this daemon as isolated while only its own domain answers."""
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -113,7 +113,16 @@
 
 
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag=20):
-    """Answer of a member, or the reason why it has none."""
+    """Answer of a member, or the reason why it has none.
+
+    Parameters
+    ==========
+
+    sample : tuple of int, or None
+        The holder's newest sample of the group's primary: age when the answer
+        was sent, term and number.
+
+    """
 
     number: int
     fault: member_channel.MemberFault | None
@@ -122,6 +131,7 @@
     receipt: str
     state: member_channel.TransactionState
     position: tuple[int, int] | None
+    sample: tuple[int, int, int] | None = None
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True, tag=21):
@@ -177,7 +187,11 @@
     return None if pair is None else command.Shape(*pair)
 
 
-def answered(number: int, answer: member_channel.Answer) -> Answered:
+def answered(
+    number: int,
+    answer: member_channel.Answer,
+    sample: tuple[int, int, int] | None = None,
+) -> Answered:
     """Return the message for an answer."""
     return Answered(
         number,
@@ -187,6 +201,7 @@
         answer.receipt,
         answer.state,
         position_pair(answer.position),
+        sample,
     )
 
 
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -16,6 +16,7 @@
 from burdockcart.process.peers import holding
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.peers import relay_service
+from burdockcart.request import log_position
 
 #: Daemons that are asked for a way to a member that this one cannot reach.
 DETOURS = 3
@@ -59,8 +60,10 @@
         group_by_id: dict[ids.GroupId, groups.Group],
         sender: attempts.StatementSender,
         loop_clock: clock.Clock,
+        boot_clock: clock.Clock,
         rng: random.Random,
     ):
+        self._boot_clock = boot_clock
         self.holding = holding.Holding(daemon, loop_clock)
         self._daemon = daemon
         self._peers = peers
@@ -68,7 +71,7 @@
         self._links = relay_connector.HolderLinks(peers, loop_clock, rng)
         self.service = relay_service.RelayService(self, sender, loop_clock)
         self.connector = relay_connector.RelayConnector(
-            direct, self._links, self, loop_clock
+            direct, self._links, self, loop_clock, boot_clock
         )
 
     async def start(self, address: str) -> None:
@@ -145,6 +148,31 @@
             loguru.logger.info("event=member_held member={}", member)
         found[0].apply_shares()
 
+    def newest_sample(self, group: ids.GroupId) -> tuple[int, int, int] | None:
+        """Return the newest sample of a group's primary, as it is sent."""
+        found = self._group_by_id.get(group)
+        newest = None if found is None else found.primary.samples.newest
+        if newest is None:
+            return None
+        age_s = self._boot_clock.now() - newest.sent_at
+        # Rounded up: an older sample covers fewer commits.
+        return int(age_s * 1000) + 1, *newest.position
+
+    def use_sample(
+        self,
+        group: ids.GroupId,
+        sent_at: float,
+        sample: tuple[int, int, int],
+    ) -> None:
+        """Use a holder's sample; its age began after ``sent_at``."""
+        found = self._group_by_id.get(group)
+        if found is not None:
+            age_ms, term, number = sample
+            found.primary.samples.add(
+                sent_at - age_ms / 1000,
+                log_position.LogPosition(term, number),
+            )
+
     def held_pool(
         self, group: ids.GroupId, member: ids.MemberId
     ) -> tuple[groups.Group, member_pool.MemberPool] | None:
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -49,6 +49,14 @@
     def detours(self, member: ids.MemberId) -> list[coordination.DaemonEntry]:
         """Return daemons that may reach a member that this one cannot."""
 
+    def use_sample(
+        self,
+        group: ids.GroupId,
+        sent_at: float,
+        sample: tuple[int, int, int],
+    ) -> None:
+        """Use a holder's sample of a group's primary."""
+
     def hold(self, member: ids.MemberId) -> None:
         """Connect to a member directly from now on."""
 
@@ -173,12 +181,24 @@
         links: HolderLinks,
         route: Route,
         loop_clock: clock.Clock,
+        boot_clock: clock.Clock,
     ):
         self._clock = loop_clock
+        self._boot_clock = boot_clock
         self._direct = direct
         self._links = links
         self._route = route
 
+    def _channel(
+        self,
+        link: holder_link.HolderLink,
+        member: member_channel.MemberAddress,
+        chosen: Callable[[], bool],
+    ) -> relayed_channel.RelayedChannel:
+        return relayed_channel.RelayedChannel(
+            link, member, chosen, self._boot_clock, self._route.use_sample
+        )
+
     async def detour(
         self, member: member_channel.MemberAddress
     ) -> member_channel.Channel | None:
@@ -209,7 +229,7 @@
         if link is None:
             return None
         expires_at = self._clock.now() + DETOUR_S
-        channel = relayed_channel.RelayedChannel(
+        channel = self._channel(
             link, member, lambda: self._clock.now() < expires_at
         )
         status = await channel.observe(DETOUR_QUERY_S)
@@ -243,8 +263,6 @@
             for entry in holders:
                 link = await self._links.link(entry)
                 if link is not None:
-                    return relayed_channel.RelayedChannel(
-                        link, member, self._links.unchanged()
-                    )
+                    return self._channel(link, member, self._links.unchanged())
             self._route.hold(member.id)
         return await self._direct.connect(member, timeout_s)
--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -38,6 +38,9 @@
     ) -> tuple[groups.Group, member_pool.MemberPool] | None:
         """Return a member's pool of direct connections, if it is known."""
 
+    def newest_sample(self, group: ids.GroupId) -> tuple[int, int, int] | None:
+        """Return the newest sample of a group's primary, as it is sent."""
+
 
 class RelayService:
     """Accepts links and serves their requests.
@@ -140,8 +143,16 @@
     def _send(self, message: messages.Reply) -> None:
         self._transport.send(messages.encode(message))
 
-    def _answer(self, number: int, answer: member_channel.Answer) -> None:
-        self._send(messages.answered(number, answer))
+    def _answer(
+        self,
+        number: int,
+        answer: member_channel.Answer,
+        group: ids.GroupId | None = None,
+    ) -> None:
+        sample = None
+        if group is not None:
+            sample = self._service.pools.newest_sample(group)
+        self._send(messages.answered(number, answer, sample))
 
     def _refuse(self, number: int, text: str) -> None:
         self._answer(number, _fault(Fault.RELAY_REFUSED, text))
@@ -163,7 +174,8 @@
                 case messages.Action():
                     await self._act(message)
                     return
-            self._answer(message.number, answer)
+            group = getattr(message, "group", None)
+            self._answer(message.number, answer, group)
         except Exception as error:  # noqa: B902 - others go on
             loguru.logger.opt(exception=error).error(
                 "event=relay_failed daemon={} number={}",
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -3,8 +3,10 @@
 import asyncio
 from typing import Callable
 
+from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
+from burdockcart import ids
 from burdockcart.process.peers import holder_link
 from burdockcart.process.peers import messages
 from burdockcart.request import command
@@ -34,6 +36,9 @@
 
     chosen : callable
         Returns whether the holder is still the one to relay through.
+    use_sample : callable
+        Called with the group, the boot-clock time of a request, and the
+        holder's sample in the answer to it.
 
     """
 
@@ -41,9 +46,13 @@
         self,
         link: holder_link.HolderLink,
         member: member_channel.MemberAddress,
-        chosen: Callable[[], bool] = lambda: True,
+        chosen: Callable[[], bool],
+        boot_clock: clock.Clock,
+        use_sample: Callable[[ids.GroupId, float, tuple[int, int, int]], None],
     ):
         self._chosen = chosen
+        self._boot_clock = boot_clock
+        self._use_sample = use_sample
         self._link = link
         self._member = member
         self._value_by_name: dict[str, str] = {}
@@ -89,6 +98,7 @@
 
     async def _answer(self, build, timeout_s: float) -> member_channel.Answer:
         """Send a request; return the answer or the fault of the relay."""
+        sent_at = self._boot_clock.now()
         try:
             reply = await self._link.request(build, timeout_s + HOP_S)
         except TimeoutError:
@@ -100,6 +110,8 @@
             self.close()
             raise
         if isinstance(reply, messages.Answered):
+            if reply.sample is not None:
+                self._use_sample(self._member.group, sent_at, reply.sample)
             return messages.read_answer(reply)
         self._closed = True
         return _fault(Fault.RELAY_LOST, "the link to the holder ended")
--- a/burdockcart/process/peers/tests/test_relay.py
+++ b/burdockcart/process/peers/tests/test_relay.py
@@ -241,6 +241,54 @@
         scenario(check, lag_s=0.3)
 
 
+class TestSamples(testtools.TestCase):
+    """Positions of the primary that travel with answers."""
+
+    def test_answers_renew_samples(self):
+        """Reads of a replica must renew samples without queries.
+
+        With 77 daemons and 10 groups the queries were more than the
+        statements.
+        """
+
+        async def check(deployment):
+            member = deployment.members[1]
+            number = next(
+                number
+                for number, daemon in enumerate(deployment.daemons)
+                if not holds(daemon, member)
+                and not holds(daemon, deployment.group.primary)
+            )
+            daemon = deployment.daemons[number]
+            daemon._renew_samples = lambda: None
+            client = await deployment.client("archive", number)
+            await asyncio.sleep(2.0)
+            tracker = daemon.group_by_id[GROUP].primary
+            loop = asyncio.get_running_loop()
+            for _ in range(10):
+                self.assertTrue(gateway_deployment.ok(await client.read()))
+                await asyncio.sleep(0.2)
+            self.assertLess(loop.time() - tracker.samples.newest_at, 1.0)
+
+        scenario(check)
+
+    def test_sample_is_not_too_young(self):
+        """A sample must not count as younger than it is at the holder."""
+
+        async def check(deployment):
+            number = relaying_daemon(deployment, deployment.group.primary)
+            daemon = deployment.daemons[number]
+            tracker = daemon.group_by_id[GROUP].primary
+            tracker.samples.clear()
+            position = deployment.group.primary.received()
+            daemon.relay.use_sample(
+                GROUP, 10.0, (700, position.term, position.number)
+            )
+            self.assertEqual(9.3, tracker.samples.newest_at)
+
+        scenario(check)
+
+
 class TestLostHolder(testtools.TestCase):
     """A holder that dies, freezes or leaves."""
 
@@ -470,6 +518,9 @@
             def held_pool(self, group, member):
                 return None
 
+            def newest_sample(self, group):
+                return None
+
         service = relay_service.RelayService(NoPools(), None, None)
         outbox = Outbox()
         return service.accept("d1", outbox), outbox
--- a/burdockcart/request/sample_window.py
+++ b/burdockcart/request/sample_window.py
@@ -99,6 +99,11 @@
         )
         return next(fresh, None)
 
+    @property
+    def newest(self) -> Sample | None:
+        """The newest sample."""
+        return self._samples[-1] if self._samples else None
+
     @property
     def newest_at(self) -> float | None:
         """Time of the newest sample."""
