End transactions that were given up while they began

Cause, found by reading: a holder that was still beginning a transaction when its sender gave it up kept the connection until the link ended. test_begin_that_came_too_late fails without the change. A relayed statement waits and runs no longer than its sender does; the test of that guards it and passed before too.

--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -107,6 +107,10 @@
         self._closed = False
         self._last_number = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        #: Transactions that are beginning, and those of them that the other
+        #: daemon has given up meanwhile.
+        self._beginning: set[int] = set()
+        self._given_up: set[int] = set()
         self._connection_by_transaction: dict[
             int, tuple[groups.Group, member_pool.PooledConnection]
         ] = {}
@@ -196,17 +200,22 @@
             held = self._connection_by_transaction.get(message.transaction)
             if held is None:
                 return _fault(Fault.RELAY_LOST, "no such transaction")
-            answer = await self._run_on(held[1], message)
+            answer = await self._run_on(
+                held[1], message, message.timeout_ms / 1000
+            )
             if answer.fault is None and answer.state is State.IDLE:
                 self._connection_by_transaction.pop(message.transaction, None)
                 held[0].release(held[1])
             return answer
+        deadline_at = self._service.clock.now() + message.timeout_ms / 1000
         acquired = await self._acquire(message)
         if isinstance(acquired, member_channel.Answer):
             return acquired
         group, connection = acquired
         try:
-            answer = await self._run_on(connection, message)
+            # The other daemon does not wait for an answer after that.
+            left_s = deadline_at - self._service.clock.now()
+            answer = await self._run_on(connection, message, left_s)
             if answer.state is not State.IDLE:
                 connection.channel.close()
             return answer
@@ -214,7 +223,10 @@
             group.release(connection)
 
     async def _run_on(
-        self, connection: member_pool.PooledConnection, message: messages.Run
+        self,
+        connection: member_pool.PooledConnection,
+        message: messages.Run,
+        timeout_s: float,
     ) -> member_channel.Answer:
         shape = messages.read_shape(message.shape)
         refused = await self._service.sender.prepare(
@@ -238,7 +250,7 @@
             lambda: connection.channel.run(
                 statement,
                 shape,
-                message.timeout_ms / 1000,
+                timeout_s,
                 messages.read_position(message.after),
                 message.prove,
             ),
@@ -262,10 +274,13 @@
         if pool.health.failing and not pool.health.usable(now):
             return _fault(Fault.REFUSED, "the member is not reachable")
         urgency = message.urgency
+        wait_ms = urgency.wait_ms
+        if isinstance(message, messages.Run):
+            wait_ms = min(wait_ms, message.timeout_ms)
         work = work_queue.Work(
             priority=urgency.priority,
             goal_at=now + urgency.goal_ms / 1000,
-            give_up_at=now + urgency.wait_ms / 1000,
+            give_up_at=now + wait_ms / 1000,
             connection=asyncio.get_running_loop().create_future(),
             member=message.member,
             value_by_name=message.value_by_name,
@@ -287,6 +302,16 @@
     async def _begin(self, message: messages.Begin) -> member_channel.Answer:
         if message.transaction in self._connection_by_transaction:
             return _fault(Fault.RELAY_REFUSED, "the transaction is open")
+        self._beginning.add(message.transaction)
+        try:
+            return await self._begin_on_connection(message)
+        finally:
+            self._beginning.discard(message.transaction)
+            self._given_up.discard(message.transaction)
+
+    async def _begin_on_connection(
+        self, message: messages.Begin
+    ) -> member_channel.Answer:
         acquired = await self._acquire(message)
         if isinstance(acquired, member_channel.Answer):
             return acquired
@@ -307,7 +332,7 @@
             if answer.state is not State.IDLE:
                 connection.channel.close()
             group.release(connection)
-        elif self._closed:
+        elif self._closed or message.transaction in self._given_up:
             connection.channel.close()
             group.release(connection)
         else:
@@ -330,6 +355,8 @@
 
     def _discard(self, transaction: int) -> None:
         """Close the connection of a transaction, which rolls it back."""
+        if transaction in self._beginning:
+            self._given_up.add(transaction)
         held = self._connection_by_transaction.pop(transaction, None)
         if held is not None:
             held[1].aborted_locally = True
--- a/burdockcart/process/peers/tests/test_relay.py
+++ b/burdockcart/process/peers/tests/test_relay.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from burdockcart import clock
 from burdockcart import errors
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
@@ -241,6 +242,70 @@
         scenario(check, lag_s=0.3)
 
 
+class TestGivenUp(testtools.TestCase):
+    """Statements whose sender does not wait any longer."""
+
+    async def relayed(self, deployment):
+        """Return a channel to the primary, and the holder behind it."""
+        primary = deployment.group.primary
+        number = relaying_daemon(deployment, primary)
+        client = await deployment.client("live", number)
+        await client.write()
+        daemon = deployment.daemons[number]
+        holder = holder_in_use(deployment, daemon, primary)
+        pool = daemon.group_by_id[GROUP].pool_by_member[primary.id]
+        return pool.take({}, None).channel, holder
+
+    def test_begin_that_came_too_late(self):
+        """A transaction that was given up while it began must not stay open.
+
+        Its connection would have been kept until the link ended.
+        """
+
+        async def check(deployment):
+            channel, _ = await self.relayed(deployment)
+            for each in deployment.group.primary.connections:
+                each.latency_s = 0.1
+            beginning = asyncio.create_task(channel.begin(False, 0.4))
+            await asyncio.sleep(0.05)
+            channel.close()
+            await beginning
+            await asyncio.sleep(1.0)
+            states = {
+                each.state.value
+                for each in deployment.group.primary.connections
+            }
+            self.assertEqual({"idle"}, states)
+
+        scenario(check)
+
+    def test_queued_statement_does_not_run_late(self):
+        """What its sender has given up must not load a member later."""
+
+        async def check(deployment):
+            channel, _ = await self.relayed(deployment)
+            primary = deployment.group.primary
+            primary.work_s = 0.3
+            busy = [
+                asyncio.create_task(
+                    (await deployment.client("live", number)).write()
+                )
+                for number in range(len(deployment.daemons))
+                for _ in range(3)
+            ]
+            await asyncio.sleep(0.05)
+            channel.set_urgency(1, 0.1, 2.0)
+            statement = command.Command("late", Kind.READ, "READ 1")
+            answer = await channel.run(statement, None, 0.05)
+            self.assertIsNotNone(answer.fault)
+            await asyncio.gather(*busy)
+            await asyncio.sleep(2.0)
+            ran = [run.statement for run in deployment.group.runs]
+            self.assertNotIn("late", ran)
+
+        scenario(check)
+
+
 class TestSamples(testtools.TestCase):
     """Positions of the primary that travel with answers."""
 
@@ -521,7 +586,9 @@
             def newest_sample(self, group):
                 return None
 
-        service = relay_service.RelayService(NoPools(), None, None)
+        service = relay_service.RelayService(
+            NoPools(), None, clock.LoopClock()
+        )
         outbox = Outbox()
         return service.accept("d1", outbox), outbox
 
