Check members that answered shortly before another was lost

Found by reading: since quiet members are checked once, one that had answered less than 0.15 s before the first loss was not checked at all. The test guards it; it passes before too, as the search for the primary asks the members as well.

--- a/burdockcart/process/gateway/reachability.py
+++ b/burdockcart/process/gateway/reachability.py
@@ -28,8 +28,8 @@
 #: 1 ms, and a slow link (5 Mbit/s) that transfers a manifest adds 50 ms.
 CHECK_TIMEOUT_S = 0.1
 #: For CHECK_ALL_S after a member has failed, every member without an answer
-#: since shortly before is checked once, in seconds: a partitioned daemon must
-#: notice soon, but a large fleet must not check all members all the time.
+#: since then and for QUIET_S is checked once, in seconds: a partitioned daemon
+#: must notice soon, but a large fleet must not check all members all the time.
 CHECK_ALL_S = 1.0
 QUIET_S = 0.15
 
@@ -51,9 +51,9 @@
         now = self._clock.now()
         pools = self._pools()
         watched = [pool for pool in pools if pool.awaits_answer]
-        lost_at = max(
+        lost_at = min(
             (
-                pool.health.first_failure_at or 0.0
+                pool.health.first_failure_at or now
                 for pool in watched
                 if _recently_lost(pool, now)
             ),
@@ -64,7 +64,7 @@
                 self._start_check(pool)
         if lost_at is not None:
             for pool in pools:
-                if _quiet(pool, lost_at):
+                if _quiet(pool, lost_at, now):
                     self._start_check(pool)
 
     def _pools(self) -> list[member_pool.MemberPool]:
@@ -107,7 +107,7 @@
     )
 
 
-def _quiet(pool: member_pool.MemberPool, lost_at: float) -> bool:
+def _quiet(pool: member_pool.MemberPool, lost_at: float, now: float) -> bool:
     """Return whether a member has not answered since another was lost.
 
     If one member is unreachable, others may be as well: the network between
@@ -116,7 +116,8 @@
     return (
         not pool.retired
         and not pool.health.failing
-        and lost_at - pool.health.last_answer_at >= QUIET_S
+        and pool.health.last_answer_at < lost_at
+        and now - pool.health.last_answer_at >= QUIET_S
     )
 
 
--- a/burdockcart/process/gateway/tests/test_isolation.py
+++ b/burdockcart/process/gateway/tests/test_isolation.py
@@ -96,6 +96,36 @@
 
         scenario(check, daemons=1)
 
+    def test_members_that_answered_shortly_before(self):
+        """A cut must show although all members answered just before it.
+
+        Members that had answered less than 0.15 s before the first failure
+        were not checked, so a daemon without traffic to them never noticed.
+        """
+
+        async def check(deployment):
+            daemon = deployment.daemons[1]
+            group = daemon.group_by_id[gateway_deployment.GROUP]
+            daemon._renew_samples = lambda: None
+            remote = [deployment.members[0], deployment.members[2]]
+            await asyncio.sleep(1.0)
+            now = asyncio.get_running_loop().time()
+            deployment.peers.cut |= {
+                frozenset(("d1", other)) for other in ("d0", "d2")
+            }
+            daemon.link.cut = True
+            for member in remote:
+                daemon.connector.cut.add(member.id)
+                group.pool_by_member[member.id].health.record_answer(now)
+            group.pool_by_member[remote[0].id].health.record_failure(
+                now, member_channel.MemberFault.SILENT
+            )
+            await gateway_deployment.until(
+                lambda: not daemon.ready(), within_s=1.0
+            )
+
+        scenario(check, daemons=3)
+
     def test_quiet_member_may_be_well(self):
         """Members without recent traffic must not count as failed.
 
