--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -7,8 +7,6 @@
 from typing import Any
 from typing import Callable
 from typing import Coroutine
-from typing import Iterable
-from typing import Protocol
 
 import loguru
 from returns import result
@@ -19,11 +17,12 @@
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
+from burdockcart.process.gateway import client_listener
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import isolation
+from burdockcart.process.gateway import isolation_monitor
 from burdockcart.process.gateway import reachability
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import settings
@@ -63,35 +62,6 @@
 KEY_SPREAD_S = 2.0
 
 
-class Client(Protocol):
-    """Client connection, as far as shutdown and isolation need it."""
-
-    @property
-    def idle(self) -> bool:
-        """Whether neither a statement nor a transaction is open."""
-
-    @property
-    def session(self) -> client_session.ClientSession | None:
-        """The session, once it is open."""
-
-    def close_when_idle(self) -> None:
-        """Close as soon as the client waits for no answer."""
-
-
-class ClientListener(Protocol):
-    """Listener for client connections."""
-
-    @property
-    def connections(self) -> Iterable[Client]:
-        """The open connections."""
-
-    def listen_on(self, address: str) -> None:
-        """Listen on ``ip:port``."""
-
-    def stop(self) -> None:
-        """Accept no more connections."""
-
-
 class GatewayApplication:
     """One gateway daemon.
 
@@ -129,7 +99,6 @@
         self._rng = rng
         self._draining = False
         self._divided_at = self._clock.now()
-        self._isolated_since: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
         self.metrics = gateway_metrics.GatewayMetrics()
@@ -167,6 +136,12 @@
             platform,
             rng,
         )
+        self._isolation = isolation_monitor.IsolationMonitor(
+            config.domain,
+            self.group_by_id,
+            platform.reachable,
+            self._idle_connections,
+        )
         self._reachability = reachability.Reachability(
             self.group_by_id, self._clock
         )
@@ -192,7 +167,7 @@
             lambda: self.tables.daemons,
         )
 
-    async def start(self, clients: ClientListener) -> None:
+    async def start(self, clients: client_listener.ClientListener) -> None:
         """Open all sockets and start the tasks."""
         self._clients = clients
         clients.listen_on(self._settings.client_address)
@@ -254,9 +229,15 @@
             "event=drain_finished left={}", len(self._connections())
         )
 
-    def _connections(self) -> list[Client]:
+    def _connections(self) -> list[client_listener.Client]:
         return list(self._clients.connections)
 
+    def _idle_connections(self) -> list[client_listener.Client]:
+        """Return the connections that isolation may close."""
+        if self._draining:
+            return []
+        return [each for each in self._connections() if each.idle]
+
     async def stop(self) -> None:
         """Close everything."""
         self._clients.stop()
@@ -272,7 +253,7 @@
         """Return whether the load balancer should send new clients."""
         return (
             not self._draining
-            and self._isolated_since is None
+            and not self._isolation.isolated
             and self.tables.current is not None
             and self.tables.listed
         )
@@ -456,53 +437,7 @@
             self._divide_connections()
         for group in self.group_by_id.values():
             group.trim()
-        await self._check_isolation(now)
-
-    async def _check_isolation(self, now: float) -> None:
-        """Mark this daemon as isolated while only its own domain answers."""
-        if not isolation.suspected(self._remote_members(), now):
-            self._set_isolated(None)
-            return
-        if self._isolated_since is None:
-            # Report not ready while the store is queried.  The load balancer
-            # acts on two such answers, so the store's answer reverts it in
-            # time.
-            self._set_isolated(now)
-            if await self._platform.reachable():
-                self._set_isolated(None)
-                return
-        self._close_idle_sessions(now)
-
-    def _remote_members(self) -> list[isolation.RemoteMember]:
-        return [
-            isolation.RemoteMember(
-                pool.health.failing, pool.health.last_answer_at
-            )
-            for group in self.group_by_id.values()
-            for pool in group.pool_by_member.values()
-            if pool.entry.domain != self._settings.domain
-        ]
-
-    def _set_isolated(self, since: float | None) -> None:
-        if (since is None) == (self._isolated_since is None):
-            return
-        self._isolated_since = since
-        for group in self.group_by_id.values():
-            group.isolated = since is not None
-            if since is None:
-                # Failures during the isolation say nothing about the members.
-                group.restart_timers()
-        loguru.logger.warning("event=isolated value={}", since is not None)
-
-    def _close_idle_sessions(self, now: float) -> None:
-        """Close idle sessions once the load balancer uses other daemons."""
-        if self._isolated_since is None or self._draining:
-            return
-        idle = [each for each in self._connections() if each.idle]
-        for each in isolation.sessions_to_close(
-            now - self._isolated_since, idle, TICK_S
-        ):
-            each.close_when_idle()
+        await self._isolation.check(now)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         name = getattr(coroutine, "__qualname__", None)
--- a/burdockcart/process/gateway/tests/test_isolation.py
+++ b/burdockcart/process/gateway/tests/test_isolation.py
@@ -86,12 +86,12 @@
             daemon = deployment.daemons[0]
             pool = daemon.group_by_id[gateway_deployment.GROUP].primary.pool()
             now = asyncio.get_running_loop().time()
-            daemon._set_isolated(now)
+            daemon._isolation.set_isolated(now)
             for _ in range(3):
                 pool.health.record_failure(
                     now, member_channel.MemberFault.SILENT
                 )
-            daemon._set_isolated(None)
+            daemon._isolation.set_isolated(None)
             self.assertFalse(pool.health.failing)
 
         scenario(check, daemons=1)
