--- a/burdockcart/connection/open_transaction.py
+++ b/burdockcart/connection/open_transaction.py
@@ -1,7 +1,7 @@
 """A client's transaction between BEGIN and its end."""
 
 from burdockcart import errors
-from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway import pooled_connection
 from burdockcart.version import manifest
 
 
@@ -21,7 +21,7 @@
     def __init__(self, route: manifest.DatabaseRoute, read_only: bool):
         self.route = route
         self.read_only = read_only
-        self.connection: member_pool.PooledConnection | None = None
+        self.connection: pooled_connection.PooledConnection | None = None
         self.failure: errors.Failure | None = None
         #: Whether the failure still has to be reported to the client.
         self.unreported = False
--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -17,7 +17,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway import pooled_connection
 from burdockcart.request import command
 from burdockcart.request import retry_policy
 from burdockcart.request import sample_window
@@ -108,7 +108,7 @@
     def attempt_failed(
         self,
         request: Request,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
         answer: member_channel.Answer,
         attempt: int,
         step: retry_policy.NextStep,
@@ -131,7 +131,7 @@
         self,
         group: groups.Group,
         request: Request,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
         work: work_queue.Work,
         attempt: int,
     ) -> None:
@@ -161,7 +161,7 @@
     async def before_retry(
         self,
         group: groups.Group,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
         answer: member_channel.Answer,
         excluded: set[ids.MemberId],
         attempt: int,
@@ -219,7 +219,7 @@
     async def send(
         self,
         request: Request,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
         work: work_queue.Work | None,
         waits_for_replica: bool,
         prove: bool = False,
@@ -256,7 +256,7 @@
 
     async def exchange(
         self,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
         run: Callable[[], Awaitable[member_channel.Answer]],
         waits_for_replica: bool,
     ) -> member_channel.Answer:
@@ -297,7 +297,7 @@
     def release_idle(
         self,
         group: groups.Group,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
         answer: member_channel.Answer,
     ) -> None:
         """Release a connection; close it if a transaction is still open."""
@@ -309,7 +309,7 @@
         self,
         value_by_name: dict[str, str],
         shape: command.Shape | None,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
     ) -> member_channel.Answer | None:
         """Apply a session's state to a connection; return a fault if any."""
         steps = connection.session_state.steps(value_by_name, shape)
@@ -337,7 +337,7 @@
     def learn(
         self,
         group: groups.Group,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
         work: work_queue.Work,
         answer: member_channel.Answer,
         since: float | None,
@@ -406,7 +406,7 @@
 
 def primary_lacks_position(
     group: groups.Group,
-    connection: member_pool.PooledConnection,
+    connection: pooled_connection.PooledConnection,
     answer: member_channel.Answer,
 ) -> bool:
     """Return whether the primary itself lacks the position of a read."""
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -13,6 +13,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import connection_share
 from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.gateway import primary_tracker
 from burdockcart.request import member_choice
 from burdockcart.request import work_queue
@@ -147,7 +148,7 @@
 
     async def acquire(
         self, work: work_queue.Work
-    ) -> result.Result[member_pool.PooledConnection, errors.Failure]:
+    ) -> result.Result[pooled_connection.PooledConnection, errors.Failure]:
         """Wait for a connection to a member that can run the work."""
         refusal = self._refusal_for(work)
         if refusal is not None:
@@ -249,7 +250,7 @@
         for pool in self.pool_by_member.values():
             pool.trim()
 
-    def release(self, connection: member_pool.PooledConnection) -> None:
+    def release(self, connection: pooled_connection.PooledConnection) -> None:
         """Return a connection to its pool after the work."""
         now = self._clock.now()
         self.queue.record_hold_time(now - connection.taken_at)
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -10,8 +10,8 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_health
-from burdockcart.connection import member_session
 from burdockcart.process.gateway import connection_share
+from burdockcart.process.gateway import pooled_connection
 from burdockcart.request import command
 from burdockcart.request import member_choice
 from burdockcart.request import member_limit
@@ -34,27 +34,6 @@
 OBSERVED_WEIGHT = 0.2
 
 
-class PooledConnection:
-    """A connection and the session state that it holds."""
-
-    def __init__(self, pool: "MemberPool", channel: member_channel.Channel):
-        self.pool = pool
-        self.channel = channel
-        self.session_state = member_session.MemberSession()
-        self.taken_at = 0.0
-        self.idle_since = 0.0
-        #: Whether a statement runs or is about to; False while a transaction
-        #: is idle.
-        self.active = False
-        #: Whether it must be closed after its work: it was opened before the
-        #: pool changed between direct and relayed connections.
-        self.stale = False
-        #: Whether the running statement can be retried on another member.
-        self.retryable = False
-        #: Whether this daemon aborted the running statement.
-        self.aborted_locally = False
-
-
 class MemberPool:
     """Idle and busy connections to one member.
 
@@ -83,8 +62,8 @@
         self._connector = connector
         self._clock = loop_clock
         self._changed = changed
-        self._idle: list[PooledConnection] = []
-        self._busy: set[PooledConnection] = set()
+        self._idle: list[pooled_connection.PooledConnection] = []
+        self._busy: set[pooled_connection.PooledConnection] = set()
         self._opening: dict[asyncio.Task[None], float] = {}
         self._exhausted_until = 0.0
         self._exhausted_count = 0
@@ -183,7 +162,7 @@
 
     def take(
         self, value_by_name: dict[str, str], shape: command.Shape | None
-    ) -> PooledConnection:
+    ) -> pooled_connection.PooledConnection:
         """Take the idle connection that needs the fewest preparing steps."""
         # Among equals the one used last, so that the others stay idle and can
         # be closed.
@@ -199,7 +178,9 @@
         best.active = True
         return best
 
-    def give_back(self, connection: PooledConnection) -> None:
+    def give_back(
+        self, connection: pooled_connection.PooledConnection
+    ) -> None:
         """Return a connection; close it if it cannot be reused."""
         self._busy.discard(connection)
         if (
@@ -228,7 +209,7 @@
             if self.retired or self.open_count >= self.share.hard_limit:
                 opened.close()
             else:
-                connection = PooledConnection(self, opened)
+                connection = pooled_connection.PooledConnection(self, opened)
                 connection.idle_since = self._clock.now()
                 self._idle.append(connection)
         self._changed()
@@ -266,7 +247,7 @@
             return
         # Another daemon reaches the member, so it is not lost.
         self.health.record_answer(self._clock.now())
-        connection = PooledConnection(self, channel)
+        connection = pooled_connection.PooledConnection(self, channel)
         connection.idle_since = self._clock.now()
         self._idle.append(connection)
         self._changed()
@@ -392,7 +373,7 @@
         self.give_back(connection)
         return answer
 
-    async def take_or_open(self) -> PooledConnection | None:
+    async def take_or_open(self) -> pooled_connection.PooledConnection | None:
         """Take a connection for control, above the limit if necessary."""
         if self.has_idle():
             return self.take({}, None)
@@ -401,7 +382,7 @@
         opened = await self.connect()
         if opened is None:
             return None
-        connection = PooledConnection(self, opened)
+        connection = pooled_connection.PooledConnection(self, opened)
         self._busy.add(connection)
         return connection
 
--- /dev/null
+++ b/burdockcart/process/gateway/pooled_connection.py
@@ -0,0 +1,32 @@
+"""Connection of a pool, and what it is used for."""
+
+from typing import TYPE_CHECKING
+
+from burdockcart.connection import member_channel
+from burdockcart.connection import member_session
+
+if TYPE_CHECKING:
+    from burdockcart.process.gateway import member_pool
+
+
+class PooledConnection:
+    """A connection and the session state that it holds."""
+
+    def __init__(
+        self, pool: "member_pool.MemberPool", channel: member_channel.Channel
+    ):
+        self.pool = pool
+        self.channel = channel
+        self.session_state = member_session.MemberSession()
+        self.taken_at = 0.0
+        self.idle_since = 0.0
+        #: Whether a statement runs or is about to; False while a transaction
+        #: is idle.
+        self.active = False
+        #: Whether it must be closed after its work: it was opened before the
+        #: pool changed between direct and relayed connections.
+        self.stale = False
+        #: Whether the running statement can be retried on another member.
+        self.retryable = False
+        #: Whether this daemon aborted the running statement.
+        self.aborted_locally = False
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -27,6 +27,7 @@
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import log_comparison
 from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
 
@@ -150,7 +151,7 @@
 
     async def _connections(
         self, pools: list[member_pool.MemberPool]
-    ) -> list[member_pool.PooledConnection] | None:
+    ) -> list[pooled_connection.PooledConnection] | None:
         """Get a connection to each replica; None if any is unreachable."""
         taken = await asyncio.gather(*(pool.take_or_open() for pool in pools))
         connections = [each for each in taken if each is not None]
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -11,7 +11,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway import pooled_connection
 from burdockcart.request import retry
 from burdockcart.request import retry_policy
 from burdockcart.request import work_queue
@@ -183,7 +183,7 @@
         group: groups.Group,
         session: attempts.Session,
         request: attempts.Request,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
         work: work_queue.Work,
         timeout_factor: float,
     ) -> member_channel.Answer:
--- a/burdockcart/process/gateway/transaction_runner.py
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -10,7 +10,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway import pooled_connection
 from burdockcart.request import command
 from burdockcart.request import retry_policy
 from burdockcart.request import work_queue
@@ -160,7 +160,7 @@
     async def _begin_on(
         self,
         group: groups.Group,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
         work: work_queue.Work,
     ) -> member_channel.Answer:
         since: float | None = None
@@ -269,7 +269,9 @@
         self._attempts.spawn(self._roll_back(group, connection))
 
     async def _roll_back(
-        self, group: groups.Group, connection: member_pool.PooledConnection
+        self,
+        group: groups.Group,
+        connection: pooled_connection.PooledConnection,
     ) -> None:
         answer = await connection.channel.roll_back(attempts.PREPARE_TIMEOUT_S)
         if (
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -15,6 +15,7 @@
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import tcp
@@ -71,7 +72,7 @@
         self._beginning: set[int] = set()
         self._given_up: set[int] = set()
         self._connection_by_transaction: dict[
-            int, tuple[groups.Group, member_pool.PooledConnection]
+            int, tuple[groups.Group, pooled_connection.PooledConnection]
         ] = {}
 
     @property
@@ -183,7 +184,7 @@
 
     async def _run_on(
         self,
-        connection: member_pool.PooledConnection,
+        connection: pooled_connection.PooledConnection,
         message: messages.Run,
         timeout_s: float,
     ) -> member_channel.Answer:
@@ -219,7 +220,7 @@
     async def _acquire(
         self, message: messages.Run | messages.Begin
     ) -> (
-        tuple[groups.Group, member_pool.PooledConnection]
+        tuple[groups.Group, pooled_connection.PooledConnection]
         | member_channel.Answer
     ):
         """Wait for a connection to the message's member."""
