Take no holder's word that a member is lost

Cause, found by reading: a holder that did not reach a member refused relayed statements with the fault of a refused connection, and two such answers replace a primary. test_holder_without_a_way shows it: without the change the healthy primary is not served or is replaced.

Change: such an answer only raises the question, which a bare connection of the sender's own answers; that holder is avoided for 1 s.

--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -36,8 +36,10 @@
 RETRY_MAX_S = 0.5
 
 
-_FAILURES = frozenset(
-    {member_channel.MemberFault.BROKEN, member_channel.MemberFault.REFUSED}
+#: Faults of a statement after which the member must be checked.  A statement
+#: is refused by a holder that does not reach the member, as another may.
+_INCONCLUSIVE = frozenset(
+    {member_channel.MemberFault.SILENT, member_channel.MemberFault.REFUSED}
 )
 
 
@@ -123,10 +125,10 @@
         self._write_tickets.discard(ticket)
         if fault in member_channel.OF_RELAY:
             return
-        if fault is member_channel.MemberFault.SILENT:
+        if fault in _INCONCLUSIVE:
             self._abandoned = True
             return
-        if fault in _FAILURES:
+        if fault is member_channel.MemberFault.BROKEN:
             self.record_failure(now, fault)
             return
         if writes and fault is None:
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -19,6 +19,9 @@
 #: daemons lose a holder at the same moment.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 2.0
+#: Time for which a holder without a way to a member is not used for it, in
+#: seconds.
+AVOIDED_S = 1.0
 #: Timeout of asking a daemon for a member's status on a detour, in seconds.
 DETOUR_QUERY_S = 0.15
 #: Time after which an unused detour ends, in seconds: the direct way may be
@@ -185,6 +188,9 @@
     ):
         self._clock = loop_clock
         self._boot_clock = boot_clock
+        self._avoided_until: dict[tuple[ids.DaemonId, ids.MemberId], float] = (
+            {}
+        )
         self._direct = direct
         self._links = links
         self._route = route
@@ -195,10 +201,24 @@
         member: member_channel.MemberAddress,
         chosen: Callable[[], bool],
     ) -> relayed_channel.RelayedChannel:
+        def avoid() -> None:
+            avoided_until = self._clock.now() + AVOIDED_S
+            self._avoided_until[link.daemon, member.id] = avoided_until
+
         return relayed_channel.RelayedChannel(
-            link, member, chosen, self._boot_clock, self._route.use_sample
+            link,
+            member,
+            chosen,
+            self._boot_clock,
+            self._route.use_sample,
+            avoid,
         )
 
+    def _avoids(self, daemon: ids.DaemonId, member: ids.MemberId) -> bool:
+        """Return whether a holder recently had no way to a member."""
+        until = self._avoided_until.get((daemon, member), 0.0)
+        return self._clock.now() < until
+
     async def detour(
         self, member: member_channel.MemberAddress
     ) -> member_channel.Channel | None:
@@ -260,7 +280,11 @@
         """
         holders = self._route.holders_of(member.id)
         if holders is not None:
-            for entry in holders:
+            # A holder that has no way to the member comes last: if no holder
+            # has one, the member is lost.
+            for entry in sorted(
+                holders, key=lambda each: self._avoids(each.id, member.id)
+            ):
                 link = await self._links.link(entry)
                 if link is not None:
                     return self._channel(link, member, self._links.unchanged())
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -20,6 +20,9 @@
 
 Fault = member_channel.MemberFault
 
+#: Answers of a holder that has no way to the member.
+_NO_WAY = frozenset({Fault.REFUSED, Fault.RELAY_REFUSED})
+
 
 class RelayedChannel:
     """One statement or transaction at a time; see :class:`Channel`.
@@ -39,6 +42,8 @@
     use_sample : callable
         Called with the group, the boot-clock time of a request, and the
         holder's sample in the answer to it.
+    avoid : callable
+        Called when the holder does not reach the member.
 
     """
 
@@ -49,7 +54,9 @@
         chosen: Callable[[], bool],
         boot_clock: clock.Clock,
         use_sample: Callable[[ids.GroupId, float, tuple[int, int, int]], None],
+        avoid: Callable[[], None],
     ):
+        self._avoid = avoid
         self._chosen = chosen
         self._boot_clock = boot_clock
         self._use_sample = use_sample
@@ -112,6 +119,9 @@
         if isinstance(reply, messages.Answered):
             if reply.sample is not None:
                 self._use_sample(self._member.group, sent_at, reply.sample)
+            if reply.fault in _NO_WAY:
+                self._closed = True
+                self._avoid()
             return messages.read_answer(reply)
         self._closed = True
         return _fault(Fault.RELAY_LOST, "the link to the holder ended")
--- a/burdockcart/process/peers/tests/test_relay.py
+++ b/burdockcart/process/peers/tests/test_relay.py
@@ -494,6 +494,36 @@
 
         scenario(check)
 
+    def test_holder_without_a_way(self):
+        """A holder that is cut off from a member must not have it replaced.
+
+        Its refusals counted as those of the member, and two of them replaced
+        a healthy primary.
+        """
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            number = relaying_daemon(deployment, primary)
+            client = await deployment.client("live", number)
+            await client.write()
+            holder = holder_in_use(
+                deployment, deployment.daemons[number], primary
+            )
+            # The holder alone cannot reach it, and cannot promote either.
+            holder.connector.cut.add(primary.id)
+            holder.link.cut = True
+            deployment.peers.cut |= {
+                frozenset((holder._settings.daemon, each._settings.daemon))
+                for each in deployment.daemons
+                if each is not deployment.daemons[number]
+            }
+            replies = await test_failover.writes_for(deployment, 4.0, number)
+            kept = [gateway_deployment.ok(reply) for _, reply in replies]
+            self.assertGreater(sum(kept[-50:]), 45)
+            self.assertEqual([], deployment.platform.promotions)
+
+        scenario(check)
+
     def test_dead_holder_is_no_dead_primary(self):
         """The loss of a holder must not replace the primary."""
 
