Start failed tasks again

Cause: an unexpected error ended a task of the daemon for the rest of its life: the scan of primaries, the polls of the store, the registration.

Change: each task is started again 0.1 s after a failure, logged and counted (burdockcart_task_failures_total).

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -55,6 +55,8 @@
 #: Time after the start from which on members are contacted although the list
 #: of daemons may be incomplete, in seconds.
 SETTLE_TIMEOUT_S = 5.0
+#: Pause before a task that failed is started again, in seconds.
+RESTART_PAUSE_S = 0.1
 #: Interval between attempts to create the fleet's key, in seconds.
 KEY_RETRY_S = 0.5
 #: Time over which the first attempts of a fleet are spread, in seconds; most
@@ -172,40 +174,36 @@
         self._clients = clients
         clients.listen_on(self._settings.client_address)
         await self.relay.start(self._settings.peer_address)
-        self._spawn(self.tables.run())
-        self._spawn(self._create_fleet_key())
-        self._spawn(self._listing.run())
-        self._spawn(self._once_settled(self._supervise))
+        self._spawn(self.tables.run)
+        self._spawn(self._create_fleet_key)
+        self._spawn(self._listing.run)
+        self._spawn(self._supervise)
         if self._settings.promotions_fenced:
             # Without fencing, a token claimed in advance could be used after
             # a higher one.
-            self._spawn(self._reserved.run())
+            self._spawn(self._reserved.run)
         loguru.logger.info(
             "event=daemon_started id={} failure_domain={}",
             self._settings.daemon,
             self._settings.domain,
         )
 
-    async def _once_settled(
-        self, run: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        """Run a task that connects to all members without client work.
+    async def _settled(self) -> None:
+        """Wait until the list of daemons is likely to be complete.
 
-        Before the list of daemons is complete, this daemon does not know
-        which members it holds.
+        Before that, this daemon does not know which members it holds.
         """
         try:
             async with asyncio.timeout(SETTLE_TIMEOUT_S):
                 await self.tables.settled.wait()
         except TimeoutError:
             pass
-        await run()
 
     async def drain(self) -> None:
         """Close sessions gradually, within the time granted for shutdown."""
         self._draining = True
         self.relay.leave()
-        self._spawn(self._listing.leave())
+        self._spawn(self._listing.leave)
         plan = shutdown_plan.ShutdownPlan(self._settings.shutdown_s)
         began_at = self._clock.now()
         loguru.logger.info(
@@ -403,6 +401,7 @@
         One loop for all: each wake-up costs, and a large fleet has many
         daemons that are mostly idle.
         """
+        await self._settled()
         maintenance: asyncio.Task[None] | None = None
         for step in itertools.count():
             await asyncio.sleep(SCAN_INTERVAL_S)
@@ -439,19 +438,32 @@
             group.trim()
         await self._isolation.check(now)
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        name = getattr(coroutine, "__qualname__", None)
-        task = asyncio.create_task(coroutine, name=name)
-        task.add_done_callback(_report_failure)
-        self._tasks.append(task)
+    def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run a task of this daemon; start it again if it fails."""
+        name = getattr(run, "__qualname__", None)
+        self._tasks.append(
+            asyncio.create_task(self._keep_running(run), name=name)
+        )
 
+    async def _keep_running(
+        self, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a task to its end, starting it again after each failure.
 
-def _wall_ms() -> int:
-    return int(time.time() * 1000)
+        Otherwise one unexpected error would end the failover, say, for the
+        rest of the life of the process.
+        """
+        while True:
+            try:
+                await run()
+                return
+            except Exception as error:  # noqa: B902 - logged and counted
+                self.metrics.task_failed()
+                loguru.logger.opt(exception=error).error(
+                    "event=task_failed task={}", run.__qualname__
+                )
+                await asyncio.sleep(RESTART_PAUSE_S)
 
 
-def _report_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        loguru.logger.opt(exception=task.exception()).error(
-            "event=task_failed task={}", task.get_name()
-        )
+def _wall_ms() -> int:
+    return int(time.time() * 1000)
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -60,6 +60,11 @@
             "Reads that were sent to a second member",
             registry=self.registry,
         )
+        self._task_failures = prometheus_client.Counter(
+            "burdockcart_task_failures",
+            "Tasks that failed unexpectedly and were started again",
+            registry=self.registry,
+        )
         self.sessions = prometheus_client.Gauge(
             "burdockcart_sessions", "Open sessions", registry=self.registry
         )
@@ -108,6 +113,10 @@
             registry=self.registry,
         )
 
+    def task_failed(self) -> None:
+        """Count a task that failed unexpectedly."""
+        self._task_failures.inc()
+
     def answered(
         self, route: str, failure: errors.Failure | None, took_s: float
     ) -> None:
