Count departed daemons no longer than their connections last

Cause: since the list of daemons is applied only when it changes, the window of 15 s in which departed daemons count did not end before the next change. test_departed_daemons_count_for_a_while shows it.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -384,6 +384,7 @@
                 self.fleet_key_changed(created.unwrap())
 
     def _divide_connections(self) -> None:
+        self.relay.holding.recount()
         for group in self.group_by_id.values():
             group.apply_shares()
 
--- a/burdockcart/process/peers/holding.py
+++ b/burdockcart/process/peers/holding.py
@@ -42,10 +42,14 @@
     def use_daemons(self, entries: Iterable[coordination.DaemonEntry]) -> None:
         """Use a new list of daemons."""
         self._entry_by_id = {each.id: each for each in entries}
+        self.recount()
+        self._holders_by_member.clear()
+
+    def recount(self) -> None:
+        """Count the daemons again: those that left count for some time."""
         self._daemons = self._count.record_count(
             len(self._entry_by_id), self._clock.now()
         )
-        self._holders_by_member.clear()
 
     def holders(
         self, member: manifest.MemberEntry, connections: int
--- /dev/null
+++ b/burdockcart/process/peers/tests/test_holding.py
@@ -0,0 +1,107 @@
+"""Tests how the list of daemons divides a member's connections."""
+
+import testtools
+
+from burdockcart.process.gateway import coordination
+from burdockcart.process.peers import holding
+from burdockcart.version import manifest
+
+
+class Clock:
+    """A clock that the test sets."""
+
+    time = 100.0
+
+    def now(self):
+        """Return the set time."""
+        return self.time
+
+
+def entries(count, domain="a"):
+    """Return registrations of daemons in one failure domain."""
+    return [
+        coordination.DaemonEntry(f"d{each}", f"d{each}:1", domain, "1")
+        for each in range(count)
+    ]
+
+
+def member(domain="a"):
+    """Return a member's entry."""
+    return manifest.MemberEntry(
+        id="m",
+        group="g",
+        address="m:1",
+        domain=domain,
+        slots=4,
+        state=manifest.MemberState.READY,
+        leads=True,
+        started_ms=1,
+    )
+
+
+class TestHolding(testtools.TestCase):
+    """Shares of one daemon."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.holding = holding.Holding("d0", self.clock)
+        self.clock.time += 60.0
+
+    def test_departed_daemons_count_for_a_while(self):
+        """Their connections may stand; later the rest may use them."""
+        self.holding.use_daemons(entries(4))
+        before = self.holding.share(member(), 32)
+        self.holding.use_daemons(entries(2))
+        self.assertEqual(before, self.holding.share(member(), 32))
+        self.clock.time += 16.0
+        self.holding.recount()
+        after = self.holding.share(member(), 32)
+        self.assertEqual(2 * before.soft_limit, after.soft_limit)
+
+    def test_holders_are_near(self):
+        """The holders of a member must be in its failure domain."""
+        self.holding.use_daemons(entries(30) + entries(77, "b")[30:])
+        found = self.holding.holders(member("a"), 58)
+        active = found.ranked[: found.count]
+        self.assertEqual({"a"}, {each.domain for each in active})
+
+    def test_all_daemons_agree(self):
+        """Daemons with the same list must choose the same holders."""
+        other = holding.Holding("d7", self.clock)
+        listed = entries(77)
+        self.holding.use_daemons(listed)
+        other.use_daemons(reversed(listed))
+        self.assertEqual(
+            self.holding.holders(member(), 58), other.holders(member(), 58)
+        )
+
+    def test_lost_holder_changes_one(self):
+        """The loss of a holder must leave the others in place."""
+        listed = entries(77)
+        self.holding.use_daemons(listed)
+        found = self.holding.holders(member(), 58)
+        lost = found.ranked[0]
+        self.holding.use_daemons([each for each in listed if each != lost])
+        rest = self.holding.holders(member(), 58)
+        self.assertEqual(
+            found.ranked[1 : found.count],
+            rest.ranked[: found.count - 1],
+        )
+
+    def test_drafted_daemon(self):
+        """A daemon that others relay through holds the member for a time."""
+        self.holding.use_daemons(entries(77))
+        found = self.holding.holders(member(), 58)
+        outsider = next(
+            each.id
+            for each in entries(77)
+            if each not in found.ranked[: found.count]
+        )
+        drafted = holding.Holding(outsider, self.clock)
+        drafted.use_daemons(entries(77))
+        self.assertFalse(drafted.holds(member(), 58))
+        drafted.draft("m")
+        self.assertTrue(drafted.holds(member(), 58))
+        self.clock.time += holding.DRAFTED_S + 0.1
+        self.assertFalse(drafted.holds(member(), 58))
