Treat unreadable answers of the store as faults

Generated input (platform/tests/test_generated_input.py) found two faults: an unreadable answer to a claim raised inside the promotion, and a value of fleet/key that is no base64 became an empty key, which authenticates nothing. Both tests fail without the change.

Change: an unreadable answer to a claim counts as no answer, since the claim may be in force; a key of another length than 32 bytes is logged and not used; who creates the key reads it back.

--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -14,6 +14,7 @@
 from burdockcart.platform import formats
 from burdockcart.platform import store_messages
 from burdockcart.process.gateway import coordination
+from burdockcart.process.peers import fleet_key
 from burdockcart.version import manifest
 
 #: Timeout of a call, in seconds; the store answers in 4 ms normally, and in
@@ -155,7 +156,7 @@
                     if item.key.startswith(DAEMON_PREFIX)
                     if (daemon := _daemon(item)) is not None
                 },
-                fleet_key=None if key is None else key.data,
+                fleet_key=None if key is None else _fleet_key(key),
                 revision=page.store_revision,
             )
         )
@@ -231,13 +232,21 @@
         }
         url = f"http://{self.store_address}/api/kv-txn"
         answer = await self._send(url, "POST", body)
-        if answer is not None and answer.code == 200:
-            written = msgspec.json.decode(
-                answer.body, type=store_messages.Written
+        try:
+            if answer is not None and answer.code == 200:
+                written = msgspec.json.decode(
+                    answer.body, type=store_messages.Written
+                )
+                return result.Success(ids.FencingToken(written.revision))
+            if answer is not None and answer.code == 412:
+                return result.Failure(_claim_lost(answer.body, key))
+        except msgspec.MsgspecError as error:
+            # The claim may be in force, as after no answer at all.
+            loguru.logger.error(
+                "event=answer_unreadable path=/api/kv-txn error={!r}",
+                str(error),
             )
-            return result.Success(ids.FencingToken(written.revision))
-        if answer is not None and answer.code == 412:
-            return result.Failure(_claim_lost(answer.body, key))
+            return result.Failure(coordination.CallFault.NO_ANSWER)
         if answer is not None and answer.code in (429, 503):
             return result.Failure(coordination.CallFault.UNAVAILABLE)
         return result.Failure(coordination.CallFault.NO_ANSWER)
@@ -278,15 +287,15 @@
             "deletes": [],
         }
         url = f"http://{self.store_address}/api/kv-txn"
-        answer = await self._send(url, "POST", body)
-        if answer is not None and answer.code == 200:
-            return result.Success(key)
-        # Another daemon was first, or an earlier answer was lost.
+        await self._send(url, "POST", body)
+        # Whatever the answer, the store tells which key is in force: another
+        # daemon may have been first.
         found = await self._range(FLEET_KEY)
         item = next(iter(found.map(_items).value_or([])), None)
-        if item is None:
+        in_force = None if item is None else _fleet_key(item)
+        if in_force is None:
             return result.Failure(coordination.CallFault.NO_ANSWER)
-        return result.Success(item.data)
+        return result.Success(in_force)
 
     async def register_daemon(
         self, entry: coordination.DaemonEntry, ttl_s: float
@@ -364,9 +373,10 @@
         if event.tombstone or entry is not None
     }
     keys = [
-        event.data
+        key
         for event in seen.events
         if event.key == FLEET_KEY and not event.tombstone
+        if (key := _fleet_key(event)) is not None
     ]
     return coordination.StoreChanges(
         tables=manifests,
@@ -381,6 +391,18 @@
     return ids.DaemonId(item.key.removeprefix(DAEMON_PREFIX))
 
 
+def _fleet_key(item: store_messages.StoredItem) -> bytes | None:
+    """Return the key of the links; None if the value is not one."""
+    try:
+        key = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        key = b""
+    if len(key) == fleet_key.KEY_BYTES:
+        return key
+    loguru.logger.error("event=fleet_key_unusable bytes={}", len(key))
+    return None
+
+
 def _items(
     page: store_messages.Range,
 ) -> list[store_messages.StoredItem]:
