Keep a daemon that has left off the list

Cause, found by reading: a daemon ends its registration when it shuts down, and its next renewal took the missing lease for a lapsed one and registered again, so other daemons used it until it exited. The emulated store now refuses a lease that has ended; test_leaving_daemon_does_not_return fails without the change.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -213,7 +213,12 @@
 
     async def renew_daemon(self, lease: int):
         """Renew a daemon's lease in the list."""
-        return await self._store_fault() or result.Success(None)
+        fault = await self._store_fault()
+        if fault is not None:
+            return fault
+        if lease not in self._daemon_by_lease:
+            return result.Failure(CallFault.MISSING)
+        return result.Success(None)
 
     async def reachable(self):
         """Return whether the store answers at all."""
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -282,13 +282,14 @@
     ):
         self._entry = entry
         self._lease: int | None = None
+        self._left = False
         self._platform = platform
         self._backoff = Backoff(rng)
         self._rng = rng
 
     async def run(self) -> None:
-        """Stay registered until cancelled."""
-        while True:
+        """Stay registered until this daemon leaves."""
+        while not self._left:
             registered = await self._platform.register_daemon(
                 self._entry, REGISTRATION_TTL_S
             )
@@ -301,12 +302,13 @@
 
     async def leave(self) -> None:
         """End the registration, so that no daemon relies on this one."""
+        self._left = True
         if self._lease is not None:
             await self._platform.unregister_daemon(self._lease)
 
     async def _renew(self, lease: int) -> None:
         """Renew the lease until it has ended."""
-        while True:
+        while not self._left:
             await asyncio.sleep(RENEW_INTERVAL_S * self._rng.uniform(0.8, 1.0))
             renewed = await self._platform.renew_daemon(lease)
             if isinstance(renewed, result.Failure):
--- a/burdockcart/process/gateway/tests/test_load.py
+++ b/burdockcart/process/gateway/tests/test_load.py
@@ -298,6 +298,36 @@
         scenario(check, daemons=1)
 
 
+class TestRegistration(testtools.TestCase):
+    """Registration of a daemon that shuts down."""
+
+    def test_leaving_daemon_does_not_return(self):
+        """A daemon that has left must not register again.
+
+        The renewal found no lease and took it for a lapsed one, so other
+        daemons used the leaving daemon again.
+        """
+
+        async def check(deployment):
+            await asyncio.sleep(3.0)
+            leaving = deployment.daemons[0]
+            listed = deployment.platform.daemon_by_id
+            self.assertIn("d0", listed)
+            clients = [
+                gateway_deployment.IdleConnection(leaving.clients)
+                for _ in range(4)
+            ]
+            task = asyncio.create_task(leaving.drain())
+            seen = set()
+            while not task.done():
+                await asyncio.sleep(0.1)
+                seen.add("d0" in listed)
+            self.assertEqual(4, len(clients))
+            self.assertEqual({False}, seen)
+
+        scenario(check, daemons=2)
+
+
 class TestStalledWrites(testtools.TestCase):
     """A primary runs writes that no replica receives.
 
