--- a/burdockcart/process/gateway/term_witness.py
+++ b/burdockcart/process/gateway/term_witness.py
@@ -29,6 +29,10 @@
 #: Time without an answer after which the remaining replicas are asked too, in
 #: seconds; ten times a round trip between failure domains.
 SPARE_AFTER_S = 0.02
+#: Time after a failed inquiry in which no other one is started, in seconds: a
+#: daemon that is cut off from the replicas refuses at once instead of asking
+#: them for each statement.
+FAILED_PAUSE_S = 0.1
 
 
 class Witness(msgspec.Struct, frozen=True):
@@ -89,6 +93,8 @@
         self._found = found
         self._running: asyncio.Task[Witness | None] | None = None
         self._next: asyncio.Task[Witness | None] | None = None
+        #: When the last inquiry failed, unless one has succeeded since.
+        self._failed_at: float | None = None
         #: Queries in flight; the event loop holds only weak references.
         self._queries: set[asyncio.Task[int | None]] = set()
 
@@ -121,6 +127,10 @@
         since = self._boot_clock.now()
         pools = self._in_order(primary)
         needed = answers_needed(len(pools))
+        failed_at = self._failed_at
+        now = self._boot_clock.now()
+        if failed_at is not None and now - failed_at < FAILED_PAUSE_S:
+            return None
         queries = {self._start_query(pool, since) for pool in pools[:needed]}
         spare = pools[needed:]
         terms: list[int] = []
@@ -136,7 +146,9 @@
                 queries |= {self._start_query(pool, since) for pool in spare}
                 spare = []
         if len(terms) < needed:
+            self._failed_at = self._boot_clock.now()
             return None
+        self._failed_at = None
         return Witness(since, max(terms, default=0))
 
     def _start_query(
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -48,6 +48,8 @@
             int, asyncio.Future[messages.Reply | None]
         ] = {}
         self._received_at = loop_clock.now()
+        #: Timer of the next look at an unanswered request.
+        self._watch: asyncio.TimerHandle | None = None
         #: When the oldest request or ping that nothing followed was sent.
         self._awaiting_since: float | None = None
 
@@ -94,21 +96,26 @@
             return None
         self._future_by_number[number] = future
         self._send(build(number))
+        if self._watch is None:
+            self._watch_later()
         try:
             async with asyncio.timeout(timeout_s):
-                while True:
-                    done, _ = await asyncio.wait(
-                        {future}, timeout=PING_AFTER_S
-                    )
-                    if done:
-                        return future.result()
-                    self._ping_if_silent()
+                return await future
         finally:
             self._future_by_number.pop(number, None)
 
+    def _watch_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._watch = loop.call_later(PING_AFTER_S, self._ping_if_silent)
+
     def _ping_if_silent(self) -> None:
+        """Ping a holder that owes an answer and has sent nothing."""
+        self._watch = None
+        if self.is_closed or not self._future_by_number:
+            return
         if self._clock.now() - self._received_at >= PING_AFTER_S:
             self._send(messages.Ping(0))
+        self._watch_later()
 
     def send(self, message: messages.Request) -> None:
         """Send a message that is not answered."""
