Read the relays again: drop what is not used

A transaction's first message carried a shape that was never set, a channel kept one, and a function reached into another class.

--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -66,7 +66,6 @@
     member: ids.MemberId
     transaction: int
     read_only: bool
-    shape: tuple[bool, str] | None
     value_by_name: dict[str, str]
     after: tuple[int, int] | None
     timeout_ms: int
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -138,7 +138,11 @@
                 case messages.Action():
                     await self._act(message)
                     return
-            group = getattr(message, "group", None)
+            group = (
+                None
+                if isinstance(message, messages.RollBack)
+                else message.group
+            )
             self._answer(message.number, answer, group)
         except Exception as error:  # noqa: B902 - others go on
             loguru.logger.opt(exception=error).error(
@@ -168,7 +172,9 @@
                 held[0].release(held[1])
             return answer
         deadline_at = self._service.clock.now() + message.timeout_ms / 1000
-        acquired = await self._acquire(message)
+        acquired = await self._acquire(
+            message, messages.read_shape(message.shape)
+        )
         if isinstance(acquired, member_channel.Answer):
             return acquired
         group, connection = acquired
@@ -218,7 +224,9 @@
         )
 
     async def _acquire(
-        self, message: messages.Run | messages.Begin
+        self,
+        message: messages.Run | messages.Begin,
+        shape: command.Shape | None = None,
     ) -> (
         tuple[groups.Group, pooled_connection.PooledConnection]
         | member_channel.Answer
@@ -244,7 +252,7 @@
             connection=asyncio.get_running_loop().create_future(),
             member=message.member,
             value_by_name=message.value_by_name,
-            shape=messages.read_shape(message.shape),
+            shape=shape,
         )
         acquired = await group.acquire(work)
         if isinstance(acquired, result.Failure):
@@ -277,9 +285,7 @@
             return acquired
         group, connection = acquired
         answer = await self._service.sender.prepare(
-            message.value_by_name,
-            messages.read_shape(message.shape),
-            connection,
+            message.value_by_name, None, connection
         )
         if answer is None:
             answer = await connection.channel.begin(
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -64,7 +64,6 @@
         self._member = member
         self._value_by_name: dict[str, str] = {}
         self._transaction = 0
-        self._shape: command.Shape | None = None
         self._urgency = messages.Urgency(wait_ms=DEFAULT_WAIT_MS)
         self._closed = False
 
@@ -190,7 +189,6 @@
                 self._member.id,
                 transaction,
                 read_only,
-                None,
                 self._value_by_name,
                 messages.position_pair(after),
                 int(timeout_s * 1000),
--- a/burdockcart/process/peers/tcp.py
+++ b/burdockcart/process/peers/tcp.py
@@ -127,6 +127,13 @@
         if not self.greeted.done():
             self.greeted.set_result(None)
 
+    def enable_dead_peer_detection(self) -> None:
+        """End the link when the other host is lost."""
+        assert self._transport is not None
+        sockets.enable_dead_peer_detection(
+            self._transport.get_extra_info("socket")
+        )
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the receiver that the link has ended."""
         self._transport = None
@@ -227,7 +234,7 @@
         def accepted(other: frames.Greeting, link: FrameProtocol) -> Receiver:
             self._ungreeted.discard(link)
             self._accepted.add(link)
-            sockets.enable_dead_peer_detection(link_socket(link))
+            link.enable_dead_peer_detection()
             return accept(other.daemon, link)
 
         def protocol() -> FrameProtocol:
@@ -271,10 +278,3 @@
         """Close all accepted links."""
         for link in self._accepted | self._ungreeted:
             link.close()
-
-
-def link_socket(link: FrameProtocol) -> socket.socket:
-    """Return the socket of an accepted link."""
-    transport = link._transport
-    assert transport is not None
-    return transport.get_extra_info("socket")
