Count holders and shares by one constant

The share of a member's connections that daemons keep open stood in holder_choice and connection_share, both 0.5; the number of holders and their shares must agree on it. No value changes.

--- a/burdockcart/process/peers/holder_choice.py
+++ b/burdockcart/process/peers/holder_choice.py
@@ -21,10 +21,9 @@
 import xxhash
 
 from burdockcart import ids
+from burdockcart.process.gateway import connection_share
 from burdockcart.process.gateway import coordination
 
-#: Share of a member's connections that all daemons together keep open.
-STEADY_SHARE = 0.5
 #: Connections that a daemon must be able to keep to each member for the whole
 #: fleet to connect directly.
 MIN_DIRECT = 2
@@ -74,7 +73,7 @@
     4
 
     """
-    kept = STEADY_SHARE * connections
+    kept = connection_share.STEADY_SHARE * connections
     if kept >= MIN_DIRECT * daemons:
         return daemons
     return min(max(int(kept / MIN_HELD), MIN_HOLDERS), daemons)
