Release replicas only with a renewed claim

Cause: a daemon that gives up its attempt lets the replicas receive again, also if another daemon's call to the platform is pending. The platform changes the lead 0.6 to 1.0 s after the call; until then the old primary serves, and what it commits with a released replica is not in the log of the member that takes over. Two ways lead there: a daemon without the store whose reserved token is outranked, and a daemon whose claim has expired.

Change: the record in the store is written by a class of its own, and the replicas are released only after the daemon has renewed its own claim by compare-and-swap. While it can, nobody else has claimed, and the others wait for the lifetime of the renewed claim. Otherwise the replicas stay on hold until the other promotion takes effect, which ends every hold. Price: one write of the store for an attempt that is given up.

Remains: a token reserved by a daemon without the store says nothing of the holds of the others; see docs/platform.md, limits.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -45,6 +45,8 @@
         ] = {}
         self.token_by_group: dict[ids.GroupId, ids.FencingToken] = {}
         self.promotions: list[tuple[ids.GroupId, ids.MemberId, int]] = []
+        #: Calls with a token that was lower than that of another call.
+        self.refused: list[tuple[ids.GroupId, ids.MemberId, int]] = []
         self.daemon_by_id: dict[ids.DaemonId, coordination.DaemonEntry] = {}
         self.fleet_key: bytes | None = None
         #: Faults: the store is unavailable, that many answers to claims or
@@ -172,6 +174,7 @@
         token: ids.FencingToken,
     ):
         if token < self.token_by_group.get(group, 0):
+            self.refused.append((group, member, token))
             return result.Failure(PromotionFault.REJECTED)
         emulated = self.group_by_id[group]
         target = emulated.member_by_id[member]
@@ -231,12 +234,15 @@
     def __init__(self, platform: EmulatedPlatform):
         self._platform = platform
         self.cut = False
+        #: Whether only promotions reach the platform.
+        self.store_cut = False
 
     def __getattr__(self, name: str):
         method = getattr(self._platform, name)
 
         async def call(*arguments):
-            if not self.cut:
+            cut = self.cut or (self.store_cut and name != "promote")
+            if not cut:
                 return await method(*arguments)
             await asyncio.sleep(0.5)
             if name == "reachable":
--- /dev/null
+++ b/burdockcart/process/gateway/claim_record.py
@@ -0,0 +1,140 @@
+"""Record of a group's promotions in the platform's store."""
+
+from typing import Callable
+import uuid
+
+import loguru
+from returns import result
+
+from burdockcart import clock
+from burdockcart import ids
+from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import promotion_claims
+
+#: Longest time that a renewal may take, in seconds on the boot clock; half of
+#: the time for which a claim holds.
+RENEWAL_VALID_S = 1.5
+#: Attempts to write a claim: another daemon may write a reserved one at the
+#: same time.
+MAX_WRITES = 3
+
+
+class ClaimRecord:
+    """Writes this daemon's claims; each by compare-and-swap.
+
+    The revision of a claim is its fencing token.
+    """
+
+    def __init__(
+        self,
+        daemon: ids.DaemonId,
+        platform: coordination.Platform,
+        claims: promotion_claims.PromotionClaims,
+        loop_clock: clock.Clock,
+        boot_clock: clock.Clock,
+        wall_ms: Callable[[], int],
+    ):
+        self._daemon = daemon
+        self._platform = platform
+        self._claims = claims
+        self._clock = loop_clock
+        self._boot_clock = boot_clock
+        self._wall_ms = wall_ms
+
+    async def claim(self, group: ids.GroupId) -> ids.FencingToken | None:
+        """Claim the right to promote; None if the claim failed."""
+        record = self._new(self._pinned(group))
+        for _ in range(MAX_WRITES):
+            claimed = await self._platform.claim_promotion(
+                group, record, self._claims.revision(group)
+            )
+            now = self._clock.now()
+            if isinstance(claimed, result.Success):
+                token = claimed.unwrap()
+                self._claims.claimed(group, token, now)
+                return token
+            fault = claimed.failure()
+            if isinstance(fault, coordination.CallFault):
+                loguru.logger.warning(
+                    "event=promotion_claim_failed group={} fault={!r}",
+                    group,
+                    fault.value,
+                )
+                self._claims.failed(group, now, store_silent=True)
+                return None
+            if fault.record is not None and fault.record.attempt == (
+                record.attempt
+            ):
+                # An earlier claim of this attempt succeeded, but its answer
+                # was lost.
+                token = ids.FencingToken(fault.revision)
+                self._claims.claimed(group, token, now)
+                return token
+            if not self._claims.lost(group, fault, self._wall_ms(), now):
+                loguru.logger.info(
+                    "event=promotion_left group={} holder={}",
+                    group,
+                    fault.record.holder if fault.record else None,
+                )
+                return None
+        return None
+
+    async def announce(
+        self, group: ids.GroupId, candidate: ids.MemberId
+    ) -> ids.FencingToken | None:
+        """Record for which member the platform is called.
+
+        Where the platform checks no tokens, this write must fail if another
+        daemon has claimed the promotion meanwhile.  None if it failed.
+        """
+        revision = self._claims.revision(group)
+        return await self._replace(group, self._new(candidate), revision)
+
+    async def settle(self, group: ids.GroupId) -> None:
+        """Record that no call for the group can be executed later."""
+        if self._pinned(group) is None:
+            revision = self._claims.revision(group)
+            await self._replace(group, self._new(settled=True), revision)
+
+    async def renew(self, group: ids.GroupId) -> bool:
+        """Renew the claim; False if another daemon may have a newer one.
+
+        The others leave the group alone for the lifetime of a claim after
+        they have seen the new one.
+        """
+        own = self._claims.own_claim(group)
+        if own is None:
+            return False
+        began_at = self._boot_clock.now()
+        renewed = await self._replace(
+            group, self._new(self._pinned(group)), own
+        )
+        elapsed_s = self._boot_clock.now() - began_at
+        return renewed is not None and elapsed_s <= RENEWAL_VALID_S
+
+    def _pinned(self, group: ids.GroupId) -> ids.MemberId | None:
+        return self._claims.pinned(group, self._clock.now())
+
+    def _new(
+        self, candidate: ids.MemberId | None = None, settled: bool = False
+    ) -> coordination.PromotionRecord:
+        return coordination.PromotionRecord(
+            self._daemon,
+            uuid.uuid4().hex,
+            self._wall_ms(),
+            candidate=candidate,
+            settled=settled,
+        )
+
+    async def _replace(
+        self,
+        group: ids.GroupId,
+        record: coordination.PromotionRecord,
+        expected: int,
+    ) -> ids.FencingToken | None:
+        """Replace the record at a revision; None if that failed."""
+        written = await self._platform.claim_promotion(group, record, expected)
+        token = written.value_or(None)
+        if token is not None:
+            self._claims.claimed(group, token, self._clock.now())
+        return token
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -13,7 +13,6 @@
 import asyncio
 import enum
 from typing import Callable
-import uuid
 
 import loguru
 from returns import result
@@ -21,6 +20,7 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart import ids
+from burdockcart.process.gateway import claim_record
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import gateway_metrics
@@ -77,7 +77,9 @@
         self._claims = claims
         self._clock = loop_clock
         self._boot_clock = boot_clock
-        self._wall_ms = wall_ms
+        self._record = claim_record.ClaimRecord(
+            daemon, platform, claims, loop_clock, boot_clock, wall_ms
+        )
         self._metrics = metrics
         self._reserved = reserved
 
@@ -168,7 +170,9 @@
         needed: Callable[[], bool],
     ) -> bool:
         """Claim the promotion, choose a replica and promote it."""
-        token = await self._claim(group) or self._reserved_token(group)
+        token = await self._record.claim(group.id) or self._reserved_token(
+            group
+        )
         if token is None:
             return False
         candidate = await log_comparison.LogComparison(
@@ -182,9 +186,9 @@
             await self._await_leadership(group, candidate)
             await self._settle(group)
             return True
-        self._claims.failed(group.id, self._clock.now())
         if outcome is CallOutcome.NOT_DONE:
             await self._release(group, channels)
+        self._claims.failed(group.id, self._clock.now())
         return False
 
     async def _call_platform(
@@ -198,7 +202,7 @@
         compared_at = self._boot_clock.now()
         for _ in range(MAX_CALLS):
             if not group.promotions_fenced:
-                announced = await self._announce(group, candidate)
+                announced = await self._record.announce(group.id, candidate)
                 if announced is None:
                     return outcome
                 token = announced
@@ -233,7 +237,7 @@
                 outcome = CallOutcome.UNANSWERED
                 self._reserved.drop_token(group.id)
                 self._claims.pin(group.id, candidate, self._clock.now())
-            next_token = await self._claim(group)
+            next_token = await self._record.claim(group.id)
             if next_token is None:
                 return outcome
             token = next_token
@@ -241,49 +245,29 @@
             compared_at = self._boot_clock.now()
         return outcome
 
-    async def _announce(
-        self, group: groups.Group, candidate: ids.MemberId
-    ) -> ids.FencingToken | None:
-        """Record for which member the platform is called.
-
-        The platform checks no tokens, so this write must fail if another
-        daemon has claimed the promotion meanwhile.  None if it failed.
-        """
-        return await self._write_record(group, candidate, settled=False)
-
     async def _settle(self, group: groups.Group) -> None:
         """Record that no call for the group can be executed later."""
-        pinned = self._claims.pinned(group.id, self._clock.now())
-        if not group.promotions_fenced and pinned is None:
-            await self._write_record(group, None, settled=True)
-
-    async def _write_record(
-        self,
-        group: groups.Group,
-        candidate: ids.MemberId | None,
-        settled: bool,
-    ) -> ids.FencingToken | None:
-        record = coordination.PromotionRecord(
-            self._daemon,
-            uuid.uuid4().hex,
-            self._wall_ms(),
-            candidate=candidate,
-            settled=settled,
-        )
-        written = await self._platform.claim_promotion(
-            group.id, record, self._claims.revision(group.id)
-        )
-        token = written.value_or(None)
-        if token is not None:
-            self._claims.claimed(group.id, token, self._clock.now())
-        return token
+        if not group.promotions_fenced:
+            await self._record.settle(group.id)
 
     async def _release(
         self,
         group: groups.Group,
         channels: dict[ids.MemberId, member_channel.Channel],
     ) -> None:
-        """Let the replicas receive again if no promotion can follow."""
+        """Let the replicas receive again if no promotion can follow.
+
+        Another daemon may have called the platform meanwhile.  Its promotion
+        loses commits if the replicas receive before it takes effect, so they
+        stay on hold unless this daemon can renew its claim.
+        """
+        if not await self._record.renew(group.id):
+            loguru.logger.warning(
+                "event=replicas_left_on_hold group={} "
+                "reason='another daemon may be promoting'",
+                group.id,
+            )
+            return
         answers = await asyncio.gather(
             *(
                 channel.release_replication(log_comparison.QUERY_TIMEOUT_S)
@@ -314,49 +298,6 @@
             )
         return token
 
-    async def _claim(self, group: groups.Group) -> ids.FencingToken | None:
-        """Claim the right to promote; None if the claim failed."""
-        record = coordination.PromotionRecord(
-            self._daemon,
-            uuid.uuid4().hex,
-            self._wall_ms(),
-            candidate=self._claims.pinned(group.id, self._clock.now()),
-        )
-        for _ in range(MAX_CALLS):
-            claimed = await self._platform.claim_promotion(
-                group.id, record, self._claims.revision(group.id)
-            )
-            now = self._clock.now()
-            if isinstance(claimed, result.Success):
-                token = claimed.unwrap()
-                self._claims.claimed(group.id, token, now)
-                return token
-            fault = claimed.failure()
-            if isinstance(fault, coordination.CallFault):
-                loguru.logger.warning(
-                    "event=promotion_claim_failed group={} fault={!r}",
-                    group.id,
-                    fault.value,
-                )
-                self._claims.failed(group.id, now, store_silent=True)
-                return None
-            if fault.record is not None and fault.record.attempt == (
-                record.attempt
-            ):
-                # An earlier claim of this attempt succeeded, but its answer
-                # was lost.
-                token = ids.FencingToken(fault.revision)
-                self._claims.claimed(group.id, token, now)
-                return token
-            if not self._claims.lost(group.id, fault, self._wall_ms(), now):
-                loguru.logger.info(
-                    "event=promotion_left group={} holder={}",
-                    group.id,
-                    fault.record.holder if fault.record else None,
-                )
-                return None
-        return None
-
     async def _await_leadership(
         self, group: groups.Group, member: ids.MemberId
     ) -> None:
--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -31,6 +31,9 @@
         self._daemon = daemon
         self._claim_ttl_s = claim_ttl_s
         self._revision_by_group: dict[ids.GroupId, int] = {}
+        #: Revisions of the records that this daemon has written, unless it
+        #: has seen a later one of another daemon.
+        self._own_by_group: dict[ids.GroupId, int] = {}
         #: When the latest known revision was first seen.
         self._seen_at: dict[ids.GroupId, float] = {}
         self._not_before: dict[ids.GroupId, float] = {}
@@ -71,6 +74,10 @@
         """Return the latest known revision of the record, or 0."""
         return self._revision_by_group.get(group, 0)
 
+    def own_claim(self, group: ids.GroupId) -> int | None:
+        """Return the revision of this daemon's claim, if it has one."""
+        return self._own_by_group.get(group)
+
     def may_try(self, group: ids.GroupId, planned: bool, now: float) -> bool:
         """Return whether this daemon may start a promotion now."""
         if now < self._not_before.get(group, 0.0):
@@ -82,6 +89,7 @@
     ) -> None:
         """Record that this daemon claimed the promotion."""
         self._revision_by_group[group] = token
+        self._own_by_group[group] = token
         self._store_silent.discard(group)
         self._unplanned_not_before[group] = now + failover_rule.UNPLANNED_GAP_S
 
@@ -110,6 +118,7 @@
         """
         seen_before = self._revision_by_group.get(group) == lost.revision
         self._revision_by_group[group] = lost.revision
+        self._own_by_group.pop(group, None)
         self._store_silent.discard(group)
         record = lost.record
         if record is not None and not seen_before:
