Log aborted statements, discarded transactions

Nothing in the log told which daemon had closed the connection, or when.

A daemon that aborts the running reads of an unreachable member now logs event=statements_aborted with the group, the member, the number, how many were relayed, and the first eight statement ids. A holder that rolls back a transaction of another daemon logs event=transaction_discarded with the daemon, the transaction and the cause. Both are limited by event like all others.

Aborted statements are counted by burdockcart_attempts_failed_total already, so there is no new counter.

--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -244,6 +244,7 @@
             limit_s = min(limit_s, timeout_factor * overdue_s)
         return await self.exchange(
             connection,
+            request.statement.id,
             lambda: connection.channel.run(
                 request.statement,
                 request.shape,
@@ -257,6 +258,7 @@
     async def exchange(
         self,
         connection: pooled_connection.PooledConnection,
+        statement: ids.StatementId,
         run: Callable[[], Awaitable[member_channel.Answer]],
         waits_for_replica: bool,
     ) -> member_channel.Answer:
@@ -277,8 +279,10 @@
         )
         connection.retryable = not waits_for_replica
         connection.active = True
+        connection.statement = statement
         answer = await run()
         connection.active = connection.retryable = False
+        connection.statement = None
         fault = answer.fault
         if connection.aborted_locally:
             # The member is known to be unreachable, so this is no new failure.
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -30,6 +30,8 @@
 #: member busy with up to 1,000 refusals a second.
 EXHAUSTED_MIN_S = 0.1
 EXHAUSTED_MAX_S = 3.2
+#: Maximum number of statements that one line of the log names.
+LISTED = 8
 #: Weight of a new answer time of a status query in its moving average.
 OBSERVED_WEIGHT = 0.2
 
@@ -296,10 +298,21 @@
 
     def abort_reads(self) -> None:
         """Abort the statements that can be retried on another member."""
-        for connection in self._busy:
-            if connection.retryable:
-                connection.aborted_locally = True
-                connection.channel.close()
+        aborted = [each for each in self._busy if each.retryable]
+        if not aborted:
+            return
+        loguru.logger.info(
+            "event=statements_aborted group={} member={} count={} relayed={} "
+            "statements={}",
+            self.entry.group,
+            self.entry.id,
+            len(aborted),
+            sum(not each.channel.direct for each in aborted),
+            ",".join(str(each.statement) for each in aborted[:LISTED]),
+        )
+        for connection in aborted:
+            connection.aborted_locally = True
+            connection.channel.close()
 
     async def observe(
         self, timeout_s: float
--- a/burdockcart/process/gateway/pooled_connection.py
+++ b/burdockcart/process/gateway/pooled_connection.py
@@ -4,6 +4,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
+from burdockcart import ids
 
 if TYPE_CHECKING:
     from burdockcart.process.gateway import member_pool
@@ -28,5 +29,7 @@
         self.stale = False
         #: Whether the running statement can be retried on another member.
         self.retryable = False
+        #: Client's statement that runs on it.
+        self.statement: ids.StatementId | None = None
         #: Whether this daemon aborted the running statement.
         self.aborted_locally = False
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -90,7 +90,7 @@
             self._send(messages.Pong(message.number))
             return
         if isinstance(message, messages.Discard):
-            self._discard(message.transaction)
+            self._discard(message.transaction, "given up by the daemon")
             return
         if message.number <= self._last_number:
             raise frames.FrameError(
@@ -151,7 +151,7 @@
                 message.number,
             )
             if isinstance(message, (messages.Run, messages.Begin)):
-                self._discard(message.transaction)
+                self._discard(message.transaction, "a fault in the holder")
             self._answer(
                 message.number, _fault(Fault.RELAY_LOST, "fault in the holder")
             )
@@ -213,6 +213,7 @@
         ) or (shape is not None and shape.writes)
         return await self._service.sender.exchange(
             connection,
+            message.statement,
             lambda: connection.channel.run(
                 statement,
                 shape,
@@ -299,6 +300,7 @@
                 connection.channel.close()
             group.release(connection)
         elif self._closed or message.transaction in self._given_up:
+            self._log_discarded(message.transaction, "it began too late")
             connection.channel.close()
             group.release(connection)
         else:
@@ -319,12 +321,21 @@
         group.release(connection)
         return answer
 
-    def _discard(self, transaction: int) -> None:
+    def _log_discarded(self, transaction: int, cause: str) -> None:
+        loguru.logger.info(
+            "event=transaction_discarded daemon={} transaction={} cause={!r}",
+            self._daemon,
+            transaction,
+            cause,
+        )
+
+    def _discard(self, transaction: int, cause: str) -> None:
         """Close the connection of a transaction, which rolls it back."""
         if transaction in self._beginning:
             self._given_up.add(transaction)
         held = self._connection_by_transaction.pop(transaction, None)
         if held is not None:
+            self._log_discarded(transaction, cause)
             held[1].aborted_locally = True
             held[1].channel.close()
             held[0].release(held[1])
@@ -382,7 +393,7 @@
         """Roll back what the other daemon has left open."""
         self._closed = True
         for transaction in list(self._connection_by_transaction):
-            self._discard(transaction)
+            self._discard(transaction, "the link ended")
         self._ended(self)
 
 
