--- a/burdockcart/connection/member_channel.py
+++ b/burdockcart/connection/member_channel.py
@@ -36,6 +36,8 @@
     BROKEN = "connection lost"
     RELAY_REFUSED = "not sent by the relaying daemon"
     RELAY_LOST = "lost by the relaying daemon"
+    NOT_SENT = "not sent on this connection"
+    OUTSIDE = "ran outside of its transaction"
     OTHER = "other"
 
 
@@ -51,6 +53,7 @@
         MemberFault.UNCONFIRMED,
         MemberFault.REFUSED,
         MemberFault.RELAY_REFUSED,
+        MemberFault.NOT_SENT,
     }
 )
 #: Faults after which the connection cannot be used.
@@ -106,16 +109,43 @@
 
 
 class Channel(Protocol):
-    """One open connection to a member.
+    """One open connection to a member, owned by one statement or transaction.
+
+    Explanation
+    ===========
+
+    All kinds of channels keep the same contract, see
+    :mod:`burdockcart.connection.channel_state`:
+
+    - One call runs at a time.  A call that does not fit the state of the
+      channel, or comes while another one runs, is not sent; its answer is
+      the fault ``NOT_SENT``.
+    - A statement of a transaction is sent by :meth:`run_in_transaction`, and
+      only between a successful :meth:`begin` and the end of the transaction.
+      Any other statement is sent by :meth:`run`, and only outside of one.
+    - After a success the member's connection is in the expected state: in the
+      transaction after :meth:`begin` and its statements, else in none.
+      Otherwise the answer is a fault and the channel is closed.
+    - After an answer with a fault of ``NO_ANSWER`` the channel is closed.
+    - A closed channel sends nothing.  An answer that arrives after the
+      channel was closed is a success only for a single statement or a COMMIT,
+      whose outcome it tells.
+    - Only a channel that is ``free`` may be handed to another owner.
 
-    Only one call runs at a time.  After an answer with a fault of
-    ``NO_ANSWER`` the channel is closed.
     """
 
     @property
     def closed(self) -> bool:
         """Whether the connection has ended."""
 
+    @property
+    def free(self) -> bool:
+        """Whether it is open, without a transaction or a running call."""
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on it."""
+
     @property
     def direct(self) -> bool:
         """Whether it is a connection to the member itself."""
@@ -148,12 +178,20 @@
         after: log_position.LogPosition | None = None,
         prove: bool = False,
     ) -> Answer:
-        """Run a client's statement.
+        """Run a client's statement outside of a transaction.
 
         With ``prove`` the member first confirms that it is the primary;
         otherwise the answer is NOT_PRIMARY, whatever the statement returned.
         """
 
+    async def run_in_transaction(
+        self,
+        statement: command.Command,
+        shape: command.Shape | None,
+        timeout_s: float,
+    ) -> Answer:
+        """Run a client's statement in the open transaction, or its COMMIT."""
+
     async def begin(
         self,
         read_only: bool,
--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -37,9 +37,14 @@
 
 
 #: Faults of a statement after which the member must be checked.  A statement
-#: is refused by a holder that does not reach the member, as another may.
+#: is refused by a holder that does not reach the member, as another may.  One
+#: that was not sent found that the member had ended the connection.
 _INCONCLUSIVE = frozenset(
-    {member_channel.MemberFault.SILENT, member_channel.MemberFault.REFUSED}
+    {
+        member_channel.MemberFault.SILENT,
+        member_channel.MemberFault.REFUSED,
+        member_channel.MemberFault.NOT_SENT,
+    }
 )
 
 
--- a/burdockcart/connection/open_transaction.py
+++ b/burdockcart/connection/open_transaction.py
@@ -1,10 +1,24 @@
 """A client's transaction between BEGIN and its end."""
 
+import enum
+
 from burdockcart import errors
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.version import manifest
 
 
+class Phase(enum.Enum):
+    """How far a transaction has come.
+
+    Until a statement has succeeded, the transaction may still begin on
+    another member.
+    """
+
+    NEW = "new"
+    STARTED = "started"
+    OVER = "over"
+
+
 class OpenTransaction:
     """State of one transaction.
 
@@ -21,6 +35,7 @@
     def __init__(self, route: manifest.DatabaseRoute, read_only: bool):
         self.route = route
         self.read_only = read_only
+        self.phase = Phase.NEW
         self.connection: pooled_connection.PooledConnection | None = None
         self.failure: errors.Failure | None = None
         #: Whether the failure still has to be reported to the client.
--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -1,7 +1,10 @@
 """In-memory channels to emulated members."""
 
 import asyncio
+from typing import Awaitable
+from typing import Callable
 
+from burdockcart.connection import channel_state
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
 from burdockcart.emulator import wire_member
@@ -12,9 +15,22 @@
 Fault = member_channel.MemberFault
 State = member_channel.TransactionState
 
+#: What a member does for one call.
+Work = Callable[[], Awaitable[member_channel.Answer]]
+
 
 class EmulatedChannel:
-    """One connection to an emulated member."""
+    """One connection to an emulated member.
+
+    Explanation
+    ===========
+
+    ``state``, ``transaction`` and ``writes`` are the member's side.  A
+    statement that runs when the connection is closed still ends at the
+    member, as the end of a connection is noticed only between statements;
+    then an open transaction is rolled back.
+
+    """
 
     def __init__(
         self,
@@ -25,7 +41,9 @@
         self.member = member
         self.latency_s = latency_s
         self._cut = cut
-        self.closed = False
+        self._ended = asyncio.Event()
+        self._guard = channel_state.CallGuard(self.close, self._ended.is_set)
+        self._work: asyncio.Task[member_channel.Answer] | None = None
         self.value_by_name: dict[str, str] = {}
         self.prepared: set[command.Shape] = set()
         self.state = State.IDLE
@@ -36,8 +54,32 @@
 
     def close(self) -> None:
         """Close the connection; an open transaction is rolled back."""
-        self.closed = True
+        self._guard.close()
+        self._ended.set()
         self.member.connections.discard(self)
+        if self._work is not None and self.member.crashed:
+            self._work.cancel()
+        if self._work is None or self._work.done():
+            self._forget_transaction()
+
+    def _forget_transaction(self) -> None:
+        self.state, self.read_write = State.IDLE, False
+        self.transaction, self.writes = None, []
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended."""
+        return self._ended.is_set()
+
+    @property
+    def free(self) -> bool:
+        """Whether it is open, without a transaction or a running call."""
+        return self._guard.free
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on it."""
+        return self._guard.in_transaction
 
     @property
     def direct(self) -> bool:
@@ -70,26 +112,51 @@
         if self.member.unresponsive or self.member.id in self._cut:
             await asyncio.Event().wait()
 
-    async def _with_timeout(
-        self, work, timeout_s: float
+    async def _serve(self, work: Work) -> member_channel.Answer:
+        """Run work at the member, subject to its faults."""
+        try:
+            await self._wait_latency()
+            if self.member.crashed:
+                self.close()
+                return member_channel.Answer(fault=Fault.BROKEN)
+            await self._while_reachable()
+            answer = await work()
+            await self._while_reachable()
+        finally:
+            if self.closed:
+                self._forget_transaction()
+        await self._wait_latency()
+        return answer
+
+    async def _send(
+        self, work: Work, timeout_s: float
     ) -> member_channel.Answer:
-        """Run work within a timeout, subject to the member's faults."""
+        """Run work within a timeout; its answer ends with the connection."""
+        served = asyncio.create_task(self._serve(work))
+        ended = asyncio.create_task(self._ended.wait())
+        self._work = served
+        try:
+            await asyncio.wait(
+                {served, ended},
+                timeout=timeout_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            ended.cancel()
+        if served.done() and not served.cancelled():
+            return served.result()
         if self.closed:
             return member_channel.Answer(fault=Fault.BROKEN)
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._wait_latency()
-                if self.member.crashed:
-                    self.close()
-                    return member_channel.Answer(fault=Fault.BROKEN)
-                await self._while_reachable()
-                answer = await work()
-                await self._while_reachable()
-                await self._wait_latency()
-                return answer
-        except TimeoutError:
-            self.close()
-            return member_channel.Answer(fault=Fault.SILENT)
+        served.cancel()
+        self.close()
+        return member_channel.Answer(fault=Fault.SILENT)
+
+    async def _call(
+        self, call: channel_state.Call, work: Work, timeout_s: float
+    ) -> member_channel.Answer:
+        return await self._guard.call(
+            call, lambda: self._send(work, timeout_s)
+        )
 
     async def prepare(
         self, steps: list[member_session.Step], timeout_s: float
@@ -106,7 +173,7 @@
                     self.prepared.add(step.shape)
             return self._answer()
 
-        answer = await self._with_timeout(work, timeout_s)
+        answer = await self._call(channel_state.Call.PREPARE, work, timeout_s)
         return [answer] * (1 if answer.fault else len(steps))
 
     async def run(
@@ -117,9 +184,29 @@
         after: log_position.LogPosition | None = None,
         prove: bool = False,
     ) -> member_channel.Answer:
-        """Run a client's statement."""
-        return await self._with_timeout(
-            lambda: self._run(statement, shape, after, prove), timeout_s
+        """Run a client's statement outside of a transaction."""
+        return await self._call(
+            channel_state.Call.SINGLE,
+            lambda: self._run(statement, shape, after, prove),
+            timeout_s,
+        )
+
+    async def run_in_transaction(
+        self,
+        statement: command.Command,
+        shape: command.Shape | None,
+        timeout_s: float,
+    ) -> member_channel.Answer:
+        """Run a client's statement in the open transaction, or its COMMIT."""
+        commits = statement.kind is command.CommandKind.COMMIT
+        return await self._call(
+            (
+                channel_state.Call.COMMIT
+                if commits
+                else channel_state.Call.STATEMENT
+            ),
+            lambda: self._run(statement, shape, None, False),
+            timeout_s,
         )
 
     async def _run(
@@ -223,17 +310,16 @@
             self.writes = []
             return self._answer()
 
-        return await self._with_timeout(work, timeout_s)
+        return await self._call(channel_state.Call.BEGIN, work, timeout_s)
 
     async def roll_back(self, timeout_s: float) -> member_channel.Answer:
         """Roll back the open transaction."""
 
         async def work() -> member_channel.Answer:
-            self.state, self.read_write = State.IDLE, False
-            self.transaction, self.writes = None, []
+            self._forget_transaction()
             return self._answer()
 
-        return await self._with_timeout(work, timeout_s)
+        return await self._call(channel_state.Call.ROLL_BACK, work, timeout_s)
 
     async def observe(
         self, timeout_s: float
@@ -243,7 +329,7 @@
         async def work() -> member_channel.Answer:
             return self._answer()
 
-        answer = await self._with_timeout(work, timeout_s)
+        answer = await self._call(channel_state.Call.CONTROL, work, timeout_s)
         return answer.fault or self._status()
 
     async def demote(
@@ -256,7 +342,7 @@
                 self.member.follow(self.member.group.primary)
             return self._answer()
 
-        answer = await self._with_timeout(work, timeout_s)
+        answer = await self._call(channel_state.Call.CONTROL, work, timeout_s)
         return answer.fault or self._status()
 
     async def hold_replication(
@@ -270,7 +356,7 @@
             self.member.held_term = term
             return self._answer()
 
-        answer = await self._with_timeout(work, timeout_s)
+        answer = await self._call(channel_state.Call.CONTROL, work, timeout_s)
         return answer.fault or self._status()
 
     async def release_replication(
@@ -289,7 +375,7 @@
             self.member.receive(missing)
             return self._answer()
 
-        return await self._with_timeout(work, timeout_s)
+        return await self._call(channel_state.Call.CONTROL, work, timeout_s)
 
     def _status(self) -> member_channel.MemberStatus:
         role = (
--- a/burdockcart/emulator/wire_member.py
+++ b/burdockcart/emulator/wire_member.py
@@ -226,8 +226,12 @@
                 self.refused += 1
                 return False
             self._waiting += 1
-            await self._slot_free.wait_for(lambda: self.running < self.slots)
-            self._waiting -= 1
+            try:
+                await self._slot_free.wait_for(
+                    lambda: self.running < self.slots
+                )
+            finally:
+                self._waiting -= 1
             self.running += 1
         return True
 
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -4,8 +4,10 @@
 import socket
 
 import loguru
+import msgspec
 from tornado import iostream
 
+from burdockcart.connection import channel_state
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
 from burdockcart.connection import sockets
@@ -35,14 +37,26 @@
     ):
         self._stream = stream
         self._member = member
+        self._guard = channel_state.CallGuard(self.close, stream.closed)
 
     @property
     def closed(self) -> bool:
         """Whether the connection has ended."""
-        return self._stream.closed()
+        return self._guard.closed
+
+    @property
+    def free(self) -> bool:
+        """Whether it is open, without a transaction or a running call."""
+        return self._guard.free
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on it."""
+        return self._guard.in_transaction
 
     def close(self) -> None:
         """Close the connection; the member rolls back an open transaction."""
+        self._guard.close()
         self._stream.close()
 
     @property
@@ -73,10 +87,6 @@
             return answers
         except TimeoutError:
             fault, text = member_channel.MemberFault.SILENT, "no answer"
-        except asyncio.CancelledError:
-            # A late answer would be taken for that of the next statement.
-            self.close()
-            raise
         except iostream.StreamClosedError as error:
             fault, text = member_channel.MemberFault.BROKEN, str(error)
         except (wire.ProtocolError, iostream.UnsatisfiableReadError) as error:
@@ -98,8 +108,15 @@
             wire.query_line(wire.PROXY_STATEMENT_ID, wire.step_text(step))
             for step in steps
         ]
-        answers = await self._exchange(lines, timeout_s)
-        return _up_to_first_fault(answers)
+        answers: list[member_channel.Answer] = []
+
+        async def send() -> member_channel.Answer:
+            received = await self._exchange(lines, timeout_s)
+            answers.extend(_up_to_first_fault(received))
+            return answers.pop()
+
+        last = await self._guard.call(channel_state.Call.PREPARE, send)
+        return answers + [last]
 
     async def run(
         self,
@@ -109,16 +126,40 @@
         after: log_position.LogPosition | None = None,
         prove: bool = False,
     ) -> member_channel.Answer:
-        """Run a client's statement."""
+        """Run a client's statement outside of a transaction."""
         text = wire.member_text(statement, shape)
         line = wire.query_line(statement.id, text, after)
-        if not prove:
-            return (await self._exchange([line], timeout_s))[0]
-        answers = await self._exchange(
-            _PRIMARY_CHECK_LINES + [line], timeout_s
+        checks = _PRIMARY_CHECK_LINES if prove else []
+
+        async def send() -> member_channel.Answer:
+            answers = await self._exchange(checks + [line], timeout_s)
+            if not prove:
+                return answers[0]
+            check = _primary_check_result(answers[:2])
+            if check.fault is None:
+                return answers[2]
+            # The last answer tells the state that the connection is left in.
+            return msgspec.structs.replace(check, state=answers[2].state)
+
+        return await self._guard.call(channel_state.Call.SINGLE, send)
+
+    async def run_in_transaction(
+        self,
+        statement: command.Command,
+        shape: command.Shape | None,
+        timeout_s: float,
+    ) -> member_channel.Answer:
+        """Run a client's statement in the open transaction, or its COMMIT."""
+        commits = statement.kind is command.CommandKind.COMMIT
+        return await self._call(
+            (
+                channel_state.Call.COMMIT
+                if commits
+                else channel_state.Call.STATEMENT
+            ),
+            wire.query_line(statement.id, wire.member_text(statement, shape)),
+            timeout_s,
         )
-        check = _primary_check_result(answers[:2])
-        return check if check.fault is not None else answers[2]
 
     async def begin(
         self,
@@ -128,11 +169,13 @@
     ) -> member_channel.Answer:
         """Begin a transaction."""
         text = "BEGIN READ" if read_only else "BEGIN"
-        return await self._run_single(text, timeout_s, after)
+        line = wire.query_line(wire.PROXY_STATEMENT_ID, text, after)
+        return await self._call(channel_state.Call.BEGIN, line, timeout_s)
 
     async def roll_back(self, timeout_s: float) -> member_channel.Answer:
         """Roll back the open transaction."""
-        return await self._run_single("ROLLBACK", timeout_s)
+        line = wire.query_line(wire.PROXY_STATEMENT_ID, "ROLLBACK")
+        return await self._call(channel_state.Call.ROLL_BACK, line, timeout_s)
 
     async def observe(
         self, timeout_s: float
@@ -140,27 +183,25 @@
         """Return the member's status; uses none of its slots."""
         # A hold with a term that is not newer changes nothing, and unlike
         # STATUS it is answered although all slots are taken.
-        return self._status(await self._run_single("PAUSE 0", timeout_s))
+        return self._status(await self._control("PAUSE 0", timeout_s))
 
     async def demote(
         self, term: int, timeout_s: float
     ) -> member_channel.MemberStatus | member_channel.MemberFault:
         """Make the member a replica if it leads a term below ``term``."""
-        return self._status(
-            await self._run_single(f"DEMOTE {term}", timeout_s)
-        )
+        return self._status(await self._control(f"DEMOTE {term}", timeout_s))
 
     async def hold_replication(
         self, term: int, timeout_s: float
     ) -> member_channel.MemberStatus | member_channel.MemberFault:
         """Pause replication on a replica until it is released or promoted."""
-        return self._status(await self._run_single(f"PAUSE {term}", timeout_s))
+        return self._status(await self._control(f"PAUSE {term}", timeout_s))
 
     async def release_replication(
         self, timeout_s: float
     ) -> member_channel.Answer:
         """Resume replication on a replica."""
-        return await self._run_single("RESUME", timeout_s)
+        return await self._control("RESUME", timeout_s)
 
     def _status(
         self, answer: member_channel.Answer
@@ -177,14 +218,19 @@
             )
             return member_channel.MemberFault.OTHER
 
-    async def _run_single(
-        self,
-        text: str,
-        timeout_s: float,
-        after: log_position.LogPosition | None = None,
+    async def _control(
+        self, text: str, timeout_s: float
     ) -> member_channel.Answer:
-        line = wire.query_line(wire.PROXY_STATEMENT_ID, text, after)
-        return (await self._exchange([line], timeout_s))[0]
+        line = wire.query_line(wire.PROXY_STATEMENT_ID, text)
+        return await self._call(channel_state.Call.CONTROL, line, timeout_s)
+
+    async def _call(
+        self, call: channel_state.Call, line: bytes, timeout_s: float
+    ) -> member_channel.Answer:
+        async def send() -> member_channel.Answer:
+            return (await self._exchange([line], timeout_s))[0]
+
+        return await self._guard.call(call, send)
 
 
 #: Only a primary accepts these statements: any other member refuses a
--- a/burdockcart/platform/tests/test_sockets.py
+++ b/burdockcart/platform/tests/test_sockets.py
@@ -259,6 +259,40 @@
             check,
         )
 
+    def test_statement_that_left_its_transaction(self):
+        """Guards against a success that the member gave outside."""
+
+        async def check(connector, address, member):
+            channel = await connector.connect(address, 1.0)
+            begun = await channel.begin(False, 1.0)
+            self.assertIsNone(begun.fault)
+            answer = await channel.run_in_transaction(READ, None, 1.0)
+            self.assertIs(Fault.OUTSIDE, answer.fault)
+            self.assertTrue(channel.closed)
+
+        with_member(
+            [
+                HELLO,
+                b"COMPLETE -\r\nREADY T 3.1\r\n",
+                b"DATAROW a\r\nCOMPLETE 7\r\nREADY I 3.1\r\n",
+            ],
+            check,
+        )
+
+    def test_statement_without_its_transaction(self):
+        """Guards against sending a statement of a transaction outside."""
+
+        async def check(connector, address, member):
+            channel = await connector.connect(address, 1.0)
+            answer = await channel.run_in_transaction(READ, None, 1.0)
+            self.assertIs(Fault.NOT_SENT, answer.fault)
+            channel.close()
+            answer = await channel.run(READ, None, 1.0)
+            self.assertIs(Fault.NOT_SENT, answer.fault)
+            self.assertEqual(1, len(member.received))
+
+        with_member([HELLO, None], check)
+
     def test_cancelled_call_closes(self):
         """Guards against a late answer taken for that of the next call."""
 
--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -220,12 +220,12 @@
         self,
         request: Request,
         connection: pooled_connection.PooledConnection,
-        work: work_queue.Work | None,
+        work: work_queue.Work,
         waits_for_replica: bool,
         prove: bool = False,
         timeout_factor: float = 1.0,
     ) -> member_channel.Answer:
-        """Send a statement and record its outcome.
+        """Send a statement outside of a transaction; record its outcome.
 
         Parameters
         ==========
@@ -234,14 +234,9 @@
             Factor on the time after which a read is given up.
 
         """
-        health = connection.pool.health
-        now = self.loop_clock.now()
-        limit_s = max(request.deadline_at - now, 0.0)
-        if not waits_for_replica:
-            # Giving up a write, whose answer depends on a replica, would
-            # leave its outcome unknown; other statements can be retried.
-            overdue_s = health.overdue_s(now, request.route.latency_goal_s)
-            limit_s = min(limit_s, timeout_factor * overdue_s)
+        limit_s = self._limit_s(
+            request, connection, waits_for_replica, timeout_factor
+        )
         return await self.exchange(
             connection,
             request.statement.id,
@@ -249,12 +244,50 @@
                 request.statement,
                 request.shape,
                 limit_s,
-                after=None if work is None else work.position,
+                after=work.position,
                 prove=prove,
             ),
             waits_for_replica,
         )
 
+    async def send_in_transaction(
+        self,
+        request: Request,
+        connection: pooled_connection.PooledConnection,
+        waits_for_replica: bool,
+    ) -> member_channel.Answer:
+        """Send a statement of a transaction and record its outcome."""
+        limit_s = self._limit_s(
+            request, connection, waits_for_replica, TRANSACTION_TIMEOUT_FACTOR
+        )
+        return await self.exchange(
+            connection,
+            request.statement.id,
+            lambda: connection.channel.run_in_transaction(
+                request.statement, request.shape, limit_s
+            ),
+            waits_for_replica,
+        )
+
+    def _limit_s(
+        self,
+        request: Request,
+        connection: pooled_connection.PooledConnection,
+        waits_for_replica: bool,
+        timeout_factor: float,
+    ) -> float:
+        """Return the time after which a statement is given up."""
+        now = self.loop_clock.now()
+        left_s = max(request.deadline_at - now, 0.0)
+        if waits_for_replica:
+            # Giving up a write, whose answer depends on a replica, would
+            # leave its outcome unknown; other statements can be retried.
+            return left_s
+        overdue_s = connection.pool.health.overdue_s(
+            now, request.route.latency_goal_s
+        )
+        return min(left_s, timeout_factor * overdue_s)
+
     async def exchange(
         self,
         connection: pooled_connection.PooledConnection,
@@ -280,14 +313,16 @@
         connection.retryable = not waits_for_replica
         connection.active = True
         connection.statement = statement
-        answer = await run()
-        connection.active = connection.retryable = False
-        connection.statement = None
-        fault = answer.fault
-        if connection.aborted_locally:
-            # The member is known to be unreachable, so this is no new failure.
-            fault = member_channel.MemberFault.SILENT
-        health.record_ended(ticket, self.loop_clock.now(), fault)
+        fault: member_channel.MemberFault | None = (
+            member_channel.MemberFault.SILENT
+        )
+        try:
+            answer = await run()
+            fault = _fault_of_member(connection, answer)
+        finally:
+            connection.active = connection.retryable = False
+            connection.statement = None
+            health.record_ended(ticket, self.loop_clock.now(), fault)
         if fault is member_channel.MemberFault.QUEUE_FULL:
             connection.pool.limit.record_refusal(
                 health.running, self.loop_clock.now()
@@ -298,17 +333,6 @@
             connection.channel.close()
         return answer
 
-    def release_idle(
-        self,
-        group: groups.Group,
-        connection: pooled_connection.PooledConnection,
-        answer: member_channel.Answer,
-    ) -> None:
-        """Release a connection; close it if a transaction is still open."""
-        if answer.state is not member_channel.TransactionState.IDLE:
-            connection.channel.close()
-        group.release(connection)
-
     async def prepare(
         self,
         value_by_name: dict[str, str],
@@ -392,6 +416,22 @@
         )
 
 
+def _fault_of_member(
+    connection: pooled_connection.PooledConnection,
+    answer: member_channel.Answer,
+) -> member_channel.MemberFault | None:
+    """Return the fault as far as it says something about the member."""
+    if connection.aborted_locally:
+        # The member is known to be unreachable, so this is no new failure.
+        return member_channel.MemberFault.SILENT
+    if (
+        answer.fault is member_channel.MemberFault.NOT_SENT
+        and not connection.channel.direct
+    ):
+        return member_channel.MemberFault.RELAY_REFUSED
+    return answer.fault
+
+
 def queue_full_pause_s(attempt: int) -> float:
     """Return the pause after an attempt that found the queue full."""
     return QUEUE_FULL_PAUSE_S * 2 ** (attempt - 1)
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -183,10 +183,23 @@
     def give_back(
         self, connection: pooled_connection.PooledConnection
     ) -> None:
-        """Return a connection; close it if it cannot be reused."""
-        self._busy.discard(connection)
+        """Return a connection; close it if it cannot be reused.
+
+        Only a free one may be handed on: the next owner would run inside the
+        transaction of the last one, or get the answer to its statement.
+        """
+        if connection not in self._busy:
+            loguru.logger.error(
+                "event=connection_returned_twice group={} member={}",
+                self.entry.group,
+                self.entry.id,
+            )
+            connection.channel.close()
+            return
+        self._busy.remove(connection)
         if (
             connection.channel.closed
+            or not connection.channel.free
             or connection.stale
             or self.retired
             or self.open_count >= self.share.hard_limit
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -145,10 +145,17 @@
             self._attempts.log_placement(
                 group, request, connection, work, attempt
             )
-            answer = await self._attempt(
-                group, session, request, connection, work, 2 ** (attempt - 1)
-            )
-            self._attempts.release_idle(group, connection, answer)
+            try:
+                answer = await self._attempt(
+                    group,
+                    session,
+                    request,
+                    connection,
+                    work,
+                    2 ** (attempt - 1),
+                )
+            finally:
+                group.release(connection)
             if answer.fault is None:
                 return result.Success(answer)
             step = retry_policy.next_step_single(
--- a/burdockcart/process/gateway/transaction_runner.py
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -51,9 +51,19 @@
             return attempts.no_group(request.route)
         excluded: set[ids.MemberId] = set()
         attempt = 0
-        first = transaction.connection is None
+        first = transaction.phase is open_transaction.Phase.NEW
         while True:
             attempt += 1
+            if transaction.phase is open_transaction.Phase.OVER or (
+                transaction.connection is None and not first
+            ):
+                return result.Failure(
+                    transaction.failure
+                    or errors.Failure(
+                        errors.ErrorKind.TRANSACTION_LOST,
+                        "the transaction has ended",
+                    )
+                )
             if transaction.connection is None:
                 begun = await self._begin(
                     group, session, transaction, request, excluded
@@ -61,13 +71,16 @@
                 if isinstance(begun, result.Failure):
                     return result.Failure(begun.failure())
             connection = transaction.connection
-            assert connection is not None
+            if connection is None:
+                continue
             if _commits(
                 transaction, request
             ) and self._attempts.primary_stalled(group):
                 self.abandon(group, transaction)
                 return attempts.writes_stalled(group)
-            answer = await self._step(group, session, transaction, request)
+            answer = await self._step(
+                group, session, transaction, connection, request
+            )
             if answer.fault is None:
                 return result.Success(answer)
             step = retry_policy.next_step_in_transaction(
@@ -133,8 +146,7 @@
             if answer is None:
                 answer = await self._begin_on(group, connection, work)
             if answer.fault is None:
-                transaction.connection = connection
-                transaction.needs_primary = work.primary_only
+                self._own(group, transaction, connection, work)
                 return result.Success(None)
             group.release(connection)
             step = retry_policy.NextStep.GIVE_UP
@@ -157,6 +169,20 @@
                 group, connection, answer, excluded, attempt
             )
 
+    def _own(
+        self,
+        group: groups.Group,
+        transaction: open_transaction.OpenTransaction,
+        connection: pooled_connection.PooledConnection,
+        work: work_queue.Work,
+    ) -> None:
+        """Give a connection to the transaction that has begun on it."""
+        transaction.connection = connection
+        transaction.needs_primary = work.primary_only
+        if transaction.phase is open_transaction.Phase.OVER:
+            # Its client has gone meanwhile.
+            self.abandon(group, transaction)
+
     async def _begin_on(
         self,
         group: groups.Group,
@@ -178,14 +204,6 @@
                 self._attempts.loop_clock.now(), answer.fault
             )
         self._attempts.learn(group, connection, work, answer, since)
-        if (
-            answer.fault is None
-            and answer.state is not member_channel.TransactionState.OPEN
-        ):
-            connection.channel.close()
-            return member_channel.Answer(
-                fault=member_channel.MemberFault.BROKEN, text="no transaction"
-            )
         return answer
 
     async def _step(
@@ -193,11 +211,10 @@
         group: groups.Group,
         session: attempts.Session,
         transaction: open_transaction.OpenTransaction,
+        connection: pooled_connection.PooledConnection,
         request: attempts.Request,
     ) -> member_channel.Answer:
         """Run one statement on the transaction's connection."""
-        connection = transaction.connection
-        assert connection is not None
         refused = await self._attempts.prepare(
             session.value_by_name, request.shape, connection
         )
@@ -206,33 +223,34 @@
         commits = request.statement.kind is command.CommandKind.COMMIT
         transaction.wrote |= request.writes
         sent_at = self._attempts.boot_clock.now()
-        answer = await self._attempts.send(
-            request,
-            connection,
-            None,
-            commits and transaction.wrote,
-            timeout_factor=attempts.TRANSACTION_TIMEOUT_FACTOR,
+        answer = await self._attempts.send_in_transaction(
+            request, connection, commits and transaction.wrote
         )
         self._learn_in_transaction(
-            group, transaction, commits, answer, sent_at
+            group, transaction, connection, commits, answer, sent_at
         )
-        if answer.fault is None and commits:
+        if answer.fault is not None:
+            return answer
+        if transaction.phase is open_transaction.Phase.NEW:
+            transaction.phase = open_transaction.Phase.STARTED
+        if commits:
+            transaction.phase = open_transaction.Phase.OVER
             if transaction.wrote:
                 self._attempts.remember_commit(session, answer)
-            transaction.connection = None
-            self._attempts.release_idle(group, connection, answer)
+            if transaction.connection is connection:
+                transaction.connection = None
+                group.release(connection)
         return answer
 
     def _learn_in_transaction(
         self,
         group: groups.Group,
         transaction: open_transaction.OpenTransaction,
+        connection: pooled_connection.PooledConnection,
         commits: bool,
         answer: member_channel.Answer,
         sent_at: float,
     ) -> None:
-        connection = transaction.connection
-        assert connection is not None
         member = connection.pool.entry.id
         if answer.fault is member_channel.MemberFault.NOT_PRIMARY:
             group.primary.reject(member)
@@ -263,7 +281,7 @@
         transaction.connection = None
         if connection is None:
             return
-        if connection.channel.closed:
+        if not connection.channel.in_transaction:
             group.release(connection)
             return
         self._attempts.spawn(self._roll_back(group, connection))
@@ -273,18 +291,17 @@
         group: groups.Group,
         connection: pooled_connection.PooledConnection,
     ) -> None:
-        answer = await connection.channel.roll_back(attempts.PREPARE_TIMEOUT_S)
-        if (
-            answer.fault is not None
-            or answer.state is not member_channel.TransactionState.IDLE
-        ):
-            connection.channel.close()
-        group.release(connection)
+        try:
+            await connection.channel.roll_back(attempts.PREPARE_TIMEOUT_S)
+        finally:
+            # Closes it unless the transaction has ended.
+            group.release(connection)
 
     def abandon_transaction(
         self, transaction: open_transaction.OpenTransaction
     ) -> None:
         """Abandon the transaction of a session, also if its group is gone."""
+        transaction.phase = open_transaction.Phase.OVER
         connection = transaction.connection
         if connection is None:
             return
--- a/burdockcart/process/peers/frames.py
+++ b/burdockcart/process/peers/frames.py
@@ -30,7 +30,7 @@
 #: Maximum size of the first frame, which is not authenticated.
 MAX_GREETING_BYTES = 512
 #: Changes with each incompatible change of the messages.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 class FrameError(Exception):
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -43,7 +43,9 @@
         self._transport = transport
         self._clock = loop_clock
         self._numbers = itertools.count(1)
-        self.transactions = itertools.count(1)
+        self._transaction_numbers = itertools.count(1)
+        #: Transactions that the holder may have open.
+        self._transactions: set[int] = set()
         self._future_by_number: dict[
             int, asyncio.Future[messages.Reply | None]
         ] = {}
@@ -60,8 +62,25 @@
 
     @property
     def pending(self) -> int:
-        """Number of requests without an answer."""
-        return len(self._future_by_number)
+        """Number of requests without an answer, and of open transactions."""
+        return len(self._future_by_number) + len(self._transactions)
+
+    def new_transaction(self) -> int:
+        """Return the number of a transaction that is about to begin."""
+        number = next(self._transaction_numbers)
+        self._transactions.add(number)
+        return number
+
+    def transaction_ended(self, number: int) -> None:
+        """Record that the holder has ended a transaction."""
+        self._transactions.discard(number)
+
+    def discard_transaction(self, number: int) -> None:
+        """Have the holder close the connection of a transaction."""
+        if number in self._transactions:
+            self._transactions.discard(number)
+            if not self.is_closed:
+                self.send(messages.Discard(number))
 
     def usable(self) -> bool:
         """Return whether new statements may be sent to the holder."""
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -31,31 +31,45 @@
     wait_ms: int = 0
 
 
+class Statement(msgspec.Struct, frozen=True, array_like=True):
+    """A client's statement, and the session's state that it needs."""
+
+    id: ids.StatementId
+    kind: command.CommandKind
+    text: str
+    argument: str
+    shape: tuple[bool, str] | None
+    value_by_name: dict[str, str]
+
+
 class Run(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Run a client's statement.
+    """Run a client's statement outside of a transaction."""
+
+    number: int
+    group: ids.GroupId
+    member: ids.MemberId
+    statement: Statement
+    after: tuple[int, int] | None
+    prove: bool
+    timeout_ms: int
+    urgency: Urgency
+
+
+class RunInTransaction(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Run a client's statement in an open transaction, or its COMMIT.
 
     Parameters
     ==========
 
     transaction : int
-        Transaction of this link that it belongs to; 0 for none.
+        Transaction that was begun on this link and has not ended.
 
     """
 
     number: int
-    group: ids.GroupId
-    member: ids.MemberId
     transaction: int
-    statement: ids.StatementId
-    kind: command.CommandKind
-    text: str
-    argument: str
-    shape: tuple[bool, str] | None
-    value_by_name: dict[str, str]
-    after: tuple[int, int] | None
-    prove: bool
+    statement: Statement
     timeout_ms: int
-    urgency: Urgency
 
 
 class Begin(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -152,7 +166,7 @@
     """The sender is shutting down and takes no new statements."""
 
 
-Request = Union[Run, Begin, RollBack, Discard, Action, Ping]
+Request = Union[Run, RunInTransaction, Begin, RollBack, Discard, Action, Ping]
 Reply = Union[Answered, Status, Pong, Leaving]
 
 encode = msgspec.msgpack.Encoder().encode
@@ -186,6 +200,33 @@
     return None if pair is None else command.Shape(*pair)
 
 
+def statement_of(
+    sent: command.Command,
+    shape: command.Shape | None,
+    value_by_name: dict[str, str],
+) -> Statement:
+    """Return a client's statement as it is sent."""
+    return Statement(
+        sent.id,
+        sent.kind,
+        sent.text,
+        sent.argument,
+        shape_pair(shape),
+        value_by_name,
+    )
+
+
+def read_statement(statement: Statement) -> command.Command:
+    """Return a client's statement that was received."""
+    return command.Command(
+        statement.id,
+        statement.kind,
+        statement.text,
+        argument=statement.argument,
+        shape=read_shape(statement.shape),
+    )
+
+
 def answered(
     number: int,
     answer: member_channel.Answer,
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -17,7 +17,9 @@
 from burdockcart.process.gateway import member_pool
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.peers import frames
+from burdockcart.process.peers import held_transaction
 from burdockcart.process.peers import messages
+from burdockcart.process.peers import relayed_action
 from burdockcart.process.peers import tcp
 from burdockcart.request import command
 from burdockcart.request import work_queue
@@ -26,7 +28,14 @@
 MAX_STATEMENTS = 1024
 
 Fault = member_channel.MemberFault
-State = member_channel.TransactionState
+
+Served = (
+    messages.Run
+    | messages.RunInTransaction
+    | messages.Begin
+    | messages.RollBack
+    | messages.Action
+)
 
 
 class Pools(Protocol):
@@ -67,18 +76,14 @@
         self._closed = False
         self._last_number = 0
         self._tasks: set[asyncio.Task[None]] = set()
-        #: Transactions that are beginning, and those of them that the other
-        #: daemon has given up meanwhile.
-        self._beginning: set[int] = set()
-        self._given_up: set[int] = set()
-        self._connection_by_transaction: dict[
-            int, tuple[groups.Group, pooled_connection.PooledConnection]
+        self._transaction_by_number: dict[
+            int, held_transaction.HeldTransaction
         ] = {}
 
     @property
     def pending(self) -> int:
         """Running requests and open transactions."""
-        return max(len(self._tasks), len(self._connection_by_transaction))
+        return max(len(self._tasks), len(self._transaction_by_number))
 
     def received(self, content: bytes) -> None:
         """Start the request in a message."""
@@ -100,10 +105,26 @@
         if len(self._tasks) >= MAX_STATEMENTS:
             self._refuse(message.number, "too many statements on this link")
             return
+        if isinstance(message, messages.Begin) and not self._register(message):
+            return
         task = asyncio.create_task(self._serve(message), name="relayed")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _register(self, message: messages.Begin) -> bool:
+        """Know of a transaction before it begins; False if it is known.
+
+        What follows on the link may already end it.
+        """
+        number = message.transaction
+        if number in self._transaction_by_number:
+            self._refuse(message.number, "the transaction is open")
+            return False
+        self._transaction_by_number[number] = held_transaction.HeldTransaction(
+            self._daemon, number
+        )
+        return True
+
     def _send(self, message: messages.Reply) -> None:
         self._transport.send(messages.encode(message))
 
@@ -121,36 +142,32 @@
     def _refuse(self, number: int, text: str) -> None:
         self._answer(number, _fault(Fault.RELAY_REFUSED, text))
 
-    async def _serve(
-        self,
-        message: (
-            messages.Run | messages.Begin | messages.RollBack | messages.Action
-        ),
-    ) -> None:
+    async def _serve(self, message: Served) -> None:
         try:
             match message:
                 case messages.Run():
                     answer = await self._run(message)
+                case messages.RunInTransaction():
+                    answer = await self._run_in_transaction(message)
                 case messages.Begin():
                     answer = await self._begin(message)
                 case messages.RollBack():
                     answer = await self._roll_back(message)
                 case messages.Action():
-                    await self._act(message)
+                    self._send(
+                        await relayed_action.run(self._service.pools, message)
+                    )
                     return
-            group = (
-                None
-                if isinstance(message, messages.RollBack)
-                else message.group
-            )
-            self._answer(message.number, answer, group)
+            self._answer(message.number, answer, _group_of(message))
         except Exception as error:  # noqa: B902 - others go on
             loguru.logger.opt(exception=error).error(
                 "event=relay_failed daemon={} number={}",
                 self._daemon,
                 message.number,
             )
-            if isinstance(message, (messages.Run, messages.Begin)):
+            if isinstance(
+                message, (messages.RunInTransaction, messages.RollBack)
+            ):
                 self._discard(message.transaction, "a fault in the holder")
             self._answer(
                 message.number, _fault(Fault.RELAY_LOST, "fault in the holder")
@@ -159,74 +176,82 @@
     # Statements
 
     async def _run(self, message: messages.Run) -> member_channel.Answer:
-        """Run a statement of a transaction, or a single one."""
-        if message.transaction:
-            held = self._connection_by_transaction.get(message.transaction)
-            if held is None:
-                return _fault(Fault.RELAY_LOST, "no such transaction")
-            answer = await self._run_on(
-                held[1], message, message.timeout_ms / 1000
-            )
-            if answer.fault is None and answer.state is State.IDLE:
-                self._connection_by_transaction.pop(message.transaction, None)
-                held[0].release(held[1])
-            return answer
+        """Run a statement outside of a transaction."""
         deadline_at = self._service.clock.now() + message.timeout_ms / 1000
+        statement = messages.read_statement(message.statement)
         acquired = await self._acquire(
-            message, messages.read_shape(message.shape)
+            message, message.statement.value_by_name, statement.shape
         )
         if isinstance(acquired, member_channel.Answer):
             return acquired
         group, connection = acquired
+        channel = connection.channel
         try:
-            # The other daemon does not wait for an answer after that.
-            left_s = deadline_at - self._service.clock.now()
-            answer = await self._run_on(connection, message, left_s)
-            if answer.state is not State.IDLE:
-                connection.channel.close()
-            return answer
+            return await self._run_on(
+                connection,
+                message.statement,
+                lambda: channel.run(
+                    statement,
+                    statement.shape,
+                    # The other daemon does not wait for an answer after that.
+                    deadline_at - self._service.clock.now(),
+                    messages.read_position(message.after),
+                    message.prove,
+                ),
+            )
         finally:
             group.release(connection)
 
+    async def _run_in_transaction(
+        self, message: messages.RunInTransaction
+    ) -> member_channel.Answer:
+        """Run a statement of a transaction; release after its end."""
+        held = self._transaction_by_number.get(message.transaction)
+        connection = None if held is None else held.connection
+        if held is None or connection is None:
+            return _fault(Fault.RELAY_LOST, "no such transaction")
+        channel = connection.channel
+        statement = messages.read_statement(message.statement)
+        answer = await self._run_on(
+            connection,
+            message.statement,
+            lambda: channel.run_in_transaction(
+                statement, statement.shape, message.timeout_ms / 1000
+            ),
+        )
+        held.settle()
+        self._forget(held)
+        return answer
+
+    def _forget(self, held: held_transaction.HeldTransaction) -> None:
+        """Forget a transaction that has ended."""
+        if held.phase is held_transaction.Phase.ENDED:
+            self._transaction_by_number.pop(held.number, None)
+
     async def _run_on(
         self,
         connection: pooled_connection.PooledConnection,
-        message: messages.Run,
-        timeout_s: float,
+        statement: messages.Statement,
+        run: Callable[[], Awaitable[member_channel.Answer]],
     ) -> member_channel.Answer:
-        shape = messages.read_shape(message.shape)
+        shape = messages.read_shape(statement.shape)
         refused = await self._service.sender.prepare(
-            message.value_by_name, shape, connection
+            statement.value_by_name, shape, connection
         )
         if refused is not None:
             return refused
-        statement = command.Command(
-            message.statement,
-            message.kind,
-            message.text,
-            argument=message.argument,
-            shape=shape,
-        )
         waits_for_replica = (
-            message.kind
+            statement.kind
             in (command.CommandKind.WRITE, command.CommandKind.COMMIT)
         ) or (shape is not None and shape.writes)
         return await self._service.sender.exchange(
-            connection,
-            message.statement,
-            lambda: connection.channel.run(
-                statement,
-                shape,
-                timeout_s,
-                messages.read_position(message.after),
-                message.prove,
-            ),
-            waits_for_replica,
+            connection, statement.id, run, waits_for_replica
         )
 
     async def _acquire(
         self,
         message: messages.Run | messages.Begin,
+        value_by_name: dict[str, str],
         shape: command.Shape | None = None,
     ) -> (
         tuple[groups.Group, pooled_connection.PooledConnection]
@@ -252,7 +277,7 @@
             give_up_at=now + wait_ms / 1000,
             connection=asyncio.get_running_loop().create_future(),
             member=message.member,
-            value_by_name=message.value_by_name,
+            value_by_name=value_by_name,
             shape=shape,
         )
         acquired = await group.acquire(work)
@@ -269,119 +294,57 @@
     # Transactions
 
     async def _begin(self, message: messages.Begin) -> member_channel.Answer:
-        if message.transaction in self._connection_by_transaction:
-            return _fault(Fault.RELAY_REFUSED, "the transaction is open")
-        self._beginning.add(message.transaction)
+        held = self._transaction_by_number[message.transaction]
+        answer = _fault(Fault.RELAY_LOST, "fault in the holder")
         try:
-            return await self._begin_on_connection(message)
+            answer = await self._begin_on_connection(message, held)
         finally:
-            self._beginning.discard(message.transaction)
-            self._given_up.discard(message.transaction)
+            if answer.fault is not None:
+                held.discard("it did not begin")
+            self._forget(held)
+        return answer
 
     async def _begin_on_connection(
-        self, message: messages.Begin
+        self, message: messages.Begin, held: held_transaction.HeldTransaction
     ) -> member_channel.Answer:
-        acquired = await self._acquire(message)
+        acquired = await self._acquire(message, message.value_by_name)
         if isinstance(acquired, member_channel.Answer):
             return acquired
         group, connection = acquired
-        answer = await self._service.sender.prepare(
-            message.value_by_name, None, connection
-        )
-        if answer is None:
-            answer = await connection.channel.begin(
-                message.read_only,
-                message.timeout_ms / 1000,
-                messages.read_position(message.after),
+        try:
+            answer = await self._service.sender.prepare(
+                message.value_by_name, None, connection
             )
-        connection.active = False
-        if answer.fault is not None or answer.state is not State.OPEN:
-            if answer.state is not State.IDLE:
-                connection.channel.close()
-            group.release(connection)
-        elif self._closed or message.transaction in self._given_up:
-            self._log_discarded(message.transaction, "it began too late")
-            connection.channel.close()
+            if answer is None:
+                answer = await connection.channel.begin(
+                    message.read_only,
+                    message.timeout_ms / 1000,
+                    messages.read_position(message.after),
+                )
+        except BaseException:
             group.release(connection)
+            raise
+        if answer.fault is None:
+            held.begun(group, connection)
         else:
-            held = (group, connection)
-            self._connection_by_transaction[message.transaction] = held
+            group.release(connection)
         return answer
 
     async def _roll_back(
         self, message: messages.RollBack
     ) -> member_channel.Answer:
-        held = self._connection_by_transaction.pop(message.transaction, None)
+        held = self._transaction_by_number.get(message.transaction)
         if held is None:
             return member_channel.Answer()
-        group, connection = held
-        answer = await connection.channel.roll_back(message.timeout_ms / 1000)
-        if answer.fault is not None or answer.state is not State.IDLE:
-            connection.channel.close()
-        group.release(connection)
+        answer = await held.roll_back(message.timeout_ms / 1000)
+        self._forget(held)
         return answer
 
-    def _log_discarded(self, transaction: int, cause: str) -> None:
-        loguru.logger.info(
-            "event=transaction_discarded daemon={} transaction={} cause={!r}",
-            self._daemon,
-            transaction,
-            cause,
-        )
-
     def _discard(self, transaction: int, cause: str) -> None:
         """Close the connection of a transaction, which rolls it back."""
-        if transaction in self._beginning:
-            self._given_up.add(transaction)
-        held = self._connection_by_transaction.pop(transaction, None)
+        held = self._transaction_by_number.pop(transaction, None)
         if held is not None:
-            self._log_discarded(transaction, cause)
-            held[1].aborted_locally = True
-            held[1].channel.close()
-            held[0].release(held[1])
-
-    # Replication
-
-    async def _act(self, message: messages.Action) -> None:
-        """Query or change the replication state of a member."""
-        found = self._service.pools.held_pool(message.group, message.member)
-        if found is None:
-            self._refuse(message.number, "the member is not known")
-            return
-        _, pool = found
-        timeout_s = message.timeout_ms / 1000
-        calls: dict[
-            str,
-            Callable[
-                [member_channel.Channel],
-                Awaitable[
-                    member_channel.MemberStatus | member_channel.MemberFault
-                ],
-            ],
-        ] = {
-            "observe": lambda each: each.observe(timeout_s),
-            "demote": lambda each: each.demote(message.term, timeout_s),
-            "hold_replication": lambda each: each.hold_replication(
-                message.term, timeout_s
-            ),
-            "release_replication": lambda each: _release(each, timeout_s),
-        }
-        call = calls.get(message.action)
-        if call is None:
-            self._refuse(message.number, f"unknown action {message.action!r}")
-            return
-        status = await pool.query(call, direct=True)
-        if isinstance(status, member_channel.MemberStatus):
-            self._send(
-                messages.Status(
-                    message.number,
-                    status.role,
-                    status.term,
-                    (status.received.term, status.received.number),
-                )
-            )
-        else:
-            self._answer(message.number, _fault(status, status.value))
+            held.discard(cause)
 
     # End of the link
 
@@ -392,17 +355,16 @@
     def closed(self) -> None:
         """Roll back what the other daemon has left open."""
         self._closed = True
-        for transaction in list(self._connection_by_transaction):
+        for transaction in list(self._transaction_by_number):
             self._discard(transaction, "the link ended")
         self._ended(self)
 
 
-async def _release(
-    channel: member_channel.Channel, timeout_s: float
-) -> member_channel.MemberStatus | member_channel.MemberFault:
-    """Resume replication and return the member's status."""
-    answer = await channel.release_replication(timeout_s)
-    return answer.fault or await channel.observe(timeout_s)
+def _group_of(message: Served) -> ids.GroupId | None:
+    """Return the group whose sample goes with the answer."""
+    if isinstance(message, (messages.Run, messages.Begin)):
+        return message.group
+    return None
 
 
 def _fault(fault: Fault, text: str) -> member_channel.Answer:
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -1,9 +1,9 @@
 """Connection to a member by way of one of its holders."""
 
-import asyncio
 from typing import Callable
 
 from burdockcart import clock
+from burdockcart.connection import channel_state
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
 from burdockcart import ids
@@ -19,6 +19,7 @@
 DEFAULT_WAIT_MS = 300
 
 Fault = member_channel.MemberFault
+Call = channel_state.Call
 
 #: Answers of a holder that has no way to the member.
 _NO_WAY = frozenset({Fault.REFUSED, Fault.RELAY_REFUSED})
@@ -63,9 +64,12 @@
         self._link = link
         self._member = member
         self._value_by_name: dict[str, str] = {}
-        self._transaction = 0
+        #: Transaction that the holder may have open for this channel.
+        self._transaction: int | None = None
         self._urgency = messages.Urgency(wait_ms=DEFAULT_WAIT_MS)
-        self._closed = False
+        self._guard = channel_state.CallGuard(
+            self.close, lambda: link.is_closed
+        )
 
     @property
     def closed(self) -> bool:
@@ -74,18 +78,28 @@
         An unused one also ends when its holder leaves or falls silent, or
         when another holder may have to be chosen.
         """
-        if self._closed or self._link.is_closed:
+        if self._guard.closed:
             return True
-        if self._transaction:
+        if self._transaction is not None:
             return False
         return not (self._link.usable() and self._chosen())
 
+    @property
+    def free(self) -> bool:
+        """Whether it is open, without a transaction or a running call."""
+        return self._guard.free
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on it."""
+        return self._guard.in_transaction
+
     def close(self) -> None:
         """End the transaction, whatever its state."""
-        self._closed = True
-        if self._transaction:
-            self._link.send(messages.Discard(self._transaction))
-            self._transaction = 0
+        self._guard.close()
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            self._link.discard_transaction(transaction)
 
     @property
     def direct(self) -> bool:
@@ -102,7 +116,9 @@
             priority, int(goal_s * 1000), max(int(wait_s * 1000), 1)
         )
 
-    async def _answer(self, build, timeout_s: float) -> member_channel.Answer:
+    async def _request(
+        self, build: Callable[[int], messages.Request], timeout_s: float
+    ) -> member_channel.Answer:
         """Send a request; return the answer or the fault of the relay."""
         sent_at = self._boot_clock.now()
         try:
@@ -112,19 +128,30 @@
             if self._link.suspect():
                 return _fault(Fault.RELAY_LOST, "the holder is silent")
             return _fault(Fault.SILENT, "no answer")
-        except asyncio.CancelledError:
-            self.close()
-            raise
         if isinstance(reply, messages.Answered):
             if reply.sample is not None:
                 self._use_sample(self._member.group, sent_at, reply.sample)
             if reply.fault in _NO_WAY:
-                self._closed = True
+                self.close()
                 self._avoid()
             return messages.read_answer(reply)
-        self._closed = True
+        self.close()
         return _fault(Fault.RELAY_LOST, "the link to the holder ended")
 
+    async def _call(
+        self,
+        call: channel_state.Call,
+        build: Callable[[int], messages.Request],
+        timeout_s: float,
+    ) -> member_channel.Answer:
+        answer = await self._guard.call(
+            call, lambda: self._request(build, timeout_s)
+        )
+        if self._transaction is not None and self._guard.free:
+            self._link.transaction_ended(self._transaction)
+            self._transaction = None
+        return answer
+
     async def prepare(
         self, steps: list[member_session.Step], timeout_s: float
     ) -> list[member_channel.Answer]:
@@ -134,6 +161,8 @@
                 self._value_by_name = {}
             elif step.kind is member_session.StepKind.SET:
                 self._value_by_name[step.name] = step.value
+        if self._guard.closed:
+            return [channel_state.not_sent("the connection has ended")]
         return [member_channel.Answer() for _ in steps]
 
     async def run(
@@ -144,33 +173,43 @@
         after: log_position.LogPosition | None = None,
         prove: bool = False,
     ) -> member_channel.Answer:
-        """Run a client's statement."""
+        """Run a client's statement outside of a transaction."""
 
-        def build(number: int) -> messages.Run:
+        def build(number: int) -> messages.Request:
             return messages.Run(
                 number,
                 self._member.group,
                 self._member.id,
-                self._transaction,
-                statement.id,
-                statement.kind,
-                statement.text,
-                statement.argument,
-                messages.shape_pair(shape),
-                self._value_by_name,
+                messages.statement_of(statement, shape, self._value_by_name),
                 messages.position_pair(after),
                 prove,
                 int(timeout_s * 1000),
                 self._urgency,
             )
 
-        answer = await self._answer(build, timeout_s)
-        if answer.state is member_channel.TransactionState.IDLE and (
-            answer.fault is None
-        ):
-            # The holder has taken the connection back.
-            self._transaction = 0
-        return answer
+        return await self._call(Call.SINGLE, build, timeout_s)
+
+    async def run_in_transaction(
+        self,
+        statement: command.Command,
+        shape: command.Shape | None,
+        timeout_s: float,
+    ) -> member_channel.Answer:
+        """Run a client's statement in the open transaction, or its COMMIT."""
+
+        def build(number: int) -> messages.Request:
+            assert self._transaction is not None
+            return messages.RunInTransaction(
+                number,
+                self._transaction,
+                messages.statement_of(statement, shape, self._value_by_name),
+                int(timeout_s * 1000),
+            )
+
+        commits = statement.kind is command.CommandKind.COMMIT
+        return await self._call(
+            Call.COMMIT if commits else Call.STATEMENT, build, timeout_s
+        )
 
     async def begin(
         self,
@@ -179,15 +218,15 @@
         after: log_position.LogPosition | None = None,
     ) -> member_channel.Answer:
         """Begin a transaction on a connection of its own."""
-        transaction = next(self._link.transactions)
         wait_s = self._urgency.wait_ms / 1000
 
-        def build(number: int) -> messages.Begin:
+        def build(number: int) -> messages.Request:
+            self._transaction = self._link.new_transaction()
             return messages.Begin(
                 number,
                 self._member.group,
                 self._member.id,
-                transaction,
+                self._transaction,
                 read_only,
                 self._value_by_name,
                 messages.position_pair(after),
@@ -195,23 +234,18 @@
                 self._urgency,
             )
 
-        self._transaction = transaction
-        answer = await self._answer(build, timeout_s + wait_s)
-        if answer.fault is not None:
-            self._transaction = 0
-        return answer
+        return await self._call(Call.BEGIN, build, timeout_s + wait_s)
 
     async def roll_back(self, timeout_s: float) -> member_channel.Answer:
         """Roll back the open transaction; the holder keeps the connection."""
-        transaction, self._transaction = self._transaction, 0
-        if not transaction:
-            return member_channel.Answer()
-        return await self._answer(
-            lambda number: messages.RollBack(
-                number, transaction, int(timeout_s * 1000)
-            ),
-            timeout_s,
-        )
+
+        def build(number: int) -> messages.Request:
+            assert self._transaction is not None
+            return messages.RollBack(
+                number, self._transaction, int(timeout_s * 1000)
+            )
+
+        return await self._call(Call.ROLL_BACK, build, timeout_s)
 
     async def observe(
         self, timeout_s: float
@@ -234,23 +268,35 @@
     async def _status(
         self, action: str, term: int, timeout_s: float
     ) -> member_channel.MemberStatus | Fault:
-        try:
-            reply = await self._link.request(
-                lambda number: self._action(number, action, term, timeout_s),
-                timeout_s + HOP_S,
-            )
-        except TimeoutError:
-            silent = Fault.RELAY_LOST if self._link.suspect() else Fault.SILENT
-            return silent
-        if isinstance(reply, messages.Status):
-            return member_channel.MemberStatus(
-                reply.role,
-                reply.term,
-                log_position.LogPosition(*reply.received),
-            )
-        if isinstance(reply, messages.Answered) and reply.fault is not None:
-            return reply.fault
-        return Fault.RELAY_LOST
+        found: list[member_channel.MemberStatus] = []
+
+        async def send() -> member_channel.Answer:
+            try:
+                reply = await self._link.request(
+                    lambda number: self._action(
+                        number, action, term, timeout_s
+                    ),
+                    timeout_s + HOP_S,
+                )
+            except TimeoutError:
+                silent = self._link.suspect()
+                return _fault(
+                    Fault.RELAY_LOST if silent else Fault.SILENT, "no answer"
+                )
+            if isinstance(reply, messages.Status):
+                received = log_position.LogPosition(*reply.received)
+                found.append(
+                    member_channel.MemberStatus(
+                        reply.role, reply.term, received
+                    )
+                )
+                return member_channel.Answer()
+            if isinstance(reply, messages.Answered):
+                return messages.read_answer(reply)
+            return _fault(Fault.RELAY_LOST, "the link to the holder ended")
+
+        answer = await self._guard.call(Call.CONTROL, send)
+        return answer.fault or (found[0] if found else Fault.RELAY_LOST)
 
     def _action(
         self, number: int, action: str, term: int, timeout_s: float
--- a/burdockcart/process/peers/tests/test_relay_session.py
+++ b/burdockcart/process/peers/tests/test_relay_session.py
@@ -13,6 +13,8 @@
 
 Kind = command.CommandKind
 
+STATEMENT = messages.Statement("s1", Kind.READ, "READ 1", "", None, {})
+
 
 class Outbox:
     """Transport of a relay session that records what it sends."""
@@ -57,13 +59,7 @@
                 number,
                 "g",
                 "m",
-                0,
-                "s1",
-                Kind.READ,
-                "READ 1",
-                "",
-                None,
-                {},
+                STATEMENT,
                 None,
                 False,
                 100,
@@ -102,16 +98,11 @@
 
         async def check():
             session, outbox = self.session()
-            message = messages.request_decoder.decode(self.run_message(1))
-            content = messages.encode(
-                messages.Run(
-                    *(
-                        4 if name == "transaction" else getattr(message, name)
-                        for name in message.__struct_fields__
-                    )
+            session.received(
+                messages.encode(
+                    messages.RunInTransaction(1, 4, STATEMENT, 100)
                 )
             )
-            session.received(content)
             await asyncio.sleep(0.01)
             self.assertEqual(
                 ["lost by the relaying daemon"],
--- a/burdockcart/request/retry_policy.py
+++ b/burdockcart/request/retry_policy.py
@@ -90,6 +90,9 @@
     ),
     member_channel.MemberFault.REFUSED: errors.ErrorKind.OVERLOADED,
     member_channel.MemberFault.RELAY_REFUSED: errors.ErrorKind.OVERLOADED,
+    member_channel.MemberFault.NOT_SENT: errors.ErrorKind.OVERLOADED,
+    # Whether it was rolled back is not known.
+    member_channel.MemberFault.OUTSIDE: errors.ErrorKind.OUTCOME_UNKNOWN,
     # The proxy prepares a statement before it runs it, so the member has lost
     # its prepared statements; this one was not run.
     member_channel.MemberFault.UNKNOWN_NAME: errors.ErrorKind.OVERLOADED,
