Give no connection to work that is over

A hedged read that another member had answered was taken for waiting until its task ran again. A dispatch in between gave it a connection and failed with InvalidStateError: the connection was lost to the pool (it stayed among the busy ones), and so was the dispatch of the work behind it.

Evidence: test_work_that_was_answered_gets_no_connection, before:

asyncio.exceptions.InvalidStateError: invalid state

The dispatch passes over work whose wait has ended.

--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -262,6 +262,9 @@
         if not self.queue:
             return
         for work in self.queue.in_order(now, self._min_latency_s(now)):
+            if work.connection.done():
+                # Its wait has ended, but its task has not run since.
+                continue
             pools = self._eligible_pools(work, now)
             preferred = self._choose(pools, now)
             if preferred is None:
