--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -30,6 +30,8 @@
 #: member busy with up to 1,000 refusals a second.
 EXHAUSTED_MIN_S = 0.1
 EXHAUSTED_MAX_S = 3.2
+#: Maximum number of statements that one line of the log names.
+LISTED = 8
 #: Weight of a new answer time of a status query in its moving average.
 OBSERVED_WEIGHT = 0.2
 
@@ -181,10 +183,23 @@
     def give_back(
         self, connection: pooled_connection.PooledConnection
     ) -> None:
-        """Return a connection; close it if it cannot be reused."""
-        self._busy.discard(connection)
+        """Return a connection; close it if it cannot be reused.
+
+        Only a free one may be handed on: the next owner would run inside the
+        transaction of the last one, or get the answer to its statement.
+        """
+        if connection not in self._busy:
+            loguru.logger.error(
+                "event=connection_returned_twice group={} member={}",
+                self.entry.group,
+                self.entry.id,
+            )
+            connection.channel.close()
+            return
+        self._busy.remove(connection)
         if (
             connection.channel.closed
+            or not connection.channel.free
             or connection.stale
             or self.retired
             or self.open_count >= self.share.hard_limit
@@ -295,11 +310,29 @@
         return fault
 
     def abort_reads(self) -> None:
-        """Abort the statements that can be retried on another member."""
-        for connection in self._busy:
-            if connection.retryable:
-                connection.aborted_locally = True
-                connection.channel.close()
+        """Abort the statements that can be retried on another member.
+
+        Those of a transaction cannot, and a relayed one is not lost if this
+        daemon alone does not reach the member.
+        """
+        aborted = [
+            each
+            for each in self._busy
+            if each.retryable and each.channel.direct
+        ]
+        if not aborted:
+            return
+        loguru.logger.info(
+            "event=statements_aborted group={} member={} count={} "
+            "statements={}",
+            self.entry.group,
+            self.entry.id,
+            len(aborted),
+            ",".join(str(each.statement) for each in aborted[:LISTED]),
+        )
+        for connection in aborted:
+            connection.aborted_locally = True
+            connection.channel.close()
 
     async def observe(
         self, timeout_s: float
