--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -19,6 +19,7 @@
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import client_listener
 from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import drain
 from burdockcart.process.gateway import failover
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
@@ -26,7 +27,6 @@
 from burdockcart.process.gateway import reachability
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import settings
-from burdockcart.process.gateway import shutdown_plan
 from burdockcart.process.gateway import statement_runner
 from burdockcart.process.gateway import store_follower
 from burdockcart.process.gateway import transaction_runner
@@ -99,7 +99,6 @@
         self._boot_clock = boot_clock
         rng = random.Random(config.daemon)
         self._rng = rng
-        self._draining = False
         self._divided_at = self._clock.now()
         self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
@@ -123,6 +122,11 @@
             self._boot_clock,
             rng,
         )
+        self._drain = drain.Drain(
+            config.shutdown_s,
+            self._clock,
+            lambda: self.relay.service.pending,
+        )
         self.tables = store_follower.StoreFollower(
             platform,
             self,
@@ -201,38 +205,17 @@
 
     async def drain(self) -> None:
         """Close sessions gradually, within the time granted for shutdown."""
-        self._draining = True
+        self._drain.begin()
         self.relay.leave()
         self._spawn(self._listing.leave)
-        plan = shutdown_plan.ShutdownPlan(self._settings.shutdown_s)
-        began_at = self._clock.now()
-        loguru.logger.info(
-            "event=drain_started sessions={}", len(set(self._connections()))
-        )
-        while True:
-            elapsed_s = self._clock.now() - began_at
-            connections = self._connections()
-            open_work = len(connections) + self.relay.service.pending
-            if plan.finished(elapsed_s, open_work):
-                break
-            idle = [each for each in connections if each.idle]
-            for each in plan.to_close(elapsed_s, idle):
-                each.close_when_idle()
-            if plan.closes_busy_sessions(elapsed_s):
-                for each in connections:
-                    if each.session is not None and not each.idle:
-                        each.close_when_idle()
-            await asyncio.sleep(shutdown_plan.STEP_S)
-        loguru.logger.info(
-            "event=drain_finished left={}", len(self._connections())
-        )
+        await self._drain.run(self._clients)
 
     def _connections(self) -> list[client_listener.Client]:
         return list(self._clients.connections)
 
     def _idle_connections(self) -> list[client_listener.Client]:
         """Return the connections that isolation may close."""
-        if self._draining:
+        if self._drain.begun:
             return []
         return [each for each in self._connections() if each.idle]
 
@@ -250,7 +233,7 @@
     def ready(self) -> bool:
         """Return whether the load balancer should send new clients."""
         return (
-            not self._draining
+            not self._drain.begun
             and not self._isolation.isolated
             and self.tables.current is not None
             and self.tables.listed
