--- a/burdockcart/platform/client_wire.py
+++ b/burdockcart/platform/client_wire.py
@@ -15,6 +15,8 @@
 from burdockcart.connection import sockets
 from burdockcart import errors
 from burdockcart.platform import wire
+from burdockcart.process.gateway import client_listener
+from burdockcart.request import command
 
 #: Timeout of a client's first message, in seconds; the platform abandons a
 #: session whose READY takes 2 s.
@@ -46,14 +48,15 @@
         self._stream = stream
         self._gateway = gateway
         self._session: client_session.ClientSession | None = None
-        self._busy = False
+        self._request: client_listener.OpenRequest | None = None
+        self._answering = False
         self._closing = False
 
     @property
     def idle(self) -> bool:
         """Whether no statement is running and no transaction is open."""
         session = self._session
-        return not self._busy and (
+        return self._request is None and (
             session is None or not session.in_transaction
         )
 
@@ -62,6 +65,26 @@
         """The session; None until it is open."""
         return self._session
 
+    @property
+    def request(self) -> client_listener.OpenRequest | None:
+        """The statement that is not answered yet."""
+        return self._request
+
+    @property
+    def phase(self) -> client_listener.Phase:
+        """What the connection is doing."""
+        if self._request is not None:
+            return (
+                client_listener.Phase.ANSWERING
+                if self._answering
+                else client_listener.Phase.RUNNING
+            )
+        if self._session is None:
+            return client_listener.Phase.STARTING
+        if self._session.in_transaction:
+            return client_listener.Phase.IN_TRANSACTION
+        return client_listener.Phase.IDLE
+
     def close_when_idle(self) -> None:
         """Close the connection as soon as it is idle."""
         self._closing = True
@@ -130,15 +153,27 @@
         request = wire.read_request(await self._read())
         if isinstance(request, wire.Terminate):
             return False
-        self._busy = True
+        self._request = _open_request(request)
         try:
             reply = await session.handle(request)
+            self._answering = True
             await self._write(_reply_lines(reply))
         finally:
-            self._busy = False
+            self._request = None
+            self._answering = False
         return True
 
 
+def _open_request(
+    statement: command.Command,
+) -> client_listener.OpenRequest:
+    return client_listener.OpenRequest(
+        statement.id,
+        statement.kind.value,
+        asyncio.get_running_loop().time(),
+    )
+
+
 def _reply_lines(reply: client_session.Reply) -> bytes:
     if isinstance(reply.outcome, result.Failure):
         lines = wire.error_line(reply.outcome.failure())
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -126,6 +126,7 @@
             config.shutdown_s,
             self._clock,
             lambda: self.relay.service.pending,
+            self.metrics,
         )
         self.tables = store_follower.StoreFollower(
             platform,
--- a/burdockcart/process/gateway/client_listener.py
+++ b/burdockcart/process/gateway/client_listener.py
@@ -1,9 +1,34 @@
 """Client connections, as far as the application needs them."""
 
+import enum
 from typing import Iterable
 from typing import Protocol
 
+import msgspec
+
 from burdockcart.connection import client_session
+from burdockcart import ids
+
+
+class Phase(enum.Enum):
+    """What a client connection is doing."""
+
+    STARTING = "starting"
+    IDLE = "idle"
+    IN_TRANSACTION = "in_transaction"
+    RUNNING = "running"
+    ANSWERING = "answering"
+
+
+class OpenRequest(msgspec.Struct, frozen=True):
+    """A statement that was read and whose answer is not written yet.
+
+    ``read_at`` is its time of arrival on the event loop's clock.
+    """
+
+    id: ids.StatementId
+    kind: str
+    read_at: float
 
 
 class Client(Protocol):
@@ -17,6 +42,14 @@
     def session(self) -> client_session.ClientSession | None:
         """The session, once it is open."""
 
+    @property
+    def phase(self) -> Phase:
+        """What the connection is doing."""
+
+    @property
+    def request(self) -> OpenRequest | None:
+        """The statement that is not answered yet."""
+
     def close_when_idle(self) -> None:
         """Close as soon as the client waits for no answer."""
 
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -65,6 +65,12 @@
             "Tasks that failed unexpectedly and were started again",
             registry=self.registry,
         )
+        self._cut = prometheus_client.Counter(
+            "burdockcart_statements_cut",
+            "Statements without a whole answer when the daemon exited",
+            ["phase"],
+            registry=self.registry,
+        )
         self.sessions = prometheus_client.Gauge(
             "burdockcart_sessions", "Open sessions", registry=self.registry
         )
@@ -137,6 +143,10 @@
         """Count a read that was sent to a second member."""
         self._hedges.inc()
 
+    def statement_cut(self, phase: str) -> None:
+        """Count a statement that the end of the process cuts."""
+        self._cut.labels(phase).inc()
+
     def text(self) -> bytes:
         """Return all metrics in the text exposition format."""
         return prometheus_client.generate_latest(self.registry)
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -11,6 +11,7 @@
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
 from burdockcart.process.gateway import application
+from burdockcart.process.gateway import client_listener
 from burdockcart.process.gateway import settings
 from burdockcart.process.peers import fleet_key
 from burdockcart.request import command
@@ -64,8 +65,16 @@
 class GatewayDeployment:
     """One group of three members, its platform and some daemons."""
 
-    def __init__(self, daemons=2, fenced=True, deposes=True, **member_options):
+    def __init__(
+        self,
+        daemons=2,
+        fenced=True,
+        deposes=True,
+        shutdown_s=6.0,
+        **member_options,
+    ):
         self.fenced = fenced
+        self.shutdown_s = shutdown_s
         self.peers = peer_network.PeerNetwork()
         self.members = [
             wire_member.EmulatedMember(f"m-{domain}", domain, **member_options)
@@ -105,6 +114,7 @@
             promotion_address="-",
             promotions_fenced=self.fenced,
             peer_host=f"d{number}",
+            shutdown_s=self.shutdown_s,
         )
         connector = wire_channel.EmulatedConnector(
             {member.id: member for member in self.members}
@@ -123,10 +133,14 @@
         daemon.link = link
         return daemon
 
+    def listener(self, daemon):
+        """Return the listener of a daemon."""
+        return FakeClientListener()
+
     async def start(self):
         """Start all daemons and wait until they know the primary."""
         for daemon in self.daemons:
-            daemon.clients = FakeClientListener()
+            daemon.clients = self.listener(daemon)
             await daemon.start(daemon.clients)
         await until(
             lambda: all(
@@ -166,6 +180,8 @@
 
     idle = True
     session = None
+    phase = client_listener.Phase.IDLE
+    request = None
 
     def __init__(self, clients):
         self.clients = clients
