Take no statement that a planned stop would cut

What callers saw: all daemons of a small deployment get SIGTERM within a second.

Cause: a draining daemon took statements up to the instant of its exit (0.92 of the grace time), and cut what ran. With every daemon draining, clients have nowhere else to go and send until the end. A session was closed by a plain close: a statement on its way was lost with a reset.

In the first half of the grace time every statement is taken; then a write, or a statement of a transaction, if its time limit ends before; a read if twice the decaying peak of its route's answer times does. What is not taken is refused with DRAINING (a promise) and a retry hint, and its session closes. Time limits of what is taken end with the stop. - transactions begin in the first half, sessions open until three quarters; an open transaction may go on to the end and is then aborted. - a session that closes sends an unsolicited error, on which clients close. A statement that crosses it has been refused by that very error: it is completed with READY, and the next error follows. The socket closes after the client, or 1 s later. - at the end the listen queue is accepted, then the socket closes; all that has not begun is refused; a statement still running gets a failure that says truly what is known, and the process waits up to the exit for answers to be read.

--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -15,6 +15,7 @@
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import statement_runner
+from burdockcart.process.gateway import stop_admission
 from burdockcart.process.gateway import transaction_runner
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -59,6 +60,7 @@
         manifest_source: ManifestSource,
         statements: statement_runner.StatementRunner,
         transactions: transaction_runner.TransactionRunner,
+        admission: stop_admission.StopAdmission,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
         metrics: gateway_metrics.GatewayMetrics,
@@ -68,6 +70,10 @@
         self._manifest_source = manifest_source
         self._statements = statements
         self._transactions = transactions
+        self._admission = admission
+        self._limit: asyncio.Timeout | None = None
+        #: Whether a statement came too late, and the session should close.
+        self.ends = False
         self._clock = loop_clock
         self._boot_clock = boot_clock
         self._session = attempts.Session()
@@ -91,7 +97,7 @@
             if transaction is not None and transaction.failure is not None:
                 reply = self._after_failure(transaction, statement)
             else:
-                reply = await self._handle(statement)
+                reply = await self._handle_until_cut(statement)
         finally:
             self._start_idle_timer()
         self._record(statement, reply, arrived_at)
@@ -129,6 +135,69 @@
                 failure.message,
             )
 
+    async def _handle_until_cut(self, statement: command.Command) -> Reply:
+        limit = asyncio.timeout(None)
+        try:
+            async with limit:
+                self._limit = limit
+                return await self._handle(statement)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return self._after_cut(statement)
+        finally:
+            self._limit = None
+
+    def cut(self) -> None:
+        """End the running statement; its client gets a failure."""
+        limit, self._limit = self._limit, None
+        if limit is not None:
+            limit.reschedule(asyncio.get_running_loop().time())
+
+    def _after_cut(self, statement: command.Command) -> Reply:
+        """Answer a statement that was cut, perhaps while it ran."""
+        transaction = self._transaction
+        commits = statement.kind is command.CommandKind.COMMIT
+        if transaction is None:
+            may_persist = self._writes(statement)
+        else:
+            may_persist = commits and transaction.wrote
+        failure = errors.Failure(
+            (
+                errors.ErrorKind.OUTCOME_UNKNOWN
+                if may_persist
+                else errors.ErrorKind.TRANSACTION_LOST
+            ),
+            "the daemon shut down before the answer",
+        )
+        self._fail(failure)
+        if commits:
+            self._transaction = None
+        return self._reply(result.Failure(failure))
+
+    def refuse(
+        self, statement: command.Command, failure: errors.Failure
+    ) -> Reply:
+        """Return the reply to a statement that is not run."""
+        self._fail(failure)
+        if statement.kind in _ENDS:
+            self._transaction = None
+        reply = self._reply(result.Failure(failure))
+        self._record(statement, reply, self._clock.now())
+        return reply
+
+    def closing_failure(self) -> errors.Failure:
+        """Abandon what is open; return why the session closes."""
+        if self._transaction is None:
+            return stop_admission.refusal()
+        failure = errors.Failure(
+            errors.ErrorKind.TRANSACTION_LOST,
+            "the daemon is shutting down",
+            retry_after_ms=stop_admission.RETRY_AFTER_MS,
+        )
+        self._fail(failure)
+        return failure
+
     async def _handle(self, statement: command.Command) -> Reply:
         kind = statement.kind
         if kind in _LOCAL:
@@ -226,6 +295,10 @@
                     "a transaction is already open",
                 )
             )
+        refused = self._admission.refusal_to_begin()
+        if refused is not None:
+            self.ends = True
+            return result.Failure(refused)
         route = self._route()
         if route is None:
             return result.Failure(self._no_route())
@@ -260,21 +333,26 @@
         route = self._route() if transaction is None else transaction.route
         if route is None:
             return self._reply(result.Failure(self._no_route()))
-        writes = statement.kind is command.CommandKind.WRITE or (
-            shape is not None and shape.writes
+        writes = self._writes(statement)
+        refused = self._admission.refusal_to_run(
+            route, writes or transaction is not None
         )
+        if refused is not None:
+            return self._refuse_late(statement, refused)
         request = attempts.Request(
             statement=statement,
             shape=shape,
             writes=writes,
-            route=route,
+            route=self._admission.limited(route),
             arrived_at=self._clock.now(),
             read_at=self._boot_clock.now(),
         )
         if transaction is None:
-            return self._reply(
-                await self._statements.run(self._session, request)
-            )
+            outcome = await self._statements.run(self._session, request)
+            if not writes:
+                took_s = self._clock.now() - request.arrived_at
+                self._admission.learn(route, took_s)
+            return self._reply(outcome)
         if writes and transaction.read_only:
             failure = errors.Failure(
                 errors.ErrorKind.NO_PRIMARY, "the transaction is read-only"
@@ -290,6 +368,32 @@
             self._fail(outcome.failure())
         return self._reply(outcome)
 
+    def _writes(self, statement: command.Command) -> bool:
+        """Return whether a statement writes."""
+        shape = None
+        if statement.kind is command.CommandKind.EXECUTE:
+            shape = self._shape_by_name.get(statement.name)
+        return statement.kind is command.CommandKind.WRITE or (
+            shape is not None and shape.writes
+        )
+
+    def _refuse_late(
+        self, statement: command.Command, refused: errors.Failure
+    ) -> Reply:
+        """Refuse a statement that could not be answered before the exit."""
+        self.ends = True
+        transaction = self._transaction
+        if transaction is not None and transaction.connection is not None:
+            refused = errors.Failure(
+                errors.ErrorKind.TRANSACTION_LOST,
+                refused.message,
+                refused.retry_after_ms,
+            )
+        self._fail(refused)
+        if statement.kind is command.CommandKind.COMMIT:
+            self._transaction = None
+        return self._reply(result.Failure(refused))
+
     def _fail(self, failure: errors.Failure, unreported: bool = False) -> None:
         """Abandon the open transaction, if there is one."""
         transaction = self._transaction
@@ -338,6 +442,8 @@
     {command.CommandKind.BEGIN, command.CommandKind.BEGIN_READ_ONLY}
 )
 
+_ENDS = frozenset({command.CommandKind.COMMIT, command.CommandKind.ROLLBACK})
+
 
 def _state_of(
     transaction: open_transaction.OpenTransaction | None,
--- a/burdockcart/platform/client_wire.py
+++ b/burdockcart/platform/client_wire.py
@@ -1,6 +1,7 @@
 """Server of client connections over the line protocol."""
 
 import asyncio
+import contextlib
 import socket
 from typing import Iterable
 from typing import Protocol
@@ -16,6 +17,7 @@
 from burdockcart import errors
 from burdockcart.platform import wire
 from burdockcart.process.gateway import client_listener
+from burdockcart.process.gateway import stop_admission
 from burdockcart.request import command
 
 #: Timeout of a client's first message, in seconds; the platform abandons a
@@ -26,6 +28,9 @@
 USER_TIMEOUT_MS = 6000
 #: Timeout of writing an answer to a client, in seconds.
 WRITE_TIMEOUT_S = 6.0
+#: Time that a client has to close a session after it was told to, in seconds;
+#: some network latencies.
+LINGER_S = 1.0
 #: Receive buffer of a client, in bytes: one message of the maximum size and
 #: the data received with it.
 READ_BUFFER_BYTES = 2 * wire.MAX_MESSAGE_BYTES
@@ -51,11 +56,16 @@
         self._request: client_listener.OpenRequest | None = None
         self._answering = False
         self._closing = False
+        #: Why the session closes, once the client has been told.
+        self._told: errors.Failure | None = None
+        self._linger: asyncio.TimerHandle | None = None
 
     @property
     def idle(self) -> bool:
         """Whether no statement is running and no transaction is open."""
         session = self._session
+        if self._told is not None:
+            return False
         return self._request is None and (
             session is None or not session.in_transaction
         )
@@ -79,29 +89,79 @@
                 if self._answering
                 else client_listener.Phase.RUNNING
             )
+        if self._told is not None:
+            return client_listener.Phase.CLOSING
         if self._session is None:
             return client_listener.Phase.STARTING
         if self._session.in_transaction:
             return client_listener.Phase.IN_TRANSACTION
         return client_listener.Phase.IDLE
 
+    @property
+    def closing(self) -> bool:
+        """Whether the connection has been told to close."""
+        return self._closing
+
     def close_when_idle(self) -> None:
-        """Close the connection as soon as it is idle."""
+        """Close the session as soon as it is idle.
+
+        The client closes a session on any message that it does not wait for.
+        A statement that crosses this message is refused by it.
+        """
         self._closing = True
-        if self.idle and self._session is not None:
-            self._stream.close()
+        session = self._session
+        if session is not None and self.idle:
+            self._tell(session.closing_failure())
+
+    def end(self) -> None:
+        """Close now; answer a running statement without its result."""
+        self._closing = True
+        session = self._session
+        if self._told is not None or self._answering:
+            return
+        if session is None:
+            self._tell(stop_admission.refusal())
+            self._stop_sending()
+        elif self._request is not None:
+            session.cut()
+        else:
+            self._tell(session.closing_failure())
+
+    def _tell(self, failure: errors.Failure, before: bytes = b"") -> None:
+        """Tell the client why its session closes, and wait until it does."""
+        self._told = failure
+        if self._linger is not None:
+            self._linger.cancel()
+        self._linger = asyncio.get_running_loop().call_later(
+            LINGER_S, self._stream.close
+        )
+        if not self._stream.closed():
+            self._stream.write(before + wire.error_line(failure))
+
+    def _stop_sending(self) -> None:
+        """Send the end of the data, and go on reading."""
+        if not self._stream.closed():
+            with contextlib.suppress(OSError):
+                self._stream.socket.shutdown(socket.SHUT_WR)
 
     async def serve(self) -> None:
         """Serve the client until one side ends the connection."""
         try:
             async with asyncio.timeout(STARTUP_TIMEOUT_S):
                 line = await self._read()
-            self._session = await self._start(line)
-            while self._session is not None and not (
-                self._closing and self.idle
-            ):
-                if not await self._serve_one(self._session):
-                    break
+            if self._told is None:
+                self._session = await self._start(line)
+            if self._session is None:
+                # Closing with unread data would reset the connection, and the
+                # client might not see the reason.
+                self._stop_sending()
+                async with asyncio.timeout(LINGER_S):
+                    await self._stream.read_until_close()
+                return
+            while await self._serve_one(self._session):
+                self._closing |= self._session.ends
+                if self._closing and self.idle:
+                    self._tell(self._session.closing_failure())
         except TimeoutError:
             loguru.logger.info("event=client_timed_out")
         except iostream.StreamClosedError:
@@ -113,6 +173,8 @@
         except wire.ProtocolError as error:
             await self._refuse(errors.ErrorKind.BAD_REQUEST, str(error))
         finally:
+            if self._linger is not None:
+                self._linger.cancel()
             if self._session is not None:
                 self._session.close()
             self._stream.close()
@@ -140,6 +202,8 @@
     async def _start(self, line: bytes) -> client_session.ClientSession | None:
         startup = wire.read_startup(line)
         opened = await self._gateway.open_session(startup)
+        if self._told is not None:
+            return None
         if isinstance(opened, result.Failure):
             await self._write(wire.error_line(opened.failure()))
             return None
@@ -153,6 +217,14 @@
         request = wire.read_request(await self._read())
         if isinstance(request, wire.Terminate):
             return False
+        if self._told is not None:
+            # The failure that the client was told is the answer.
+            reply = session.refuse(request, self._told)
+            self._tell(
+                session.closing_failure(),
+                before=wire.ready_line(reply.state, reply.position),
+            )
+            return True
         self._request = _open_request(request)
         try:
             reply = await session.handle(request)
@@ -191,6 +263,7 @@
         )
         self._gateway = gateway
         self._connections: set[ClientConnection] = set()
+        self._listening: list[socket.socket] = []
 
     @property
     def connections(self) -> Iterable[ClientConnection]:
@@ -202,6 +275,27 @@
         host, _, port = address.rpartition(":")
         self.listen(int(port), host, socket.AF_INET, backlog=BACKLOG)
 
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Accept connections on listening sockets."""
+        listening = list(sockets)
+        self._listening += listening
+        super().add_sockets(listening)
+
+    def stop(self) -> None:
+        """Accept the connections that wait for it, and then no more.
+
+        Closing a listening socket resets the connections in its queue.
+        """
+        listening, self._listening = self._listening, []
+        for each in listening:
+            for _ in range(BACKLOG):
+                try:
+                    connection, address = each.accept()
+                except OSError:
+                    break
+                self._handle_connection(connection, address)
+        super().stop()
+
     async def handle_stream(
         self, stream: iostream.IOStream, address: tuple
     ) -> None:
--- a/burdockcart/platform/tests/test_sockets.py
+++ b/burdockcart/platform/tests/test_sockets.py
@@ -14,6 +14,7 @@
 from burdockcart.platform import client_wire
 from burdockcart.platform import member_wire
 from burdockcart.platform import wire
+from burdockcart.process.gateway import stop_admission
 from burdockcart.request import command
 from burdockcart.request import log_position
 
@@ -26,10 +27,21 @@
     """Answers each statement with its own text."""
 
     in_transaction = False
+    ends = False
 
     def __init__(self):
         self.closed = False
 
+    def closing_failure(self):
+        """Return why the session closes."""
+        return stop_admission.refusal()
+
+    def refuse(self, statement, failure):
+        """Refuse a statement."""
+        return client_session.Reply(
+            result.Failure(failure), member_channel.TransactionState.IDLE
+        )
+
     async def handle(self, statement):
         """Return the text of the statement as a row."""
         return client_session.Reply(
@@ -130,6 +142,95 @@
         self.assertTrue(gateway.sessions[0].closed)
 
 
+def listen(gateway):
+    """Return a listener and the address of its socket."""
+    listener = client_wire.ClientListener(gateway)
+    listening = socket.socket()
+    listening.bind(("127.0.0.1", 0))
+    listening.listen(5)
+    listening.setblocking(False)
+    listener.add_socket(listening)
+    return listener, listening.getsockname()
+
+
+def received_by(client):
+    """Return all that a blocking socket receives until the other end closes.
+
+    The result ends with ``RESET`` if the connection was reset.
+    """
+    client.settimeout(STEPS_TIMEOUT_S)
+    found = b""
+    try:
+        while chunk := client.recv(4096):
+            found += chunk
+    except ConnectionResetError:
+        found += b"RESET"
+    return found
+
+
+class TestClosing(testtools.TestCase):
+    """Closing of sessions by the daemon, over real sockets."""
+
+    def test_statement_on_its_way(self):
+        """Guards a statement that is on its way when its session closes."""
+
+        async def check():
+            listener, address = listen(Gateway())
+            client = socket.create_connection(address)
+            client.sendall(b"STARTUP db who\r\n")
+            await asyncio.sleep(0.05)
+            self.assertEqual(b"READY I -\r\n", client.recv(100))
+            (connection,) = listener.connections
+            connection.close_when_idle()
+            client.sendall(b"QUERY 1 WRITE a x\r\n")
+            await asyncio.sleep(0.1)
+            answer = client.recv(4096)
+            self.assertRegex(
+                answer, rb"^ERROR BUSY [^\r]*\r\nREADY I -\r\nERROR BUSY "
+            )
+            client.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(0.05)
+            self.assertEqual(b"", received_by(client))
+            self.assertEqual([], list(listener.connections))
+            client.close()
+            listener.stop()
+
+        asyncio.run(check())
+
+    def test_connections_that_wait_to_be_accepted(self):
+        """Guards against a reset of connections in the listen queue."""
+
+        async def check():
+            listener, address = listen(Gateway())
+            clients = [socket.create_connection(address) for _ in range(4)]
+            for client in clients:
+                client.sendall(b"STARTUP nowhere who\r\n")
+            listener.stop()
+            await asyncio.sleep(0.1)
+            for client in clients:
+                self.assertEqual(
+                    b"ERROR NODB no route\r\n", received_by(client)
+                )
+                client.close()
+
+        asyncio.run(check())
+
+    def test_refused_start_with_a_statement_behind_it(self):
+        """Guards against a reset that destroys the reason of a refusal."""
+
+        async def check():
+            listener, address = listen(Gateway())
+            client = socket.create_connection(address)
+            client.sendall(b"STARTUP nowhere who\r\n")
+            client.sendall(b"QUERY 1 WRITE a " + b"x" * 100000 + b"\r\n")
+            await asyncio.sleep(0.1)
+            self.assertEqual(b"ERROR NODB no route\r\n", received_by(client))
+            client.close()
+            listener.stop()
+
+        asyncio.run(check())
+
+
 class Member(tcpserver.TCPServer):
     """A member that answers from a script."""
 
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -28,6 +28,7 @@
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import settings
 from burdockcart.process.gateway import statement_runner
+from burdockcart.process.gateway import stop_admission
 from burdockcart.process.gateway import store_follower
 from burdockcart.process.gateway import transaction_runner
 from burdockcart.process.peers import fleet_key
@@ -122,8 +123,11 @@
             self._boot_clock,
             rng,
         )
+        self._admission = stop_admission.StopAdmission(
+            config.shutdown_s, self._clock
+        )
         self._drain = drain.Drain(
-            config.shutdown_s,
+            self._admission,
             self._clock,
             lambda: self.relay.service.pending,
             self.metrics,
@@ -206,7 +210,7 @@
 
     async def drain(self) -> None:
         """Close sessions gradually, within the time granted for shutdown."""
-        self._drain.begin()
+        self._admission.begin()
         self.relay.leave()
         self._spawn(self._listing.leave)
         await self._drain.run(self._clients)
@@ -216,7 +220,7 @@
 
     def _idle_connections(self) -> list[client_listener.Client]:
         """Return the connections that isolation may close."""
-        if self._drain.begun:
+        if self._admission.stopping:
             return []
         return [each for each in self._connections() if each.idle]
 
@@ -234,7 +238,7 @@
     def ready(self) -> bool:
         """Return whether the load balancer should send new clients."""
         return (
-            not self._drain.begun
+            not self._admission.stopping
             and not self._isolation.isolated
             and self.tables.current is not None
             and self.tables.listed
@@ -244,6 +248,9 @@
         self, database: ids.DatabaseName
     ) -> result.Result[client_session.ClientSession, errors.Failure]:
         """Open a session, or return why that is not possible."""
+        refused = self._admission.refusal_to_open()
+        if refused is not None:
+            return result.Failure(refused)
         until = self._clock.now() + MANIFEST_WAIT_S
         while self.tables.current is None and self._clock.now() < until:
             await asyncio.sleep(TICK_S)
@@ -267,6 +274,7 @@
                 self.tables,
                 self.statements,
                 self.transactions,
+                self._admission,
                 self._clock,
                 self._boot_clock,
                 self.metrics,
--- a/burdockcart/process/gateway/client_listener.py
+++ b/burdockcart/process/gateway/client_listener.py
@@ -18,6 +18,7 @@
     IN_TRANSACTION = "in_transaction"
     RUNNING = "running"
     ANSWERING = "answering"
+    CLOSING = "closing"
 
 
 class OpenRequest(msgspec.Struct, frozen=True):
@@ -50,9 +51,16 @@
     def request(self) -> OpenRequest | None:
         """The statement that is not answered yet."""
 
+    @property
+    def closing(self) -> bool:
+        """Whether the connection has been told to close."""
+
     def close_when_idle(self) -> None:
         """Close as soon as the client waits for no answer."""
 
+    def end(self) -> None:
+        """Close now; answer a running statement without its result."""
+
 
 class ClientListener(Protocol):
     """Listener for client connections."""
@@ -65,4 +73,4 @@
         """Listen on ``ip:port``."""
 
     def stop(self) -> None:
-        """Accept no more connections."""
+        """Accept the connections that wait for it, and then no more."""
--- a/burdockcart/process/gateway/drain.py
+++ b/burdockcart/process/gateway/drain.py
@@ -10,8 +10,14 @@
 from burdockcart.process.gateway import client_listener
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import shutdown_plan
+from burdockcart.process.gateway import stop_admission
+
+#: Interval of checking whether the last connections have closed, in seconds.
+LAST_STEP_S = 0.01
 
 Phase = client_listener.Phase
+#: Order in which sessions are told to close.
+ORDER = (Phase.IDLE, Phase.ANSWERING, Phase.RUNNING, Phase.IN_TRANSACTION)
 
 
 class Drain:
@@ -20,8 +26,6 @@
     Parameters
     ==========
 
-    granted_s : float
-        Time from SIGTERM to SIGKILL, in seconds.
     pending : callable
         Returns how many statements of other daemons are running here.
 
@@ -29,52 +33,56 @@
 
     def __init__(
         self,
-        granted_s: float,
+        admission: stop_admission.StopAdmission,
         loop_clock: clock.Clock,
         pending: Callable[[], int],
         metrics: gateway_metrics.GatewayMetrics,
     ):
-        self._plan = shutdown_plan.ShutdownPlan(granted_s)
+        self._admission = admission
+        self._plan = admission.plan
         self._clock = loop_clock
         self._pending = pending
         self._metrics = metrics
-        self._began_at: float | None = None
-
-    @property
-    def begun(self) -> bool:
-        """Whether the daemon is shutting down."""
-        return self._began_at is not None
-
-    def begin(self) -> None:
-        """Record the time from which the granted time counts."""
-        self._began_at = self._clock.now()
-
-    def _elapsed_s(self) -> float:
-        assert self._began_at is not None
-        return self._clock.now() - self._began_at
 
     async def run(self, clients: client_listener.ClientListener) -> None:
         """Close sessions gradually; return when the process may exit."""
         loguru.logger.info(
             "event=drain_started sessions={}", len(set(clients.connections))
         )
-        plan = self._plan
-        while True:
-            elapsed_s = self._elapsed_s()
-            connections = list(clients.connections)
-            open_work = len(connections) + self._pending()
-            if plan.finished(elapsed_s, open_work):
-                break
-            idle = [each for each in connections if each.idle]
-            for each in plan.to_close(elapsed_s, idle):
-                each.close_when_idle()
-            if plan.closes_busy_sessions(elapsed_s):
-                for each in connections:
-                    if each.session is not None and not each.idle:
-                        each.close_when_idle()
+        while not self._plan.ends(
+            self._admission.elapsed_s, self._open_work(clients)
+        ):
+            self._close_some(clients)
             await asyncio.sleep(shutdown_plan.STEP_S)
+        self._admission.end()
+        clients.stop()
+        # Connections that waited to be accepted appear in the next iteration
+        # of the loop.
+        await asyncio.sleep(0)
+        while not self._plan.exits(
+            self._admission.elapsed_s, self._open_work(clients)
+        ):
+            for each in list(clients.connections):
+                each.end()
+            await asyncio.sleep(LAST_STEP_S)
         self._report(list(clients.connections))
 
+    def _open_work(self, clients: client_listener.ClientListener) -> int:
+        return len(list(clients.connections)) + self._pending()
+
+    def _close_some(self, clients: client_listener.ClientListener) -> None:
+        """Tell the sessions whose turn it is to close."""
+        phases = [
+            (ORDER.index(each.phase), each)
+            for each in clients.connections
+            if each.phase in ORDER and not each.closing
+        ]
+        in_order = [
+            each for _, each in sorted(phases, key=lambda pair: pair[0])
+        ]
+        for each in self._plan.to_close(self._admission.elapsed_s, in_order):
+            each.close_when_idle()
+
     def _report(self, left: list[client_listener.Client]) -> None:
         """Log what is left at the end, and each statement that is cut."""
         now = self._clock.now()
@@ -93,13 +101,15 @@
         count = collections.Counter(each.phase for each in left)
         loguru.logger.info(
             "event=drain_finished left={} starting={} idle={} "
-            "in_transaction={} running={} answering={} relayed={} took_ms={}",
+            "in_transaction={} running={} answering={} closing={} relayed={} "
+            "took_ms={}",
             len(left),
             count[Phase.STARTING],
             count[Phase.IDLE],
             count[Phase.IN_TRANSACTION],
             count[Phase.RUNNING],
             count[Phase.ANSWERING],
+            count[Phase.CLOSING],
             self._pending(),
-            int(self._elapsed_s() * 1000),
+            int(self._admission.elapsed_s * 1000),
         )
--- /dev/null
+++ b/burdockcart/process/gateway/stop_admission.py
@@ -0,0 +1,113 @@
+"""Decides which statements a daemon that shuts down still takes."""
+
+import msgspec
+
+from burdockcart import clock
+from burdockcart import errors
+from burdockcart.process.gateway import shutdown_plan
+from burdockcart.request import answer_times
+from burdockcart.version import manifest
+
+#: Retry hint for clients that are refused, in milliseconds.  A new connection
+#: reaches another daemon; where all of them shut down, the first ones are back
+#: within seconds.
+RETRY_AFTER_MS = 100
+
+
+class StopAdmission:
+    """Admits statements while the daemon runs, and during its planned stop.
+
+    Parameters
+    ==========
+
+    granted_s : float
+        Time from the signal to the kill, in seconds.
+
+    """
+
+    def __init__(self, granted_s: float, loop_clock: clock.Clock):
+        self.plan = shutdown_plan.ShutdownPlan(granted_s)
+        self._clock = loop_clock
+        self._times = answer_times.AnswerTimes()
+        self._began_at: float | None = None
+        self._ended = False
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the daemon is shutting down."""
+        return self._began_at is not None
+
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the signal, in seconds."""
+        assert self._began_at is not None
+        return self._clock.now() - self._began_at
+
+    def begin(self) -> None:
+        """Record the time from which the granted time counts."""
+        self._began_at = self._clock.now()
+
+    def end(self) -> None:
+        """Take nothing from now on."""
+        self._ended = True
+
+    def learn(self, route: manifest.DatabaseRoute, took_s: float) -> None:
+        """Record the time from a single read to its answer."""
+        self._times.learn(route.name, took_s)
+
+    def refusal_to_open(self) -> errors.Failure | None:
+        """Return why no session opens; None if it may."""
+        if not self.stopping or (
+            not self._ended and self.plan.opens_session(self.elapsed_s)
+        ):
+            return None
+        return refusal()
+
+    def refusal_to_begin(self) -> errors.Failure | None:
+        """Return why no transaction begins; None if it may."""
+        if not self.stopping or (
+            not self._ended and self.plan.begins_transaction(self.elapsed_s)
+        ):
+            return None
+        return refusal()
+
+    def refusal_to_run(
+        self, route: manifest.DatabaseRoute, keeps: bool
+    ) -> errors.Failure | None:
+        """Return why a statement is not taken; None if it is.
+
+        Parameters
+        ==========
+
+        keeps : bool
+            Whether giving it up would cost more than a retry: it writes, or
+            belongs to a transaction.  Then its own time limit must allow its
+            answer; a read is taken if it is likely to be answered in time.
+
+        """
+        if not self.stopping:
+            return None
+        needed_s = route.timeout_s
+        if not keeps:
+            needed_s = self._times.needed_s(route.name, needed_s)
+        if not self._ended and self.plan.takes(self.elapsed_s, needed_s):
+            return None
+        return refusal()
+
+    def limited(self, route: manifest.DatabaseRoute) -> manifest.DatabaseRoute:
+        """Return the route with a time limit that the stop allows."""
+        if not self.stopping:
+            return route
+        left_s = max(self.plan.answers_by_s - self.elapsed_s, 0.0)
+        if route.timeout_s <= left_s:
+            return route
+        return msgspec.structs.replace(route, timeout_s=left_s)
+
+
+def refusal() -> errors.Failure:
+    """Return the failure of what is not taken."""
+    return errors.Failure(
+        errors.ErrorKind.DRAINING,
+        "the daemon is shutting down",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -182,6 +182,7 @@
     session = None
     phase = client_listener.Phase.IDLE
     request = None
+    closing = False
 
     def __init__(self, clients):
         self.clients = clients
