--- a/burdockcart/platform/client_wire.py
+++ b/burdockcart/platform/client_wire.py
@@ -121,7 +121,6 @@
             return
         if session is None:
             self._tell(stop_admission.refusal())
-            self._stop_sending()
         elif self._request is not None:
             session.cut()
         else:
--- a/burdockcart/platform/tests/memory_clients.py
+++ b/burdockcart/platform/tests/memory_clients.py
@@ -48,6 +48,8 @@
         self._ended = False
         self._closed = False
         self._changed = asyncio.Event()
+        self._writing = 0
+        self._shut = False
 
     def received(self, data):
         """Take data of the client; None is the end."""
@@ -90,6 +92,7 @@
             written.set_exception(iostream.StreamClosedError())
             written.exception()
             return written
+        self._writing += 1
         if self._client.takes_after_s:
             loop.call_later(
                 self._client.takes_after_s, self._taken, data, written
@@ -99,12 +102,15 @@
         return written
 
     def _taken(self, data, written):
+        self._writing -= 1
         if self._closed:
             if not written.done():
                 written.set_exception(iostream.StreamClosedError())
                 written.exception()
             return
         self._to_client.send(data)
+        if self._shut and not self._writing:
+            self._to_client.send(None)
         if not written.done():
             written.set_result(None)
 
@@ -123,9 +129,11 @@
         self._to_client.send(None)
 
     def shutdown(self, how):
-        """Send the end of the data, and go on reading."""
+        """Send the end after the data, and go on reading."""
         assert how == socket.SHUT_WR
-        self._to_client.send(None)
+        self._shut = True
+        if not self._writing:
+            self._to_client.send(None)
 
     def setsockopt(self, level, option, value):
         """Ignore options."""
--- a/burdockcart/platform/tests/test_drain.py
+++ b/burdockcart/platform/tests/test_drain.py
@@ -6,6 +6,7 @@
 import testtools
 
 from burdockcart.platform.tests import memory_clients
+from burdockcart.tests import gateway_deployment
 
 
 def run_ids(deployment):
@@ -156,6 +157,64 @@
         memory_clients.scenario(check, daemons=1, shutdown_s=1.0, work_s=0.2)
 
 
+class TestSilentMember(testtools.TestCase):
+    """Statements that a member does not answer before the end."""
+
+    def test_answer_at_the_end(self):
+        """A client must hear what is known before the process exits."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            writer = await deployment.connect("live")
+            reader = await deployment.connect("archive")
+            self.assertTrue((await writer.query("WRITE 1a4 x")).complete)
+            ending = asyncio.create_task(deployment.end(daemon))
+            await asyncio.sleep(2.0)
+            for member in deployment.members:
+                member.unresponsive = True
+            wrote, read = await asyncio.gather(
+                writer.query("WRITE 1a4 x"), reader.query("READ 1a4")
+            )
+            took_s = await ending
+            self.assertLess(took_s, 5.6)
+            self.assertEqual(("INDOUBT", "I"), (wrote.error, wrote.end))
+            self.assertEqual("I", read.end)
+            self.assertIsNotNone(read.error)
+
+        long = {
+            name: (*route[:2], 20.0, *route[3:])
+            for name, route in gateway_deployment.ROUTES.items()
+        }
+        memory_clients.scenario(check, daemons=1, routes=long)
+
+    def test_running_statement_is_ended(self):
+        """A statement that is ended must say truly what is known."""
+
+        async def check(deployment):
+            writer = await deployment.connect("live")
+            reader = await deployment.connect("archive")
+            inside = await deployment.connect("live")
+            await inside.query("BEGIN")
+            for member in deployment.members:
+                member.unresponsive = True
+            loop = asyncio.get_running_loop()
+            for each in deployment.daemons[0].clients.connections:
+                for delay_s in (0.1, 0.11):
+                    loop.call_later(delay_s, each.end)
+            wrote, read, did = await asyncio.gather(
+                writer.query("WRITE 1a4 x"),
+                reader.query("READ 1a4"),
+                inside.query("WRITE 1a4 x"),
+            )
+            self.assertEqual(("INDOUBT", "I"), (wrote.error, wrote.end))
+            self.assertEqual(("ABORTED", "I"), (read.error, read.end))
+            self.assertEqual(("ABORTED", "E"), (did.error, did.end))
+            self.assertLess(wrote.ended_at - wrote.sent_at, 0.12)
+            self.assertEqual([], deployment.group.acknowledged)
+
+        memory_clients.scenario(check, daemons=1)
+
+
 class TestTransactions(testtools.TestCase):
     """Transactions around a planned stop."""
 
--- a/burdockcart/process/gateway/drain.py
+++ b/burdockcart/process/gateway/drain.py
@@ -53,7 +53,8 @@
             self._admission.elapsed_s, self._open_work(clients)
         ):
             self._close_some(clients)
-            await asyncio.sleep(shutdown_plan.STEP_S)
+            left_s = self._plan.answers_by_s - self._admission.elapsed_s
+            await asyncio.sleep(min(shutdown_plan.STEP_S, left_s))
         self._admission.end()
         clients.stop()
         # Connections that waited to be accepted appear in the next iteration
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -71,6 +71,7 @@
         fenced=True,
         deposes=True,
         shutdown_s=6.0,
+        routes=ROUTES,
         **member_options,
     ):
         self.fenced = fenced
@@ -82,7 +83,7 @@
         ]
         self.group = wire_member.EmulatedGroup(self.members, deposes=deposes)
         self.platform = wire_platform.EmulatedPlatform(
-            tables(), {GROUP: self.group}
+            tables(routes=routes), {GROUP: self.group}
         )
         for member in self.members:
             self.enter(member)
