Guard answers that are read slowly at a stop

A test over real sockets: an answer of 16 MB, whose client reads slowly while its session is told to close and to end, arrives whole, followed by the error that closes the session.

--- a/burdockcart/platform/tests/test_sockets.py
+++ b/burdockcart/platform/tests/test_sockets.py
@@ -14,6 +14,7 @@
 from burdockcart.platform import client_wire
 from burdockcart.platform import member_wire
 from burdockcart.platform import wire
+from burdockcart.process.gateway import client_listener
 from burdockcart.process.gateway import stop_admission
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -31,6 +32,7 @@
 
     def __init__(self):
         self.closed = False
+        self.row = ""
 
     def closing_failure(self):
         """Return why the session closes."""
@@ -46,7 +48,9 @@
         """Return the text of the statement as a row."""
         return client_session.Reply(
             result.Success(
-                member_channel.Answer(rows=(statement.text,), receipt="r")
+                member_channel.Answer(
+                    rows=(self.row or statement.text,), receipt="r"
+                )
             ),
             member_channel.TransactionState.IDLE,
         )
@@ -197,6 +201,43 @@
 
         asyncio.run(check())
 
+    def test_answer_that_is_read_slowly(self):
+        """Guards an answer that its client has not read when it closes."""
+
+        async def check():
+            gateway = Gateway()
+            listener, address = listen(gateway)
+            client = socket.create_connection(address)
+            client.sendall(b"STARTUP db who\r\n")
+            await asyncio.sleep(0.05)
+            self.assertEqual(b"READY I -\r\n", client.recv(100))
+            row = "x" * 2**24
+            gateway.sessions[0].row = row
+            client.sendall(b"QUERY 1 READ a\r\n")
+            await asyncio.sleep(0.05)
+            (connection,) = listener.connections
+            self.assertIs(client_listener.Phase.ANSWERING, connection.phase)
+            connection.close_when_idle()
+            connection.end()
+            received = b""
+            while not received.endswith(b"retry after 100 ms\r\n"):
+                chunk = client.recv(2**20)
+                self.assertNotEqual(b"", chunk)
+                received += chunk
+                await asyncio.sleep(0.001)
+            self.assertTrue(
+                received.startswith(
+                    f"DATAROW {row}\r\nCOMPLETE r\r\nREADY I -\r\n"
+                    "ERROR BUSY ".encode()
+                )
+            )
+            client.close()
+            await asyncio.sleep(0.05)
+            self.assertEqual([], list(listener.connections))
+            listener.stop()
+
+        asyncio.run(check())
+
     def test_connections_that_wait_to_be_accepted(self):
         """Guards against a reset of connections in the listen queue."""
 
