--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -19,6 +19,7 @@
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import client_listener
 from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import drain
 from burdockcart.process.gateway import failover
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
@@ -26,8 +27,8 @@
 from burdockcart.process.gateway import reachability
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import settings
-from burdockcart.process.gateway import shutdown_plan
 from burdockcart.process.gateway import statement_runner
+from burdockcart.process.gateway import stop_admission
 from burdockcart.process.gateway import store_follower
 from burdockcart.process.gateway import transaction_runner
 from burdockcart.process.peers import fleet_key
@@ -99,7 +100,6 @@
         self._boot_clock = boot_clock
         rng = random.Random(config.daemon)
         self._rng = rng
-        self._draining = False
         self._divided_at = self._clock.now()
         self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
@@ -123,6 +123,15 @@
             self._boot_clock,
             rng,
         )
+        self._admission = stop_admission.StopAdmission(
+            config.shutdown_s, self._clock
+        )
+        self._drain = drain.Drain(
+            self._admission,
+            self._clock,
+            lambda: self.relay.service.pending,
+            self.metrics,
+        )
         self.tables = store_follower.StoreFollower(
             platform,
             self,
@@ -201,38 +210,17 @@
 
     async def drain(self) -> None:
         """Close sessions gradually, within the time granted for shutdown."""
-        self._draining = True
+        self._admission.begin()
         self.relay.leave()
         self._spawn(self._listing.leave)
-        plan = shutdown_plan.ShutdownPlan(self._settings.shutdown_s)
-        began_at = self._clock.now()
-        loguru.logger.info(
-            "event=drain_started sessions={}", len(set(self._connections()))
-        )
-        while True:
-            elapsed_s = self._clock.now() - began_at
-            connections = self._connections()
-            open_work = len(connections) + self.relay.service.pending
-            if plan.finished(elapsed_s, open_work):
-                break
-            idle = [each for each in connections if each.idle]
-            for each in plan.to_close(elapsed_s, idle):
-                each.close_when_idle()
-            if plan.closes_busy_sessions(elapsed_s):
-                for each in connections:
-                    if each.session is not None and not each.idle:
-                        each.close_when_idle()
-            await asyncio.sleep(shutdown_plan.STEP_S)
-        loguru.logger.info(
-            "event=drain_finished left={}", len(self._connections())
-        )
+        await self._drain.run(self._clients)
 
     def _connections(self) -> list[client_listener.Client]:
         return list(self._clients.connections)
 
     def _idle_connections(self) -> list[client_listener.Client]:
         """Return the connections that isolation may close."""
-        if self._draining:
+        if self._admission.stopping:
             return []
         return [each for each in self._connections() if each.idle]
 
@@ -250,7 +238,7 @@
     def ready(self) -> bool:
         """Return whether the load balancer should send new clients."""
         return (
-            not self._draining
+            not self._admission.stopping
             and not self._isolation.isolated
             and self.tables.current is not None
             and self.tables.listed
@@ -260,6 +248,9 @@
         self, database: ids.DatabaseName
     ) -> result.Result[client_session.ClientSession, errors.Failure]:
         """Open a session, or return why that is not possible."""
+        refused = self._admission.refusal_to_open()
+        if refused is not None:
+            return result.Failure(refused)
         until = self._clock.now() + MANIFEST_WAIT_S
         while self.tables.current is None and self._clock.now() < until:
             await asyncio.sleep(TICK_S)
@@ -283,6 +274,7 @@
                 self.tables,
                 self.statements,
                 self.transactions,
+                self._admission,
                 self._clock,
                 self._boot_clock,
                 self.metrics,
