--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -51,18 +51,20 @@
 def main() -> int:
     """Run the daemon that the platform's settings file describes."""
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    content = _read_content(path)
     read = settings_file.read(path)
     if isinstance(read, result.Failure):
         for fault in read.failure():
             print(fault, file=sys.stderr)
         return 2
     limiter = event_log.configure_bounded("INFO", sys.stdout.fileno())
-    asyncio.run(_serve(path, read.unwrap(), limiter))
+    asyncio.run(_serve(path, content, read.unwrap(), limiter))
     return 0
 
 
 async def _serve(
     path: pathlib.Path,
+    content: bytes | None,
     config: settings.GatewaySettings,
     limiter: log_sink.LineLimiter,
 ) -> None:
@@ -92,7 +94,7 @@
     ]
     tasks = [
         asyncio.create_task(_report_suppressed(daemon, limiter)),
-        asyncio.create_task(watch_settings(path, platform)),
+        asyncio.create_task(watch_settings(path, platform, content)),
     ]
     # Objects created so far live as long as the process; exclude them from
     # later garbage collections.
@@ -106,6 +108,7 @@
     for task in tasks:
         task.cancel()
     platform.close()
+    stop_signal.block_signals()
 
 
 def _metrics_address(config: settings.GatewaySettings) -> str:
@@ -127,10 +130,19 @@
 
 
 async def watch_settings(
-    path: pathlib.Path, platform: calls.PlatformClient
+    path: pathlib.Path,
+    platform: calls.PlatformClient,
+    current: bytes | None,
 ) -> None:
-    """Reload the settings whenever their file changes."""
-    current = _read_content(path)
+    """Reload the settings whenever their file changes.
+
+    Parameters
+    ==========
+
+    current : bytes or None
+        Content of the file from before the settings in force were read.
+
+    """
     while True:
         await asyncio.sleep(SETTINGS_INTERVAL_S)
         found = _read_content(path)
--- a/burdockcart/platform/tests/test_launch.py
+++ b/burdockcart/platform/tests/test_launch.py
@@ -40,7 +40,7 @@
                 path = pathlib.Path(folder) / "settings.conf"
                 path.write_text(SETTINGS.format(store="10.0.0.2:3"))
                 watching = asyncio.create_task(
-                    launch.watch_settings(path, platform)
+                    launch.watch_settings(path, platform, path.read_bytes())
                 )
                 await asyncio.sleep(2.5)
                 path.write_text(SETTINGS.format(store="none"))
