End the lease of a daemon that leaves

Callers: a stopped daemon stayed in the list for up to 8 s. Others connected to it as a holder and counted it when they divided connections; an operator reported a departed server in use again.

Cause: the call that ends the lease is a DELETE, to which the client gave a body; the HTTP library refuses that with a ValueError before anything is sent. The task of leaving failed and was started again ten times a second until the process ended. The emulated platform of the tests has no HTTP, so that nothing saw it.

Evidence, test_calls.py test_end_of_a_registration before the change: ValueError: Body must be None for method DELETE.

Change: a DELETE has no body, like a GET. After: passed, against a real HTTP server.

--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -50,6 +50,8 @@
         """Do nothing; the HTTP client requires this method."""
 
 
+#: Methods whose requests have no body.
+_WITHOUT_BODY = frozenset({"GET", "DELETE"})
 _FAULT_BY_STATUS = {
     404: coordination.CallFault.MISSING,
     410: coordination.CallFault.HISTORY_LOST,
@@ -88,7 +90,9 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> httpclient.HTTPResponse | None:
-        data = None if method == "GET" else msgspec.json.encode(body or {})
+        data = None
+        if method not in _WITHOUT_BODY:
+            data = msgspec.json.encode(body or {})
         request = httpclient.HTTPRequest(
             url,
             method=method,
--- a/burdockcart/platform/tests/test_calls.py
+++ b/burdockcart/platform/tests/test_calls.py
@@ -163,6 +163,19 @@
 
         run(check)
 
+    def test_end_of_a_registration(self):
+        """The store must hear that a daemon leaves."""
+
+        async def check(store):
+            store.answer_by_path["/api/kv-lease-end/7"] = (200, {})
+            await store.client.unregister_daemon(7)
+            self.assertEqual(
+                [("DELETE", "/api/kv-lease-end/7")],
+                [(each.method, each.path) for each in store.seen],
+            )
+
+        run(check)
+
     def test_removed_member(self):
         """Guards against a member that stays after its entry is deleted."""
 
