Keep a daemon that has left out of the list

Callers: a daemon that was stopped during its start, while its lease was renewed, or while the store did not answer, stayed in the list for up to 8 s (the life of its lease); others relayed through it.

Cause: leaving ended the lease that was known at that moment, once. A registration under way came after it, and an outage of the store at that moment was not tried again. A registration without an answer left a lease that nobody ended, under which its write could be executed seconds later.

Change: the newest lease is ended after every registration of a daemon that has left, and the call is repeated, with the backoff of all calls to the store, until it is answered. A registration that fails ends its own lease; the store then refuses a late write.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -193,11 +193,16 @@
         self.fleet_key = self.fleet_key or key
         return result.Success(self.fleet_key)
 
-    async def unregister_daemon(self, lease: int) -> None:
+    async def unregister_daemon(self, lease: int):
         """Remove the daemon with a lease from the list."""
+        fault = await self._store_fault()
+        if fault is not None:
+            return fault
         daemon = self._daemon_by_lease.pop(lease, None)
-        if daemon is not None:
-            self.daemon_by_id.pop(daemon, None)
+        if daemon is None:
+            return result.Failure(CallFault.MISSING)
+        self.daemon_by_id.pop(daemon, None)
+        return result.Success(None)
 
     async def register_daemon(
         self, daemon: coordination.DaemonEntry, ttl_s: float
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -324,6 +324,9 @@
         written = await self._call(
             "/api/kv-txn", store_messages.Written, "POST", body=body
         )
+        if isinstance(written, result.Failure):
+            # The write may be executed later unless its lease has ended.
+            await self.unregister_daemon(lease.lease)
         return written.map(lambda _: lease.lease)
 
     async def renew_daemon(
@@ -333,9 +336,13 @@
         answer = await self._call(f"/api/kv-keep/{lease}", Any, "POST")
         return answer.map(lambda _: None)
 
-    async def unregister_daemon(self, lease: int) -> None:
+    async def unregister_daemon(
+        self, lease: int
+    ) -> result.Result[None, coordination.CallFault]:
         """End the lease of a registered daemon."""
-        await self._call(f"/api/kv-lease-end/{lease}", Any, "DELETE")
+        path = f"/api/kv-lease-end/{lease}"
+        answer = await self._call(path, Any, "DELETE")
+        return answer.map(lambda _: None)
 
     async def reachable(self) -> bool:
         """Return whether the store answers at all."""
--- a/burdockcart/platform/tests/test_calls.py
+++ b/burdockcart/platform/tests/test_calls.py
@@ -176,6 +176,27 @@
 
         run(check)
 
+    def test_unanswered_registration(self):
+        """The lease of a registration without an answer must be ended.
+
+        Its write may be executed seconds later, when the daemon has left or
+        has registered again under another lease.
+        """
+
+        async def check(store):
+            store.answer_by_path["/api/kv-lease"] = (200, {"lease": 7})
+            store.answer_by_path["/api/kv-lease-end/7"] = (200, {})
+            registered = await store.client.register_daemon(
+                coordination.DaemonEntry("d1", "d1:1", "a", "1"), 8.0
+            )
+            self.assertIs(CallFault.NO_ANSWER, registered.failure())
+            self.assertEqual(
+                ["/api/kv-lease", "/api/kv-txn", "/api/kv-lease-end/7"],
+                [each.path for each in store.seen],
+            )
+
+        run(check)
+
     def test_removed_member(self):
         """Guards against a member that stays after its entry is deleted."""
 
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/coordination.py
@@ -143,7 +143,9 @@
     async def renew_daemon(self, lease: int) -> result.Result[None, CallFault]:
         """Renew the lease of a registered daemon."""
 
-    async def unregister_daemon(self, lease: int) -> None:
+    async def unregister_daemon(
+        self, lease: int
+    ) -> result.Result[None, CallFault]:
         """End the lease of a registered daemon that is shutting down."""
 
     async def reachable(self) -> bool:
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -299,12 +299,26 @@
             self._backoff.succeeded()
             self._lease = registered.unwrap()
             await self._renew(self._lease)
+        # It may have left while it was being registered.
+        await self._unregister()
 
     async def leave(self) -> None:
         """End the registration, so that no daemon relies on this one."""
         self._left = True
-        if self._lease is not None:
-            await self._platform.unregister_daemon(self._lease)
+        await self._unregister()
+
+    async def _unregister(self) -> None:
+        """End the newest lease; try until the store has ended it."""
+        while self._lease is not None:
+            lease = self._lease
+            ended = await self._platform.unregister_daemon(lease)
+            fault = None
+            if isinstance(ended, result.Failure):
+                fault = ended.failure()
+            if fault not in (None, coordination.CallFault.MISSING):
+                await self._backoff.pause()
+            elif self._lease == lease:
+                self._lease = None
 
     async def _renew(self, lease: int) -> None:
         """Renew the lease until it has ended."""
