Keep a link while a transaction is open on it

Callers: an open transaction was lost (ABORTED) within 1.7 s of a planned stop of the holder that its daemon relayed through, long before the holder ended, and although the holder waits for open transactions.

Cause: the holder ends its registration at SIGTERM. When the list no longer named it, other daemons closed their link to it unless a request was waiting for its answer; a transaction between two statements is not. The emulated store reported no daemon that had left among its changes, so that no test saw it; it does now.

Evidence: test_leaving_holder.py test_longer_than_the_registration before the change: a write in the transaction 2 s after the SIGTERM failed, 'lost by the relaying daemon', 'the link to the holder ended'.

Change: a link is in use while a connection by way of it has an open transaction. After: passed, with the packages peers and the tests of load (71 passed).

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -54,6 +54,8 @@
         self.lose_promotions = 0
         self.late_s = 0.0
         self._daemon_by_lease: dict[int, ids.DaemonId] = {}
+        #: All daemons that have ever registered.
+        self._registered: set[ids.DaemonId] = set()
         self._late_promotions: set[asyncio.Task[None]] = set()
 
     def _next_revision(self) -> int:
@@ -112,7 +114,10 @@
                     for revision, member, entry in self.entry_changes
                     if revision > after
                 },
-                entry_by_daemon=dict(self.daemon_by_id),
+                entry_by_daemon={
+                    daemon: self.daemon_by_id.get(daemon)
+                    for daemon in self._registered | set(self.daemon_by_id)
+                },
                 fleet_key=self.fleet_key,
                 revision=self.revision,
             )
@@ -212,6 +217,7 @@
         if fault is not None:
             return fault
         self.daemon_by_id[daemon.id] = daemon
+        self._registered.add(daemon.id)
         lease = self._next_revision()
         self._daemon_by_lease[lease] = daemon.id
         return result.Success(lease)
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 from typing import Callable
+from typing import Protocol
+import weakref
 
 import loguru
 import msgspec
@@ -21,6 +23,14 @@
 SUSPECT_AFTER_S = 0.25
 
 
+class Channel(Protocol):
+    """A connection by way of the holder."""
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open at the holder."""
+
+
 class HolderLink:
     """Link to one holder, shared by all statements that it relays.
 
@@ -47,6 +57,7 @@
         self._future_by_number: dict[
             int, asyncio.Future[messages.Reply | None]
         ] = {}
+        self._channels: weakref.WeakSet[Channel] = weakref.WeakSet()
         self._received_at = loop_clock.now()
         #: Timer of the next look at an unanswered request.
         self._watch: asyncio.TimerHandle | None = None
@@ -59,9 +70,15 @@
         return self._transport.is_closed
 
     @property
-    def pending(self) -> int:
-        """Number of requests without an answer."""
-        return len(self._future_by_number)
+    def in_use(self) -> bool:
+        """Whether a request or a transaction needs the link."""
+        return bool(self._future_by_number) or any(
+            each.in_transaction for each in self._channels
+        )
+
+    def add(self, channel: Channel) -> None:
+        """Add a connection that uses the link."""
+        self._channels.add(channel)
 
     def usable(self) -> bool:
         """Return whether new statements may be sent to the holder."""
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -152,7 +152,7 @@
             self._listed = daemons
             self._generation += 1
         for daemon, link in list(self._link_by_daemon.items()):
-            if daemon not in daemons and not link.pending:
+            if daemon not in daemons and not link.in_use:
                 link.close()
                 del self._link_by_daemon[daemon]
 
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -66,6 +66,12 @@
         self._transaction = 0
         self._urgency = messages.Urgency(wait_ms=DEFAULT_WAIT_MS)
         self._closed = False
+        link.add(self)
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open at the holder."""
+        return bool(self._transaction)
 
     @property
     def closed(self) -> bool:
