Say that an unsent COMMIT was rolled back

Callers: a client whose holder had ended got INDOUBT for a COMMIT that was never sent, and ABORTED would have been true: the holder rolls back the transactions of a link that ends. It had to find out by itself whether its data had been written.

Cause: a request on an ended link gave the same fault as a request whose answer was lost. A statement of a transaction that the holder refused unsent, besides, left the transaction open at the holder until the link ended.

Evidence: test_leaving_holder.py test_commit_after_the_end_of_the_link before the change: outcome_unknown instead of transaction_lost.

Change: a link that has ended before the request is a fault of its own (ROLLED_BACK, in a transaction; RELAY_REFUSED otherwise), which proves that nothing ran; the messages on the link stay as they are. A refusal in a transaction also ends it at the holder.

--- a/burdockcart/connection/member_channel.py
+++ b/burdockcart/connection/member_channel.py
@@ -36,6 +36,7 @@
     BROKEN = "connection lost"
     RELAY_REFUSED = "not sent by the relaying daemon"
     RELAY_LOST = "lost by the relaying daemon"
+    ROLLED_BACK = "rolled back by the relaying daemon"
     OTHER = "other"
 
 
@@ -51,12 +52,19 @@
         MemberFault.UNCONFIRMED,
         MemberFault.REFUSED,
         MemberFault.RELAY_REFUSED,
+        MemberFault.ROLLED_BACK,
     }
 )
 #: Faults after which the connection cannot be used.
 NO_ANSWER = frozenset({MemberFault.SILENT, MemberFault.BROKEN})
 #: Faults of a relaying daemon, which say nothing about the member.
-OF_RELAY = frozenset({MemberFault.RELAY_REFUSED, MemberFault.RELAY_LOST})
+OF_RELAY = frozenset(
+    {
+        MemberFault.RELAY_REFUSED,
+        MemberFault.RELAY_LOST,
+        MemberFault.ROLLED_BACK,
+    }
+)
 
 
 class Answer(msgspec.Struct, frozen=True):
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -110,6 +110,10 @@
 
     async def _answer(self, build, timeout_s: float) -> member_channel.Answer:
         """Send a request; return the answer or the fault of the relay."""
+        if self._link.is_closed:
+            # Nothing is sent; the holder has rolled back what was open.
+            self._closed = True
+            return self._not_run("the link to the holder has ended")
         sent_at = self._boot_clock.now()
         try:
             reply = await self._link.request(build, timeout_s + HOP_S)
@@ -125,12 +129,25 @@
             if reply.sample is not None:
                 self._use_sample(self._member.group, sent_at, reply.sample)
             if reply.fault in _NO_WAY:
-                self._closed = True
+                refused = self._not_run(reply.text)
+                self.close()
                 self._avoid()
+                if reply.fault is Fault.RELAY_REFUSED:
+                    return refused
             return messages.read_answer(reply)
         self._closed = True
         return _fault(Fault.RELAY_LOST, "the link to the holder ended")
 
+    def _not_run(self, text: str) -> member_channel.Answer:
+        """Return the answer to a statement that was not run.
+
+        Its transaction cannot go on.
+        """
+        in_transaction = bool(self._transaction)
+        return _fault(
+            Fault.ROLLED_BACK if in_transaction else Fault.RELAY_REFUSED, text
+        )
+
     async def prepare(
         self, steps: list[member_session.Step], timeout_s: float
     ) -> list[member_channel.Answer]:
--- a/burdockcart/process/peers/tests/test_leaving_holder.py
+++ b/burdockcart/process/peers/tests/test_leaving_holder.py
@@ -54,3 +54,17 @@
             deployment.daemons.remove(holder)
 
         relay_case.scenario(check)
+
+    def test_commit_after_the_end_of_the_link(self):
+        """A COMMIT that was not sent is no doubt: it was rolled back."""
+
+        async def check(deployment):
+            client, holder = await open_transaction(deployment)
+            holder.relay.stop()
+            await asyncio.sleep(0.1)
+            reply = await client.send(Kind.COMMIT, "COMMIT")
+            self.assertIs(
+                Error.TRANSACTION_LOST, gateway_deployment.kind_of(reply)
+            )
+
+        relay_case.scenario(check)
--- a/burdockcart/request/retry_policy.py
+++ b/burdockcart/request/retry_policy.py
@@ -90,6 +90,7 @@
     ),
     member_channel.MemberFault.REFUSED: errors.ErrorKind.OVERLOADED,
     member_channel.MemberFault.RELAY_REFUSED: errors.ErrorKind.OVERLOADED,
+    member_channel.MemberFault.ROLLED_BACK: errors.ErrorKind.TRANSACTION_LOST,
     # The proxy prepares a statement before it runs it, so the member has lost
     # its prepared statements; this one was not run.
     member_channel.MemberFault.UNKNOWN_NAME: errors.ErrorKind.OVERLOADED,
