End relayed work in time when a holder leaves

Callers: when a holder drained, a statement in its queue waited there until its limit although another holder had a free connection; an open transaction of another daemon was cut at the end of the process, after 5.5 s, and its COMMIT was then INDOUBT; a daemon with an old list learned that the holder left only from one refusal after the other. While all holders of a member drained, each statement was refused five times and then failed.

Cause: leaving meant one message to the links of that moment and a refusal of all later statements. Nothing looked at what waited, at how long an open transaction may go on, or at how much time is left.

Change: at SIGTERM what waits goes back unsent. What arrives later is served if its limit ends before the daemon does, and goes back unsent otherwise. After half of the grace time transactions are rolled back, at once or after the statement that runs, and their next statement is told so. New links hear at once that the holder leaves. The daemon stays while requests still come.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -202,7 +202,7 @@
     async def drain(self) -> None:
         """Close sessions gradually, within the time granted for shutdown."""
         self._draining = True
-        self.relay.leave()
+        self.relay.leave(self._settings.shutdown_s)
         self._spawn(self._listing.leave)
         plan = shutdown_plan.ShutdownPlan(self._settings.shutdown_s)
         began_at = self._clock.now()
@@ -212,7 +212,7 @@
         while True:
             elapsed_s = self._clock.now() - began_at
             connections = self._connections()
-            open_work = len(connections) + self.relay.service.pending
+            open_work = len(connections) + self.relay.service.in_use
             if plan.finished(elapsed_s, open_work):
                 break
             idle = [each for each in connections if each.idle]
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -78,9 +78,9 @@
         """Accept links of other daemons."""
         await self._peers.listen(address, self.service.accept)
 
-    def leave(self) -> None:
-        """Tell all daemons that this one takes no new statements."""
-        self.service.leave()
+    def leave(self, granted_s: float) -> None:
+        """Prepare to end within the granted time, in seconds."""
+        self.service.leave(granted_s)
 
     def stop(self) -> None:
         """Close all links."""
--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -1,13 +1,24 @@
 """Accepts links of other daemons and counts what runs for them."""
 
+import asyncio
+import math
 from typing import Callable
 
+import loguru
+
 from burdockcart import clock
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
+from burdockcart.process.gateway import shutdown_plan
 from burdockcart.process.peers import relay_session
 from burdockcart.process.peers import tcp
 
+#: Share of the time granted for shutdown in which transactions may end.
+TRANSACTIONS_SHARE = 0.5
+#: Time after the last request in which a leaving daemon expects another one,
+#: in seconds: those who relay through it may know no other way.
+LINGER_S = 0.5
+
 Accept = Callable[[ids.DaemonId, tcp.Transport], tcp.Receiver]
 
 
@@ -32,6 +43,11 @@
         self.sender = sender
         self.clock = loop_clock
         self.leaving = False
+        #: Time from which on transactions are rolled back, and time at which
+        #: the links end, whatever is running.
+        self.transactions_until = math.inf
+        self.ends_at = math.inf
+        self.requested_at = -math.inf
         self._sessions: set[relay_session.RelaySession] = set()
 
     @property
@@ -39,6 +55,12 @@
         """Statements and transactions of other daemons that are running."""
         return sum(session.pending for session in self._sessions)
 
+    @property
+    def in_use(self) -> bool:
+        """Whether other daemons still need this one."""
+        since_s = self.clock.now() - self.requested_at
+        return self.pending > 0 or since_s < LINGER_S
+
     @property
     def links(self) -> int:
         """Number of accepted links."""
@@ -52,10 +74,46 @@
             self, daemon, transport, self._sessions.discard
         )
         self._sessions.add(session)
+        if self.leaving:
+            session.leave()
         return session
 
-    def leave(self) -> None:
-        """Tell all daemons that this one takes no new statements."""
+    def leave(self, granted_s: float) -> None:
+        """Tell all daemons to relay through others; end what is open.
+
+        Explanation
+        ===========
+
+        What waits for a connection goes back unsent.  What arrives later is
+        served as long as its time limit allows: all holders of a member may
+        leave at the same moment, and the daemons that relay through them as
+        well.
+
+        Parameters
+        ==========
+
+        granted_s : float
+            Time until this process is killed, in seconds.
+
+        """
+        if self.leaving:
+            return
         self.leaving = True
-        for session in self._sessions:
+        now = self.clock.now()
+        transactions_s = TRANSACTIONS_SHARE * granted_s
+        self.transactions_until = now + transactions_s
+        self.ends_at = now + shutdown_plan.EXIT_BY_SHARE * granted_s
+        for session in list(self._sessions):
             session.leave()
+        asyncio.get_running_loop().call_later(
+            transactions_s, self._end_transactions
+        )
+
+    def _end_transactions(self) -> None:
+        ended = sum(
+            session.end_transactions() for session in list(self._sessions)
+        )
+        if ended:
+            loguru.logger.info(
+                "event=relayed_transactions_ended count={}", ended
+            )
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -11,6 +11,7 @@
 
 from burdockcart import clock
 from burdockcart.connection import member_channel
+from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import group as groups
@@ -48,6 +49,9 @@
     sender: attempts.StatementSender
     clock: clock.Clock
     leaving: bool
+    transactions_until: float
+    ends_at: float
+    requested_at: float
 
 
 class RelaySession:
@@ -71,6 +75,12 @@
         #: daemon has given up meanwhile.
         self._beginning: set[int] = set()
         self._given_up: set[int] = set()
+        #: Transactions that are running a statement, and those that this
+        #: daemon has rolled back.
+        self._in_statement: set[int] = set()
+        self._rolled_back: set[int] = set()
+        #: What waits for a connection.
+        self._waiting: list[tuple[groups.Group, work_queue.Work]] = []
         self._connection_by_transaction: dict[
             int, tuple[groups.Group, pooled_connection.PooledConnection]
         ] = {}
@@ -130,7 +140,7 @@
         try:
             match message:
                 case messages.Run():
-                    answer = await self._run(message)
+                    answer = await self._run_unless_leaving(message)
                 case messages.Begin():
                     answer = await self._begin(message)
                 case messages.RollBack():
@@ -158,6 +168,33 @@
 
     # Statements
 
+    def _refusal_at_end(
+        self, message: messages.Run | messages.Begin
+    ) -> member_channel.Answer | None:
+        """Refuse what may last longer than this daemon."""
+        now = self._service.requested_at = self._service.clock.now()
+        transaction = message.transaction
+        late = now + message.timeout_ms / 1000 > self._service.ends_at or (
+            transaction != 0 and now >= self._service.transactions_until
+        )
+        if late and transaction in self._connection_by_transaction:
+            self._end_transaction(transaction)
+        if late or transaction in self._rolled_back:
+            return _fault(Fault.RELAY_REFUSED, "the holder is shutting down")
+        return None
+
+    async def _run_unless_leaving(
+        self, message: messages.Run
+    ) -> member_channel.Answer:
+        refused = self._refusal_at_end(message)
+        if refused is not None:
+            return refused
+        self._in_statement.add(message.transaction)
+        try:
+            return await self._run(message)
+        finally:
+            self._in_statement.discard(message.transaction)
+
     async def _run(self, message: messages.Run) -> member_channel.Answer:
         """Run a statement of a transaction, or a single one."""
         if message.transaction:
@@ -232,8 +269,6 @@
         | member_channel.Answer
     ):
         """Wait for a connection to the message's member."""
-        if self._service.leaving:
-            return _fault(Fault.RELAY_REFUSED, "the holder is shutting down")
         found = self._service.pools.held_pool(message.group, message.member)
         if found is None:
             return _fault(Fault.RELAY_REFUSED, "the member is not known")
@@ -254,9 +289,16 @@
             value_by_name=message.value_by_name,
             shape=shape,
         )
-        acquired = await group.acquire(work)
+        self._waiting.append((group, work))
+        try:
+            acquired = await group.acquire(work)
+        finally:
+            self._waiting.remove((group, work))
         if isinstance(acquired, result.Failure):
-            return _fault(Fault.QUEUE_FULL, acquired.failure().message)
+            failure = acquired.failure()
+            if failure.kind is errors.ErrorKind.DRAINING:
+                return _fault(Fault.RELAY_REFUSED, failure.message)
+            return _fault(Fault.QUEUE_FULL, failure.message)
         connection = acquired.unwrap()
         if self._closed or not connection.channel.direct:
             # The sender takes the statement for lost, or this daemon does not
@@ -270,6 +312,9 @@
     async def _begin(self, message: messages.Begin) -> member_channel.Answer:
         if message.transaction in self._connection_by_transaction:
             return _fault(Fault.RELAY_REFUSED, "the transaction is open")
+        refused = self._refusal_at_end(message)
+        if refused is not None:
+            return refused
         self._beginning.add(message.transaction)
         try:
             return await self._begin_on_connection(message)
@@ -375,8 +420,34 @@
     # End of the link
 
     def leave(self) -> None:
-        """Tell the other daemon that this one is shutting down."""
+        """Tell the other daemon to relay through others.
+
+        What waits goes back unsent; another holder may still be in time.
+        """
         self._send(messages.Leaving())
+        failure = errors.Failure(
+            errors.ErrorKind.DRAINING, "the holder is shutting down"
+        )
+        for group, work in self._waiting:
+            if not work.connection.done():
+                group.queue.remove(work)
+                work.connection.set_result(result.Failure(failure))
+
+    def end_transactions(self) -> int:
+        """Roll back the transactions that wait for their next statement.
+
+        The others end with the statement after the one that is running.
+        Returns their number.
+        """
+        idle = self._connection_by_transaction.keys() - self._in_statement
+        for transaction in idle:
+            self._end_transaction(transaction)
+        return len(idle)
+
+    def _end_transaction(self, transaction: int) -> None:
+        """Roll back a transaction whose daemon does not know that yet."""
+        self._rolled_back.add(transaction)
+        self._discard(transaction)
 
     def closed(self) -> None:
         """Roll back what the other daemon has left open."""
--- a/burdockcart/process/peers/tests/test_leaving_holder.py
+++ b/burdockcart/process/peers/tests/test_leaving_holder.py
@@ -5,12 +5,16 @@
 import testtools
 
 from burdockcart import errors
+from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.peers.tests import relay_case
 from burdockcart.request import command
 from burdockcart.tests import gateway_deployment
 
 Kind = command.CommandKind
 Error = errors.ErrorKind
+#: Connections that the holders of a member open to it in seconds without a
+#: drain, as bursts come and go; without holders each daemon opens several.
+CALM_CONNECTS = 100
 
 
 async def open_transaction(deployment):
@@ -28,8 +32,12 @@
 
 async def drain(daemons):
     """Stop daemons as the platform does, all at once."""
-    await asyncio.gather(*(each.drain() for each in daemons))
-    await asyncio.gather(*(each.stop() for each in daemons))
+
+    async def end(daemon):
+        await daemon.drain()
+        await daemon.stop()
+
+    await asyncio.gather(*(end(each) for each in daemons))
 
 
 class TestTransactions(testtools.TestCase):
@@ -55,6 +63,31 @@
 
         relay_case.scenario(check)
 
+    def test_longer_than_half_of_the_grace_time(self):
+        """An idle transaction is rolled back, and its client is told so."""
+
+        async def check(deployment):
+            client, holder = await open_transaction(deployment)
+            draining = asyncio.create_task(drain([holder]))
+            for _ in range(6):
+                await asyncio.sleep(0.45)
+                self.assertTrue(gateway_deployment.ok(await client.write()))
+            await asyncio.sleep(0.5)
+            open_states = [
+                each.state.value
+                for each in deployment.group.primary.connections
+                if each.state.value == "open"
+            ]
+            self.assertEqual([], open_states)
+            reply = await client.send(Kind.COMMIT, "COMMIT")
+            self.assertIs(
+                Error.TRANSACTION_LOST, gateway_deployment.kind_of(reply)
+            )
+            await draining
+            deployment.daemons.remove(holder)
+
+        relay_case.scenario(check)
+
     def test_commit_after_the_end_of_the_link(self):
         """A COMMIT that was not sent is no doubt: it was rolled back."""
 
@@ -68,3 +101,78 @@
             )
 
         relay_case.scenario(check)
+
+    def test_last_moment(self):
+        """What may outlast the holder must go back unsent."""
+
+        async def check(deployment):
+            client, holder = await open_transaction(deployment)
+            session = next(
+                each
+                for each in holder.relay.service._sessions
+                if each._connection_by_transaction
+            )
+            holder.relay.leave(0.5)
+            reply = await client.send(Kind.COMMIT, "COMMIT")
+            self.assertIs(
+                Error.TRANSACTION_LOST, gateway_deployment.kind_of(reply)
+            )
+            self.assertEqual(
+                [], test_sessions.runs_of(deployment, client.sent[-1])
+            )
+            await asyncio.sleep(0.1)
+            self.assertEqual(0, session.pending)
+
+        relay_case.scenario(check)
+
+
+class TestStatements(testtools.TestCase):
+    """Statements at a holder that leaves."""
+
+    async def queued(self, deployment):
+        """Return a statement that waits at a holder, and the holder."""
+        primary = deployment.group.primary
+        number = relay_case.relaying_daemon(deployment, primary)
+        client = await deployment.client("live", number)
+        await client.write()
+        daemon = deployment.daemons[number]
+        holder = relay_case.holder_in_use(deployment, daemon, primary)
+        pool = daemon.group_by_id[relay_case.GROUP].pool_by_member[primary.id]
+        channel = pool.take({}, None).channel
+        held = holder.group_by_id[relay_case.GROUP].pool_by_member[primary.id]
+        held.has_room = lambda: False
+        channel.set_urgency(1, 0.1, 0.7)
+        statement = command.Command("waits", Kind.READ, "READ 1")
+        running = asyncio.create_task(channel.run(statement, None, 0.7))
+        await asyncio.sleep(0.05)
+        self.assertFalse(running.done())
+        return running, holder
+
+    def test_waiting_statement_goes_back(self):
+        """What waits at a holder must go back at once, for another one."""
+
+        async def check(deployment):
+            running, holder = await self.queued(deployment)
+            holder.relay.leave(6.0)
+            await asyncio.sleep(0.02)
+            self.assertTrue(running.done())
+            self.assertEqual(
+                "not sent by the relaying daemon", running.result().fault.value
+            )
+
+        relay_case.scenario(check)
+
+    def test_new_link_to_a_leaving_holder(self):
+        """A daemon with an old list must hear that the holder leaves."""
+
+        async def check(deployment):
+            holder = deployment.daemons[0]
+            holder.relay.leave(6.0)
+            links = deployment.daemons[1].relay._links
+            links.close()
+            links._link_by_daemon.clear()
+            link = await links.link(holder._listing._entry)
+            await asyncio.sleep(0.01)
+            self.assertTrue(link.leaving)
+
+        relay_case.scenario(check)
