Serve while all holders of a member leave

Callers: when a failure domain or the whole deployment drained at once, clients of the daemons that still served got BUSY until the list of daemons named other holders: 81 of 409 writes with 40 daemons that drained together, 65 of 581 while the 14 daemons of one of three domains did. Every daemon then connected to the members itself: 122 connects to the primary within 4 s, which accepts 16 connections.

Cause: a leaving holder was used for nothing new, and when all holders were leaving, the daemons that follow them in rank, and then every daemon itself, opened connections that the member had no room for, since the old holders kept theirs. The daemons that drain also followed the list, which empties when all leave.

Change: if all holders leave, they are used until their last moment, before those that follow them. A draining daemon keeps the list that it had.

--- a/burdockcart/process/peers/holder_choice.py
+++ b/burdockcart/process/peers/holder_choice.py
@@ -101,8 +101,8 @@
 
 def in_order(
     daemon: ids.DaemonId, member: ids.MemberId, holders: Holders
-) -> list[coordination.DaemonEntry]:
-    """Return the holders in the order in which a daemon tries them.
+) -> tuple[list[coordination.DaemonEntry], list[coordination.DaemonEntry]]:
+    """Return the holders, and those that take over, in the order of use.
 
     Each daemon has an order of its own, so that the holders share the load.
     """
@@ -110,4 +110,4 @@
         holders.ranked[: holders.count],
         key=lambda each: _weight(f"{member}/{daemon}", each.id),
     )
-    return active + list(holders.ranked[holders.count :])
+    return active, list(holders.ranked[holders.count :])
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -80,9 +80,19 @@
         """Add a connection that uses the link."""
         self._channels.add(channel)
 
-    def usable(self) -> bool:
-        """Return whether new statements may be sent to the holder."""
-        return not (self.is_closed or self.leaving or self.suspect())
+    def usable(self, last_resort: bool = False) -> bool:
+        """Return whether new statements may be sent to the holder.
+
+        Parameters
+        ==========
+
+        last_resort : bool
+            Whether it may be leaving.
+
+        """
+        if self.is_closed or self.suspect():
+            return False
+        return last_resort or not self.leaving
 
     def suspect(self) -> bool:
         """Return whether the holder has been silent for too long."""
--- a/burdockcart/process/peers/holding.py
+++ b/burdockcart/process/peers/holding.py
@@ -28,6 +28,8 @@
     def __init__(self, daemon: ids.DaemonId, loop_clock: clock.Clock):
         self._daemon = daemon
         self._clock = loop_clock
+        #: Whether this daemon is shutting down.
+        self.leaving = False
         self._started_at = loop_clock.now()
         self._entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry] = {}
         self._count = connection_share.DaemonCount(
@@ -109,8 +111,12 @@
         if not self.holds(member, connections):
             return RELAYED
         holders = self.holders(member, connections)
-        return connection_share.share_of(
+        share = connection_share.share_of(
             connections,
             self._daemons if holders is None else holders.count,
             self._clock.now() - self._started_at,
         )
+        if self.leaving:
+            # Unused connections make room for those of the next holders.
+            return connection_share.Share(0, share.soft_limit)
+        return share
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -81,6 +81,9 @@
     def leave(self, granted_s: float) -> None:
         """Prepare to end within the granted time, in seconds."""
         self.service.leave(granted_s)
+        self.holding.leaving = True
+        for group in self._group_by_id.values():
+            group.apply_shares()
 
     def stop(self) -> None:
         """Close all links."""
@@ -101,6 +104,10 @@
         self, entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry]
     ) -> None:
         """Use a new list of daemons."""
+        if self.service.leaving:
+            # Daemons that leave together vanish from the list; until the end
+            # each member keeps its holders.
+            return
         self.holding.use_daemons(entry_by_id.values())
         self._links.keep(set(entry_by_id))
 
@@ -115,7 +122,7 @@
 
     def holders_of(
         self, member: ids.MemberId
-    ) -> list[coordination.DaemonEntry] | None:
+    ) -> list[list[coordination.DaemonEntry]] | None:
         """Return the daemons to relay through; None to connect directly."""
         found = self._pool(member)
         if found is None:
@@ -127,9 +134,8 @@
         holders = self.holding.holders(pool.entry, connections)
         assert holders is not None
         return [
-            entry
-            for entry in holder_choice.in_order(self._daemon, member, holders)
-            if entry.id != self._daemon
+            [entry for entry in each if entry.id != self._daemon]
+            for each in holder_choice.in_order(self._daemon, member, holders)
         ]
 
     def detours(self, member: ids.MemberId) -> list[coordination.DaemonEntry]:
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -46,8 +46,11 @@
 
     def holders_of(
         self, member: ids.MemberId
-    ) -> list[coordination.DaemonEntry] | None:
-        """Return the daemons to relay through; None to connect directly."""
+    ) -> list[list[coordination.DaemonEntry]] | None:
+        """Return the daemons to relay through; None to connect directly.
+
+        The holders, and those that take over if all holders are lost.
+        """
 
     def detours(self, member: ids.MemberId) -> list[coordination.DaemonEntry]:
         """Return daemons that may reach a member that this one cannot."""
@@ -156,6 +159,15 @@
                 link.close()
                 del self._link_by_daemon[daemon]
 
+    def leaving(
+        self, entry: coordination.DaemonEntry
+    ) -> holder_link.HolderLink | None:
+        """Return the link to a daemon that leaves but still answers."""
+        link = self._link_by_daemon.get(entry.id)
+        if link is None or not link.usable(last_resort=True):
+            return None
+        return link
+
     def unchanged(self) -> Callable[[], bool]:
         """Return a function that tells whether the list is as it is now."""
         generation = self._generation
@@ -200,6 +212,7 @@
         link: holder_link.HolderLink,
         member: member_channel.MemberAddress,
         chosen: Callable[[], bool],
+        last_resort: bool = False,
     ) -> relayed_channel.RelayedChannel:
         def avoid() -> None:
             avoided_until = self._clock.now() + AVOIDED_S
@@ -212,6 +225,7 @@
             self._boot_clock,
             self._route.use_sample,
             avoid,
+            last_resort,
         )
 
     def _avoids(self, daemon: ids.DaemonId, member: ids.MemberId) -> bool:
@@ -275,18 +289,37 @@
     ) -> member_channel.Channel | member_channel.MemberFault:
         """Open a connection, or choose a holder to relay through.
 
-        If no holder can be reached, this daemon becomes one: the daemons
-        between which the network is partitioned each use what they reach.
+        If all holders leave, they are used until their last moment, since the
+        member may accept no more connections than those that they have.  If
+        no holder can be reached, this daemon becomes one: the daemons between
+        which the network is partitioned each use what they reach.
         """
         holders = self._route.holders_of(member.id)
         if holders is not None:
-            # A holder that has no way to the member comes last: if no holder
-            # has one, the member is lost.
-            for entry in sorted(
-                holders, key=lambda each: self._avoids(each.id, member.id)
-            ):
-                link = await self._links.link(entry)
-                if link is not None:
-                    return self._channel(link, member, self._links.unchanged())
+            for entries in holders:
+                relayed = await self._connect_through(entries, member)
+                if relayed is not None:
+                    return relayed
             self._route.hold(member.id)
         return await self._direct.connect(member, timeout_s)
+
+    async def _connect_through(
+        self,
+        entries: list[coordination.DaemonEntry],
+        member: member_channel.MemberAddress,
+    ) -> member_channel.Channel | None:
+        """Relay through the first daemon that can be used, if any."""
+        unchanged = self._links.unchanged()
+        # A holder that has no way to the member comes last: if no holder has
+        # one, the member is lost.
+        for entry in sorted(
+            entries, key=lambda each: self._avoids(each.id, member.id)
+        ):
+            link = await self._links.link(entry)
+            if link is not None:
+                return self._channel(link, member, unchanged)
+        for entry in entries:
+            link = self._links.leaving(entry)
+            if link is not None and not self._avoids(entry.id, member.id):
+                return self._channel(link, member, unchanged, True)
+        return None
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -44,6 +44,8 @@
         holder's sample in the answer to it.
     avoid : callable
         Called when the holder does not reach the member.
+    last_resort : bool
+        Whether the holder may be leaving.
 
     """
 
@@ -55,7 +57,9 @@
         boot_clock: clock.Clock,
         use_sample: Callable[[ids.GroupId, float, tuple[int, int, int]], None],
         avoid: Callable[[], None],
+        last_resort: bool = False,
     ):
+        self._last_resort = last_resort
         self._avoid = avoid
         self._chosen = chosen
         self._boot_clock = boot_clock
@@ -84,7 +88,7 @@
             return True
         if self._transaction:
             return False
-        return not (self._link.usable() and self._chosen())
+        return not (self._link.usable(self._last_resort) and self._chosen())
 
     def close(self) -> None:
         """End the transaction, whatever its state."""
--- a/burdockcart/process/peers/tests/test_leaving_holder.py
+++ b/burdockcart/process/peers/tests/test_leaving_holder.py
@@ -1,10 +1,12 @@
 """Tests planned stops of holders and of the daemons that relay to them."""
 
 import asyncio
+import collections
 
 import testtools
 
 from burdockcart import errors
+from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.peers.tests import relay_case
 from burdockcart.request import command
@@ -176,3 +178,105 @@
             self.assertTrue(link.leaving)
 
         relay_case.scenario(check)
+
+
+class BusyConnection(gateway_deployment.IdleConnection):
+    """A client connection that is never idle."""
+
+    idle = False
+
+
+class TestAllAtOnce(testtools.TestCase):
+    """Planned stops of many daemons at the same moment."""
+
+    def served(self, deployment, numbers, duration_s):
+        """Return tasks that write through some daemons."""
+
+        async def write(number):
+            connection = BusyConnection(deployment.daemons[number].clients)
+            replies = await test_failover.writes_for(
+                deployment, duration_s, number, 0.1
+            )
+            connection.close_when_idle()
+            return replies
+
+        return [asyncio.create_task(write(each)) for each in numbers[::3]]
+
+    def count_connects(self, deployment):
+        """Return a list to which each connect to the primary is added."""
+        attempts = []
+        primary = deployment.group.primary.id
+        for daemon in deployment.daemons:
+            connect = daemon.connector.connect
+
+            async def counted(address, timeout_s, connect=connect):
+                if address.id == primary:
+                    attempts.append(address.id)
+                return await connect(address, timeout_s)
+
+            daemon.connector.connect = counted
+        return attempts
+
+    def check_replies(self, tasks):
+        """Check that all writes were served."""
+        replies = [reply for task in tasks for _, reply in task.result()]
+        failures = collections.Counter(
+            gateway_deployment.kind_of(each).value
+            for each in replies
+            if not gateway_deployment.ok(each)
+        )
+        self.assertEqual({}, dict(failures))
+        self.assertGreater(len(replies), 20 * len(tasks))
+
+    def test_whole_deployment(self):
+        """Statements must be served while all daemons drain.
+
+        No holder took them any more, so every daemon connected to every
+        member itself, far above what the members accept.
+        """
+
+        async def check(deployment):
+            numbers = range(len(deployment.daemons))
+            # Until all connections are those of the whole list.
+            await asyncio.sleep(6.0)
+            tasks = self.served(deployment, numbers, 3.5)
+            await asyncio.sleep(0.5)
+            connects = self.count_connects(deployment)
+            draining = asyncio.create_task(drain(deployment.daemons))
+            await asyncio.gather(*tasks)
+            await draining
+            self.check_replies(tasks)
+            self.assertLess(len(connects), CALM_CONNECTS)
+            deployment.daemons.clear()
+
+        relay_case.scenario(check, daemons=40)
+
+    def test_failure_domain(self):
+        """The others must go on while all holders of a member drain."""
+
+        async def check(deployment):
+            domain = deployment.group.primary.domain
+            leaving = [
+                each
+                for each in deployment.daemons
+                if each._settings.domain == domain
+            ]
+            numbers = [
+                number
+                for number, each in enumerate(deployment.daemons)
+                if each not in leaving
+            ]
+            # Until all connections are those of the whole list.
+            await asyncio.sleep(6.0)
+            tasks = self.served(deployment, numbers, 7.0)
+            await asyncio.sleep(0.5)
+            connects = self.count_connects(deployment)
+            await drain(leaving)
+            await asyncio.gather(*tasks)
+            self.check_replies(tasks)
+            self.assertLess(len(connects), CALM_CONNECTS)
+            deployment.daemons = [
+                each for each in deployment.daemons if each not in leaving
+            ]
+
+        relay_case.scenario(check, daemons=40)
