--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -1,7 +1,6 @@
 """Statements of one other daemon, run on the connections of this one."""
 
 import asyncio
-from typing import Awaitable
 from typing import Callable
 from typing import Protocol
 
@@ -19,6 +18,7 @@
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import messages
+from burdockcart.process.peers import relay_actions
 from burdockcart.process.peers import tcp
 from burdockcart.request import command
 from burdockcart.request import work_queue
@@ -30,14 +30,9 @@
 State = member_channel.TransactionState
 
 
-class Pools(Protocol):
+class Pools(relay_actions.Pools, Protocol):
     """The groups of this daemon, as far as relayed statements need them."""
 
-    def held_pool(
-        self, group: ids.GroupId, member: ids.MemberId
-    ) -> tuple[groups.Group, member_pool.MemberPool] | None:
-        """Return a member's pool of direct connections, if it is known."""
-
     def newest_sample(self, group: ids.GroupId) -> tuple[int, int, int] | None:
         """Return the newest sample of a group's primary, as it is sent."""
 
@@ -137,6 +132,7 @@
             messages.Run | messages.Begin | messages.RollBack | messages.Action
         ),
     ) -> None:
+        pools = self._service.pools
         try:
             match message:
                 case messages.Run():
@@ -146,7 +142,7 @@
                 case messages.RollBack():
                     answer = await self._roll_back(message)
                 case messages.Action():
-                    await self._act(message)
+                    self._send(await relay_actions.act(pools, message))
                     return
             group = (
                 None
@@ -374,49 +370,6 @@
             held[1].channel.close()
             held[0].release(held[1])
 
-    # Replication
-
-    async def _act(self, message: messages.Action) -> None:
-        """Query or change the replication state of a member."""
-        found = self._service.pools.held_pool(message.group, message.member)
-        if found is None:
-            self._refuse(message.number, "the member is not known")
-            return
-        _, pool = found
-        timeout_s = message.timeout_ms / 1000
-        calls: dict[
-            str,
-            Callable[
-                [member_channel.Channel],
-                Awaitable[
-                    member_channel.MemberStatus | member_channel.MemberFault
-                ],
-            ],
-        ] = {
-            "observe": lambda each: each.observe(timeout_s),
-            "demote": lambda each: each.demote(message.term, timeout_s),
-            "hold_replication": lambda each: each.hold_replication(
-                message.term, timeout_s
-            ),
-            "release_replication": lambda each: _release(each, timeout_s),
-        }
-        call = calls.get(message.action)
-        if call is None:
-            self._refuse(message.number, f"unknown action {message.action!r}")
-            return
-        status = await pool.query(call, direct=True)
-        if isinstance(status, member_channel.MemberStatus):
-            self._send(
-                messages.Status(
-                    message.number,
-                    status.role,
-                    status.term,
-                    (status.received.term, status.received.number),
-                )
-            )
-        else:
-            self._answer(message.number, _fault(status, status.value))
-
     # End of the link
 
     def leave(self) -> None:
@@ -457,13 +410,5 @@
         self._ended(self)
 
 
-async def _release(
-    channel: member_channel.Channel, timeout_s: float
-) -> member_channel.MemberStatus | member_channel.MemberFault:
-    """Resume replication and return the member's status."""
-    answer = await channel.release_replication(timeout_s)
-    return answer.fault or await channel.observe(timeout_s)
-
-
 def _fault(fault: Fault, text: str) -> member_channel.Answer:
     return member_channel.Answer(fault=fault, text=text)
