Wait until relayed answers have left the holder

Callers: a write that its holder had run could end as INDOUBT at a planned stop of the holder, if its answer was long or the link slow.

Cause: the holder ended once no statement was running; answers in the write buffer of a link were lost with the event loop.

Evidence: test_tcp.py test_answer_that_is_still_being_sent before the change: 7 MB wait on a link whose other side does not read, and nothing tells the daemon to wait (False is not true).

Change: unsent bytes of accepted links keep the holder in use, until its last moment.

--- a/burdockcart/emulator/peer_network.py
+++ b/burdockcart/emulator/peer_network.py
@@ -38,6 +38,9 @@
 class MemoryLink:
     """One end of a link."""
 
+    #: What is sent leaves at once.
+    unsent = 0
+
     def __init__(
         self, network: PeerNetwork, own: ids.DaemonId, other: ids.DaemonId
     ):
--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -59,7 +59,11 @@
     def in_use(self) -> bool:
         """Whether other daemons still need this one."""
         since_s = self.clock.now() - self.requested_at
-        return self.pending > 0 or since_s < LINGER_S
+        return (
+            self.pending > 0
+            or since_s < LINGER_S
+            or any(session.unsent for session in self._sessions)
+        )
 
     @property
     def links(self) -> int:
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -14,7 +14,6 @@
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import messages
@@ -85,6 +84,11 @@
         """Running requests and open transactions."""
         return max(len(self._tasks), len(self._connection_by_transaction))
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that have not left this daemon."""
+        return self._transport.unsent
+
     def received(self, content: bytes) -> None:
         """Start the request in a message."""
         try:
--- a/burdockcart/process/peers/tcp.py
+++ b/burdockcart/process/peers/tcp.py
@@ -40,6 +40,10 @@
     def is_closed(self) -> bool:
         """Whether the link has ended."""
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that wait until the other side reads."""
+
     def send(self, content: bytes) -> None:
         """Send the content of a frame; nothing happens on a closed link."""
 
@@ -89,6 +93,13 @@
         """Whether the link has ended."""
         return self._transport is None or self._transport.is_closing()
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that wait until the other side reads."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the greeting, if this side has opened the link."""
         assert isinstance(transport, asyncio.Transport)
@@ -147,7 +158,7 @@
         """Send the content of a frame."""
         if self._transport is None or self._sealer is None:
             return
-        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        if self.unsent > MAX_UNSENT_BYTES:
             loguru.logger.warning("event=peer_link_congested")
             self._transport.abort()
             return
--- a/burdockcart/process/peers/tests/test_tcp.py
+++ b/burdockcart/process/peers/tests/test_tcp.py
@@ -4,7 +4,10 @@
 
 import testtools
 
+from burdockcart import clock
+from burdockcart.connection import member_channel
 from burdockcart.process.peers import frames
+from burdockcart.process.peers import relay_service
 from burdockcart.process.peers import tcp
 
 HOST = "127.0.0.1"
@@ -169,6 +172,29 @@
 
         run(check)
 
+    def test_answer_that_is_still_being_sent(self):
+        """A daemon must not end before its answers have left it."""
+
+        async def check(pair):
+            service = relay_service.RelayService(None, None, clock.LoopClock())
+            await pair.listener.listen(f"{HOST}:0", service.accept)
+            pair.port = pair.listener._server.sockets[0].getsockname()[1]
+            own = await pair.dial()
+            own.transport._transport.pause_reading()
+            session = next(iter(service._sessions))
+            self.assertFalse(service.in_use)
+            rows = ("x" * 1_000_000,)
+            for number in range(7):
+                session._answer(number, member_channel.Answer(rows=rows))
+            await asyncio.sleep(0.1)
+            self.assertTrue(service.in_use)
+            own.transport._transport.resume_reading()
+            while len(own.contents) < 7:
+                await asyncio.sleep(0.01)
+            self.assertFalse(service.in_use)
+
+        run(check)
+
     def test_refused(self):
         """A daemon that is gone must be noticed at once."""
 
