--- a/burdockcart/connection/channel_state.py
+++ b/burdockcart/connection/channel_state.py
@@ -196,7 +196,10 @@
         before = self.phase
         if self._lost():
             self._close()
-            return not_sent("the connection has ended")
+            ended = not_sent("the connection has ended")
+            if before is Phase.IN_TRANSACTION:
+                return msgspec.structs.replace(ended, fault=_Fault.ROLLED_BACK)
+            return ended
         if self._running is not None:
             return not_sent(f"the connection runs a {self._running.value}")
         if before not in _FITTING[call]:
--- a/burdockcart/connection/member_channel.py
+++ b/burdockcart/connection/member_channel.py
@@ -38,6 +38,7 @@
     RELAY_LOST = "lost by the relaying daemon"
     NOT_SENT = "not sent on this connection"
     OUTSIDE = "ran outside of its transaction"
+    ROLLED_BACK = "not sent, and its transaction rolled back"
     OTHER = "other"
 
 
@@ -54,12 +55,19 @@
         MemberFault.REFUSED,
         MemberFault.RELAY_REFUSED,
         MemberFault.NOT_SENT,
+        MemberFault.ROLLED_BACK,
     }
 )
 #: Faults after which the connection cannot be used.
 NO_ANSWER = frozenset({MemberFault.SILENT, MemberFault.BROKEN})
 #: Faults of a relaying daemon, which say nothing about the member.
-OF_RELAY = frozenset({MemberFault.RELAY_REFUSED, MemberFault.RELAY_LOST})
+OF_RELAY = frozenset(
+    {
+        MemberFault.RELAY_REFUSED,
+        MemberFault.RELAY_LOST,
+        MemberFault.ROLLED_BACK,
+    }
+)
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -119,7 +127,8 @@
 
     - One call runs at a time.  A call that does not fit the state of the
       channel, or comes while another one runs, is not sent; its answer is
-      the fault ``NOT_SENT``.
+      the fault ``NOT_SENT``, or ``ROLLED_BACK`` if the connection has ended in
+      a transaction.
     - A statement of a transaction is sent by :meth:`run_in_transaction`, and
       only between a successful :meth:`begin` and the end of the transaction.
       Any other statement is sent by :meth:`run`, and only outside of one.
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -56,6 +56,8 @@
         self.lose_promotions = 0
         self.late_s = 0.0
         self._daemon_by_lease: dict[int, ids.DaemonId] = {}
+        #: All daemons that have ever registered.
+        self._registered: set[ids.DaemonId] = set()
         self._late_promotions: set[asyncio.Task[None]] = set()
 
     def _next_revision(self) -> int:
@@ -114,7 +116,10 @@
                     for revision, member, entry in self.entry_changes
                     if revision > after
                 },
-                entry_by_daemon=dict(self.daemon_by_id),
+                entry_by_daemon={
+                    daemon: self.daemon_by_id.get(daemon)
+                    for daemon in self._registered | set(self.daemon_by_id)
+                },
                 fleet_key=self.fleet_key,
                 revision=self.revision,
             )
@@ -196,11 +201,16 @@
         self.fleet_key = self.fleet_key or key
         return result.Success(self.fleet_key)
 
-    async def unregister_daemon(self, lease: int) -> None:
+    async def unregister_daemon(self, lease: int):
         """Remove the daemon with a lease from the list."""
+        fault = await self._store_fault()
+        if fault is not None:
+            return fault
         daemon = self._daemon_by_lease.pop(lease, None)
-        if daemon is not None:
-            self.daemon_by_id.pop(daemon, None)
+        if daemon is None:
+            return result.Failure(CallFault.MISSING)
+        self.daemon_by_id.pop(daemon, None)
+        return result.Success(None)
 
     async def register_daemon(
         self, daemon: coordination.DaemonEntry, ttl_s: float
@@ -210,6 +220,7 @@
         if fault is not None:
             return fault
         self.daemon_by_id[daemon.id] = daemon
+        self._registered.add(daemon.id)
         lease = self._next_revision()
         self._daemon_by_lease[lease] = daemon.id
         return result.Success(lease)
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -50,6 +50,8 @@
         """Do nothing; the HTTP client requires this method."""
 
 
+#: Methods whose requests have no body.
+_WITHOUT_BODY = frozenset({"GET", "DELETE"})
 _FAULT_BY_STATUS = {
     404: coordination.CallFault.MISSING,
     410: coordination.CallFault.HISTORY_LOST,
@@ -88,7 +90,9 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> httpclient.HTTPResponse | None:
-        data = None if method == "GET" else msgspec.json.encode(body or {})
+        data = None
+        if method not in _WITHOUT_BODY:
+            data = msgspec.json.encode(body or {})
         request = httpclient.HTTPRequest(
             url,
             method=method,
@@ -320,6 +324,9 @@
         written = await self._call(
             "/api/kv-txn", store_messages.Written, "POST", body=body
         )
+        if isinstance(written, result.Failure):
+            # The write may be executed later unless its lease has ended.
+            await self.unregister_daemon(lease.lease)
         return written.map(lambda _: lease.lease)
 
     async def renew_daemon(
@@ -329,9 +336,13 @@
         answer = await self._call(f"/api/kv-keep/{lease}", Any, "POST")
         return answer.map(lambda _: None)
 
-    async def unregister_daemon(self, lease: int) -> None:
+    async def unregister_daemon(
+        self, lease: int
+    ) -> result.Result[None, coordination.CallFault]:
         """End the lease of a registered daemon."""
-        await self._call(f"/api/kv-lease-end/{lease}", Any, "DELETE")
+        path = f"/api/kv-lease-end/{lease}"
+        answer = await self._call(path, Any, "DELETE")
+        return answer.map(lambda _: None)
 
     async def reachable(self) -> bool:
         """Return whether the store answers at all."""
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -129,7 +129,7 @@
         self._drain = drain.Drain(
             self._admission,
             self._clock,
-            lambda: self.relay.service.pending,
+            self.relay.service,
             self.metrics,
         )
         self.tables = store_follower.StoreFollower(
@@ -211,7 +211,7 @@
     async def drain(self) -> None:
         """Close sessions gradually, within the time granted for shutdown."""
         self._admission.begin()
-        self.relay.leave()
+        self.relay.leave(self._settings.shutdown_s)
         self._spawn(self._listing.leave)
         await self._drain.run(self._clients)
 
--- a/burdockcart/process/gateway/drain.py
+++ b/burdockcart/process/gateway/drain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from typing import Callable
+from typing import Protocol
 
 import loguru
 
@@ -20,14 +20,26 @@
 ORDER = (Phase.IDLE, Phase.ANSWERING, Phase.RUNNING, Phase.IN_TRANSACTION)
 
 
+class Relays(Protocol):
+    """Statements of other daemons that run here."""
+
+    @property
+    def pending(self) -> int:
+        """Their number, with open transactions."""
+
+    @property
+    def in_use(self) -> bool:
+        """Whether other daemons still need this one."""
+
+
 class Drain:
     """Carries out the shutdown plan.
 
     Parameters
     ==========
 
-    pending : callable
-        Returns how many statements of other daemons are running here.
+    relays : Relays
+        What this daemon relays for others.
 
     """
 
@@ -35,13 +47,13 @@
         self,
         admission: stop_admission.StopAdmission,
         loop_clock: clock.Clock,
-        pending: Callable[[], int],
+        relays: Relays,
         metrics: gateway_metrics.GatewayMetrics,
     ):
         self._admission = admission
         self._plan = admission.plan
         self._clock = loop_clock
-        self._pending = pending
+        self._relays = relays
         self._metrics = metrics
         #: Connections of the previous step.
         self._known: set[client_listener.Client] = set()
@@ -71,7 +83,7 @@
         self._report(list(clients.connections))
 
     def _open_work(self, clients: client_listener.ClientListener) -> int:
-        return len(list(clients.connections)) + self._pending()
+        return len(list(clients.connections)) + self._relays.in_use
 
     def _close_some(self, clients: client_listener.ClientListener) -> None:
         """Tell the sessions whose turn it is to close.
@@ -117,6 +129,6 @@
             count[Phase.RUNNING],
             count[Phase.ANSWERING],
             count[Phase.CLOSING],
-            self._pending(),
+            self._relays.pending,
             int(self._admission.elapsed_s * 1000),
         )
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 from typing import Callable
+from typing import Protocol
+import weakref
 
 import loguru
 import msgspec
@@ -21,6 +23,14 @@
 SUSPECT_AFTER_S = 0.25
 
 
+class Channel(Protocol):
+    """A connection by way of the holder."""
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open at the holder."""
+
+
 class HolderLink:
     """Link to one holder, shared by all statements that it relays.
 
@@ -49,6 +59,7 @@
         self._future_by_number: dict[
             int, asyncio.Future[messages.Reply | None]
         ] = {}
+        self._channels: weakref.WeakSet[Channel] = weakref.WeakSet()
         self._received_at = loop_clock.now()
         #: Timer of the next look at an unanswered request.
         self._watch: asyncio.TimerHandle | None = None
@@ -61,9 +72,9 @@
         return self._transport.is_closed
 
     @property
-    def pending(self) -> int:
-        """Number of requests without an answer, and of open transactions."""
-        return len(self._future_by_number) + len(self._transactions)
+    def in_use(self) -> bool:
+        """Whether a request or an open transaction needs the link."""
+        return bool(self._future_by_number or self._transactions)
 
     def new_transaction(self) -> int:
         """Return the number of a transaction that is about to begin."""
@@ -82,9 +93,23 @@
             if not self.is_closed:
                 self.send(messages.Discard(number))
 
-    def usable(self) -> bool:
-        """Return whether new statements may be sent to the holder."""
-        return not (self.is_closed or self.leaving or self.suspect())
+    def add(self, channel: Channel) -> None:
+        """Add a connection that uses the link."""
+        self._channels.add(channel)
+
+    def usable(self, last_resort: bool = False) -> bool:
+        """Return whether new statements may be sent to the holder.
+
+        Parameters
+        ==========
+
+        last_resort : bool
+            Whether it may be leaving.
+
+        """
+        if self.is_closed or self.suspect():
+            return False
+        return last_resort or not self.leaving
 
     def suspect(self) -> bool:
         """Return whether the holder has been silent for too long."""
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -11,15 +11,15 @@
 
 from burdockcart import clock
 from burdockcart.connection import member_channel
+from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import held_transaction
 from burdockcart.process.peers import messages
-from burdockcart.process.peers import relayed_action
+from burdockcart.process.peers import relay_actions
 from burdockcart.process.peers import tcp
 from burdockcart.request import command
 from burdockcart.request import work_queue
@@ -38,14 +38,9 @@
 )
 
 
-class Pools(Protocol):
+class Pools(relay_actions.Pools, Protocol):
     """The groups of this daemon, as far as relayed statements need them."""
 
-    def held_pool(
-        self, group: ids.GroupId, member: ids.MemberId
-    ) -> tuple[groups.Group, member_pool.MemberPool] | None:
-        """Return a member's pool of direct connections, if it is known."""
-
     def newest_sample(self, group: ids.GroupId) -> tuple[int, int, int] | None:
         """Return the newest sample of a group's primary, as it is sent."""
 
@@ -57,6 +52,9 @@
     sender: attempts.StatementSender
     clock: clock.Clock
     leaving: bool
+    transactions_until: float
+    ends_at: float
+    requested_at: float
 
 
 class RelaySession:
@@ -79,12 +77,23 @@
         self._transaction_by_number: dict[
             int, held_transaction.HeldTransaction
         ] = {}
+        #: Transactions that are running a statement, and those that this
+        #: daemon has rolled back.
+        self._in_statement: set[int] = set()
+        self._rolled_back: set[int] = set()
+        #: What waits for a connection.
+        self._waiting: list[tuple[groups.Group, work_queue.Work]] = []
 
     @property
     def pending(self) -> int:
         """Running requests and open transactions."""
         return max(len(self._tasks), len(self._transaction_by_number))
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that have not left this daemon."""
+        return self._transport.unsent
+
     def received(self, content: bytes) -> None:
         """Start the request in a message."""
         try:
@@ -155,7 +164,7 @@
                     answer = await self._roll_back(message)
                 case messages.Action():
                     self._send(
-                        await relayed_action.run(self._service.pools, message)
+                        await relay_actions.act(self._service.pools, message)
                     )
                     return
             self._answer(message.number, answer, _group_of(message))
@@ -175,8 +184,28 @@
 
     # Statements
 
+    def _refusal_at_end(
+        self,
+        message: messages.Run | messages.RunInTransaction | messages.Begin,
+    ) -> member_channel.Answer | None:
+        """Refuse what may last longer than this daemon."""
+        now = self._service.requested_at = self._service.clock.now()
+        late = now + message.timeout_ms / 1000 > self._service.ends_at
+        if not isinstance(message, messages.Run):
+            late |= now >= self._service.transactions_until
+        if isinstance(message, messages.RunInTransaction):
+            if late and message.transaction in self._transaction_by_number:
+                self._end_transaction(message.transaction)
+            late |= message.transaction in self._rolled_back
+        if late:
+            return _fault(Fault.RELAY_REFUSED, "the holder is shutting down")
+        return None
+
     async def _run(self, message: messages.Run) -> member_channel.Answer:
         """Run a statement outside of a transaction."""
+        refused = self._refusal_at_end(message)
+        if refused is not None:
+            return refused
         deadline_at = self._service.clock.now() + message.timeout_ms / 1000
         statement = messages.read_statement(message.statement)
         acquired = await self._acquire(
@@ -206,19 +235,26 @@
         self, message: messages.RunInTransaction
     ) -> member_channel.Answer:
         """Run a statement of a transaction; release after its end."""
+        refused = self._refusal_at_end(message)
+        if refused is not None:
+            return refused
         held = self._transaction_by_number.get(message.transaction)
         connection = None if held is None else held.connection
         if held is None or connection is None:
             return _fault(Fault.RELAY_LOST, "no such transaction")
         channel = connection.channel
         statement = messages.read_statement(message.statement)
-        answer = await self._run_on(
-            connection,
-            message.statement,
-            lambda: channel.run_in_transaction(
-                statement, statement.shape, message.timeout_ms / 1000
-            ),
-        )
+        self._in_statement.add(held.number)
+        try:
+            answer = await self._run_on(
+                connection,
+                message.statement,
+                lambda: channel.run_in_transaction(
+                    statement, statement.shape, message.timeout_ms / 1000
+                ),
+            )
+        finally:
+            self._in_statement.discard(held.number)
         held.settle()
         self._forget(held)
         return answer
@@ -258,8 +294,6 @@
         | member_channel.Answer
     ):
         """Wait for a connection to the message's member."""
-        if self._service.leaving:
-            return _fault(Fault.RELAY_REFUSED, "the holder is shutting down")
         found = self._service.pools.held_pool(message.group, message.member)
         if found is None:
             return _fault(Fault.RELAY_REFUSED, "the member is not known")
@@ -280,9 +314,16 @@
             value_by_name=value_by_name,
             shape=shape,
         )
-        acquired = await group.acquire(work)
+        self._waiting.append((group, work))
+        try:
+            acquired = await group.acquire(work)
+        finally:
+            self._waiting.remove((group, work))
         if isinstance(acquired, result.Failure):
-            return _fault(Fault.QUEUE_FULL, acquired.failure().message)
+            failure = acquired.failure()
+            if failure.kind is errors.ErrorKind.DRAINING:
+                return _fault(Fault.RELAY_REFUSED, failure.message)
+            return _fault(Fault.QUEUE_FULL, failure.message)
         connection = acquired.unwrap()
         if self._closed or not connection.channel.direct:
             # The sender takes the statement for lost, or this daemon does not
@@ -297,7 +338,8 @@
         held = self._transaction_by_number[message.transaction]
         answer = _fault(Fault.RELAY_LOST, "fault in the holder")
         try:
-            answer = await self._begin_on_connection(message, held)
+            refused = self._refusal_at_end(message)
+            answer = refused or await self._begin_on_connection(message, held)
         finally:
             if answer.fault is not None:
                 held.discard("it did not begin")
@@ -349,8 +391,38 @@
     # End of the link
 
     def leave(self) -> None:
-        """Tell the other daemon that this one is shutting down."""
+        """Tell the other daemon to relay through others.
+
+        What waits goes back unsent; another holder may still be in time.
+        """
         self._send(messages.Leaving())
+        failure = errors.Failure(
+            errors.ErrorKind.DRAINING, "the holder is shutting down"
+        )
+        for group, work in self._waiting:
+            if not work.connection.done():
+                group.queue.remove(work)
+                work.connection.set_result(result.Failure(failure))
+
+    def end_transactions(self) -> int:
+        """Roll back the transactions that wait for their next statement.
+
+        The others end with the statement after the one that is running.
+        Returns their number.
+        """
+        idle = {
+            number
+            for number, held in self._transaction_by_number.items()
+            if held.connection is not None
+        } - self._in_statement
+        for transaction in idle:
+            self._end_transaction(transaction)
+        return len(idle)
+
+    def _end_transaction(self, transaction: int) -> None:
+        """Roll back a transaction whose daemon does not know that yet."""
+        self._rolled_back.add(transaction)
+        self._discard(transaction, "the holder is shutting down")
 
     def closed(self) -> None:
         """Roll back what the other daemon has left open."""
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -45,6 +45,8 @@
         holder's sample in the answer to it.
     avoid : callable
         Called when the holder does not reach the member.
+    last_resort : bool
+        Whether the holder may be leaving.
 
     """
 
@@ -56,7 +58,9 @@
         boot_clock: clock.Clock,
         use_sample: Callable[[ids.GroupId, float, tuple[int, int, int]], None],
         avoid: Callable[[], None],
+        last_resort: bool = False,
     ):
+        self._last_resort = last_resort
         self._avoid = avoid
         self._chosen = chosen
         self._boot_clock = boot_clock
@@ -82,7 +86,7 @@
             return True
         if self._transaction is not None:
             return False
-        return not (self._link.usable() and self._chosen())
+        return not (self._link.usable(self._last_resort) and self._chosen())
 
     @property
     def free(self) -> bool:
@@ -131,10 +135,16 @@
         if isinstance(reply, messages.Answered):
             if reply.sample is not None:
                 self._use_sample(self._member.group, sent_at, reply.sample)
+            answer = messages.read_answer(reply)
             if reply.fault in _NO_WAY:
+                if reply.fault is Fault.RELAY_REFUSED and (
+                    self._guard.in_transaction
+                ):
+                    # The holder rolls back with the close.
+                    answer = _fault(Fault.ROLLED_BACK, reply.text)
                 self.close()
                 self._avoid()
-            return messages.read_answer(reply)
+            return answer
         self.close()
         return _fault(Fault.RELAY_LOST, "the link to the holder ended")
 
