Give no connection to cancelled work

What callers saw: a read that had been answered ended with an internal error, and its daemon had one connection less. It happened while reads were hedged under load.

Cause: cancelling a statement cancels its future at once, but its work stays in the queue until its task has run. `Group.dispatch` (and `refuse_unservable`) called in between set the result of that future, which raises `InvalidStateError` in the task of the statement that gave its connection back; the connection had already been marked as busy.

Evidence: test_cancelled_work_gets_no_connection, before the change:

group.py, line 282, in dispatch work.connection.set_result(result.Success(connection)) asyncio.exceptions.InvalidStateError: invalid state

Change: both skip work whose future is done. Its task removes it from the queue in the same turn of the loop.

--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -225,8 +225,10 @@
     def refuse_unservable(self) -> None:
         """Refuse queued work whose deadline is before the next primary."""
         for work in self.queue.in_order(self._clock.now()):
+            if work.connection.done() or not work.primary_only:
+                continue
             refusal = self._refusal_for(work)
-            if work.primary_only and refusal is not None:
+            if refusal is not None:
                 self.queue.remove(work)
                 work.connection.set_result(result.Failure(refusal))
 
@@ -262,6 +264,9 @@
         if not self.queue:
             return
         for work in self.queue.in_order(now, self._min_latency_s(now)):
+            if work.connection.done():
+                # Cancelled; its task has not run since.
+                continue
             pools = self._eligible_pools(work, now)
             preferred = self._choose(pools, now)
             if preferred is None:
--- a/burdockcart/process/gateway/tests/test_load.py
+++ b/burdockcart/process/gateway/tests/test_load.py
@@ -450,3 +450,40 @@
             self.assertLess(len(runs), 240 + 20 + 24 + 1)
 
         scenario(check, daemons=2)
+
+
+class TestCancelledWork(testtools.TestCase):
+    """Queued work whose statement has been cancelled."""
+
+    def test_cancelled_work_gets_no_connection(self):
+        """Another statement must not fail because of cancelled work.
+
+        The connection that a finished read gave back was assigned to a read
+        that had just been cancelled, because its hedge had answered: the
+        finished read failed, and the connection was lost to the pool.
+        """
+
+        async def check(deployment):
+            group = deployment.daemons[0].group_by_id[gateway_deployment.GROUP]
+            pool = group.primary.pool()
+            queued = work_queue.Work(
+                priority=1,
+                goal_at=1.0,
+                give_up_at=asyncio.get_running_loop().time() + 1.0,
+                connection=asyncio.get_running_loop().create_future(),
+            )
+            taken = []
+            while pool.has_idle():
+                taken.append(pool.take({}, None))
+            pool.may_open = lambda: False
+            waiting = asyncio.create_task(group.acquire(queued))
+            await asyncio.sleep(0.01)
+            self.assertIn(queued, group.queue.in_order(0.0))
+            waiting.cancel()
+            group.refuse_unservable()
+            for each in taken:
+                group.release(each)
+            self.assertEqual(0, pool.busy_count)
+            await asyncio.gather(waiting, return_exceptions=True)
+
+        scenario(check, daemons=1)
