Log what else answered when a check fails

What operators saw: `member_unreachable` with `cause='no answer'` for all members of all groups at once. No line told whether the members or the link of the daemon itself were at fault.

Change: each request that a member answered is recorded with the time at which it was sent (own_link.py); `member_unreachable` now says how many other members answered something sent since the check began, how many others are failing, when anything was last received, and how long the check took (more than its 100 ms if the process stood still):

member=m-b cause='no answer' failures=2 took_ms=100 others_answered=1 others_failing=0 others=2 received_ms_ago=15

is a lost member; `others_answered=0` and a high `received_ms_ago` on a daemon with traffic are its own link. The emulator learns links that a transfer fills (host_link.py): what arrives waits and keeps its order.

No decision changes with this commit.

--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -12,6 +12,7 @@
 from typing import Callable
 
 from burdockcart.connection import member_channel
+from burdockcart.connection import own_link
 
 #: Weight of a new running time in the moving average.
 WEIGHT = 0.15
@@ -63,7 +64,14 @@
 
     """
 
-    def __init__(self, now: float, initial_latency_s: float = 0.01):
+    def __init__(
+        self,
+        now: float,
+        initial_latency_s: float = 0.01,
+        source: own_link.Source | None = None,
+    ):
+        #: The member's answers, as evidence for the state of the link.
+        self.source = source or own_link.OwnLink(now).source()
         self.last_answer_at = now
         self.last_write_answer_at = now
         self.first_failure_at: float | None = None
@@ -141,10 +149,21 @@
                 now - sent_at - self.latency_s(now)
             )
             self._latency_at = now
-        self.record_answer(now)
+        self.record_answer(now, sent_at)
 
-    def record_answer(self, now: float) -> None:
-        """Record any answer of the member."""
+    def record_answer(self, now: float, sent_at: float | None = None) -> None:
+        """Record any answer of the member.
+
+        Parameters
+        ==========
+
+        sent_at : float or None
+            When the request was sent; None if the member is to count as
+            reachable without an answer.
+
+        """
+        if sent_at is not None:
+            self.source.record_answer(sent_at, now)
         self.last_answer_at = now
         self._abandoned = False
         self.first_failure_at = None
--- a/burdockcart/emulator/peer_network.py
+++ b/burdockcart/emulator/peer_network.py
@@ -1,8 +1,10 @@
 """In-memory links between daemons, with latency, cuts and frozen daemons."""
 
 import asyncio
+import collections
 from typing import Callable
 
+from burdockcart.emulator import host_link
 from burdockcart import ids
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import tcp
@@ -26,6 +28,9 @@
         self.cut: set[frozenset[ids.DaemonId]] = set()
         self.frozen: set[ids.DaemonId] = set()
         self.peers_by_address: dict[str, "MemoryPeers"] = {}
+        self.link_by_daemon: dict[ids.DaemonId, host_link.HostLink] = (
+            collections.defaultdict(host_link.HostLink)
+        )
         #: Frames that arrived, by sender and receiver.
         self.frames = 0
         self.bytes = 0
@@ -66,6 +71,7 @@
         while True:
             content = await self._inbox.get()
             await asyncio.sleep(self._network.latency_s)
+            await self._network.link_by_daemon[self._own].arrive()
             while (
                 not self._network.reachable(self._own, self._other)
                 or self._own in self._network.frozen
@@ -110,6 +116,11 @@
         ):
             await asyncio.sleep(tcp.DIAL_TIMEOUT_S)
             return None
+        try:
+            async with asyncio.timeout(tcp.DIAL_TIMEOUT_S):
+                await self._network.link_by_daemon[self._daemon].arrive()
+        except TimeoutError:
+            return None
         own = MemoryLink(self._network, self._daemon, daemon)
         other = MemoryLink(self._network, daemon, self._daemon)
         own.peer, other.peer = other, own
--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -4,6 +4,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
+from burdockcart.emulator import host_link
 from burdockcart.emulator import wire_member
 from burdockcart import ids
 from burdockcart.request import command
@@ -21,7 +22,9 @@
         member: wire_member.EmulatedMember,
         latency_s: float,
         cut: set[ids.MemberId],
+        link: host_link.HostLink,
     ):
+        self._link = link
         self.member = member
         self.latency_s = latency_s
         self._cut = cut
@@ -86,6 +89,7 @@
                 answer = await work()
                 await self._while_reachable()
                 await self._wait_latency()
+                await self._link.arrive()
                 return answer
         except TimeoutError:
             self.close()
@@ -323,6 +327,7 @@
         self.cut: set[ids.MemberId] = set()
         self.latency_s = latency_s
         self.handshake_s = handshake_s
+        self.link = host_link.HostLink()
         self.channels: list[EmulatedChannel] = []
 
     async def detour(
@@ -335,10 +340,15 @@
         self, member: member_channel.MemberAddress, timeout_s: float
     ) -> Fault | None:
         """Return the fault that prevents a connection, or None."""
-        fault = await self._connect_fault(member.id, timeout_s)
-        if fault is None:
-            await asyncio.sleep(self.latency_s)
-        return fault
+        try:
+            async with asyncio.timeout(timeout_s):
+                fault = await self._connect_fault(member.id, timeout_s)
+                if fault is not Fault.SILENT:
+                    await asyncio.sleep(self.latency_s)
+                    await self.link.arrive()
+                return fault
+        except TimeoutError:
+            return Fault.SILENT
 
     async def _connect_fault(
         self, member: ids.MemberId, timeout_s: float
@@ -364,12 +374,13 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await target.handshake(self.handshake_s)
+                await self.link.arrive()
         except TimeoutError:
             return Fault.SILENT
         if len(target.connections) + target.half_open_connections >= (
             target.connection_limit
         ):
             return Fault.CONNECTIONS_EXHAUSTED
-        channel = EmulatedChannel(target, self.latency_s, self.cut)
+        channel = EmulatedChannel(target, self.latency_s, self.cut, self.link)
         self.channels.append(channel)
         return channel
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -5,6 +5,7 @@
 
 from returns import result
 
+from burdockcart.emulator import host_link
 from burdockcart.emulator import wire_member
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
@@ -228,8 +229,9 @@
 class EmulatedPlatformClient:
     """One daemon's access to the platform, which a test can cut."""
 
-    def __init__(self, platform: EmulatedPlatform):
+    def __init__(self, platform: EmulatedPlatform, link: host_link.HostLink):
         self._platform = platform
+        self._link = link
         self.cut = False
 
     def __getattr__(self, name: str):
@@ -237,7 +239,9 @@
 
         async def call(*arguments):
             if not self.cut:
-                return await method(*arguments)
+                answer = await method(*arguments)
+                await self._link.arrive()
+                return answer
             await asyncio.sleep(0.5)
             if name == "reachable":
                 return False
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -14,6 +14,7 @@
 from burdockcart import clock
 from burdockcart.connection import client_session
 from burdockcart.connection import member_channel
+from burdockcart.connection import own_link
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
@@ -101,6 +102,7 @@
         self._rng = rng
         self._draining = False
         self._divided_at = self._clock.now()
+        self._link = own_link.OwnLink(self._clock.now())
         self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
         self.metrics = gateway_metrics.GatewayMetrics()
@@ -145,7 +147,7 @@
             self._idle_connections,
         )
         self._reachability = reachability.Reachability(
-            self.group_by_id, self._clock
+            self.group_by_id, self._clock, self._link
         )
         self._reserved = reserved_claims.ReservedClaims(
             config.daemon,
@@ -302,6 +304,7 @@
                     self._clock,
                     self._boot_clock,
                     self.relay.holding,
+                    self._link,
                     self._settings.promotions_fenced,
                 )
                 self.group_by_id[limits.id] = group
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -9,6 +9,7 @@
 
 from burdockcart import clock
 from burdockcart.connection import member_channel
+from burdockcart.connection import own_link
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import connection_share
@@ -58,6 +59,7 @@
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
         plan: ConnectionPlan,
+        link: own_link.OwnLink,
         promotions_fenced: bool = True,
     ):
         self.id = limits.id
@@ -76,6 +78,7 @@
         #: Whether no other failure domain is reachable.
         self.isolated = False
         self._plan = plan
+        self._link = link
         self._domain = domain
         self._drain_s = drain_s
         self._connector = connector
@@ -115,7 +118,11 @@
             pool = None
         if pool is None:
             pool = member_pool.MemberPool(
-                entry, self._connector, self._clock, self.dispatch
+                entry,
+                self._connector,
+                self._clock,
+                self.dispatch,
+                self._link,
             )
             self._apply_share(pool)
             self.pool_by_member[entry.id] = pool
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -10,6 +10,7 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_health
+from burdockcart.connection import own_link
 from burdockcart.process.gateway import connection_share
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.request import command
@@ -42,6 +43,8 @@
 
     changed : callable
         Called when a connection becomes free or opening one has ended.
+    link : OwnLink
+        What this daemon receives from all members.
 
     """
 
@@ -51,6 +54,7 @@
         connector: member_channel.Connector,
         loop_clock: clock.Clock,
         changed: Callable[[], None],
+        link: own_link.OwnLink,
     ):
         self.entry = entry
         self.share = connection_share.Share(1, 1)
@@ -73,7 +77,7 @@
         self.observed_s = 0.0
         self.limit = member_limit.MemberLimit(self.share.hard_limit)
         self.health = member_health.MemberHealth(
-            loop_clock.now(), member_choice.INITIAL_LATENCY_S
+            loop_clock.now(), member_choice.INITIAL_LATENCY_S, link.source()
         )
         self.use_entry(entry)
 
@@ -218,10 +222,12 @@
         self, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> member_channel.Channel | None:
         """Open a connection that the pool does not count; update health."""
+        sent_at = self._clock.now()
         opened = await self._connector.connect(self.address, timeout_s)
         now = self._clock.now()
         if not isinstance(opened, member_channel.MemberFault):
-            self.health.record_answer(now)
+            # A relayed connection is opened without asking the member.
+            self.health.record_answer(now, sent_at if opened.direct else None)
             self._exhausted_count = 0
             return opened
         if opened is member_channel.MemberFault.CONNECTIONS_EXHAUSTED:
@@ -283,10 +289,11 @@
         self, timeout_s: float
     ) -> member_channel.MemberFault | None:
         """Check whether the member accepts connections; update health."""
+        sent_at = self._clock.now()
         fault = await self._connector.reach(self.address, timeout_s)
         now = self._clock.now()
         if fault is None:
-            self.health.record_answer(now)
+            self.health.record_answer(now, sent_at)
             self._changed()
         else:
             self.health.record_failure(now, fault)
--- a/burdockcart/process/gateway/reachability.py
+++ b/burdockcart/process/gateway/reachability.py
@@ -15,6 +15,7 @@
 import loguru
 
 from burdockcart import clock
+from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import group as groups
@@ -41,9 +42,11 @@
         self,
         group_by_id: dict[ids.GroupId, groups.Group],
         loop_clock: clock.Clock,
+        link: own_link.OwnLink,
     ):
         self._group_by_id = group_by_id
         self._clock = loop_clock
+        self._link = link
         self._check_by_member: dict[ids.MemberId, asyncio.Task[None]] = {}
 
     def scan(self) -> None:
@@ -83,15 +86,25 @@
         task.add_done_callback(lambda _: self._check_by_member.pop(member))
 
     async def _check(self, pool: member_pool.MemberPool) -> None:
+        began_at = self._clock.now()
         fault = await pool.reach(CHECK_TIMEOUT_S)
         health = pool.health
         if fault is None:
             return
+        now = self._clock.now()
+        pools = self._pools()
         loguru.logger.info(
-            "event=member_unreachable member={} cause={!r} failures={}",
+            "event=member_unreachable member={} cause={!r} failures={} "
+            "took_ms={} others_answered={} others_failing={} others={} "
+            "received_ms_ago={}",
             pool.entry.id,
             fault.value,
             health.failures,
+            int((now - began_at) * 1000),
+            health.source.others_answered(began_at),
+            sum(each.health.failing for each in pools if each is not pool),
+            len(pools) - 1,
+            int((now - self._link.received_at) * 1000),
         )
         if health.failures >= failover_rule.MIN_FAILURES:
             pool.abort_reads()
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -109,7 +109,9 @@
         connector = wire_channel.EmulatedConnector(
             {member.id: member for member in self.members}
         )
-        link = wire_platform.EmulatedPlatformClient(self.platform)
+        host_link = self.peers.link_by_daemon[config.daemon]
+        connector.link = host_link
+        link = wire_platform.EmulatedPlatformClient(self.platform, host_link)
         daemon = application.GatewayApplication(
             config,
             link,
@@ -121,6 +123,7 @@
         )
         daemon.connector = connector
         daemon.link = link
+        daemon.host_link = host_link
         return daemon
 
     async def start(self):
