Hold no member lost while nothing answers

What callers saw: when the operator wrote a manifest that was 1,400 routes larger, all daemons took all members of all groups for lost at once, aborted the statements that they were running, placed them again elsewhere, looked for detours and began to replace healthy primaries.

Cause: two checks of a member without an answer within 0.1 s were evidence against that member, whatever else happened meanwhile. The transfer of the manifest fills the daemon's own link (10 Mbit/s) for some hundred milliseconds, and everything that arrives is late.

Evidence: test_own_link.py, before the change, links full for 0.3 to 1 s with a queue of 0.15 to 0.5 s:

test_full_link_is_no_lost_member actual = ['event=detour_found member=m-a daemon=d1', ...] test_full_link_of_a_relaying_daemon [] != ['m-c', 'm-a', 'm-b'] (members whose work was aborted) test_quiet_daemon actual = ['m-a', 'm-c', 'm-b', ...] (twelve times) test_everything_is_cut_off [] != ['m-a', 'm-b', 'm-c', 'm-a', 'm-c', 'm-b']

test_member_lost_meanwhile passed before and after: a primary lost while the link is full is replaced within 0.6 s after it is free.

Change: after the first failure, an attempt without an answer counts only if another member or the store has answered something that was sent after the attempt began. To have something to compare with, the second check of a member goes together with a check of one well member in each failure domain. Attempts that do not count start no detour, and the silence that replaces a primary counts from the last of them. Refused connections always count. Answers keep the time at which they were asked for even if the timers are restarted, since an old answer proves nothing about the time after that.

Why it notices a real loss as fast as before: the answer that the second check needs arrives while that check waits. No bound of a test changed. A daemon that is cut off from the other failure domains is still answered by the members in its own, so theirs count as before; a daemon that nothing answers is not ready after the same time, and changes nothing.

--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -35,6 +35,9 @@
 #: Backoff between attempts to reach a member that fails, in seconds.
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 0.5
+#: The same while nothing else answers either, in seconds: a member that was
+#: lost meanwhile must be noticed soon after the link is free.
+RETRY_MAX_EXCUSED_S = 0.2
 
 
 #: Faults of a statement after which the member must be checked.  A statement
@@ -77,6 +80,10 @@
         self.first_failure_at: float | None = None
         self.failures = 0
         self.refusals = 0
+        #: Failed attempts since the last answer, and when the last one that
+        #: says nothing about the member ended.
+        self.attempts = 0
+        self.excused_at: float | None = None
         self._initial_s = initial_latency_s
         self._latency_s = initial_latency_s
         self._latency_at = now
@@ -85,6 +92,8 @@
         self._longest_at = now
         self._tickets = itertools.count()
         self._sent_at_by_ticket: dict[int, float] = {}
+        #: When they were sent, whatever has restarted the timers since.
+        self._asked_at_by_ticket: dict[int, float] = {}
         self._write_tickets: set[int] = set()
         self._relay_silent_by_ticket: dict[int, Callable[[], bool]] = {}
         #: Whether no write has succeeded since one stalled.
@@ -113,6 +122,7 @@
         """
         ticket = next(self._tickets)
         self._sent_at_by_ticket[ticket] = now
+        self._asked_at_by_ticket[ticket] = now
         if relay_silent is not None:
             self._relay_silent_by_ticket[ticket] = relay_silent
         if waits_for_replica:
@@ -128,6 +138,7 @@
         only this answer may be lost.  A probe tells if it can be reached.
         """
         sent_at = self._sent_at_by_ticket.pop(ticket)
+        asked_at = self._asked_at_by_ticket.pop(ticket)
         self._relay_silent_by_ticket.pop(ticket, None)
         writes = ticket in self._write_tickets
         self._write_tickets.discard(ticket)
@@ -137,7 +148,7 @@
             self._abandoned = True
             return
         if fault is member_channel.MemberFault.BROKEN:
-            self.record_failure(now, fault)
+            self.record_failure(now, fault, asked_at)
             return
         if writes and fault is None:
             self.last_write_answer_at = now
@@ -149,7 +160,7 @@
                 now - sent_at - self.latency_s(now)
             )
             self._latency_at = now
-        self.record_answer(now, sent_at)
+        self.record_answer(now, asked_at)
 
     def record_answer(self, now: float, sent_at: float | None = None) -> None:
         """Record any answer of the member.
@@ -169,18 +180,57 @@
         self.first_failure_at = None
         self.failures = 0
         self.refusals = 0
+        self.attempts = 0
+        self.excused_at = None
         self._retry_at = now
 
     def record_failure(
-        self, now: float, fault: member_channel.MemberFault
-    ) -> None:
-        """Record that the member could not be reached."""
-        if self.first_failure_at is None:
-            self.first_failure_at = now
-        self.failures += 1
-        self.refusals += fault is member_channel.MemberFault.REFUSED
-        pause_s = min(RETRY_MIN_S * 2 ** (self.failures - 1), RETRY_MAX_S)
+        self,
+        now: float,
+        fault: member_channel.MemberFault,
+        sent_at: float | None = None,
+    ) -> bool:
+        """Record that the member could not be reached.
+
+        Returns False if nothing else answered what was sent in the same
+        time: the cause may be this daemon's own link.  The first such failure
+        counts nevertheless, as nothing else may have been asked; the daemon
+        then asks others.
+
+        Parameters
+        ==========
+
+        sent_at : float or None
+            When the attempt began; None if it is known to be the member's
+            fault.
+
+        """
+        self.attempts += 1
+        longest_s = RETRY_MAX_S
+        excused = self._excused(fault, sent_at)
+        if not excused or self.attempts == 1:
+            if self.first_failure_at is None:
+                self.first_failure_at = now
+            self.failures += 1
+            self.refusals += fault is member_channel.MemberFault.REFUSED
+        else:
+            longest_s = RETRY_MAX_EXCUSED_S
+            self.excused_at = now
+            if self.failures == 1:
+                self.failures, self.first_failure_at = 0, None
+        pause_s = min(RETRY_MIN_S * 2 ** (self.attempts - 1), longest_s)
         self._retry_at = now + pause_s
+        return not excused
+
+    def _excused(
+        self, fault: member_channel.MemberFault, sent_at: float | None
+    ) -> bool:
+        """Return whether a failure may be this daemon's own."""
+        return (
+            fault is member_channel.MemberFault.SILENT
+            and sent_at is not None
+            and not self.source.others_answered(sent_at)
+        )
 
     def usable(self, now: float) -> bool:
         """Return whether the member may be tried."""
@@ -189,7 +239,7 @@
     @property
     def failing(self) -> bool:
         """Whether the last contact failed."""
-        return self.failures > 0
+        return self.attempts > 0
 
     def latency_s(self, now: float) -> float:
         """Return the expected running time."""
@@ -245,9 +295,7 @@
     @property
     def awaits_answer(self) -> bool:
         """Whether the member owes an answer, or has failed to give one."""
-        return bool(
-            self._sent_at_by_ticket or self.failures or self._abandoned
-        )
+        return bool(self._sent_at_by_ticket or self.failing or self._abandoned)
 
     @property
     def running(self) -> int:
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -103,6 +103,7 @@
         self._draining = False
         self._divided_at = self._clock.now()
         self._link = own_link.OwnLink(self._clock.now())
+        self._store = self._link.source()
         self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
         self.metrics = gateway_metrics.GatewayMetrics()
@@ -132,6 +133,7 @@
             rng,
             config.manifest_s,
             config.first_start,
+            self._store,
         )
         self._listing = store_follower.Listing(
             coordination.DaemonEntry(
@@ -143,7 +145,7 @@
         self._isolation = isolation_monitor.IsolationMonitor(
             config.domain,
             self.group_by_id,
-            platform.reachable,
+            self._store_answers,
             self._idle_connections,
         )
         self._reachability = reachability.Reachability(
@@ -442,6 +444,14 @@
             group.trim()
         await self._isolation.check(now)
 
+    async def _store_answers(self) -> bool:
+        """Return whether the store answers at all."""
+        sent_at = self._clock.now()
+        answers = await self._platform.reachable()
+        if answers:
+            self._store.record_answer(sent_at, self._clock.now())
+        return answers
+
     def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Run a task of this daemon; start it again if it fails."""
         name = getattr(run, "__qualname__", None)
--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -315,6 +315,7 @@
         steps = connection.session_state.steps(value_by_name, shape)
         if not steps:
             return None
+        sent_at = self.loop_clock.now()
         answers = await connection.channel.prepare(steps, PREPARE_TIMEOUT_S)
         for step, answer in zip(steps, answers, strict=False):
             if answer.fault is None:
@@ -327,7 +328,7 @@
         connection.channel.close()
         if last.fault in member_channel.NO_ANSWER:
             connection.pool.health.record_failure(
-                self.loop_clock.now(), last.fault
+                self.loop_clock.now(), last.fault, sent_at
             )
         return member_channel.Answer(
             fault=member_channel.MemberFault.REFUSED,
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -195,6 +195,7 @@
         refusals=health.refusals,
         first_failure_at=health.first_failure_at,
         last_answer_at=health.last_answer_at,
+        excused_at=health.excused_at,
         oldest_write_at=health.oldest_write_at(),
         last_write_answer_at=health.last_write_answer_at,
         queue_full=pool.limit.recently_full(now),
--- a/burdockcart/process/gateway/failover_rule.py
+++ b/burdockcart/process/gateway/failover_rule.py
@@ -75,6 +75,9 @@
     last_answer_at: float
     oldest_write_at: float | None
     last_write_answer_at: float
+    #: When an attempt last failed together with all others, so that the
+    #: member's silence proved nothing until then.
+    excused_at: float | None = None
     #: Whether its queue was full recently.
     queue_full: bool = False
     #: Since when no replica has been able to serve a read; None if one can.
@@ -102,8 +105,7 @@
         failing_s = now - max(view.first_failure_at, view.leads_since)
         if view.refusals >= MIN_FAILURES and failing_s >= REFUSED_FOR_S:
             return Cause.REFUSED
-        silent_s = now - max(view.last_answer_at, view.leads_since)
-        if silent_s >= SILENT_FOR_S:
+        if now - _silent_since(view) >= SILENT_FOR_S:
             return Cause.SILENT
     if view.oldest_write_at is not None:
         quiet_since = max(view.oldest_write_at, view.last_write_answer_at)
@@ -114,6 +116,11 @@
     return None
 
 
+def _silent_since(view: PrimaryView) -> float:
+    """Return since when the primary's silence is its own."""
+    return max(view.last_answer_at, view.leads_since, view.excused_at or 0.0)
+
+
 def _is_read_overloaded(view: PrimaryView, now: float) -> bool:
     """Return whether a primary is overloaded because its replicas lag."""
     return (
@@ -139,7 +146,7 @@
 def replacement_begins_at(view: PrimaryView) -> float:
     """Return when the replacement of an unreachable primary begins."""
     assert view.first_failure_at is not None
-    begins_at = max(view.last_answer_at, view.leads_since) + SILENT_FOR_S
+    begins_at = _silent_since(view) + SILENT_FOR_S
     if view.refusals >= MIN_FAILURES:
         failing_since = max(view.first_failure_at, view.leads_since)
         begins_at = min(begins_at, failing_since + REFUSED_FOR_S)
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -235,7 +235,7 @@
             self.health.record_answer(now)
             self._log_connect_failure(opened)
         else:
-            self._record_connect_failure(opened)
+            self._record_connect_failure(opened, sent_at)
         return None
 
     def _start_detour(self) -> None:
@@ -259,11 +259,9 @@
         self._changed()
 
     def _record_connect_failure(
-        self, fault: member_channel.MemberFault
+        self, fault: member_channel.MemberFault, sent_at: float
     ) -> None:
-        self.health.record_failure(self._clock.now(), fault)
-        if fault is member_channel.MemberFault.SILENT:
-            self._start_detour()
+        self._record_failure(fault, sent_at)
         self._log_connect_failure(fault)
 
     def _log_connect_failure(self, fault: member_channel.MemberFault) -> None:
@@ -277,6 +275,16 @@
             self.share.hard_limit,
         )
 
+    def _record_failure(
+        self, fault: member_channel.MemberFault, sent_at: float
+    ) -> None:
+        """Record a failed attempt; look for another way if that can help."""
+        others_answer = self.health.record_failure(
+            self._clock.now(), fault, sent_at
+        )
+        if others_answer and fault is member_channel.MemberFault.SILENT:
+            self._start_detour()
+
     def _exhausted_pause_s(self) -> float:
         """Return the pause after another refusal for lack of connections."""
         self._exhausted_count += 1
@@ -296,9 +304,7 @@
             self.health.record_answer(now, sent_at)
             self._changed()
         else:
-            self.health.record_failure(now, fault)
-            if fault is member_channel.MemberFault.SILENT:
-                self._start_detour()
+            self._record_failure(fault, sent_at)
         return fault
 
     def abort_reads(self) -> None:
@@ -372,7 +378,7 @@
         self.health.record_ended(ticket, now, fault)
         if fault is member_channel.MemberFault.SILENT:
             # The query needs no slot, so even a busy member answers it.
-            self.health.record_failure(now, fault)
+            self.health.record_failure(now, fault, sent_at)
         elif fault is None:
             self.observed_s += OBSERVED_WEIGHT * (
                 now - sent_at - self.observed_s
--- a/burdockcart/process/gateway/reachability.py
+++ b/burdockcart/process/gateway/reachability.py
@@ -65,6 +65,8 @@
         for pool in watched:
             if _needs_check(pool, now):
                 self._start_check(pool)
+                if pool.health.failing:
+                    self._check_others(pool, pools)
         if lost_at is not None:
             for pool in pools:
                 if _quiet(pool, lost_at, now):
@@ -77,6 +79,25 @@
             for pool in group.pool_by_member.values()
         ]
 
+    def _check_others(
+        self,
+        doubted: member_pool.MemberPool,
+        pools: list[member_pool.MemberPool],
+    ) -> None:
+        """Check one well member of each failure domain for comparison.
+
+        If none of them answers, the cause is this daemon's own link.
+        """
+        by_domain = {
+            pool.entry.domain: pool
+            for pool in pools
+            if pool is not doubted
+            and not pool.retired
+            and not pool.health.failing
+        }
+        for pool in by_domain.values():
+            self._start_check(pool)
+
     def _start_check(self, pool: member_pool.MemberPool) -> None:
         member = pool.entry.id
         if member in self._check_by_member:
@@ -138,11 +159,14 @@
     """Return whether a member needs a check of its reachability.
 
     The second check follows the first without a pause, since two failures
-    are needed for a decision.
+    are needed for a decision; those that may be this daemon's own do not
+    count.
     """
     health = pool.health
     opening_s = min(pool.opening_for_s(now), now - health.last_answer_at)
     needs_probe = health.needs_probe(now, CHECK_AFTER_S)
     if pool.retired or not (needs_probe or opening_s >= CHECK_AFTER_S):
         return False
-    return health.failures < failover_rule.MIN_FAILURES or health.usable(now)
+    return 0 < health.failures < failover_rule.MIN_FAILURES or health.usable(
+        now
+    )
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from burdockcart import clock
+from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import member_catalog
@@ -127,6 +128,8 @@
     first_start : bool
         Whether all daemons are starting for the first time, so that the list
         of daemons is still incomplete.
+    source : Source
+        The store's answers, as evidence for the state of the link.
 
     """
 
@@ -138,7 +141,9 @@
         rng: random.Random,
         manifest_s: float,
         first_start: bool,
+        source: own_link.Source,
     ):
+        self._source = source
         self._first_pauses_s = list(FIRST_PAUSES_S) if first_start else []
         self._interval_s = POLL_SHARE * manifest_s
         self.current: manifest.Manifest | None = None
@@ -163,11 +168,12 @@
     async def run(self) -> None:
         """Read the store and poll its changes until cancelled."""
         while True:
+            sent_at = self._clock.now()
             read = await self._platform.read_store()
             if isinstance(read, result.Failure):
                 await self._failed(read.failure())
                 continue
-            self._answered()
+            self._answered(sent_at)
             self._use_contents(read.unwrap())
             await self._poll_changes(read.unwrap().revision)
 
@@ -180,6 +186,7 @@
         failures = 0
         while True:
             await asyncio.sleep(self._pause_s())
+            sent_at = self._clock.now()
             seen = await self._platform.changes(revision)
             if isinstance(seen, result.Failure):
                 if seen.failure() is coordination.CallFault.HISTORY_LOST:
@@ -193,7 +200,7 @@
                     return
                 continue
             failures = 0
-            self._answered()
+            self._answered(sent_at)
             changes = seen.unwrap()
             revision = max(revision, changes.revision)
             self._use_changes(changes)
@@ -244,7 +251,8 @@
         self.catalog.store_lost()
         await self._backoff.pause()
 
-    def _answered(self) -> None:
+    def _answered(self, sent_at: float) -> None:
+        self._source.record_answer(sent_at, self._clock.now())
         if self.dependency.answered():
             self.catalog.store_recovered(self._clock.now())
         self._backoff.succeeded()
--- a/burdockcart/process/gateway/tests/test_own_link.py
+++ b/burdockcart/process/gateway/tests/test_own_link.py
@@ -6,7 +6,9 @@
 import loguru
 import testtools
 
+from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.tests import gateway_deployment
 
 scenario = test_sessions.scenario
 
@@ -82,3 +84,136 @@
                 self.assertEqual("0", fields(each)["others_answered"])
 
         scenario(check, daemons=1)
+
+
+def aborted(deployment, daemon=0):
+    """Count the statements that a daemon gives up from now on."""
+    counts = []
+    groups = deployment.daemons[daemon].group_by_id.values()
+    for pool in (p for g in groups for p in g.pool_by_member.values()):
+
+        def abort_reads(pool=pool, abort=pool.abort_reads):
+            counts.append(pool.entry.id)
+            abort()
+
+        pool.abort_reads = abort_reads
+    return counts
+
+
+async def fill(deployment, duration_s, queue_s, daemon=0):
+    """Fill the link of a daemon, and wait until it is free again."""
+    deployment.daemons[daemon].host_link.fill(duration_s, queue_s)
+    await asyncio.sleep(duration_s + queue_s)
+
+
+class TestFullLink(testtools.TestCase):
+    """A large manifest fills the link of a daemon for some hundred ms.
+
+    Each daemon of a deployment took all members for lost at that moment,
+    ended the statements that they were running and began to replace healthy
+    primaries.
+    """
+
+    def check_full_link(self, duration_s, queue_s, **options):
+        """Fill the link of a daemon under load."""
+
+        async def check(deployment):
+            await asyncio.sleep(1.0)
+            work = [
+                asyncio.create_task(reads_for(deployment, 4.0))
+                for _ in range(4)
+            ] + [
+                asyncio.create_task(
+                    test_failover.writes_for(deployment, 4.0, gap_s=0.02)
+                )
+                for _ in range(2)
+            ]
+            await asyncio.sleep(0.5)
+            given_up = aborted(deployment)
+            with logged(
+                "promotion_begun", "replicas_released", "detour_found"
+            ) as lines:
+                await fill(deployment, duration_s, queue_s)
+                await asyncio.gather(*work)
+            self.assertEqual([], given_up)
+            self.assertEqual([], lines)
+            self.assertEqual([], deployment.platform.promotions)
+            self.assertTrue(deployment.daemons[0].ready())
+
+        scenario(check, **options)
+
+    def test_full_link_is_no_lost_member(self):
+        """A full link must neither end work nor replace a primary."""
+        for duration_s in (0.3, 0.6, 1.0):
+            for queue_s in (0.15, 0.3, 0.5):
+                with self.subTest(duration_s=duration_s, queue_s=queue_s):
+                    self.check_full_link(duration_s, queue_s, daemons=3)
+
+    def test_full_link_of_a_relaying_daemon(self):
+        """The same holds for a daemon that relays most statements."""
+        self.check_full_link(0.6, 0.4, daemons=9)
+
+    def test_quiet_daemon(self):
+        """A daemon without clients must not act on a full link either."""
+
+        async def check(deployment):
+            await asyncio.sleep(1.0)
+            given_up = aborted(deployment)
+            with logged("promotion_begun", "replicas_released") as lines:
+                for _ in range(4):
+                    await fill(deployment, 0.7, 0.4)
+                    await asyncio.sleep(0.3)
+                await asyncio.sleep(1.0)
+            self.assertEqual([], given_up)
+            self.assertEqual([], lines)
+            self.assertTrue(deployment.daemons[0].ready())
+
+        scenario(check, daemons=3)
+
+    def test_member_lost_meanwhile(self):
+        """A primary that is lost meanwhile must be replaced afterwards."""
+
+        async def check(deployment):
+            await asyncio.sleep(1.0)
+            loop = asyncio.get_running_loop()
+            reads = asyncio.create_task(reads_for(deployment, 4.0))
+            writes = asyncio.create_task(
+                test_failover.writes_for(deployment, 4.0, gap_s=0.02)
+            )
+            await asyncio.sleep(0.5)
+            deployment.daemons[0].host_link.fill(0.6, queue_s=0.3)
+            await asyncio.sleep(0.3)
+            deployment.group.primary.unresponsive = True
+            await asyncio.sleep(0.6)
+            free_at = loop.time()
+            await gateway_deployment.until(
+                lambda: deployment.platform.promotions
+            )
+            # As long as without a full link.
+            self.assertLess(loop.time() - free_at, 0.6)
+            await asyncio.gather(reads, writes)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=1)
+
+    def test_everything_is_cut_off(self):
+        """A daemon that reaches nothing must become isolated."""
+
+        async def check(deployment):
+            await asyncio.sleep(1.0)
+            daemon = deployment.daemons[0]
+            reads = asyncio.create_task(reads_for(deployment, 2.0))
+            await asyncio.sleep(0.5)
+            given_up = aborted(deployment)
+            loop = asyncio.get_running_loop()
+            cut_at = loop.time()
+            daemon.link.cut = True
+            daemon.connector.cut |= {each.id for each in deployment.members}
+            await gateway_deployment.until(lambda: not daemon.ready())
+            self.assertLess(loop.time() - cut_at, 0.6)
+            await reads
+            self.assertFalse(daemon.ready())
+            self.assertEqual([], given_up)
+            self.assertEqual([], deployment.platform.promotions)
+
+        scenario(check, daemons=1)
--- a/burdockcart/process/gateway/transaction_runner.py
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -170,12 +170,13 @@
             since = await group.primary.confirm_term(connection.pool.entry.id)
             if since is None:
                 return attempts.UNCONFIRMED
+        sent_at = self._attempts.loop_clock.now()
         answer = await connection.channel.begin(
             not work.primary_only, attempts.PREPARE_TIMEOUT_S, work.position
         )
         if answer.fault in member_channel.NO_ANSWER:
             connection.pool.health.record_failure(
-                self._attempts.loop_clock.now(), answer.fault
+                self._attempts.loop_clock.now(), answer.fault, sent_at
             )
         self._attempts.learn(group, connection, work, answer, since)
         if (
