Compare members only until one counts as lost

The checks for comparison went out beside each further check of a lost member, every 0.5 s for as long as it was away; each check is priced like a new connection. They are needed only until two failures count.

--- a/burdockcart/process/gateway/reachability.py
+++ b/burdockcart/process/gateway/reachability.py
@@ -65,7 +65,7 @@
         for pool in watched:
             if _needs_check(pool, now):
                 self._start_check(pool)
-                if pool.health.failing:
+                if pool.health.failing and not _decided(pool):
                     self._check_others(pool, pools)
         if lost_at is not None:
             for pool in pools:
@@ -127,15 +127,20 @@
             len(pools) - 1,
             int((now - self._link.received_at) * 1000),
         )
-        if health.failures >= failover_rule.MIN_FAILURES:
+        if _decided(pool):
             pool.abort_reads()
 
 
+def _decided(pool: member_pool.MemberPool) -> bool:
+    """Return whether enough attempts to reach a member have failed."""
+    return pool.health.failures >= failover_rule.MIN_FAILURES
+
+
 def _recently_lost(pool: member_pool.MemberPool, now: float) -> bool:
     """Return whether a member became unreachable recently."""
     health = pool.health
     return (
-        health.failures >= failover_rule.MIN_FAILURES
+        _decided(pool)
         and health.first_failure_at is not None
         and now - health.first_failure_at < CHECK_ALL_S
     )
@@ -167,6 +172,4 @@
     needs_probe = health.needs_probe(now, CHECK_AFTER_S)
     if pool.retired or not (needs_probe or opening_s >= CHECK_AFTER_S):
         return False
-    return 0 < health.failures < failover_rule.MIN_FAILURES or health.usable(
-        now
-    )
+    return (health.failures > 0 and not _decided(pool)) or health.usable(now)
