Read what arrived before a late timeout

What callers saw: a daemon whose process got no processor time for some 0.1 s started its running reads again elsewhere, closed the connections that they ran on, and took the members for silent, although all their answers lay in its sockets.

Cause: after a stall the event loop finds the answers and the expired timers in the same turn, and the timer of `asyncio.timeout` cancels the task before it has read its answer. The check for stalls ran after the check of the members, and restarts the members' timers only above 0.2 s.

Evidence, before the change: test_blocked_event_loop (loop blocked for 0.07 to 0.4 s, twenty times; every read and check must succeed)

actual = ["event=attempt_failed id=s9595 kind='read' member=m-b fault='no answer' attempt=1 next='try another member'", ...]

the same for a relaying daemon, and over real sockets test_answer_during_a_stall: SILENT is not None.

The stall is looked for before the members are checked.

Conclusion: all reads and writes of the three tests succeed, with no failed attempt and no failed check.

--- a/burdockcart/emulator/peer_network.py
+++ b/burdockcart/emulator/peer_network.py
@@ -4,6 +4,7 @@
 import collections
 from typing import Callable
 
+from burdockcart.connection import answer_timeout
 from burdockcart.emulator import host_link
 from burdockcart import ids
 from burdockcart.process.peers import frames
@@ -117,7 +118,7 @@
             await asyncio.sleep(tcp.DIAL_TIMEOUT_S)
             return None
         try:
-            async with asyncio.timeout(tcp.DIAL_TIMEOUT_S):
+            async with answer_timeout.AnswerTimeout(tcp.DIAL_TIMEOUT_S):
                 await self._network.link_by_daemon[self._daemon].arrive()
         except TimeoutError:
             return None
--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from burdockcart.connection import answer_timeout
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
 from burdockcart.emulator import host_link
@@ -80,7 +81,7 @@
         if self.closed:
             return member_channel.Answer(fault=Fault.BROKEN)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with answer_timeout.AnswerTimeout(timeout_s):
                 await self._wait_latency()
                 if self.member.crashed:
                     self.close()
@@ -341,7 +342,7 @@
     ) -> Fault | None:
         """Return the fault that prevents a connection, or None."""
         try:
-            async with asyncio.timeout(timeout_s):
+            async with answer_timeout.AnswerTimeout(timeout_s):
                 fault = await self._connect_fault(member.id, timeout_s)
                 if fault is not Fault.SILENT:
                     await asyncio.sleep(self.latency_s)
@@ -372,7 +373,7 @@
             return fault
         target = self.member_by_id[member.id]
         try:
-            async with asyncio.timeout(timeout_s):
+            async with answer_timeout.AnswerTimeout(timeout_s):
                 await target.handshake(self.handshake_s)
                 await self.link.arrive()
         except TimeoutError:
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -6,6 +6,7 @@
 import loguru
 from tornado import iostream
 
+from burdockcart.connection import answer_timeout
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
 from burdockcart.connection import sockets
@@ -63,7 +64,7 @@
         """Send statements together and return their answers in order."""
         answers = []
         try:
-            async with asyncio.timeout(timeout_s):
+            async with answer_timeout.AnswerTimeout(timeout_s):
                 self._stream.write(b"".join(lines))
                 for _ in lines:
                     data = await self._stream.read_until_regex(
@@ -249,7 +250,7 @@
             socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         )
         try:
-            async with asyncio.timeout(timeout_s):
+            async with answer_timeout.AnswerTimeout(timeout_s):
                 await stream.connect((host, int(port)))
         except TimeoutError:
             return member_channel.MemberFault.SILENT
@@ -270,7 +271,7 @@
             connection, max_buffer_size=4 * wire.MAX_MESSAGE_BYTES
         )
         try:
-            async with asyncio.timeout(timeout_s):
+            async with answer_timeout.AnswerTimeout(timeout_s):
                 await stream.connect((host, int(port)))
                 stream.write(wire.startup_line(member))
                 data = await stream.read_until_regex(
--- a/burdockcart/platform/tests/test_sockets.py
+++ b/burdockcart/platform/tests/test_sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 from returns import result
 import testtools
@@ -236,6 +237,20 @@
 
         with_member([HELLO, b""], check)
 
+    def test_answer_during_a_stall(self):
+        """Guards against a timeout that expired while the process stood."""
+
+        async def check(connector, address, member):
+            loop = asyncio.get_running_loop()
+            channel = await connector.connect(address, 1.0)
+            loop.call_soon(time.sleep, 0.4)
+            answer = await channel.run(READ, None, 0.1)
+            self.assertIsNone(answer.fault)
+            loop.call_soon(time.sleep, 0.4)
+            self.assertIsNone(await connector.reach(address, 0.1))
+
+        with_member([HELLO, b"COMPLETE 7\r\nREADY I 3.1\r\n"], check)
+
     def test_proof_that_fails(self):
         """Guards against a read on a former primary that needs the primary."""
 
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -411,8 +411,10 @@
         maintenance: asyncio.Task[None] | None = None
         for step in itertools.count():
             await asyncio.sleep(SCAN_INTERVAL_S)
-            self._reachability.scan()
+            # The failover first: it leaves out time in which the process
+            # stood still.
             self._failover.scan()
+            self._reachability.scan()
             if step % SCANS_PER_RENEWAL == 0:
                 self._renew_samples()
                 if maintenance is None or maintenance.done():
--- a/burdockcart/process/gateway/term_witness.py
+++ b/burdockcart/process/gateway/term_witness.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from burdockcart import clock
+from burdockcart.connection import answer_timeout
 from burdockcart.connection import member_channel
 from burdockcart import ids
 from burdockcart.process.gateway import member_pool
@@ -178,7 +179,7 @@
         self, pool: member_pool.MemberPool, since: float
     ) -> int | None:
         try:
-            async with asyncio.timeout(QUERY_TIMEOUT_S):
+            async with answer_timeout.AnswerTimeout(QUERY_TIMEOUT_S):
                 status = await pool.observe(QUERY_TIMEOUT_S)
         except TimeoutError:
             status = member_channel.MemberFault.SILENT
--- a/burdockcart/process/gateway/tests/test_own_link.py
+++ b/burdockcart/process/gateway/tests/test_own_link.py
@@ -8,6 +8,7 @@
 
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.process.peers.tests import relay_case
 from burdockcart.tests import gateway_deployment
 
 scenario = test_sessions.scenario
@@ -86,6 +87,27 @@
         scenario(check, daemons=1)
 
 
+class Load:
+    """Reads and writes of several clients of one daemon."""
+
+    def __init__(self, deployment, seconds, daemon=0):
+        self.tasks = [
+            asyncio.create_task(reads_for(deployment, seconds, daemon))
+            for _ in range(4)
+        ] + [
+            asyncio.create_task(
+                test_failover.writes_for(deployment, seconds, daemon)
+            )
+            for _ in range(2)
+        ]
+
+    async def replies(self):
+        """Wait for the end; return the replies to reads and to writes."""
+        done = await asyncio.gather(*self.tasks)
+        reads = [reply for each in done[:4] for reply in each]
+        return reads, [reply for each in done[4:] for _, reply in each]
+
+
 def aborted(deployment, daemon=0):
     """Count the statements that a daemon gives up from now on."""
     counts = []
@@ -119,22 +141,14 @@
 
         async def check(deployment):
             await asyncio.sleep(1.0)
-            work = [
-                asyncio.create_task(reads_for(deployment, 4.0))
-                for _ in range(4)
-            ] + [
-                asyncio.create_task(
-                    test_failover.writes_for(deployment, 4.0, gap_s=0.02)
-                )
-                for _ in range(2)
-            ]
+            load = Load(deployment, 4.0)
             await asyncio.sleep(0.5)
             given_up = aborted(deployment)
             with logged(
                 "promotion_begun", "replicas_released", "detour_found"
             ) as lines:
                 await fill(deployment, duration_s, queue_s)
-                await asyncio.gather(*work)
+                await load.replies()
             self.assertEqual([], given_up)
             self.assertEqual([], lines)
             self.assertEqual([], deployment.platform.promotions)
@@ -217,3 +231,55 @@
             self.assertEqual([], deployment.platform.promotions)
 
         scenario(check, daemons=1)
+
+
+class TestStalledProcess(testtools.TestCase):
+    """The process of a daemon gets no processor time for a while.
+
+    The answers of that time lie unread in its sockets.
+    """
+
+    def check_block(self, duration_s, **options):
+        """Block the event loop several times under load."""
+
+        async def check(deployment):
+            loop = asyncio.get_running_loop()
+            number = (
+                relay_case.relaying_daemon(
+                    deployment, deployment.group.primary
+                )
+                if options["daemons"] > 4
+                else 0
+            )
+            load = Load(deployment, 6.0, number)
+            await asyncio.sleep(0.5)
+            given_up = aborted(deployment, number)
+            with logged(
+                "attempt_failed",
+                "member_unreachable",
+                "member_connect_failed",
+                "holder_unreachable",
+                "promotion_begun",
+            ) as lines:
+                for step in range(20):
+                    # At another step of the statements each time.
+                    await asyncio.sleep(0.1 + 0.0017 * step)
+                    loop.block(duration_s)
+                reads, writes = await load.replies()
+            self.assertEqual([], given_up)
+            self.assertEqual([], lines)
+            self.assertNotIn(False, map(gateway_deployment.ok, reads + writes))
+
+        relay_case.scenario(check, **options)
+
+    def test_blocked_event_loop(self):
+        """Answers that arrived meanwhile must be used."""
+        for duration_s in (0.07, 0.15, 0.25, 0.4):
+            with self.subTest(duration_s=duration_s):
+                self.check_block(duration_s, daemons=1)
+
+    def test_blocked_event_loop_of_a_relaying_daemon(self):
+        """The holders of a daemon are not silent because it is."""
+        for duration_s in (0.07, 0.15, 0.25, 0.4):
+            with self.subTest(duration_s=duration_s):
+                self.check_block(duration_s, daemons=9)
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from burdockcart import clock
+from burdockcart.connection import answer_timeout
 from burdockcart import ids
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import messages
@@ -99,7 +100,7 @@
         if self._watch is None:
             self._watch_later()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with answer_timeout.AnswerTimeout(timeout_s):
                 return await future
         finally:
             self._future_by_number.pop(number, None)
--- a/burdockcart/process/peers/tcp.py
+++ b/burdockcart/process/peers/tcp.py
@@ -7,6 +7,7 @@
 
 import loguru
 
+from burdockcart.connection import answer_timeout
 from burdockcart.connection import sockets
 from burdockcart import ids
 from burdockcart.process.peers import frames
@@ -209,7 +210,7 @@
         loop = asyncio.get_running_loop()
         protocol = self._protocol(check, dials=True)
         try:
-            async with asyncio.timeout(DIAL_TIMEOUT_S):
+            async with answer_timeout.AnswerTimeout(DIAL_TIMEOUT_S):
                 await loop.sock_connect(connection, (host, int(port)))
                 await loop.create_connection(lambda: protocol, sock=connection)
                 await protocol.greeted
--- a/burdockcart/tests/virtual_time.py
+++ b/burdockcart/tests/virtual_time.py
@@ -56,6 +56,10 @@
     def time(self):
         return self._skipping.now
 
+    def block(self, duration_s):
+        """Advance the time as if a callback had run for so long."""
+        self._skipping.now += duration_s
+
     def resume(self, node):
         """Run the deferred callbacks of a node in their order of arrival."""
         self.paused.discard(node)
