Take no holder for silent during a stall

What callers saw: after its process had stood still for 0.4 s, a daemon that relays took its holders for silent, drafted itself as a holder and connected to the member directly.

Cause: a holder is suspected 0.25 s after the oldest unanswered request, by the clock alone. Right after a stall its answers are still unread.

Evidence: test_stalled_process (TestHolders), before the change:

[] != ['event=member_held member=m-a']

Change: the silence counts only up to the time of the next look at the link, which a running process would have made, and the delay of that look is left out of it.

--- a/burdockcart/process/gateway/tests/test_own_link.py
+++ b/burdockcart/process/gateway/tests/test_own_link.py
@@ -233,6 +233,52 @@
         scenario(check, daemons=1)
 
 
+class TestHolders(testtools.TestCase):
+    """A relaying daemon whose own link or process is at fault.
+
+    It took its holders for silent, and connected to all members itself.
+    """
+
+    def check_holders(self, disturb):
+        """Disturb a relaying daemon under load; it must keep its holders."""
+
+        async def check(deployment):
+            number = relay_case.relaying_daemon(
+                deployment, deployment.group.primary
+            )
+            daemon = deployment.daemons[number]
+            pools = daemon.group_by_id[
+                gateway_deployment.GROUP
+            ].pool_by_member.values()
+            held = [pool.direct for pool in pools]
+            load = Load(deployment, 3.0, number)
+            writes = asyncio.create_task(
+                test_failover.writes_for(deployment, 3.0, number, 0.001)
+            )
+            await asyncio.sleep(0.5)
+            with logged("member_held", "holder_unreachable") as lines:
+                await disturb(deployment, number)
+                await load.replies()
+            self.assertEqual([], lines)
+            self.assertEqual(held, [pool.direct for pool in pools])
+            # What was sent is waited for, and nothing is in doubt.
+            replies = [reply for _, reply in await writes]
+            self.assertNotIn(False, map(gateway_deployment.ok, replies))
+
+        relay_case.scenario(check)
+
+    def test_stalled_process(self):
+        """Holders are not silent because the daemon's process stands."""
+
+        async def disturb(deployment, number):
+            loop = asyncio.get_running_loop()
+            for step in range(15):
+                await asyncio.sleep(0.1 + 0.0017 * step)
+                loop.block(0.4)
+
+        self.check_holders(disturb)
+
+
 class TestStalledProcess(testtools.TestCase):
     """The process of a daemon gets no processor time for a while.
 
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -71,9 +71,13 @@
     def suspect(self) -> bool:
         """Return whether the holder has been silent for too long."""
         since = self._awaiting_since
-        return (
-            since is not None and self._clock.now() - since >= SUSPECT_AFTER_S
-        )
+        if since is None:
+            return False
+        now = self._clock.now()
+        if self._watch is not None:
+            # Past the time of the next look, this process stands still.
+            now = min(now, self._watch.when())
+        return now - since >= SUSPECT_AFTER_S
 
     async def request(
         self,
@@ -111,7 +115,13 @@
 
     def _ping_if_silent(self) -> None:
         """Ping a holder that owes an answer and has sent nothing."""
+        assert self._watch is not None
+        late_s = self._clock.now() - self._watch.when()
         self._watch = None
+        stalled = late_s >= answer_timeout.LATE_S
+        if stalled and self._awaiting_since is not None:
+            # What it sent while this process stood still is unread.
+            self._awaiting_since += late_s
         if self.is_closed or not self._future_by_number:
             return
         if self._clock.now() - self._received_at >= PING_AFTER_S:
