Call no write stalled that nothing has overtaken

What callers saw: new writes were refused ("writes to the primary of group g are stalled") after the process of their daemon had stood still for 0.4 s, and a primary was to be replaced ("does not finish writes") after the daemon's link had been full for 0.7 s.

Cause: a write without an answer for 0.4 s (0.7 s for a replacement) was taken for one that no replica receives, by the clock alone.

Change: both need something that was sent after the write (and after the last answer to one) and has been answered. A primary that does not reach its replicas answers other statements, and the status queries of each daemon, so it is noticed as before.

--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -330,7 +330,7 @@
         if oldest_at is None:
             return False
         since = max(oldest_at, self.last_write_answer_at)
-        if now - since >= STALLED_S:
+        if now - since >= STALLED_S and self.source.link.answered(since):
             self._stalled = True
         return self._stalled
 
--- a/burdockcart/connection/own_link.py
+++ b/burdockcart/connection/own_link.py
@@ -17,14 +17,14 @@
     """A member or service that answers requests of this daemon."""
 
     def __init__(self, link: "OwnLink"):
-        self._link = link
+        self.link = link
         #: When the newest request that was answered was sent.
         self.newest_sent_at = -math.inf
 
     def record_answer(self, sent_at: float, now: float) -> None:
         """Record the answer to a request that was sent at ``sent_at``."""
         self.newest_sent_at = max(self.newest_sent_at, sent_at)
-        self._link.received_at = now
+        self.link.received_at = now
 
     def others_answered(self, since: float) -> int:
         """Return how many other sources answered a request sent since then.
@@ -42,7 +42,7 @@
         """
         return sum(
             each.newest_sent_at >= since
-            for each in self._link.sources
+            for each in self.link.sources
             if each is not self
         )
 
@@ -55,6 +55,10 @@
         self.received_at = now
         self.sources: weakref.WeakSet[Source] = weakref.WeakSet()
 
+    def answered(self, since: float) -> bool:
+        """Return whether anything sent since then has been answered."""
+        return any(each.newest_sent_at >= since for each in self.sources)
+
     def source(self) -> Source:
         """Return a new source of answers."""
         added = Source(self)
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -183,6 +183,7 @@
     pool: member_pool.MemberPool, group: groups.Group, now: float
 ) -> failover_rule.PrimaryView:
     health = pool.health
+    oldest_write_at = health.oldest_write_at()
     behind_since = [
         each.lag.behind_since
         for each in group.pool_by_member.values()
@@ -196,7 +197,10 @@
         first_failure_at=health.first_failure_at,
         last_answer_at=health.last_answer_at,
         excused_at=health.excused_at,
-        oldest_write_at=health.oldest_write_at(),
+        oldest_write_at=oldest_write_at,
+        write_overtaken=health.source.link.answered(
+            max(oldest_write_at or 0.0, health.last_write_answer_at)
+        ),
         last_write_answer_at=health.last_write_answer_at,
         queue_full=pool.limit.recently_full(now),
         replicas_behind_since=(
--- a/burdockcart/process/gateway/failover_rule.py
+++ b/burdockcart/process/gateway/failover_rule.py
@@ -78,6 +78,9 @@
     #: When an attempt last failed together with all others, so that the
     #: member's silence proved nothing until then.
     excused_at: float | None = None
+    #: Whether anything that was sent after the last answer to a write, and
+    #: after the oldest write without one, has been answered.
+    write_overtaken: bool = True
     #: Whether its queue was full recently.
     queue_full: bool = False
     #: Since when no replica has been able to serve a read; None if one can.
@@ -107,7 +110,7 @@
             return Cause.REFUSED
         if now - _silent_since(view) >= SILENT_FOR_S:
             return Cause.SILENT
-    if view.oldest_write_at is not None:
+    if view.oldest_write_at is not None and view.write_overtaken:
         quiet_since = max(view.oldest_write_at, view.last_write_answer_at)
         if now - quiet_since >= STALLED_FOR_S:
             return Cause.STALLED
--- a/burdockcart/process/gateway/tests/test_own_link.py
+++ b/burdockcart/process/gateway/tests/test_own_link.py
@@ -87,6 +87,15 @@
         scenario(check, daemons=1)
 
 
+def refused(replies):
+    """Return the texts of the refusals among replies."""
+    return [
+        reply.outcome.failure().message
+        for reply in replies
+        if not gateway_deployment.ok(reply)
+    ]
+
+
 class Load:
     """Reads and writes of several clients of one daemon."""
 
@@ -184,6 +193,27 @@
 
         scenario(check, daemons=3)
 
+    def test_writes_are_not_stalled(self):
+        """A long queue must not look like writes that no replica receives.
+
+        New writes were refused, and the primary was to be replaced.
+        """
+
+        async def check(deployment):
+            await asyncio.sleep(1.0)
+            load = Load(deployment, 3.0)
+            await asyncio.sleep(0.5)
+            daemon = deployment.daemons[0]
+            # The isolation is not at issue here.
+            daemon._isolation.check = lambda now: asyncio.sleep(0)
+            with logged("promotion_begun") as lines:
+                await fill(deployment, 0.4, queue_s=0.76)
+                _, writes = await load.replies()
+            self.assertEqual([], lines)
+            self.assertEqual([], refused(writes))
+
+        scenario(check, daemons=1)
+
     def test_member_lost_meanwhile(self):
         """A primary that is lost meanwhile must be replaced afterwards."""
 
