Take no holder for silent on a full link

What callers saw: a relaying daemon whose own link was full for some hundred milliseconds took its holders for silent, tried others in vain, drafted itself as a holder and connected to the member. With 31 daemons that load the same manifest, each of them would connect to all members.

Evidence: TestHolders.test_full_link, before the change:

actual = ['event=holder_unreachable daemon=d3 failures=1', 'event=member_held member=m-a']

Change: a holder is suspected only if something else, sent after the oldest request that it has not answered, was answered: another holder, a member, or the store. Answers of holders are evidence for the members, too.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -125,6 +125,7 @@
             self._clock,
             self._boot_clock,
             rng,
+            self._link,
         )
         self.tables = store_follower.StoreFollower(
             platform,
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -9,6 +9,7 @@
 
 from burdockcart import clock
 from burdockcart.connection import answer_timeout
+from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import messages
@@ -30,6 +31,8 @@
 
     daemon : DaemonId
         The holder.
+    source : Source
+        Its answers, as evidence for the state of this daemon's own link.
 
     """
 
@@ -38,8 +41,10 @@
         daemon: ids.DaemonId,
         transport: tcp.Transport,
         loop_clock: clock.Clock,
+        source: own_link.Source,
     ):
         self.daemon = daemon
+        self._source = source
         self.leaving = False
         self._transport = transport
         self._clock = loop_clock
@@ -48,6 +53,7 @@
         self._future_by_number: dict[
             int, asyncio.Future[messages.Reply | None]
         ] = {}
+        self._sent_at_by_number: dict[int, float] = {}
         self._received_at = loop_clock.now()
         #: Timer of the next look at an unanswered request.
         self._watch: asyncio.TimerHandle | None = None
@@ -69,7 +75,10 @@
         return not (self.is_closed or self.leaving or self.suspect())
 
     def suspect(self) -> bool:
-        """Return whether the holder has been silent for too long."""
+        """Return whether the holder has been silent for too long.
+
+        It is not if nothing else answered meanwhile, either.
+        """
         since = self._awaiting_since
         if since is None:
             return False
@@ -77,7 +86,9 @@
         if self._watch is not None:
             # Past the time of the next look, this process stands still.
             now = min(now, self._watch.when())
-        return now - since >= SUSPECT_AFTER_S
+        return now - since >= SUSPECT_AFTER_S and bool(
+            self._source.others_answered(since)
+        )
 
     async def request(
         self,
@@ -100,6 +111,7 @@
         if self.is_closed:
             return None
         self._future_by_number[number] = future
+        self._sent_at_by_number[number] = self._clock.now()
         self._send(build(number))
         if self._watch is None:
             self._watch_later()
@@ -108,6 +120,7 @@
                 return await future
         finally:
             self._future_by_number.pop(number, None)
+            self._sent_at_by_number.pop(number, None)
 
     def _watch_later(self) -> None:
         loop = asyncio.get_running_loop()
@@ -150,6 +163,9 @@
             loguru.logger.info("event=holder_leaving daemon={}", self.daemon)
         elif not isinstance(message, messages.Pong):
             # The answer to a request that was given up is dropped.
+            sent_at = self._sent_at_by_number.get(message.number)
+            if sent_at is not None:
+                self._source.record_answer(sent_at, self._received_at)
             future = self._future_by_number.get(message.number)
             if future is not None and not future.done():
                 future.set_result(message)
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -7,6 +7,7 @@
 
 from burdockcart import clock
 from burdockcart.connection import member_channel
+from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import coordination
@@ -62,13 +63,14 @@
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
         rng: random.Random,
+        own: own_link.OwnLink,
     ):
         self._boot_clock = boot_clock
         self.holding = holding.Holding(daemon, loop_clock)
         self._daemon = daemon
         self._peers = peers
         self._group_by_id = group_by_id
-        self._links = relay_connector.HolderLinks(peers, loop_clock, rng)
+        self._links = relay_connector.HolderLinks(peers, loop_clock, rng, own)
         self.service = relay_service.RelayService(self, sender, loop_clock)
         self.connector = relay_connector.RelayConnector(
             direct, self._links, self, loop_clock, boot_clock
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -9,6 +9,7 @@
 
 from burdockcart import clock
 from burdockcart.connection import member_channel
+from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.peers import holder_link
@@ -72,8 +73,10 @@
         dialer: Dialer,
         loop_clock: clock.Clock,
         rng: random.Random,
+        own: own_link.OwnLink,
     ):
         self._dialer = dialer
+        self._own = own
         self._clock = loop_clock
         self._rng = rng
         self._link_by_daemon: dict[ids.DaemonId, holder_link.HolderLink] = {}
@@ -126,7 +129,9 @@
 
         def accept(transport: tcp.Transport) -> tcp.Receiver:
             opened.append(
-                holder_link.HolderLink(entry.id, transport, self._clock)
+                holder_link.HolderLink(
+                    entry.id, transport, self._clock, self._own.source()
+                )
             )
             return opened[0]
 
