Ask the store before refusing work when isolated

What callers saw: while the link of their daemon was full, all writes were refused ("the primary of group g is unreachable"), some thousand a second with a client that tries again at once.

Cause: a daemon whose members in other failure domains all fail takes itself for isolated until the store has answered, and refuses what needs a primary elsewhere from the first moment. On a full link the store's answer takes some hundred milliseconds.

Evidence: test_suspected_isolation, before the change: a list of 'the primary of group g is unreachable'.

The daemon is not ready at once, as before, and closes sessions as before; test_isolation.py is unchanged.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -148,6 +148,7 @@
             self.group_by_id,
             self._store_answers,
             self._idle_connections,
+            self._link,
         )
         self._reachability = reachability.Reachability(
             self.group_by_id, self._clock, self._link
--- a/burdockcart/process/gateway/tests/test_own_link.py
+++ b/burdockcart/process/gateway/tests/test_own_link.py
@@ -214,6 +214,19 @@
 
         scenario(check, daemons=1)
 
+    def test_suspected_isolation(self):
+        """Requests must not be refused before the store was asked."""
+
+        async def check(deployment):
+            await asyncio.sleep(1.0)
+            load = Load(deployment, 3.0, daemon=1)
+            await asyncio.sleep(0.5)
+            await fill(deployment, 0.6, 0.3, daemon=1)
+            _, writes = await load.replies()
+            self.assertEqual([], refused(writes))
+
+        scenario(check, daemons=3)
+
     def test_member_lost_meanwhile(self):
         """A primary that is lost meanwhile must be replaced afterwards."""
 
