Delay frames of a full link together

The emulated links between daemons waited for each frame behind a full link after the one before, so each took the length of the queue, and a queue of 0.5 s let two frames a second through. The time at which a frame has passed is now fixed when it is sent.

--- a/burdockcart/emulator/host_link.py
+++ b/burdockcart/emulator/host_link.py
@@ -24,11 +24,20 @@
         self._full_until = asyncio.get_running_loop().time() + duration_s
         self._queue_s = queue_s
 
-    async def arrive(self) -> None:
-        """Wait until a message that is sent now has passed the queue."""
+    def arrival_at(self) -> float:
+        """Return when a message that is sent now has passed the queue."""
         now = asyncio.get_running_loop().time()
         if now < self._full_until:
             self._last_arrival_at = now + self._queue_s
-        late_s = self._last_arrival_at - now
-        if late_s > 0:
-            await asyncio.sleep(late_s)
+        return max(now, self._last_arrival_at)
+
+    async def arrive(self) -> None:
+        """Wait until a message that is sent now has passed the queue."""
+        await until(self.arrival_at())
+
+
+async def until(due_at: float) -> None:
+    """Wait until a time of the event loop; return at once if it is past."""
+    late_s = due_at - asyncio.get_running_loop().time()
+    if late_s > 0:
+        await asyncio.sleep(late_s)
--- a/burdockcart/emulator/peer_network.py
+++ b/burdockcart/emulator/peer_network.py
@@ -53,26 +53,33 @@
         self.peer: "MemoryLink"
         self.receiver: tcp.Receiver
         self.is_closed = False
-        self._inbox: asyncio.Queue[bytes | None] = asyncio.Queue()
+        #: What was sent, with the time at which it has passed the host's link.
+        self._inbox: asyncio.Queue[tuple[bytes | None, float]] = (
+            asyncio.Queue()
+        )
         self._pump = asyncio.create_task(self._deliver(), name="memory_link")
 
     def send(self, content: bytes) -> None:
         """Send content to the other end."""
         if not self.is_closed:
-            self.peer._inbox.put_nowait(content)
+            self.peer._put(content)
 
     def close(self) -> None:
         """End the link on both sides."""
         for end in (self, self.peer):
             if not end.is_closed:
                 end.is_closed = True
-                end._inbox.put_nowait(None)
+                end._put(None)
+
+    def _put(self, content: bytes | None) -> None:
+        link = self._network.link_by_daemon[self._own]
+        self._inbox.put_nowait((content, link.arrival_at()))
 
     async def _deliver(self) -> None:
         while True:
-            content = await self._inbox.get()
+            content, due_at = await self._inbox.get()
             await asyncio.sleep(self._network.latency_s)
-            await self._network.link_by_daemon[self._own].arrive()
+            await host_link.until(due_at)
             while (
                 not self._network.reachable(self._own, self._other)
                 or self._own in self._network.frozen
