--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -4,9 +4,11 @@
 from typing import Awaitable
 from typing import Callable
 
+from burdockcart.connection import answer_timeout
 from burdockcart.connection import channel_state
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
+from burdockcart.emulator import host_link
 from burdockcart.emulator import wire_member
 from burdockcart import ids
 from burdockcart.request import command
@@ -37,7 +39,9 @@
         member: wire_member.EmulatedMember,
         latency_s: float,
         cut: set[ids.MemberId],
+        link: host_link.HostLink,
     ):
+        self._link = link
         self.member = member
         self.latency_s = latency_s
         self._cut = cut
@@ -126,6 +130,7 @@
             if self.closed:
                 self._forget_transaction()
         await self._wait_latency()
+        await self._link.arrive()
         return answer
 
     async def _send(
@@ -136,11 +141,12 @@
         ended = asyncio.create_task(self._ended.wait())
         self._work = served
         try:
-            await asyncio.wait(
-                {served, ended},
-                timeout=timeout_s,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+            async with answer_timeout.AnswerTimeout(timeout_s):
+                await asyncio.wait(
+                    {served, ended}, return_when=asyncio.FIRST_COMPLETED
+                )
+        except TimeoutError:
+            pass
         finally:
             ended.cancel()
         if served.done() and not served.cancelled():
@@ -409,6 +415,7 @@
         self.cut: set[ids.MemberId] = set()
         self.latency_s = latency_s
         self.handshake_s = handshake_s
+        self.link = host_link.HostLink()
         self.channels: list[EmulatedChannel] = []
 
     async def detour(
@@ -421,10 +428,15 @@
         self, member: member_channel.MemberAddress, timeout_s: float
     ) -> Fault | None:
         """Return the fault that prevents a connection, or None."""
-        fault = await self._connect_fault(member.id, timeout_s)
-        if fault is None:
-            await asyncio.sleep(self.latency_s)
-        return fault
+        try:
+            async with answer_timeout.AnswerTimeout(timeout_s):
+                fault = await self._connect_fault(member.id, timeout_s)
+                if fault is not Fault.SILENT:
+                    await asyncio.sleep(self.latency_s)
+                    await self.link.arrive()
+                return fault
+        except TimeoutError:
+            return Fault.SILENT
 
     async def _connect_fault(
         self, member: ids.MemberId, timeout_s: float
@@ -448,14 +460,15 @@
             return fault
         target = self.member_by_id[member.id]
         try:
-            async with asyncio.timeout(timeout_s):
+            async with answer_timeout.AnswerTimeout(timeout_s):
                 await target.handshake(self.handshake_s)
+                await self.link.arrive()
         except TimeoutError:
             return Fault.SILENT
         if len(target.connections) + target.half_open_connections >= (
             target.connection_limit
         ):
             return Fault.CONNECTIONS_EXHAUSTED
-        channel = EmulatedChannel(target, self.latency_s, self.cut)
+        channel = EmulatedChannel(target, self.latency_s, self.cut, self.link)
         self.channels.append(channel)
         return channel
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -14,6 +14,7 @@
 from burdockcart import clock
 from burdockcart.connection import client_session
 from burdockcart.connection import member_channel
+from burdockcart.connection import own_link
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
@@ -101,6 +102,8 @@
         rng = random.Random(config.daemon)
         self._rng = rng
         self._divided_at = self._clock.now()
+        self._link = own_link.OwnLink(self._clock.now())
+        self._store = self._link.source()
         self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
         self.metrics = gateway_metrics.GatewayMetrics()
@@ -122,6 +125,7 @@
             self._clock,
             self._boot_clock,
             rng,
+            self._link,
         )
         self._admission = stop_admission.StopAdmission(
             config.shutdown_s, self._clock
@@ -139,6 +143,7 @@
             rng,
             config.manifest_s,
             config.first_start,
+            self._store,
         )
         self._listing = store_follower.Listing(
             coordination.DaemonEntry(
@@ -150,11 +155,12 @@
         self._isolation = isolation_monitor.IsolationMonitor(
             config.domain,
             self.group_by_id,
-            platform.reachable,
+            self._store_answers,
             self._idle_connections,
+            self._link,
         )
         self._reachability = reachability.Reachability(
-            self.group_by_id, self._clock
+            self.group_by_id, self._clock, self._link
         )
         self._reserved = reserved_claims.ReservedClaims(
             config.daemon,
@@ -294,6 +300,7 @@
                     self._clock,
                     self._boot_clock,
                     self.relay.holding,
+                    self._link,
                     self._settings.promotions_fenced,
                 )
                 self.group_by_id[limits.id] = group
@@ -398,8 +405,10 @@
         maintenance: asyncio.Task[None] | None = None
         for step in itertools.count():
             await asyncio.sleep(SCAN_INTERVAL_S)
-            self._reachability.scan()
+            # The failover first: it leaves out time in which the process
+            # stood still.
             self._failover.scan()
+            self._reachability.scan()
             if step % SCANS_PER_RENEWAL == 0:
                 self._renew_samples()
                 if maintenance is None or maintenance.done():
@@ -431,6 +440,14 @@
             group.trim()
         await self._isolation.check(now)
 
+    async def _store_answers(self) -> bool:
+        """Return whether the store answers at all."""
+        sent_at = self._clock.now()
+        answers = await self._platform.reachable()
+        if answers:
+            self._store.record_answer(sent_at, self._clock.now())
+        return answers
+
     def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Run a task of this daemon; start it again if it fails."""
         name = getattr(run, "__qualname__", None)
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -10,6 +10,7 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_health
+from burdockcart.connection import own_link
 from burdockcart.process.gateway import connection_share
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.request import command
@@ -44,6 +45,8 @@
 
     changed : callable
         Called when a connection becomes free or opening one has ended.
+    link : OwnLink
+        What this daemon receives from all members.
 
     """
 
@@ -53,6 +56,7 @@
         connector: member_channel.Connector,
         loop_clock: clock.Clock,
         changed: Callable[[], None],
+        link: own_link.OwnLink,
     ):
         self.entry = entry
         self.share = connection_share.Share(1, 1)
@@ -75,7 +79,7 @@
         self.observed_s = 0.0
         self.limit = member_limit.MemberLimit(self.share.hard_limit)
         self.health = member_health.MemberHealth(
-            loop_clock.now(), member_choice.INITIAL_LATENCY_S
+            loop_clock.now(), member_choice.INITIAL_LATENCY_S, link.source()
         )
         self.use_entry(entry)
 
@@ -233,10 +237,12 @@
         self, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> member_channel.Channel | None:
         """Open a connection that the pool does not count; update health."""
+        sent_at = self._clock.now()
         opened = await self._connector.connect(self.address, timeout_s)
         now = self._clock.now()
         if not isinstance(opened, member_channel.MemberFault):
-            self.health.record_answer(now)
+            # A relayed connection is opened without asking the member.
+            self.health.record_answer(now, sent_at if opened.direct else None)
             self._exhausted_count = 0
             return opened
         if opened is member_channel.MemberFault.CONNECTIONS_EXHAUSTED:
@@ -244,7 +250,7 @@
             self.health.record_answer(now)
             self._log_connect_failure(opened)
         else:
-            self._record_connect_failure(opened)
+            self._record_connect_failure(opened, sent_at)
         return None
 
     def _start_detour(self) -> None:
@@ -268,11 +274,9 @@
         self._changed()
 
     def _record_connect_failure(
-        self, fault: member_channel.MemberFault
+        self, fault: member_channel.MemberFault, sent_at: float
     ) -> None:
-        self.health.record_failure(self._clock.now(), fault)
-        if fault is member_channel.MemberFault.SILENT:
-            self._start_detour()
+        self._record_failure(fault, sent_at)
         self._log_connect_failure(fault)
 
     def _log_connect_failure(self, fault: member_channel.MemberFault) -> None:
@@ -286,6 +290,16 @@
             self.share.hard_limit,
         )
 
+    def _record_failure(
+        self, fault: member_channel.MemberFault, sent_at: float
+    ) -> None:
+        """Record a failed attempt; look for another way if that can help."""
+        others_answer = self.health.record_failure(
+            self._clock.now(), fault, sent_at
+        )
+        if others_answer and fault is member_channel.MemberFault.SILENT:
+            self._start_detour()
+
     def _exhausted_pause_s(self) -> float:
         """Return the pause after another refusal for lack of connections."""
         self._exhausted_count += 1
@@ -298,15 +312,14 @@
         self, timeout_s: float
     ) -> member_channel.MemberFault | None:
         """Check whether the member accepts connections; update health."""
+        sent_at = self._clock.now()
         fault = await self._connector.reach(self.address, timeout_s)
         now = self._clock.now()
         if fault is None:
-            self.health.record_answer(now)
+            self.health.record_answer(now, sent_at)
             self._changed()
         else:
-            self.health.record_failure(now, fault)
-            if fault is member_channel.MemberFault.SILENT:
-                self._start_detour()
+            self._record_failure(fault, sent_at)
         return fault
 
     def abort_reads(self) -> None:
@@ -398,7 +411,7 @@
         self.health.record_ended(ticket, now, fault)
         if fault is member_channel.MemberFault.SILENT:
             # The query needs no slot, so even a busy member answers it.
-            self.health.record_failure(now, fault)
+            self.health.record_failure(now, fault, sent_at)
         elif fault is None:
             self.observed_s += OBSERVED_WEIGHT * (
                 now - sent_at - self.observed_s
--- a/burdockcart/process/gateway/reachability.py
+++ b/burdockcart/process/gateway/reachability.py
@@ -15,6 +15,7 @@
 import loguru
 
 from burdockcart import clock
+from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import group as groups
@@ -41,9 +42,11 @@
         self,
         group_by_id: dict[ids.GroupId, groups.Group],
         loop_clock: clock.Clock,
+        link: own_link.OwnLink,
     ):
         self._group_by_id = group_by_id
         self._clock = loop_clock
+        self._link = link
         self._check_by_member: dict[ids.MemberId, asyncio.Task[None]] = {}
 
     def scan(self) -> None:
@@ -62,6 +65,8 @@
         for pool in watched:
             if _needs_check(pool, now):
                 self._start_check(pool)
+                if pool.health.failing and not _decided(pool):
+                    self._check_others(pool, pools)
         if lost_at is not None:
             for pool in pools:
                 if _quiet(pool, lost_at, now):
@@ -74,6 +79,25 @@
             for pool in group.pool_by_member.values()
         ]
 
+    def _check_others(
+        self,
+        doubted: member_pool.MemberPool,
+        pools: list[member_pool.MemberPool],
+    ) -> None:
+        """Check one well member of each failure domain for comparison.
+
+        If none of them answers, the cause is this daemon's own link.
+        """
+        by_domain = {
+            pool.entry.domain: pool
+            for pool in pools
+            if pool is not doubted
+            and not pool.retired
+            and not pool.health.failing
+        }
+        for pool in by_domain.values():
+            self._start_check(pool)
+
     def _start_check(self, pool: member_pool.MemberPool) -> None:
         member = pool.entry.id
         if member in self._check_by_member:
@@ -83,25 +107,40 @@
         task.add_done_callback(lambda _: self._check_by_member.pop(member))
 
     async def _check(self, pool: member_pool.MemberPool) -> None:
+        began_at = self._clock.now()
         fault = await pool.reach(CHECK_TIMEOUT_S)
         health = pool.health
         if fault is None:
             return
+        now = self._clock.now()
+        pools = self._pools()
         loguru.logger.info(
-            "event=member_unreachable member={} cause={!r} failures={}",
+            "event=member_unreachable member={} cause={!r} failures={} "
+            "took_ms={} others_answered={} others_failing={} others={} "
+            "received_ms_ago={}",
             pool.entry.id,
             fault.value,
             health.failures,
+            int((now - began_at) * 1000),
+            health.source.others_answered(began_at),
+            sum(each.health.failing for each in pools if each is not pool),
+            len(pools) - 1,
+            int((now - self._link.received_at) * 1000),
         )
-        if health.failures >= failover_rule.MIN_FAILURES:
+        if _decided(pool):
             pool.abort_reads()
 
 
+def _decided(pool: member_pool.MemberPool) -> bool:
+    """Return whether enough attempts to reach a member have failed."""
+    return pool.health.failures >= failover_rule.MIN_FAILURES
+
+
 def _recently_lost(pool: member_pool.MemberPool, now: float) -> bool:
     """Return whether a member became unreachable recently."""
     health = pool.health
     return (
-        health.failures >= failover_rule.MIN_FAILURES
+        _decided(pool)
         and health.first_failure_at is not None
         and now - health.first_failure_at < CHECK_ALL_S
     )
@@ -125,11 +164,12 @@
     """Return whether a member needs a check of its reachability.
 
     The second check follows the first without a pause, since two failures
-    are needed for a decision.
+    are needed for a decision; those that may be this daemon's own do not
+    count.
     """
     health = pool.health
     opening_s = min(pool.opening_for_s(now), now - health.last_answer_at)
     needs_probe = health.needs_probe(now, CHECK_AFTER_S)
     if pool.retired or not (needs_probe or opening_s >= CHECK_AFTER_S):
         return False
-    return health.failures < failover_rule.MIN_FAILURES or health.usable(now)
+    return (health.failures > 0 and not _decided(pool)) or health.usable(now)
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -3,13 +3,13 @@
 import asyncio
 import itertools
 from typing import Callable
-from typing import Protocol
-import weakref
 
 import loguru
 import msgspec
 
 from burdockcart import clock
+from burdockcart.connection import answer_timeout
+from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import messages
@@ -23,14 +23,6 @@
 SUSPECT_AFTER_S = 0.25
 
 
-class Channel(Protocol):
-    """A connection by way of the holder."""
-
-    @property
-    def in_transaction(self) -> bool:
-        """Whether a transaction is open at the holder."""
-
-
 class HolderLink:
     """Link to one holder, shared by all statements that it relays.
 
@@ -39,6 +31,8 @@
 
     daemon : DaemonId
         The holder.
+    source : Source
+        Its answers, as evidence for the state of this daemon's own link.
 
     """
 
@@ -47,8 +41,10 @@
         daemon: ids.DaemonId,
         transport: tcp.Transport,
         loop_clock: clock.Clock,
+        source: own_link.Source,
     ):
         self.daemon = daemon
+        self._source = source
         self.leaving = False
         self._transport = transport
         self._clock = loop_clock
@@ -59,7 +55,7 @@
         self._future_by_number: dict[
             int, asyncio.Future[messages.Reply | None]
         ] = {}
-        self._channels: weakref.WeakSet[Channel] = weakref.WeakSet()
+        self._sent_at_by_number: dict[int, float] = {}
         self._received_at = loop_clock.now()
         #: Timer of the next look at an unanswered request.
         self._watch: asyncio.TimerHandle | None = None
@@ -93,10 +89,6 @@
             if not self.is_closed:
                 self.send(messages.Discard(number))
 
-    def add(self, channel: Channel) -> None:
-        """Add a connection that uses the link."""
-        self._channels.add(channel)
-
     def usable(self, last_resort: bool = False) -> bool:
         """Return whether new statements may be sent to the holder.
 
@@ -112,10 +104,19 @@
         return last_resort or not self.leaving
 
     def suspect(self) -> bool:
-        """Return whether the holder has been silent for too long."""
+        """Return whether the holder has been silent for too long.
+
+        It is not if nothing else answered meanwhile, either.
+        """
         since = self._awaiting_since
-        return (
-            since is not None and self._clock.now() - since >= SUSPECT_AFTER_S
+        if since is None:
+            return False
+        now = self._clock.now()
+        if self._watch is not None:
+            # Past the time of the next look, this process stands still.
+            now = min(now, self._watch.when())
+        return now - since >= SUSPECT_AFTER_S and bool(
+            self._source.others_answered(since)
         )
 
     async def request(
@@ -139,14 +140,16 @@
         if self.is_closed:
             return None
         self._future_by_number[number] = future
+        self._sent_at_by_number[number] = self._clock.now()
         self._send(build(number))
         if self._watch is None:
             self._watch_later()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with answer_timeout.AnswerTimeout(timeout_s):
                 return await future
         finally:
             self._future_by_number.pop(number, None)
+            self._sent_at_by_number.pop(number, None)
 
     def _watch_later(self) -> None:
         loop = asyncio.get_running_loop()
@@ -154,7 +157,13 @@
 
     def _ping_if_silent(self) -> None:
         """Ping a holder that owes an answer and has sent nothing."""
+        assert self._watch is not None
+        late_s = self._clock.now() - self._watch.when()
         self._watch = None
+        stalled = late_s >= answer_timeout.LATE_S
+        if stalled and self._awaiting_since is not None:
+            # What it sent while this process stood still is unread.
+            self._awaiting_since += late_s
         if self.is_closed or not self._future_by_number:
             return
         if self._clock.now() - self._received_at >= PING_AFTER_S:
@@ -183,6 +192,9 @@
             loguru.logger.info("event=holder_leaving daemon={}", self.daemon)
         elif not isinstance(message, messages.Pong):
             # The answer to a request that was given up is dropped.
+            sent_at = self._sent_at_by_number.get(message.number)
+            if sent_at is not None:
+                self._source.record_answer(sent_at, self._received_at)
             future = self._future_by_number.get(message.number)
             if future is not None and not future.done():
                 future.set_result(message)
