--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -238,7 +238,7 @@
                 await asyncio.Event().wait()
         finally:
             await member.free_slot()
-        if statement.id in member.lost_answer_ids:
+        if member.loses_answers or statement.id in member.lost_answer_ids:
             await asyncio.Event().wait()
         return self._answer(receipt=f"receipt-{statement.id}")
 
--- a/burdockcart/emulator/wire_member.py
+++ b/burdockcart/emulator/wire_member.py
@@ -157,6 +157,7 @@
         self.replication_cut = False
         #: Statements that run but whose answers are lost.
         self.lost_answer_ids: set[str] = set()
+        self.loses_answers = False
         #: Connections of clients that lost power, which still count.
         self.half_open_connections = 0
         self._slot_free = asyncio.Condition()
