Give back the connections of failed queries

A query of a member's status that ended with an unexpected error kept its connection and its place among the running statements for good; only a cancelled one gave both back. After as many faults as the daemon has connections to a member it could use none.

Evidence: test_failed_query_returns_its_connection, before:

MismatchError: 0 != 1

--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -383,19 +383,18 @@
             return member_channel.MemberFault.RELAY_REFUSED
         sent_at = self._clock.now()
         ticket = self.health.record_sent(sent_at)
+        fault: member_channel.MemberFault | None = (
+            member_channel.MemberFault.SILENT
+        )
         try:
             answer = await query(connection.channel)
-        except asyncio.CancelledError:
-            self.health.record_ended(
-                ticket, self._clock.now(), member_channel.MemberFault.SILENT
-            )
+            fault = None
+            if isinstance(answer, member_channel.MemberFault):
+                fault = answer
+        finally:
+            now = self._clock.now()
+            self.health.record_ended(ticket, now, fault)
             self.give_back(connection)
-            raise
-        now = self._clock.now()
-        fault = (
-            answer if isinstance(answer, member_channel.MemberFault) else None
-        )
-        self.health.record_ended(ticket, now, fault)
         if fault is member_channel.MemberFault.SILENT:
             # The query needs no slot, so even a busy member answers it.
             self.health.record_failure(now, fault)
@@ -403,7 +402,6 @@
             self.observed_s += OBSERVED_WEIGHT * (
                 now - sent_at - self.observed_s
             )
-        self.give_back(connection)
         return answer
 
     async def take_or_open(self) -> pooled_connection.PooledConnection | None:
--- a/burdockcart/process/gateway/tests/test_connections.py
+++ b/burdockcart/process/gateway/tests/test_connections.py
@@ -106,3 +106,23 @@
             self.assertEqual({"idle"}, states)
 
         test_sessions.scenario(check)
+
+    def test_failed_query_returns_its_connection(self):
+        """A fault in a query must not take a connection for good."""
+
+        async def check(deployment):
+            pool = pool_of(deployment)
+            await (await deployment.client("live")).write()
+            running = pool.health.running
+
+            async def fail(channel):
+                raise ValueError("a fault in the program")
+
+            try:
+                await pool.query(fail)
+            except ValueError:
+                pass
+            self.assertEqual(0, pool.busy_count)
+            self.assertEqual(running, pool.health.running)
+
+        test_sessions.scenario(check)
