Count no connection that failed to open

An unexpected error while a connection was opened left it counted as being opened, against the limit of connections and as an attempt that grows older, which makes the member look silent.

Evidence: test_failed_opening_is_not_counted, before:

MismatchError: 0 != 1

--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -216,10 +216,12 @@
         self._opening[task] = self._clock.now()
 
     async def _open(self) -> None:
-        opened = await self.connect()
         task = asyncio.current_task()
         assert task is not None
-        self._opening.pop(task, None)
+        try:
+            opened = await self.connect()
+        finally:
+            self._opening.pop(task, None)
         if opened is not None:
             if self.retired or self.open_count >= self.share.hard_limit:
                 opened.close()
--- a/burdockcart/process/gateway/tests/test_connections.py
+++ b/burdockcart/process/gateway/tests/test_connections.py
@@ -126,3 +126,20 @@
             self.assertEqual(running, pool.health.running)
 
         test_sessions.scenario(check)
+
+    def test_failed_opening_is_not_counted(self):
+        """A connection that could not be opened must not count as one."""
+
+        async def check(deployment):
+            pool = pool_of(deployment)
+            connector = deployment.daemons[0].connector
+
+            async def fail(address, timeout_s):
+                raise ValueError("a fault in the program")
+
+            self.patch(connector, "connect", fail)
+            pool.open()
+            await asyncio.gather(*pool._opening, return_exceptions=True)
+            self.assertEqual(0, pool.opening_count)
+
+        test_sessions.scenario(check)
