Give back the connection of a cancelled begin

A transaction that was cancelled, or met an unexpected error, between its connection and the answer to its BEGIN kept the connection for good: the connection had no owner yet that could give it back.

Evidence: test_cancelled_begin_returns_its_connection, before:

MismatchError: 0 != 1

--- a/burdockcart/process/gateway/tests/test_connections.py
+++ b/burdockcart/process/gateway/tests/test_connections.py
@@ -143,3 +143,20 @@
             self.assertEqual(0, pool.opening_count)
 
         test_sessions.scenario(check)
+
+    def test_cancelled_begin_returns_its_connection(self):
+        """A client that is cut off must not take a connection for good."""
+
+        async def check(deployment):
+            client = await deployment.client("live")
+            await client.write()
+            await client.send(Kind.BEGIN)
+            for each in deployment.group.primary.connections:
+                each.latency_s = 0.05
+            running = asyncio.create_task(client.write())
+            await asyncio.sleep(0.01)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            self.assertEqual(0, pool_of(deployment).busy_count)
+
+        test_sessions.scenario(check)
--- a/burdockcart/process/gateway/transaction_runner.py
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -140,15 +140,19 @@
             self._attempts.log_placement(
                 group, request, connection, work, attempt
             )
-            answer = await self._attempts.prepare(
-                session.value_by_name, request.shape, connection
-            )
-            if answer is None:
-                answer = await self._begin_on(group, connection, work)
+            answer = None
+            try:
+                answer = await self._attempts.prepare(
+                    session.value_by_name, request.shape, connection
+                )
+                if answer is None:
+                    answer = await self._begin_on(group, connection, work)
+            finally:
+                if answer is None or answer.fault is not None:
+                    group.release(connection)
             if answer.fault is None:
                 self._own(group, transaction, connection, work)
                 return result.Success(None)
-            group.release(connection)
             step = retry_policy.NextStep.GIVE_UP
             if attempt < retry_policy.max_attempts(answer.fault):
                 step = retry_policy.NextStep.OTHER_MEMBER
