End a transaction whose group is gone

If a manifest took a group out while a transaction was open, its COMMIT was refused and the session forgot the transaction without ending it: it stayed open at the member, with its locks, on a connection that nobody gave back.

Evidence: test_commit_without_its_group, before:

MismatchError: [0, 0, 0] != [1, 0, 0]

The session abandons the transaction after each COMMIT; after one that succeeded there is nothing left to abandon.

--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -285,6 +285,7 @@
             self._session, transaction, request
         )
         if statement.kind is command.CommandKind.COMMIT:
+            self._transactions.abandon_transaction(transaction)
             self._transaction = None
         elif isinstance(outcome, result.Failure):
             self._fail(outcome.failure())
--- a/burdockcart/process/gateway/tests/test_connections.py
+++ b/burdockcart/process/gateway/tests/test_connections.py
@@ -160,3 +160,27 @@
             self.assertEqual(0, pool_of(deployment).busy_count)
 
         test_sessions.scenario(check)
+
+    def test_commit_without_its_group(self):
+        """A transaction must end whose group has left the manifest."""
+
+        async def check(deployment):
+            client = await deployment.client("live")
+            await client.send(Kind.BEGIN)
+            await client.write()
+            daemon = deployment.daemons[0]
+            group = daemon.group_by_id.pop(gateway_deployment.GROUP)
+            reply = await client.send(Kind.COMMIT, "COMMIT")
+            self.assertFalse(gateway_deployment.ok(reply))
+            await asyncio.sleep(1.0)
+            busy = [p.busy_count for p in group.pool_by_member.values()]
+            self.assertEqual([0, 0, 0], busy)
+            self.assertEqual([], deployment.group.acknowledged)
+            states = {
+                each.state.value
+                for each in deployment.group.primary.connections
+            }
+            self.assertEqual({"idle"}, states)
+            group.close()
+
+        test_sessions.scenario(check)
