--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -10,6 +10,7 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart.connection import open_transaction
+from burdockcart.connection import session_names
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import attempts
@@ -21,10 +22,6 @@
 from burdockcart.request import log_position
 from burdockcart.version import manifest
 
-#: Maximum number of prepared names and values in one session; bounds the
-#: memory that one client can use.
-MAX_NAMES = 1000
-
 _DONE = member_channel.Answer()
 
 
@@ -77,7 +74,7 @@
         self._clock = loop_clock
         self._boot_clock = boot_clock
         self._session = attempts.Session()
-        self._shape_by_name: dict[str, command.Shape] = {}
+        self._names = session_names.SessionNames(self._session.value_by_name)
         self._transaction: open_transaction.OpenTransaction | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
 
@@ -110,7 +107,7 @@
         failure = None
         if isinstance(reply.outcome, result.Failure):
             failure = reply.outcome.failure()
-        elif statement.kind in _LOCAL or statement.kind in _BEGINS:
+        elif statement.kind in session_names.KINDS | _BEGINS:
             return
         took_s = self._clock.now() - arrived_at
         route, current = self._route(), self._manifest_source.current
@@ -157,10 +154,10 @@
     def _after_cut(self, statement: command.Command) -> Reply:
         """Answer a statement that was cut, perhaps while it ran."""
         transaction = self._transaction
-        commits = statement.kind is command.CommandKind.COMMIT
         if transaction is None:
-            may_persist = self._writes(statement)
+            may_persist = self._names.writes(statement)
         else:
+            commits = statement.kind is command.CommandKind.COMMIT
             may_persist = commits and transaction.wrote
         failure = errors.Failure(
             (
@@ -170,8 +167,14 @@
             ),
             "the daemon shut down before the answer",
         )
+        return self._fail_at(statement, failure)
+
+    def _fail_at(
+        self, statement: command.Command, failure: errors.Failure
+    ) -> Reply:
+        """Fail a statement, and with it the open transaction."""
         self._fail(failure)
-        if commits:
+        if statement.kind in _ENDS:
             self._transaction = None
         return self._reply(result.Failure(failure))
 
@@ -179,10 +182,7 @@
         self, statement: command.Command, failure: errors.Failure
     ) -> Reply:
         """Return the reply to a statement that is not run."""
-        self._fail(failure)
-        if statement.kind in _ENDS:
-            self._transaction = None
-        reply = self._reply(result.Failure(failure))
+        reply = self._fail_at(statement, failure)
         self._record(statement, reply, self._clock.now())
         return reply
 
@@ -194,19 +194,17 @@
 
     async def _handle(self, statement: command.Command) -> Reply:
         kind = statement.kind
-        if kind in _LOCAL:
-            return self._reply(self._local(statement))
+        if kind in session_names.KINDS:
+            return self._reply(self._names.change(statement))
         if kind in _BEGINS:
             return self._reply(self._begin(statement))
         if kind is command.CommandKind.ROLLBACK:
             return self._reply(self._roll_back())
         if kind is command.CommandKind.COMMIT and self._transaction is None:
             return self._refuse("COMMIT outside of a transaction")
-        shape = None
-        if kind is command.CommandKind.EXECUTE:
-            shape = self._shape_by_name.get(statement.name)
-            if shape is None:
-                return self._refuse_unknown(statement.name)
+        shape = self._names.shape_of(statement)
+        if shape is None and kind is command.CommandKind.EXECUTE:
+            return self._refuse_unknown(statement.name)
         return await self._forward(statement, shape)
 
     def _reply(self, outcome: attempts.Outcome) -> Reply:
@@ -228,10 +226,7 @@
 
     def _refuse_unknown(self, name: str) -> Reply:
         """Refuse an unknown name; as on a member, a transaction fails."""
-        failure = errors.Failure(
-            errors.ErrorKind.UNKNOWN_STATEMENT,
-            f"no statement is prepared as {name[:40]!r}",
-        )
+        failure = session_names.unknown(name)
         self._fail(failure)
         return self._reply(result.Failure(failure))
 
@@ -256,31 +251,6 @@
             return self._reply(result.Failure(transaction.failure))
         return self._refuse("the transaction has failed; end it first")
 
-    def _local(self, statement: command.Command) -> attempts.Outcome:
-        """Change the session's values or prepared names."""
-        values, shapes = self._session.value_by_name, self._shape_by_name
-        if statement.kind is command.CommandKind.DEALLOCATE:
-            if shapes.pop(statement.name, None) is None:
-                return result.Failure(
-                    errors.Failure(
-                        errors.ErrorKind.UNKNOWN_STATEMENT,
-                        f"no statement is prepared as {statement.name[:40]!r}",
-                    )
-                )
-            return result.Success(_DONE)
-        if len(values) + len(shapes) >= MAX_NAMES:
-            return result.Failure(
-                errors.Failure(
-                    errors.ErrorKind.REQUEST_TOO_LARGE,
-                    f"a session keeps at most {MAX_NAMES} names",
-                )
-            )
-        if statement.kind is command.CommandKind.SET:
-            values[statement.name] = statement.argument
-        elif statement.shape is not None:
-            shapes[statement.name] = statement.shape
-        return result.Success(_DONE)
-
     def _begin(self, statement: command.Command) -> attempts.Outcome:
         if self._transaction is not None:
             return result.Failure(
@@ -327,7 +297,7 @@
         route = self._route() if transaction is None else transaction.route
         if route is None:
             return self._reply(result.Failure(self._no_route()))
-        writes = self._writes(statement)
+        writes = self._names.writes(statement)
         refused = self._admission.refusal_to_run(
             route, writes or transaction is not None
         )
@@ -362,15 +332,6 @@
             self._fail(outcome.failure())
         return self._reply(outcome)
 
-    def _writes(self, statement: command.Command) -> bool:
-        """Return whether a statement writes."""
-        shape = None
-        if statement.kind is command.CommandKind.EXECUTE:
-            shape = self._shape_by_name.get(statement.name)
-        return statement.kind is command.CommandKind.WRITE or (
-            shape is not None and shape.writes
-        )
-
     def _refuse_late(
         self, statement: command.Command, refused: errors.Failure
     ) -> Reply:
@@ -378,15 +339,8 @@
         self.ends = True
         transaction = self._transaction
         if transaction is not None and transaction.connection is not None:
-            refused = errors.Failure(
-                errors.ErrorKind.TRANSACTION_LOST,
-                refused.message,
-                refused.retry_after_ms,
-            )
-        self._fail(refused)
-        if statement.kind is command.CommandKind.COMMIT:
-            self._transaction = None
-        return self._reply(result.Failure(refused))
+            refused = stop_admission.closing(in_transaction=True)
+        return self._fail_at(statement, refused)
 
     def _fail(self, failure: errors.Failure, unreported: bool = False) -> None:
         """Abandon the open transaction, if there is one."""
@@ -425,13 +379,6 @@
             self._transaction = None
 
 
-_LOCAL = frozenset(
-    {
-        command.CommandKind.SET,
-        command.CommandKind.PREPARE,
-        command.CommandKind.DEALLOCATE,
-    }
-)
 _BEGINS = frozenset(
     {command.CommandKind.BEGIN, command.CommandKind.BEGIN_READ_ONLY}
 )
