Name the last request when a holder ends a link

Callers: a write that was on its way to a holder when the holder ended its link, at the end of a planned stop or after the fleet's key was replaced, was INDOUBT although it had not run; a read cost an attempt.

Cause: the sender cannot tell a request that the holder received from one that it did not, and with real sockets the close of a connection with unread bytes resets it.

Change: before a holder closes a link it names the last request that it received and runs none after it; the sender takes the later ones for not run and closes the link. A daemon that ends waits up to 0.15 s for that. A daemon of an older version ends the link when it reads the message, as it does now.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -244,7 +244,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for group in self.group_by_id.values():
             group.close()
-        self.relay.stop()
+        await self.relay.end()
         loguru.logger.info("event=daemon_stopped id={}", self._settings.daemon)
 
     def ready(self) -> bool:
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from typing import Callable
 from typing import Protocol
 import weakref
@@ -10,6 +11,7 @@
 import msgspec
 
 from burdockcart import clock
+from burdockcart.connection import member_channel
 from burdockcart import ids
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import messages
@@ -22,6 +24,12 @@
 #: accepted goes on.
 SUSPECT_AFTER_S = 0.25
 
+#: Outcome of a request that the holder has not received.
+_NOT_RECEIVED = member_channel.Answer(
+    fault=member_channel.MemberFault.RELAY_REFUSED,
+    text="the holder has ended the link",
+)
+
 
 class Channel(Protocol):
     """A connection by way of the holder."""
@@ -50,6 +58,7 @@
     ):
         self.daemon = daemon
         self.leaving = False
+        self._ending = False
         self._transport = transport
         self._clock = loop_clock
         self._numbers = itertools.count(1)
@@ -67,7 +76,7 @@
     @property
     def is_closed(self) -> bool:
         """Whether the link has ended."""
-        return self._transport.is_closed
+        return self._ending or self._transport.is_closed
 
     @property
     def in_use(self) -> bool:
@@ -164,11 +173,21 @@
         if isinstance(message, messages.Leaving):
             self.leaving = True
             loguru.logger.info("event=holder_leaving daemon={}", self.daemon)
+        elif isinstance(message, messages.Closing):
+            self._ending = True
+            for number in self._future_by_number:
+                if number > message.number:
+                    self._answer(messages.answered(number, _NOT_RECEIVED))
+            if min(self._future_by_number, default=math.inf) > message.number:
+                self.close()
         elif not isinstance(message, messages.Pong):
-            # The answer to a request that was given up is dropped.
-            future = self._future_by_number.get(message.number)
-            if future is not None and not future.done():
-                future.set_result(message)
+            self._answer(message)
+
+    def _answer(self, message: messages.Answered | messages.Status) -> None:
+        """Resolve a request; the answer to one given up is dropped."""
+        future = self._future_by_number.get(message.number)
+        if future is not None and not future.done():
+            future.set_result(message)
 
     def closed(self) -> None:
         """End all requests without an answer."""
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -152,8 +152,22 @@
     """The sender is shutting down and takes no new statements."""
 
 
+class Closing(msgspec.Struct, frozen=True, array_like=True, tag=24):
+    """The sender ends the link.
+
+    Parameters
+    ==========
+
+    number : int
+        The last request that it has received; later ones are not run.
+
+    """
+
+    number: int
+
+
 Request = Union[Run, Begin, RollBack, Discard, Action, Ping]
-Reply = Union[Answered, Status, Pong, Leaving]
+Reply = Union[Answered, Status, Pong, Leaving, Closing]
 
 encode = msgspec.msgpack.Encoder().encode
 request_decoder: msgspec.msgpack.Decoder[Request] = msgspec.msgpack.Decoder(
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -1,5 +1,6 @@
 """The part of a daemon that acts together with other daemons."""
 
+import asyncio
 import random
 from typing import Protocol
 
@@ -20,6 +21,10 @@
 
 #: Daemons that are asked for a way to a member that this one cannot reach.
 DETOURS = 3
+#: Timeout of waiting until other daemons have closed their links to one that
+#: shuts down, in seconds, and interval between two looks.
+CLOSING_TIMEOUT_S = 0.15
+CLOSING_POLL_S = 0.005
 
 
 class Peers(relay_connector.Dialer, Protocol):
@@ -63,6 +68,7 @@
         boot_clock: clock.Clock,
         rng: random.Random,
     ):
+        self._clock = loop_clock
         self._boot_clock = boot_clock
         self.holding = holding.Holding(daemon, loop_clock)
         self._daemon = daemon
@@ -85,13 +91,27 @@
         for group in self._group_by_id.values():
             group.apply_shares()
 
+    async def end(self) -> None:
+        """Close all links once the other daemons know it.
+
+        A connection that is closed with unread bytes is reset, and the other
+        side may not read what was sent before.
+        """
+        self.service.close()
+        until = self._clock.now() + CLOSING_TIMEOUT_S
+        while self.service.links and self._clock.now() < until:
+            await asyncio.sleep(CLOSING_POLL_S)
+        self.stop()
+
     def stop(self) -> None:
         """Close all links."""
+        self.service.close()
         self._links.close()
         self._peers.stop()
 
     def close_links(self) -> None:
         """End all links, for example when the fleet's key has changed."""
+        self.service.close()
         self._links.close()
         self._peers.close_links()
 
--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -113,6 +113,11 @@
             transactions_s, self._end_transactions
         )
 
+    def close(self) -> None:
+        """Run no more requests; the links end right after."""
+        for session in list(self._sessions):
+            session.close()
+
     def _end_transactions(self) -> None:
         ended = sum(
             session.end_transactions() for session in list(self._sessions)
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -62,7 +62,7 @@
         self._daemon = daemon
         self._transport = transport
         self._ended = ended
-        self._closed = False
+        self._closed = self._closing = False
         self._last_number = 0
         self._tasks: set[asyncio.Task[None]] = set()
         #: Transactions that are beginning, and those of them that the other
@@ -91,6 +91,8 @@
 
     def received(self, content: bytes) -> None:
         """Start the request in a message."""
+        if self._closing:
+            return
         try:
             message = messages.request_decoder.decode(content)
         except msgspec.MsgspecError as error:
@@ -390,6 +392,12 @@
                 group.queue.remove(work)
                 work.connection.set_result(result.Failure(failure))
 
+    def close(self) -> None:
+        """Run no more requests and say which ones were received."""
+        if not self._closing:
+            self._closing = True
+            self._send(messages.Closing(self._last_number))
+
     def end_transactions(self) -> int:
         """Roll back the transactions that wait for their next statement.
 
--- a/burdockcart/process/peers/tests/test_leaving_holder.py
+++ b/burdockcart/process/peers/tests/test_leaving_holder.py
@@ -164,6 +164,33 @@
 
         relay_case.scenario(check)
 
+    def test_request_that_meets_the_end_of_the_link(self):
+        """A write that the holder never received must be sent elsewhere.
+
+        It was on its way when the holder closed the link.
+        """
+
+        async def check(deployment):
+            number = relay_case.relaying_daemon(
+                deployment, deployment.group.primary
+            )
+            client = await deployment.client("live", number)
+            await client.write()
+            holder = relay_case.holder_in_use(
+                deployment,
+                deployment.daemons[number],
+                deployment.group.primary,
+            )
+            running = asyncio.create_task(client.write())
+            await asyncio.sleep(0.0)
+            await asyncio.sleep(0.0)
+            holder.relay.stop()
+            self.assertTrue(gateway_deployment.ok(await running))
+            ran = test_sessions.runs_of(deployment, client.sent[-1])
+            self.assertEqual(1, len(ran))
+
+        relay_case.scenario(check)
+
     def test_new_link_to_a_leaving_holder(self):
         """A daemon with an old list must hear that the holder leaves."""
 
--- a/burdockcart/process/peers/tests/test_tcp.py
+++ b/burdockcart/process/peers/tests/test_tcp.py
@@ -7,6 +7,8 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart.process.peers import frames
+from burdockcart.process.peers import holder_link
+from burdockcart.process.peers import messages
 from burdockcart.process.peers import relay_service
 from burdockcart.process.peers import tcp
 
@@ -195,6 +197,45 @@
 
         run(check)
 
+    def test_end_while_requests_arrive(self):
+        """A request that the holder has not received must come back unsent."""
+
+        async def check(pair):
+            service = relay_service.RelayService(None, None, clock.LoopClock())
+            await pair.listener.listen(f"{HOST}:0", service.accept)
+            port = pair.listener._server.sockets[0].getsockname()[1]
+            links = []
+
+            def accept(transport):
+                links.append(
+                    holder_link.HolderLink(
+                        "holder", transport, clock.LoopClock()
+                    )
+                )
+                return links[0]
+
+            await pair.dialer.dial("holder", f"{HOST}:{port}", accept)
+            while not service.links:
+                await asyncio.sleep(0.01)
+            service.close()
+            requests = [
+                asyncio.create_task(
+                    links[0].request(
+                        lambda number: messages.RollBack(number, 9, 100), 1.0
+                    )
+                )
+                for _ in range(100)
+            ]
+            replies = await asyncio.gather(*requests)
+            self.assertEqual(
+                {"not sent by the relaying daemon"},
+                {each.fault.value for each in replies},
+            )
+            while service.links:
+                await asyncio.sleep(0.01)
+
+        run(check)
+
     def test_refused(self):
         """A daemon that is gone must be noticed at once."""
 
