Follow all steps of a shutdown whichever fail

Callers: one unexpected error while a daemon drained would have ended the process at that moment: statements cut, the daemon listed for up to 8 s, a trace and exit code 1.

Cause: the steps were awaited one after the other, without a guard.

Evidence: the new tests of test_launch.py, run with the former steps in place of shut_down: RuntimeError: stop, RuntimeError: drain (twice). In the former code the steps were no function of their own.

Change: each step is guarded and logged. A drain that fails is tried again until the end of the grace time, so that what runs can end.

--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -6,10 +6,12 @@
 import pathlib
 import signal
 import sys
+from typing import Iterable
 import uuid
 
 import loguru
 from returns import result
+from tornado import httpserver
 
 from burdockcart import clock
 from burdockcart.cmd import stop_signal
@@ -25,6 +27,7 @@
 from burdockcart.process import event_log
 from burdockcart.process.gateway import application
 from burdockcart.process.gateway import settings
+from burdockcart.process.gateway import shutdown_steps
 from burdockcart.process import log_sink
 from burdockcart.process.peers import fleet_key
 from burdockcart.process.peers import tcp
@@ -33,6 +36,11 @@
 #: Interval of reading the settings file, in seconds.  The file may change
 #: without a signal, and is only a few kilobytes long.
 SETTINGS_INTERVAL_S = 1.0
+#: Share of the granted time after which a drain that goes on failing is given
+#: up; one that works ends earlier.
+DRAIN_SHARE = 0.94
+#: Pause before a drain that failed is tried again, in seconds.
+DRAIN_RETRY_S = 0.1
 
 
 class _Gateway:
@@ -101,16 +109,33 @@
     gc.collect()
     gc.freeze()
     await stopping.wait()
-    await daemon.drain()
-    for server in servers:
-        server.stop()
-    await daemon.stop()
+    await shut_down(daemon, config.shutdown_s, servers, platform)
     for task in tasks:
         task.cancel()
-    platform.close()
     stop_signal.block_signals()
 
 
+async def shut_down(
+    daemon: application.GatewayApplication,
+    granted_s: float,
+    servers: Iterable[httpserver.HTTPServer],
+    platform: calls.PlatformClient,
+) -> None:
+    """Drain and stop a daemon within the granted time, whatever fails."""
+
+    async def drain() -> None:
+        try:
+            async with asyncio.timeout(DRAIN_SHARE * granted_s):
+                while not await shutdown_steps.run(daemon.drain):
+                    await asyncio.sleep(DRAIN_RETRY_S)
+        except TimeoutError:
+            loguru.logger.warning("event=drain_given_up")
+
+    await shutdown_steps.run(
+        drain, *(each.stop for each in servers), daemon.stop, platform.close
+    )
+
+
 def _metrics_address(config: settings.GatewaySettings) -> str:
     host, _, _ = config.ready_address.rpartition(":")
     return f"{host}:{ready.METRICS_PORT}"
--- a/burdockcart/platform/tests/test_launch.py
+++ b/burdockcart/platform/tests/test_launch.py
@@ -5,6 +5,7 @@
 import tempfile
 
 import testtools
+from testtools import matchers
 
 from burdockcart.platform import launch
 from burdockcart.tests import gateway_deployment
@@ -52,3 +53,62 @@
                 watching.cancel()
 
         gateway_deployment.run(check())
+
+
+class FaultyDaemon:
+    """A daemon whose shutdown fails in every step."""
+
+    def __init__(self):
+        self.steps = []
+        self.drains_until = 0.0
+
+    async def drain(self):
+        """Fail until a moment, then end."""
+        self.steps.append("drain")
+        if asyncio.get_running_loop().time() < self.drains_until:
+            raise RuntimeError("drain")
+
+    def stop(self):
+        """Fail."""
+        self.steps.append("stop")
+        raise RuntimeError("stop")
+
+    def close(self):
+        """Fail."""
+        self.steps.append("close")
+        raise RuntimeError("close")
+
+
+class TestShutdown(testtools.TestCase):
+    """Faults in the steps of a shutdown."""
+
+    def shut_down(self, drains_until, granted_s=6.0):
+        """Return the steps of a shutdown, and how long it took."""
+
+        async def check():
+            daemon = FaultyDaemon()
+            daemon.drains_until = drains_until
+            began_at = asyncio.get_running_loop().time()
+            await launch.shut_down(daemon, granted_s, [daemon], daemon)
+            took_s = asyncio.get_running_loop().time() - began_at
+            return daemon.steps, took_s
+
+        return gateway_deployment.run(check())
+
+    def test_all_steps_follow(self):
+        """A step that fails must not skip the others."""
+        steps, _ = self.shut_down(0.0)
+        self.assertEqual(["drain", "stop", "stop", "close"], steps)
+
+    def test_drain_that_fails_for_a_while(self):
+        """A fault in the drain must not end the process early."""
+        steps, took_s = self.shut_down(2.0)
+        self.assertThat(took_s, matchers.GreaterThan(1.9))
+        self.assertThat(took_s, matchers.LessThan(2.5))
+        self.assertEqual(["stop", "stop", "close"], steps[-3:])
+
+    def test_drain_that_fails(self):
+        """A drain that fails again and again must end in time."""
+        _, took_s = self.shut_down(99.0)
+        self.assertThat(took_s, matchers.GreaterThan(5.0))
+        self.assertThat(took_s, matchers.LessThan(6.0))
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -27,6 +27,7 @@
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import settings
 from burdockcart.process.gateway import shutdown_plan
+from burdockcart.process.gateway import shutdown_steps
 from burdockcart.process.gateway import statement_runner
 from burdockcart.process.gateway import store_follower
 from burdockcart.process.gateway import transaction_runner
@@ -238,14 +239,18 @@
 
     async def stop(self) -> None:
         """Close everything."""
-        self._clients.stop()
+        await shutdown_steps.run(
+            self._clients.stop,
+            self._end_tasks,
+            *(group.close for group in self.group_by_id.values()),
+            self.relay.end,
+        )
+        loguru.logger.info("event=daemon_stopped id={}", self._settings.daemon)
+
+    async def _end_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for group in self.group_by_id.values():
-            group.close()
-        await self.relay.end()
-        loguru.logger.info("event=daemon_stopped id={}", self._settings.daemon)
 
     def ready(self) -> bool:
         """Return whether the load balancer should send new clients."""
