--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -28,6 +28,7 @@
 from burdockcart.process.gateway import reachability
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import settings
+from burdockcart.process.gateway import shutdown_steps
 from burdockcart.process.gateway import statement_runner
 from burdockcart.process.gateway import stop_admission
 from burdockcart.process.gateway import store_follower
@@ -133,7 +134,8 @@
         self._drain = drain.Drain(
             self._admission,
             self._clock,
-            self.relay.service,
+            lambda: self.relay.service.pending,
+            self._busy_for_others,
             self.metrics,
         )
         self.tables = store_follower.StoreFollower(
@@ -218,9 +220,14 @@
         """Close sessions gradually, within the time granted for shutdown."""
         self._admission.begin()
         self.relay.leave(self._settings.shutdown_s)
+        self._failover.leave(self._settings.shutdown_s)
         self._spawn(self._listing.leave)
         await self._drain.run(self._clients)
 
+    def _busy_for_others(self) -> bool:
+        """Return whether other daemons or a group need this daemon."""
+        return self.relay.service.in_use or self._failover.promoting
+
     def _connections(self) -> list[client_listener.Client]:
         return list(self._clients.connections)
 
@@ -232,14 +239,19 @@
 
     async def stop(self) -> None:
         """Close everything."""
-        self._clients.stop()
+        await shutdown_steps.run(
+            self._clients.stop,
+            self._end_tasks,
+            self._failover.stop,
+            *(group.close for group in self.group_by_id.values()),
+            self.relay.end,
+        )
+        loguru.logger.info("event=daemon_stopped id={}", self._settings.daemon)
+
+    async def _end_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for group in self.group_by_id.values():
-            group.close()
-        self.relay.stop()
-        loguru.logger.info("event=daemon_stopped id={}", self._settings.daemon)
 
     def ready(self) -> bool:
         """Return whether the load balancer should send new clients."""
--- a/burdockcart/process/gateway/drain.py
+++ b/burdockcart/process/gateway/drain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from typing import Protocol
+from typing import Callable
 
 import loguru
 
@@ -20,26 +20,16 @@
 ORDER = (Phase.IDLE, Phase.ANSWERING, Phase.RUNNING, Phase.IN_TRANSACTION)
 
 
-class Relays(Protocol):
-    """Statements of other daemons that run here."""
-
-    @property
-    def pending(self) -> int:
-        """Their number, with open transactions."""
-
-    @property
-    def in_use(self) -> bool:
-        """Whether other daemons still need this one."""
-
-
 class Drain:
     """Carries out the shutdown plan.
 
     Parameters
     ==========
 
-    relays : Relays
-        What this daemon relays for others.
+    pending : callable
+        Returns how many statements of other daemons are running here.
+    needed : callable
+        Returns whether other daemons or a group need this daemon.
 
     """
 
@@ -47,13 +37,15 @@
         self,
         admission: stop_admission.StopAdmission,
         loop_clock: clock.Clock,
-        relays: Relays,
+        pending: Callable[[], int],
+        needed: Callable[[], bool],
         metrics: gateway_metrics.GatewayMetrics,
     ):
         self._admission = admission
         self._plan = admission.plan
         self._clock = loop_clock
-        self._relays = relays
+        self._pending = pending
+        self._needed = needed
         self._metrics = metrics
         #: Connections of the previous step.
         self._known: set[client_listener.Client] = set()
@@ -83,7 +75,7 @@
         self._report(list(clients.connections))
 
     def _open_work(self, clients: client_listener.ClientListener) -> int:
-        return len(list(clients.connections)) + self._relays.in_use
+        return len(list(clients.connections)) + self._needed()
 
     def _close_some(self, clients: client_listener.ClientListener) -> None:
         """Tell the sessions whose turn it is to close.
@@ -129,6 +121,6 @@
             count[Phase.RUNNING],
             count[Phase.ANSWERING],
             count[Phase.CLOSING],
-            self._relays.pending,
+            self._pending(),
             int(self._admission.elapsed_s * 1000),
         )
