--- a/burdockcart/process/peers/tests/test_tcp.py
+++ b/burdockcart/process/peers/tests/test_tcp.py
@@ -5,8 +5,8 @@
 import testtools
 
 from burdockcart import clock
-from burdockcart.connection import own_link
 from burdockcart.connection import member_channel
+from burdockcart.connection import own_link
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import holder_link
 from burdockcart.process.peers import messages
