--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -59,6 +59,8 @@
         self._daemon_by_lease: dict[int, ids.DaemonId] = {}
         #: All daemons that have ever registered.
         self._registered: set[ids.DaemonId] = set()
+        #: Time at which a lease ends, and its length, in seconds.
+        self._lease_ends_at: dict[int, tuple[float, float]] = {}
         self._late_promotions: set[asyncio.Task[None]] = set()
 
     def _next_revision(self) -> int:
@@ -80,8 +82,26 @@
         del self.entry_by_id[member]
         self.entry_changes.append((self._next_revision(), member, None))
 
+    def _end_leases(self) -> None:
+        """Remove the daemons whose leases have ended."""
+        now = asyncio.get_running_loop().time()
+        for lease, (ends_at, _) in list(self._lease_ends_at.items()):
+            if ends_at <= now:
+                self._end_lease(lease)
+
+    def _end_lease(self, lease: int) -> None:
+        self._lease_ends_at.pop(lease, None)
+        daemon = self._daemon_by_lease.pop(lease)
+        if daemon not in self._daemon_by_lease.values():
+            self.daemon_by_id.pop(daemon, None)
+
+    def _start_lease(self, lease: int, ttl_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self._lease_ends_at[lease] = (now + ttl_s, ttl_s)
+
     async def _store_fault(self):
         await asyncio.sleep(0.004)
+        self._end_leases()
         if self.outage:
             return result.Failure(CallFault.UNAVAILABLE)
         return None
@@ -207,10 +227,9 @@
         fault = await self._store_fault()
         if fault is not None:
             return fault
-        daemon = self._daemon_by_lease.pop(lease, None)
-        if daemon is None:
+        if lease not in self._daemon_by_lease:
             return result.Failure(CallFault.MISSING)
-        self.daemon_by_id.pop(daemon, None)
+        self._end_lease(lease)
         return result.Success(None)
 
     async def register_daemon(
@@ -224,6 +243,7 @@
         self._registered.add(daemon.id)
         lease = self._next_revision()
         self._daemon_by_lease[lease] = daemon.id
+        self._start_lease(lease, ttl_s)
         return result.Success(lease)
 
     async def renew_daemon(self, lease: int):
@@ -233,6 +253,7 @@
             return fault
         if lease not in self._daemon_by_lease:
             return result.Failure(CallFault.MISSING)
+        self._start_lease(lease, self._lease_ends_at[lease][1])
         return result.Success(None)
 
     async def reachable(self):
