Keep emulated members fast with long logs

A soak lets emulated members commit for a minute, some thousand commits. EmulatedMember.applied() hashed the whole log for each statement and follow() compared each commit with each other one.

--- a/burdockcart/emulator/wire_member.py
+++ b/burdockcart/emulator/wire_member.py
@@ -175,9 +175,12 @@
         if self.leads:
             return self.received()
         now = asyncio.get_running_loop().time()
-        waiting = {commit for due, commit in self.pending if due > now}
-        seen = [commit for commit in self.log if commit not in waiting]
-        return seen[-1].position if seen else log_position.LogPosition(1, 0)
+        self.pending = [each for each in self.pending if each[0] > now]
+        # Commits become visible in the order of the log.
+        seen = len(self.log) - len(self.pending)
+        if not seen:
+            return log_position.LogPosition(1, 0)
+        return self.log[seen - 1].position
 
     def receive(self, commits: list[Commit]) -> None:
         """Append commits of the primary to the log."""
@@ -190,16 +193,22 @@
         if not primary.leads or primary.term < self.term:
             return
         self.leads, self.held_term = False, None
+        kept = {commit.position for commit in primary.log}
         self.pending = [
             (due, commit)
             for due, commit in self.pending
-            if commit in primary.log
+            if commit.position in kept
         ]
-        self.log = [commit for commit in self.log if commit in primary.log]
+        self.log = [commit for commit in self.log if commit.position in kept]
         if self.group.hears_of(self):
             self.term = primary.term
+            held = {commit.position for commit in self.log}
             self.receive(
-                [commit for commit in primary.log if commit not in self.log]
+                [
+                    commit
+                    for commit in primary.log
+                    if commit.position not in held
+                ]
             )
 
     @property
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -154,7 +154,7 @@
             )
             self._late_promotions.add(task)
             return result.Failure(PromotionFault.NO_ANSWER)
-        return self._promote(group, member, token)
+        return self.apply_promotion(group, member, token)
 
     async def _promote_later(
         self,
@@ -163,14 +163,15 @@
         token: ids.FencingToken,
     ) -> None:
         await asyncio.sleep(self.late_s)
-        self._promote(group, member, token)
+        self.apply_promotion(group, member, token)
 
-    def _promote(
+    def apply_promotion(
         self,
         group: ids.GroupId,
         member: ids.MemberId,
         token: ids.FencingToken,
     ):
+        """Start a promotion unless its token is old or the member is down."""
         if token < self.token_by_group.get(group, 0):
             return result.Failure(PromotionFault.REJECTED)
         emulated = self.group_by_id[group]
