Soak real daemons with seeded faults

python -m burdockcart.platform.standin runs gateway daemons as separate processes on loopback addresses, against sockets in front of the emulated members, an HTTP store with the promotion call, and clients that keep using their sessions during a drain. A seeded schedule sends SIGTERM (series, pairs, all at once), SIGHUP, SIGSTOP and SIGKILL, writes manifests, replaces and crashes members and fails the store. Checks of the recorded history name the broken rule.

--- /dev/null
+++ b/burdockcart/platform/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its databases and its clients, over sockets."""
--- /dev/null
+++ b/burdockcart/platform/standin/__main__.py
@@ -0,0 +1,52 @@
+"""Entry point of ``python -m burdockcart.platform.standin``."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+from burdockcart.platform.standin import soak
+
+
+def main() -> int:
+    """Run a soak for each seed; return 1 if any found a violation."""
+    parser = argparse.ArgumentParser(
+        prog="python -m burdockcart.platform.standin",
+        description="Run gateway daemons against stand-ins on loopback, "
+        "inject the faults of a seeded schedule and check what clients and "
+        "members saw.",
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", help="first and last seed, as in 1-20")
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument(
+        "--planned", action="store_true", help="inject planned work only"
+    )
+    parser.add_argument(
+        "--logs", type=pathlib.Path, help="where to keep logs and journal"
+    )
+    args = parser.parse_args()
+    first, _, last = (args.seeds or str(args.seed)).partition("-")
+    seeds = range(int(first), int(last or first) + 1)
+    folder = args.logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    failed = [seed for seed in seeds if not _run(seed, args, folder)]
+    return 1 if failed else 0
+
+
+def _run(seed: int, args: argparse.Namespace, folder: pathlib.Path) -> bool:
+    """Run one seed and print its result; return whether it was clean."""
+    logs = folder / f"seed-{seed}"
+    logs.mkdir(parents=True, exist_ok=True)
+    run = soak.Soak(seed, args.seconds, args.daemons, logs, not args.planned)
+    found = asyncio.run(run.run())
+    text = "".join(f"{each}\n" for each in found)
+    (logs / "violations.txt").write_text(text, encoding="utf-8")
+    print(soak.summary(run, found), f"logs={logs}", flush=True)
+    print(text, end="", flush=True)
+    return not found
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/burdockcart/platform/standin/site.py
@@ -0,0 +1,300 @@
+"""One group of member databases and the platform, with their faults."""
+
+import asyncio
+import itertools
+import json
+from typing import Any
+from typing import Callable
+
+from returns import result
+
+from burdockcart.emulator import wire_member
+from burdockcart.emulator import wire_platform
+from burdockcart import ids
+from burdockcart.platform import calls
+from burdockcart.platform.standin import client
+from burdockcart.platform.standin import member_server
+from burdockcart.platform.standin import store_server
+from burdockcart.soak import history as histories
+from burdockcart.version import manifest
+
+SERVICE = ids.GroupId("ledger")
+ZONES = ("recife", "fortaleza", "salvador")
+ROUTES = (
+    client.Route("live1", histories.Freshness.ALL, 0.0, 0.8),
+    client.Route("arch2", histories.Freshness.BOUNDED, 1.5, 1.2),
+    client.Route("lay3", histories.Freshness.SESSION, 2.5, 0.8),
+)
+_KIND_BY_FRESHNESS = {
+    histories.Freshness.ALL: "primary",
+    histories.Freshness.BOUNDED: "bounded_stale",
+    histories.Freshness.SESSION: "read_your_writes",
+}
+STORE_PORT = 8783
+MEMBER_PORT = 5432
+HEARTBEAT_S = 1.2
+#: Time that a member serves on after it has reported that it drains, in
+#: seconds; it exits a little later.
+DRAIN_S = 3.0
+CONNECTIONS = 24
+
+
+class RecordedGroup(wire_member.EmulatedGroup):
+    """Group that records what a promoted member lacks."""
+
+    def __init__(
+        self,
+        members: list[wire_member.EmulatedMember],
+        history: histories.History,
+    ):
+        super().__init__(members)
+        self._history = history
+
+    def promote(self, member: wire_member.EmulatedMember) -> None:
+        """Make a member the primary."""
+        acknowledged = set(self.acknowledged)
+        held = {commit.position for commit in member.log}
+        missing = sorted(
+            {
+                statement
+                for commit in self.primary.log
+                if commit.position in acknowledged
+                and commit.position not in held
+                for statement, _ in commit.writes
+            }
+        )
+        now = asyncio.get_running_loop().time()
+        self._history.takeovers.append(
+            histories.Takeover(member.id, now, tuple(missing))
+        )
+        super().promote(member)
+
+
+class Site:
+    """Members, store, promotions and manifest of a soak.
+
+    Parameters
+    ==========
+
+    prefix : str
+        First three bytes of all addresses, such as ``127.3.4``.
+    note : callable
+        Writes an entry of the journal.
+
+    """
+
+    def __init__(
+        self,
+        prefix: str,
+        history: histories.History,
+        note: Callable[..., None],
+    ):
+        self._history = history
+        self._note = note
+        self._prefix = prefix
+        self._serials = itertools.count(1)
+        members = [self._new_member(zone) for zone in ZONES]
+        self.group = RecordedGroup(members, history)
+        history.runs = self.group.runs
+        self.servers = [
+            self._serve(member, f"{prefix}.{201 + place}")
+            for place, member in enumerate(members)
+        ]
+        self.platform = wire_platform.EmulatedPlatform(
+            manifest.Manifest(
+                version=0,
+                route_by_database={},
+                limits_by_group={},
+                transaction_idle_s=3.0,
+            ),
+            {SERVICE: self.group},
+        )
+        self.store_host = f"{prefix}.250"
+        self.store = store_server.Store(self._promote)
+        self.version = 0
+        self._changing = False
+        self._draining: set[str] = set()
+        self._seen_by_member: dict[str, tuple[float, object]] = {}
+        self._sequence = itertools.count(1)
+
+    def _new_member(self, zone: str) -> wire_member.EmulatedMember:
+        return wire_member.EmulatedMember(
+            f"i-{next(self._serials):08x}",
+            zone,
+            slots=4,
+            connection_limit=CONNECTIONS,
+        )
+
+    def _serve(
+        self, member: wire_member.EmulatedMember, host: str
+    ) -> member_server.MemberServer:
+        return member_server.MemberServer(
+            member,
+            SERVICE,
+            host,
+            MEMBER_PORT,
+            self._history.received_at_by_id,
+        )
+
+    async def start(self) -> None:
+        """Listen; raise OSError if the addresses are in use."""
+        self.store.start(self.store_host, STORE_PORT)
+        for server in self.servers:
+            await server.start()
+        self.put_manifest()
+        self._beat()
+
+    def stop(self) -> None:
+        """Close all sockets."""
+        self.store.stop()
+        for server in self.servers:
+            server.crash()
+
+    def put_manifest(self, step: int = 1) -> None:
+        """Write the next version of the manifest."""
+        self.version += step
+        routes = [
+            {
+                "name": f"r-{route.database}",
+                "host": route.database,
+                "service": SERVICE,
+                "route-kind": _KIND_BY_FRESHNESS[route.freshness],
+                "timeout-ms": route.timeout_s * 1000,
+                "latency-goal-ms": 100 + self.version % 7 * 10,
+                "priority": self.version % 3,
+                "max-staleness-ms": route.max_age_s * 1000,
+            }
+            for route in ROUTES
+        ]
+        extra = dict(routes[0], name="r-extra", host=f"x{self.version}")
+        body = {
+            "version": self.version,
+            "routes": routes + [extra],
+            "services": [
+                {
+                    "name": SERVICE,
+                    "max-conns": CONNECTIONS,
+                    "sync-replicas": 1,
+                }
+            ],
+            "limits": {"tx-idle-ms": 3000},
+        }
+        self.store.put(calls.MANIFEST_KEY, json.dumps(body).encode())
+
+    async def run(self) -> None:
+        """Write the members' entries until cancelled."""
+        while True:
+            self._beat()
+            await asyncio.sleep(0.05)
+
+    def _beat(self) -> None:
+        """Write the entries that changed or are due, if the store answers."""
+        if self.store.fault is not store_server.StoreFault.NONE:
+            return
+        now = asyncio.get_running_loop().time()
+        for server in self.servers:
+            member = server.member
+            state = (member.id in self._draining, member.leads)
+            key = calls.MEMBER_PREFIX + member.id
+            at, seen = self._seen_by_member.get(member.id, (0.0, None))
+            if member.crashed:
+                if now - at > 3 * HEARTBEAT_S:
+                    self.store.delete(key)
+            elif state != seen or now - at >= HEARTBEAT_S:
+                self._seen_by_member[member.id] = (now, state)
+                self.store.put(key, json.dumps(self._entry(server)).encode())
+
+    def _entry(self, server: member_server.MemberServer) -> dict[str, Any]:
+        member = server.member
+        draining = member.id in self._draining
+        return {
+            "service": SERVICE,
+            "address": server.address,
+            "zone": member.domain,
+            "version": "1",
+            "capacity": member.slots,
+            "state": "draining" if draining else "ready",
+            "warmup-left-ms": 0,
+            "seq": next(self._sequence),
+            "db-role": "primary" if member.leads else "replica",
+            "born": server.started_ms,
+        }
+
+    def _promote(
+        self, service: str, member: str, holder: str, token: int
+    ) -> int:
+        """Run the platform's promotion call and return its status."""
+        known = self.group.member_by_id.get(ids.MemberId(member))
+        status = 409
+        if service == SERVICE and known is not None:
+            answer = self.platform.apply_promotion(
+                SERVICE, known.id, ids.FencingToken(token)
+            )
+            status = 200 if isinstance(answer, result.Success) else 409
+        if status == 200:
+            now = asyncio.get_running_loop().time()
+            self._history.promotions.append(
+                histories.Promotion(member, holder, token, now)
+            )
+        self._note(
+            "promote", member=member, holder=holder, token=token, status=status
+        )
+        return status
+
+    async def replace_member(self, primary: bool) -> None:
+        """Let a member drain and end, then start another at its address."""
+        server = next(
+            (
+                each
+                for each in self.servers
+                if each.member.leads == primary and not each.member.crashed
+            ),
+            None,
+        )
+        if self._changing or server is None:
+            return
+        self._changing = True
+        old = server.member
+        self._draining.add(old.id)
+        self._note("member_draining", member=old.id, leads=old.leads)
+        await asyncio.sleep(DRAIN_S + 1.0)
+        while self.store.fault is not store_server.StoreFault.NONE:
+            await asyncio.sleep(0.1)
+        self._note("member_gone", member=old.id, leads=old.leads)
+        server.crash()
+        now = asyncio.get_running_loop().time()
+        self._history.member_ends.append((old.id, now))
+        self.store.delete(calls.MEMBER_PREFIX + old.id)
+        await asyncio.sleep(0.5)
+        new = self._new_member(old.domain)
+        new.group, new.term = self.group, old.term
+        new.log, new.pending = list(old.log), list(old.pending)
+        self.group.member_by_id[new.id] = new
+        host = server.address.partition(":")[0]
+        replacement = self._serve(new, host)
+        self.servers[self.servers.index(server)] = replacement
+        await replacement.restart()
+        self._changing = False
+
+    async def crash_primary(self, seconds: float) -> None:
+        """End the primary without notice and start it again later."""
+        server = next(
+            (each for each in self.servers if each.member.leads), None
+        )
+        if self._changing or server is None or server.member.crashed:
+            return
+        self._changing = True
+        self._note("member_crashed", member=server.member.id)
+        server.crash()
+        await asyncio.sleep(seconds)
+        await server.restart()
+        self._note("member_back", member=server.member.id)
+        self._changing = False
+
+    async def fail_store(
+        self, fault: store_server.StoreFault, seconds: float
+    ) -> None:
+        """Let the store fail for some time."""
+        self.store.fault = fault
+        await asyncio.sleep(seconds)
+        self.store.fault = store_server.StoreFault.NONE
--- /dev/null
+++ b/burdockcart/platform/standin/soak.py
@@ -0,0 +1,264 @@
+"""Runs the soak of one seed: daemons, stand-ins, clients and faults."""
+
+import asyncio
+import collections
+import itertools
+import json
+import os
+import pathlib
+import random
+import time
+from typing import Any
+from typing import Coroutine
+
+from burdockcart.platform.standin import client
+from burdockcart.platform.standin import daemons
+from burdockcart.platform.standin import site as sites
+from burdockcart.platform.standin import store_server
+from burdockcart.soak import checks
+from burdockcart.soak import history as histories
+from burdockcart.soak import schedule
+
+Kind = schedule.Kind
+
+GRACE_S = 6.0
+CLIENTS_PER_DAEMON = 8
+#: Mean pauses between the operations of a session, in seconds; the clients
+#: take them in turn.
+PAUSES_S = (0.3, 0.3, 0.05, 0.3)
+START_TIMEOUT_S = 30.0
+#: Time without faults after the schedule, in seconds.
+CALM_S = 8.0
+STALL_PROBE_S = 0.02
+
+
+class Soak:
+    """One run.
+
+    Parameters
+    ==========
+
+    folder : Path
+        Where the daemons' logs and the journal are written.
+
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        count: int,
+        folder: pathlib.Path,
+        unplanned: bool,
+    ):
+        self.seed = seed
+        self.folder = folder
+        self.history = histories.History()
+        self._seconds = seconds
+        self._unplanned = unplanned
+        self._count = count
+        self._tasks: list[asyncio.Task[None]] = []
+        self._journal = open(folder / "journal.jsonl", "w", encoding="utf-8")
+        self.daemons: list[daemons.Daemon] = []
+
+    def note(self, name: str, **fields: Any) -> None:
+        """Write an entry of the journal."""
+        entry = {
+            "at": round(asyncio.get_running_loop().time(), 3),
+            "wall": round(time.time(), 3),
+            "what": name,
+            **fields,
+        }
+        self._journal.write(json.dumps(entry) + "\n")
+        self._journal.flush()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    async def run(self) -> list[checks.Violation]:
+        """Run the schedule and return what was violated."""
+        try:
+            self._site = await self._start_site()
+            self._start_daemons()
+            await self._wait_ready()
+            self._start_clients()
+            self._spawn(self._watch_stalls())
+            await self._play()
+            await asyncio.sleep(CALM_S)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*(each.stop() for each in self.daemons))
+            self._site.stop()
+            self._journal.close()
+        self.history.log = self._site.group.primary.log
+        self.history.tracebacks = [
+            (each.name, text)
+            for each in self.daemons
+            for text in each.tracebacks()
+        ]
+        return checks.violations(self.history, checks.Limits(grace_s=GRACE_S))
+
+    async def _start_site(self) -> sites.Site:
+        """Start the stand-ins on loopback addresses that are free."""
+        for attempt in range(20):
+            number = (os.getpid() + attempt * 7919) % 60000
+            prefix = f"127.{16 + number // 250}.{1 + number % 250}"
+            site = sites.Site(prefix, self.history, self.note)
+            try:
+                await site.start()
+            except OSError:
+                site.stop()
+                continue
+            self._prefix = prefix
+            self._spawn(site.run())
+            return site
+        raise RuntimeError("no free loopback addresses")
+
+    def _start_daemons(self) -> None:
+        store = f"{self._site.store_host}:{sites.STORE_PORT}"
+        self.daemons = [
+            daemons.Daemon(
+                f"d{place}",
+                sites.ZONES[place % len(sites.ZONES)],
+                f"{self._prefix}.{place + 1}",
+                store,
+                self.folder,
+                GRACE_S,
+                sites.DRAIN_S,
+                self.history,
+            )
+            for place in range(self._count)
+        ]
+        for each in self.daemons:
+            self._spawn(each.run())
+            self._spawn(each.watch_ready())
+
+    async def _wait_ready(self) -> None:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not all(each.ready for each in self.daemons):
+                await asyncio.sleep(0.1)
+
+    def _start_clients(self) -> None:
+        numbers = itertools.count(1)
+        for place in range(CLIENTS_PER_DAEMON * self._count):
+            user = client.Client(
+                random.Random(self.seed * 1000 + place),
+                list(sites.ROUTES),
+                self._pick,
+                self.history.requests.append,
+                numbers,
+                PAUSES_S[place % len(PAUSES_S)],
+            )
+            self._spawn(user.run())
+
+    def _pick(self, rng: random.Random) -> tuple[str, str, int] | None:
+        """Return a daemon as the ingress selects it."""
+        ready = [each for each in self.daemons if each.ready]
+        if 2 * len(ready) < len(self.daemons):
+            ready = [each for each in self.daemons if each.alive]
+        if not ready:
+            return None
+        picked = rng.choice(ready)
+        return picked.name, picked.host, daemons.CLIENT_PORT
+
+    async def _watch_stalls(self) -> None:
+        """Record how late this process is at times."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + STALL_PROBE_S
+            await asyncio.sleep(STALL_PROBE_S)
+            late_s = loop.time() - due
+            if late_s > STALL_PROBE_S:
+                self.history.stalls.append((loop.time(), late_s))
+
+    async def _play(self) -> None:
+        """Inject the faults of the schedule."""
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        self.note("started", seed=self.seed, daemons=self._count)
+        faults = schedule.generate(
+            self.seed, self._seconds, self._count, self._unplanned
+        )
+        for fault in faults:
+            await asyncio.sleep(start + fault.at_s - loop.time())
+            self.note(
+                "fault",
+                kind=fault.kind.value,
+                daemon=fault.daemon,
+                length_s=round(fault.length_s, 3),
+            )
+            self._spawn(self._inject(fault))
+        await asyncio.sleep(start + self._seconds - loop.time())
+
+    async def _inject(self, fault: schedule.Fault) -> None:
+        """Inject one fault and record how long it lasted."""
+        begin = asyncio.get_running_loop().time()
+        disturbance = histories.Disturbance(
+            fault.kind.value,
+            f"d{fault.daemon}" if fault.daemon >= 0 else "",
+            begin,
+            float("inf"),
+            fault.kind in schedule.PLANNED,
+        )
+        place = len(self.history.disturbances)
+        self.history.disturbances.append(disturbance)
+        await self._act(fault)
+        self.history.disturbances[place] = histories.Disturbance(
+            disturbance.kind,
+            disturbance.target,
+            begin,
+            asyncio.get_running_loop().time(),
+            disturbance.planned,
+        )
+
+    async def _act(self, fault: schedule.Fault) -> None:
+        kind, site = fault.kind, self._site
+        daemon = self.daemons[fault.daemon]
+        if kind is Kind.TERMINATE:
+            await daemon.terminate()
+        elif kind is Kind.RELOAD:
+            daemon.reload()
+        elif kind is Kind.FREEZE:
+            await daemon.freeze(fault.length_s)
+        elif kind is Kind.KILL:
+            daemon.kill()
+        elif kind is Kind.MANIFEST:
+            site.put_manifest(1 + fault.daemon % 3)
+        elif kind is Kind.CRASH_PRIMARY:
+            await site.crash_primary(fault.length_s)
+        elif kind in (Kind.REPLACE_PRIMARY, Kind.REPLACE_REPLICA):
+            await site.replace_member(kind is Kind.REPLACE_PRIMARY)
+        else:
+            silent = kind is Kind.STORE_SILENT
+            await site.fail_store(
+                (
+                    store_server.StoreFault.SILENT
+                    if silent
+                    else store_server.StoreFault.UNAVAILABLE
+                ),
+                fault.length_s,
+            )
+
+
+def summary(soak: Soak, found: list[checks.Violation]) -> str:
+    """Return one line on a run."""
+    requests = soak.history.requests
+    count_by_outcome = collections.Counter(
+        each.outcome.value for each in requests if each.outcome
+    )
+    count_by_rule = collections.Counter(each.rule for each in found)
+    outcomes = " ".join(
+        f"{outcome.replace(' ', '_')}={count}"
+        for outcome, count in sorted(count_by_outcome.items())
+    )
+    rules = ",".join(f"{r}:{n}" for r, n in sorted(count_by_rule.items()))
+    stall_s = max((late_s for _, late_s in soak.history.stalls), default=0.0)
+    return (
+        f"seed={soak.seed} requests={len(requests)} {outcomes} "
+        f"runs={len(soak.history.runs)} commits={len(soak.history.log)} "
+        f"promotions={len(soak.history.promotions)} "
+        f"ends={len(soak.history.process_ends)} "
+        f"stall_s={stall_s:.2f} "
+        f"violations={rules or 'none'}"
+    )
--- /dev/null
+++ b/burdockcart/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: seeded schedules, and checks of what clients and members saw."""
--- /dev/null
+++ b/burdockcart/soak/history.py
@@ -0,0 +1,148 @@
+"""Record of a soak: what clients, members and the platform saw.
+
+Times are seconds of one steady clock.
+"""
+
+import dataclasses
+import enum
+
+from burdockcart.emulator import wire_member
+from burdockcart.request import command
+
+
+class Outcome(enum.Enum):
+    """How a request of a client ended.
+
+    ``PROMISE`` is an error after which nothing of the attempt is kept.
+    """
+
+    SUCCESS = "success"
+    PROMISE = "promise"
+    ERROR = "error"
+    CLOSED = "closed"
+    GAVE_UP = "gave up"
+
+
+class Freshness(enum.Enum):
+    """Which commits a read must see."""
+
+    ALL = "all"
+    BOUNDED = "bounded"
+    SESSION = "session"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Request:
+    """One statement that a client sent.
+
+    Parameters
+    ==========
+
+    attempt : int
+        Serial number of the client's transaction or single statement.
+    in_transaction : bool
+        Whether it is a statement between BEGIN and its end.
+    began_at : float
+        When the first byte of the attempt was sent.
+    values : tuple
+        Session values that had been acknowledged, sorted by name.
+    shape : Shape or None
+        What EXECUTE must run.
+    timeout_s : float
+        Time limit of the statement.
+
+    """
+
+    id: str
+    session: int
+    daemon: str
+    kind: command.CommandKind
+    text: str
+    attempt: int
+    in_transaction: bool
+    freshness: Freshness
+    max_age_s: float
+    timeout_s: float
+    began_at: float
+    sent_at: float
+    values: tuple[tuple[str, str], ...] = ()
+    shape: command.Shape | None = None
+    ended_at: float = 0.0
+    outcome: Outcome | None = None
+    detail: str = ""
+    receipt: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Disturbance:
+    """One fault from outside, from its begin to its end."""
+
+    kind: str
+    target: str
+    begin: float
+    end: float
+    planned: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Promotion:
+    """One accepted promotion."""
+
+    member: str
+    holder: str
+    token: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Takeover:
+    """Begin of a member's lead.
+
+    ``missing`` are the statement ids of the acknowledged writes that the
+    member lacked.
+    """
+
+    member: str
+    at: float
+    missing: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class ProcessEnd:
+    """End of a daemon process.
+
+    ``asked_at`` is the time of SIGTERM, or None; ``killed`` tells whether
+    SIGKILL ended it, which the schedule or the end of the grace asked for.
+    """
+
+    daemon: str
+    pid: int
+    asked_at: float | None
+    ended_at: float
+    code: int
+    killed: bool = False
+    overdue: bool = False
+
+
+@dataclasses.dataclass
+class History:
+    """All records of one soak."""
+
+    requests: list[Request] = dataclasses.field(default_factory=list)
+    runs: list[wire_member.Run] = dataclasses.field(default_factory=list)
+    received_at_by_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    #: Log of the last primary.
+    log: list[wire_member.Commit] = dataclasses.field(default_factory=list)
+    promotions: list[Promotion] = dataclasses.field(default_factory=list)
+    takeovers: list[Takeover] = dataclasses.field(default_factory=list)
+    disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    #: Members that ended after they drained, and when.
+    member_ends: list[tuple[str, float]] = dataclasses.field(
+        default_factory=list
+    )
+    process_ends: list[ProcessEnd] = dataclasses.field(default_factory=list)
+    #: When the soak's own event loop was late, and by how much.
+    stalls: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    tracebacks: list[tuple[str, str]] = dataclasses.field(default_factory=list)
--- /dev/null
+++ b/burdockcart/soak/schedule.py
@@ -0,0 +1,169 @@
+"""Seeded schedule of the faults of a soak."""
+
+import dataclasses
+import enum
+import random
+from typing import Callable
+from typing import Iterator
+
+
+class Kind(enum.Enum):
+    """Kind of a fault."""
+
+    TERMINATE = "terminate"
+    RELOAD = "reload"
+    FREEZE = "freeze"
+    KILL = "kill"
+    MANIFEST = "manifest"
+    REPLACE_REPLICA = "replace replica"
+    REPLACE_PRIMARY = "replace primary"
+    CRASH_PRIMARY = "crash primary"
+    STORE_DOWN = "store down"
+    STORE_SILENT = "store silent"
+
+
+#: Planned work, during which no request may be cut.
+PLANNED = frozenset(
+    {
+        Kind.TERMINATE,
+        Kind.RELOAD,
+        Kind.MANIFEST,
+        Kind.REPLACE_REPLICA,
+        Kind.REPLACE_PRIMARY,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Fault:
+    """One fault.
+
+    Parameters
+    ==========
+
+    at_s : float
+        Seconds after the start.
+    daemon : int
+        Index of the daemon; -1 if the fault concerns no daemon.
+    length_s : float
+        Seconds that the fault lasts, for those that do.
+
+    """
+
+    at_s: float
+    kind: Kind = dataclasses.field(compare=False)
+    daemon: int = -1
+    length_s: float = 0.0
+
+
+#: One scene: faults relative to its start.
+Scene = Callable[[random.Random, int], list[Fault]]
+
+
+def _series(rng: random.Random, daemons: int) -> list[Fault]:
+    """End daemons one after the other, some while others still drain."""
+    gap_s = rng.choice([0.5, 1.5, 3.0])
+    order = rng.sample(range(daemons), rng.randint(2, daemons))
+    return [
+        Fault(place * gap_s, Kind.TERMINATE, daemon)
+        for place, daemon in enumerate(order)
+    ]
+
+
+def _pair(rng: random.Random, daemons: int) -> list[Fault]:
+    first, second = rng.sample(range(daemons), 2)
+    gap_s = rng.uniform(0.3, 2.0)
+    return [
+        Fault(0.0, Kind.TERMINATE, first),
+        Fault(gap_s, Kind.TERMINATE, second),
+    ]
+
+
+def _all_at_once(rng: random.Random, daemons: int) -> list[Fault]:
+    spread_s = rng.choice([0.0, 0.3])
+    return [
+        Fault(rng.uniform(0.0, spread_s), Kind.TERMINATE, daemon)
+        for daemon in range(daemons)
+    ]
+
+
+def _reload(rng: random.Random, daemons: int) -> list[Fault]:
+    count = rng.randint(1, daemons)
+    return [
+        Fault(rng.uniform(0.0, 0.5), Kind.RELOAD, daemon)
+        for daemon in rng.sample(range(daemons), count)
+    ]
+
+
+def _manifests(rng: random.Random, daemons: int) -> list[Fault]:
+    count = rng.choice([1, 1, 5, 15])
+    return [
+        Fault(rng.uniform(0.0, 0.1 * count), Kind.MANIFEST)
+        for _ in range(count)
+    ]
+
+
+def _single(
+    kind: Kind, least_s: float = 0.0, most_s: float = 0.0, of_daemon=False
+) -> Scene:
+    def scene(rng: random.Random, daemons: int) -> list[Fault]:
+        daemon = rng.randrange(daemons) if of_daemon else -1
+        return [Fault(0.0, kind, daemon, rng.uniform(least_s, most_s))]
+
+    return scene
+
+
+PLANNED_SCENES: tuple[Scene, ...] = (
+    _series,
+    _pair,
+    _all_at_once,
+    _reload,
+    _manifests,
+    _single(Kind.REPLACE_REPLICA),
+    _single(Kind.REPLACE_PRIMARY),
+)
+UNPLANNED_SCENES: tuple[Scene, ...] = (
+    _single(Kind.FREEZE, 0.5, 3.0, of_daemon=True),
+    _single(Kind.KILL, of_daemon=True),
+    _single(Kind.CRASH_PRIMARY, 2.0, 5.0),
+    _single(Kind.STORE_DOWN, 1.0, 5.0),
+    _single(Kind.STORE_SILENT, 1.0, 5.0),
+)
+
+
+def generate(
+    seed: int, seconds: float, daemons: int, unplanned: bool = True
+) -> list[Fault]:
+    """Return the faults of a soak in the order of their times.
+
+    Half of the scenes are planned work in any case.
+
+    Examples
+    ========
+
+    >>> from burdockcart.soak import schedule
+    >>> faults = schedule.generate(1, 60, 4)
+    >>> faults == schedule.generate(1, 60, 4)
+    True
+
+    """
+    rng = random.Random(seed)
+    return sorted(
+        fault
+        for begin_s, scene in _scenes(rng, seconds, unplanned)
+        for fault in (
+            dataclasses.replace(each, at_s=each.at_s + begin_s)
+            for each in scene(rng, daemons)
+        )
+        if fault.at_s < seconds
+    )
+
+
+def _scenes(
+    rng: random.Random, seconds: float, unplanned: bool
+) -> Iterator[tuple[float, Scene]]:
+    at_s = rng.uniform(1.0, 2.0)
+    while at_s < seconds:
+        mixed = unplanned and rng.random() < 0.5
+        yield at_s, rng.choice(UNPLANNED_SCENES if mixed else PLANNED_SCENES)
+        at_s += rng.choice([1.0, 4.0, 9.0]) * rng.uniform(0.7, 1.3)
