--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -215,7 +215,7 @@
     async def _act(self, fault: schedule.Fault) -> None:
         kind, site = fault.kind, self._site
         daemon = self.daemons[fault.daemon]
-        if kind is Kind.TERMINATE:
+        if kind is Kind.STOP:
             await daemon.terminate()
         elif kind is Kind.RELOAD:
             daemon.reload()
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -10,7 +10,7 @@
 class Kind(enum.Enum):
     """Kind of a fault."""
 
-    TERMINATE = "terminate"
+    STOP = "stop"
     RELOAD = "reload"
     FREEZE = "freeze"
     KILL = "kill"
@@ -25,7 +25,7 @@
 #: Planned work, during which no request may be cut.
 PLANNED = frozenset(
     {
-        Kind.TERMINATE,
+        Kind.STOP,
         Kind.RELOAD,
         Kind.MANIFEST,
         Kind.REPLACE_REPLICA,
@@ -65,7 +65,7 @@
     gap_s = rng.choice([0.5, 1.5, 3.0])
     order = rng.sample(range(daemons), rng.randint(2, daemons))
     return [
-        Fault(place * gap_s, Kind.TERMINATE, daemon)
+        Fault(place * gap_s, Kind.STOP, daemon)
         for place, daemon in enumerate(order)
     ]
 
@@ -74,15 +74,15 @@
     first, second = rng.sample(range(daemons), 2)
     gap_s = rng.uniform(0.3, 2.0)
     return [
-        Fault(0.0, Kind.TERMINATE, first),
-        Fault(gap_s, Kind.TERMINATE, second),
+        Fault(0.0, Kind.STOP, first),
+        Fault(gap_s, Kind.STOP, second),
     ]
 
 
 def _all_at_once(rng: random.Random, daemons: int) -> list[Fault]:
     spread_s = rng.choice([0.0, 0.3])
     return [
-        Fault(rng.uniform(0.0, spread_s), Kind.TERMINATE, daemon)
+        Fault(rng.uniform(0.0, spread_s), Kind.STOP, daemon)
         for daemon in range(daemons)
     ]
 
@@ -166,4 +166,4 @@
     while at_s < seconds:
         mixed = unplanned and rng.random() < 0.5
         yield at_s, rng.choice(UNPLANNED_SCENES if mixed else PLANNED_SCENES)
-        at_s += rng.choice([1.0, 4.0, 9.0]) * rng.uniform(0.7, 1.3)
+        at_s += rng.choice([1.0, 3.0, 7.0]) * rng.uniform(0.7, 1.3)
