Let a leaving daemon end its registration

The list of daemons kept a daemon that had received SIGTERM until its lease ran out, and it logged task_failed every 0.1 s of its drain.

Cause: PlatformClient sent a body with DELETE; the HTTP client refuses that: 'ValueError: Body must be None for method DELETE'. The task that leaves the list failed, and was started again each time.

The test failed before with this error (1 failed, 8 passed). Only POST has a body now.

--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -88,7 +88,7 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> httpclient.HTTPResponse | None:
-        data = None if method == "GET" else msgspec.json.encode(body or {})
+        data = msgspec.json.encode(body or {}) if method == "POST" else None
         request = httpclient.HTTPRequest(
             url,
             method=method,
--- a/burdockcart/platform/tests/test_calls.py
+++ b/burdockcart/platform/tests/test_calls.py
@@ -254,3 +254,14 @@
             self.assertIs(fault.NO_ANSWER, lost.failure())
 
         run(check)
+
+    def test_end_of_a_registration(self):
+        """Guards against a daemon that stays listed after it left."""
+
+        async def check(store):
+            store.answer_by_path["/api/kv-lease-end/7"] = (200, {})
+            await store.client.unregister_daemon(7)
+            self.assertEqual("DELETE", store.seen[-1].method)
+            self.assertEqual("/api/kv-lease-end/7", store.seen[-1].path)
+
+        run(check)
