--- a/burdockcart/platform/standin/client.py
+++ b/burdockcart/platform/standin/client.py
@@ -205,6 +205,10 @@
         Returns name, host and port of a daemon, or None if none listens.
     numbers : iterator of int
         Serial numbers of sessions and attempts, shared by all clients.
+    pause_s : float
+        Mean pause between the operations of a session.
+    single : bool
+        Whether a session serves one operation.
 
     """
 
@@ -216,6 +220,7 @@
         record: Callable[[histories.Request], None],
         numbers: "itertools.count[int]",
         pause_s: float,
+        single: bool,
     ):
         self._rng = rng
         self._routes = routes
@@ -223,6 +228,7 @@
         self._record = record
         self._numbers = numbers
         self._pause_s = pause_s
+        self._single = single
 
     async def run(self) -> None:
         """Open sessions and use each of them as long as it is open."""
@@ -251,7 +257,7 @@
             while True:
                 await self._operation(session)
                 await session.wait(rng.expovariate(1 / self._pause_s))
-                if rng.random() < 0.01:
+                if self._single or rng.random() < 0.01:
                     return
         finally:
             session.close()
@@ -313,8 +319,9 @@
         if begin.outcome is not Outcome.SUCCESS:
             return
         began_at = begin.sent_at
-        for _ in range(rng.randint(1, 5)):
-            await session.wait(rng.expovariate(1 / 0.05))
+        pause_s = rng.choice([0.01, 0.05, 0.2])
+        for _ in range(rng.randint(1, 8)):
+            await session.wait(rng.expovariate(1 / pause_s))
             draw = rng.random()
             request: histories.Request | None
             if draw < 0.2:
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -22,10 +22,10 @@
 Kind = schedule.Kind
 
 GRACE_S = 6.0
-CLIENTS_PER_DAEMON = 8
-#: Mean pauses between the operations of a session, in seconds; the clients
-#: take them in turn.
-PAUSES_S = (0.3, 0.3, 0.05, 0.3)
+CLIENTS_PER_DAEMON = 12
+#: Mean pause between the operations of a session, in seconds, and whether a
+#: session serves a single operation; the clients take them in turn.
+HABITS = ((0.3, False), (0.3, False), (0.02, False), (0.05, True))
 START_TIMEOUT_S = 30.0
 #: Time without faults after the schedule, in seconds.
 CALM_S = 8.0
@@ -148,7 +148,7 @@
                 self._pick,
                 self.history.requests.append,
                 numbers,
-                PAUSES_S[place % len(PAUSES_S)],
+                *HABITS[place % len(HABITS)],
             )
             self._spawn(user.run())
 
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -117,6 +117,7 @@
     _series,
     _pair,
     _all_at_once,
+    _all_at_once,
     _reload,
     _manifests,
     _single(Kind.REPLACE_REPLICA),
--- /dev/null
+++ b/burdockcart/soak/tests/test_schedule.py
@@ -0,0 +1,51 @@
+"""Guards the schedule of faults."""
+
+import testtools
+
+from burdockcart.soak import schedule
+
+Kind = schedule.Kind
+
+
+def faults(unplanned):
+    """Return the faults of many seeds."""
+    return [
+        fault
+        for seed in range(50)
+        for fault in schedule.generate(seed, 60.0, 4, unplanned)
+    ]
+
+
+class TestSchedule(testtools.TestCase):
+    """Seeded faults."""
+
+    def test_same_seed(self):
+        """Guards against a run that its seed does not repeat."""
+        self.assertEqual(
+            schedule.generate(3, 60.0, 4), schedule.generate(3, 60.0, 4)
+        )
+        self.assertNotEqual(
+            schedule.generate(3, 60.0, 4), schedule.generate(4, 60.0, 4)
+        )
+
+    def test_every_kind_occurs(self):
+        """Guards against a fault that is never injected."""
+        self.assertEqual(set(Kind), {fault.kind for fault in faults(True)})
+
+    def test_planned_work_only(self):
+        """Guards against an unplanned fault that excuses cut requests."""
+        self.assertEqual(
+            schedule.PLANNED, {fault.kind for fault in faults(False)}
+        )
+
+    def test_daemons_and_times(self):
+        """Guards against faults of daemons that do not exist."""
+        for fault in faults(True):
+            self.assertTrue(0 <= fault.at_s < 60.0)
+            of_daemon = fault.kind in (
+                Kind.STOP,
+                Kind.RELOAD,
+                Kind.FREEZE,
+                Kind.KILL,
+            )
+            self.assertIn(fault.daemon, range(4) if of_daemon else [-1])
