Soak links to members and check drained members

Answers or requests of a member stop, arrive late, or its connections are reset. DRAIN reports a statement that reaches a member longer than the drain time after it reported that it drains. Violations come with the daemons' log lines.

--- a/burdockcart/platform/standin/__main__.py
+++ b/burdockcart/platform/standin/__main__.py
@@ -3,10 +3,15 @@
 import argparse
 import asyncio
 import pathlib
+import re
 import sys
 import tempfile
 
 from burdockcart.platform.standin import soak
+from burdockcart.soak import checks
+
+#: Log lines printed for a violation.
+MAX_LINES = 8
 
 
 def main() -> int:
@@ -41,12 +46,26 @@
     logs.mkdir(parents=True, exist_ok=True)
     run = soak.Soak(seed, args.seconds, args.daemons, logs, not args.planned)
     found = asyncio.run(run.run())
-    text = "".join(f"{each}\n" for each in found)
+    text = "".join(
+        f"{each}\n" + "".join(f"  {line}\n" for line in _log_lines(run, each))
+        for each in found
+    )
     (logs / "violations.txt").write_text(text, encoding="utf-8")
     print(soak.summary(run, found), f"logs={logs}", flush=True)
     print(text, end="", flush=True)
     return not found
 
 
+def _log_lines(run: soak.Soak, violation: checks.Violation) -> list[str]:
+    """Return the daemons' log lines on the statements of a violation."""
+    patterns = [re.compile(rf"\bid={each}\b") for each in violation.ids]
+    return [
+        f"{daemon.name} {line}"
+        for daemon in run.daemons
+        for line in daemon.log_path.read_text(errors="replace").splitlines()
+        if any(pattern.search(line) for pattern in patterns)
+    ][:MAX_LINES]
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/burdockcart/platform/standin/member_server.py
+++ b/burdockcart/platform/standin/member_server.py
@@ -1,6 +1,7 @@
 """Sockets in front of an emulated member, which speaks the line protocol."""
 
 import asyncio
+import enum
 import re
 import time
 
@@ -20,6 +21,8 @@
 STATEMENT_TIMEOUT_S = 2.0
 #: Time that a new connection holds a slot, in seconds.
 HANDSHAKE_S = 0.012
+LINK_DELAY_S = 0.15
+LINK_POLL_S = 0.05
 _SLOW = re.compile(r"\bslow-(\d+)-")
 _WORD_BY_FAULT = {
     Fault.QUEUE_FULL: "BUSY",
@@ -30,6 +33,17 @@
 _LETTER_BY_STATE = {State.IDLE: "I", State.OPEN: "T", State.FAILED: "E"}
 
 
+class LinkFault(enum.Enum):
+    """What the network between the daemons and a member does."""
+
+    NONE = "none"
+    DELAYED = "delayed"
+    #: Neither requests nor answers arrive.
+    SILENT = "silent"
+    #: Requests arrive and run, answers do not arrive.
+    ANSWERS_LOST = "answers lost"
+
+
 class ServedChannel(wire_channel.EmulatedChannel):
     """Channel whose socket ends with it."""
 
@@ -69,6 +83,7 @@
     ):
         self.member = member
         self.address = f"{host}:{port}"
+        self.link = LinkFault.NONE
         self.started_ms = int(time.time() * 1000)
         self._service = service
         self._host, self._port = host, port
@@ -91,6 +106,18 @@
         for task in self._tasks:
             task.cancel()
 
+    def reset_connections(self) -> None:
+        """Reset all connections; new ones succeed."""
+        for channel in list(self.member.connections):
+            channel.close()
+
+    async def _cross(self, *cut_by: LinkFault) -> None:
+        """Wait until the network passes a message on."""
+        if self.link is LinkFault.DELAYED:
+            await asyncio.sleep(LINK_DELAY_S)
+        while self.link in cut_by:
+            await asyncio.sleep(LINK_POLL_S)
+
     async def restart(self) -> None:
         """Come back with the log that the member had."""
         self.member.crashed = False
@@ -117,6 +144,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         fields = (await reader.readline()).decode().split()
+        await self._cross(LinkFault.SILENT)
         member = self.member
         named = fields[1:2] == [self._service]
         if not named or fields[3:4] not in ([], [member.id]):
@@ -132,7 +160,11 @@
         writer.write(_ready(channel))
         try:
             while line := await reader.readline():
+                await self._cross(LinkFault.SILENT)
+                if channel.closed:
+                    return
                 answer = await self._answer(channel, line.decode().rstrip())
+                await self._cross(LinkFault.SILENT, LinkFault.ANSWERS_LOST)
                 if channel.closed:
                     return
                 writer.write(answer)
--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -203,6 +203,8 @@
             elif state != seen or now - at >= HEARTBEAT_S:
                 self._seen_by_member[member.id] = (now, state)
                 self.store.put(key, json.dumps(self._entry(server)).encode())
+                if member.id in self._draining:
+                    self._history.drain_at_by_member.setdefault(member.id, now)
 
     def _entry(self, server: member_server.MemberServer) -> dict[str, Any]:
         member = server.member
@@ -291,6 +293,15 @@
         self._note("member_back", member=server.member.id)
         self._changing = False
 
+    async def fail_link(
+        self, place: int, fault: member_server.LinkFault, seconds: float
+    ) -> None:
+        """Let the network to a member fail for some time."""
+        server = self.servers[place]
+        server.link = fault
+        await asyncio.sleep(seconds)
+        server.link = member_server.LinkFault.NONE
+
     async def fail_store(
         self, fault: store_server.StoreFault, seconds: float
     ) -> None:
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -13,6 +13,7 @@
 
 from burdockcart.platform.standin import client
 from burdockcart.platform.standin import daemons
+from burdockcart.platform.standin import member_server
 from burdockcart.platform.standin import site as sites
 from burdockcart.platform.standin import store_server
 from burdockcart.soak import checks
@@ -31,6 +32,17 @@
 CALM_S = 8.0
 STALL_PROBE_S = 0.02
 
+_OF_DAEMON = frozenset({Kind.STOP, Kind.RELOAD, Kind.FREEZE, Kind.KILL})
+_LINK_FAULT_BY_KIND = {
+    Kind.LINK_DELAYED: member_server.LinkFault.DELAYED,
+    Kind.LINK_SILENT: member_server.LinkFault.SILENT,
+    Kind.LINK_ANSWERS_LOST: member_server.LinkFault.ANSWERS_LOST,
+}
+_STORE_FAULT_BY_KIND = {
+    Kind.STORE_DOWN: store_server.StoreFault.UNAVAILABLE,
+    Kind.STORE_SILENT: store_server.StoreFault.SILENT,
+}
+
 
 class Soak:
     """One run.
@@ -97,7 +109,9 @@
             for each in self.daemons
             for text in each.tracebacks()
         ]
-        return checks.violations(self.history, checks.Limits(grace_s=GRACE_S))
+        return checks.violations(
+            self.history, checks.Limits(grace_s=GRACE_S, drain_s=sites.DRAIN_S)
+        )
 
     async def _start_site(self) -> sites.Site:
         """Start the stand-ins on loopback addresses that are free."""
@@ -185,7 +199,7 @@
             self.note(
                 "fault",
                 kind=fault.kind.value,
-                daemon=fault.daemon,
+                target=fault.target,
                 length_s=round(fault.length_s, 3),
             )
             self._spawn(self._inject(fault))
@@ -196,7 +210,7 @@
         begin = asyncio.get_running_loop().time()
         disturbance = histories.Disturbance(
             fault.kind.value,
-            f"d{fault.daemon}" if fault.daemon >= 0 else "",
+            str(fault.target),
             begin,
             float("inf"),
             fault.kind in schedule.PLANNED,
@@ -214,31 +228,34 @@
 
     async def _act(self, fault: schedule.Fault) -> None:
         kind, site = fault.kind, self._site
-        daemon = self.daemons[fault.daemon]
-        if kind is Kind.STOP:
-            await daemon.terminate()
-        elif kind is Kind.RELOAD:
-            daemon.reload()
-        elif kind is Kind.FREEZE:
-            await daemon.freeze(fault.length_s)
-        elif kind is Kind.KILL:
-            daemon.kill()
+        if kind in _OF_DAEMON:
+            await _disturb(self.daemons[fault.target], fault)
         elif kind is Kind.MANIFEST:
-            site.put_manifest(1 + fault.daemon % 3)
+            site.put_manifest()
         elif kind is Kind.CRASH_PRIMARY:
             await site.crash_primary(fault.length_s)
         elif kind in (Kind.REPLACE_PRIMARY, Kind.REPLACE_REPLICA):
             await site.replace_member(kind is Kind.REPLACE_PRIMARY)
-        else:
-            silent = kind is Kind.STORE_SILENT
-            await site.fail_store(
-                (
-                    store_server.StoreFault.SILENT
-                    if silent
-                    else store_server.StoreFault.UNAVAILABLE
-                ),
-                fault.length_s,
+        elif kind is Kind.LINK_RESET:
+            site.servers[fault.target].reset_connections()
+        elif kind in _LINK_FAULT_BY_KIND:
+            await site.fail_link(
+                fault.target, _LINK_FAULT_BY_KIND[kind], fault.length_s
             )
+        else:
+            await site.fail_store(_STORE_FAULT_BY_KIND[kind], fault.length_s)
+
+
+async def _disturb(daemon: daemons.Daemon, fault: schedule.Fault) -> None:
+    """Send a daemon the signal of a fault."""
+    if fault.kind is Kind.STOP:
+        await daemon.terminate()
+    elif fault.kind is Kind.RELOAD:
+        daemon.reload()
+    elif fault.kind is Kind.FREEZE:
+        await daemon.freeze(fault.length_s)
+    else:
+        daemon.kill()
 
 
 def summary(soak: Soak, found: list[checks.Violation]) -> str:
--- a/burdockcart/soak/checks.py
+++ b/burdockcart/soak/checks.py
@@ -29,6 +29,8 @@
         Time after which a request counts as read by the daemon.
     grace_s : float
         Time from SIGTERM to the end of the process.
+    drain_s : float
+        Time after which a draining member gets no more work.
     late_work_s : float
         A request sent that soon after SIGTERM may be cut in the last sixth
         of the grace.
@@ -38,6 +40,7 @@
     calm_s: float = 4.0
     slack_s: float = 0.2
     grace_s: float = 6.0
+    drain_s: float = 3.0
     late_work_s: float = 3.0
 
 
@@ -69,6 +72,7 @@
         stale_reads(history),
         false_receipts(history),
         unasked_runs(history),
+        late_statements(history, limits),
         lost_commits(history),
         shared_tokens(history),
         process_faults(history, limits),
@@ -125,13 +129,8 @@
     request: histories.Request,
 ) -> bool:
     """Return whether a fault, a member or the end of the grace cut it."""
-    for each in history.disturbances:
-        if (
-            not each.planned
-            and each.begin <= request.ended_at
-            and request.sent_at - limits.calm_s <= each.end
-        ):
-            return True
+    if _disturbed(history, limits, request.sent_at, request.ended_at):
+        return True
     if any(
         request.sent_at <= at <= request.ended_at
         for _, at in history.member_ends
@@ -150,6 +149,18 @@
     return False
 
 
+def _disturbed(
+    history: histories.History, limits: Limits, begin: float, end: float
+) -> bool:
+    """Return whether an unplanned fault was near a span of time."""
+    return any(
+        not each.planned
+        and each.begin <= end
+        and begin - limits.calm_s <= each.end
+        for each in history.disturbances
+    )
+
+
 def _since_signal(
     history: histories.History, request: histories.Request
 ) -> str:
@@ -344,6 +355,33 @@
             )
 
 
+def late_statements(
+    history: histories.History, limits: Limits
+) -> Iterator[Violation]:
+    """DRAIN: a statement reaches a member that should get no more work."""
+    request_by_id = {each.id: each for each in history.requests}
+    for run in history.runs:
+        drain_at = history.drain_at_by_member.get(run.member)
+        request = request_by_id.get(run.statement)
+        if (
+            drain_at is None
+            or request is None
+            or run.transaction is not None
+            or run.at <= drain_at + limits.drain_s + limits.slack_s
+            or request.sent_at <= drain_at + limits.drain_s
+            or _disturbed(history, limits, drain_at, run.at)
+        ):
+            continue
+        yield Violation(
+            "DRAIN",
+            f"reached {run.member} {run.at - drain_at:.3f} s after it "
+            "reported that it drains",
+            run.at,
+            (request.id,),
+            request.daemon,
+        )
+
+
 def lost_commits(history: histories.History) -> Iterator[Violation]:
     """LOST: a promoted member lacks an acknowledged commit."""
     for takeover in history.takeovers:
--- a/burdockcart/soak/history.py
+++ b/burdockcart/soak/history.py
@@ -142,6 +142,10 @@
     member_ends: list[tuple[str, float]] = dataclasses.field(
         default_factory=list
     )
+    #: When the store accepted that a member drains.
+    drain_at_by_member: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     process_ends: list[ProcessEnd] = dataclasses.field(default_factory=list)
     #: When the soak's own event loop was late, and by how much.
     stalls: list[tuple[float, float]] = dataclasses.field(default_factory=list)
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -20,6 +20,10 @@
     CRASH_PRIMARY = "crash primary"
     STORE_DOWN = "store down"
     STORE_SILENT = "store silent"
+    LINK_DELAYED = "link delayed"
+    LINK_SILENT = "link silent"
+    LINK_ANSWERS_LOST = "link answers lost"
+    LINK_RESET = "link reset"
 
 
 #: Planned work, during which no request may be cut.
@@ -36,15 +40,16 @@
 
 @dataclasses.dataclass(frozen=True, order=True)
 class Fault:
-    """One fault.
+    """One fault of a daemon, of a member or of all.
 
     Parameters
     ==========
 
     at_s : float
         Seconds after the start.
-    daemon : int
-        Index of the daemon; -1 if the fault concerns no daemon.
+    target : int
+        Index of the daemon, or of the member for faults of links; -1 if the
+        fault concerns neither.
     length_s : float
         Seconds that the fault lasts, for those that do.
 
@@ -52,10 +57,12 @@
 
     at_s: float
     kind: Kind = dataclasses.field(compare=False)
-    daemon: int = -1
+    target: int = -1
     length_s: float = 0.0
 
 
+MEMBERS = 3
+
 #: One scene: faults relative to its start.
 Scene = Callable[[random.Random, int], list[Fault]]
 
@@ -104,11 +111,19 @@
 
 
 def _single(
-    kind: Kind, least_s: float = 0.0, most_s: float = 0.0, of_daemon=False
+    kind: Kind,
+    least_s: float = 0.0,
+    most_s: float = 0.0,
+    of_daemon: bool = False,
+    of_member: bool = False,
 ) -> Scene:
+    """Return a scene of one fault that lasts a random time."""
+
     def scene(rng: random.Random, daemons: int) -> list[Fault]:
-        daemon = rng.randrange(daemons) if of_daemon else -1
-        return [Fault(0.0, kind, daemon, rng.uniform(least_s, most_s))]
+        target = -1
+        if of_daemon or of_member:
+            target = rng.randrange(daemons if of_daemon else MEMBERS)
+        return [Fault(0.0, kind, target, rng.uniform(least_s, most_s))]
 
     return scene
 
@@ -129,6 +144,10 @@
     _single(Kind.CRASH_PRIMARY, 2.0, 5.0),
     _single(Kind.STORE_DOWN, 1.0, 5.0),
     _single(Kind.STORE_SILENT, 1.0, 5.0),
+    _single(Kind.LINK_DELAYED, 1.0, 4.0, of_member=True),
+    _single(Kind.LINK_SILENT, 0.5, 4.0, of_member=True),
+    _single(Kind.LINK_ANSWERS_LOST, 0.5, 4.0, of_member=True),
+    _single(Kind.LINK_RESET, of_member=True),
 )
 
 
--- a/burdockcart/soak/tests/test_checks.py
+++ b/burdockcart/soak/tests/test_checks.py
@@ -350,6 +350,21 @@
         history.runs = [run_of(request("b"))]
         self.assertEqual(["UNASKED"], rules(history))
 
+    def test_drained_member(self):
+        """Guards against statements to a member that has drained."""
+        sent = request("a", sent_at=13.3)
+        history = histories.History(
+            requests=[sent],
+            runs=[run_of(sent)],
+            drain_at_by_member={"m1": 10.0},
+        )
+        self.assertEqual(["DRAIN"], rules(history))
+        history.disturbances = [disturbance(12.0, 12.5)]
+        self.assertEqual([], rules(history))
+        history.disturbances = []
+        history.drain_at_by_member = {"m1": 10.5, "m2": 1.0}
+        self.assertEqual([], rules(history))
+
 
 class TestProcesses(testtools.TestCase):
     """END and TRACEBACK."""
--- a/burdockcart/soak/tests/test_schedule.py
+++ b/burdockcart/soak/tests/test_schedule.py
@@ -5,6 +5,7 @@
 from burdockcart.soak import schedule
 
 Kind = schedule.Kind
+DAEMON_KINDS = (Kind.STOP, Kind.RELOAD, Kind.FREEZE, Kind.KILL)
 
 
 def faults(unplanned):
@@ -38,14 +39,13 @@
             schedule.PLANNED, {fault.kind for fault in faults(False)}
         )
 
-    def test_daemons_and_times(self):
-        """Guards against faults of daemons that do not exist."""
+    def test_targets_and_times(self):
+        """Guards against faults of daemons or members that do not exist."""
         for fault in faults(True):
             self.assertTrue(0 <= fault.at_s < 60.0)
-            of_daemon = fault.kind in (
-                Kind.STOP,
-                Kind.RELOAD,
-                Kind.FREEZE,
-                Kind.KILL,
-            )
-            self.assertIn(fault.daemon, range(4) if of_daemon else [-1])
+            targets = [-1]
+            if fault.kind in DAEMON_KINDS:
+                targets = range(4)
+            elif fault.kind.value.startswith("link"):
+                targets = range(schedule.MEMBERS)
+            self.assertIn(fault.target, targets)
