Judge reads of the soak by the run that answered

Receipts now name the run, and STALE looks at that one. Whether the users judge dropped runs is a question for them.

END leaves out a process that SIGTERM ended before it was ready.

--- a/burdockcart/platform/standin/daemons.py
+++ b/burdockcart/platform/standin/daemons.py
@@ -76,6 +76,7 @@
         self._killed = False
         self._frozen = False
         self._stopping = False
+        self._served = False
         self._missed = 0
 
     @property
@@ -114,7 +115,7 @@
                 await asyncio.sleep(RESTART_S)
 
     async def _run_once(self) -> None:
-        self._asked_at, self._killed = None, False
+        self._asked_at, self._killed, self._served = None, False, False
         with open(self.log_path, "ab") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -151,6 +152,7 @@
                 code=code,
                 killed=self._killed,
                 overdue=overdue,
+                served=self._served,
             )
         )
 
@@ -219,7 +221,7 @@
         while True:
             await asyncio.sleep(READY_INTERVAL_S)
             if await self._answers_ready():
-                self.ready, self._missed = True, 0
+                self.ready, self._missed, self._served = True, 0, True
                 continue
             self._missed += 1
             if self._missed >= 2:
--- a/burdockcart/platform/standin/member_server.py
+++ b/burdockcart/platform/standin/member_server.py
@@ -192,7 +192,23 @@
         answer = await self._run(channel, statement, after)
         reads = statement.kind is command.CommandKind.READ
         rows = (f"row-{statement_id}",) if reads else ()
-        return _lines(channel, answer, answer.receipt, rows)
+        receipt = "-"
+        if answer.fault is None:
+            receipt = f"{answer.receipt}.{self._run_number(statement_id)}"
+        return _lines(channel, answer, receipt, rows)
+
+    def _run_number(self, statement_id: str) -> int:
+        """Return the place of a statement's last run; -1 if there is none."""
+        runs = self.member.group.runs
+        return next(
+            (
+                place
+                for place in reversed(range(len(runs)))
+                if runs[place].statement == statement_id
+                and runs[place].member == self.member.id
+            ),
+            -1,
+        )
 
     async def _run(
         self,
--- a/burdockcart/soak/checks.py
+++ b/burdockcart/soak/checks.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import itertools
+import signal
 from typing import Iterator
 
 from burdockcart.emulator import wire_member
@@ -287,12 +288,11 @@
 
 
 def stale_reads(history: histories.History) -> Iterator[Violation]:
-    """STALE: a read runs on a log without a commit that it must see."""
+    """STALE: a read was answered from a log without a commit it must see."""
     acknowledged = _acknowledged(history)
-    request_by_id = {each.id: each for each in history.requests}
-    for run in history.runs:
-        request = request_by_id.get(run.statement)
-        if request is None or not _reads(request):
+    for request in history.requests:
+        run = _answering_run(history, request)
+        if run is None or not _reads(request):
             continue
         for at, session, commit in acknowledged:
             if run.position < commit.position and at < _due_before(
@@ -310,6 +310,20 @@
                 break
 
 
+def _answering_run(
+    history: histories.History, request: histories.Request
+) -> wire_member.Run | None:
+    """Return the run whose answer the client received.
+
+    The member of a read that is sent behind a proof of leadership runs the
+    read also if the proof fails; the daemon drops that answer.
+    """
+    number = request.receipt.rpartition(".")[2]
+    if request.outcome is not Outcome.SUCCESS or not number.isdigit():
+        return None
+    return history.runs[int(number)]
+
+
 def _reads(request: histories.Request) -> bool:
     return request.kind is Kind.READ or (
         request.shape is not None and not request.shape.writes
@@ -331,7 +345,7 @@
         if (
             request.kind in FORWARDED
             and request.outcome is Outcome.SUCCESS
-            and request.receipt != f"receipt-{request.id}"
+            and request.receipt.rpartition(".")[0] != f"receipt-{request.id}"
         ):
             yield Violation(
                 "MIXED",
@@ -421,7 +435,7 @@
             continue
         elif end.asked_at is None:
             message = f"ended by itself with code {end.code}"
-        elif end.code != 0:
+        elif end.code != 0 and (end.served or end.code != -signal.SIGTERM):
             message = f"ended with code {end.code}"
         if message:
             yield Violation("END", message, end.ended_at, (), end.daemon)
--- a/burdockcart/soak/history.py
+++ b/burdockcart/soak/history.py
@@ -50,6 +50,8 @@
         What EXECUTE must run.
     timeout_s : float
         Time limit of the statement.
+    receipt : str
+        Names the statement and, after a point, the place of its run.
 
     """
 
@@ -113,6 +115,8 @@
 
     ``asked_at`` is the time of SIGTERM, or None; ``killed`` tells whether
     SIGKILL ended it, which the schedule or the end of the grace asked for.
+    ``served`` tells whether the daemon has been ready; before that, SIGTERM
+    may end the process at once.
     """
 
     daemon: str
@@ -122,6 +126,7 @@
     code: int
     killed: bool = False
     overdue: bool = False
+    served: bool = True
 
 
 @dataclasses.dataclass
