--- a/burdockcart/platform/tests/test_launch.py
+++ b/burdockcart/platform/tests/test_launch.py
@@ -1,7 +1,11 @@
 """Guards the reload of a daemon's settings."""
 
 import asyncio
+import os
 import pathlib
+import signal
+import subprocess
+import sys
 import tempfile
 
 import testtools
@@ -52,3 +56,24 @@
                 watching.cancel()
 
         gateway_deployment.run(check())
+
+
+class TestStart(testtools.TestCase):
+    """Signals during the start of the process."""
+
+    def test_reload_before_the_settings_are_read(self):
+        """Guards against a reload that ends a process which starts."""
+        # The path is read once the handlers may be set; a FIFO holds the
+        # process there until the signal has been sent.
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.conf"
+            os.mkfifo(path)
+            process = subprocess.Popen(
+                [sys.executable, "-m", "burdockcart.platform"],
+                env={**os.environ, launch.SETTINGS_VARIABLE: str(path)},
+                stderr=subprocess.DEVNULL,
+            )
+            with process, open(path, "w", encoding="utf-8") as settings:
+                process.send_signal(signal.SIGHUP)
+                settings.write("zone=z\n")
+        self.assertEqual(2, process.returncode)
