Let the soak's replicas lag by different times

A trial on a scratch copy whose daemons leave out the position of reads (AFTER) was not noticed: all replicas lagged by 0.06 s.

--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -37,6 +37,9 @@
 #: seconds; it exits a little later.
 DRAIN_S = 3.0
 CONNECTIONS = 24
+#: Time until reads of a replica see a commit, in seconds; members take them
+#: in turn.
+LAGS_S = (0.05, 0.3, 0.9)
 
 
 class RecordedGroup(wire_member.EmulatedGroup):
@@ -118,10 +121,12 @@
         self._sequence = itertools.count(1)
 
     def _new_member(self, zone: str) -> wire_member.EmulatedMember:
+        serial = next(self._serials)
         return wire_member.EmulatedMember(
-            f"i-{next(self._serials):08x}",
+            f"i-{serial:08x}",
             zone,
             slots=4,
+            lag_s=LAGS_S[serial % len(LAGS_S)],
             connection_limit=CONNECTIONS,
         )
 
