Probe daemons of the soak for old manifests

CONFIG asks daemons for the database that only one version of the manifest has, and reports an answer that only a version can give that is not in force. The checks of data move to a module of their own.

--- a/burdockcart/platform/standin/client.py
+++ b/burdockcart/platform/standin/client.py
@@ -179,6 +179,23 @@
         self.shape_by_name[name] = shape
 
 
+async def probe(host: str, port: int, database: str) -> bool | None:
+    """Return whether a daemon accepts a database; None if it says neither."""
+    try:
+        async with asyncio.timeout(STARTUP_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(host, port)
+            try:
+                writer.write(f"STARTUP {database} probe\r\n".encode())
+                answer = await reader.readline()
+            finally:
+                writer.transport.abort()
+    except (OSError, TimeoutError):
+        return None
+    if answer.startswith(b"ERROR NODB"):
+        return False
+    return True if answer.startswith(b"READY") else None
+
+
 class Route:
     """Database of a route and what its reads must see."""
 
--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -42,6 +42,11 @@
 LAGS_S = (0.05, 0.3, 0.9)
 
 
+def database_of(version: int) -> str:
+    """Return the database that only this version of the manifest has."""
+    return f"x{version}"
+
+
 class RecordedGroup(wire_member.EmulatedGroup):
     """Group that records what a promoted member lacks."""
 
@@ -171,7 +176,7 @@
             }
             for route in ROUTES
         ]
-        extra = dict(routes[0], name="r-extra", host=f"x{self.version}")
+        extra = dict(routes[0], name="r-extra", host=database_of(self.version))
         body = {
             "version": self.version,
             "routes": routes + [extra],
@@ -184,7 +189,9 @@
             ],
             "limits": {"tx-idle-ms": 3000},
         }
+        now = asyncio.get_running_loop().time()
         self.store.put(calls.MANIFEST_KEY, json.dumps(body).encode())
+        self._history.manifests.append((self.version, now))
 
     async def run(self) -> None:
         """Write the members' entries until cancelled."""
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -31,6 +31,7 @@
 #: Time without faults after the schedule, in seconds.
 CALM_S = 8.0
 STALL_PROBE_S = 0.02
+PROBE_INTERVAL_S = 0.1
 
 _OF_DAEMON = frozenset({Kind.STOP, Kind.RELOAD, Kind.FREEZE, Kind.KILL})
 _LINK_FAULT_BY_KIND = {
@@ -95,6 +96,7 @@
             await self._wait_ready()
             self._start_clients()
             self._spawn(self._watch_stalls())
+            self._spawn(self._probe_manifests())
             await self._play()
             await asyncio.sleep(CALM_S)
         finally:
@@ -176,6 +178,28 @@
         picked = rng.choice(ready)
         return picked.name, picked.host, daemons.CLIENT_PORT
 
+    async def _probe_manifests(self) -> None:
+        """Ask daemons for the database of a new or an old manifest."""
+        rng = random.Random(self.seed)
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            picked = self._pick(rng)
+            if picked is None:
+                continue
+            daemon, host, port = picked
+            version, _ = rng.choice(self.history.manifests[-2:])
+            sent_at = loop.time()
+            accepted = await client.probe(
+                host, port, sites.database_of(version)
+            )
+            if accepted is not None:
+                self.history.probes.append(
+                    histories.Probe(
+                        daemon, version, sent_at, loop.time(), accepted
+                    )
+                )
+
     async def _watch_stalls(self) -> None:
         """Record how late this process is at times."""
         loop = asyncio.get_running_loop()
@@ -273,6 +297,7 @@
     stall_s = max((late_s for _, late_s in soak.history.stalls), default=0.0)
     return (
         f"seed={soak.seed} requests={len(requests)} {outcomes} "
+        f"probes={len(soak.history.probes)} "
         f"runs={len(soak.history.runs)} commits={len(soak.history.log)} "
         f"promotions={len(soak.history.promotions)} "
         f"ends={len(soak.history.process_ends)} "
--- a/burdockcart/soak/checks.py
+++ b/burdockcart/soak/checks.py
@@ -1,66 +1,19 @@
 """Checks of a soak's history; each names the rule that was broken."""
 
-import collections
-import dataclasses
 import itertools
 import signal
 from typing import Iterator
 
 from burdockcart.emulator import wire_member
 from burdockcart.request import command
+from burdockcart.soak import data_checks
 from burdockcart.soak import history as histories
+from burdockcart.soak import violation
 
 Kind = command.CommandKind
 Outcome = histories.Outcome
-
-#: Statements that a member runs for a client, with its receipt.
-FORWARDED = frozenset({Kind.READ, Kind.WRITE, Kind.COMMIT, Kind.EXECUTE})
-
-
-@dataclasses.dataclass(frozen=True)
-class Limits:
-    """Times of the rules, in seconds.
-
-    Parameters
-    ==========
-
-    calm_s : float
-        Time without an unplanned fault before a request that may not be cut.
-    slack_s : float
-        Time after which a request counts as read by the daemon.
-    grace_s : float
-        Time from SIGTERM to the end of the process.
-    drain_s : float
-        Time after which a draining member gets no more work.
-    late_work_s : float
-        A request sent that soon after SIGTERM may be cut in the last sixth
-        of the grace.
-
-    """
-
-    calm_s: float = 4.0
-    slack_s: float = 0.2
-    grace_s: float = 6.0
-    drain_s: float = 3.0
-    late_work_s: float = 3.0
-
-
-@dataclasses.dataclass(frozen=True)
-class Violation:
-    """One broken rule."""
-
-    rule: str
-    message: str
-    at: float
-    ids: tuple[str, ...] = ()
-    daemon: str = ""
-
-    def __str__(self) -> str:
-        where = f" daemon={self.daemon}" if self.daemon else ""
-        return (
-            f"{self.rule} at={self.at:.3f}{where} ids={','.join(self.ids)} "
-            f"{self.message}"
-        )
+Limits = violation.Limits
+Violation = violation.Violation
 
 
 def violations(history: histories.History, limits: Limits) -> list[Violation]:
@@ -68,12 +21,13 @@
     found = itertools.chain(
         cut_requests(history, limits),
         transaction_mix_ups(history),
-        repeated_writes(history),
-        broken_promises(history),
-        stale_reads(history),
-        false_receipts(history),
+        data_checks.repeated_writes(history),
+        data_checks.broken_promises(history),
+        data_checks.stale_reads(history),
+        data_checks.false_receipts(history),
         unasked_runs(history),
         late_statements(history, limits),
+        old_manifests(history, limits),
         lost_commits(history),
         shared_tokens(history),
         process_faults(history, limits),
@@ -224,138 +178,6 @@
     return wrong
 
 
-def _commit_by_write(
-    history: histories.History,
-) -> dict[str, list[wire_member.Commit]]:
-    """Return the commits in which each write is in effect."""
-    commits = collections.defaultdict(list)
-    for commit in history.log:
-        for statement, _ in commit.writes:
-            commits[statement].append(commit)
-    return commits
-
-
-def repeated_writes(history: histories.History) -> Iterator[Violation]:
-    """TWICE: a write is in effect twice."""
-    for statement, commits in _commit_by_write(history).items():
-        if len(commits) > 1:
-            yield Violation(
-                "TWICE",
-                f"in effect {len(commits)} times",
-                commits[-1].at,
-                (statement,),
-            )
-
-
-def broken_promises(history: histories.History) -> Iterator[Violation]:
-    """REFUSED: a write is in effect although its attempt was refused."""
-    commits = _commit_by_write(history)
-    refusal_by_attempt = {
-        request.attempt: request
-        for request in history.requests
-        if request.outcome is Outcome.PROMISE
-    }
-    for request in history.requests:
-        refusal = refusal_by_attempt.get(request.attempt)
-        if refusal is not None and request.id in commits:
-            yield Violation(
-                "REFUSED",
-                f"in effect although the client received {refusal.detail!r}",
-                refusal.ended_at,
-                (request.id, refusal.id),
-                refusal.daemon,
-            )
-
-
-def _acknowledged(
-    history: histories.History,
-) -> list[tuple[float, int, wire_member.Commit]]:
-    """Return time, session and commit of the acknowledged writes."""
-    commits = _commit_by_write(history)
-    attempts = collections.defaultdict(list)
-    for request in history.requests:
-        attempts[request.attempt].append(request)
-    return [
-        (requests[-1].ended_at, requests[-1].session, commit)
-        for requests in attempts.values()
-        if requests[-1].outcome is Outcome.SUCCESS
-        for commit in {
-            each.position: each
-            for request in requests
-            for each in commits.get(request.id, ())
-        }.values()
-    ]
-
-
-def stale_reads(history: histories.History) -> Iterator[Violation]:
-    """STALE: a read was answered from a log without a commit it must see."""
-    acknowledged = _acknowledged(history)
-    for request in history.requests:
-        run = _answering_run(history, request)
-        if run is None or not _reads(request):
-            continue
-        for at, session, commit in acknowledged:
-            if run.position < commit.position and at < _due_before(
-                request, session
-            ):
-                yield Violation(
-                    "STALE",
-                    f"{request.freshness.value} read at {run.member} on "
-                    f"{run.position} lacks {commit.position}, acknowledged "
-                    f"{request.began_at - at:.3f} s before",
-                    run.at,
-                    (request.id, *(each for each, _ in commit.writes)),
-                    request.daemon,
-                )
-                break
-
-
-def _answering_run(
-    history: histories.History, request: histories.Request
-) -> wire_member.Run | None:
-    """Return the run whose answer the client received.
-
-    The member of a read that is sent behind a proof of leadership runs the
-    read also if the proof fails; the daemon drops that answer.
-    """
-    number = request.receipt.rpartition(".")[2]
-    if request.outcome is not Outcome.SUCCESS or not number.isdigit():
-        return None
-    return history.runs[int(number)]
-
-
-def _reads(request: histories.Request) -> bool:
-    return request.kind is Kind.READ or (
-        request.shape is not None and not request.shape.writes
-    )
-
-
-def _due_before(request: histories.Request, session: int) -> float:
-    """Return until when a commit of a session must have been acknowledged."""
-    freshness = histories.Freshness
-    own = request.freshness is freshness.SESSION and request.session == session
-    if request.freshness is freshness.ALL or own:
-        return request.began_at
-    return request.began_at - request.max_age_s
-
-
-def false_receipts(history: histories.History) -> Iterator[Violation]:
-    """MIXED: a success without the member's receipt."""
-    for request in history.requests:
-        if (
-            request.kind in FORWARDED
-            and request.outcome is Outcome.SUCCESS
-            and request.receipt.rpartition(".")[0] != f"receipt-{request.id}"
-        ):
-            yield Violation(
-                "MIXED",
-                f"success with the receipt {request.receipt!r}",
-                request.ended_at,
-                (request.id,),
-                request.daemon,
-            )
-
-
 def unasked_runs(history: histories.History) -> Iterator[Violation]:
     """UNASKED: a member runs what no client sent."""
     request_by_id = {each.id: each for each in history.requests}
@@ -396,6 +218,43 @@
         )
 
 
+def old_manifests(
+    history: histories.History, limits: Limits
+) -> Iterator[Violation]:
+    """CONFIG: a daemon uses a manifest that should be out of force."""
+    for probe in history.probes:
+        # Versions that may be in force between the two times.
+        oldest = max(
+            (
+                version
+                for version, at in history.manifests
+                if at + limits.apply_s < probe.sent_at
+            ),
+            default=0,
+        )
+        allowed = {
+            version
+            for version, at in history.manifests
+            if version >= oldest and at <= probe.ended_at
+        }
+        if probe.accepted:
+            good = probe.version in allowed
+        else:
+            good = allowed != {probe.version}
+        if not good and not _disturbed(
+            history, limits, probe.sent_at - limits.apply_s, probe.ended_at
+        ):
+            yield Violation(
+                "CONFIG",
+                f"database of version {probe.version} "
+                f"{'accepted' if probe.accepted else 'refused'}, in force "
+                f"may be {sorted(allowed)}",
+                probe.ended_at,
+                (),
+                probe.daemon,
+            )
+
+
 def lost_commits(history: histories.History) -> Iterator[Violation]:
     """LOST: a promoted member lacks an acknowledged commit."""
     for takeover in history.takeovers:
--- a/burdockcart/soak/history.py
+++ b/burdockcart/soak/history.py
@@ -109,6 +109,17 @@
     missing: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """Whether a daemon knew a database that only one manifest has."""
+
+    daemon: str
+    version: int
+    sent_at: float
+    ended_at: float
+    accepted: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class ProcessEnd:
     """End of a daemon process.
@@ -143,6 +154,11 @@
     promotions: list[Promotion] = dataclasses.field(default_factory=list)
     takeovers: list[Takeover] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    #: When the store accepted each version of the manifest, in order.
+    manifests: list[tuple[int, float]] = dataclasses.field(
+        default_factory=list
+    )
+    probes: list[Probe] = dataclasses.field(default_factory=list)
     #: Members that ended after they drained, and when.
     member_ends: list[tuple[str, float]] = dataclasses.field(
         default_factory=list
--- a/burdockcart/soak/tests/test_checks.py
+++ b/burdockcart/soak/tests/test_checks.py
@@ -380,6 +380,28 @@
         history.drain_at_by_member = {"m1": 10.5, "m2": 1.0}
         self.assertEqual([], rules(history))
 
+    def test_old_manifest(self):
+        """Guards the time in which each version may be in force."""
+        for version, sent_at, accepted, expected in [
+            (1, 12.9, True, []),
+            (1, 13.1, True, ["CONFIG"]),
+            (1, 13.1, False, []),
+            (2, 10.1, False, []),
+            (2, 13.1, False, ["CONFIG"]),
+            (2, 10.1, True, []),
+            (2, 9.0, True, ["CONFIG"]),
+            (1, 9.0, False, ["CONFIG"]),
+        ]:
+            probe = histories.Probe(
+                "d0", version, sent_at, sent_at + 0.01, accepted
+            )
+            history = histories.History(
+                manifests=[(1, 5.0), (2, 10.0)], probes=[probe]
+            )
+            self.assertEqual(expected, rules(history), probe)
+            history.disturbances = [disturbance(sent_at - 0.1, sent_at)]
+            self.assertEqual([], rules(history))
+
 
 class TestProcesses(testtools.TestCase):
     """END and TRACEBACK."""
