--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -60,7 +60,11 @@
     """Run the daemon that the platform's settings file describes."""
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     content = _read_content(path)
-    read = settings_file.read(path)
+    read = (
+        settings_file.read(path)
+        if content is None
+        else settings_file.decode(content, path.name)
+    )
     if isinstance(read, result.Failure):
         for fault in read.failure():
             print(fault, file=sys.stderr)
--- a/burdockcart/platform/settings_file.py
+++ b/burdockcart/platform/settings_file.py
@@ -127,7 +127,18 @@
 ) -> result.Result[settings.GatewaySettings, list[SettingsFault]]:
     """Return the settings of a file, or every fault of it."""
     try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+        content = path.read_bytes()
+    except OSError as error:
         return result.Failure([SettingsFault(path.name, "-", str(error))])
-    return parse(text, path.name)
+    return decode(content, path.name)
+
+
+def decode(
+    content: bytes, file: str
+) -> result.Result[settings.GatewaySettings, list[SettingsFault]]:
+    """Return the settings in a file's content, or every fault of it."""
+    try:
+        text = content.decode("utf-8")
+    except UnicodeDecodeError as error:
+        return result.Failure([SettingsFault(file, "-", str(error))])
+    return parse(text, file)
