Split refusals and the emulated connector off

Refusals by the daemon, and what a fault says about the member, are in gateway/refusals.py; the emulated connector is in emulator/wire_connector.py. A pooled connection records by itself that a statement begins and ends. Nothing else changes.

--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -9,15 +9,14 @@
 
 import loguru
 import msgspec
-from returns import result
 
 from burdockcart import clock
 from burdockcart.connection import member_channel
-from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import pooled_connection
+from burdockcart.process.gateway import refusals
 from burdockcart.request import command
 from burdockcart.request import retry_policy
 from burdockcart.request import sample_window
@@ -27,15 +26,9 @@
 #: Share of a statement's timeout that it may wait for a connection; the rest
 #: is for running it.
 WAIT_SHARE = 0.6
-#: First pause before retrying a member with a full queue, in seconds; about
-#: the running time of one statement.  Doubles with each refusal.
-QUEUE_FULL_PAUSE_S = 0.008
 #: Pause before retrying all members when none could run a read, in seconds; a
 #: third of a replica's usual lag.
 ALL_REFUSED_PAUSE_S = 0.02
-#: Retry hint for clients of a primary with stalled writes, in milliseconds;
-#: about the time until the next write is tried.
-STALLED_RETRY_MS = 400
 #: Factor on the timeout of an answer inside a transaction: giving up one
 #: statement loses the whole transaction.
 TRANSACTION_TIMEOUT_FACTOR = 2.0
@@ -43,16 +36,9 @@
 #: none of them needs one of the member's slots.
 PREPARE_TIMEOUT_S = 0.4
 
-#: A statement that was not sent, because no replica confirmed that the
-#: presumed primary has not been replaced.
-UNCONFIRMED = member_channel.Answer(
-    fault=member_channel.MemberFault.UNCONFIRMED,
-    text="no replica confirms the primary's term",
-)
-
 T = TypeVar("T")
 
-Outcome = result.Result[member_channel.Answer, errors.Failure]
+Outcome = refusals.Outcome
 
 
 class Session(msgspec.Struct, eq=False):
@@ -176,7 +162,7 @@
             answer.fault is member_channel.MemberFault.QUEUE_FULL
             and member == group.primary.leadership.member
         ):
-            await asyncio.sleep(queue_full_pause_s(attempt))
+            await asyncio.sleep(refusals.queue_full_pause_s(attempt))
 
     def work(
         self,
@@ -306,30 +292,22 @@
 
         """
         health = connection.pool.health
-        now = self.loop_clock.now()
         ticket = health.record_sent(
-            now, waits_for_replica, connection.channel.relay_silent
-        )
-        # A statement of a transaction cannot be repeated by itself.
-        connection.retryable = not (
-            waits_for_replica or connection.channel.in_transaction
-        )
-        connection.active = True
-        connection.statement = statement
-        fault: member_channel.MemberFault | None = (
-            member_channel.MemberFault.SILENT
+            self.loop_clock.now(),
+            waits_for_replica,
+            connection.channel.relay_silent,
         )
+        connection.begin_statement(statement, waits_for_replica)
+        answer = refusals.SILENT
         try:
             answer = await run()
-            fault = _fault_of_member(connection, answer)
         finally:
-            connection.active = connection.retryable = False
-            connection.statement = None
-            health.record_ended(ticket, self.loop_clock.now(), fault)
+            connection.end_statement()
+            fault = refusals.fault_of_member(connection, answer)
+            now = self.loop_clock.now()
+            health.record_ended(ticket, now, fault)
         if fault is member_channel.MemberFault.QUEUE_FULL:
-            connection.pool.limit.record_refusal(
-                health.running, self.loop_clock.now()
-            )
+            connection.pool.limit.record_refusal(health.running, now)
         elif fault is None:
             connection.pool.limit.record_answer()
         if answer.fault is member_channel.MemberFault.UNKNOWN_NAME:
@@ -417,57 +395,3 @@
         return pool is not None and pool.health.writes_stalled(
             self.loop_clock.now()
         )
-
-
-def _fault_of_member(
-    connection: pooled_connection.PooledConnection,
-    answer: member_channel.Answer,
-) -> member_channel.MemberFault | None:
-    """Return the fault as far as it says something about the member."""
-    if connection.aborted_locally:
-        # The member is known to be unreachable, so this is no new failure.
-        return member_channel.MemberFault.SILENT
-    if (
-        answer.fault is member_channel.MemberFault.NOT_SENT
-        and not connection.channel.direct
-    ):
-        return member_channel.MemberFault.RELAY_REFUSED
-    return answer.fault
-
-
-def queue_full_pause_s(attempt: int) -> float:
-    """Return the pause after an attempt that found the queue full."""
-    return QUEUE_FULL_PAUSE_S * 2 ** (attempt - 1)
-
-
-def writes_stalled(group: groups.Group) -> Outcome:
-    """Refuse a write whose outcome would stay unknown."""
-    return result.Failure(
-        errors.Failure(
-            errors.ErrorKind.NO_PRIMARY,
-            f"writes to the primary of group {group.id} are stalled",
-            retry_after_ms=STALLED_RETRY_MS,
-        )
-    )
-
-
-def primary_lacks_position(
-    group: groups.Group,
-    connection: pooled_connection.PooledConnection,
-    answer: member_channel.Answer,
-) -> bool:
-    """Return whether the primary itself lacks the position of a read."""
-    return (
-        answer.fault is member_channel.MemberFault.BEHIND
-        and connection.pool.entry.id == group.primary.leadership.member
-    )
-
-
-def no_group(route: manifest.DatabaseRoute) -> Outcome:
-    """Refuse a statement whose route names an unknown group."""
-    return result.Failure(
-        errors.Failure(
-            errors.ErrorKind.NO_ROUTE,
-            f"route {route.name} refers to an unknown group",
-        )
-    )
--- a/burdockcart/process/gateway/pooled_connection.py
+++ b/burdockcart/process/gateway/pooled_connection.py
@@ -33,3 +33,16 @@
         self.statement: ids.StatementId | None = None
         #: Whether this daemon aborted the running statement.
         self.aborted_locally = False
+
+    def begin_statement(
+        self, statement: ids.StatementId, waits_for_replica: bool
+    ) -> None:
+        """Record that a client's statement runs on it."""
+        self.active, self.statement = True, statement
+        # A statement of a transaction cannot be repeated by itself.
+        self.retryable = not (waits_for_replica or self.channel.in_transaction)
+
+    def end_statement(self) -> None:
+        """Record that the statement has ended."""
+        self.active, self.statement = False, None
+        self.retryable = False
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -12,6 +12,7 @@
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import pooled_connection
+from burdockcart.process.gateway import refusals
 from burdockcart.request import retry
 from burdockcart.request import retry_policy
 from burdockcart.request import work_queue
@@ -94,7 +95,7 @@
         """Run a statement outside of a transaction."""
         group = self._group_by_id.get(request.route.group)
         if group is None:
-            return attempts.no_group(request.route)
+            return refusals.no_group(request.route)
         first = AttemptSeries()
         if (
             request.writes
@@ -136,7 +137,7 @@
             )
             series.work = work
             if request.writes and self._attempts.primary_stalled(group):
-                return attempts.writes_stalled(group)
+                return refusals.writes_stalled(group)
             acquired = await group.acquire(work)
             if isinstance(acquired, result.Failure):
                 return result.Failure(refusal or acquired.failure())
@@ -178,7 +179,7 @@
                 refusal = retry_policy.failure_of(
                     answer.fault, answer.text, request.writes
                 )
-            series.needs_primary |= attempts.primary_lacks_position(
+            series.needs_primary |= refusals.primary_lacks_position(
                 group, connection, answer
             )
             await self._attempts.before_retry(
@@ -211,7 +212,7 @@
         if prove or (request.writes and not group.limits.synchronous):
             since = await group.primary.confirm_term(connection.pool.entry.id)
             if since is None:
-                return attempts.UNCONFIRMED
+                return refusals.UNCONFIRMED
         answer = await self._attempts.send(
             request, connection, work, request.writes, prove, timeout_factor
         )
--- a/burdockcart/process/gateway/transaction_runner.py
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -11,6 +11,7 @@
 from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import pooled_connection
+from burdockcart.process.gateway import refusals
 from burdockcart.request import command
 from burdockcart.request import retry_policy
 from burdockcart.request import work_queue
@@ -48,7 +49,7 @@
         """
         group = self._group_by_id.get(request.route.group)
         if group is None:
-            return attempts.no_group(request.route)
+            return refusals.no_group(request.route)
         excluded: set[ids.MemberId] = set()
         attempt = 0
         first = transaction.phase is open_transaction.Phase.NEW
@@ -77,7 +78,7 @@
                 transaction, request
             ) and self._attempts.primary_stalled(group):
                 self.abandon(group, transaction)
-                return attempts.writes_stalled(group)
+                return refusals.writes_stalled(group)
             answer = await self._step(
                 group, session, transaction, connection, request
             )
@@ -100,7 +101,7 @@
                     group, connection, answer, excluded, attempt
                 )
             else:
-                await asyncio.sleep(attempts.queue_full_pause_s(attempt))
+                await asyncio.sleep(refusals.queue_full_pause_s(attempt))
 
     def _fail(
         self,
@@ -166,7 +167,7 @@
                 return result.Failure(
                     retry_policy.failure_of(answer.fault, answer.text, False)
                 )
-            primary_only |= attempts.primary_lacks_position(
+            primary_only |= refusals.primary_lacks_position(
                 group, connection, answer
             )
             await self._attempts.before_retry(
@@ -199,7 +200,7 @@
             # serves reads that need the primary.
             since = await group.primary.confirm_term(connection.pool.entry.id)
             if since is None:
-                return attempts.UNCONFIRMED
+                return refusals.UNCONFIRMED
         answer = await connection.channel.begin(
             not work.primary_only, attempts.PREPARE_TIMEOUT_S, work.position
         )
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -6,7 +6,7 @@
 
 from burdockcart import clock
 from burdockcart.emulator import peer_network
-from burdockcart.emulator import wire_channel
+from burdockcart.emulator import wire_connector
 from burdockcart.emulator import wire_member
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
@@ -106,7 +106,7 @@
             promotions_fenced=self.fenced,
             peer_host=f"d{number}",
         )
-        connector = wire_channel.EmulatedConnector(
+        connector = wire_connector.EmulatedConnector(
             {member.id: member for member in self.members}
         )
         link = wire_platform.EmulatedPlatformClient(self.platform)
