Expect a discard before its begin has run

A discard that arrives with its begin takes the transaction away before the begin's task runs, and the task then failed with a KeyError: nothing stayed open, but the holder logged relay_failed, a fault in the program, for what a slow link does at any time.

The begin looks whether its transaction is still wanted.

--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -294,7 +294,9 @@
     # Transactions
 
     async def _begin(self, message: messages.Begin) -> member_channel.Answer:
-        held = self._transaction_by_number[message.transaction]
+        held = self._transaction_by_number.get(message.transaction)
+        if held is None:
+            return _fault(Fault.RELAY_LOST, "given up before it began")
         answer = _fault(Fault.RELAY_LOST, "fault in the holder")
         try:
             answer = await self._begin_on_connection(message, held)
--- a/burdockcart/process/peers/tests/test_held_transaction.py
+++ b/burdockcart/process/peers/tests/test_held_transaction.py
@@ -63,9 +63,15 @@
                 400,
                 messages.Urgency(1, 100, 400),
             )
+            sent = []
+            self.patch(session, "_send", sent.append)
             session.received(messages.encode(begin))
             session.received(messages.encode(messages.Discard(100)))
             await asyncio.sleep(1.0)
+            self.assertEqual(
+                ["given up before it began"],
+                [each.text for each in sent if each.number == begin.number],
+            )
             self.assertEqual([], open_transactions(deployment))
             self.assertEqual(0, session.pending)
 
