Send samples with statements of transactions

Daemons with many transactions would have asked the primary for what they used to hear.

Evidence: test_statement_carries_a_sample, before:

[None, None] matches Contains(None)

The holder takes the group from the transaction that it holds.

--- a/burdockcart/process/peers/held_transaction.py
+++ b/burdockcart/process/peers/held_transaction.py
@@ -50,6 +50,11 @@
         """The connection of an open transaction; None for any other."""
         return self._connection if self.phase is Phase.OPEN else None
 
+    @property
+    def group(self) -> ids.GroupId | None:
+        """Group that it runs in; None until it has begun."""
+        return None if self._group is None else self._group.id
+
     def begun(
         self,
         group: groups.Group,
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -143,6 +143,7 @@
         self._answer(number, _fault(Fault.RELAY_REFUSED, text))
 
     async def _serve(self, message: Served) -> None:
+        group = self._group_of(message)
         try:
             match message:
                 case messages.Run():
@@ -158,7 +159,7 @@
                         await relayed_action.run(self._service.pools, message)
                     )
                     return
-            self._answer(message.number, answer, _group_of(message))
+            self._answer(message.number, answer, group)
         except Exception as error:  # noqa: B902 - others go on
             loguru.logger.opt(exception=error).error(
                 "event=relay_failed daemon={} number={}",
@@ -173,6 +174,15 @@
                 message.number, _fault(Fault.RELAY_LOST, "fault in the holder")
             )
 
+    def _group_of(self, message: Served) -> ids.GroupId | None:
+        """Return the group whose sample goes with the answer."""
+        if isinstance(message, (messages.Run, messages.Begin)):
+            return message.group
+        if isinstance(message, messages.RunInTransaction):
+            held = self._transaction_by_number.get(message.transaction)
+            return None if held is None else held.group
+        return None
+
     # Statements
 
     async def _run(self, message: messages.Run) -> member_channel.Answer:
@@ -362,12 +372,5 @@
         self._ended(self)
 
 
-def _group_of(message: Served) -> ids.GroupId | None:
-    """Return the group whose sample goes with the answer."""
-    if isinstance(message, (messages.Run, messages.Begin)):
-        return message.group
-    return None
-
-
 def _fault(fault: Fault, text: str) -> member_channel.Answer:
     return member_channel.Answer(fault=fault, text=text)
--- a/burdockcart/process/peers/tests/test_held_transaction.py
+++ b/burdockcart/process/peers/tests/test_held_transaction.py
@@ -142,3 +142,29 @@
             self.assertTrue(gateway_deployment.ok(reply))
 
         relay_case.scenario(check)
+
+    def test_statement_carries_a_sample(self):
+        """Transactions must renew the sender's samples, too.
+
+        They would else cost queries of the primary.
+        """
+
+        async def check(deployment):
+            session, channel = await link_of(deployment)
+            await channel.begin(False, 0.4)
+            sent = []
+            send = session._send
+
+            def record(message):
+                sent.append(message)
+                send(message)
+
+            self.patch(session, "_send", record)
+            statement = command.Command("s-own", Kind.READ, "READ 1")
+            await channel.run_in_transaction(statement, None, 0.5)
+            statement = command.Command("s-own", Kind.COMMIT, "COMMIT")
+            await channel.run_in_transaction(statement, None, 0.5)
+            self.assertEqual(2, len(sent))
+            self.assertNotIn(None, [each.sample for each in sent])
+
+        relay_case.scenario(check)
