--- a/burdockcart/process/peers/tests/test_aborted_transaction.py
+++ b/burdockcart/process/peers/tests/test_aborted_transaction.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from burdockcart import errors
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.peers.tests import relay_case
 from burdockcart.request import command
@@ -73,6 +74,52 @@
 
         relay_case.scenario(check)
 
+    def closed_commit(self, after_s):
+        """Return the reply to a COMMIT, and whether its write was kept.
+
+        The connection is closed ``after_s`` after the COMMIT has arrived.
+        """
+        found = []
+
+        async def check(deployment):
+            client, connection = await open_transaction(deployment)
+            wrote = client.sent[-1][0].id
+            deployment.group.primary.work_s = 0.05
+            deployment.peers.latency_s = SLOW_S
+            committing = asyncio.create_task(
+                client.send(Kind.COMMIT, "COMMIT")
+            )
+            await asyncio.sleep(SLOW_S + after_s)
+            connection.channel.close()
+            found.append(await committing)
+            kept = [
+                statement
+                for commit in deployment.group.primary.log
+                for statement, _ in commit.writes
+            ]
+            found.append(wrote in kept)
+
+        relay_case.scenario(check)
+        return found
+
+    def test_commit_answered_after_the_close(self):
+        """The answer to a COMMIT tells its outcome, however late."""
+        reply, kept = self.closed_commit(after_s=0.08)
+        self.assertTrue(kept)
+        self.assertTrue(gateway_deployment.ok(reply))
+
+    def test_commit_that_was_broken_off(self):
+        """A COMMIT without an answer must not be promised to be undone."""
+        for after_s in (-0.02, 0.0, 0.02):
+            reply, kept = self.closed_commit(after_s)
+            if gateway_deployment.ok(reply):
+                self.assertTrue(kept)
+            else:
+                self.assertIs(
+                    errors.ErrorKind.OUTCOME_UNKNOWN,
+                    gateway_deployment.kind_of(reply),
+                )
+
 
 class TestUnreachableMember(testtools.TestCase):
     """A member that one daemon cannot reach, which aborts reads there."""
