--- a/burdockcart/process/peers/tests/test_transaction_series.py
+++ b/burdockcart/process/peers/tests/test_transaction_series.py
@@ -26,6 +26,7 @@
 LASTING = (
     "slow link", "fast link", "freeze holder", "thaw", "slow member",
     "fast member", "lose answers", "give answers", "retire list",
+    "cut sender", "cut holder", "mend",
 )  # fmt: skip
 
 PAUSES = strategies.sampled_from((0.0, 0.002, 0.01, 0.05, 0.15))
@@ -174,13 +175,26 @@
             primary.loses_answers = True
         elif fault == "give answers":
             primary.loses_answers = False
+        elif fault == "cut sender":
+            for number in self._numbers:
+                connector = deployment.daemons[number].connector
+                connector.cut.add(primary.id)
+        elif fault == "cut holder":
+            for daemon in deployment.daemons:
+                if daemon._settings.daemon in self._holders()[:1]:
+                    daemon.connector.cut.add(primary.id)
+        elif fault == "mend":
+            for daemon in deployment.daemons:
+                daemon.connector.cut.clear()
         elif fault == "retire list":
             for number in self._numbers:
                 deployment.daemons[number].relay._links.keep(set())
 
     def end(self):
         """End all faults."""
-        for fault in ("fast link", "thaw", "fast member", "give answers"):
+        for fault in (
+            "fast link", "thaw", "fast member", "give answers", "mend"
+        ):  # fmt: skip
             self.apply(fault)
 
 
