Deny no write that may have run outside

If a member had ended a transaction by itself, the next write of it may have run outside and be kept. The client was told that its outcome is unknown, but its COMMIT was answered with ABORTED, a promise that nothing is kept (rule REFUSED).

Evidence: test_no_promise_after_a_write_outside, before:

[OUTCOME_UNKNOWN, OUTCOME_UNKNOWN] != [OUTCOME_UNKNOWN, TRANSACTION_LOST]

The COMMIT of a transaction whose failure leaves the outcome unknown now says so, too.

--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -184,6 +184,9 @@
             return self._reply(result.Success(_DONE))
         if statement.kind is command.CommandKind.COMMIT:
             self._transaction = None
+            if transaction.failure.kind is errors.ErrorKind.OUTCOME_UNKNOWN:
+                # A statement may have run outside and be kept.
+                return self._reply(result.Failure(transaction.failure))
             return self._refuse(
                 f"rolled back: {transaction.failure.message}",
                 errors.ErrorKind.TRANSACTION_LOST,
--- a/burdockcart/process/peers/tests/test_aborted_transaction.py
+++ b/burdockcart/process/peers/tests/test_aborted_transaction.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from burdockcart.connection import member_channel
 from burdockcart import errors
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.peers.tests import relay_case
@@ -121,6 +122,29 @@
                 )
 
 
+class TestEndedByMember(testtools.TestCase):
+    """A transaction that the member has ended by itself."""
+
+    def test_no_promise_after_a_write_outside(self):
+        """What ran outside may be kept, so its COMMIT must not deny it."""
+
+        async def check(deployment):
+            client, _ = await open_transaction(deployment)
+            for each in deployment.group.primary.connections:
+                each.transaction = None
+                each.state = member_channel.TransactionState.IDLE
+            replies = [
+                await client.write(),
+                await client.send(Kind.COMMIT, "COMMIT"),
+            ]
+            self.assertEqual(
+                [errors.ErrorKind.OUTCOME_UNKNOWN] * 2,
+                [gateway_deployment.kind_of(reply) for reply in replies],
+            )
+
+        relay_case.scenario(check)
+
+
 class TestUnreachableMember(testtools.TestCase):
     """A member that one daemon cannot reach, which aborts reads there."""
 
