--- a/burdockcart/connection/channel_state.py
+++ b/burdockcart/connection/channel_state.py
@@ -181,11 +181,9 @@
             not self._lost()
         )
 
-    def close(self) -> bool:
-        """Record that the connection ends; return whether it was open."""
-        was_open = self.phase is not Phase.CLOSED
+    def close(self) -> None:
+        """Record that the connection ends."""
         self.phase = Phase.CLOSED
-        return was_open
 
     async def call(
         self,
