--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -154,6 +154,7 @@
         self._answer(number, _fault(Fault.RELAY_REFUSED, text))
 
     async def _serve(self, message: Served) -> None:
+        group = self._group_of(message)
         try:
             match message:
                 case messages.Run():
@@ -169,7 +170,7 @@
                         await relay_actions.act(self._service.pools, message)
                     )
                     return
-            self._answer(message.number, answer, _group_of(message))
+            self._answer(message.number, answer, group)
         except Exception as error:  # noqa: B902 - others go on
             loguru.logger.opt(exception=error).error(
                 "event=relay_failed daemon={} number={}",
@@ -184,6 +185,15 @@
                 message.number, _fault(Fault.RELAY_LOST, "fault in the holder")
             )
 
+    def _group_of(self, message: Served) -> ids.GroupId | None:
+        """Return the group whose sample goes with the answer."""
+        if isinstance(message, (messages.Run, messages.Begin)):
+            return message.group
+        if isinstance(message, messages.RunInTransaction):
+            held = self._transaction_by_number.get(message.transaction)
+            return None if held is None else held.group
+        return None
+
     # Statements
 
     def _refusal_at_end(
@@ -337,7 +347,9 @@
     # Transactions
 
     async def _begin(self, message: messages.Begin) -> member_channel.Answer:
-        held = self._transaction_by_number[message.transaction]
+        held = self._transaction_by_number.get(message.transaction)
+        if held is None:
+            return _fault(Fault.RELAY_LOST, "given up before it began")
         answer = _fault(Fault.RELAY_LOST, "fault in the holder")
         try:
             refused = self._refusal_at_end(message)
@@ -440,12 +452,5 @@
         self._ended(self)
 
 
-def _group_of(message: Served) -> ids.GroupId | None:
-    """Return the group whose sample goes with the answer."""
-    if isinstance(message, (messages.Run, messages.Begin)):
-        return message.group
-    return None
-
-
 def _fault(fault: Fault, text: str) -> member_channel.Answer:
     return member_channel.Answer(fault=fault, text=text)
--- a/burdockcart/process/peers/tests/test_transaction_series.py
+++ b/burdockcart/process/peers/tests/test_transaction_series.py
@@ -26,6 +26,7 @@
 LASTING = (
     "slow link", "fast link", "freeze holder", "thaw", "slow member",
     "fast member", "lose answers", "give answers", "retire list",
+    "cut sender", "cut holder", "mend",
 )  # fmt: skip
 
 PAUSES = strategies.sampled_from((0.0, 0.002, 0.01, 0.05, 0.15))
@@ -174,13 +175,26 @@
             primary.loses_answers = True
         elif fault == "give answers":
             primary.loses_answers = False
+        elif fault == "cut sender":
+            for number in self._numbers:
+                connector = deployment.daemons[number].connector
+                connector.cut.add(primary.id)
+        elif fault == "cut holder":
+            for daemon in deployment.daemons:
+                if daemon._settings.daemon in self._holders()[:1]:
+                    daemon.connector.cut.add(primary.id)
+        elif fault == "mend":
+            for daemon in deployment.daemons:
+                daemon.connector.cut.clear()
         elif fault == "retire list":
             for number in self._numbers:
                 deployment.daemons[number].relay._links.keep(set())
 
     def end(self):
         """End all faults."""
-        for fault in ("fast link", "thaw", "fast member", "give answers"):
+        for fault in (
+            "fast link", "thaw", "fast member", "give answers", "mend"
+        ):  # fmt: skip
             self.apply(fault)
 
 
@@ -253,6 +267,16 @@
     return found
 
 
+def relayed_tasks(deployment):
+    """Return the requests that holders are running."""
+    return {
+        task
+        for daemon in deployment.daemons
+        for session in daemon.relay.service._sessions
+        for task in session._tasks
+    }
+
+
 def taken(deployment):
     """Return what is still open or in use."""
     now = asyncio.get_running_loop().time()
@@ -273,9 +297,9 @@
             if now - connection.taken_at > SETTLED_S / 2
         ]
         found += [
-            ("held", own)
+            ("held", own, number)
             for session in daemon.relay.service._sessions
-            if session.pending
+            for number in session._transaction_by_number
         ]
         found += [
             ("open on a link", own)
@@ -302,7 +326,7 @@
             for each in range(CLIENTS)
         ]
         faults = Faults(deployment, [relaying])
-        running = [
+        acting = [
             asyncio.create_task(actor.run(script))
             for actor, script in zip(actors, scripts, strict=True)
         ]
@@ -310,8 +334,12 @@
             await asyncio.sleep(pause_s)
             faults.apply(fault)
         faults.end()
-        await asyncio.gather(*running)
+        await asyncio.gather(*acting)
         await asyncio.sleep(SETTLED_S)
+        running = relayed_tasks(deployment)
+        # Queries for control run for a moment.
+        await asyncio.sleep(1.0)
+        found.extend(running & relayed_tasks(deployment))
         found.extend(mixed(deployment, actors))
         found.extend(wrongly_kept(deployment, actors))
         found.extend(taken(deployment))
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -6,7 +6,7 @@
 
 from burdockcart import clock
 from burdockcart.emulator import peer_network
-from burdockcart.emulator import wire_channel
+from burdockcart.emulator import wire_connector
 from burdockcart.emulator import wire_member
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
@@ -117,7 +117,7 @@
             peer_host=f"d{number}",
             shutdown_s=self.shutdown_s,
         )
-        connector = wire_channel.EmulatedConnector(
+        connector = wire_connector.EmulatedConnector(
             {member.id: member for member in self.members}
         )
         host_link = self.peers.link_by_daemon[config.daemon]
