--- a/burdockcart/platform/tests/test_drain.py
+++ b/burdockcart/platform/tests/test_drain.py
@@ -162,6 +162,25 @@
 
         memory_clients.scenario(check, daemons=1)
 
+    def test_late_write_is_refused_and_its_session_closes(self):
+        """A write that could not be answered must be sent elsewhere."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            ending = asyncio.create_task(deployment.end(daemon))
+            keeper = await deployment.connect("live")
+            await keeper.query("BEGIN")
+            await asyncio.sleep(4.55)
+            client = await deployment.connect("live")
+            answer = await client.query("WRITE 1a4 x")
+            self.assertEqual(("BUSY", "I"), (answer.error, answer.end))
+            self.assertNotIn(answer.id, run_ids(deployment))
+            await asyncio.sleep(2 * memory_clients.LATENCY_S)
+            self.assertTrue(client.closed)
+            await ending
+
+        memory_clients.scenario(check, daemons=1)
+
     def test_grace_shorter_than_the_longest_statement(self):
         """A short time until the kill must not cut statements either."""
 
