Tell a refused client once why it is refused

A client whose first message was refused counted as starting while the daemon waited for its close, so the end of a stop sent it a second error behind the end of the data; the write failed and closed the connection at once, which resets it if the client has sent more. Found by reading.

Evidence: test_end_after_a_refused_start failed with 'MismatchError: <Phase.CLOSING> is not <Phase.STARTING>'. Such a connection is closing now, and is told nothing more. 18 tests of the sockets pass.

--- a/burdockcart/platform/client_wire.py
+++ b/burdockcart/platform/client_wire.py
@@ -204,7 +204,8 @@
         if self._told is not None:
             return None
         if isinstance(opened, result.Failure):
-            await self._write(wire.error_line(opened.failure()))
+            self._told = opened.failure()
+            await self._write(wire.error_line(self._told))
             return None
         await self._write(
             wire.ready_line(member_channel.TransactionState.IDLE)
--- a/burdockcart/platform/tests/test_sockets.py
+++ b/burdockcart/platform/tests/test_sockets.py
@@ -256,6 +256,25 @@
 
         asyncio.run(check())
 
+    def test_end_after_a_refused_start(self):
+        """Guards against a second error behind the end of the data."""
+
+        async def check():
+            listener, address = listen(Gateway())
+            client = socket.create_connection(address)
+            client.sendall(b"STARTUP nowhere who\r\n")
+            await asyncio.sleep(0.05)
+            (connection,) = listener.connections
+            self.assertIs(client_listener.Phase.CLOSING, connection.phase)
+            connection.end()
+            await asyncio.sleep(0.05)
+            self.assertEqual([connection], list(listener.connections))
+            self.assertEqual(b"ERROR NODB no route\r\n", received_by(client))
+            client.close()
+            listener.stop()
+
+        asyncio.run(check())
+
     def test_refused_start_with_a_statement_behind_it(self):
         """Guards against a reset that destroys the reason of a refusal."""
 
