End promotions before a daemon ends

Callers: after a planned stop in the middle of a promotion a replica could stay on hold for ever: its reads went elsewhere, and one more lost replica would have stopped all writes of the group.

Cause: the tasks that replace primaries were not part of the life cycle: a drain neither waited for one nor kept new ones from beginning, and the end of the process left what they had on hold, which lasts until a RESUME, a promotion or a restart. If the cause has passed, nobody else replaces the primary.

Change: promotions begin in the first half of the grace time only; the drain waits for one under way; at the end it is cancelled, and the replicas are released if the platform has not been called. After a call without an answer they stay on hold, as before: it may be executed.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -204,6 +204,7 @@
         """Close sessions gradually, within the time granted for shutdown."""
         self._draining = True
         self.relay.leave(self._settings.shutdown_s)
+        self._failover.leave(self._settings.shutdown_s)
         self._spawn(self._listing.leave)
         plan = shutdown_plan.ShutdownPlan(self._settings.shutdown_s)
         began_at = self._clock.now()
@@ -213,7 +214,7 @@
         while True:
             elapsed_s = self._clock.now() - began_at
             connections = self._connections()
-            open_work = len(connections) + self.relay.service.in_use
+            open_work = len(connections) + self._busy_for_others()
             if plan.finished(elapsed_s, open_work):
                 break
             idle = [each for each in connections if each.idle]
@@ -228,6 +229,10 @@
             "event=drain_finished left={}", len(self._connections())
         )
 
+    def _busy_for_others(self) -> bool:
+        """Return whether other daemons or a group need this daemon."""
+        return self.relay.service.in_use or self._failover.promoting
+
     def _connections(self) -> list[client_listener.Client]:
         return list(self._clients.connections)
 
@@ -242,6 +247,7 @@
         await shutdown_steps.run(
             self._clients.stop,
             self._end_tasks,
+            self._failover.stop,
             *(group.close for group in self.group_by_id.values()),
             self.relay.end,
         )
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -1,6 +1,7 @@
 """Monitors primaries and starts the replacement of failed ones."""
 
 import asyncio
+import math
 from typing import Any
 from typing import Callable
 from typing import Collection
@@ -23,6 +24,9 @@
 #: Pause between two queries of all members of a group for the primary, in
 #: seconds; a promotion takes at least 0.6 s.
 SEARCH_PAUSE_S = 0.1
+#: Share of the time granted for shutdown in which a promotion may begin; most
+#: take less than 2 s.
+BEGIN_SHARE = 0.5
 #: Pause of the loop from which on this process counts as stalled, in seconds;
 #: less than the time after which a member counts as silent.
 STALL_THRESHOLD_S = 0.2
@@ -62,9 +66,35 @@
             reserved,
         )
         self._scanned_at = loop_clock.now()
+        self._begins_until = math.inf
         self._task_by_group: dict[ids.GroupId, asyncio.Task[None]] = {}
         self._checks: dict[tuple[str, ids.GroupId], asyncio.Task[None]] = {}
 
+    @property
+    def promoting(self) -> bool:
+        """Whether a primary is being replaced."""
+        return any(not each.done() for each in self._task_by_group.values())
+
+    def leave(self, granted_s: float) -> None:
+        """Begin no promotion that may last longer than this daemon.
+
+        Parameters
+        ==========
+
+        granted_s : float
+            Time until this process is killed, in seconds.
+
+        """
+        begins_s = BEGIN_SHARE * granted_s
+        self._begins_until = self._clock.now() + begins_s
+
+    async def stop(self) -> None:
+        """End all promotions; what they have on hold is released."""
+        tasks = [*self._task_by_group.values(), *self._checks.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def scan(self) -> None:
         """Examine all primaries, and replace those that have failed."""
         now = self._clock.now()
@@ -115,6 +145,8 @@
         if not self._has_turn(group.id, now):
             self._start_check("search", group, self._search(group))
             return
+        if now >= self._begins_until:
+            return
         planned = cause is failover_rule.Cause.DRAINING
         if not self._claims.may_try(group.id, planned, now):
             self._start_check("search", group, self._search(group))
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -80,6 +80,8 @@
         self._wall_ms = wall_ms
         self._metrics = metrics
         self._reserved = reserved
+        #: Groups for which the platform was called.
+        self._calling: set[ids.GroupId] = set()
 
     async def replace(
         self,
@@ -171,12 +173,19 @@
         token = await self._claim(group) or self._reserved_token(group)
         if token is None:
             return False
-        candidate = await log_comparison.LogComparison(
-            group, channels, self._clock
-        ).candidate(self._claims.pinned(group.id, self._clock.now()))
         outcome = CallOutcome.NOT_DONE
-        if candidate is not None and needed():
-            outcome = await self._call_platform(group, candidate, token)
+        self._calling.discard(group.id)
+        try:
+            candidate = await log_comparison.LogComparison(
+                group, channels, self._clock
+            ).candidate(self._claims.pinned(group.id, self._clock.now()))
+            if candidate is not None and needed():
+                outcome = await self._call_platform(group, candidate, token)
+        except asyncio.CancelledError:
+            # This daemon shuts down; nobody else knows what it has on hold.
+            if group.id not in self._calling:
+                await self._release(group, channels)
+            raise
         if outcome is CallOutcome.DONE:
             assert candidate is not None
             await self._await_leadership(group, candidate)
@@ -209,6 +218,7 @@
                     group.id,
                 )
                 return outcome
+            self._calling.add(group.id)
             answer = await self._platform.promote(
                 group.id, candidate, self._daemon, token
             )
