Refuse settings that no call can use

Callers: a changed settings file with a port above 65535 was applied; all later calls to the store raised an error until the next change, so that members and manifests were followed no more. A grace time of 'nan' or 'inf' was applied at the start, and a drain with an open session had no end.

Cause: ports were checked for digits, times for a minus sign.

Evidence: test_launch.py test_values_that_no_call_can_use before the change: Success for platform.address=10.0.0.1:65536.

Change: ports are at most 65535, in ASCII digits; times are finite.

--- a/burdockcart/platform/settings_file.py
+++ b/burdockcart/platform/settings_file.py
@@ -1,5 +1,6 @@
 """Settings file of the platform: lines of the form a.b=value."""
 
+import math
 import pathlib
 from typing import Callable
 
@@ -9,6 +10,8 @@
 from burdockcart import ids
 from burdockcart.process.gateway import settings
 
+MAX_PORT = 65535
+
 
 class SettingsFault(msgspec.Struct, frozen=True):
     """One mistake in a settings file."""
@@ -23,15 +26,16 @@
 
 def _endpoint(text: str) -> str:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    digits = port.isascii() and port.isdigit()
+    if not host or not digits or int(port) > MAX_PORT:
         raise ValueError(f"{text!r} is not ip:port")
     return text
 
 
 def _seconds(text: str) -> float:
     value = float(text)
-    if value < 0:
-        raise ValueError(f"{text} is negative")
+    if not 0 <= value < math.inf:
+        raise ValueError(f"{text} is not a time")
     return value
 
 
--- a/burdockcart/platform/tests/test_launch.py
+++ b/burdockcart/platform/tests/test_launch.py
@@ -4,10 +4,12 @@
 import pathlib
 import tempfile
 
+from returns import result
 import testtools
 from testtools import matchers
 
 from burdockcart.platform import launch
+from burdockcart.platform import settings_file
 from burdockcart.tests import gateway_deployment
 
 SETTINGS = """\
@@ -54,6 +56,23 @@
 
         gateway_deployment.run(check())
 
+    def test_values_that_no_call_can_use(self):
+        """Settings that would disable the daemon must not be applied.
+
+        Every call to a port above 65535 raised an error, and a grace time
+        that is no number never ended.
+        """
+        for line in (
+            "platform.address=10.0.0.1:65536",
+            "platform.address=10.0.0.1:\u00b2",
+            "contract-params.grace-s=nan",
+            "contract-params.grace-s=inf",
+        ):
+            parsed = settings_file.parse(
+                SETTINGS.format(store="10.0.0.2:3") + line
+            )
+            self.assertIsInstance(parsed, result.Failure, line)
+
 
 class FaultyDaemon:
     """A daemon whose shutdown fails in every step."""
