Close the links within any grace time

Callers: with a grace time below 2 s a holder waited up to 0.15 s beyond its last moment for other daemons to close their links, and could be killed before it had stopped.

Cause: the wait had a limit of its own, apart from the grace time.

Evidence: test_leaving_holder.py test_drain_shorter_than_a_statement, a grace time of 0.5 s, before the change: 0.65 s not less than 0.55.

Change: the wait also ends at 0.96 of the grace time. Added tests of the last moments, which passed without a change: a write that outlasts its holder is in doubt and runs once, a read goes by way of another holder, and open transactions of a whole deployment that drains can be committed in the first half of the grace time.

--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -98,7 +98,9 @@
         side may not read what was sent before.
         """
         self.service.close()
-        until = self._clock.now() + CLOSING_TIMEOUT_S
+        until = min(
+            self._clock.now() + CLOSING_TIMEOUT_S, self.service.closed_at
+        )
         while self.service.links and self._clock.now() < until:
             await asyncio.sleep(CLOSING_POLL_S)
         self.stop()
--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -18,6 +18,8 @@
 #: Time after the last request in which a leaving daemon expects another one,
 #: in seconds: those who relay through it may know no other way.
 LINGER_S = 0.5
+#: Share of the granted time after which the links are closed in any case.
+CLOSED_SHARE = 0.96
 
 Accept = Callable[[ids.DaemonId, tcp.Transport], tcp.Receiver]
 
@@ -43,10 +45,11 @@
         self.sender = sender
         self.clock = loop_clock
         self.leaving = False
-        #: Time from which on transactions are rolled back, and time at which
-        #: the links end, whatever is running.
+        #: Times at which transactions are rolled back, at which the links
+        #: end, whatever is running, and at which they are closed.
         self.transactions_until = math.inf
         self.ends_at = math.inf
+        self.closed_at = math.inf
         self.requested_at = -math.inf
         self._sessions: set[relay_session.RelaySession] = set()
 
@@ -107,6 +110,7 @@
         transactions_s = TRANSACTIONS_SHARE * granted_s
         self.transactions_until = now + transactions_s
         self.ends_at = now + shutdown_plan.EXIT_BY_SHARE * granted_s
+        self.closed_at = now + CLOSED_SHARE * granted_s
         for session in list(self._sessions):
             session.leave()
         asyncio.get_running_loop().call_later(
--- a/burdockcart/process/peers/tests/test_leaving_holder.py
+++ b/burdockcart/process/peers/tests/test_leaving_holder.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+import msgspec
 import testtools
 
 from burdockcart import errors
@@ -191,6 +192,75 @@
 
         relay_case.scenario(check)
 
+    async def cut(self, deployment, send, work_s):
+        """Return the reply to a statement that outlasts its holder."""
+        primary = deployment.group.primary
+        number = relay_case.relaying_daemon(deployment, primary)
+        client = await deployment.client("live", number)
+        await client.write()
+        holder = relay_case.holder_in_use(
+            deployment, deployment.daemons[number], primary
+        )
+        primary.work_s = work_s
+        running = asyncio.create_task(send(client))
+        await asyncio.sleep(work_s / 2)
+        primary.work_s = 0.005
+        # The end of a grace time that is shorter than the statement.
+        holder.relay.stop()
+        reply = await running
+        return reply, test_sessions.runs_of(deployment, client.sent[-1])
+
+    def test_write_that_outlasts_the_holder(self):
+        """What still runs at the very end is in doubt and runs once."""
+
+        async def check(deployment):
+            reply, ran = await self.cut(
+                deployment, lambda client: client.write(), 0.7
+            )
+            self.assertIs(
+                Error.OUTCOME_UNKNOWN, gateway_deployment.kind_of(reply)
+            )
+            self.assertLessEqual(len(ran), 1)
+
+        relay_case.scenario(check)
+
+    def test_read_that_outlasts_the_holder(self):
+        """A read must be sent by way of another holder in time."""
+
+        async def check(deployment):
+            reply, _ = await self.cut(
+                deployment, lambda client: client.read(), 0.1
+            )
+            self.assertTrue(gateway_deployment.ok(reply))
+
+        relay_case.scenario(check)
+
+    def test_drain_shorter_than_a_statement(self):
+        """A holder must end in its grace time, whatever runs."""
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            number = relay_case.relaying_daemon(deployment, primary)
+            client = await deployment.client("live", number)
+            await client.write()
+            holder = relay_case.holder_in_use(
+                deployment, deployment.daemons[number], primary
+            )
+            holder._settings = msgspec.structs.replace(
+                holder._settings, shutdown_s=0.5
+            )
+            primary.work_s = 5.0
+            running = asyncio.create_task(client.write())
+            await asyncio.sleep(0.05)
+            began_at = asyncio.get_running_loop().time()
+            await drain([holder])
+            took_s = asyncio.get_running_loop().time() - began_at
+            self.assertLess(took_s, 0.55)
+            self.assertFalse(gateway_deployment.ok(await running))
+            deployment.daemons.remove(holder)
+
+        relay_case.scenario(check)
+
     def test_new_link_to_a_leaving_holder(self):
         """A daemon with an old list must hear that the holder leaves."""
 
@@ -278,6 +348,37 @@
 
         relay_case.scenario(check, daemons=40)
 
+    def test_transactions_of_the_whole_deployment(self):
+        """Open transactions must have half of the grace time everywhere."""
+
+        async def check(deployment):
+            clients = [
+                await deployment.client("live", number)
+                for number in range(len(deployment.daemons))
+            ]
+            for client, daemon in zip(
+                clients, deployment.daemons, strict=True
+            ):
+                BusyConnection(daemon.clients)
+                await client.send(Kind.BEGIN)
+                self.assertTrue(gateway_deployment.ok(await client.write()))
+            draining = asyncio.create_task(drain(deployment.daemons))
+            for _ in range(3):
+                await asyncio.sleep(0.8)
+                for client in clients:
+                    reply = await client.write()
+                    self.assertTrue(gateway_deployment.ok(reply))
+            for client, daemon in zip(
+                clients, deployment.daemons, strict=True
+            ):
+                reply = await client.send(Kind.COMMIT, "COMMIT")
+                self.assertTrue(gateway_deployment.ok(reply))
+                daemon.clients.connections.clear()
+            await draining
+            deployment.daemons.clear()
+
+        relay_case.scenario(check)
+
     def test_failure_domain(self):
         """The others must go on while all holders of a member drain."""
 
