Keep the share of a direct daemon that drains

Callers: since holders that leave keep their steady share only, a daemon of a small deployment, where all connect directly, had two connections to a member instead of three for its clients while it drained.

Cause: the smaller share was not limited to members that have holders.

Evidence: test_holding.py test_share_of_a_leaving_daemon before the change: (2, 3) != (0, 2) with four daemons and 16 connections.

Change: without holders the share of a daemon that leaves stays as it is. After: 66 passed (peers).

--- a/burdockcart/process/peers/holding.py
+++ b/burdockcart/process/peers/holding.py
@@ -116,7 +116,7 @@
             self._daemons if holders is None else holders.count,
             self._clock.now() - self._started_at,
         )
-        if self.leaving:
+        if self.leaving and holders is not None:
             # Unused connections make room for those of the next holders.
             return connection_share.Share(0, share.soft_limit)
         return share
--- a/burdockcart/process/peers/tests/test_holding.py
+++ b/burdockcart/process/peers/tests/test_holding.py
@@ -105,3 +105,15 @@
         self.assertTrue(drafted.holds(member(), 58))
         self.clock.time += holding.DRAFTED_S + 0.1
         self.assertFalse(drafted.holds(member(), 58))
+
+    def test_share_of_a_leaving_daemon(self):
+        """A leaving holder makes room; without holders its share stays."""
+        for count, expected in ((40, (0, 4)), (4, (2, 3))):
+            clock = Clock()
+            held = holding.Holding("d1", clock)
+            clock.time += 60.0
+            held.use_daemons(entries(count))
+            held.draft("m")
+            held.leaving = True
+            share = held.share(member(), 16)
+            self.assertEqual(expected, (share.soft_limit, share.hard_limit))
