--- a/burdockcart/platform/standin/daemons.py
+++ b/burdockcart/platform/standin/daemons.py
@@ -175,8 +175,9 @@
             self._process.send_signal(number)
 
     def reload(self) -> None:
-        """Send SIGHUP."""
-        self._send(signal.SIGHUP)
+        """Send SIGHUP, unless the interpreter may still be starting."""
+        if self._served:
+            self._send(signal.SIGHUP)
 
     async def terminate(self) -> None:
         """Send SIGTERM, and SIGKILL once the grace has passed."""
