Skip work that has ended when connections are given out

A hedged read whose other half had been answered, or a cancelled statement, stays in the group's queue until its task runs. If a connection became free in between, dispatch() took it, and set_result() raised InvalidStateError: the connection was lost to its pool for good, and the unrelated statement that had released it failed.

dispatch() and refuse_unservable() skip work whose future is done.

--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -226,6 +226,8 @@
         """Refuse queued work whose deadline is before the next primary."""
         for work in self.queue.in_order(self._clock.now()):
             refusal = self._refusal_for(work)
+            if work.connection.done():
+                continue
             if work.primary_only and refusal is not None:
                 self.queue.remove(work)
                 work.connection.set_result(result.Failure(refusal))
@@ -262,6 +264,9 @@
         if not self.queue:
             return
         for work in self.queue.in_order(now, self._min_latency_s(now)):
+            if work.connection.done():
+                # It ended elsewhere; its task has yet to take it out.
+                continue
             pools = self._eligible_pools(work, now)
             preferred = self._choose(pools, now)
             if preferred is None:
