End the other half of a hedged read with its answer

A read ran once more after its client had been answered, with session values that the client set after the answer (PINNED). Once all members had refused the second half, it paused for 20 ms; an answer to the first half in that pause cancelled the second, but it went on with the next attempt, and took the session's values of that moment.

_run_series looks at 'cancelled' after the pause as well. No statement of a client that waits is affected.

--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -157,26 +157,26 @@
             self._attempts.attempt_failed(
                 request, connection, answer, attempt, step
             )
+            failure = retry_policy.failure_of(
+                answer.fault, answer.text, request.writes
+            )
             if (
                 step is retry_policy.NextStep.GIVE_UP
-                or series.cancelled
                 or self._attempts.deadline_passed(request)
             ):
-                return result.Failure(
-                    retry_policy.failure_of(
-                        answer.fault, answer.text, request.writes
-                    )
-                )
+                return result.Failure(failure)
             if answer.fault in member_channel.NOT_RUN:
-                refusal = retry_policy.failure_of(
-                    answer.fault, answer.text, request.writes
-                )
+                refusal = failure
             series.needs_primary |= attempts.primary_lacks_position(
                 group, connection, answer
             )
-            await self._attempts.before_retry(
-                group, connection, answer, excluded, attempt
-            )
+            if not series.cancelled:
+                await self._attempts.before_retry(
+                    group, connection, answer, excluded, attempt
+                )
+            # After the answer, the client may have changed its session.
+            if series.cancelled:
+                return result.Failure(failure)
 
     async def _attempt(
         self,
