--- a/burdockcart/platform/standin/daemons.py
+++ b/burdockcart/platform/standin/daemons.py
@@ -157,11 +157,11 @@
         )
 
     def tracebacks(self) -> list[str]:
-        """Return the last lines of the tracebacks in the log, counted."""
+        """Return the errors with a traceback in the log, counted."""
         lines = self.log_path.read_text(errors="replace").splitlines()
         count_by_error = collections.Counter(
-            line.rstrip('"').removesuffix("\\n").rpartition("\\n")[2]
-            for line in lines
+            _error_of(lines[place:])
+            for place, line in enumerate(lines)
             if "Traceback" in line
         )
         return [
@@ -242,3 +242,14 @@
                     writer.close()
         except (OSError, TimeoutError):
             return False
+
+
+def _error_of(lines: list[str]) -> str:
+    """Return the last line of a traceback that begins in the first line.
+
+    The daemon's own log has all of it in one line.
+    """
+    first = lines[0].rstrip('"').removesuffix("\\n").rpartition("\\n")[2]
+    if first != lines[0]:
+        return first
+    return next((each for each in lines[1:] if each[:1] != " "), first)
