Kill all daemons, and crash primaries of late replicas

Two more scenes of the soak: SIGKILL of all daemons together, and a primary that crashes while a replica receives nothing.

--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -316,6 +316,15 @@
         await asyncio.sleep(seconds)
         server.link = member_server.LinkFault.NONE
 
+    async def cut_replication(self, place: int, seconds: float) -> None:
+        """Let a replica receive no commits for some time."""
+        member = self.servers[place].member
+        member.replication_cut = True
+        await asyncio.sleep(seconds)
+        member.replication_cut = False
+        if not member.crashed and member is not self.group.primary:
+            member.follow(self.group.primary)
+
     async def fail_store(
         self, fault: store_server.StoreFault, seconds: float
     ) -> None:
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -267,6 +267,8 @@
             await site.replace_member(kind is Kind.REPLACE_PRIMARY)
         elif kind is Kind.LINK_RESET:
             site.servers[fault.target].reset_connections()
+        elif kind is Kind.LINK_REPLICATION:
+            await site.cut_replication(fault.target, fault.length_s)
         elif kind in _LINK_FAULT_BY_KIND:
             await site.fail_link(
                 fault.target, _LINK_FAULT_BY_KIND[kind], fault.length_s
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -24,6 +24,7 @@
     LINK_SILENT = "link silent"
     LINK_ANSWERS_LOST = "link answers lost"
     LINK_RESET = "link reset"
+    LINK_REPLICATION = "link of replication"
 
 
 #: Planned work, during which no request may be cut.
@@ -94,6 +95,18 @@
     ]
 
 
+def _all_killed(rng: random.Random, daemons: int) -> list[Fault]:
+    return [Fault(0.0, Kind.KILL, daemon) for daemon in range(daemons)]
+
+
+def _lost_primary(rng: random.Random, daemons: int) -> list[Fault]:
+    """Crash a primary while a replica is behind."""
+    return [
+        Fault(0.0, Kind.LINK_REPLICATION, rng.randrange(MEMBERS), 4.0),
+        Fault(rng.uniform(0.5, 2.0), Kind.CRASH_PRIMARY, -1, 5.0),
+    ]
+
+
 def _reload(rng: random.Random, daemons: int) -> list[Fault]:
     count = rng.randint(1, daemons)
     return [
@@ -139,6 +152,8 @@
     _single(Kind.REPLACE_PRIMARY),
 )
 UNPLANNED_SCENES: tuple[Scene, ...] = (
+    _all_killed,
+    _lost_primary,
     _single(Kind.FREEZE, 0.5, 3.0, of_daemon=True),
     _single(Kind.KILL, of_daemon=True),
     _single(Kind.CRASH_PRIMARY, 2.0, 5.0),
