Judge only daemons in touch by drains and manifests

The platform's rule holds for daemons that have run for the contact time; so do DRAIN and CONFIG now.

--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -115,7 +115,12 @@
             for text in each.tracebacks()
         ]
         return checks.violations(
-            self.history, checks.Limits(grace_s=GRACE_S, drain_s=sites.DRAIN_S)
+            self.history,
+            checks.Limits(
+                grace_s=GRACE_S,
+                drain_s=sites.DRAIN_S,
+                restart_s=daemons.RESTART_S,
+            ),
         )
 
     async def _start_site(self) -> sites.Site:
--- a/burdockcart/soak/checks.py
+++ b/burdockcart/soak/checks.py
@@ -104,6 +104,18 @@
     return False
 
 
+def _in_touch(
+    history: histories.History, limits: Limits, daemon: str, at: float
+) -> bool:
+    """Return whether a daemon has run for long enough to know the store."""
+    return not any(
+        end.daemon == daemon
+        and (end.ended_at if end.asked_at is None else end.asked_at) <= at
+        and at <= end.ended_at + limits.restart_s + limits.calm_s
+        for end in history.process_ends
+    )
+
+
 def _disturbed(
     history: histories.History, limits: Limits, begin: float, end: float
 ) -> bool:
@@ -206,6 +218,7 @@
             or run.at <= drain_at + limits.drain_s + limits.slack_s
             or request.sent_at <= drain_at + limits.drain_s
             or _disturbed(history, limits, drain_at, run.at)
+            or not _in_touch(history, limits, request.daemon, run.at)
         ):
             continue
         yield Violation(
@@ -241,8 +254,15 @@
             good = probe.version in allowed
         else:
             good = allowed != {probe.version}
-        if not good and not _disturbed(
-            history, limits, probe.sent_at - limits.apply_s, probe.ended_at
+        if (
+            not good
+            and _in_touch(history, limits, probe.daemon, probe.ended_at)
+            and not _disturbed(
+                history,
+                limits,
+                probe.sent_at - limits.apply_s,
+                probe.ended_at,
+            )
         ):
             yield Violation(
                 "CONFIG",
--- a/burdockcart/soak/tests/test_checks.py
+++ b/burdockcart/soak/tests/test_checks.py
@@ -377,6 +377,10 @@
         history.disturbances = [disturbance(12.0, 12.5)]
         self.assertEqual([], rules(history))
         history.disturbances = []
+        history.process_ends = [stopped(asked_at=7.0, ended_at=9.0)]
+        self.assertEqual([], rules(history))
+        history.process_ends = [stopped(asked_at=7.0, ended_at=8.7)]
+        self.assertEqual(["DRAIN"], rules(history))
         history.drain_at_by_member = {"m1": 10.5, "m2": 1.0}
         self.assertEqual([], rules(history))
 
--- a/burdockcart/soak/violation.py
+++ b/burdockcart/soak/violation.py
@@ -11,7 +11,10 @@
     ==========
 
     calm_s : float
-        Time without an unplanned fault before a request that may not be cut.
+        Time without an unplanned fault before a request that may not be cut,
+        and without an end of a daemon that has to know the store.
+    restart_s : float
+        Time from the end of a process to the start of the next.
     slack_s : float
         Time after which a request counts as read by the daemon.
     grace_s : float
@@ -27,6 +30,7 @@
     """
 
     calm_s: float = 4.0
+    restart_s: float = 0.5
     slack_s: float = 0.2
     grace_s: float = 6.0
     drain_s: float = 3.0
