--- a/burdockcart/platform/standin/__main__.py
+++ b/burdockcart/platform/standin/__main__.py
@@ -10,6 +10,8 @@
 from burdockcart.platform.standin import soak
 from burdockcart.soak import checks
 
+#: Exit code after SIGTERM or SIGINT.
+EXIT_STOPPED = 130
 #: Log lines printed for a violation.
 MAX_LINES = 8
 
@@ -43,7 +45,10 @@
     first, _, last = (args.seeds or str(args.seed)).partition("-")
     seeds = range(int(first), int(last or first) + 1)
     folder = args.logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    failed = [seed for seed in seeds if not _run(seed, args, folder)]
+    try:
+        failed = [seed for seed in seeds if not _run(seed, args, folder)]
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        return EXIT_STOPPED
     return 1 if failed else 0
 
 
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import signal
 import time
 from typing import Any
 from typing import Coroutine
@@ -93,8 +94,14 @@
 
     async def run(self) -> list[checks.Violation]:
         """Run the schedule and return what was violated."""
+        task = asyncio.current_task()
+        assert task is not None
+        # The daemons must not outlive this process.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
+        self._site = await self._start_site()
         try:
-            self._site = await self._start_site()
             self._start_daemons()
             await self._wait_ready()
             self._start_clients()
