--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import signal
 import time
 from typing import Any
 from typing import Coroutine
@@ -93,8 +94,14 @@
 
     async def run(self) -> list[checks.Violation]:
         """Run the schedule and return what was violated."""
+        task = asyncio.current_task()
+        assert task is not None
+        # The daemons must not outlive this process.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
+        self._site = await self._start_site()
         try:
-            self._site = await self._start_site()
             self._start_daemons()
             await self._wait_ready()
             self._start_clients()
@@ -115,7 +122,12 @@
             for text in each.tracebacks()
         ]
         return checks.violations(
-            self.history, checks.Limits(grace_s=GRACE_S, drain_s=sites.DRAIN_S)
+            self.history,
+            checks.Limits(
+                grace_s=GRACE_S,
+                drain_s=sites.DRAIN_S,
+                restart_s=daemons.RESTART_S,
+            ),
         )
 
     async def _start_site(self) -> sites.Site:
@@ -267,6 +279,8 @@
             await site.replace_member(kind is Kind.REPLACE_PRIMARY)
         elif kind is Kind.LINK_RESET:
             site.servers[fault.target].reset_connections()
+        elif kind is Kind.LINK_REPLICATION:
+            await site.cut_replication(fault.target, fault.length_s)
         elif kind in _LINK_FAULT_BY_KIND:
             await site.fail_link(
                 fault.target, _LINK_FAULT_BY_KIND[kind], fault.length_s
