Send nothing into a failed transaction

After a statement that left its transaction failed, a COMMIT or another attempt of the statement was sent all the same. The member answers MALFORMED, which tells nothing, so the client of a COMMIT was told INDOUBT although nothing can be kept.

Evidence: test_failed_statement_keeps_the_transaction with two more calls, before:

MismatchError: is not: (the first of the two, a statement, was sent)

A failed transaction is a phase of its own now, and takes only a rollback; what else is called is answered NOT_SENT, a true promise.

--- a/burdockcart/connection/channel_state.py
+++ b/burdockcart/connection/channel_state.py
@@ -28,6 +28,7 @@
     FREE = "free"
     BEGINNING = "beginning a transaction"
     IN_TRANSACTION = "in a transaction"
+    FAILED = "in a failed transaction"
     ENDING = "ending a transaction"
     CLOSED = "closed"
 
@@ -51,7 +52,7 @@
     Call.BEGIN: {Phase.FREE},
     Call.STATEMENT: {Phase.IN_TRANSACTION},
     Call.COMMIT: {Phase.IN_TRANSACTION},
-    Call.ROLL_BACK: {Phase.IN_TRANSACTION},
+    Call.ROLL_BACK: {Phase.IN_TRANSACTION, Phase.FAILED},
 }
 #: Phase while a call runs, if it differs from the one before.
 _WHILE = {
@@ -69,6 +70,16 @@
     Call.ROLL_BACK: _State.IDLE,
 }
 _PHASE_OF = {_State.IDLE: Phase.FREE, _State.OPEN: Phase.IN_TRANSACTION}
+#: Phase after a refused statement of a transaction, or a refused COMMIT; in
+#: no transaction, it is not known whether the other side has ended it.
+_PHASE_REFUSED = {
+    _State.IDLE: Phase.CLOSED,
+    _State.OPEN: Phase.IN_TRANSACTION,
+    _State.FAILED: Phase.FAILED,
+}
+_WITH_TRANSACTION = frozenset(
+    {Phase.IN_TRANSACTION, Phase.FAILED, Phase.ENDING}
+)
 #: Calls whose success says nothing about what the connection does next; it
 #: holds even if it arrives after the connection was closed.
 _FINAL = frozenset({Call.SINGLE, Call.COMMIT, Call.ROLL_BACK, Call.CONTROL})
@@ -115,9 +126,7 @@
         return phase, answer
     if call is Call.PREPARE or call is Call.ROLL_BACK:
         return Phase.CLOSED, answer
-    # A refused statement may leave the transaction open or failed.
-    ended = answer.state is _State.IDLE
-    return Phase.CLOSED if ended else Phase.IN_TRANSACTION, answer
+    return _PHASE_REFUSED[answer.state], answer
 
 
 def _unexpected(
@@ -177,9 +186,7 @@
     @property
     def in_transaction(self) -> bool:
         """Whether a transaction is open, or a statement of it runs."""
-        return self.phase in (Phase.IN_TRANSACTION, Phase.ENDING) and (
-            not self._lost()
-        )
+        return self.phase in _WITH_TRANSACTION and not self._lost()
 
     def close(self) -> None:
         """Record that the connection ends."""
--- a/burdockcart/connection/tests/test_channel_state.py
+++ b/burdockcart/connection/tests/test_channel_state.py
@@ -174,6 +174,10 @@
             await connection.call(Call.STATEMENT, State.FAILED, Fault.FAILED)
             self.assertTrue(connection.guard.in_transaction)
             self.assertFalse(connection.guard.free)
+            # The member would answer neither by what became of it.
+            for call in (Call.STATEMENT, Call.COMMIT):
+                answer = await connection.call(call, State.FAILED)
+                self.assertIs(Fault.NOT_SENT, answer.fault)
             await connection.call(Call.ROLL_BACK)
             self.assertTrue(connection.guard.free)
 
