Test the lease of a stopped daemon end to end

The fault of the call that ends a lease was hidden, as no test ran the life of a daemon against a store over HTTP. Two tests do, with the daemon as a real process: SIGTERM right after the registration, and while the store has not answered it.

--- a/burdockcart/platform/tests/test_signals.py
+++ b/burdockcart/platform/tests/test_signals.py
@@ -1,5 +1,7 @@
 """Tests signals at odd moments, with the daemon as a real process."""
 
+import http.server
+import json
 import os
 import pathlib
 import random
@@ -7,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 import testtools
@@ -33,6 +36,37 @@
 START_WITHIN_S = 20.0
 
 
+class Store(http.server.BaseHTTPRequestHandler):
+    """A store that registers daemons and records the calls for it."""
+
+    calls: list[tuple[str, str]] = []
+    pause_s = 0.0
+
+    def answer(self):
+        """Answer any call."""
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        path = self.path.partition("?")[0]
+        if "lease" in path:
+            self.calls.append((self.command, path))
+            time.sleep(self.pause_s)
+        answers = {
+            "/api/kv-lease": {"lease": 7, "ttl-ms": 8000},
+            "/api/kv-txn": {"revision": 9},
+            "/api/kv-range": {"items": [], "store-revision": 9},
+            "/api/kv-watch": {"events": [], "store-revision": 9},
+        }
+        body = json.dumps(answers.get(path, {})).encode()
+        self.send_response(200 if path != "/api/kv-key" else 404)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    do_GET = do_POST = do_DELETE = answer
+
+    def log_message(self, *arguments):
+        """Log nothing."""
+
+
 class TestSignals(testtools.TestCase):
     """Signals before, during and after the life of the event loop."""
 
@@ -104,6 +138,42 @@
         process.send_signal(signal.SIGTERM)
         self.assert_clean_exit(process)
 
+    def serve_store(self, pause_s=0.0):
+        """Serve a store for the daemon; return the calls of leases."""
+        handler = type("Handler", (Store,), {"calls": [], "pause_s": pause_s})
+        server = http.server.ThreadingHTTPServer((self.ip, 0), handler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        text = self.settings.read_text()
+        address = f"platform.address={self.ip}:{server.server_port}"
+        self.settings.write_text(
+            text.replace(f"platform.address={self.ip}:1", address)
+        )
+        return handler.calls
+
+    def check_that_it_leaves(self, pause_s):
+        """Check the calls of a daemon that is stopped once it registers."""
+        leases = self.serve_store(pause_s)
+        process = self.start()
+        until = time.monotonic() + START_WITHIN_S
+        while not leases and time.monotonic() < until:
+            time.sleep(0.002)
+        process.send_signal(signal.SIGTERM)
+        self.assert_clean_exit(process)
+        self.assertEqual(
+            [("POST", "/api/kv-lease"), ("DELETE", "/api/kv-lease-end/7")],
+            leases,
+        )
+
+    def test_registered_daemon_leaves(self):
+        """A daemon that is stopped must end its lease and take no other."""
+        self.check_that_it_leaves(pause_s=0.0)
+
+    def test_daemon_leaves_while_it_registers(self):
+        """SIGTERM may come before the store has answered."""
+        self.check_that_it_leaves(pause_s=0.2)
+
     def test_repeated_signals(self):
         """Signals during the drain and until the last moment change nothing.
 
