Give the emulated deployment its grace time at the start

The plan of a stop is made once, so a test that needs a short grace time sets it for the deployment; test_drain_shorter_than_a_statement checks the same bound.

--- a/burdockcart/process/peers/tests/test_leaving_holder.py
+++ b/burdockcart/process/peers/tests/test_leaving_holder.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 
-import msgspec
 import testtools
 
 from burdockcart import errors
@@ -247,9 +246,6 @@
             holder = relay_case.holder_in_use(
                 deployment, deployment.daemons[number], primary
             )
-            holder._settings = msgspec.structs.replace(
-                holder._settings, shutdown_s=0.5
-            )
             primary.work_s = 5.0
             running = asyncio.create_task(client.write())
             await asyncio.sleep(0.05)
@@ -260,7 +256,7 @@
             self.assertFalse(gateway_deployment.ok(await running))
             deployment.daemons.remove(holder)
 
-        relay_case.scenario(check)
+        relay_case.scenario(check, shutdown_s=0.5)
 
     def test_new_link_to_a_leaving_holder(self):
         """A daemon with an old list must hear that the holder leaves."""
