Take work at a stop by the time that it usually needs

What callers saw: with all daemons stopping together, transactions were refused from half of the grace time on and writes from 0.8 to 1.2 s before the last answers, although both take some 10 ms.

Change: the time of writes and COMMITs, and of whole transactions, is learned by route as that of reads is. A write needs three times the decaying peak, as giving it up leaves its outcome unknown, a transaction twice, since one that does not end is rolled back and its client told so. What is not known yet needs its limit, as before.

The tests of the admission name the kind of work; their bounds are the same, and two new ones hold the last moment of a known write and of a known transaction.

--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -18,6 +18,7 @@
 from burdockcart.process.gateway import statement_runner
 from burdockcart.process.gateway import stop_admission
 from burdockcart.process.gateway import transaction_runner
+from burdockcart.request import answer_times
 from burdockcart.request import command
 from burdockcart.request import log_position
 from burdockcart.version import manifest
@@ -262,15 +263,17 @@
                     "a transaction is already open",
                 )
             )
-        refused = self._admission.refusal_to_begin()
-        if refused is not None:
-            self.ends = True
-            return result.Failure(refused)
         route = self._route()
         if route is None:
             return result.Failure(self._no_route())
+        refused = self._admission.refusal_to_begin(route)
+        if refused is not None:
+            self.ends = True
+            return result.Failure(refused)
         self._transaction = open_transaction.OpenTransaction(
-            route, statement.kind is command.CommandKind.BEGIN_READ_ONLY
+            route,
+            statement.kind is command.CommandKind.BEGIN_READ_ONLY,
+            self._clock.now(),
         )
         return result.Success(_DONE)
 
@@ -301,9 +304,11 @@
         if route is None:
             return self._reply(result.Failure(self._no_route()))
         writes = self._names.writes(statement)
-        refused = self._admission.refusal_to_run(
-            route, writes or transaction is not None
-        )
+        commits = statement.kind is command.CommandKind.COMMIT
+        work = answer_times.Work.READ
+        if commits or (writes and transaction is None):
+            work = answer_times.Work.WRITE
+        refused = self._admission.refusal_to_run(route, work)
         if refused is not None:
             return self._refuse_late(statement, refused)
         request = attempts.Request(
@@ -316,9 +321,7 @@
         )
         if transaction is None:
             outcome = await self._statements.run(self._session, request)
-            if not writes:
-                took_s = self._clock.now() - request.arrived_at
-                self._admission.learn(route, took_s)
+            self._learn(route, work, request.arrived_at)
             return self._reply(outcome)
         if writes and transaction.read_only:
             failure = errors.Failure(
@@ -329,13 +332,26 @@
         outcome = await self._transactions.run(
             self._session, transaction, request
         )
-        if statement.kind is command.CommandKind.COMMIT:
+        self._learn(route, work, request.arrived_at)
+        if commits:
+            self._learn(
+                route, answer_times.Work.TRANSACTION, transaction.began_at
+            )
             self._transactions.abandon_transaction(transaction)
             self._transaction = None
         elif isinstance(outcome, result.Failure):
             self._fail(outcome.failure())
         return self._reply(outcome)
 
+    def _learn(
+        self,
+        route: manifest.DatabaseRoute,
+        work: answer_times.Work,
+        since: float,
+    ) -> None:
+        """Record how long work took that has ended now."""
+        self._admission.learn(route, work, self._clock.now() - since)
+
     def _refuse_late(
         self, statement: command.Command, refused: errors.Failure
     ) -> Reply:
--- a/burdockcart/connection/open_transaction.py
+++ b/burdockcart/connection/open_transaction.py
@@ -32,8 +32,15 @@
 
     """
 
-    def __init__(self, route: manifest.DatabaseRoute, read_only: bool):
+    def __init__(
+        self,
+        route: manifest.DatabaseRoute,
+        read_only: bool,
+        began_at: float = 0.0,
+    ):
         self.route = route
+        #: Time of its BEGIN, on the event loop's clock.
+        self.began_at = began_at
         self.read_only = read_only
         self.phase = Phase.NEW
         self.connection: pooled_connection.PooledConnection | None = None
--- a/burdockcart/process/gateway/shutdown_plan.py
+++ b/burdockcart/process/gateway/shutdown_plan.py
@@ -92,10 +92,6 @@
         longest_s = self.answers_by_s - self._half_s
         return elapsed_s + min(needed_s, longest_s) <= self.answers_by_s
 
-    def begins_transaction(self, elapsed_s: float) -> bool:
-        """Return whether a transaction may begin."""
-        return elapsed_s <= self._half_s
-
     def opens_session(self, elapsed_s: float) -> bool:
         """Return whether a session may open."""
         return elapsed_s < self._opens_until_s
--- a/burdockcart/process/gateway/stop_admission.py
+++ b/burdockcart/process/gateway/stop_admission.py
@@ -1,5 +1,7 @@
 """Decides which statements a daemon that shuts down still takes."""
 
+import math
+
 import msgspec
 
 from burdockcart import clock
@@ -51,9 +53,14 @@
         """Take nothing from now on."""
         self._ended = True
 
-    def learn(self, route: manifest.DatabaseRoute, took_s: float) -> None:
-        """Record the time from a single read to its answer."""
-        self._times.learn(route.name, took_s)
+    def learn(
+        self,
+        route: manifest.DatabaseRoute,
+        work: answer_times.Work,
+        took_s: float,
+    ) -> None:
+        """Record the time from the arrival of work to its end."""
+        self._times.learn(route.name, work, took_s)
 
     def refusal_to_open(self) -> errors.Failure | None:
         """Return why no session opens; None if it may."""
@@ -63,33 +70,31 @@
             return None
         return refusal()
 
-    def refusal_to_begin(self) -> errors.Failure | None:
-        """Return why no transaction begins; None if it may."""
-        if not self.stopping or (
-            not self._ended and self.plan.begins_transaction(self.elapsed_s)
-        ):
-            return None
-        return refusal()
-
-    def refusal_to_run(
-        self, route: manifest.DatabaseRoute, keeps: bool
+    def refusal_to_begin(
+        self, route: manifest.DatabaseRoute
     ) -> errors.Failure | None:
-        """Return why a statement is not taken; None if it is.
-
-        Parameters
-        ==========
-
-        keeps : bool
-            Whether giving it up would cost more than a retry: it writes, or
-            belongs to a transaction.  Then its own time limit must allow its
-            answer; a read is taken if it is likely to be answered in time.
+        """Return why no transaction begins; None if it may.
 
+        One that does not end in time is rolled back, and its client is told.
         """
+        return self._refusal(route, answer_times.Work.TRANSACTION, math.inf)
+
+    def refusal_to_run(
+        self, route: manifest.DatabaseRoute, work: answer_times.Work
+    ) -> errors.Failure | None:
+        """Return why a statement is not taken; None if it is."""
+        return self._refusal(route, work, route.timeout_s)
+
+    def _refusal(
+        self,
+        route: manifest.DatabaseRoute,
+        work: answer_times.Work,
+        limit_s: float,
+    ) -> errors.Failure | None:
+        """Refuse what is not likely to end before the last answers."""
         if not self.stopping:
             return None
-        needed_s = route.timeout_s
-        if not keeps:
-            needed_s = self._times.needed_s(route.name, needed_s)
+        needed_s = self._times.needed_s(route.name, work, limit_s)
         if not self._ended and self.plan.takes(self.elapsed_s, needed_s):
             return None
         return refusal()
--- a/burdockcart/process/gateway/tests/test_stop_admission.py
+++ b/burdockcart/process/gateway/tests/test_stop_admission.py
@@ -5,6 +5,7 @@
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import stop_admission
+from burdockcart.request import answer_times
 from burdockcart.tests import gateway_deployment
 
 
@@ -29,6 +30,9 @@
     return tables.route_by_database[ids.DatabaseName(name)]
 
 
+Work = answer_times.Work
+
+
 class TestStopAdmission(testtools.TestCase):
     """Admission during a stop of 6 s, whose last answers are due at 5.22 s."""
 
@@ -43,16 +47,16 @@
             self.admission.begin()
         self.clock.time = 100.0 + elapsed_s
 
-    def takes(self, timeout_s, keeps):
+    def takes(self, timeout_s, work):
         """Return whether a statement is taken."""
-        refused = self.admission.refusal_to_run(route(timeout_s), keeps)
+        refused = self.admission.refusal_to_run(route(timeout_s), work)
         return refused is None
 
     def test_before_the_signal(self):
         """Nothing is refused or limited before the signal."""
         self.assertIsNone(self.admission.refusal_to_open())
-        self.assertIsNone(self.admission.refusal_to_begin())
-        self.assertTrue(self.takes(60.0, keeps=True))
+        self.assertIsNone(self.admission.refusal_to_begin(route(0.8)))
+        self.assertTrue(self.takes(60.0, Work.WRITE))
         self.assertEqual(60.0, self.admission.limited(route(60.0)).timeout_s)
 
     def test_last_moment_of_a_write(self):
@@ -66,22 +70,44 @@
             (3.1, 20.0, False),
         ):
             self.at(elapsed_s)
-            self.assertEqual(taken, self.takes(timeout_s, keeps=True))
+            self.assertEqual(taken, self.takes(timeout_s, Work.WRITE))
 
     def test_last_moment_of_a_read(self):
         """A read must be taken while its usual time is left."""
-        self.admission.learn(route(2.0), 0.1)
+        self.admission.learn(route(2.0), Work.READ, 0.1)
         self.at(5.0)
-        self.assertTrue(self.takes(2.0, keeps=False))
-        self.assertFalse(self.takes(2.0, keeps=True))
+        self.assertTrue(self.takes(2.0, Work.READ))
+        self.assertFalse(self.takes(2.0, Work.WRITE))
         self.at(5.05)
-        self.assertFalse(self.takes(2.0, keeps=False))
+        self.assertFalse(self.takes(2.0, Work.READ))
+
+    def test_last_moment_of_a_known_write(self):
+        """A write must have three times its longest usual time."""
+        self.admission.learn(route(2.0), Work.WRITE, 0.1)
+        self.at(4.9)
+        self.assertTrue(self.takes(2.0, Work.WRITE))
+        self.at(4.95)
+        self.assertFalse(self.takes(2.0, Work.WRITE))
+
+    def test_last_moment_of_a_transaction(self):
+        """A transaction must begin while its usual time is left.
+
+        All transactions were refused from half of the time on.  If every
+        daemon stops, their clients have nowhere else to go.
+        """
+        self.at(3.1)
+        self.assertIsNotNone(self.admission.refusal_to_begin(route(0.8)))
+        self.admission.learn(route(0.8), Work.TRANSACTION, 0.5)
+        self.at(4.2)
+        self.assertIsNone(self.admission.refusal_to_begin(route(0.8)))
+        self.at(4.25)
+        self.assertIsNotNone(self.admission.refusal_to_begin(route(0.8)))
 
     def test_read_of_an_unknown_route(self):
         """A read whose time is not known must be taken by its limit."""
         self.at(4.0)
-        self.assertFalse(self.takes(2.0, keeps=False))
-        self.assertTrue(self.takes(1.0, keeps=False))
+        self.assertFalse(self.takes(2.0, Work.READ))
+        self.assertTrue(self.takes(1.0, Work.READ))
 
     def test_limit_of_what_is_taken(self):
         """No statement may run longer than the stop allows."""
@@ -95,8 +121,8 @@
         self.at(5.5)
         for refused in (
             self.admission.refusal_to_open(),
-            self.admission.refusal_to_begin(),
-            self.admission.refusal_to_run(route(0.8), True),
+            self.admission.refusal_to_begin(route(0.8)),
+            self.admission.refusal_to_run(route(0.8), Work.WRITE),
             stop_admission.closing(in_transaction=False),
             stop_admission.closing(in_transaction=True),
         ):
@@ -109,5 +135,5 @@
         self.at(2.4)
         self.admission.end()
         self.assertIsNotNone(self.admission.refusal_to_open())
-        self.assertIsNotNone(self.admission.refusal_to_begin())
-        self.assertFalse(self.takes(0.1, keeps=False))
+        self.assertIsNotNone(self.admission.refusal_to_begin(route(0.8)))
+        self.assertFalse(self.takes(0.1, Work.READ))
