Wait for reads while nothing at all is answered

What callers saw: while the link of their daemon was full, each running read was given up after its usual time (0.16 to 0.3 s) and sent to another member, and once more there, over the same full link. The members ran it two or three times.

Evidence, links full for 0.5 s with queues of 0.2 to 0.5 s, before the change: 39 failed attempts of the two tests, for example

test_no_read_is_sent_again event=attempt_failed id=s7651 kind='read' member=m-c fault='no answer' attempt=1 next='try another member'

the same in test_no_relayed_read_is_sent_again.

Change: when the time of a read is over, it is given up only if something that was sent after it has been answered; otherwise it is asked again every 0.02 s, up to the deadline of the statement. A relayed one waits 0.5 s longer at most, as the holder is told the usual time. So that a daemon with little traffic has something to compare with, the first check of a member goes together with checks of others if nothing was answered since; a read at a lost member is then given up as before.

--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from burdockcart import clock
+from burdockcart.connection import answer_timeout
 from burdockcart.connection import member_channel
 from burdockcart import errors
 from burdockcart import ids
@@ -235,22 +236,44 @@
 
         """
         health = connection.pool.health
+        channel = connection.channel
         now = self.loop_clock.now()
-        limit_s = max(request.deadline_at - now, 0.0)
+        left_s = max(request.deadline_at - now, 0.0)
+        limit_s = left_s
         if not waits_for_replica:
             # Giving up a write, whose answer depends on a replica, would
             # leave its outcome unknown; other statements can be retried.
             overdue_s = health.overdue_s(now, request.route.latency_goal_s)
             limit_s = min(limit_s, timeout_factor * overdue_s)
-        return await self.exchange(
-            connection,
-            lambda: connection.channel.run(
+
+        async def run() -> member_channel.Answer:
+            # A holder is told how long the member has for its answer.
+            timeout_s = left_s if channel.direct else limit_s
+            return await channel.run(
                 request.statement,
                 request.shape,
-                limit_s,
+                timeout_s,
                 after=None if work is None else work.position,
                 prove=prove,
-            ),
+            )
+
+        async def run_until_overdue() -> member_channel.Answer:
+            try:
+                async with answer_timeout.AnswerTimeout(
+                    limit_s,
+                    lambda: not health.source.link.answered(now),
+                    left_s,
+                ):
+                    return await run()
+            except TimeoutError:
+                channel.close()
+                return member_channel.Answer(
+                    fault=member_channel.MemberFault.SILENT, text="no answer"
+                )
+
+        return await self.exchange(
+            connection,
+            run_until_overdue if channel.direct and limit_s < left_s else run,
             waits_for_replica,
         )
 
--- a/burdockcart/process/gateway/reachability.py
+++ b/burdockcart/process/gateway/reachability.py
@@ -65,7 +65,10 @@
         for pool in watched:
             if _needs_check(pool, now):
                 self._start_check(pool)
-                if pool.health.failing and not _decided(pool):
+                asked_at = now - pool.health.longest_wait_s(now)
+                if not _decided(pool) and (
+                    pool.health.failing or not self._link.answered(asked_at)
+                ):
                     self._check_others(pool, pools)
         if lost_at is not None:
             for pool in pools:
--- a/burdockcart/process/gateway/tests/test_own_link.py
+++ b/burdockcart/process/gateway/tests/test_own_link.py
@@ -193,6 +193,31 @@
 
         scenario(check, daemons=3)
 
+    def check_reads(self, **options):
+        """Fill the link of a daemon; it must send no read again."""
+
+        async def check(deployment):
+            number = options["daemons"] - 1
+            load = Load(deployment, 5.0, number)
+            await asyncio.sleep(0.5)
+            with logged("attempt_failed") as lines:
+                for queue_s in (0.2, 0.3, 0.4, 0.5):
+                    await fill(deployment, 0.5, queue_s, number)
+                    await asyncio.sleep(0.1)
+                reads, writes = await load.replies()
+            self.assertEqual([], lines)
+            self.assertEqual([], refused(reads + writes))
+
+        relay_case.scenario(check, **options)
+
+    def test_no_read_is_sent_again(self):
+        """Running reads must be waited for while nothing is answered."""
+        self.check_reads(daemons=3)
+
+    def test_no_relayed_read_is_sent_again(self):
+        """The same holds for reads that holders relay."""
+        self.check_reads(daemons=9)
+
     def test_writes_are_not_stalled(self):
         """A long queue must not look like writes that no replica receives.
 
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -21,6 +21,8 @@
 #: are sent to it, in seconds: it may be frozen or cut off.  What it has
 #: accepted goes on.
 SUSPECT_AFTER_S = 0.25
+#: Additional time for an answer while nothing at all is answered, in seconds.
+OWN_FAULT_S = 0.5
 
 
 class HolderLink:
@@ -111,12 +113,17 @@
         if self.is_closed:
             return None
         self._future_by_number[number] = future
-        self._sent_at_by_number[number] = self._clock.now()
+        sent_at = self._clock.now()
+        self._sent_at_by_number[number] = sent_at
         self._send(build(number))
         if self._watch is None:
             self._watch_later()
         try:
-            async with answer_timeout.AnswerTimeout(timeout_s):
+            async with answer_timeout.AnswerTimeout(
+                timeout_s,
+                lambda: not self._source.link.answered(sent_at),
+                timeout_s + OWN_FAULT_S,
+            ):
                 return await future
         finally:
             self._future_by_number.pop(number, None)
