Take a timed-out connection for silence only

Cause: the kernel ends a member connection whose data was not acknowledged for 0.5 s (TCP_USER_TIMEOUT). Tornado reports it like a reset, and `connection lost` counts as a failure of the member: on a link that is full for longer, two connections that end together were the two failures after which reads are aborted and the primary is replaced.

Evidence: test_connection_timed_out, before the change: <MemberFault.BROKEN: 'connection lost'>. The error is put into the stream by the test; no test fills a real link.

Change: it is now `no answer`, after which the member is checked. A member without power fails its checks from 0.12 s on, before any of its connections time out, so it is noticed as before.

--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -23,6 +23,7 @@
 ] = {
     ConnectionRefusedError: member_channel.MemberFault.REFUSED,
     ConnectionResetError: member_channel.MemberFault.REFUSED,
+    TimeoutError: member_channel.MemberFault.SILENT,
 }
 
 
@@ -79,7 +80,7 @@
             self.close()
             raise
         except iostream.StreamClosedError as error:
-            fault, text = member_channel.MemberFault.BROKEN, str(error)
+            fault, text = _lost_fault(error), str(error)
         except (wire.ProtocolError, iostream.UnsatisfiableReadError) as error:
             fault, text = member_channel.MemberFault.BROKEN, str(error)
             loguru.logger.warning(
@@ -223,6 +224,19 @@
     return begun if ended.fault is None else ended
 
 
+def _lost_fault(
+    error: iostream.StreamClosedError,
+) -> member_channel.MemberFault:
+    """Return why a connection was lost.
+
+    One that the kernel ended because nothing was acknowledged proves no more
+    than silence.
+    """
+    if isinstance(error.real_error, TimeoutError):
+        return member_channel.MemberFault.SILENT
+    return member_channel.MemberFault.BROKEN
+
+
 def _connect_fault(
     error: iostream.StreamClosedError,
 ) -> member_channel.MemberFault:
--- a/burdockcart/platform/tests/test_sockets.py
+++ b/burdockcart/platform/tests/test_sockets.py
@@ -1,6 +1,7 @@
 """Guards connections of clients and members over real sockets."""
 
 import asyncio
+import errno
 import socket
 import time
 
@@ -237,6 +238,24 @@
 
         with_member([HELLO, b""], check)
 
+    def test_connection_timed_out(self):
+        """Guards against silence of the link taken for a reset.
+
+        The kernel ends a connection whose data was not acknowledged in time.
+        """
+
+        async def check(connector, address, member):
+            channel = await connector.connect(address, 1.0)
+            timed_out = TimeoutError(errno.ETIMEDOUT, "timed out")
+            asyncio.get_running_loop().call_later(
+                0.05, channel._stream.close, (TimeoutError, timed_out, None)
+            )
+            answer = await channel.run(READ, None, 1.0)
+            self.assertIs(Fault.SILENT, answer.fault)
+            self.assertTrue(channel.closed)
+
+        with_member([HELLO, None], check)
+
     def test_answer_during_a_stall(self):
         """Guards against a timeout that expired while the process stood."""
 
