Renew a registration soon after a failure

What callers saw: a healthy daemon whose calls the store had left unanswered for 4 s lost its registration. All others then chose holders anew, and it registered again seconds later, with the same effect.

Cause: after a renewal without an answer (1 s) the next one came a whole interval later (2 to 2.5 s). Two failures in a row took the third to 8.1 to 10.1 s after the last success; the lease is 8 s.

Change: after a failure the interval is 0.5 s, besides the backoff.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -55,6 +55,9 @@
         self.lose_promotions = 0
         self.late_s = 0.0
         self._daemon_by_lease: dict[int, ids.DaemonId] = {}
+        #: Time at which a lease ends, and its length, in seconds.
+        self._lease_ends_at: dict[int, tuple[float, float]] = {}
+        self._gone_daemons: set[ids.DaemonId] = set()
         self._late_promotions: set[asyncio.Task[None]] = set()
 
     def _next_revision(self) -> int:
@@ -76,8 +79,27 @@
         del self.entry_by_id[member]
         self.entry_changes.append((self._next_revision(), member, None))
 
+    def _end_leases(self) -> None:
+        """Remove the daemons whose leases have ended."""
+        now = asyncio.get_running_loop().time()
+        for lease, (ends_at, _) in list(self._lease_ends_at.items()):
+            if ends_at <= now:
+                self._end_lease(lease)
+
+    def _end_lease(self, lease: int) -> None:
+        del self._lease_ends_at[lease]
+        daemon = self._daemon_by_lease.pop(lease)
+        if daemon not in self._daemon_by_lease.values():
+            self.daemon_by_id.pop(daemon, None)
+            self._gone_daemons.add(daemon)
+
+    def _start_lease(self, lease: int, ttl_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self._lease_ends_at[lease] = (now + ttl_s, ttl_s)
+
     async def _store_fault(self):
         await asyncio.sleep(0.004)
+        self._end_leases()
         if self.outage:
             return result.Failure(CallFault.UNAVAILABLE)
         return None
@@ -113,7 +135,10 @@
                     for revision, member, entry in self.entry_changes
                     if revision > after
                 },
-                entry_by_daemon=dict(self.daemon_by_id),
+                entry_by_daemon={
+                    **dict.fromkeys(self._gone_daemons),
+                    **self.daemon_by_id,
+                },
                 fleet_key=self.fleet_key,
                 revision=self.revision,
             )
@@ -196,9 +221,8 @@
 
     async def unregister_daemon(self, lease: int) -> None:
         """Remove the daemon with a lease from the list."""
-        daemon = self._daemon_by_lease.pop(lease, None)
-        if daemon is not None:
-            self.daemon_by_id.pop(daemon, None)
+        if lease in self._daemon_by_lease:
+            self._end_lease(lease)
 
     async def register_daemon(
         self, daemon: coordination.DaemonEntry, ttl_s: float
@@ -210,6 +234,7 @@
         self.daemon_by_id[daemon.id] = daemon
         lease = self._next_revision()
         self._daemon_by_lease[lease] = daemon.id
+        self._start_lease(lease, ttl_s)
         return result.Success(lease)
 
     async def renew_daemon(self, lease: int):
@@ -219,6 +244,7 @@
             return fault
         if lease not in self._daemon_by_lease:
             return result.Failure(CallFault.MISSING)
+        self._start_lease(lease, self._lease_ends_at[lease][1])
         return result.Success(None)
 
     async def reachable(self):
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -32,6 +32,8 @@
 #: seconds.
 REGISTRATION_TTL_S = 8.0
 RENEW_INTERVAL_S = 2.5
+#: Interval after a renewal without success, in seconds, besides the backoff.
+RENEW_RETRY_S = 0.5
 
 
 class StoreListener(Protocol):
@@ -315,13 +317,20 @@
             await self._platform.unregister_daemon(self._lease)
 
     async def _renew(self, lease: int) -> None:
-        """Renew the lease until it has ended."""
+        """Renew the lease until it has ended.
+
+        A renewal that failed is tried again soon: the lease ends in a few
+        seconds, and others would choose holders anew.
+        """
+        interval_s = RENEW_INTERVAL_S
         while not self._left:
-            await asyncio.sleep(RENEW_INTERVAL_S * self._rng.uniform(0.8, 1.0))
+            await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.0))
             renewed = await self._platform.renew_daemon(lease)
             if isinstance(renewed, result.Failure):
                 if renewed.failure() is coordination.CallFault.MISSING:
                     return
                 await self._backoff.pause()
+                interval_s = RENEW_RETRY_S
             else:
                 self._backoff.succeeded()
+                interval_s = RENEW_INTERVAL_S
--- a/burdockcart/process/gateway/tests/test_own_link.py
+++ b/burdockcart/process/gateway/tests/test_own_link.py
@@ -401,3 +401,41 @@
         for duration_s in (0.07, 0.15, 0.25, 0.4):
             with self.subTest(duration_s=duration_s):
                 self.check_block(duration_s, daemons=9)
+
+
+class TestLapsedLease(testtools.TestCase):
+    """The store does not answer a daemon for a while."""
+
+    def check_cut(self, cut_s):
+        """Cut a daemon off from the store; it must stay on the list."""
+
+        async def check(deployment):
+            number = relay_case.relaying_daemon(
+                deployment, deployment.group.primary
+            )
+            holder = relay_case.holder_in_use(
+                deployment,
+                deployment.daemons[number],
+                deployment.group.primary,
+            )
+            load = Load(deployment, cut_s + 4.0, number)
+            known = set(deployment.daemons[number].tables.daemons)
+            holder.link.cut = True
+            listed = [known]
+            loop = asyncio.get_running_loop()
+            until = loop.time() + cut_s
+            while loop.time() < until + 3.0:
+                holder.link.cut = loop.time() < until
+                listed.append(set(deployment.daemons[number].tables.daemons))
+                await asyncio.sleep(0.1)
+            reads, writes = await load.replies()
+            self.assertEqual([], refused(reads + writes))
+            self.assertEqual([], [each for each in listed if each != known])
+
+        relay_case.scenario(check)
+
+    def test_short_cut(self):
+        """Two renewals without an answer must not end the registration."""
+        for cut_s in (2.5, 4.0, 5.0):
+            with self.subTest(cut_s=cut_s):
+                self.check_cut(cut_s)
--- a/burdockcart/process/gateway/tests/test_store_follower.py
+++ b/burdockcart/process/gateway/tests/test_store_follower.py
@@ -1,13 +1,16 @@
 """Tests how a daemon uses the data in the platform's store."""
 
 import asyncio
+import random
 
 import msgspec
+from returns import result
 import testtools
 
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import member_catalog
 from burdockcart.process.gateway import promotion_claims
+from burdockcart.process.gateway import store_follower
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.tests import gateway_deployment
 from burdockcart.version import manifest
@@ -211,3 +214,64 @@
         recent = self.lost("d2", 10_000)
         self.assertFalse(claims.lost("g", recent, 14_000, now=50.0))
         self.assertTrue(claims.lost("g", recent, 17_000, now=53.1))
+
+
+class LeaseStore:
+    """Store with one lease that answers nothing for a while."""
+
+    def __init__(self, silent_from, silent_s):
+        self.silent_from = silent_from
+        self.silent_until = silent_from + silent_s
+        self.registered = 0
+        self.ends_at = 0.0
+
+    async def _answers(self):
+        now = asyncio.get_running_loop().time()
+        if self.silent_from <= now < self.silent_until:
+            # The timeout of a call.
+            await asyncio.sleep(1.0)
+            return False
+        return True
+
+    async def register_daemon(self, entry, ttl_s):
+        """Grant a lease."""
+        if not await self._answers():
+            return result.Failure(coordination.CallFault.NO_ANSWER)
+        self.registered += 1
+        self.ends_at = asyncio.get_running_loop().time() + ttl_s
+        return result.Success(1)
+
+    async def renew_daemon(self, lease):
+        """Renew the lease unless it has ended."""
+        if not await self._answers():
+            return result.Failure(coordination.CallFault.NO_ANSWER)
+        now = asyncio.get_running_loop().time()
+        if now >= self.ends_at:
+            return result.Failure(coordination.CallFault.MISSING)
+        self.ends_at = now + store_follower.REGISTRATION_TTL_S
+        return result.Success(None)
+
+
+class TestListing(testtools.TestCase):
+    """Registration of a daemon in the list of daemons."""
+
+    def test_store_is_silent_for_a_while(self):
+        """A healthy daemon must stay registered.
+
+        After two renewals without an answer the third came too late, and all
+        other daemons chose holders anew.
+        """
+
+        async def registrations(seed):
+            rng = random.Random(seed)
+            store = LeaseStore(10.0 + rng.uniform(0.0, 2.5), 4.0)
+            listing = store_follower.Listing(None, store, rng)
+            task = asyncio.create_task(listing.run())
+            await asyncio.sleep(25.0)
+            task.cancel()
+            return store.registered
+
+        counts = [
+            gateway_deployment.run(registrations(seed)) for seed in range(50)
+        ]
+        self.assertEqual([1] * 50, counts)
