Test full links of all daemons at once

Refusals remain: a relayed statement waits behind two full links, its own daemon's and the holder's, and the member's direct answers wait behind one only.

--- a/burdockcart/process/gateway/tests/test_own_link.py
+++ b/burdockcart/process/gateway/tests/test_own_link.py
@@ -172,6 +172,36 @@
                 with self.subTest(duration_s=duration_s, queue_s=queue_s):
                     self.check_full_link(duration_s, queue_s, daemons=3)
 
+    def test_all_links_at_once(self):
+        """All daemons load the manifest at the same moment."""
+
+        async def check(deployment):
+            count = len(deployment.daemons)
+            loads = [Load(deployment, 4.0, each) for each in range(count)]
+            await asyncio.sleep(0.5)
+            given_up = [aborted(deployment, each) for each in range(count)]
+            with logged(
+                "promotion_begun", "replicas_released", "detour_found"
+            ) as lines:
+                for queue_s in (0.15, 0.25):
+                    await asyncio.gather(
+                        *(
+                            fill(deployment, 0.3, queue_s, each)
+                            for each in range(count)
+                        )
+                    )
+                    await asyncio.sleep(0.5)
+                replies = [await each.replies() for each in loads]
+            self.assertEqual([], lines)
+            self.assertEqual([], [each for each in given_up if each])
+            self.assertEqual([], deployment.platform.promotions)
+            # A relayed statement waits behind two full links.
+            both = [reads + writes for reads, writes in replies]
+            failed = sum(len(refused(each)) for each in both)
+            self.assertLess(failed, 0.005 * sum(map(len, both)))
+
+        relay_case.scenario(check, daemons=9, slots=8)
+
     def test_full_link_of_a_relaying_daemon(self):
         """The same holds for a daemon that relays most statements."""
         self.check_full_link(0.6, 0.4, daemons=9)
