--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -59,6 +59,7 @@
     >>> from burdockcart.connection import member_health
     >>> health = member_health.MemberHealth(now=0.0)
     >>> health.record_failure(1.0, member_channel.MemberFault.REFUSED)
+    True
     >>> health.usable(1.01), health.usable(1.06)
     (False, True)
     >>> health.record_answer(2.0)
