Check no other members while something answers

The check of a slow member after an abandoned read went together with checks of well members in other failure domains, on a daemon with plenty of other answers: without a waiting statement, the time since which anything must have answered was the present one.

Evidence: TestCostOfChecks.test_slow_member, before the change: 'Items in actual but not in expected: m-a, m-c'.

--- a/burdockcart/process/gateway/reachability.py
+++ b/burdockcart/process/gateway/reachability.py
@@ -65,7 +65,8 @@
         for pool in watched:
             if _needs_check(pool, now):
                 self._start_check(pool)
-                asked_at = now - pool.health.longest_wait_s(now)
+                wait_s = pool.health.longest_wait_s(now)
+                asked_at = now - max(wait_s, CHECK_AFTER_S)
                 if not _decided(pool) and (
                     pool.health.failing or not self._link.answered(asked_at)
                 ):
--- a/burdockcart/process/gateway/tests/test_own_link.py
+++ b/burdockcart/process/gateway/tests/test_own_link.py
@@ -329,3 +329,28 @@
             self.assertEqual([], deployment.platform.promotions)
 
         scenario(check, daemons=1)
+
+
+class TestCostOfChecks(testtools.TestCase):
+    """Each check costs as much as a new connection."""
+
+    def test_slow_member(self):
+        """A slow member must not cause checks of the others under load."""
+
+        async def check(deployment):
+            checked = []
+            connector = deployment.daemons[1].connector
+
+            async def reach(member, timeout_s, original=connector.reach):
+                checked.append(member.id)
+                return await original(member, timeout_s)
+
+            connector.reach = reach
+            load = Load(deployment, 4.0, daemon=1)
+            await asyncio.sleep(0.5)
+            slow = deployment.members[1]
+            slow.work_s = 1.0
+            await load.replies()
+            self.assertEqual({slow.id}, set(checked))
+
+        scenario(check, daemons=2, slots=4)
