--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from burdockcart import clock
+from burdockcart.connection import answer_timeout
 from burdockcart.connection import member_channel
 from burdockcart import ids
 from burdockcart.process.gateway import gateway_metrics
@@ -220,19 +221,43 @@
             Factor on the time after which a read is given up.
 
         """
+        health = connection.pool.health
+        channel = connection.channel
+        now = self.loop_clock.now()
+        left_s = max(request.deadline_at - now, 0.0)
         limit_s = self._limit_s(
             request, connection, waits_for_replica, timeout_factor
         )
-        return await self.exchange(
-            connection,
-            request.statement.id,
-            lambda: connection.channel.run(
+
+        async def run() -> member_channel.Answer:
+            # A holder is told how long the member has for its answer.
+            timeout_s = left_s if channel.direct else limit_s
+            return await channel.run(
                 request.statement,
                 request.shape,
-                limit_s,
+                timeout_s,
                 after=work.position,
                 prove=prove,
-            ),
+            )
+
+        async def run_until_overdue() -> member_channel.Answer:
+            try:
+                async with answer_timeout.AnswerTimeout(
+                    limit_s,
+                    lambda: not health.source.link.answered(now),
+                    left_s,
+                ):
+                    return await run()
+            except TimeoutError:
+                channel.close()
+                return member_channel.Answer(
+                    fault=member_channel.MemberFault.SILENT, text="no answer"
+                )
+
+        return await self.exchange(
+            connection,
+            request.statement.id,
+            run_until_overdue if channel.direct and limit_s < left_s else run,
             waits_for_replica,
         )
 
