Cancel given up calls of the emulated connection

A call that a daemon cancels ends like one whose timeout has passed; the statement went on at the emulated member, so two tests of busy members (test_busy_primary_stays, test_long_read_is_finished) saw one more run since reads are given up by a timeout around the call.

--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -147,6 +147,10 @@
                 )
         except TimeoutError:
             pass
+        except asyncio.CancelledError:
+            # Given up by the daemon, as after a timeout.
+            served.cancel()
+            raise
         finally:
             ended.cancel()
         if served.done() and not served.cancelled():
