Release replicas that were left on hold later

Cause: a renewal that fails was taken for a newer claim of another daemon, and nobody looked at the replicas again. The same held for a release without an answer, and for an unexpected error during an attempt.

Change: a daemon remembers in which term it has left replicas on hold. While no later term has begun, it claims the promotion again, as the failover does, and releases them with that claim. At the end of the process the release may take 0.25 s, so that links to other daemons still end in time.

--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -27,6 +27,9 @@
 #: Share of the time granted for shutdown in which a promotion may begin; most
 #: take less than 2 s.
 BEGIN_SHARE = 0.5
+#: Longest time to release replicas at the end of the process, in seconds;
+#: links to other daemons have to end after it within the grace time.
+STOP_TIMEOUT_S = 0.25
 #: Pause of the loop from which on this process counts as stalled, in seconds;
 #: less than the time after which a member counts as silent.
 STALL_THRESHOLD_S = 0.2
@@ -93,7 +96,8 @@
         tasks = [*self._task_by_group.values(), *self._checks.values()]
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            await asyncio.wait(tasks, timeout=STOP_TIMEOUT_S)
 
     def scan(self) -> None:
         """Examine all primaries, and replace those that have failed."""
@@ -124,6 +128,13 @@
         if pool is None:
             self._start_check("search", group, self._search(group))
             return
+        if self._promoter.left_on_hold(group) and self._claims.may_try(
+            group.id, True, self._clock.now()
+        ):
+            self._task_by_group[group.id] = asyncio.create_task(
+                self._promoter.release_left(group), name="release_replicas"
+            )
+            return
         if not (
             pool.awaits_answer
             or pool.draining
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -83,6 +83,8 @@
         self._metrics = metrics
         self._reserved = reserved
         #: Groups for which the platform was called.
+        #: Terms in which replicas were left on hold, by group.
+        self._left_on_hold: dict[ids.GroupId, int] = {}
         self._calling: set[ids.GroupId] = set()
 
     async def replace(
@@ -100,11 +102,7 @@
             cause.value,
             group.primary.leadership.term,
         )
-        others = [
-            pool
-            for pool in group.pool_by_member.values()
-            if pool.entry.id != old
-        ]
+        others = _replicas(group, old)
         if not others:
             self._claims.failed(group.id, self._clock.now())
             return
@@ -190,6 +188,10 @@
             if group.id not in self._calling:
                 await self._release(group, channels)
             raise
+        except Exception:
+            if group.id not in self._calling:
+                self._left_on_hold[group.id] = group.primary.leadership.term
+            raise
         if outcome is CallOutcome.DONE:
             assert candidate is not None
             await self._await_leadership(group, candidate)
@@ -260,6 +262,32 @@
         if not group.promotions_fenced:
             await self._record.settle(group.id)
 
+    def left_on_hold(self, group: groups.Group) -> bool:
+        """Return whether replicas wait for this daemon to release them."""
+        term = self._left_on_hold.get(group.id)
+        if term is not None and group.primary.leadership.term > term:
+            # A promotion ends every hold.
+            del self._left_on_hold[group.id]
+            return False
+        return term is not None
+
+    async def release_left(self, group: groups.Group) -> None:
+        """Claim the promotion to release what was left on hold."""
+        old = group.primary.leadership.member
+        if old is None or await self._record.claim(group.id) is None:
+            return
+        connections = await self._connections(_replicas(group, old))
+        if connections is not None:
+            try:
+                await self._release(
+                    group,
+                    {each.pool.entry.id: each.channel for each in connections},
+                )
+            finally:
+                for connection in connections:
+                    connection.pool.give_back(connection)
+        self._claims.failed(group.id, self._clock.now())
+
     async def _release(
         self,
         group: groups.Group,
@@ -269,13 +297,12 @@
 
         Another daemon may have called the platform meanwhile.  Its promotion
         loses commits if the replicas receive before it takes effect, so they
-        stay on hold unless this daemon can renew its claim.
+        stay on hold until this daemon has a claim, or the lead has changed.
         """
+        self._left_on_hold[group.id] = group.primary.leadership.term
         if not await self._record.renew(group.id):
             loguru.logger.warning(
-                "event=replicas_left_on_hold group={} "
-                "reason='another daemon may be promoting'",
-                group.id,
+                "event=replicas_left_on_hold group={}", group.id
             )
             return
         answers = await asyncio.gather(
@@ -285,10 +312,11 @@
                 if not channel.closed
             )
         )
+        faults = [each.fault.value for each in answers if each.fault]
+        if len(answers) == len(channels) and not faults:
+            del self._left_on_hold[group.id]
         loguru.logger.info(
-            "event=replicas_released group={} faults={}",
-            group.id,
-            [each.fault.value for each in answers if each.fault],
+            "event=replicas_released group={} faults={}", group.id, faults
         )
 
     def _reserved_token(self, group: groups.Group) -> ids.FencingToken | None:
@@ -324,3 +352,13 @@
                 break
             await asyncio.sleep(LEADERSHIP_POLL_S)
         group.primary.expected_at = None
+
+
+def _replicas(
+    group: groups.Group, primary: ids.MemberId
+) -> list[member_pool.MemberPool]:
+    return [
+        pool
+        for pool in group.pool_by_member.values()
+        if pool.entry.id != primary
+    ]
--- a/burdockcart/process/gateway/tests/test_overlapping_promotions.py
+++ b/burdockcart/process/gateway/tests/test_overlapping_promotions.py
@@ -165,3 +165,67 @@
             self.assertTrue(gateway_deployment.ok(await client.write()))
 
         test_sessions.scenario(check)
+
+    def check_released(self, hinder, restore):
+        """Replicas must receive soon after a renewal that failed.
+
+        The attempt is given up, as the primary answers again.
+        """
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            primary = deployment.group.primary
+            client = await deployment.client("live")
+            await client.write()
+            record = daemon._failover._promoter._record
+            claim = record.claim
+
+            async def claim_then_hinder(group):
+                token = await claim(group)
+                hinder(deployment)
+                return token
+
+            record.claim = claim_then_hinder
+            running = replace(daemon, Cause.SILENT, primary)
+            await client.read()
+            await running
+            record.claim = claim
+            await asyncio.sleep(1.0)
+            restore(deployment)
+            replicas = [
+                each for each in deployment.members if each is not primary
+            ]
+            await gateway_deployment.until(
+                lambda: all(each.receives for each in replicas)
+            )
+            self.assertEqual([], deployment.platform.promotions)
+
+        test_sessions.scenario(check)
+
+    def test_store_is_away_at_the_renewal(self):
+        """An outage of the store must not leave replicas on hold.
+
+        The renewal of the claim was tried once; one replica received nothing
+        for the rest of its life, and no write could be acknowledged once the
+        other one crashed.
+        """
+
+        def set_outage(value):
+            def change(deployment):
+                deployment.platform.outage = value
+
+            return change
+
+        self.check_released(set_outage(True), set_outage(False))
+
+    def test_release_without_answer(self):
+        """A release that a replica did not answer must be repeated."""
+
+        def set_unresponsive(value):
+            def change(deployment):
+                for each in deployment.members:
+                    each.unresponsive = value and not each.leads
+
+            return change
+
+        self.check_released(set_unresponsive(True), set_unresponsive(False))
