Take work at a leaving holder as a stop does

What callers saw: a COMMIT with a limit of 5 s was rolled back 1.5 s after the holder's SIGTERM, though open transactions have half of the grace time. And a drain that failed and was tried again counted its time anew, so it took statements that the end of the process would cut.

Evidence, before: test_commit_with_a_long_limit TRANSACTION_LOST; test_drain_that_is_tried_again 3.0 != 0.0.

Change: until transactions end, a holder takes everything, whatever its limit, as the plan of a stop does.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -218,10 +218,12 @@
 
     async def drain(self) -> None:
         """Close sessions gradually, within the time granted for shutdown."""
-        self._admission.begin()
-        self.relay.leave(self._settings.shutdown_s)
-        self._failover.leave(self._settings.shutdown_s)
-        self._spawn(self._listing.leave)
+        if not self._admission.stopping:
+            # A drain that failed is tried again.
+            self._admission.begin()
+            self._spawn(self._listing.leave)
+            self.relay.leave(self._settings.shutdown_s)
+            self._failover.leave(self._settings.shutdown_s)
         await self._drain.run(self._clients)
 
     def _busy_for_others(self) -> bool:
--- a/burdockcart/process/gateway/stop_admission.py
+++ b/burdockcart/process/gateway/stop_admission.py
@@ -46,8 +46,9 @@
         return self._clock.now() - self._began_at
 
     def begin(self) -> None:
-        """Record the time from which the granted time counts."""
-        self._began_at = self._clock.now()
+        """Record the time from which the granted time counts, once."""
+        if self._began_at is None:
+            self._began_at = self._clock.now()
 
     def end(self) -> None:
         """Take nothing from now on."""
--- a/burdockcart/process/gateway/tests/test_stop_admission.py
+++ b/burdockcart/process/gateway/tests/test_stop_admission.py
@@ -130,6 +130,13 @@
             self.assertIs(errors.Effect.NOT_RUN, answer.effect)
             self.assertGreater(refused.retry_after_ms, 0)
 
+    def test_drain_that_is_tried_again(self):
+        """The granted time must count from the signal."""
+        self.at(0.0)
+        self.at(3.0)
+        self.admission.begin()
+        self.assertEqual(3.0, self.admission.elapsed_s)
+
     def test_end(self):
         """Nothing may be taken once the last steps have begun."""
         self.at(2.4)
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -202,9 +202,15 @@
     ) -> member_channel.Answer | None:
         """Refuse what may last longer than this daemon."""
         now = self._service.requested_at = self._service.clock.now()
-        late = now + message.timeout_ms / 1000 > self._service.ends_at
+        if not self._service.leaving:
+            return None
+        ends_at = self._service.ends_at
+        transactions_until = self._service.transactions_until
+        # Until transactions end, everything is taken, whatever its limit.
+        longest_s = ends_at - transactions_until
+        late = now + min(message.timeout_ms / 1000, longest_s) > ends_at
         if not isinstance(message, messages.Run):
-            late |= now >= self._service.transactions_until
+            late |= now >= transactions_until
         if isinstance(message, messages.RunInTransaction):
             if late and message.transaction in self._transaction_by_number:
                 self._end_transaction(message.transaction)
