Send no half of a hedged read after the answer

Found by the review: between the connection and the statement, the second half of a hedged read waits for the preparation of its connection. If the first half answered meanwhile, the read was sent all the same, with session values that the client may have replaced by then.

The half is not sent once the other one has succeeded. The new test calls the attempt of a cancelled half; without the check it runs at the member.

--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns import result
 
+from burdockcart.connection import channel_state
 from burdockcart.connection import member_channel
 from burdockcart import errors
 from burdockcart import ids
@@ -153,6 +154,7 @@
                     request,
                     connection,
                     work,
+                    series,
                     2 ** (attempt - 1),
                 )
             finally:
@@ -193,6 +195,7 @@
         request: attempts.Request,
         connection: pooled_connection.PooledConnection,
         work: work_queue.Work,
+        series: AttemptSeries,
         timeout_factor: float,
     ) -> member_channel.Answer:
         """Run a statement on one member.
@@ -213,6 +216,8 @@
             since = await group.primary.confirm_term(connection.pool.entry.id)
             if since is None:
                 return refusals.UNCONFIRMED
+        if series.cancelled:
+            return channel_state.not_sent("answered by another member")
         answer = await self._attempts.send(
             request, connection, work, request.writes, prove, timeout_factor
         )
--- a/burdockcart/process/gateway/tests/test_hedged_reads.py
+++ b/burdockcart/process/gateway/tests/test_hedged_reads.py
@@ -4,6 +4,9 @@
 
 import testtools
 
+from burdockcart.connection import member_channel
+from burdockcart.process.gateway import attempts
+from burdockcart.process.gateway import statement_runner
 from burdockcart.request import command
 from burdockcart.tests import gateway_deployment
 
@@ -41,3 +44,37 @@
             await deployment.stop()
 
         gateway_deployment.run(check())
+
+    def test_prepared_after_the_answer(self):
+        """Guards against a half that is sent once its client was answered."""
+
+        async def check():
+            deployment = await gateway_deployment.GatewayDeployment(
+                daemons=1
+            ).start()
+            daemon = deployment.daemons[0]
+            group = daemon.group_by_id[gateway_deployment.GROUP]
+            now = asyncio.get_running_loop().time()
+            request = attempts.Request(
+                statement=command.Command("late", Kind.READ, "READ 1"),
+                shape=None,
+                writes=False,
+                route=daemon.tables.current.route_by_database["live"],
+                arrived_at=now,
+                read_at=now,
+            )
+            runner, session = daemon.statements, attempts.Session()
+            work = runner._attempts.work(group, session, request, set())
+            connection = (await group.acquire(work)).unwrap()
+            series = statement_runner.AttemptSeries()
+            series.cancel()
+            answer = await runner._attempt(
+                group, session, request, connection, work, series, 1.0
+            )
+            self.assertIs(member_channel.MemberFault.NOT_SENT, answer.fault)
+            self.assertNotIn(
+                "late", [run.statement for run in deployment.group.runs]
+            )
+            await deployment.stop()
+
+        gateway_deployment.run(check())
