--- a/burdockcart/process/gateway/tests/test_overlapping_promotions.py
+++ b/burdockcart/process/gateway/tests/test_overlapping_promotions.py
@@ -139,6 +139,30 @@
 
         test_sessions.scenario(check, daemons=2)
 
+    def test_stop_after_the_call(self):
+        """A daemon that stops must not release them while its call is open."""
+
+        async def check(deployment):
+            _, first = await self.prepared(deployment)
+            old = deployment.group.primary
+            platform = deployment.platform
+            promote = platform.promote
+
+            async def promote_slowly(*arguments):
+                answer = await promote(*arguments)
+                await asyncio.sleep(1.0)
+                return answer
+
+            platform.promote = promote_slowly
+            running = await self.begin(first, deployment)
+            running.cancel()
+            await asyncio.wait([running])
+            old.commit([("late", "WRITE 1a4 x")])
+            await gateway_deployment.until(lambda: not old.leads)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        test_sessions.scenario(check, daemons=2)
+
 
 class TestGivenUp(testtools.TestCase):
     """An attempt that no other daemon's attempt overlaps."""
@@ -229,3 +253,24 @@
             return change
 
         self.check_released(set_unresponsive(True), set_unresponsive(False))
+
+    def test_renewal_that_took_too_long(self):
+        """Replicas must stay on hold after a renewal that may have expired."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            await (await deployment.client("live")).write()
+            promoter = daemon._failover._promoter
+            await promoter._record.claim(GROUP)
+            link = promoter._record._platform
+
+            class SlowStore:
+                async def claim_promotion(self, *arguments):
+                    claimed = await link.claim_promotion(*arguments)
+                    await asyncio.sleep(2.0)
+                    return claimed
+
+            promoter._record._platform = SlowStore()
+            self.assertFalse(await promoter._record.renew(GROUP))
+
+        test_sessions.scenario(check)
