--- a/burdockcart/process/gateway/shutdown_plan.py
+++ b/burdockcart/process/gateway/shutdown_plan.py
@@ -25,9 +25,9 @@
 #: Time until the load balancer sends no more clients, in seconds: two
 #: readiness checks one second apart, and their network latency.
 BALANCER_DELAY_S = 2.3
-#: Share of the granted time that open transactions have to end; statements are
-#: taken and transactions begin until then.
-HALF = 0.5
+#: Share of the granted time in which all work is taken; open transactions have
+#: that time to end.
+TRANSACTIONS_SHARE = 0.5
 #: Share of the granted time by which all sessions are told to close; later
 #: ones are told at once.
 CLOSED_BY_SHARE = 0.75
@@ -69,7 +69,7 @@
     def __init__(self, granted_s: float):
         self._granted_s = granted_s
         self._first_s = min(BALANCER_DELAY_S, granted_s / 2)
-        self._half_s = HALF * granted_s
+        self._transactions_s = TRANSACTIONS_SHARE * granted_s
         #: Time at which the process exits in any case.
         self.exit_s = EXIT_BY_SHARE * granted_s
         closing_s = min(CLOSING_S, CLOSING_SHARE * granted_s)
@@ -89,7 +89,7 @@
             Time within which it is certain, or likely enough, to be answered.
 
         """
-        longest_s = self.answers_by_s - self._half_s
+        longest_s = self.answers_by_s - self._transactions_s
         return elapsed_s + min(needed_s, longest_s) <= self.answers_by_s
 
     def opens_session(self, elapsed_s: float) -> bool:
--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -13,8 +13,6 @@
 from burdockcart.process.peers import relay_session
 from burdockcart.process.peers import tcp
 
-#: Share of the time granted for shutdown in which transactions may end.
-TRANSACTIONS_SHARE = 0.5
 #: Time after the last request in which a leaving daemon expects another one,
 #: in seconds: those who relay through it may know no other way.
 LINGER_S = 0.5
@@ -107,7 +105,7 @@
             return
         self.leaving = True
         now = self.clock.now()
-        transactions_s = TRANSACTIONS_SHARE * granted_s
+        transactions_s = shutdown_plan.TRANSACTIONS_SHARE * granted_s
         self.transactions_until = now + transactions_s
         self.ends_at = now + shutdown_plan.EXIT_BY_SHARE * granted_s
         self.closed_at = now + CLOSED_SHARE * granted_s
