Release each replica that was left on hold by itself

While one replica was gone it claimed again every 0.4 s, which kept other daemons from promoting, and the other one stayed on hold, so that no write could be acknowledged. A promotion takes its connections before it claims; the release now does the same.

Evidence: test_release_beside_a_crashed_replica on the code before ends in a TimeoutError (20 s without the replica that is well).

Change: the members that were left on hold are remembered one by one. Nothing is claimed unless one of them can be reached, and a member that has left the group is forgotten. The comment of the set of open calls is back at its field.

--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -13,6 +13,7 @@
 import asyncio
 import enum
 from typing import Callable
+from typing import Iterable
 
 import loguru
 from returns import result
@@ -82,9 +83,11 @@
         )
         self._metrics = metrics
         self._reserved = reserved
+        #: Replicas that were left on hold, and in which term, by group.
+        self._left_on_hold: dict[
+            ids.GroupId, tuple[int, set[ids.MemberId]]
+        ] = {}
         #: Groups for which the platform was called.
-        #: Terms in which replicas were left on hold, by group.
-        self._left_on_hold: dict[ids.GroupId, int] = {}
         self._calling: set[ids.GroupId] = set()
 
     async def replace(
@@ -190,7 +193,7 @@
             raise
         except Exception:
             if group.id not in self._calling:
-                self._left_on_hold[group.id] = group.primary.leadership.term
+                self._leave_on_hold(group, channels)
             raise
         if outcome is CallOutcome.DONE:
             assert candidate is not None
@@ -262,30 +265,42 @@
         if not group.promotions_fenced:
             await self._record.settle(group.id)
 
+    def _leave_on_hold(
+        self, group: groups.Group, members: Iterable[ids.MemberId]
+    ) -> None:
+        term = group.primary.leadership.term
+        _, known = self._left_on_hold.get(group.id, (term, set()))
+        self._left_on_hold[group.id] = term, known | set(members)
+
     def left_on_hold(self, group: groups.Group) -> bool:
         """Return whether replicas wait for this daemon to release them."""
-        term = self._left_on_hold.get(group.id)
-        if term is not None and group.primary.leadership.term > term:
+        term, left = self._left_on_hold.get(group.id, (0, set()))
+        left &= group.pool_by_member.keys()
+        if not left or group.primary.leadership.term > term:
             # A promotion ends every hold.
-            del self._left_on_hold[group.id]
+            self._left_on_hold.pop(group.id, None)
             return False
-        return term is not None
+        return True
 
     async def release_left(self, group: groups.Group) -> None:
-        """Claim the promotion to release what was left on hold."""
-        old = group.primary.leadership.member
-        if old is None or await self._record.claim(group.id) is None:
-            return
-        connections = await self._connections(_replicas(group, old))
-        if connections is not None:
-            try:
+        """Claim the promotion to release what was left on hold.
+
+        Replicas that cannot be reached are tried again later; nothing is
+        claimed for them, as a claim keeps other daemons from promoting.
+        """
+        _, left = self._left_on_hold[group.id]
+        pools = [group.pool_by_member[member] for member in left]
+        taken = await asyncio.gather(*(each.take_or_open() for each in pools))
+        connections = [each for each in taken if each is not None]
+        try:
+            if connections and await self._record.claim(group.id) is not None:
                 await self._release(
                     group,
                     {each.pool.entry.id: each.channel for each in connections},
                 )
-            finally:
-                for connection in connections:
-                    connection.pool.give_back(connection)
+        finally:
+            for connection in connections:
+                connection.pool.give_back(connection)
         self._claims.failed(group.id, self._clock.now())
 
     async def _release(
@@ -299,24 +314,33 @@
         loses commits if the replicas receive before it takes effect, so they
         stay on hold until this daemon has a claim, or the lead has changed.
         """
-        self._left_on_hold[group.id] = group.primary.leadership.term
+        self._leave_on_hold(group, channels)
         if not await self._record.renew(group.id):
             loguru.logger.warning(
                 "event=replicas_left_on_hold group={}", group.id
             )
             return
+        open_channels = {
+            member: channel
+            for member, channel in channels.items()
+            if not channel.closed
+        }
         answers = await asyncio.gather(
             *(
                 channel.release_replication(log_comparison.QUERY_TIMEOUT_S)
-                for channel in channels.values()
-                if not channel.closed
+                for channel in open_channels.values()
             )
         )
-        faults = [each.fault.value for each in answers if each.fault]
-        if len(answers) == len(channels) and not faults:
-            del self._left_on_hold[group.id]
+        _, left = self._left_on_hold[group.id]
+        left -= {
+            member
+            for member, answer in zip(open_channels, answers, strict=True)
+            if answer.fault is None
+        }
         loguru.logger.info(
-            "event=replicas_released group={} faults={}", group.id, faults
+            "event=replicas_released group={} faults={}",
+            group.id,
+            [each.fault.value for each in answers if each.fault],
         )
 
     def _reserved_token(self, group: groups.Group) -> ids.FencingToken | None:
--- a/burdockcart/process/gateway/tests/test_overlapping_promotions.py
+++ b/burdockcart/process/gateway/tests/test_overlapping_promotions.py
@@ -242,6 +242,37 @@
 
         self.check_released(set_outage(True), set_outage(False))
 
+    def test_release_beside_a_crashed_replica(self):
+        """One replica that is gone must not keep another one on hold."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            group = daemon.group_by_id[GROUP]
+            await (await deployment.client("live")).write()
+            held, gone = [
+                each for each in deployment.members if not each.leads
+            ]
+            held.held_term = 2
+            daemon._failover._promoter._leave_on_hold(
+                group, [held.id, gone.id]
+            )
+            gone.crash()
+            await gateway_deployment.until(lambda: held.receives)
+            # Nothing more is claimed for the one that is gone.
+            platform = deployment.platform
+            claim, claims = platform.claim_promotion, []
+
+            async def record_claim(group, record, expected):
+                if not record.reserved:
+                    claims.append(record)
+                return await claim(group, record, expected)
+
+            platform.claim_promotion = record_claim
+            await asyncio.sleep(5.0)
+            self.assertEqual([], claims)
+
+        test_sessions.scenario(check)
+
     def test_release_without_answer(self):
         """A release that a replica did not answer must be repeated."""
 
