Log the era of the platform's store

The logs could not tell a daemon that uses a revision in another history from one that gets no answer, or no new manifest. The adapter now decodes the era that each answer of the store carries, and logs each change of it as store_era_seen with the path of the call.

No decision depends on it yet.

--- a/burdockcart/ids.py
+++ b/burdockcart/ids.py
@@ -30,6 +30,13 @@
 #: Id that a client assigns to one statement.
 StatementId = NewType("StatementId", str)
 
-#: Revision of the platform's store at which a promotion was claimed; a later
+#: Number of the times that the platform's store was restored from a copy.
+StoreEra = NewType("StoreEra", int)
+
+#: Revision of the platform's store, together with its era; rises over all
+#: eras.
+StorePosition = NewType("StorePosition", int)
+
+#: Position in the platform's store at which a promotion was claimed; a later
 #: claim has a higher number.
 FencingToken = NewType("FencingToken", int)
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -14,6 +14,7 @@
 from burdockcart.platform import formats
 from burdockcart.platform import store_messages
 from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import store_era
 from burdockcart.process.peers import fleet_key
 from burdockcart.version import manifest
 
@@ -35,6 +36,8 @@
 PROMOTION_PREFIX = "promotions/"
 DAEMON_PREFIX = "daemons/"
 FLEET_KEY = "fleet/key"
+#: Header of all answers of the store; rises by one when it is restored.
+ERA_HEADER = "Store-Era"
 
 
 class _AddressResolver:
@@ -70,6 +73,7 @@
     def __init__(self, store_address: str, promotion_address: str):
         self.store_address = store_address
         self.promotion_address = promotion_address
+        self.eras = store_era.EraWatch()
         self._read_timeout_s = READ_TIMEOUT_S
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
@@ -107,12 +111,30 @@
             loguru.logger.debug("event=call_failed url={} {}", url, error)
             return None
 
+    async def _ask_store(
+        self, path: str, method: str = "GET", **options: Any
+    ) -> httpclient.HTTPResponse | None:
+        """Call the store and note the era of its answer."""
+        url = f"http://{self.store_address}{path}"
+        answer = await self._send(url, method, **options)
+        era = None if answer is None else _era(answer)
+        if era is not None:
+            known = self.eras.current
+            self.eras.observe(era)
+            if era != known:
+                loguru.logger.warning(
+                    "event=store_era_seen era={} known={} path={}",
+                    era,
+                    known,
+                    path.partition("?")[0],
+                )
+        return answer
+
     async def _call(
         self, path: str, kind: Any, method: str = "GET", **options: Any
     ) -> result.Result[Any, coordination.CallFault]:
         """Call the store and decode its answer."""
-        url = f"http://{self.store_address}{path}"
-        answer = await self._send(url, method, **options)
+        answer = await self._ask_store(path, method, **options)
         if answer is None or answer.code == 599:
             return result.Failure(coordination.CallFault.NO_ANSWER)
         if answer.code != 200:
@@ -234,8 +256,7 @@
             "writes": [{"key": key, "value": value, "lease": 0}],
             "deletes": [],
         }
-        url = f"http://{self.store_address}/api/kv-txn"
-        answer = await self._send(url, "POST", body)
+        answer = await self._ask_store("/api/kv-txn", "POST", body=body)
         try:
             if answer is not None and answer.code == 200:
                 written = msgspec.json.decode(
@@ -290,8 +311,7 @@
             "writes": [{"key": FLEET_KEY, "value": value, "lease": 0}],
             "deletes": [],
         }
-        url = f"http://{self.store_address}/api/kv-txn"
-        await self._send(url, "POST", body)
+        await self._ask_store("/api/kv-txn", "POST", body=body)
         # Whatever the answer, the store tells which key is in force: another
         # daemon may have been first.
         found = await self._range(FLEET_KEY)
@@ -352,6 +372,12 @@
         return isinstance(answer, result.Success)
 
 
+def _era(answer: httpclient.HTTPResponse) -> ids.StoreEra | None:
+    """Return the era that an answer shows, if it shows one."""
+    text = answer.headers.get(ERA_HEADER, "")
+    return ids.StoreEra(int(text)) if text.isdecimal() else None
+
+
 def _manifest(data: bytes) -> manifest.Manifest | None:
     """Return a manifest; log an error and return None if it is invalid."""
     try:
--- a/burdockcart/platform/tests/test_generated_input.py
+++ b/burdockcart/platform/tests/test_generated_input.py
@@ -160,3 +160,4 @@
 
     body: bytes
     code: int = 200
+    headers: dict[str, str] = {}
