Reproduce a manifest that is missed after a restore

The emulated platform can be restored from a copy: revisions and leases go back and are given out again, and a poll from a revision that it does not have finds no history.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -1,7 +1,8 @@
 """In-memory platform of a gateway: store, promotions, list of daemons."""
 
 import asyncio
-import itertools
+import copy
+from typing import Any
 
 from returns import result
 
@@ -15,6 +16,21 @@
 PromotionFault = coordination.PromotionFault
 
 
+#: Attributes of :class:`EmulatedPlatform` that its store keeps.
+STORED = (
+    "revision",
+    "tables",
+    "history",
+    "entry_by_id",
+    "entry_changes",
+    "record_by_group",
+    "daemon_by_id",
+    "fleet_key",
+    "_daemon_by_lease",
+    "_lease_ends_at",
+)
+
+
 class EmulatedPlatform:
     """The platform that all daemons of a test share.
 
@@ -32,7 +48,7 @@
         group_by_id: dict[ids.GroupId, wire_member.EmulatedGroup],
     ):
         self.group_by_id = group_by_id
-        self.revisions = itertools.count(100)
+        self.era = ids.StoreEra(0)
         self.revision = 99
         self.tables = tables
         self.history = [(self.revision, tables)]
@@ -64,9 +80,22 @@
         self._late_promotions: set[asyncio.Task[None]] = set()
 
     def _next_revision(self) -> int:
-        self.revision = next(self.revisions)
+        self.revision += 1
         return self.revision
 
+    def copy(self) -> dict[str, Any]:
+        """Return a copy of the store's data."""
+        return {name: copy.copy(getattr(self, name)) for name in STORED}
+
+    def restore(self, copied: dict[str, Any]) -> None:
+        """Go back to a copy; what was acknowledged since is lost.
+
+        Revisions are given out again, and so are leases.
+        """
+        for name, value in copied.items():
+            setattr(self, name, copy.copy(value))
+        self.era = ids.StoreEra(self.era + 1)
+
     def put_tables(self, tables: manifest.Manifest) -> None:
         """Write a manifest, as the operator does."""
         self.tables = tables
@@ -123,7 +152,7 @@
         fault = await self._store_fault()
         if fault is not None:
             return fault
-        if after < self.oldest_kept:
+        if after < self.oldest_kept or after > self.revision:
             return result.Failure(CallFault.HISTORY_LOST)
         return result.Success(
             coordination.StoreChanges(
