--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -4,12 +4,14 @@
 import copy
 from typing import Any
 
+import msgspec
 from returns import result
 
 from burdockcart.emulator import host_link
 from burdockcart.emulator import wire_member
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import store_era
 from burdockcart.version import manifest
 
 CallFault = coordination.CallFault
@@ -26,6 +28,7 @@
     "record_by_group",
     "daemon_by_id",
     "fleet_key",
+    "complete_since",
     "_daemon_by_lease",
     "_lease_ends_at",
 )
@@ -49,6 +52,8 @@
     ):
         self.group_by_id = group_by_id
         self.era = ids.StoreEra(0)
+        self.eras = store_era.EraWatch()
+        self.complete_since: ids.StoreEra | None = self.era
         self.revision = 99
         self.tables = tables
         self.history = [(self.revision, tables)]
@@ -128,13 +133,19 @@
         now = asyncio.get_running_loop().time()
         self._lease_ends_at[lease] = (now + ttl_s, ttl_s)
 
-    async def _store_fault(self):
+    async def _store_fault(self, era: ids.StoreEra | None = None):
+        """Return why a call, in an era if it needs one, is not executed."""
         await asyncio.sleep(0.004)
         self._end_leases()
         if self.outage:
             return result.Failure(CallFault.UNAVAILABLE)
+        if era not in (None, self.era):
+            return result.Failure(CallFault.RESTORED)
         return None
 
+    def _position(self, revision: int) -> ids.StorePosition:
+        return store_era.position(self.era, revision)
+
     async def read_store(self):
         """Return what the store holds."""
         return await self._store_fault() or result.Success(
@@ -143,15 +154,17 @@
                 entry_by_member=dict(self.entry_by_id),
                 daemon_by_id=dict(self.daemon_by_id),
                 fleet_key=self.fleet_key,
-                revision=self.revision,
+                position=self._position(self.revision),
+                complete_since=self.complete_since,
             )
         )
 
-    async def changes(self, after: int):
-        """Return what changed after a revision."""
-        fault = await self._store_fault()
+    async def changes(self, position: ids.StorePosition):
+        """Return what changed after a position."""
+        fault = await self._store_fault(store_era.era_of(position))
         if fault is not None:
             return fault
+        after = store_era.revision_of(position)
         if after < self.oldest_kept or after > self.revision:
             return result.Failure(CallFault.HISTORY_LOST)
         return result.Success(
@@ -171,7 +184,8 @@
                     for daemon in self._registered | set(self.daemon_by_id)
                 },
                 fleet_key=self.fleet_key,
-                revision=self.revision,
+                position=self._position(self.revision),
+                complete_since=self.complete_since,
             )
         )
 
@@ -179,21 +193,23 @@
         self,
         group: ids.GroupId,
         record: coordination.PromotionRecord,
-        expected: int,
+        expected: ids.StorePosition,
     ):
-        """Claim a promotion if the record has the expected revision."""
-        fault = await self._store_fault()
+        """Claim a promotion if the record has the expected position."""
+        fault = await self._store_fault(store_era.era_of(expected))
         if fault is not None:
             return fault
         known, revision = self.record_by_group.get(group, (None, 0))
-        if revision != expected:
-            return result.Failure(coordination.ClaimLost(known, revision))
+        if self._position(revision) != expected:
+            return result.Failure(
+                coordination.ClaimLost(known, self._position(revision))
+            )
         revision = self._next_revision()
         self.record_by_group[group] = (record, revision)
         if self.lose_claims:
             self.lose_claims -= 1
             return result.Failure(CallFault.NO_ANSWER)
-        return result.Success(ids.FencingToken(revision))
+        return result.Success(ids.FencingToken(self._position(revision)))
 
     async def promote(
         self,
@@ -252,38 +268,60 @@
         self.fleet_key = self.fleet_key or key
         return result.Success(self.fleet_key)
 
-    async def unregister_daemon(self, lease: int):
+    async def record_complete(self, era: ids.StoreEra):
+        """Record that the store knows all open promotions in an era."""
+        fault = await self._store_fault(era)
+        if fault is not None:
+            return fault
+        self.complete_since = era
+        self._next_revision()
+        return result.Success(None)
+
+    async def unregister_daemon(self, lease: coordination.Lease):
         """Remove the daemon with a lease from the list."""
+        fault = await self._store_fault(lease.era)
+        if fault is not None:
+            return fault
+        if lease.number not in self._daemon_by_lease:
+            return result.Failure(CallFault.MISSING)
+        self._end_lease(lease.number)
+        return result.Success(None)
+
+    async def withdraw_daemon(self, entry: coordination.DaemonEntry):
+        """Remove an entry of an incarnation from the list."""
         fault = await self._store_fault()
         if fault is not None:
             return fault
-        if lease not in self._daemon_by_lease:
+        known = self.daemon_by_id.get(entry.id)
+        if known is None or known.incarnation != entry.incarnation:
             return result.Failure(CallFault.MISSING)
-        self._end_lease(lease)
+        del self.daemon_by_id[entry.id]
         return result.Success(None)
 
     async def register_daemon(
         self, daemon: coordination.DaemonEntry, ttl_s: float
     ):
         """Add a daemon to the list."""
-        fault = await self._store_fault()
+        fault = await self._store_fault(daemon.era)
         if fault is not None:
             return fault
+        daemon = msgspec.structs.replace(daemon, era=self.era)
         self.daemon_by_id[daemon.id] = daemon
         self._registered.add(daemon.id)
         lease = self._next_revision()
         self._daemon_by_lease[lease] = daemon.id
         self._start_lease(lease, ttl_s)
-        return result.Success(lease)
+        return result.Success(coordination.Lease(self.era, lease))
 
-    async def renew_daemon(self, lease: int):
+    async def renew_daemon(self, lease: coordination.Lease):
         """Renew a daemon's lease in the list."""
-        fault = await self._store_fault()
+        fault = await self._store_fault(lease.era)
         if fault is not None:
             return fault
-        if lease not in self._daemon_by_lease:
+        if lease.number not in self._daemon_by_lease:
             return result.Failure(CallFault.MISSING)
-        self._start_lease(lease, self._lease_ends_at[lease][1])
+        _, ttl_s = self._lease_ends_at[lease.number]
+        self._start_lease(lease.number, ttl_s)
         return result.Success(None)
 
     async def reachable(self):
@@ -300,6 +338,7 @@
         self.cut = False
         #: Whether only promotions reach the platform.
         self.store_cut = False
+        self.eras = store_era.EraWatch()
 
     def __getattr__(self, name: str):
         method = getattr(self._platform, name)
@@ -309,6 +348,8 @@
             if not cut:
                 answer = await method(*arguments)
                 await self._link.arrive()
+                if not self._platform.outage and name != "promote":
+                    self.eras.observe(self._platform.era)
                 return answer
             await asyncio.sleep(0.5)
             if name == "reachable":
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -36,6 +36,8 @@
 PROMOTION_PREFIX = "promotions/"
 DAEMON_PREFIX = "daemons/"
 FLEET_KEY = "fleet/key"
+#: Newest era in which the store knows all promotions that may be open.
+COMPLETE_KEY = "fleet/complete-since"
 #: Header of all answers of the store; rises by one when it is restored.
 ERA_HEADER = "Store-Era"
 
@@ -112,37 +114,51 @@
             return None
 
     async def _ask_store(
-        self, path: str, method: str = "GET", **options: Any
-    ) -> httpclient.HTTPResponse | None:
-        """Call the store and note the era of its answer."""
+        self,
+        path: str,
+        method: str = "GET",
+        era: ids.StoreEra | None = None,
+        **options: Any,
+    ) -> httpclient.HTTPResponse | coordination.CallFault:
+        """Call the store, and note the era of its answer.
+
+        An answer counts only if it is of the newest known era, and of the
+        given one: positions and leases of another era name something else.
+        """
+        if era not in (None, self.eras.current):
+            return coordination.CallFault.RESTORED
         url = f"http://{self.store_address}{path}"
         answer = await self._send(url, method, **options)
-        era = None if answer is None else _era(answer)
-        if era is not None:
-            known = self.eras.current
-            self.eras.observe(era)
-            if era != known:
-                loguru.logger.warning(
-                    "event=store_era_seen era={} known={} path={}",
-                    era,
-                    known,
-                    path.partition("?")[0],
-                )
+        if answer is None or answer.code == 599:
+            return coordination.CallFault.NO_ANSWER
+        known = self.eras.current
+        seen = _era(answer)
+        if seen is not None and seen != known:
+            loguru.logger.warning(
+                "event=store_era_seen era={} known={} path={}",
+                seen,
+                known,
+                path.partition("?")[0],
+            )
+            if not self.eras.observe(seen):
+                return coordination.CallFault.RESTORED
+        if era not in (None, self.eras.current):
+            return coordination.CallFault.RESTORED
         return answer
 
     async def _call(
         self, path: str, kind: Any, method: str = "GET", **options: Any
     ) -> result.Result[Any, coordination.CallFault]:
-        """Call the store and decode its answer."""
+        """Call the store and decode its answer.
+
+        After a success the answer is of the newest known era.
+        """
         answer = await self._ask_store(path, method, **options)
-        if answer is None or answer.code == 599:
-            return result.Failure(coordination.CallFault.NO_ANSWER)
-        if answer.code != 200:
-            return result.Failure(
-                _FAULT_BY_STATUS.get(
-                    answer.code, coordination.CallFault.NO_ANSWER
-                )
-            )
+        if isinstance(answer, coordination.CallFault):
+            return result.Failure(answer)
+        status = _status(answer)
+        if isinstance(status, result.Failure):
+            return status
         try:
             return result.Success(msgspec.json.decode(answer.body, type=kind))
         except msgspec.MsgspecError as error:
@@ -151,6 +167,32 @@
             )
             return result.Failure(coordination.CallFault.UNREADABLE)
 
+    async def _write(
+        self,
+        expected: dict[str, int],
+        writes: dict[str, bytes],
+        lease: int = 0,
+        deletes: tuple[str, ...] = (),
+        era: ids.StoreEra | None = None,
+    ) -> httpclient.HTTPResponse | coordination.CallFault:
+        """Write keys at once if others have the expected revisions."""
+        body = {
+            "expect-rev": [
+                {"key": key, "revision": revision}
+                for key, revision in expected.items()
+            ],
+            "writes": [
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "lease": lease,
+                }
+                for key, value in writes.items()
+            ],
+            "deletes": list(deletes),
+        }
+        return await self._ask_store("/api/kv-txn", "POST", era=era, body=body)
+
     async def read_store(
         self,
     ) -> result.Result[coordination.StoreSnapshot, coordination.CallFault]:
@@ -167,6 +209,7 @@
         item_by_key = {item.key: item for item in page.items}
         config = item_by_key.get(MANIFEST_KEY)
         key = item_by_key.get(FLEET_KEY)
+        complete = item_by_key.get(COMPLETE_KEY)
         return result.Success(
             coordination.StoreSnapshot(
                 tables=None if config is None else _manifest(config.data),
@@ -183,28 +226,37 @@
                     if (daemon := _daemon(item)) is not None
                 },
                 fleet_key=None if key is None else _fleet_key(key),
-                revision=page.store_revision,
+                position=store_era.position(
+                    self.eras.current, page.store_revision
+                ),
+                complete_since=(
+                    None if complete is None else _complete_since(complete)
+                ),
             )
         )
 
     async def changes(
-        self, after: int
+        self, after: ids.StorePosition
     ) -> result.Result[coordination.StoreChanges, coordination.CallFault]:
-        """Return what changed after a revision.
+        """Return what changed after a position.
 
         One watch of all keys costs one call; a watch per prefix would cost
         one call each, and members write all the time.
         """
-        query = {"prefix": "", "after": after, "wait-ms": 0}
+        revision = store_era.revision_of(after)
+        query = {"prefix": "", "after": revision, "wait-ms": 0}
         path = "/api/kv-watch?" + parse.urlencode(query)
-        answer = await self._read(path, store_messages.Events)
-        return answer.map(_changes)
+        era = store_era.era_of(after)
+        answer = await self._read(path, store_messages.Events, era)
+        return answer.map(lambda seen: _changes(seen, era))
 
     async def _read(
-        self, path: str, kind: Any
+        self, path: str, kind: Any, era: ids.StoreEra | None = None
     ) -> result.Result[Any, coordination.CallFault]:
         """Read a value that may be large; double the timeout on failure."""
-        answer = await self._call(path, kind, timeout_s=self._read_timeout_s)
+        answer = await self._call(
+            path, kind, era=era, timeout_s=self._read_timeout_s
+        )
         if answer == result.Failure(coordination.CallFault.NO_ANSWER):
             self._read_timeout_s = min(
                 2 * self._read_timeout_s, MAX_READ_TIMEOUT_S
@@ -219,17 +271,19 @@
         """Return all items under a prefix, and the first page's revision."""
         items: list[store_messages.StoredItem] = []
         first_revision = None
+        era = None
         while True:
             query = {"prefix": prefix}
             if items:
                 query["after"] = items[-1].key
             path = "/api/kv-range?" + parse.urlencode(query)
-            answer = await self._read(path, store_messages.Range)
+            answer = await self._read(path, store_messages.Range, era)
             page = answer.value_or(None)
             if page is None:
                 return answer
             if first_revision is None:
                 first_revision = page.store_revision
+                era = self.eras.current
             items += page.items
             if not page.has_more or not page.items:
                 return result.Success(
@@ -240,31 +294,34 @@
         self,
         group: ids.GroupId,
         record: coordination.PromotionRecord,
-        expected: int,
+        expected: ids.StorePosition,
     ) -> result.Result[
         ids.FencingToken, coordination.ClaimLost | coordination.CallFault
     ]:
-        """Claim a promotion if the record is still at the expected revision.
+        """Claim a promotion if the record is still at the expected position.
 
-        The revision of the claim is its fencing token: revisions of the store
-        only increase, so a later claim has a higher token.
+        The position of the claim is its fencing token: positions only
+        increase, so a later claim has a higher token.
         """
         key = PROMOTION_PREFIX + group
-        value = base64.b64encode(formats.encode_promotion(record)).decode()
-        body = {
-            "expect-rev": [{"key": key, "revision": expected}],
-            "writes": [{"key": key, "value": value, "lease": 0}],
-            "deletes": [],
-        }
-        answer = await self._ask_store("/api/kv-txn", "POST", body=body)
+        era = store_era.era_of(expected)
+        answer = await self._write(
+            {key: store_era.revision_of(expected)},
+            {key: formats.encode_promotion(record)},
+            era=era,
+        )
+        if isinstance(answer, coordination.CallFault):
+            return result.Failure(answer)
         try:
-            if answer is not None and answer.code == 200:
+            if answer.code == 200:
                 written = msgspec.json.decode(
                     answer.body, type=store_messages.Written
                 )
-                return result.Success(ids.FencingToken(written.revision))
-            if answer is not None and answer.code == 412:
-                return result.Failure(_claim_lost(answer.body, key))
+                return result.Success(
+                    ids.FencingToken(store_era.position(era, written.revision))
+                )
+            if answer.code == 412:
+                return result.Failure(_claim_lost(answer.body, key, era))
         except msgspec.MsgspecError as error:
             # The claim may be in force, as after no answer at all.
             loguru.logger.error(
@@ -272,7 +329,7 @@
                 str(error),
             )
             return result.Failure(coordination.CallFault.NO_ANSWER)
-        if answer is not None and answer.code in (429, 503):
+        if answer.code in (429, 503):
             return result.Failure(coordination.CallFault.UNAVAILABLE)
         return result.Failure(coordination.CallFault.NO_ANSWER)
 
@@ -305,13 +362,7 @@
         self, key: bytes
     ) -> result.Result[bytes, coordination.CallFault]:
         """Write the key that all daemons share unless there is one."""
-        value = base64.b64encode(key).decode()
-        body = {
-            "expect-rev": [{"key": FLEET_KEY, "revision": 0}],
-            "writes": [{"key": FLEET_KEY, "value": value, "lease": 0}],
-            "deletes": [],
-        }
-        await self._ask_store("/api/kv-txn", "POST", body=body)
+        await self._write({FLEET_KEY: 0}, {FLEET_KEY: key})
         # Whatever the answer, the store tells which key is in force: another
         # daemon may have been first.
         found = await self._range(FLEET_KEY)
@@ -321,48 +372,81 @@
             return result.Failure(coordination.CallFault.NO_ANSWER)
         return result.Success(in_force)
 
+    async def record_complete(
+        self, era: ids.StoreEra
+    ) -> result.Result[None, coordination.CallFault]:
+        """Record that the store knows all open promotions in an era.
+
+        If the write is executed in a later era, its value is an earlier one.
+        """
+        answer = await self._write(
+            {}, {COMPLETE_KEY: formats.encode_era(era)}, era=era
+        )
+        return _status(answer)
+
     async def register_daemon(
         self, entry: coordination.DaemonEntry, ttl_s: float
-    ) -> result.Result[int, coordination.CallFault]:
+    ) -> result.Result[coordination.Lease, coordination.CallFault]:
         """Register a daemon under a new lease and return the lease."""
         granted = await self._call(
             "/api/kv-lease",
             store_messages.Lease,
             "POST",
+            era=entry.era,
             body={"ttl-ms": int(ttl_s * 1000)},
         )
-        lease = granted.value_or(None)
-        if lease is None:
+        if isinstance(granted, result.Failure):
             return granted
-        key = DAEMON_PREFIX + entry.id
-        value = base64.b64encode(formats.encode_daemon(entry)).decode()
-        body = {
-            "expect-rev": [],
-            "writes": [{"key": key, "value": value, "lease": lease.lease}],
-            "deletes": [],
-        }
-        written = await self._call(
-            "/api/kv-txn", store_messages.Written, "POST", body=body
+        era = self.eras.current
+        lease = coordination.Lease(era, granted.unwrap().lease)
+        value = formats.encode_daemon(msgspec.structs.replace(entry, era=era))
+        answer = await self._write(
+            {}, {DAEMON_PREFIX + entry.id: value}, lease.number, era=era
         )
+        written = _status(answer)
         if isinstance(written, result.Failure):
             # The write may be executed later unless its lease has ended.
-            await self.unregister_daemon(lease.lease)
-        return written.map(lambda _: lease.lease)
+            await self.unregister_daemon(lease)
+        return written.map(lambda _: lease)
 
     async def renew_daemon(
-        self, lease: int
+        self, lease: coordination.Lease
     ) -> result.Result[None, coordination.CallFault]:
         """Renew the lease of a registered daemon."""
-        answer = await self._call(f"/api/kv-keep/{lease}", Any, "POST")
-        return answer.map(lambda _: None)
+        path = f"/api/kv-keep/{lease.number}"
+        return _status(await self._ask_store(path, "POST", era=lease.era))
 
     async def unregister_daemon(
-        self, lease: int
+        self, lease: coordination.Lease
     ) -> result.Result[None, coordination.CallFault]:
         """End the lease of a registered daemon."""
-        path = f"/api/kv-lease-end/{lease}"
-        answer = await self._call(path, Any, "DELETE")
-        return answer.map(lambda _: None)
+        path = f"/api/kv-lease-end/{lease.number}"
+        return _status(await self._ask_store(path, "DELETE", era=lease.era))
+
+    async def withdraw_daemon(
+        self, entry: coordination.DaemonEntry
+    ) -> result.Result[None, coordination.CallFault]:
+        """Remove an entry of this incarnation, whatever its lease.
+
+        Only the entry that was read is removed: another incarnation may
+        register at the same time.
+        """
+        key = DAEMON_PREFIX + entry.id
+        found = await self._call(
+            "/api/kv-key?" + parse.urlencode({"key": key}),
+            store_messages.StoredItem,
+        )
+        era = self.eras.current
+        if isinstance(found, result.Failure):
+            return found
+        item = found.unwrap()
+        known = _daemon(item)
+        if known is None or known.incarnation != entry.incarnation:
+            return result.Failure(coordination.CallFault.MISSING)
+        answer = await self._write(
+            {key: item.revision}, {}, deletes=(key,), era=era
+        )
+        return _status(answer)
 
     async def reachable(self) -> bool:
         """Return whether the store answers at all."""
@@ -378,6 +462,19 @@
     return ids.StoreEra(int(text)) if text.isdecimal() else None
 
 
+def _status(
+    answer: httpclient.HTTPResponse | coordination.CallFault,
+) -> result.Result[None, coordination.CallFault]:
+    """Return whether the store did what it was asked for."""
+    if isinstance(answer, coordination.CallFault):
+        return result.Failure(answer)
+    if answer.code == 200:
+        return result.Success(None)
+    return result.Failure(
+        _FAULT_BY_STATUS.get(answer.code, coordination.CallFault.NO_ANSWER)
+    )
+
+
 def _manifest(data: bytes) -> manifest.Manifest | None:
     """Return a manifest; log an error and return None if it is invalid."""
     try:
@@ -387,7 +484,9 @@
         return None
 
 
-def _changes(seen: store_messages.Events) -> coordination.StoreChanges:
+def _changes(
+    seen: store_messages.Events, era: ids.StoreEra
+) -> coordination.StoreChanges:
     """Group events into manifests, members and daemons."""
     manifests = [
         found
@@ -415,15 +514,33 @@
         if event.key == FLEET_KEY and not event.tombstone
         if (key := _fleet_key(event)) is not None
     ]
+    complete = [
+        era_found
+        for event in seen.events
+        if event.key == COMPLETE_KEY and not event.tombstone
+        if (era_found := _complete_since(event)) is not None
+    ]
     return coordination.StoreChanges(
         tables=manifests,
         entry_by_member=entry_by_member,
         entry_by_daemon=entry_by_daemon,
         fleet_key=keys[-1] if keys else None,
-        revision=seen.store_revision,
+        position=store_era.position(era, seen.store_revision),
+        complete_since=complete[-1] if complete else None,
     )
 
 
+def _complete_since(item: store_messages.StoredItem) -> ids.StoreEra | None:
+    """Return the era of a record that it is complete; None if unusable."""
+    try:
+        return formats.read_era(item.data)
+    except (msgspec.MsgspecError, ValueError) as error:
+        loguru.logger.error(
+            "event=era_unreadable key={} error={!r}", item.key, str(error)
+        )
+        return None
+
+
 def _daemon_id(item: store_messages.StoredItem) -> ids.DaemonId:
     return ids.DaemonId(item.key.removeprefix(DAEMON_PREFIX))
 
@@ -482,11 +599,14 @@
         return None
 
 
-def _claim_lost(body: bytes, key: str) -> coordination.ClaimLost:
+def _claim_lost(
+    body: bytes, key: str, era: ids.StoreEra
+) -> coordination.ClaimLost:
     page = msgspec.json.decode(body, type=store_messages.Range)
     item = next((each for each in page.items if each.key == key), None)
     if item is None:
-        return coordination.ClaimLost(None, 0)
+        return coordination.ClaimLost(None, store_era.position(era, 0))
     return coordination.ClaimLost(
-        formats.read_promotion(item.data), item.revision
+        formats.read_promotion(item.data),
+        store_era.position(era, item.revision),
     )
--- a/burdockcart/platform/formats.py
+++ b/burdockcart/platform/formats.py
@@ -102,6 +102,8 @@
     db_role: str = ""
     # Wall-clock time of the member's start, in milliseconds.
     born: int = 0
+    # Counts what the member says of itself since its start.
+    seq: int = 0
 
 
 _STATE_BY_WORD = {
@@ -137,6 +139,7 @@
         state=state,
         leads=raw.db_role == "primary",
         started_ms=raw.born,
+        sequence=raw.seq,
     )
 
 
@@ -157,6 +160,8 @@
     address: str
     domain: str
     incarnation: str
+    era: int = 0
+    manifest_version: int = 0
 
 
 def read_daemon(
@@ -180,11 +185,37 @@
         raw.address,
         ids.DomainName(raw.domain),
         ids.Incarnation(raw.incarnation),
+        ids.StoreEra(raw.era),
+        raw.manifest_version,
     )
 
 
 def encode_daemon(entry: coordination.DaemonEntry) -> bytes:
     """Encode a daemon's registration for the store."""
     return msgspec.json.encode(
-        _Daemon(entry.address, entry.domain, entry.incarnation)
+        _Daemon(
+            entry.address,
+            entry.domain,
+            entry.incarnation,
+            entry.era or 0,
+            entry.manifest_version,
+        )
     )
+
+
+def read_era(value: bytes) -> ids.StoreEra:
+    """Decode an era of the store.
+
+    Raises
+    ======
+
+    ValueError
+        If the value is no era.
+
+    """
+    return ids.StoreEra(msgspec.json.decode(value, type=int))
+
+
+def encode_era(era: ids.StoreEra) -> bytes:
+    """Encode an era of the store."""
+    return msgspec.json.encode(era)
--- a/burdockcart/platform/store_messages.py
+++ b/burdockcart/platform/store_messages.py
@@ -1,15 +1,21 @@
 """Answers of the platform's store as encoded on the wire."""
 
 import base64
+from typing import Annotated
 
 import msgspec
 
+from burdockcart.process.gateway import store_era
+
+#: A revision of the store within one era.
+Revision = Annotated[int, msgspec.Meta(ge=0, lt=1 << store_era.REVISION_BITS)]
+
 
 class StoredItem(msgspec.Struct, rename="kebab"):
     """An item, or a change event of one; ``value`` is base64."""
 
     key: str
-    revision: int
+    revision: Revision
     value: str = ""
     tombstone: bool = False
 
@@ -23,7 +29,7 @@
     """One page of the items under a prefix."""
 
     items: list[StoredItem]
-    store_revision: int = 0
+    store_revision: Revision = 0
     has_more: bool = False
 
 
@@ -31,13 +37,13 @@
     """Answer to a watch."""
 
     events: list[StoredItem]
-    store_revision: int
+    store_revision: Revision
 
 
 class Written(msgspec.Struct):
     """Answer to a committed transaction."""
 
-    revision: int
+    revision: Revision
 
 
 class Lease(msgspec.Struct):
--- a/burdockcart/platform/tests/test_calls.py
+++ b/burdockcart/platform/tests/test_calls.py
@@ -168,7 +168,7 @@
 
         async def check(store):
             store.answer_by_path["/api/kv-lease-end/7"] = (200, {})
-            await store.client.unregister_daemon(7)
+            await store.client.unregister_daemon(coordination.Lease(0, 7))
             self.assertEqual(
                 [("DELETE", "/api/kv-lease-end/7")],
                 [(each.method, each.path) for each in store.seen],
@@ -245,7 +245,7 @@
             )
             store.delay_s = 1.5
             seen = await store.client.changes(5)
-            self.assertEqual(7, seen.unwrap().revision)
+            self.assertEqual(7, seen.unwrap().position)
 
         run(check)
 
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -25,8 +25,10 @@
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import isolation_monitor
+from burdockcart.process.gateway import listing
 from burdockcart.process.gateway import reachability
 from burdockcart.process.gateway import reserved_claims
+from burdockcart.process.gateway import restore_wait
 from burdockcart.process.gateway import settings
 from burdockcart.process.gateway import shutdown_steps
 from burdockcart.process.gateway import statement_runner
@@ -105,7 +107,9 @@
         self._divided_at = self._clock.now()
         self._link = own_link.OwnLink(self._clock.now())
         self._store = self._link.source()
+        self._started_at = self._clock.now()
         self._tasks: list[asyncio.Task[None]] = []
+        self._key_missing = asyncio.Event()
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
         self.metrics = gateway_metrics.GatewayMetrics()
         shared = attempts.StatementSender(
@@ -147,12 +151,18 @@
             config.first_start,
             self._store,
         )
-        self._listing = store_follower.Listing(
-            coordination.DaemonEntry(
-                config.daemon, config.peer_address, config.domain, incarnation
-            ),
+        self._restore_wait = restore_wait.RestoreWait(
+            config.daemon,
             platform,
-            rng,
+            self.tables,
+            self._clock,
+            config.promotion_claim_s,
+            config.promotions_fenced,
+            config.first_start,
+        )
+        self._incarnation = incarnation
+        self._listing = listing.Listing(
+            platform, rng, self._prepare_registration
         )
         self._isolation = isolation_monitor.IsolationMonitor(
             config.domain,
@@ -172,6 +182,7 @@
             self._clock,
             _wall_ms,
             config.promotion_claim_s,
+            self._restore_wait.over,
         )
         self._failover = failover.Failover(
             config.daemon,
@@ -184,6 +195,7 @@
             self.metrics,
             self._reserved,
             lambda: self.tables.daemons,
+            self._restore_wait.over,
         )
 
     async def start(self, clients: client_listener.ClientListener) -> None:
@@ -192,7 +204,7 @@
         clients.listen_on(self._settings.client_address)
         await self.relay.start(self._settings.peer_address)
         self._spawn(self.tables.run)
-        self._spawn(self._create_fleet_key)
+        self._spawn(self._keep_fleet_key)
         self._spawn(self._listing.run)
         self._spawn(self._supervise)
         if self._settings.promotions_fenced:
@@ -261,7 +273,25 @@
             not self._admission.stopping
             and not self._isolation.isolated
             and self.tables.current is not None
-            and self.tables.listed
+            and self.tables.read.is_set()
+            and self._up_to_date()
+        )
+
+    def _up_to_date(self) -> bool:
+        """Return whether no other daemon is known to use a newer manifest.
+
+        A restored store may hold an older one.  The operator has written the
+        newer one again after the time in which a manifest must be in force.
+        """
+        assert self.tables.current is not None
+        if self._clock.now() - self._started_at >= self._settings.manifest_s:
+            return True
+        return self.tables.current.version >= max(
+            (
+                entry.manifest_version
+                for entry in self.tables.entry_by_daemon.values()
+            ),
+            default=0,
         )
 
     async def open_session(
@@ -373,8 +403,35 @@
         loguru.logger.info("event=daemons_listed count={}", len(entry_by_id))
         self._divide_connections()
 
+    def era_changed(self, era: ids.StoreEra) -> None:
+        """Forget positions of other eras of the store."""
+        self._failover.era_changed(era)
+        if self._restore_wait.begin(era):
+            self.metrics.store_restores.inc()
+
+    async def _prepare_registration(self) -> coordination.DaemonEntry | None:
+        """Return the entry to register once the store knows open promotions.
+
+        None if the store did not answer.
+        """
+        era = None
+        if self.tables.read.is_set():
+            era = self._platform.eras.current
+        if not await self._failover.restate():
+            return None
+        current = self.tables.current
+        return coordination.DaemonEntry(
+            self._settings.daemon,
+            self._settings.peer_address,
+            self._settings.domain,
+            self._incarnation,
+            era,
+            current.version if current else 0,
+        )
+
     def fleet_key_changed(self, key: bytes) -> None:
         """Use another key for links between daemons."""
+        self._key_missing.clear()
         if key == self._fleet_key.value:
             return
         if self._fleet_key.value is not None:
@@ -382,19 +439,28 @@
         self._fleet_key.value = key
         loguru.logger.info("event=fleet_key_in_force")
 
-    async def _create_fleet_key(self) -> None:
-        """Create the key that all daemons share, if there is none."""
-        pause_s = self._rng.uniform(0.0, KEY_SPREAD_S)
-        while self._fleet_key.value is None:
-            await asyncio.sleep(pause_s)
-            pause_s = KEY_RETRY_S
-            if self.tables.current is None or self._fleet_key.value:
-                continue
-            created = await self._platform.create_fleet_key(
-                fleet_key.new_key()
-            )
-            if isinstance(created, result.Success):
-                self.fleet_key_changed(created.unwrap())
+    def fleet_key_missing(self) -> None:
+        """Write the key of links between daemons, unless there is one."""
+        self._key_missing.set()
+
+    async def _keep_fleet_key(self) -> None:
+        """Write the key that all daemons share whenever the store lacks it.
+
+        After a restore of the store the key that is in use is written again
+        before a daemon that has just started creates another.
+        """
+        while True:
+            await self._key_missing.wait()
+            if self._fleet_key.value is None:
+                await asyncio.sleep(self._rng.uniform(0.0, KEY_SPREAD_S))
+            while self._key_missing.is_set():
+                created = await self._platform.create_fleet_key(
+                    self._fleet_key.value or fleet_key.new_key()
+                )
+                if isinstance(created, result.Success):
+                    self.fleet_key_changed(created.unwrap())
+                else:
+                    await asyncio.sleep(KEY_RETRY_S)
 
     def _divide_connections(self) -> None:
         self.relay.holding.recount()
@@ -450,6 +516,7 @@
         if now - self._divided_at >= DIVIDE_INTERVAL_S:
             self._divided_at = now
             self._divide_connections()
+            await self._restore_wait.record()
         for group in self.group_by_id.values():
             group.trim()
         await self._isolation.check(now)
--- a/burdockcart/process/gateway/claim_record.py
+++ b/burdockcart/process/gateway/claim_record.py
@@ -22,7 +22,14 @@
 class ClaimRecord:
     """Writes this daemon's claims; each by compare-and-swap.
 
-    The revision of a claim is its fencing token.
+    The position of a claim in the store is its fencing token.
+
+    Parameters
+    ==========
+
+    may_claim : callable
+        Returns whether the store knows all promotions that may be open.
+
     """
 
     def __init__(
@@ -33,6 +40,7 @@
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
         wall_ms: Callable[[], int],
+        may_claim: Callable[[], bool],
     ):
         self._daemon = daemon
         self._platform = platform
@@ -40,13 +48,22 @@
         self._clock = loop_clock
         self._boot_clock = boot_clock
         self._wall_ms = wall_ms
+        self._may_claim = may_claim
 
     async def claim(self, group: ids.GroupId) -> ids.FencingToken | None:
         """Claim the right to promote; None if the claim failed."""
+        if not self._may_claim():
+            loguru.logger.info(
+                "event=promotion_claim_failed group={} "
+                "fault='the store was restored'",
+                group,
+            )
+            self._claims.failed(group, self._clock.now(), store_silent=True)
+            return None
         record = self._new(self._pinned(group))
         for _ in range(MAX_WRITES):
             claimed = await self._platform.claim_promotion(
-                group, record, self._claims.revision(group)
+                group, record, self._claims.position(group)
             )
             now = self._clock.now()
             if isinstance(claimed, result.Success):
@@ -67,7 +84,7 @@
             ):
                 # An earlier claim of this attempt succeeded, but its answer
                 # was lost.
-                token = ids.FencingToken(fault.revision)
+                token = ids.FencingToken(fault.position)
                 self._claims.claimed(group, token, now)
                 return token
             if not self._claims.lost(group, fault, self._wall_ms(), now):
@@ -87,14 +104,41 @@
         Where the platform checks no tokens, this write must fail if another
         daemon has claimed the promotion meanwhile.  None if it failed.
         """
-        revision = self._claims.revision(group)
-        return await self._replace(group, self._new(candidate), revision)
+        own = self._claims.own_claim(group)
+        if own is None:
+            return None
+        return await self._replace(group, self._new(candidate), own)
 
     async def settle(self, group: ids.GroupId) -> None:
         """Record that no call for the group can be executed later."""
-        if self._pinned(group) is None:
-            revision = self._claims.revision(group)
-            await self._replace(group, self._new(settled=True), revision)
+        own = self._claims.own_claim(group)
+        if own is not None and self._pinned(group) is None:
+            await self._replace(group, self._new(settled=True), own)
+
+    async def restate(self, group: ids.GroupId) -> bool:
+        """Record an open call again that a restored store may have lost.
+
+        False if the store did not answer.  Two daemons may do it at once:
+        the second one finds the record of the first.
+        """
+        for _ in range(MAX_WRITES):
+            candidate = self._pinned(group)
+            if candidate is None:
+                return True
+            written = await self._platform.claim_promotion(
+                group, self._new(candidate), self._claims.position(group)
+            )
+            if isinstance(written, result.Success):
+                now = self._clock.now()
+                self._claims.claimed(group, written.unwrap(), now)
+                return True
+            fault = written.failure()
+            if isinstance(fault, coordination.CallFault):
+                return False
+            self._claims.lost(group, fault, self._wall_ms(), self._clock.now())
+            if fault.record is not None and fault.record.candidate:
+                return True
+        return False
 
     async def renew(self, group: ids.GroupId) -> bool:
         """Renew the claim; False if another daemon may have a newer one.
@@ -130,9 +174,9 @@
         self,
         group: ids.GroupId,
         record: coordination.PromotionRecord,
-        expected: int,
+        expected: ids.StorePosition,
     ) -> ids.FencingToken | None:
-        """Replace the record at a revision; None if that failed."""
+        """Replace the record at a position; None if that failed."""
         written = await self._platform.claim_promotion(group, record, expected)
         token = written.value_or(None)
         if token is not None:
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/coordination.py
@@ -7,19 +7,23 @@
 from returns import result
 
 from burdockcart import ids
+from burdockcart.process.gateway import store_era
 from burdockcart.version import manifest
 
 
 class CallFault(enum.Enum):
     """Reason why a call to the platform failed.
 
-    After NO_ANSWER the call may have been executed, or may be later.
+    After NO_ANSWER the call may have been executed, or may be later.  After
+    RESTORED it was meant for, or answered by, an earlier era of the store, so
+    that its outcome may be forgotten.
     """
 
     NO_ANSWER = "no answer"
     UNAVAILABLE = "unavailable, nothing was done"
     MISSING = "missing"
     HISTORY_LOST = "history no longer kept"
+    RESTORED = "the store was restored from a copy"
     UNREADABLE = "unreadable"
 
 
@@ -31,6 +35,12 @@
 
     address : str
         ``ip:port`` on which it accepts links of other daemons.
+    era : StoreEra or None
+        Era of the store in which the entry was written.  The daemon had then
+        written again which of its promotions were still open.  None if the
+        daemon has not seen any yet.
+    manifest_version : int
+        Version of the manifest that the daemon used then; 0 for none.
 
     """
 
@@ -38,30 +48,45 @@
     address: str
     domain: ids.DomainName
     incarnation: ids.Incarnation
+    era: ids.StoreEra | None = None
+    manifest_version: int = 0
+
+
+class Lease(msgspec.Struct, frozen=True):
+    """Lease of a registration, and the era of the store that granted it."""
+
+    era: ids.StoreEra
+    number: int
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True, kw_only=True):
-    """The gateway's data in the store at a revision."""
+    """The gateway's data in the store at a position.
+
+    ``complete_since`` is the newest era of which the daemons have recorded
+    that no promotion can be open that its store does not know.
+    """
 
     tables: manifest.Manifest | None
     entry_by_member: dict[ids.MemberId, manifest.MemberEntry]
     daemon_by_id: dict[ids.DaemonId, DaemonEntry]
     fleet_key: bytes | None
-    revision: int
+    position: ids.StorePosition
+    complete_since: ids.StoreEra | None = None
 
 
 class StoreChanges(msgspec.Struct, frozen=True, kw_only=True):
-    """Changes of the store up to a revision; None for a removed entry.
+    """Changes of the store up to a position; None for a removed entry.
 
     ``tables`` holds the manifests in the order in which they were written;
-    ``fleet_key`` is None if the key has not changed.
+    ``fleet_key`` and ``complete_since`` are None if they have not changed.
     """
 
     tables: list[manifest.Manifest]
     entry_by_member: dict[ids.MemberId, manifest.MemberEntry | None]
     entry_by_daemon: dict[ids.DaemonId, DaemonEntry | None]
     fleet_key: bytes | None
-    revision: int
+    position: ids.StorePosition
+    complete_since: ids.StoreEra | None = None
 
 
 class PromotionRecord(msgspec.Struct, frozen=True):
@@ -84,10 +109,10 @@
 
 
 class ClaimLost(msgspec.Struct, frozen=True):
-    """The current record and revision, if the claim lost to another."""
+    """The current record and its position, if the claim lost to another."""
 
     record: PromotionRecord | None
-    revision: int
+    position: ids.StorePosition
 
 
 class PromotionFault(enum.Enum):
@@ -103,20 +128,31 @@
 
 
 class Platform(Protocol):
-    """The platform's store and its promotion service."""
+    """The platform's store and its promotion service.
+
+    Positions and leases are valid in one era of the store; calls with those
+    of an earlier one fail with RESTORED.
+    """
+
+    @property
+    def eras(self) -> store_era.EraWatch:
+        """The eras that the store's answers have shown."""
 
     async def read_store(self) -> result.Result[StoreSnapshot, CallFault]:
         """Read all data of the store."""
 
     async def changes(
-        self, after: int
+        self, after: ids.StorePosition
     ) -> result.Result[StoreChanges, CallFault]:
-        """Return the changes since a revision."""
+        """Return the changes since a position."""
 
     async def claim_promotion(
-        self, group: ids.GroupId, record: PromotionRecord, expected: int
+        self,
+        group: ids.GroupId,
+        record: PromotionRecord,
+        expected: ids.StorePosition,
     ) -> result.Result[ids.FencingToken, ClaimLost | CallFault]:
-        """Claim the right to promote if the record's revision matches."""
+        """Claim the right to promote if the record's position matches."""
 
     async def promote(
         self,
@@ -135,18 +171,33 @@
         Returns the key that is in force.
         """
 
+    async def record_complete(
+        self, era: ids.StoreEra
+    ) -> result.Result[None, CallFault]:
+        """Record that the store knows all open promotions in an era."""
+
     async def register_daemon(
         self, entry: DaemonEntry, ttl_s: float
-    ) -> result.Result[int, CallFault]:
-        """Register a daemon for a limited time; return its lease."""
+    ) -> result.Result[Lease, CallFault]:
+        """Register a daemon for a limited time; return its lease.
+
+        Fails with RESTORED if the store is in another era than the entry.
+        """
 
-    async def renew_daemon(self, lease: int) -> result.Result[None, CallFault]:
+    async def renew_daemon(
+        self, lease: Lease
+    ) -> result.Result[None, CallFault]:
         """Renew the lease of a registered daemon."""
 
     async def unregister_daemon(
-        self, lease: int
+        self, lease: Lease
     ) -> result.Result[None, CallFault]:
         """End the lease of a registered daemon that is shutting down."""
 
+    async def withdraw_daemon(
+        self, entry: DaemonEntry
+    ) -> result.Result[None, CallFault]:
+        """Remove an entry of this incarnation, whatever its lease."""
+
     async def reachable(self) -> bool:
         """Return whether the store answers."""
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -50,6 +50,7 @@
         metrics: gateway_metrics.GatewayMetrics,
         reserved: reserved_claims.ReservedClaims,
         daemons: Callable[[], Collection[ids.DaemonId]],
+        may_claim: Callable[[], bool],
     ):
         self._daemon = daemon
         self._daemons = daemons
@@ -67,6 +68,7 @@
             wall_ms,
             metrics,
             reserved,
+            may_claim,
         )
         self._scanned_at = loop_clock.now()
         self._begins_until = math.inf
@@ -78,6 +80,23 @@
         """Whether a primary is being replaced."""
         return any(not each.done() for each in self._task_by_group.values())
 
+    def era_changed(self, era: ids.StoreEra) -> None:
+        """Forget positions in the store; it was restored from a copy."""
+        self._claims.era_changed(era)
+
+    async def restate(self) -> bool:
+        """Record again which calls are open, after a restore of the store.
+
+        Promotions that began before are waited for.  False if the store did
+        not answer.
+        """
+        running = [
+            each for each in self._task_by_group.values() if not each.done()
+        ]
+        if running:
+            await asyncio.wait(running)
+        return await self._promoter.restate()
+
     def leave(self, granted_s: float) -> None:
         """Begin no promotion that may last longer than this daemon.
 
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -71,6 +71,11 @@
             ["phase"],
             registry=self.registry,
         )
+        self.store_restores = prometheus_client.Counter(
+            "burdockcart_store_restores",
+            "Restores of the platform's store from a copy",
+            registry=self.registry,
+        )
         self.sessions = prometheus_client.Gauge(
             "burdockcart_sessions", "Open sessions", registry=self.registry
         )
--- a/burdockcart/process/gateway/member_catalog.py
+++ b/burdockcart/process/gateway/member_catalog.py
@@ -7,6 +7,9 @@
 #: removed, in seconds: members register again within about 2 s after the store
 #: has recovered.
 REMOVAL_DELAY_S = 2.5
+#: Time for which members that left are remembered, in seconds: copies from
+#: which a store is restored are some seconds old.
+LEFT_MEMORY_S = 120.0
 
 
 class MemberCatalog:
@@ -20,6 +23,10 @@
     until the entry has been missing for ``REMOVAL_DELAY_S`` while the store
     is reachable.
 
+    A restored store holds entries that are older than the known ones, also of
+    members that have left, and lacks others.  An older entry is not used; the
+    member writes a newer one if it still runs.
+
     Examples
     ========
 
@@ -34,6 +41,11 @@
     def __init__(self) -> None:
         self.entry_by_id: dict[ids.MemberId, manifest.MemberEntry] = {}
         self._missing_since: dict[ids.MemberId, float] = {}
+        #: Members whose missing entry does not tell that they have left,
+        #: although they were draining.
+        self._forgotten: set[ids.MemberId] = set()
+        #: Last entries of members that have left, and when they did.
+        self._left: dict[ids.MemberId, tuple[manifest.MemberEntry, float]] = {}
 
     def listed(
         self,
@@ -44,6 +56,31 @@
         missing = self.entry_by_id.keys() - entry_by_id.keys()
         self.changed({**entry_by_id, **dict.fromkeys(missing)}, now)
 
+    def restored(
+        self,
+        entry_by_id: dict[ids.MemberId, manifest.MemberEntry],
+        now: float,
+    ) -> None:
+        """Use the first list of a store that was restored from a copy."""
+        newer = {
+            member: entry
+            for member, entry in entry_by_id.items()
+            if not self._is_copy(entry)
+        }
+        missing = self.entry_by_id.keys() - entry_by_id.keys()
+        self._forgotten |= missing
+        self.changed({**newer, **dict.fromkeys(missing)}, now)
+
+    def _is_copy(self, entry: manifest.MemberEntry) -> bool:
+        """Return whether an entry is older than what is known, or the same."""
+        known = self.entry_by_id.get(entry.id)
+        if known is None and entry.id in self._left:
+            known, _ = self._left[entry.id]
+        return known is not None and (entry.started_ms, entry.sequence) <= (
+            known.started_ms,
+            known.sequence,
+        )
+
     def changed(
         self,
         entry_by_id: dict[ids.MemberId, manifest.MemberEntry | None],
@@ -54,13 +91,14 @@
             if entry is not None:
                 self.entry_by_id[member] = entry
                 self._missing_since.pop(member, None)
+                self._forgotten.discard(member)
             elif member in self.entry_by_id:
                 self._missing_since.setdefault(member, now)
 
     def store_lost(self) -> None:
         """Suspend the removal delays of missing entries."""
         for member in self._missing_since:
-            if not self._drains(member):
+            if not self._has_left(member):
                 self._missing_since[member] = float("inf")
 
     def store_recovered(self, now: float) -> None:
@@ -68,18 +106,26 @@
         for member, since in self._missing_since.items():
             self._missing_since[member] = min(since, now)
 
-    def _drains(self, member: ids.MemberId) -> bool:
+    def _has_left(self, member: ids.MemberId) -> bool:
+        """Return whether a missing entry tells that its member has left."""
         state = self.entry_by_id[member].state
-        return state is manifest.MemberState.DRAINING
+        drains = state is manifest.MemberState.DRAINING
+        return drains and member not in self._forgotten
 
     def remove_departed(self, now: float) -> list[ids.MemberId]:
         """Remove and return the members that have left."""
         left = [
             member
             for member, since in self._missing_since.items()
-            if self._drains(member) or now - since >= REMOVAL_DELAY_S
+            if self._has_left(member) or now - since >= REMOVAL_DELAY_S
         ]
+        self._left = {
+            member: (entry, at)
+            for member, (entry, at) in self._left.items()
+            if now - at < LEFT_MEMORY_S
+        }
         for member in left:
             del self._missing_since[member]
-            del self.entry_by_id[member]
+            self._forgotten.discard(member)
+            self._left[member] = self.entry_by_id.pop(member), now
         return left
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -70,6 +70,7 @@
         wall_ms: Callable[[], int],
         metrics: gateway_metrics.GatewayMetrics,
         reserved: reserved_claims.ReservedClaims,
+        may_claim: Callable[[], bool],
     ):
         #: Time that the platform needed for the last promotion, in seconds.
         self.promotion_s = INITIAL_PROMOTION_S
@@ -79,7 +80,13 @@
         self._clock = loop_clock
         self._boot_clock = boot_clock
         self._record = claim_record.ClaimRecord(
-            daemon, platform, claims, loop_clock, boot_clock, wall_ms
+            daemon,
+            platform,
+            claims,
+            loop_clock,
+            boot_clock,
+            wall_ms,
+            may_claim,
         )
         self._metrics = metrics
         self._reserved = reserved
@@ -265,6 +272,14 @@
         if not group.promotions_fenced:
             await self._record.settle(group.id)
 
+    async def restate(self) -> bool:
+        """Record open calls again; False if the store did not answer."""
+        restated = [
+            await self._record.restate(group)
+            for group in self._claims.pinned_groups
+        ]
+        return all(restated)
+
     def _leave_on_hold(
         self, group: groups.Group, members: Iterable[ids.MemberId]
     ) -> None:
--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -3,6 +3,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover_rule
+from burdockcart.process.gateway import store_era
 
 #: Pause after an attempt without a promotion, in seconds.
 FAILED_PAUSE_S = 0.4
@@ -30,11 +31,12 @@
     def __init__(self, daemon: ids.DaemonId, claim_ttl_s: float):
         self._daemon = daemon
         self._claim_ttl_s = claim_ttl_s
-        self._revision_by_group: dict[ids.GroupId, int] = {}
-        #: Revisions of the records that this daemon has written, unless it
+        self._era = ids.StoreEra(0)
+        self._position_by_group: dict[ids.GroupId, ids.StorePosition] = {}
+        #: Positions of the records that this daemon has written, unless it
         #: has seen a later one of another daemon.
-        self._own_by_group: dict[ids.GroupId, int] = {}
-        #: When the latest known revision was first seen.
+        self._own_by_group: dict[ids.GroupId, ids.StorePosition] = {}
+        #: When the latest known record was first seen.
         self._seen_at: dict[ids.GroupId, float] = {}
         self._not_before: dict[ids.GroupId, float] = {}
         self._unplanned_not_before: dict[ids.GroupId, float] = {}
@@ -43,6 +45,15 @@
         #: Member of a call that may still be executed, and until when.
         self._pin_by_group: dict[ids.GroupId, tuple[ids.MemberId, float]] = {}
 
+    def era_changed(self, era: ids.StoreEra) -> None:
+        """Forget the positions of all records: the store was restored.
+
+        What this daemon knows of other promotions stays valid.
+        """
+        self._era = era
+        self._position_by_group.clear()
+        self._own_by_group.clear()
+
     def pin(
         self, group: ids.GroupId, member: ids.MemberId, now: float
     ) -> None:
@@ -70,12 +81,22 @@
         """Return when an attempt of this daemon last failed."""
         return self._failed_at.get(group)
 
-    def revision(self, group: ids.GroupId) -> int:
-        """Return the latest known revision of the record, or 0."""
-        return self._revision_by_group.get(group, 0)
+    def position(self, group: ids.GroupId) -> ids.StorePosition:
+        """Return the latest known position of the record.
+
+        If none is known, that of a missing record.
+        """
+        return self._position_by_group.get(
+            group, store_era.position(self._era, 0)
+        )
+
+    @property
+    def pinned_groups(self) -> list[ids.GroupId]:
+        """Groups for which a call may still be executed."""
+        return list(self._pin_by_group)
 
-    def own_claim(self, group: ids.GroupId) -> int | None:
-        """Return the revision of this daemon's claim, if it has one."""
+    def own_claim(self, group: ids.GroupId) -> ids.StorePosition | None:
+        """Return the position of this daemon's claim, if it has one."""
         return self._own_by_group.get(group)
 
     def may_try(self, group: ids.GroupId, planned: bool, now: float) -> bool:
@@ -88,8 +109,10 @@
         self, group: ids.GroupId, token: ids.FencingToken, now: float
     ) -> None:
         """Record that this daemon claimed the promotion."""
-        self._revision_by_group[group] = token
-        self._own_by_group[group] = token
+        claimed = ids.StorePosition(token)
+        if store_era.era_of(claimed) == self._era:
+            self._position_by_group[group] = claimed
+            self._own_by_group[group] = claimed
         self._store_silent.discard(group)
         self._unplanned_not_before[group] = now + failover_rule.UNPLANNED_GAP_S
 
@@ -116,8 +139,8 @@
         only tells claims of long ago from recent ones.  A recent claim
         expires after this daemon has known it for the claim's lifetime.
         """
-        seen_before = self._revision_by_group.get(group) == lost.revision
-        self._revision_by_group[group] = lost.revision
+        seen_before = self._position_by_group.get(group) == lost.position
+        self._position_by_group[group] = lost.position
         self._own_by_group.pop(group, None)
         self._store_silent.discard(group)
         record = lost.record
--- a/burdockcart/process/gateway/reserved_claims.py
+++ b/burdockcart/process/gateway/reserved_claims.py
@@ -27,6 +27,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import store_era
 from burdockcart.process.gateway import turn
 
 #: Daemons that hold a reserved token of a group: one may be cut off together
@@ -78,6 +79,8 @@
         Returns the registered daemons.
     claim_ttl_s : float
         Time that another daemon's promotion may take, in seconds.
+    may_claim : callable
+        Returns whether the store knows all promotions that may be open.
 
     """
 
@@ -90,6 +93,7 @@
         loop_clock: clock.Clock,
         wall_ms: Callable[[], int],
         claim_ttl_s: float,
+        may_claim: Callable[[], bool],
     ):
         self._daemon = daemon
         self._group_by_id = group_by_id
@@ -98,18 +102,21 @@
         self._clock = loop_clock
         self._wall_ms = wall_ms
         self._claim_ttl_s = claim_ttl_s
+        self._may_claim = may_claim
         self._token_by_group: dict[ids.GroupId, ids.FencingToken] = {}
         #: Term of the primary when the token was claimed.
         self._term_by_group: dict[ids.GroupId, int] = {}
-        #: Revision of another daemon's record, and when it was first seen.
-        self._seen_by_group: dict[ids.GroupId, tuple[int, float]] = {}
+        #: Position of another daemon's record, and when it was first seen.
+        self._seen_by_group: dict[
+            ids.GroupId, tuple[ids.StorePosition, float]
+        ] = {}
 
     async def run(self) -> None:
         """Claim missing tokens until cancelled."""
         while True:
             await asyncio.sleep(SCAN_INTERVAL_S)
             for group in list(self._group_by_id.values()):
-                if self._needs_claim(group):
+                if self._may_claim() and self._needs_claim(group):
                     await self._claim(group)
 
     def token(
@@ -149,9 +156,12 @@
         )
 
     async def _claim(self, group: groups.Group) -> None:
-        expected = 0
-        if group.id in self._seen_by_group:
-            expected, seen_at = self._seen_by_group[group.id]
+        expected = store_era.position(self._platform.eras.current, 0)
+        seen = self._seen_by_group.get(group.id)
+        if seen is not None:
+            position, seen_at = seen
+            if store_era.era_of(position) == store_era.era_of(expected):
+                expected = position
             if self._clock.now() - seen_at < self._claim_ttl_s:
                 return
         record = coordination.PromotionRecord(
@@ -179,12 +189,14 @@
                 return
             if fault.record is not None and not fault.record.reserved:
                 # Its holder may be promoting; wait until the claim expires.
-                self._record_seen(group.id, fault.revision)
+                self._record_seen(group.id, fault.position)
                 return
-            expected = fault.revision
+            expected = fault.position
 
-    def _record_seen(self, group: ids.GroupId, revision: int) -> None:
-        """Record when a revision was first seen."""
+    def _record_seen(
+        self, group: ids.GroupId, position: ids.StorePosition
+    ) -> None:
+        """Record when a record was first seen."""
         known = self._seen_by_group.get(group)
-        if known is None or known[0] != revision:
-            self._seen_by_group[group] = (revision, self._clock.now())
+        if known is None or known[0] != position:
+            self._seen_by_group[group] = (position, self._clock.now())
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -1,4 +1,4 @@
-"""Polls the platform's store and keeps this daemon registered in it."""
+"""Polls the platform's store."""
 
 import asyncio
 import random
@@ -11,7 +11,9 @@
 from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import daemon_catalog
 from burdockcart.process.gateway import member_catalog
+from burdockcart.process.gateway import store_era
 from burdockcart.version import manifest
 
 #: Interval between two polls of the store, as a share of the time in which a
@@ -28,12 +30,6 @@
 #: the same moment when the store fails.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
-#: Lifetime of a daemon's registration, and interval between renewals, in
-#: seconds.
-REGISTRATION_TTL_S = 8.0
-RENEW_INTERVAL_S = 2.5
-#: Interval after a renewal without success, in seconds, besides the backoff.
-RENEW_RETRY_S = 0.5
 
 
 class StoreListener(Protocol):
@@ -57,6 +53,12 @@
     def fleet_key_changed(self, key: bytes) -> None:
         """Use another key for links between daemons."""
 
+    def fleet_key_missing(self) -> None:
+        """Write the key of links between daemons, unless there is one."""
+
+    def era_changed(self, era: ids.StoreEra) -> None:
+        """Forget positions of other eras; also called for the first one."""
+
     def awaits_primary(self) -> bool:
         """Return whether a group waits for a new primary."""
 
@@ -120,6 +122,9 @@
     together at a fixed interval instead of watched: members write all the
     time, so a watch would return at once, and each call has a cost.
 
+    Positions are valid in one era of the store.  As soon as an answer to any
+    call shows another era, everything is read again.
+
     Parameters
     ==========
 
@@ -151,12 +156,15 @@
         self.current: manifest.Manifest | None = None
         self.catalog = member_catalog.MemberCatalog()
         self.dependency = DependencyState("store", loop_clock)
-        self.listed = False
+        #: Set once the store has been read.
+        self.read = asyncio.Event()
         #: Set once the list of daemons is likely to be complete.
         self.settled = asyncio.Event()
-        self._entry_by_daemon: dict[ids.DaemonId, coordination.DaemonEntry] = (
-            {}
-        )
+        #: Newest era of which all open promotions are known to be recorded.
+        self.complete_since: ids.StoreEra | None = None
+        self._daemons = daemon_catalog.DaemonCatalog()
+        #: Position of the last answer; None before the first one.
+        self._position: ids.StorePosition | None = None
         self._platform = platform
         self._listener = listener
         self._clock = loop_clock
@@ -165,7 +173,14 @@
     @property
     def daemons(self) -> frozenset[ids.DaemonId]:
         """The registered daemons."""
-        return frozenset(self._entry_by_daemon)
+        return frozenset(self._daemons.entry_by_id)
+
+    @property
+    def entry_by_daemon(
+        self,
+    ) -> dict[ids.DaemonId, coordination.DaemonEntry]:
+        """The entries of the registered daemons."""
+        return self._daemons.entry_by_id
 
     async def run(self) -> None:
         """Read the store and poll its changes until cancelled."""
@@ -173,13 +188,14 @@
             sent_at = self._clock.now()
             read = await self._platform.read_store()
             if isinstance(read, result.Failure):
-                await self._failed(read.failure())
+                if read.failure() is not coordination.CallFault.RESTORED:
+                    await self._failed(read.failure())
                 continue
             self._answered(sent_at)
             self._use_contents(read.unwrap())
-            await self._poll_changes(read.unwrap().revision)
+            await self._poll_changes(read.unwrap().position)
 
-    async def _poll_changes(self, revision: int) -> None:
+    async def _poll_changes(self, position: ids.StorePosition) -> None:
         """Poll changes until the whole store has to be read again.
 
         After consecutive failures, all versions of a large manifest since
@@ -187,16 +203,21 @@
         """
         failures = 0
         while True:
-            await asyncio.sleep(self._pause_s())
+            era = store_era.era_of(position)
+            await self._platform.eras.wait_beyond(era, self._pause_s())
             sent_at = self._clock.now()
-            seen = await self._platform.changes(revision)
+            seen = await self._platform.changes(position)
             if isinstance(seen, result.Failure):
-                if seen.failure() is coordination.CallFault.HISTORY_LOST:
+                fault = seen.failure()
+                if fault is coordination.CallFault.RESTORED:
+                    return
+                if fault is coordination.CallFault.HISTORY_LOST:
                     loguru.logger.info(
-                        "event=store_history_lost revision={}", revision
+                        "event=store_history_lost revision={}",
+                        store_era.revision_of(position),
                     )
                     return
-                await self._failed(seen.failure())
+                await self._failed(fault)
                 failures += 1
                 if failures >= REREAD_AFTER:
                     return
@@ -204,7 +225,8 @@
             failures = 0
             self._answered(sent_at)
             changes = seen.unwrap()
-            revision = max(revision, changes.revision)
+            position = max(position, changes.position)
+            self._position = position
             self._use_changes(changes)
             if not self._first_pauses_s:
                 self.settled.set()
@@ -218,35 +240,70 @@
         return self._interval_s
 
     def _use_contents(self, found: coordination.StoreSnapshot) -> None:
-        self.catalog.listed(found.entry_by_member, self._clock.now())
-        self.listed = True
+        now = self._clock.now()
+        if self._begins_era(found):
+            self.catalog.restored(found.entry_by_member, now)
+            self._daemons.restored(
+                found.daemon_by_id, store_era.era_of(found.position), now
+            )
+        else:
+            self.catalog.listed(found.entry_by_member, now)
+            self._daemons.listed(found.daemon_by_id, now)
+        self._position = found.position
+        self.complete_since = found.complete_since
+        self.read.set()
         if found.tables is not None:
             self._use_manifest(found.tables)
-        self._notify_members(list(found.entry_by_member.values()))
+        self._notify_members(list(self.catalog.entry_by_id.values()))
         if found.fleet_key is not None:
             self._listener.fleet_key_changed(found.fleet_key)
-        self._entry_by_daemon = dict(found.daemon_by_id)
+        else:
+            self._listener.fleet_key_missing()
         if not self._first_pauses_s:
             self.settled.set()
-        self._listener.daemons_changed(self._entry_by_daemon)
+        self._listener.daemons_changed(self.entry_by_daemon)
+
+    def _begins_era(self, found: coordination.StoreSnapshot) -> bool:
+        """Return whether the store was restored since the last answer."""
+        era = store_era.era_of(found.position)
+        if self._position is None:
+            self._listener.era_changed(era)
+            return False
+        if era == store_era.era_of(self._position):
+            return False
+        loguru.logger.warning(
+            "event=store_restored era={} before={} revision={} last_seen={} "
+            "manifest={} in_force={} members={} daemons={} key={}",
+            era,
+            store_era.era_of(self._position),
+            store_era.revision_of(found.position),
+            store_era.revision_of(self._position),
+            found.tables.version if found.tables else None,
+            self.current.version if self.current else None,
+            len(found.entry_by_member),
+            len(found.daemon_by_id),
+            found.fleet_key is not None,
+        )
+        self._listener.era_changed(era)
+        return True
 
     def _use_changes(self, changes: coordination.StoreChanges) -> None:
+        now = self._clock.now()
         for found in changes.tables:
             self._use_manifest(found)
         entries = changes.entry_by_member
-        self.catalog.changed(entries, self._clock.now())
+        self.catalog.changed(entries, now)
         self._notify_members(
             [each for each in entries.values() if each is not None]
         )
         if changes.fleet_key is not None:
             self._listener.fleet_key_changed(changes.fleet_key)
-        for daemon, entry in changes.entry_by_daemon.items():
-            if entry is None:
-                self._entry_by_daemon.pop(daemon, None)
-            else:
-                self._entry_by_daemon[daemon] = entry
-        if changes.entry_by_daemon:
-            self._listener.daemons_changed(self._entry_by_daemon)
+        if changes.complete_since is not None:
+            self.complete_since = changes.complete_since
+        self._daemons.changed(changes.entry_by_daemon, now)
+        removed = self._daemons.remove_missing(now)
+        if changes.entry_by_daemon or removed:
+            self._listener.daemons_changed(self.entry_by_daemon)
 
     async def _failed(self, fault: coordination.CallFault) -> None:
         self.dependency.failed(fault)
@@ -275,76 +332,3 @@
         self._listener.members_changed(
             entries, self.catalog.remove_departed(self._clock.now())
         )
-
-
-class Listing:
-    """Keeps this daemon registered in the list of daemons.
-
-    The connections that members accept are divided among the registered
-    daemons, and these find each other's addresses there.
-    """
-
-    def __init__(
-        self,
-        entry: coordination.DaemonEntry,
-        platform: coordination.Platform,
-        rng: random.Random,
-    ):
-        self._entry = entry
-        self._lease: int | None = None
-        self._left = False
-        self._platform = platform
-        self._backoff = Backoff(rng)
-        self._rng = rng
-
-    async def run(self) -> None:
-        """Stay registered until this daemon leaves."""
-        while not self._left:
-            registered = await self._platform.register_daemon(
-                self._entry, REGISTRATION_TTL_S
-            )
-            if isinstance(registered, result.Failure):
-                await self._backoff.pause()
-                continue
-            self._backoff.succeeded()
-            self._lease = registered.unwrap()
-            await self._renew(self._lease)
-        # It may have left while it was being registered.
-        await self._unregister()
-
-    async def leave(self) -> None:
-        """End the registration, so that no daemon relies on this one."""
-        self._left = True
-        await self._unregister()
-
-    async def _unregister(self) -> None:
-        """End the newest lease; try until the store has ended it."""
-        while self._lease is not None:
-            lease = self._lease
-            ended = await self._platform.unregister_daemon(lease)
-            fault = None
-            if isinstance(ended, result.Failure):
-                fault = ended.failure()
-            if fault not in (None, coordination.CallFault.MISSING):
-                await self._backoff.pause()
-            elif self._lease == lease:
-                self._lease = None
-
-    async def _renew(self, lease: int) -> None:
-        """Renew the lease until it has ended.
-
-        A renewal that failed is tried again soon: the lease ends in a few
-        seconds, and others would choose holders anew.
-        """
-        interval_s = RENEW_INTERVAL_S
-        while not self._left:
-            await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.0))
-            renewed = await self._platform.renew_daemon(lease)
-            if isinstance(renewed, result.Failure):
-                if renewed.failure() is coordination.CallFault.MISSING:
-                    return
-                await self._backoff.pause()
-                interval_s = RENEW_RETRY_S
-            else:
-                self._backoff.succeeded()
-                interval_s = RENEW_INTERVAL_S
--- a/burdockcart/process/gateway/tests/test_listing.py
+++ b/burdockcart/process/gateway/tests/test_listing.py
@@ -8,7 +8,7 @@
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import store_follower
+from burdockcart.process.gateway import listing as listings
 from burdockcart.tests import gateway_deployment
 
 ENTRY = coordination.DaemonEntry(
@@ -16,6 +16,11 @@
 )
 
 
+async def prepare():
+    """Return the entry to register."""
+    return ENTRY
+
+
 class SlowPlatform(wire_platform.EmulatedPlatform):
     """A store whose answer to a registration takes a while."""
 
@@ -35,7 +40,7 @@
 
         async def run():
             platform = SlowPlatform(gateway_deployment.tables(), {})
-            listing = store_follower.Listing(ENTRY, platform, random.Random(1))
+            listing = listings.Listing(platform, random.Random(1), prepare)
             await check(platform, listing)
 
         gateway_deployment.run(run())
--- a/burdockcart/process/gateway/tests/test_store_follower.py
+++ b/burdockcart/process/gateway/tests/test_store_follower.py
@@ -8,9 +8,11 @@
 import testtools
 
 from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import listing as listings
 from burdockcart.process.gateway import member_catalog
 from burdockcart.process.gateway import promotion_claims
-from burdockcart.process.gateway import store_follower
+from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.tests import test_listing
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.tests import gateway_deployment
 from burdockcart.version import manifest
@@ -194,7 +196,7 @@
         # The age by the other daemon's clock does not shorten the wait.
         self.assertFalse(claims.may_try("g", planned=False, now=52.9))
         self.assertTrue(claims.may_try("g", planned=False, now=53.1))
-        self.assertEqual(7, claims.revision("g"))
+        self.assertEqual(7, claims.position("g"))
 
     def test_record_from_the_future(self):
         """A holder whose clock is ahead must not extend its claim."""
@@ -222,6 +224,7 @@
     def __init__(self, silent_from, silent_s):
         self.silent_from = silent_from
         self.silent_until = silent_from + silent_s
+        self.eras = store_era.EraWatch()
         self.registered = 0
         self.ends_at = 0.0
 
@@ -239,7 +242,7 @@
             return result.Failure(coordination.CallFault.NO_ANSWER)
         self.registered += 1
         self.ends_at = asyncio.get_running_loop().time() + ttl_s
-        return result.Success(1)
+        return result.Success(coordination.Lease(0, 1))
 
     async def renew_daemon(self, lease):
         """Renew the lease unless it has ended."""
@@ -248,7 +251,7 @@
         now = asyncio.get_running_loop().time()
         if now >= self.ends_at:
             return result.Failure(coordination.CallFault.MISSING)
-        self.ends_at = now + store_follower.REGISTRATION_TTL_S
+        self.ends_at = now + listings.REGISTRATION_TTL_S
         return result.Success(None)
 
 
@@ -265,7 +268,7 @@
         async def registrations(seed):
             rng = random.Random(seed)
             store = LeaseStore(10.0 + rng.uniform(0.0, 2.5), 4.0)
-            listing = store_follower.Listing(None, store, rng)
+            listing = listings.Listing(store, rng, test_listing.prepare)
             task = asyncio.create_task(listing.run())
             await asyncio.sleep(25.0)
             task.cancel()
--- a/burdockcart/version/manifest.py
+++ b/burdockcart/version/manifest.py
@@ -77,6 +77,7 @@
 
     ``started_ms`` is the wall-clock time of its start.  A member that restarts
     under the same id has lost all state that daemons had set on it.
+    ``sequence`` counts the entries since that start.
     """
 
     id: ids.MemberId
@@ -87,3 +88,4 @@
     state: MemberState
     leads: bool
     started_ms: int
+    sequence: int = 0
