Test each use of the store after a restore

The emulated platform tells changes of registrations as events now: it sent the state of all daemons with each poll, which made a restored list look like removals.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -27,6 +27,7 @@
     "entry_changes",
     "record_by_group",
     "daemon_by_id",
+    "daemon_changes",
     "fleet_key",
     "complete_since",
     "_daemon_by_lease",
@@ -70,6 +71,9 @@
         #: Calls with a token that was lower than that of another call.
         self.refused: list[tuple[ids.GroupId, ids.MemberId, int]] = []
         self.daemon_by_id: dict[ids.DaemonId, coordination.DaemonEntry] = {}
+        self.daemon_changes: list[
+            tuple[int, ids.DaemonId, coordination.DaemonEntry | None]
+        ] = []
         self.fleet_key: bytes | None = None
         #: Faults: the store is unavailable, that many answers to claims or
         #: promotions are lost, lost promotions take effect late.
@@ -78,8 +82,6 @@
         self.lose_promotions = 0
         self.late_s = 0.0
         self._daemon_by_lease: dict[int, ids.DaemonId] = {}
-        #: All daemons that have ever registered.
-        self._registered: set[ids.DaemonId] = set()
         #: Time at which a lease ends, and its length, in seconds.
         self._lease_ends_at: dict[int, tuple[float, float]] = {}
         self._late_promotions: set[asyncio.Task[None]] = set()
@@ -125,9 +127,14 @@
 
     def _end_lease(self, lease: int) -> None:
         self._lease_ends_at.pop(lease, None)
-        daemon = self._daemon_by_lease.pop(lease)
-        if daemon not in self._daemon_by_lease.values():
-            self.daemon_by_id.pop(daemon, None)
+        daemon = self._daemon_by_lease.pop(lease, None)
+        if daemon and daemon not in self._daemon_by_lease.values():
+            self._remove_daemon(daemon)
+
+    def _remove_daemon(self, daemon: ids.DaemonId) -> None:
+        if self.daemon_by_id.pop(daemon, None) is not None:
+            revision = self._next_revision()
+            self.daemon_changes.append((revision, daemon, None))
 
     def _start_lease(self, lease: int, ttl_s: float) -> None:
         now = asyncio.get_running_loop().time()
@@ -180,8 +187,9 @@
                     if revision > after
                 },
                 entry_by_daemon={
-                    daemon: self.daemon_by_id.get(daemon)
-                    for daemon in self._registered | set(self.daemon_by_id)
+                    daemon: entry
+                    for revision, daemon, entry in self.daemon_changes
+                    if revision > after
                 },
                 fleet_key=self.fleet_key,
                 position=self._position(self.revision),
@@ -295,7 +303,7 @@
         known = self.daemon_by_id.get(entry.id)
         if known is None or known.incarnation != entry.incarnation:
             return result.Failure(CallFault.MISSING)
-        del self.daemon_by_id[entry.id]
+        self._remove_daemon(entry.id)
         return result.Success(None)
 
     async def register_daemon(
@@ -307,8 +315,8 @@
             return fault
         daemon = msgspec.structs.replace(daemon, era=self.era)
         self.daemon_by_id[daemon.id] = daemon
-        self._registered.add(daemon.id)
         lease = self._next_revision()
+        self.daemon_changes.append((lease, daemon.id, daemon))
         self._daemon_by_lease[lease] = daemon.id
         self._start_lease(lease, ttl_s)
         return result.Success(coordination.Lease(self.era, lease))
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -40,6 +40,7 @@
 COMPLETE_KEY = "fleet/complete-since"
 #: Header of all answers of the store; rises by one when it is restored.
 ERA_HEADER = "Store-Era"
+MAX_ERA_DIGITS = 6
 
 
 class _AddressResolver:
@@ -459,7 +460,9 @@
 def _era(answer: httpclient.HTTPResponse) -> ids.StoreEra | None:
     """Return the era that an answer shows, if it shows one."""
     text = answer.headers.get(ERA_HEADER, "")
-    return ids.StoreEra(int(text)) if text.isdecimal() else None
+    if not text.isdecimal() or len(text) > MAX_ERA_DIGITS:
+        return None
+    return ids.StoreEra(int(text))
 
 
 def _status(
--- a/burdockcart/platform/tests/test_calls.py
+++ b/burdockcart/platform/tests/test_calls.py
@@ -23,6 +23,9 @@
     def __init__(self):
         self.answer_by_path = {}
         self.delay_s = 0.0
+        #: Era in the header of the answers, or one for each of them.
+        self.era = None
+        self.eras = None
         self.seen = []
         store = self
 
@@ -37,6 +40,9 @@
                     return
                 status, body = answer
                 self.set_status(status)
+                era = store.era if store.eras is None else next(store.eras)
+                if era is not None:
+                    self.set_header(calls.ERA_HEADER, str(era))
                 self.finish(msgspec.json.encode(body))
 
         class Quiet(web.Application):
--- a/burdockcart/process/gateway/tests/test_restored_store.py
+++ b/burdockcart/process/gateway/tests/test_restored_store.py
@@ -4,12 +4,19 @@
 
 import testtools
 
+from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import daemon_catalog
+from burdockcart.process.gateway import member_catalog
+from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.gateway.tests import test_store_follower
 from burdockcart.tests import gateway_deployment
+from burdockcart.version import manifest
 
 scenario = test_sessions.scenario
 version = test_store_follower.version
+GROUP = gateway_deployment.GROUP
 
 
 class TestManifest(testtools.TestCase):
@@ -38,3 +45,294 @@
             )
 
         scenario(check)
+
+    def test_daemon_that_starts_waits_for_the_newer_manifest(self):
+        """A daemon must not begin with a manifest that others have left."""
+
+        async def check(deployment):
+            platform = deployment.platform
+            copied = platform.copy()
+            platform.put_tables(gateway_deployment.tables(2))
+            await asyncio.sleep(2.0)
+            platform.restore(copied)
+            # Until the running daemons have registered again.
+            await asyncio.sleep(2.6)
+            late = deployment.daemon(2)
+            late.clients = gateway_deployment.FakeClientListener()
+            deployment.daemons.append(late)
+            await late.start(late.clients)
+            await asyncio.sleep(1.0)
+            self.assertFalse(late.ready())
+            platform.put_tables(gateway_deployment.tables(2))
+            await gateway_deployment.until(late.ready, within_s=1.7)
+            self.assertEqual(2, version(deployment, 2))
+
+        scenario(check)
+
+
+class TestPromotions(testtools.TestCase):
+    """Tokens, records and open calls of promotions after a restore."""
+
+    def promotions(self, fenced):
+        """Lose a primary before and after a restore; return the tokens."""
+        tokens = []
+
+        async def check(deployment):
+            platform = deployment.platform
+            copied = platform.copy()
+            await asyncio.sleep(3.0)
+            old = deployment.group.primary
+            old.crash()
+            await test_failover.writes_for(deployment, 4.0)
+            platform.restore(copied)
+            for member in deployment.members:
+                deployment.enter(member)
+            await asyncio.sleep(12.0)
+            old.crashed = False
+            old.follow(deployment.group.primary)
+            deployment.enter(old)
+            await asyncio.sleep(3.0)
+            deployment.group.primary.crash()
+            replies = await test_failover.writes_for(deployment, 6.0)
+            self.assertTrue(gateway_deployment.ok(replies[-1][1]))
+            self.assertEqual([], test_failover.lost_commits(deployment))
+            self.assertEqual([], platform.refused)
+            tokens.extend(token for _, _, token in platform.promotions)
+
+        scenario(check, daemons=3, fenced=fenced)
+        return tokens
+
+    def test_token_after_a_restore_is_higher(self):
+        """Tokens must rise though revisions are given out again.
+
+        The platform refuses a lower one, so that the group gets no primary;
+        where it checks none, two daemons could use the same one.
+        """
+        for fenced in (True, False):
+            tokens = self.promotions(fenced)
+            self.assertGreater(len(tokens), 1)
+            self.assertEqual(sorted(set(tokens)), tokens)
+
+    def test_open_call_is_written_again(self):
+        """A call that may be executed late must stay known after a restore.
+
+        Without its record another daemon promotes another member meanwhile.
+        """
+
+        async def check(deployment):
+            platform = deployment.platform
+            copied = platform.copy()
+            daemon = deployment.daemons[0]
+            claims = daemon._failover._claims
+            candidate = deployment.members[1].id
+            claims.pin(GROUP, candidate, asyncio.get_running_loop().time())
+            platform.restore(copied)
+            await asyncio.sleep(2.6)
+            record, _ = platform.record_by_group[GROUP]
+            self.assertEqual(candidate, record.candidate)
+
+        scenario(check, daemons=3, fenced=False)
+
+    def test_no_claim_before_all_have_registered_again(self):
+        """A promotion that the store has forgotten may still go on."""
+
+        async def check(deployment):
+            platform = deployment.platform
+            await asyncio.sleep(3.0)
+            copied = platform.copy()
+            # It runs, but does not reach the store for a while.
+            deployment.daemons[0].link.store_cut = True
+            await asyncio.sleep(0.5)
+            platform.restore(copied)
+            # A copy that is older than the registrations and their leases.
+            platform.daemon_by_id.clear()
+            platform._daemon_by_lease.clear()
+            await asyncio.sleep(3.0)
+            waits = [each._restore_wait for each in deployment.daemons[1:]]
+            self.assertEqual([False] * 2, [each.over() for each in waits])
+            deployment.daemons[0].link.store_cut = False
+            await asyncio.sleep(3.5)
+            self.assertEqual([True] * 2, [each.over() for each in waits])
+
+        scenario(check, daemons=3, fenced=False)
+
+    def test_daemon_that_starts_after_a_restore_waits(self):
+        """A daemon that knows only the copy must not claim at once."""
+
+        async def check(deployment):
+            platform = deployment.platform
+            copied = platform.copy()
+            for daemon in deployment.daemons:
+                daemon.link.store_cut = True
+            platform.restore(copied)
+            late = deployment.daemon(2)
+            late.clients = gateway_deployment.FakeClientListener()
+            deployment.daemons.append(late)
+            await late.start(late.clients)
+            await asyncio.sleep(7.9)
+            self.assertFalse(late._restore_wait.over())
+            await asyncio.sleep(1.0)
+            self.assertTrue(late._restore_wait.over())
+            self.assertEqual(platform.era, platform.complete_since)
+
+        scenario(check, daemons=2, fenced=False)
+
+
+class TestRegistrations(testtools.TestCase):
+    """Daemons, their leases and their key after a restore."""
+
+    def test_lease_of_another_daemon_is_not_renewed(self):
+        """Each daemon must register again: leases are given out again.
+
+        A daemon that renewed the lease of another one never registered.
+        """
+
+        async def check(deployment):
+            platform = deployment.platform
+            await asyncio.sleep(3.0)
+            platform.restore(platform.copy())
+            entries = dict(platform.daemon_by_id)
+            platform.daemon_by_id.clear()
+            # All leases that the daemons remember belong to somebody else.
+            for lease in platform._daemon_by_lease:
+                platform._daemon_by_lease[lease] = "somebody"
+            await asyncio.sleep(3.0)
+            self.assertEqual(set(entries), set(platform.daemon_by_id))
+            self.assertEqual(
+                {platform.era},
+                {each.era for each in platform.daemon_by_id.values()},
+            )
+
+        scenario(check, daemons=3)
+
+    def test_key_in_use_is_written_again(self):
+        """The key of the links must survive, also for new daemons."""
+
+        async def check(deployment):
+            platform = deployment.platform
+            copied = platform.copy()
+            await asyncio.sleep(4.0)
+            key = platform.fleet_key
+            self.assertIsNotNone(key)
+            platform.restore({**copied, "fleet_key": None})
+            late = deployment.daemon(2)
+            late.clients = gateway_deployment.FakeClientListener()
+            deployment.daemons.append(late)
+            await asyncio.sleep(2.6)
+            await late.start(late.clients)
+            await asyncio.sleep(1.0)
+            self.assertEqual(key, platform.fleet_key)
+            self.assertEqual(
+                [key] * 3,
+                [each._fleet_key.value for each in deployment.daemons],
+            )
+
+        scenario(check)
+
+    def test_daemon_that_left_stays_away(self):
+        """An entry in the copy must not bring a daemon back that has left."""
+        catalog = daemon_catalog.DaemonCatalog()
+        entry = coordination.DaemonEntry("d", "d:1", "a", "boot-1", 1)
+        catalog.changed({"d": entry}, now=1.0)
+        catalog.changed({"d": None}, now=2.0)
+        catalog.restored({"d": entry}, 2, now=3.0)
+        self.assertEqual({}, catalog.entry_by_id)
+        again = coordination.DaemonEntry("d", "d:1", "a", "boot-1", 2)
+        catalog.changed({"d": again}, now=4.0)
+        self.assertEqual({"d": again}, catalog.entry_by_id)
+
+    def test_daemon_that_started_again_replaces_its_copy(self):
+        """The copy must not bring back an earlier incarnation."""
+        catalog = daemon_catalog.DaemonCatalog()
+        first = coordination.DaemonEntry("d", "d:1", "a", "boot-1", 1)
+        second = coordination.DaemonEntry("d", "d:1", "a", "boot-2", 1)
+        catalog.changed({"d": first}, now=1.0)
+        catalog.changed({"d": second}, now=2.0)
+        catalog.restored({"d": first}, 2, now=3.0)
+        self.assertEqual({"d": second}, catalog.entry_by_id)
+
+    def test_daemon_that_the_copy_lacks_stays(self):
+        """A missing entry must not take a daemon out of use at once."""
+
+        async def check(deployment):
+            platform = deployment.platform
+            await asyncio.sleep(3.0)
+            copied = platform.copy()
+            copied["daemon_by_id"].clear()
+            copied["_daemon_by_lease"].clear()
+            counts = []
+            for daemon in deployment.daemons:
+                daemon.relay.use_daemons = lambda entries: counts.append(
+                    len(entries)
+                )
+            platform.restore(copied)
+            await asyncio.sleep(12.0)
+            self.assertEqual({3}, set(counts))
+
+        scenario(check, daemons=3)
+
+
+class TestMembers(testtools.TestCase):
+    """Entries of members in the first list after a restore."""
+
+    def entry(self, sequence, state=manifest.MemberState.READY, started_ms=1):
+        """Return an entry of a member."""
+        return manifest.MemberEntry(
+            id="m",
+            group="g",
+            address="a:1",
+            domain="a",
+            slots=1,
+            state=state,
+            leads=False,
+            started_ms=started_ms,
+            sequence=sequence,
+        )
+
+    def test_older_entry_is_not_used(self):
+        """A member that drains must not be used again."""
+        draining = self.entry(7, manifest.MemberState.DRAINING)
+        catalog = member_catalog.MemberCatalog()
+        catalog.changed({"m": draining}, now=1.0)
+        catalog.restored({"m": self.entry(5)}, now=2.0)
+        self.assertEqual({"m": draining}, catalog.entry_by_id)
+        self.assertEqual([], catalog.remove_departed(now=9.0))
+
+    def test_member_that_left_stays_away(self):
+        """The copy must not bring back a member; its address may be reused."""
+        catalog = member_catalog.MemberCatalog()
+        catalog.changed(
+            {"m": self.entry(7, manifest.MemberState.DRAINING)}, now=1.0
+        )
+        catalog.changed({"m": None}, now=2.0)
+        self.assertEqual(["m"], catalog.remove_departed(now=2.0))
+        catalog.restored({"m": self.entry(5)}, now=3.0)
+        self.assertEqual({}, catalog.entry_by_id)
+        again = self.entry(1, started_ms=2)
+        catalog.changed({"m": again}, now=4.0)
+        self.assertEqual({"m": again}, catalog.entry_by_id)
+
+    def test_draining_member_that_the_copy_lacks_stays(self):
+        """A missing entry does not tell that a draining member has left."""
+        catalog = member_catalog.MemberCatalog()
+        catalog.changed(
+            {"m": self.entry(7, manifest.MemberState.DRAINING)}, now=1.0
+        )
+        catalog.restored({}, now=2.0)
+        self.assertEqual([], catalog.remove_departed(now=3.0))
+        self.assertEqual(["m"], catalog.remove_departed(now=4.6))
+
+
+class TestPositions(testtools.TestCase):
+    """Positions in the store over several eras."""
+
+    def test_positions_of_two_eras_differ(self):
+        """A revision that is given out again must be another position."""
+        self.assertNotEqual(
+            store_era.position(1, 90), store_era.position(2, 90)
+        )
+
+    def test_revision_out_of_range(self):
+        """A revision must not reach into the next era."""
+        for revision in (-1, 1 << store_era.REVISION_BITS):
+            self.assertRaises(ValueError, store_era.position, 1, revision)
