Restore the store in the soak and in the model

The store of the soak is restored from a copy of 1 to 15 s ago, up to twice in three seconds, beside changes of the manifest, killed and stopped daemons and a lost primary (--restores).

The model of the promotion protocol gains the step "the store goes back". A hold in the model now names the term that it follows, as the command does: otherwise a member that hears late of the first promotion forgot the hold of the second, which the longer runs showed.

--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -13,10 +13,9 @@
 from burdockcart import ids
 from burdockcart.platform import formats
 from burdockcart.platform import store_messages
+from burdockcart.platform import store_values
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import store_era
-from burdockcart.process.peers import fleet_key
-from burdockcart.version import manifest
 
 #: Timeout of a call, in seconds; the store answers in 4 ms normally, and in
 #: 0.4 s when it is slowed a hundredfold.
@@ -31,13 +30,6 @@
 MAX_CALLS = 50
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
-MANIFEST_KEY = "op/config"
-MEMBER_PREFIX = "servers/"
-PROMOTION_PREFIX = "promotions/"
-DAEMON_PREFIX = "daemons/"
-FLEET_KEY = "fleet/key"
-#: Newest era in which the store knows all promotions that may be open.
-COMPLETE_KEY = "fleet/complete-since"
 #: Header of all answers of the store; rises by one when it is restored.
 ERA_HEADER = "Store-Era"
 MAX_ERA_DIGITS = 6
@@ -208,30 +200,38 @@
             return read
         page = read.unwrap()
         item_by_key = {item.key: item for item in page.items}
-        config = item_by_key.get(MANIFEST_KEY)
-        key = item_by_key.get(FLEET_KEY)
-        complete = item_by_key.get(COMPLETE_KEY)
+        config = item_by_key.get(store_values.MANIFEST_KEY)
+        key = item_by_key.get(store_values.FLEET_KEY)
+        complete = item_by_key.get(store_values.COMPLETE_KEY)
         return result.Success(
             coordination.StoreSnapshot(
-                tables=None if config is None else _manifest(config.data),
+                tables=(
+                    None
+                    if config is None
+                    else store_values.read_manifest(config.data)
+                ),
                 entry_by_member={
                     entry.id: entry
                     for item in page.items
-                    if item.key.startswith(MEMBER_PREFIX)
-                    if (entry := _member(item)) is not None
+                    if item.key.startswith(store_values.MEMBER_PREFIX)
+                    if (entry := store_values.read_member(item)) is not None
                 },
                 daemon_by_id={
                     daemon.id: daemon
                     for item in page.items
-                    if item.key.startswith(DAEMON_PREFIX)
-                    if (daemon := _daemon(item)) is not None
+                    if item.key.startswith(store_values.DAEMON_PREFIX)
+                    if (daemon := store_values.read_daemon(item)) is not None
                 },
-                fleet_key=None if key is None else _fleet_key(key),
+                fleet_key=(
+                    None if key is None else store_values.read_fleet_key(key)
+                ),
                 position=store_era.position(
                     self.eras.current, page.store_revision
                 ),
                 complete_since=(
-                    None if complete is None else _complete_since(complete)
+                    None
+                    if complete is None
+                    else store_values.read_complete_since(complete)
                 ),
             )
         )
@@ -249,7 +249,7 @@
         path = "/api/kv-watch?" + parse.urlencode(query)
         era = store_era.era_of(after)
         answer = await self._read(path, store_messages.Events, era)
-        return answer.map(lambda seen: _changes(seen, era))
+        return answer.map(lambda seen: store_values.read_changes(seen, era))
 
     async def _read(
         self, path: str, kind: Any, era: ids.StoreEra | None = None
@@ -304,7 +304,7 @@
         The position of the claim is its fencing token: positions only
         increase, so a later claim has a higher token.
         """
-        key = PROMOTION_PREFIX + group
+        key = store_values.PROMOTION_PREFIX + group
         era = store_era.era_of(expected)
         answer = await self._write(
             {key: store_era.revision_of(expected)},
@@ -322,7 +322,9 @@
                     ids.FencingToken(store_era.position(era, written.revision))
                 )
             if answer.code == 412:
-                return result.Failure(_claim_lost(answer.body, key, era))
+                return result.Failure(
+                    store_values.read_claim_lost(answer.body, key, era)
+                )
         except msgspec.MsgspecError as error:
             # The claim may be in force, as after no answer at all.
             loguru.logger.error(
@@ -363,12 +365,16 @@
         self, key: bytes
     ) -> result.Result[bytes, coordination.CallFault]:
         """Write the key that all daemons share unless there is one."""
-        await self._write({FLEET_KEY: 0}, {FLEET_KEY: key})
+        await self._write(
+            {store_values.FLEET_KEY: 0}, {store_values.FLEET_KEY: key}
+        )
         # Whatever the answer, the store tells which key is in force: another
         # daemon may have been first.
-        found = await self._range(FLEET_KEY)
-        item = next(iter(found.map(_items).value_or([])), None)
-        in_force = None if item is None else _fleet_key(item)
+        found = await self._range(store_values.FLEET_KEY)
+        if isinstance(found, result.Failure):
+            return found
+        item = next(iter(found.unwrap().items), None)
+        in_force = None if item is None else store_values.read_fleet_key(item)
         if in_force is None:
             return result.Failure(coordination.CallFault.NO_ANSWER)
         return result.Success(in_force)
@@ -381,7 +387,7 @@
         If the write is executed in a later era, its value is an earlier one.
         """
         answer = await self._write(
-            {}, {COMPLETE_KEY: formats.encode_era(era)}, era=era
+            {}, {store_values.COMPLETE_KEY: formats.encode_era(era)}, era=era
         )
         return _status(answer)
 
@@ -402,7 +408,10 @@
         lease = coordination.Lease(era, granted.unwrap().lease)
         value = formats.encode_daemon(msgspec.structs.replace(entry, era=era))
         answer = await self._write(
-            {}, {DAEMON_PREFIX + entry.id: value}, lease.number, era=era
+            {},
+            {store_values.DAEMON_PREFIX + entry.id: value},
+            lease.number,
+            era=era,
         )
         written = _status(answer)
         if isinstance(written, result.Failure):
@@ -432,7 +441,7 @@
         Only the entry that was read is removed: another incarnation may
         register at the same time.
         """
-        key = DAEMON_PREFIX + entry.id
+        key = store_values.DAEMON_PREFIX + entry.id
         found = await self._call(
             "/api/kv-key?" + parse.urlencode({"key": key}),
             store_messages.StoredItem,
@@ -441,7 +450,7 @@
         if isinstance(found, result.Failure):
             return found
         item = found.unwrap()
-        known = _daemon(item)
+        known = store_values.read_daemon(item)
         if known is None or known.incarnation != entry.incarnation:
             return result.Failure(coordination.CallFault.MISSING)
         answer = await self._write(
@@ -451,7 +460,7 @@
 
     async def reachable(self) -> bool:
         """Return whether the store answers at all."""
-        query = {"prefix": DAEMON_PREFIX, "serializable": "1"}
+        query = {"prefix": store_values.DAEMON_PREFIX, "serializable": "1"}
         path = "/api/kv-range?" + parse.urlencode(query)
         answer = await self._call(path, store_messages.Range)
         return isinstance(answer, result.Success)
@@ -476,140 +485,3 @@
     return result.Failure(
         _FAULT_BY_STATUS.get(answer.code, coordination.CallFault.NO_ANSWER)
     )
-
-
-def _manifest(data: bytes) -> manifest.Manifest | None:
-    """Return a manifest; log an error and return None if it is invalid."""
-    try:
-        return formats.read_manifest(data)
-    except (msgspec.MsgspecError, ValueError) as error:
-        loguru.logger.error("event=manifest_unreadable error={!r}", str(error))
-        return None
-
-
-def _changes(
-    seen: store_messages.Events, era: ids.StoreEra
-) -> coordination.StoreChanges:
-    """Group events into manifests, members and daemons."""
-    manifests = [
-        found
-        for event in seen.events
-        if event.key == MANIFEST_KEY and not event.tombstone
-        if (found := _manifest(event.data)) is not None
-    ]
-    entry_by_member = {
-        _member_id(event): entry
-        for event in seen.events
-        if event.key.startswith(MEMBER_PREFIX)
-        for entry in [_member(event)]
-        if event.tombstone or entry is not None
-    }
-    entry_by_daemon = {
-        _daemon_id(event): entry
-        for event in seen.events
-        if event.key.startswith(DAEMON_PREFIX)
-        for entry in [_daemon(event)]
-        if event.tombstone or entry is not None
-    }
-    keys = [
-        key
-        for event in seen.events
-        if event.key == FLEET_KEY and not event.tombstone
-        if (key := _fleet_key(event)) is not None
-    ]
-    complete = [
-        era_found
-        for event in seen.events
-        if event.key == COMPLETE_KEY and not event.tombstone
-        if (era_found := _complete_since(event)) is not None
-    ]
-    return coordination.StoreChanges(
-        tables=manifests,
-        entry_by_member=entry_by_member,
-        entry_by_daemon=entry_by_daemon,
-        fleet_key=keys[-1] if keys else None,
-        position=store_era.position(era, seen.store_revision),
-        complete_since=complete[-1] if complete else None,
-    )
-
-
-def _complete_since(item: store_messages.StoredItem) -> ids.StoreEra | None:
-    """Return the era of a record that it is complete; None if unusable."""
-    try:
-        return formats.read_era(item.data)
-    except (msgspec.MsgspecError, ValueError) as error:
-        loguru.logger.error(
-            "event=era_unreadable key={} error={!r}", item.key, str(error)
-        )
-        return None
-
-
-def _daemon_id(item: store_messages.StoredItem) -> ids.DaemonId:
-    return ids.DaemonId(item.key.removeprefix(DAEMON_PREFIX))
-
-
-def _fleet_key(item: store_messages.StoredItem) -> bytes | None:
-    """Return the key of the links; None if the value is not one."""
-    try:
-        key = base64.b64decode(item.value, validate=True)
-    except ValueError:
-        key = b""
-    if len(key) == fleet_key.KEY_BYTES:
-        return key
-    loguru.logger.error("event=fleet_key_unusable bytes={}", len(key))
-    return None
-
-
-def _items(
-    page: store_messages.Range,
-) -> list[store_messages.StoredItem]:
-    return page.items
-
-
-def _daemon(
-    item: store_messages.StoredItem,
-) -> coordination.DaemonEntry | None:
-    """Return a daemon; None for a removed or unusable entry."""
-    if item.tombstone:
-        return None
-    try:
-        return formats.read_daemon(_daemon_id(item), item.data)
-    except (msgspec.MsgspecError, ValueError) as error:
-        loguru.logger.warning(
-            "event=daemon_entry_unusable key={} error={!r}",
-            item.key,
-            str(error)[:200],
-        )
-        return None
-
-
-def _member_id(item: store_messages.StoredItem) -> ids.MemberId:
-    return ids.MemberId(item.key.removeprefix(MEMBER_PREFIX))
-
-
-def _member(item: store_messages.StoredItem) -> manifest.MemberEntry | None:
-    """Return a member; None for a removed or unusable entry."""
-    if item.tombstone:
-        return None
-    try:
-        return formats.read_member(_member_id(item), item.data)
-    except (msgspec.MsgspecError, ValueError) as error:
-        loguru.logger.warning(
-            "event=member_entry_unusable key={} error={!r}",
-            item.key,
-            str(error)[:200],
-        )
-        return None
-
-
-def _claim_lost(
-    body: bytes, key: str, era: ids.StoreEra
-) -> coordination.ClaimLost:
-    page = msgspec.json.decode(body, type=store_messages.Range)
-    item = next((each for each in page.items if each.key == key), None)
-    if item is None:
-        return coordination.ClaimLost(None, store_era.position(era, 0))
-    return coordination.ClaimLost(
-        formats.read_promotion(item.data),
-        store_era.position(era, item.revision),
-    )
--- a/burdockcart/platform/standin/__main__.py
+++ b/burdockcart/platform/standin/__main__.py
@@ -38,6 +38,11 @@
     parser.add_argument(
         "--planned", action="store_true", help="inject planned work only"
     )
+    parser.add_argument(
+        "--restores",
+        action="store_true",
+        help="also restore the store from older copies",
+    )
     parser.add_argument(
         "--logs", type=pathlib.Path, help="where to keep logs and journal"
     )
@@ -63,6 +68,7 @@
         logs,
         not args.planned,
         args.connections,
+        args.restores,
     )
     found = asyncio.run(run.run())
     text = "".join(
--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -11,10 +11,10 @@
 from burdockcart.emulator import wire_member
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
-from burdockcart.platform import calls
 from burdockcart.platform.standin import client
 from burdockcart.platform.standin import member_server
 from burdockcart.platform.standin import store_server
+from burdockcart.platform import store_values
 from burdockcart.soak import history as histories
 from burdockcart.version import manifest
 
@@ -165,6 +165,12 @@
     def put_manifest(self, step: int = 1) -> None:
         """Write the next version of the manifest."""
         self.version += step
+        now = asyncio.get_running_loop().time()
+        self._put_manifest()
+        self._history.manifests.append((self.version, now))
+
+    def _put_manifest(self) -> None:
+        """Write the manifest of the current version."""
         routes = [
             {
                 "name": f"r-{route.database}",
@@ -191,9 +197,7 @@
             ],
             "limits": {"tx-idle-ms": 3000},
         }
-        now = asyncio.get_running_loop().time()
-        self.store.put(calls.MANIFEST_KEY, json.dumps(body).encode())
-        self._history.manifests.append((self.version, now))
+        self.store.put(store_values.MANIFEST_KEY, json.dumps(body).encode())
 
     async def run(self) -> None:
         """Write the members' entries until cancelled."""
@@ -209,7 +213,7 @@
         for server in self.servers:
             member = server.member
             state = (member.id in self._draining, member.leads)
-            key = calls.MEMBER_PREFIX + member.id
+            key = store_values.MEMBER_PREFIX + member.id
             at, seen = self._seen_by_member.get(member.id, (0.0, None))
             if member.crashed:
                 if now - at > 3 * HEARTBEAT_S:
@@ -280,7 +284,7 @@
         server.crash()
         now = asyncio.get_running_loop().time()
         self._history.member_ends.append((old.id, now))
-        self.store.delete(calls.MEMBER_PREFIX + old.id)
+        self.store.delete(store_values.MEMBER_PREFIX + old.id)
         await asyncio.sleep(0.5)
         new = self._new_member(old.domain)
         new.group, new.term = self.group, old.term
@@ -332,3 +336,19 @@
         self.store.fault = fault
         await asyncio.sleep(seconds)
         self.store.fault = store_server.StoreFault.NONE
+
+    async def restore_store(self, age_s: float, seconds: float) -> None:
+        """Let the store go away and come back from an older copy.
+
+        The operator and the members write again what they wrote since.
+        """
+        self.store.fault = store_server.StoreFault.UNAVAILABLE
+        await asyncio.sleep(seconds)
+        self.store.restore(age_s)
+        self.store.fault = store_server.StoreFault.NONE
+        for key in list(self.store.item_by_key):
+            member = key.removeprefix(store_values.MEMBER_PREFIX)
+            if member != key and member not in self.group.member_by_id:
+                self.store.delete(key)
+        self._put_manifest()
+        self._seen_by_member.clear()
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -66,12 +66,14 @@
         folder: pathlib.Path,
         unplanned: bool,
         connections: int = 24,
+        restores: bool = False,
     ):
         self.seed = seed
         self.folder = folder
         self.history = histories.History()
         self._seconds = seconds
         self._unplanned = unplanned
+        self._restores = restores
         self._count = count
         self._connections = connections
         self._tasks: list[asyncio.Task[None]] = []
@@ -233,7 +235,11 @@
         start = loop.time()
         self.note("started", seed=self.seed, daemons=self._count)
         faults = schedule.generate(
-            self.seed, self._seconds, self._count, self._unplanned
+            self.seed,
+            self._seconds,
+            self._count,
+            self._unplanned,
+            self._restores,
         )
         for fault in faults:
             await asyncio.sleep(start + fault.at_s - loop.time())
@@ -242,6 +248,7 @@
                 kind=fault.kind.value,
                 target=fault.target,
                 length_s=round(fault.length_s, 3),
+                age_s=round(fault.age_s, 3),
             )
             self._spawn(self._inject(fault))
         await asyncio.sleep(start + self._seconds - loop.time())
@@ -281,6 +288,8 @@
             site.servers[fault.target].reset_connections()
         elif kind is Kind.LINK_REPLICATION:
             await site.cut_replication(fault.target, fault.length_s)
+        elif kind is Kind.STORE_RESTORED:
+            await site.restore_store(fault.age_s, fault.length_s)
         elif kind in _LINK_FAULT_BY_KIND:
             await site.fail_link(
                 fault.target, _LINK_FAULT_BY_KIND[kind], fault.length_s
--- a/burdockcart/platform/standin/store_server.py
+++ b/burdockcart/platform/standin/store_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import enum
 import json
 from typing import Any
@@ -10,7 +11,12 @@
 from tornado import httpserver
 from tornado import web
 
+from burdockcart.platform import calls
+
+#: Interval of ending leases and of copying the data, in seconds.
 LEASE_SCAN_S = 0.2
+#: Copies that are kept; they reach back for 30 s.
+MAX_COPIES = 150
 
 
 class StoreFault(enum.Enum):
@@ -21,6 +27,18 @@
     SILENT = "silent"
 
 
+@dataclasses.dataclass(frozen=True)
+class _Copy:
+    """Data of a store at a time of the event loop."""
+
+    made_at: float
+    revision: int
+    item_by_key: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    due_by_lease: dict[int, tuple[float, float]]
+    lease: int
+
+
 class Store:
     """Keys with revisions, leases and a history of changes.
 
@@ -36,13 +54,45 @@
         self.promote = promote
         self.fault = StoreFault.NONE
         self.revision = 100
+        self.era = 1
         self.item_by_key: dict[str, dict[str, Any]] = {}
         self.history: list[dict[str, Any]] = []
         self._due_by_lease: dict[int, tuple[float, float]] = {}
         self._lease = 0
+        self._copies: list[_Copy] = []
         self._server: httpserver.HTTPServer | None = None
         self._expiring: asyncio.Task[None] | None = None
 
+    def _copy(self) -> None:
+        """Keep a copy of the data for a later restore."""
+        self._copies.append(
+            _Copy(
+                asyncio.get_running_loop().time(),
+                self.revision,
+                dict(self.item_by_key),
+                list(self.history),
+                dict(self._due_by_lease),
+                self._lease,
+            )
+        )
+        del self._copies[:-MAX_COPIES]
+
+    def restore(self, age_s: float) -> None:
+        """Go back to a copy of some age; what was written since is lost.
+
+        Revisions and leases are given out again.
+        """
+        made_before = asyncio.get_running_loop().time() - age_s
+        copies = [each for each in self._copies if each.made_at <= made_before]
+        found = (copies or self._copies)[-1 if copies else 0]
+        self._copies = copies
+        self.era += 1
+        self.revision = found.revision
+        self.item_by_key = dict(found.item_by_key)
+        self.history = list(found.history)
+        self._due_by_lease = dict(found.due_by_lease)
+        self._lease = found.lease
+
     def start(self, host: str, port: int) -> None:
         """Listen for daemons."""
         routes = [
@@ -58,6 +108,7 @@
         application = web.Application(routes, log_function=lambda _: None)
         self._server = httpserver.HTTPServer(application)
         self._server.listen(port, host)
+        self._copy()
         self._expiring = asyncio.create_task(self._expire())
 
     def stop(self) -> None:
@@ -114,6 +165,7 @@
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(LEASE_SCAN_S)
+            self._copy()
             if self.fault is not StoreFault.NONE:
                 continue
             now = asyncio.get_running_loop().time()
@@ -144,6 +196,7 @@
 
     async def prepare(self) -> None:
         """Apply the store's fault."""
+        self.set_header(calls.ERA_HEADER, str(self.store.era))
         while self.store.fault is StoreFault.SILENT:
             await asyncio.sleep(0.1)
         if self.store.fault is StoreFault.UNAVAILABLE:
@@ -170,6 +223,9 @@
             return
         prefix = self.get_query_argument("prefix", "")
         after = self.get_query_argument("after", "")
+        if kind == "watch" and int(after) > store.revision:
+            self.answer(410, {})
+            return
         if kind == "watch":
             events = [
                 event
--- a/burdockcart/platform/standin/tests/test_soak.py
+++ b/burdockcart/platform/standin/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Runs daemons as processes and injects faults; takes a minute and a half."""
+"""Runs daemons as processes and injects faults; takes two minutes."""
 
 import asyncio
 import pathlib
@@ -15,11 +15,16 @@
 class TestSoak(testtools.TestCase):
     """Daemons, members, store and clients over sockets."""
 
-    def check(self, seed, unplanned):
+    def check(self, seed, unplanned, restores=False):
         """Run a seed and check that no rule was broken."""
         with tempfile.TemporaryDirectory() as folder:
             run = soak.Soak(
-                seed, 25.0, DAEMONS, pathlib.Path(folder), unplanned
+                seed,
+                25.0,
+                DAEMONS,
+                pathlib.Path(folder),
+                unplanned,
+                restores=restores,
             )
             found = asyncio.run(run.run())
         text = soak.summary(run, found)
@@ -40,3 +45,7 @@
     def test_mixed_faults(self):
         """Guards against wrong answers after any faults."""
         self.check(12, unplanned=True)
+
+    def test_restored_store(self):
+        """Guards against what a restored store has forgotten."""
+        self.check(33, unplanned=True, restores=True)
--- /dev/null
+++ b/burdockcart/platform/store_values.py
@@ -0,0 +1,157 @@
+"""Keys and values of the platform's store, as the gateway uses them."""
+
+import base64
+
+import loguru
+import msgspec
+
+from burdockcart import ids
+from burdockcart.platform import formats
+from burdockcart.platform import store_messages
+from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import store_era
+from burdockcart.process.peers import fleet_key
+from burdockcart.version import manifest
+
+MANIFEST_KEY = "op/config"
+MEMBER_PREFIX = "servers/"
+PROMOTION_PREFIX = "promotions/"
+DAEMON_PREFIX = "daemons/"
+FLEET_KEY = "fleet/key"
+#: Newest era in which the store knows all promotions that may be open.
+COMPLETE_KEY = "fleet/complete-since"
+
+
+def read_manifest(data: bytes) -> manifest.Manifest | None:
+    """Return a manifest; log an error and return None if it is invalid."""
+    try:
+        return formats.read_manifest(data)
+    except (msgspec.MsgspecError, ValueError) as error:
+        loguru.logger.error("event=manifest_unreadable error={!r}", str(error))
+        return None
+
+
+def read_changes(
+    seen: store_messages.Events, era: ids.StoreEra
+) -> coordination.StoreChanges:
+    """Group events into manifests, members and daemons."""
+    manifests = [
+        found
+        for event in seen.events
+        if event.key == MANIFEST_KEY and not event.tombstone
+        if (found := read_manifest(event.data)) is not None
+    ]
+    entry_by_member = {
+        _member_id(event): entry
+        for event in seen.events
+        if event.key.startswith(MEMBER_PREFIX)
+        for entry in [read_member(event)]
+        if event.tombstone or entry is not None
+    }
+    entry_by_daemon = {
+        _daemon_id(event): entry
+        for event in seen.events
+        if event.key.startswith(DAEMON_PREFIX)
+        for entry in [read_daemon(event)]
+        if event.tombstone or entry is not None
+    }
+    keys = [
+        key
+        for event in seen.events
+        if event.key == FLEET_KEY and not event.tombstone
+        if (key := read_fleet_key(event)) is not None
+    ]
+    complete = [
+        era_found
+        for event in seen.events
+        if event.key == COMPLETE_KEY and not event.tombstone
+        if (era_found := read_complete_since(event)) is not None
+    ]
+    return coordination.StoreChanges(
+        tables=manifests,
+        entry_by_member=entry_by_member,
+        entry_by_daemon=entry_by_daemon,
+        fleet_key=keys[-1] if keys else None,
+        position=store_era.position(era, seen.store_revision),
+        complete_since=complete[-1] if complete else None,
+    )
+
+
+def read_complete_since(
+    item: store_messages.StoredItem,
+) -> ids.StoreEra | None:
+    """Return the era of a record that it is complete; None if unusable."""
+    try:
+        return formats.read_era(item.data)
+    except (msgspec.MsgspecError, ValueError) as error:
+        loguru.logger.error(
+            "event=era_unreadable key={} error={!r}", item.key, str(error)
+        )
+        return None
+
+
+def _daemon_id(item: store_messages.StoredItem) -> ids.DaemonId:
+    return ids.DaemonId(item.key.removeprefix(DAEMON_PREFIX))
+
+
+def read_fleet_key(item: store_messages.StoredItem) -> bytes | None:
+    """Return the key of the links; None if the value is not one."""
+    try:
+        key = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        key = b""
+    if len(key) == fleet_key.KEY_BYTES:
+        return key
+    loguru.logger.error("event=fleet_key_unusable bytes={}", len(key))
+    return None
+
+
+def read_daemon(
+    item: store_messages.StoredItem,
+) -> coordination.DaemonEntry | None:
+    """Return a daemon; None for a removed or unusable entry."""
+    if item.tombstone:
+        return None
+    try:
+        return formats.read_daemon(_daemon_id(item), item.data)
+    except (msgspec.MsgspecError, ValueError) as error:
+        loguru.logger.warning(
+            "event=daemon_entry_unusable key={} error={!r}",
+            item.key,
+            str(error)[:200],
+        )
+        return None
+
+
+def _member_id(item: store_messages.StoredItem) -> ids.MemberId:
+    return ids.MemberId(item.key.removeprefix(MEMBER_PREFIX))
+
+
+def read_member(
+    item: store_messages.StoredItem,
+) -> manifest.MemberEntry | None:
+    """Return a member; None for a removed or unusable entry."""
+    if item.tombstone:
+        return None
+    try:
+        return formats.read_member(_member_id(item), item.data)
+    except (msgspec.MsgspecError, ValueError) as error:
+        loguru.logger.warning(
+            "event=member_entry_unusable key={} error={!r}",
+            item.key,
+            str(error)[:200],
+        )
+        return None
+
+
+def read_claim_lost(
+    body: bytes, key: str, era: ids.StoreEra
+) -> coordination.ClaimLost:
+    page = msgspec.json.decode(body, type=store_messages.Range)
+    item = next((each for each in page.items if each.key == key), None)
+    if item is None:
+        return coordination.ClaimLost(None, store_era.position(era, 0))
+    return coordination.ClaimLost(
+        formats.read_promotion(item.data),
+        store_era.position(era, item.revision),
+    )
--- a/burdockcart/platform/tests/test_names.py
+++ b/burdockcart/platform/tests/test_names.py
@@ -13,7 +13,7 @@
     r"|STARTUP|TERMINATE|DATAROW|DEALLOC\b|TOOMANYCON|WRONGNODE|LAGGING"
     r"|READONLY|INDOUBT|MALFORMED|NODB|op/config|servers/|sync-replicas"
     r"|max-staleness|latency-goal|listen-addrs|contract-params|cloud-api"
-    r"|db-role|warmup-left|store-revision|expect-rev|wait-ms"
+    r"|db-role|warmup-left|store-revision|expect-rev|wait-ms|Store-Era"
 )
 
 
--- a/burdockcart/platform/tests/test_store_eras.py
+++ b/burdockcart/platform/tests/test_store_eras.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from burdockcart.platform import calls
+from burdockcart.platform import store_values
 from burdockcart.platform.tests import test_calls
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import store_era
@@ -101,7 +101,7 @@
         entry = coordination.DaemonEntry("d1", "d1:1", "a", "boot-1")
 
         async def check(store):
-            key = calls.DAEMON_PREFIX + "d1"
+            key = store_values.DAEMON_PREFIX + "d1"
             value = {"address": "d1:1", "domain": "a", "incarnation": "boot-2"}
             store.answer_by_path["/api/kv-key"] = (
                 200,
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -20,6 +20,7 @@
     CRASH_PRIMARY = "crash primary"
     STORE_DOWN = "store down"
     STORE_SILENT = "store silent"
+    STORE_RESTORED = "store restored"
     LINK_DELAYED = "link delayed"
     LINK_SILENT = "link silent"
     LINK_ANSWERS_LOST = "link answers lost"
@@ -53,6 +54,8 @@
         fault concerns neither.
     length_s : float
         Seconds that the fault lasts, for those that do.
+    age_s : float
+        Age of the copy from which the store is restored, in seconds.
 
     """
 
@@ -60,6 +63,7 @@
     kind: Kind = dataclasses.field(compare=False)
     target: int = -1
     length_s: float = 0.0
+    age_s: float = 0.0
 
 
 MEMBERS = 3
@@ -107,6 +111,33 @@
     ]
 
 
+def _restored(rng: random.Random, daemons: int) -> list[Fault]:
+    """Restore the store, beside changes, killed daemons and a lost primary.
+
+    Up to two restores follow each other.
+    """
+    faults = [
+        Fault(
+            place * 3.0,
+            Kind.STORE_RESTORED,
+            -1,
+            rng.uniform(0.2, 2.0),
+            rng.uniform(1.0, 15.0),
+        )
+        for place in range(rng.randint(1, 2))
+    ]
+    faults += [Fault(rng.uniform(0.0, 5.0), Kind.MANIFEST) for _ in range(2)]
+    faults += [
+        Fault(rng.uniform(0.0, 1.0), rng.choice([Kind.KILL, Kind.STOP]), each)
+        for each in rng.sample(range(daemons), rng.randint(0, daemons // 2))
+    ]
+    if rng.random() < 0.5:
+        faults.append(
+            Fault(rng.uniform(0.0, 4.0), Kind.CRASH_PRIMARY, -1, 5.0)
+        )
+    return faults
+
+
 def _reload(rng: random.Random, daemons: int) -> list[Fault]:
     count = rng.randint(1, daemons)
     return [
@@ -167,11 +198,16 @@
 
 
 def generate(
-    seed: int, seconds: float, daemons: int, unplanned: bool = True
+    seed: int,
+    seconds: float,
+    daemons: int,
+    unplanned: bool = True,
+    restores: bool = False,
 ) -> list[Fault]:
     """Return the faults of a soak in the order of their times.
 
-    Half of the scenes are planned work in any case.
+    Half of the scenes are planned work in any case.  Restores of the store
+    come beside them, and leave the others as they are.
 
     Examples
     ========
@@ -183,15 +219,29 @@
 
     """
     rng = random.Random(seed)
-    return sorted(
+    faults = [
         fault
         for begin_s, scene in _scenes(rng, seconds, unplanned)
-        for fault in (
-            dataclasses.replace(each, at_s=each.at_s + begin_s)
-            for each in scene(rng, daemons)
-        )
-        if fault.at_s < seconds
-    )
+        for fault in _begun_at(begin_s, scene(rng, daemons))
+    ]
+    if restores:
+        rng = random.Random(f"restores of {seed}")
+        for begin_s in _restore_times(rng, seconds):
+            faults += _begun_at(begin_s, _restored(rng, daemons))
+    return sorted(fault for fault in faults if fault.at_s < seconds)
+
+
+def _begun_at(begin_s: float, faults: list[Fault]) -> list[Fault]:
+    return [
+        dataclasses.replace(each, at_s=each.at_s + begin_s) for each in faults
+    ]
+
+
+def _restore_times(rng: random.Random, seconds: float) -> Iterator[float]:
+    at_s = rng.uniform(2.0, 5.0)
+    while at_s < seconds:
+        yield at_s
+        at_s += rng.uniform(8.0, 14.0)
 
 
 def _scenes(
--- a/burdockcart/soak/tests/test_schedule.py
+++ b/burdockcart/soak/tests/test_schedule.py
@@ -13,7 +13,7 @@
     return [
         fault
         for seed in range(50)
-        for fault in schedule.generate(seed, 60.0, 4, unplanned)
+        for fault in schedule.generate(seed, 60.0, 4, unplanned, unplanned)
     ]
 
 
@@ -29,6 +29,14 @@
             schedule.generate(3, 60.0, 4), schedule.generate(4, 60.0, 4)
         )
 
+    def test_restores_leave_the_others(self):
+        """Guards against seeds that mean another run than before."""
+        for seed in range(50):
+            others = schedule.generate(seed, 60.0, 4)
+            both = schedule.generate(seed, 60.0, 4, restores=True)
+            self.assertLess(len(others), len(both))
+            self.assertEqual([], [each for each in others if each not in both])
+
     def test_every_kind_occurs(self):
         """Guards against a fault that is never injected."""
         self.assertEqual(set(Kind), {fault.kind for fault in faults(True)})
--- a/burdockcart/tests/promotion_model.py
+++ b/burdockcart/tests/promotion_model.py
@@ -23,6 +23,9 @@
 #: Commits of the whole run, and newest term; more add no new interleavings.
 MAX_COMMITS = 3
 MAX_TERM = 3
+MAX_ERA = 1
+#: Tokens of one era are smaller than those of the next.
+TOKENS_PER_ERA = 100
 
 Log = tuple[tuple[int, int], ...]
 
@@ -48,6 +51,13 @@
         Whether the candidate is recorded right before the call.
     pin : bool
         Whether an open call binds later promoters to its candidate.
+    restores : bool
+        Whether the store may go back to an older copy.
+    eras : bool
+        Whether tokens and expected revisions hold the era of the store.
+    wait : bool
+        Whether new claims after a restore wait until attempts of before have
+        ended, and open calls have been written again or carried out.
 
     """
 
@@ -56,6 +66,9 @@
     witness: bool = True
     announce: bool = True
     pin: bool = True
+    restores: bool = False
+    eras: bool = True
+    wait: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,6 +90,7 @@
     candidate: int = -1
     old: int = -1
     revision: int = 0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,6 +114,10 @@
         Revision of the group's record, and the candidate of an open call.
     fresh : int or None
         Promoter whose record is too recent for others to claim.
+    forgotten : int or None
+        The same, if the store has forgotten its record since.
+    unsettled : bool
+        Whether the store may lack what was recorded before its restore.
     calls : frozenset
         Calls that have not landed: token and candidate.
     sent : int
@@ -114,6 +132,9 @@
     reader: Reader = Reader()
     record: tuple[int, int] = (0, -1)
     fresh: int | None = None
+    forgotten: int | None = None
+    era: int = 0
+    unsettled: bool = False
     calls: frozenset = frozenset()
     sent: int = 0
     landed: int = 0
@@ -232,14 +253,17 @@
     def idle(state, rules, index, own):
         if state.fresh not in (None, index):
             return
+        if rules.wait and state.unsettled:
+            return
         revision, open_candidate = state.record
         primary = max(MEMBERS, key=lambda each: state.members[each].leads)
         after = Promoter(
             "claimed",
-            revision + 1,
+            _token(rules, state, revision + 1),
             open_candidate if rules.pin else -1,
             primary,
             revision + 1,
+            state.era,
         )
         yield after, {
             "record": (revision + 1, open_candidate),
@@ -262,7 +286,14 @@
                 members = _with(
                     members,
                     each,
-                    dataclasses.replace(members[each], held=True),
+                    dataclasses.replace(
+                        members[each],
+                        held=True,
+                        # The command names the term that it follows.
+                        term=max(
+                            members[each].term, state.members[own.old].leads
+                        ),
+                    ),
                 )
             yield dataclasses.replace(
                 own, step="holding", candidate=candidate
@@ -283,14 +314,18 @@
     @staticmethod
     def compared(state, rules, index, own):
         """Record the candidate; the comparison is still recent."""
-        if state.fresh != index:
+        current = not rules.eras or state.era == own.era
+        if index not in (state.fresh, state.forgotten):
             yield Promoter("ended"), {}
         elif not rules.announce:
             yield dataclasses.replace(own, step="announced"), {}
-        elif state.record[0] == own.revision:
+        elif state.record[0] == own.revision and current:
             revision = own.revision + 1
             yield dataclasses.replace(
-                own, step="announced", token=revision, revision=revision
+                own,
+                step="announced",
+                token=_token(rules, state, revision),
+                revision=revision,
             ), {"record": (revision, own.candidate)}
         else:
             yield Promoter("ended"), {}
@@ -298,7 +333,7 @@
     @staticmethod
     def announced(state, rules, index, own):
         """Call the platform, unless this daemon stood still since."""
-        if state.fresh != index:
+        if index not in (state.fresh, state.forgotten):
             yield Promoter("ended"), {}
             return
         if not rules.fences and own.token <= state.sent:
@@ -319,6 +354,38 @@
     """A claim becomes old: its holder may not call, others may claim."""
     if state.fresh is not None:
         yield _replace(state, fresh=None)
+    if state.forgotten is not None:
+        yield _replace(state, forgotten=None)
+
+
+def _token(rules: Rules, state: State, revision: int) -> int:
+    return revision + (TOKENS_PER_ERA * state.era if rules.eras else 0)
+
+
+def _restores(state: State, rules: Rules) -> Iterator[State]:
+    """The store goes back to the copy from before the first claim."""
+    if rules.restores and state.era < MAX_ERA and state.record[0]:
+        yield _replace(
+            state,
+            record=(0, -1),
+            fresh=None,
+            forgotten=state.fresh,
+            era=state.era + 1,
+            unsettled=True,
+        )
+
+
+def _settles(state: State, rules: Rules) -> Iterator[State]:
+    """The wait after a restore ends; an open call is written again."""
+    if not state.unsettled or state.forgotten is not None:
+        return
+    settled = _replace(state, unsettled=False)
+    if state.calls:
+        _, candidate = max(state.calls)
+        settled = _replace(
+            settled, record=(state.record[0] + 1, candidate), fresh=None
+        )
+    yield settled
 
 
 def _reads(state: State, rules: Rules) -> Iterator[State]:
@@ -369,6 +436,8 @@
     _promotes: 8,
     _expires: 1,
     _reads: 4,
+    _restores: 1,
+    _settles: 2,
 }
 
 
--- a/burdockcart/tests/test_promotion_model.py
+++ b/burdockcart/tests/test_promotion_model.py
@@ -41,3 +41,19 @@
         """A late call for another member deposes the new primary."""
         rules = promotion_model.Rules(pin=False)
         self.assertIsNotNone(first_violation(rules, 1500))
+
+    def test_store_goes_back(self):
+        """No walk may break an invariant across a restore of the store."""
+        rules = promotion_model.Rules(restores=True)
+        self.assertIsNone(first_violation(rules, 1500))
+
+    def test_tokens_of_an_earlier_history(self):
+        """Without eras a token is given out again, or a lower one is used."""
+        rules = promotion_model.Rules(restores=True, eras=False)
+        found = first_violation(rules, 1500)
+        self.assertTrue(found.startswith("ONE"), found)
+
+    def test_claim_right_after_a_restore(self):
+        """Without the wait two daemons promote at the same time."""
+        rules = promotion_model.Rules(restores=True, wait=False)
+        self.assertIsNotNone(first_violation(rules, 1500))
