Pause before a store of another era is read again

A store that went on answering in an earlier era than the newest known one would have been asked without a pause: each such answer starts the read anew. The read now backs off, as after other failures. A read that may be seconds old no longer counts as an unreachable store if it shows the earlier era; the check for isolation uses such reads.

test_store_that_answers_late_is_reachable fails without the change; the store tests (29) pass.

--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -463,7 +463,10 @@
         query = {"prefix": store_values.DAEMON_PREFIX, "serializable": "1"}
         path = "/api/kv-range?" + parse.urlencode(query)
         answer = await self._call(path, store_messages.Range)
-        return isinstance(answer, result.Success)
+        # Such a read may be older than the last restore.
+        return isinstance(answer, result.Success) or (
+            answer.failure() is coordination.CallFault.RESTORED
+        )
 
 
 def _era(answer: httpclient.HTTPResponse) -> ids.StoreEra | None:
--- a/burdockcart/platform/tests/test_store_eras.py
+++ b/burdockcart/platform/tests/test_store_eras.py
@@ -138,6 +138,20 @@
 
         test_calls.run(check)
 
+    def test_store_that_answers_late_is_reachable(self):
+        """An answer from before a restore must not isolate the daemon."""
+
+        async def check(store):
+            page = {"items": [], "store-revision": 9}
+            store.answer_by_path["/api/kv-range"] = (200, page)
+            store.era = 1
+            store.client.eras.observe(2)
+            self.assertTrue(await store.client.reachable())
+            del store.answer_by_path["/api/kv-range"]
+            self.assertFalse(await store.client.reachable())
+
+        test_calls.run(check)
+
     def test_unusable_era(self):
         """An unusable header must not take the daemon down."""
 
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -188,7 +188,9 @@
             sent_at = self._clock.now()
             read = await self._platform.read_store()
             if isinstance(read, result.Failure):
-                if read.failure() is not coordination.CallFault.RESTORED:
+                if read.failure() is coordination.CallFault.RESTORED:
+                    await self._backoff.pause()
+                else:
                     await self._failed(read.failure())
                 continue
             self._answered(sent_at)
