Keep a replaced key of the links withdrawn after a restore

An operator replaces the key under fleet/key by hand. A store that was restored from a copy of before brought the replaced key back into use on all daemons, and the one in use was gone for good: one of the reports of other operators.

A daemon remembers the keys that it has seen replaced; if the store shows one of them again it keeps its own, and writes it at the revision that it read.

test_withdrawn_key_stays_withdrawn and test_key_that_was_withdrawn_is_replaced fail without the change (the store's key was taken in any case); 24 tests of eras and restores pass. The soak's restores now follow right after a change of the manifest, with copies of 0.8 to 15 s before the outage.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 from typing import Any
+from typing import Collection
 
 import msgspec
 from returns import result
@@ -268,12 +269,13 @@
             )
         return result.Success(None)
 
-    async def create_fleet_key(self, key: bytes):
-        """Write the key that all daemons share unless there is one."""
+    async def write_fleet_key(self, key: bytes, withdrawn: Collection[bytes]):
+        """Write the key that all daemons share unless there is a valid one."""
         fault = await self._store_fault()
         if fault is not None:
             return fault
-        self.fleet_key = self.fleet_key or key
+        if self.fleet_key is None or self.fleet_key in withdrawn:
+            self.fleet_key = key
         return result.Success(self.fleet_key)
 
     async def record_complete(self, era: ids.StoreEra):
--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -344,7 +344,7 @@
         """
         self.store.fault = store_server.StoreFault.UNAVAILABLE
         await asyncio.sleep(seconds)
-        self.store.restore(age_s)
+        self.store.restore(age_s + seconds)
         self.store.fault = store_server.StoreFault.NONE
         for key in list(self.store.item_by_key):
             member = key.removeprefix(store_values.MEMBER_PREFIX)
--- a/burdockcart/platform/tests/test_generated_input.py
+++ b/burdockcart/platform/tests/test_generated_input.py
@@ -135,7 +135,7 @@
                 ("read_store", ()),
                 ("changes", (5,)),
                 ("claim_promotion", ("g", record, 0)),
-                ("create_fleet_key", (bytes(32),)),
+                ("write_fleet_key", (bytes(32), ())),
             ):
                 found = self.call(body, name, *arguments)
                 self.assertIsInstance(found, result.Failure, (name, body))
--- a/burdockcart/platform/tests/test_store_eras.py
+++ b/burdockcart/platform/tests/test_store_eras.py
@@ -1,5 +1,7 @@
 """Tests that positions and leases of one era of the store stay in it."""
 
+import base64
+
 import testtools
 
 from burdockcart.platform import store_values
@@ -122,6 +124,24 @@
 
         test_calls.run(check)
 
+    def test_key_that_was_withdrawn_is_replaced(self):
+        """A valid key must stay, a withdrawn one must go."""
+        old, key = bytes(32), bytes([1] * 32)
+
+        async def check(store):
+            found = test_calls.item(store_values.FLEET_KEY, {}, revision=33)
+            found["value"] = base64.b64encode(old).decode()
+            page = {"items": [found], "store-revision": 40}
+            store.answer_by_path["/api/kv-range"] = (200, page)
+            store.answer_by_path["/api/kv-txn"] = (200, {"revision": 41})
+            kept = await store.client.write_fleet_key(key, set())
+            self.assertEqual(old, kept.unwrap())
+            self.assertEqual(1, len(store.seen))
+            await store.client.write_fleet_key(key, {old})
+            self.assertIn(b'"revision":33', store.seen[2].body)
+
+        test_calls.run(check)
+
     def test_pages_of_two_eras(self):
         """A list must not mix the stores before and after a restore."""
 
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -109,7 +109,9 @@
         self._store = self._link.source()
         self._started_at = self._clock.now()
         self._tasks: list[asyncio.Task[None]] = []
+        #: Whether the store holds no valid key of the links.
         self._key_missing = asyncio.Event()
+        self._withdrawn_keys: set[bytes] = set()
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
         self.metrics = gateway_metrics.GatewayMetrics()
         shared = attempts.StatementSender(
@@ -431,10 +433,15 @@
 
     def fleet_key_changed(self, key: bytes) -> None:
         """Use another key for links between daemons."""
+        if key in self._withdrawn_keys:
+            # A restored store may hold a key from before its replacement.
+            self._key_missing.set()
+            return
         self._key_missing.clear()
         if key == self._fleet_key.value:
             return
         if self._fleet_key.value is not None:
+            self._withdrawn_keys.add(self._fleet_key.value)
             self.relay.close_links()
         self._fleet_key.value = key
         loguru.logger.info("event=fleet_key_in_force")
@@ -446,16 +453,17 @@
     async def _keep_fleet_key(self) -> None:
         """Write the key that all daemons share whenever the store lacks it.
 
-        After a restore of the store the key that is in use is written again
-        before a daemon that has just started creates another.
+        After a restore the key in use is written again at once, before a
+        daemon that has just started creates another.
         """
         while True:
             await self._key_missing.wait()
             if self._fleet_key.value is None:
                 await asyncio.sleep(self._rng.uniform(0.0, KEY_SPREAD_S))
             while self._key_missing.is_set():
-                created = await self._platform.create_fleet_key(
-                    self._fleet_key.value or fleet_key.new_key()
+                created = await self._platform.write_fleet_key(
+                    self._fleet_key.value or fleet_key.new_key(),
+                    self._withdrawn_keys,
                 )
                 if isinstance(created, result.Success):
                     self.fleet_key_changed(created.unwrap())
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/coordination.py
@@ -1,6 +1,7 @@
 """Interface to the platform: manifest, members and promotions."""
 
 import enum
+from typing import Collection
 from typing import Protocol
 
 import msgspec
@@ -163,10 +164,10 @@
     ) -> result.Result[None, PromotionFault]:
         """Make a member the primary of its group."""
 
-    async def create_fleet_key(
-        self, key: bytes
+    async def write_fleet_key(
+        self, key: bytes, withdrawn: Collection[bytes]
     ) -> result.Result[bytes, CallFault]:
-        """Write the key that all daemons share unless there is one.
+        """Write the key that all daemons share unless there is a valid one.
 
         Returns the key that is in force.
         """
--- a/burdockcart/process/gateway/tests/test_restored_store.py
+++ b/burdockcart/process/gateway/tests/test_restored_store.py
@@ -229,6 +229,27 @@
 
         scenario(check)
 
+    def test_withdrawn_key_stays_withdrawn(self):
+        """The copy must not bring back a key that was replaced."""
+
+        async def check(deployment):
+            platform = deployment.platform
+            await asyncio.sleep(3.0)
+            copied = platform.copy()
+            replaced, key = platform.fleet_key, bytes(32)
+            platform.fleet_key = key
+            await asyncio.sleep(2.0)
+            platform.restore(copied)
+            self.assertEqual(replaced, platform.fleet_key)
+            await asyncio.sleep(2.6)
+            self.assertEqual(key, platform.fleet_key)
+            self.assertEqual(
+                [key] * 2,
+                [each._fleet_key.value for each in deployment.daemons],
+            )
+
+        scenario(check)
+
     def test_daemon_that_left_stays_away(self):
         """An entry in the copy must not bring a daemon back that has left."""
         catalog = daemon_catalog.DaemonCatalog()
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -55,7 +55,8 @@
     length_s : float
         Seconds that the fault lasts, for those that do.
     age_s : float
-        Age of the copy from which the store is restored, in seconds.
+        Age of the copy from which the store is restored, in seconds before
+        the store went away.
 
     """
 
@@ -116,17 +117,15 @@
 
     Up to two restores follow each other.
     """
-    faults = [
-        Fault(
-            place * 3.0,
-            Kind.STORE_RESTORED,
-            -1,
-            rng.uniform(0.2, 2.0),
-            rng.uniform(1.0, 15.0),
-        )
-        for place in range(rng.randint(1, 2))
-    ]
-    faults += [Fault(rng.uniform(0.0, 5.0), Kind.MANIFEST) for _ in range(2)]
+    faults = []
+    for place in range(rng.randint(1, 2)):
+        begin_s = 0.5 + place * 3.0
+        age_s = rng.uniform(*rng.choice([(0.8, 3.0), (3.0, 15.0)]))
+        length_s = rng.choice([0.2, 1.0, 2.0])
+        faults += [
+            Fault(begin_s - rng.uniform(0.05, 0.5), Kind.MANIFEST),
+            Fault(begin_s, Kind.STORE_RESTORED, -1, length_s, age_s),
+        ]
     faults += [
         Fault(rng.uniform(0.0, 1.0), rng.choice([Kind.KILL, Kind.STOP]), each)
         for each in rng.sample(range(daemons), rng.randint(0, daemons // 2))
