Do not trust a list that lacks the daemon itself

After an outage in which the registrations lapsed, a daemon may know none of the others when the store is restored. The wait before new claims was then over at once, as all of nobody had registered again.

test_list_without_the_daemon_itself_is_incomplete fails before (wait over on all three daemons) and passes now.

--- a/burdockcart/process/gateway/restore_wait.py
+++ b/burdockcart/process/gateway/restore_wait.py
@@ -82,12 +82,13 @@
         self._era = era
         self._began_at = now
         self._over_at = now if starts and self._first_start else None
-        self._awaited = None
-        if not starts:
-            self._awaited = {
-                (entry.id, entry.incarnation)
-                for entry in self._tables.entry_by_daemon.values()
-            }
+        before = {
+            (entry.id, entry.incarnation)
+            for entry in self._tables.entry_by_daemon.values()
+        }
+        # A list without this daemon may lack others as well.
+        listed = any(daemon == self._daemon for daemon, _ in before)
+        self._awaited = before if listed and not starts else None
         return not starts
 
     def over(self) -> bool:
--- a/burdockcart/process/gateway/tests/test_restored_store.py
+++ b/burdockcart/process/gateway/tests/test_restored_store.py
@@ -156,6 +156,21 @@
 
         scenario(check, daemons=3, fenced=False)
 
+    def test_list_without_the_daemon_itself_is_incomplete(self):
+        """Lapsed registrations must not look like daemons that are gone."""
+
+        async def check(deployment):
+            platform = deployment.platform
+            await asyncio.sleep(3.0)
+            for daemon in deployment.daemons:
+                daemon.tables._daemons.entry_by_id.clear()
+            platform.restore(platform.copy())
+            await asyncio.sleep(4.0)
+            waits = [each._restore_wait for each in deployment.daemons]
+            self.assertEqual([False] * 3, [each.over() for each in waits])
+
+        scenario(check, daemons=3, fenced=False)
+
     def test_daemon_that_starts_after_a_restore_waits(self):
         """A daemon that knows only the copy must not claim at once."""
 
