Let one daemon at a time use a reserved token after a restore

The first holder was leaving and had ended its registration; the second was the first one by its new list.

Two causes, two changes. A daemon that has left the list uses no reserved token any more, though its own list still names it. And while the store answers, the wait after a restore holds for reserved tokens as well; they are for a store that is away. A claim that fails because the store was restored counts no longer as a silent store.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -175,11 +175,11 @@
             config.daemon,
             self.group_by_id,
             platform,
-            lambda: self.tables.daemons,
+            self._token_holders,
             self._clock,
             _wall_ms,
             config.promotion_claim_s,
-            self._restore_wait.over,
+            self._restore_wait,
         )
         self._failover = failover.Failover(
             config.daemon,
@@ -192,7 +192,7 @@
             self.metrics,
             self._reserved,
             lambda: self.tables.daemons,
-            self._restore_wait.over,
+            self._restore_wait,
         )
 
     async def start(self, clients: client_listener.ClientListener) -> None:
@@ -235,6 +235,14 @@
             self._failover.leave(self._settings.shutdown_s)
         await self._drain.run(self._clients)
 
+    def _token_holders(self) -> frozenset[ids.DaemonId]:
+        """Return the daemons that may hold reserved tokens.
+
+        Once this one has left the list, others hold its tokens.
+        """
+        own = {self._settings.daemon} if self._listing.ended else set()
+        return self.tables.daemons - own
+
     def _busy_for_others(self) -> bool:
         """Return whether other daemons or a group need this daemon."""
         return self.relay.service.in_use or self._failover.promoting
--- a/burdockcart/process/gateway/claim_record.py
+++ b/burdockcart/process/gateway/claim_record.py
@@ -10,6 +10,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import promotion_claims
+from burdockcart.process.gateway import restore_wait
 
 #: Longest time that a renewal may take, in seconds on the boot clock; half of
 #: the time for which a claim holds.
@@ -27,8 +28,8 @@
     Parameters
     ==========
 
-    may_claim : callable
-        Returns whether the store knows all promotions that may be open.
+    wait : RestoreWait
+        Whether the store knows all promotions that may be open.
 
     """
 
@@ -40,7 +41,7 @@
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
         wall_ms: Callable[[], int],
-        may_claim: Callable[[], bool],
+        wait: restore_wait.RestoreWait,
     ):
         self._daemon = daemon
         self._platform = platform
@@ -48,17 +49,19 @@
         self._clock = loop_clock
         self._boot_clock = boot_clock
         self._wall_ms = wall_ms
-        self._may_claim = may_claim
+        self._wait = wait
 
     async def claim(self, group: ids.GroupId) -> ids.FencingToken | None:
         """Claim the right to promote; None if the claim failed."""
-        if not self._may_claim():
+        if not self._wait.over():
             loguru.logger.info(
                 "event=promotion_claim_failed group={} "
                 "fault='the store was restored'",
                 group,
             )
-            self._claims.failed(group, self._clock.now(), store_silent=True)
+            self._claims.failed(
+                group, self._clock.now(), self._wait.store_away
+            )
             return None
         record = self._new(self._pinned(group))
         for _ in range(MAX_WRITES):
@@ -77,7 +80,9 @@
                     group,
                     fault.value,
                 )
-                self._claims.failed(group, now, store_silent=True)
+                # A store that was restored answers; the wait follows.
+                silent = fault is not coordination.CallFault.RESTORED
+                self._claims.failed(group, now, store_silent=silent)
                 return None
             if fault.record is not None and fault.record.attempt == (
                 record.attempt
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -19,6 +19,7 @@
 from burdockcart.process.gateway import promoter
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
+from burdockcart.process.gateway import restore_wait
 from burdockcart.process.gateway import turn
 
 #: Pause between two queries of all members of a group for the primary, in
@@ -50,7 +51,7 @@
         metrics: gateway_metrics.GatewayMetrics,
         reserved: reserved_claims.ReservedClaims,
         daemons: Callable[[], Collection[ids.DaemonId]],
-        may_claim: Callable[[], bool],
+        wait: restore_wait.RestoreWait,
     ):
         self._daemon = daemon
         self._daemons = daemons
@@ -68,7 +69,7 @@
             wall_ms,
             metrics,
             reserved,
-            may_claim,
+            wait,
         )
         self._scanned_at = loop_clock.now()
         self._begins_until = math.inf
--- a/burdockcart/process/gateway/listing.py
+++ b/burdockcart/process/gateway/listing.py
@@ -73,6 +73,11 @@
         # It may have left while it was being registered.
         await self._unregister()
 
+    @property
+    def ended(self) -> bool:
+        """Whether this daemon has left the list for good."""
+        return self._left and self._lease is None
+
     async def leave(self) -> None:
         """End the registration, so that no daemon relies on this one."""
         self._left = True
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -31,6 +31,7 @@
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
+from burdockcart.process.gateway import restore_wait
 
 #: Longest time between the comparison of the logs and the promotion call, in
 #: seconds on the boot clock: a daemon that was suspended in between must
@@ -70,7 +71,7 @@
         wall_ms: Callable[[], int],
         metrics: gateway_metrics.GatewayMetrics,
         reserved: reserved_claims.ReservedClaims,
-        may_claim: Callable[[], bool],
+        wait: restore_wait.RestoreWait,
     ):
         #: Time that the platform needed for the last promotion, in seconds.
         self.promotion_s = INITIAL_PROMOTION_S
@@ -86,7 +87,7 @@
             loop_clock,
             boot_clock,
             wall_ms,
-            may_claim,
+            wait,
         )
         self._metrics = metrics
         self._reserved = reserved
--- a/burdockcart/process/gateway/reserved_claims.py
+++ b/burdockcart/process/gateway/reserved_claims.py
@@ -27,6 +27,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import restore_wait
 from burdockcart.process.gateway import store_era
 from burdockcart.process.gateway import turn
 
@@ -79,8 +80,8 @@
         Returns the registered daemons.
     claim_ttl_s : float
         Time that another daemon's promotion may take, in seconds.
-    may_claim : callable
-        Returns whether the store knows all promotions that may be open.
+    wait : RestoreWait
+        Whether the store knows all promotions that may be open.
 
     """
 
@@ -93,7 +94,7 @@
         loop_clock: clock.Clock,
         wall_ms: Callable[[], int],
         claim_ttl_s: float,
-        may_claim: Callable[[], bool],
+        wait: restore_wait.RestoreWait,
     ):
         self._daemon = daemon
         self._group_by_id = group_by_id
@@ -102,7 +103,7 @@
         self._clock = loop_clock
         self._wall_ms = wall_ms
         self._claim_ttl_s = claim_ttl_s
-        self._may_claim = may_claim
+        self._wait = wait
         self._token_by_group: dict[ids.GroupId, ids.FencingToken] = {}
         #: Term of the primary when the token was claimed.
         self._term_by_group: dict[ids.GroupId, int] = {}
@@ -116,7 +117,7 @@
         while True:
             await asyncio.sleep(SCAN_INTERVAL_S)
             for group in list(self._group_by_id.values()):
-                if self._may_claim() and self._needs_claim(group):
+                if self._wait.over() and self._needs_claim(group):
                     await self._claim(group)
 
     def token(
--- a/burdockcart/process/gateway/restore_wait.py
+++ b/burdockcart/process/gateway/restore_wait.py
@@ -106,6 +106,11 @@
             )
         return self._over_at is not None
 
+    @property
+    def store_away(self) -> bool:
+        """Whether the store does not answer, so that no wait helps."""
+        return self._tables.dependency.lost_at is not None
+
     def _may_end(self) -> bool:
         return (
             self._tables.complete_since == self._era
--- a/burdockcart/process/gateway/tests/test_reserved_claims.py
+++ b/burdockcart/process/gateway/tests/test_reserved_claims.py
@@ -116,6 +116,31 @@
 
         scenario(check, daemons=2)
 
+    def test_daemon_that_left_uses_no_token(self):
+        """A daemon that has left the list must leave its turn to the next.
+
+        It knew itself as the first holder for one more poll, while the next
+        one was the first by the new list: both promoted, 60 ms apart.
+        """
+
+        async def check(deployment):
+            await asyncio.sleep(5.0)
+            fleet = {each.tables.daemons for each in deployment.daemons}
+            (names,) = fleet
+            first = next(
+                each
+                for each in deployment.daemons
+                if reserved_claims.rank(each._failover._daemon, GROUP, names)
+                == 0
+            )
+            group = first.group_by_id[GROUP]
+            since = asyncio.get_running_loop().time() - 9.0
+            self.assertIsNotNone(first._reserved.token(group, since))
+            await first._listing.leave()
+            self.assertIsNone(first._reserved.token(group, since))
+
+        scenario(check, daemons=3)
+
     def test_two_holders(self):
         """A group must not depend on a single holder of a token."""
         fleet = [f"d{number}" for number in range(9)]
--- a/burdockcart/process/gateway/tests/test_restored_store.py
+++ b/burdockcart/process/gateway/tests/test_restored_store.py
@@ -7,6 +7,7 @@
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import daemon_catalog
 from burdockcart.process.gateway import member_catalog
+from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import store_era
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
@@ -156,6 +157,36 @@
 
         scenario(check, daemons=3, fenced=False)
 
+    def test_no_reserved_token_during_the_wait(self):
+        """While the store answers, the wait holds for all tokens.
+
+        Lists of daemons differ most after a restore, and with them who may
+        use a reserved token first.
+        """
+
+        async def check(deployment):
+            platform = deployment.platform
+            await asyncio.sleep(5.0)
+            copied = platform.copy()
+            cut = next(
+                each
+                for each in deployment.daemons
+                if reserved_claims.rank(
+                    each._failover._daemon, GROUP, each.tables.daemons
+                )
+                is None
+            )
+            cut.link.store_cut = True
+            platform.restore(copied)
+            await asyncio.sleep(0.1)
+            deployment.group.primary.crash()
+            await asyncio.sleep(2.8)
+            self.assertEqual([], platform.promotions)
+            await asyncio.sleep(3.0)
+            self.assertEqual(1, len(platform.promotions))
+
+        scenario(check, daemons=3)
+
     def test_list_without_the_daemon_itself_is_incomplete(self):
         """Lapsed registrations must not look like daemons that are gone."""
 
