Use a restored entry of a member that runs after all

Found by reading: a member whose entry lapsed while it was cut off from the store counts as left. If the store is then restored from a copy that holds the entry, and the member goes on as before, the store tells of no change, so the member would have stayed out of use until its entry changes.

A restored entry of a member that had left is used once it has stayed for 6 s: the store removes it after three silent heartbeats if the member has left. A list that is read again meanwhile does not end the doubt, neither for members nor for daemons (they came back with the next read of the whole store before).

--- a/burdockcart/process/gateway/daemon_catalog.py
+++ b/burdockcart/process/gateway/daemon_catalog.py
@@ -45,6 +45,8 @@
         self._missing_since: dict[ids.DaemonId, float] = {}
         #: Incarnations that left or were replaced, and when.
         self._left_at: dict[tuple[ids.DaemonId, ids.Incarnation], float] = {}
+        #: Restored entries of incarnations that had left.
+        self._ended: dict[ids.DaemonId, coordination.DaemonEntry] = {}
 
     def listed(
         self,
@@ -52,9 +54,14 @@
         now: float,
     ) -> None:
         """Replace all entries but those that a restored store may lack."""
+        valid = {
+            daemon: entry
+            for daemon, entry in entry_by_id.items()
+            if self._ended.get(daemon) != entry
+        }
         gone = self.entry_by_id.keys() - entry_by_id.keys()
         removed = dict.fromkeys(gone - self._missing_since.keys())
-        self.changed({**entry_by_id, **removed}, now)
+        self.changed({**valid, **removed}, now)
 
     def restored(
         self,
@@ -72,6 +79,11 @@
         for daemon in self.entry_by_id.keys() - valid.keys():
             self._missing_since.setdefault(daemon, now)
         self.changed(valid, now)
+        self._ended = {
+            daemon: entry
+            for daemon, entry in entry_by_id.items()
+            if daemon not in valid
+        }
 
     def changed(
         self,
@@ -89,6 +101,7 @@
                 self.entry_by_id[daemon] = entry
                 self._left_at.pop((daemon, entry.incarnation), None)
             self._missing_since.pop(daemon, None)
+            self._ended.pop(daemon, None)
 
     def remove_missing(self, now: float) -> bool:
         """Remove entries that stay missing; True if there were any."""
--- a/burdockcart/process/gateway/member_catalog.py
+++ b/burdockcart/process/gateway/member_catalog.py
@@ -10,6 +10,10 @@
 #: Time for which members that left are remembered, in seconds: copies from
 #: which a store is restored are some seconds old.
 LEFT_MEMORY_S = 120.0
+#: Time after which the restored entry of a member that had left is used after
+#: all, in seconds: the store removes it after three silent heartbeats (3.6 s)
+#: unless the member runs.
+DOUBT_S = 6.0
 
 
 class MemberCatalog:
@@ -46,6 +50,10 @@
         self._forgotten: set[ids.MemberId] = set()
         #: Last entries of members that have left, and when they did.
         self._left: dict[ids.MemberId, tuple[manifest.MemberEntry, float]] = {}
+        #: Restored entries of members that have left, and since when.
+        self._doubted: dict[
+            ids.MemberId, tuple[manifest.MemberEntry, float]
+        ] = {}
 
     def listed(
         self,
@@ -53,8 +61,14 @@
         now: float,
     ) -> None:
         """Replace all entries."""
+        certain = {
+            member: entry
+            for member, entry in entry_by_id.items()
+            if member not in self._doubted or self._doubted[member][0] != entry
+        }
         missing = self.entry_by_id.keys() - entry_by_id.keys()
-        self.changed({**entry_by_id, **dict.fromkeys(missing)}, now)
+        gone = self._doubted.keys() - entry_by_id.keys()
+        self.changed({**certain, **dict.fromkeys(missing | gone)}, now)
 
     def restored(
         self,
@@ -70,6 +84,24 @@
         missing = self.entry_by_id.keys() - entry_by_id.keys()
         self._forgotten |= missing
         self.changed({**newer, **dict.fromkeys(missing)}, now)
+        self._doubted = {
+            member: (entry, now)
+            for member, entry in entry_by_id.items()
+            if member not in self.entry_by_id
+        }
+
+    def use_doubted(self, now: float) -> list[manifest.MemberEntry]:
+        """Use and return restored entries that have stayed for long.
+
+        Their members run: an entry of one that has left goes again.
+        """
+        lasting = [
+            entry
+            for entry, since in self._doubted.values()
+            if now - since >= DOUBT_S
+        ]
+        self.changed({entry.id: entry for entry in lasting}, now)
+        return lasting
 
     def _is_copy(self, entry: manifest.MemberEntry) -> bool:
         """Return whether an entry is older than what is known, or the same."""
@@ -88,6 +120,7 @@
     ) -> None:
         """Apply changes; None stands for a removed entry."""
         for member, entry in entry_by_id.items():
+            self._doubted.pop(member, None)
             if entry is not None:
                 self.entry_by_id[member] = entry
                 self._missing_since.pop(member, None)
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -297,6 +297,7 @@
         self.catalog.changed(entries, now)
         self._notify_members(
             [each for each in entries.values() if each is not None]
+            + self.catalog.use_doubted(now)
         )
         if changes.fleet_key is not None:
             self._listener.fleet_key_changed(changes.fleet_key)
--- a/burdockcart/process/gateway/tests/test_restored_store.py
+++ b/burdockcart/process/gateway/tests/test_restored_store.py
@@ -304,6 +304,9 @@
         catalog.changed({"d": None}, now=2.0)
         catalog.restored({"d": entry}, 2, now=3.0)
         self.assertEqual({}, catalog.entry_by_id)
+        # The store is read again, for example after failed polls.
+        catalog.listed({"d": entry}, now=3.5)
+        self.assertEqual({}, catalog.entry_by_id)
         again = coordination.DaemonEntry("d", "d:1", "a", "boot-1", 2)
         catalog.changed({"d": again}, now=4.0)
         self.assertEqual({"d": again}, catalog.entry_by_id)
@@ -379,6 +382,38 @@
         catalog.changed({"m": again}, now=4.0)
         self.assertEqual({"m": again}, catalog.entry_by_id)
 
+    def test_member_that_only_lapsed_is_used_again(self):
+        """A member that was cut off from the store must not stay unused.
+
+        Its restored entry is the last one that it wrote, and the store tells
+        of no change while the member goes on as before.
+        """
+        catalog = member_catalog.MemberCatalog()
+        last = self.entry(7)
+        catalog.changed({"m": last}, now=1.0)
+        catalog.changed({"m": None}, now=2.0)
+        self.assertEqual(["m"], catalog.remove_departed(now=5.0))
+        catalog.restored({"m": last}, now=6.0)
+        self.assertEqual([], catalog.use_doubted(now=11.0))
+        self.assertEqual([last], catalog.use_doubted(now=12.0))
+        self.assertEqual({"m": last}, catalog.entry_by_id)
+        self.assertEqual([], catalog.use_doubted(now=13.0))
+
+    def test_restored_entry_that_goes_again_is_not_used(self):
+        """The entry of a member that has left must go without effect."""
+        catalog = member_catalog.MemberCatalog()
+        last = self.entry(7, manifest.MemberState.DRAINING)
+        catalog.changed({"m": last}, now=1.0)
+        catalog.changed({"m": None}, now=2.0)
+        catalog.remove_departed(now=2.0)
+        catalog.restored({"m": last}, now=6.0)
+        # The store is read again, for example after failed polls.
+        catalog.listed({"m": last}, now=7.0)
+        self.assertEqual({}, catalog.entry_by_id)
+        catalog.changed({"m": None}, now=9.0)
+        self.assertEqual([], catalog.use_doubted(now=20.0))
+        self.assertEqual({}, catalog.entry_by_id)
+
     def test_draining_member_that_the_copy_lacks_stays(self):
         """A missing entry does not tell that a draining member has left."""
         catalog = member_catalog.MemberCatalog()
