--- a/burdockcart/platform/standin/store_server.py
+++ b/burdockcart/platform/standin/store_server.py
@@ -84,8 +84,9 @@
         """
         made_before = asyncio.get_running_loop().time() - age_s
         copies = [each for each in self._copies if each.made_at <= made_before]
-        found = (copies or self._copies)[-1 if copies else 0]
-        self._copies = copies
+        # The oldest copy if none is old enough.
+        self._copies = copies or self._copies[:1]
+        found = self._copies[-1]
         self.era += 1
         self.revision = found.revision
         self.item_by_key = dict(found.item_by_key)
