Do not ask without end for a key that is unusable

Now the daemon keeps its key and waits for the next change that the store shows.

test_value_that_is_no_key_is_not_asked_for_again fails with the change to LinkKey taken out (one call in 60 s is allowed); test_value_that_is_no_key_stays guards the adapter.

--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -365,37 +365,29 @@
     async def write_fleet_key(
         self, key: bytes, withdrawn: Collection[bytes]
     ) -> result.Result[bytes, coordination.CallFault]:
-        """Write the key of the links unless there is a valid one."""
-        found = await self._read_fleet_key()
-        if isinstance(found, result.Failure):
-            fault = found.failure()
-            if fault is not coordination.CallFault.MISSING:
-                return result.Failure(fault)
-        item = found.value_or(None)
-        if item is None or store_values.read_fleet_key(item) in withdrawn:
+        """Write the key of the links unless there is a valid one.
+
+        A value that is no key stays; it fails with UNREADABLE.
+        """
+        for _ in range(2):
+            # Whatever a write was answered, the store tells which key is in
+            # force: another daemon may have been first.
+            found = await self._range(store_values.FLEET_KEY)
+            if isinstance(found, result.Failure):
+                return result.Failure(coordination.CallFault.NO_ANSWER)
+            item = next(iter(found.unwrap().items), None)
+            if item is not None:
+                in_force = store_values.read_fleet_key(item)
+                if in_force is None:
+                    return result.Failure(coordination.CallFault.UNREADABLE)
+                if in_force not in withdrawn:
+                    return result.Success(in_force)
             await self._write(
                 {store_values.FLEET_KEY: item.revision if item else 0},
                 {store_values.FLEET_KEY: key},
                 era=self.eras.current,
             )
-            # Whatever the answer, the store tells which key is in force:
-            # another daemon may have been first.
-            found = await self._read_fleet_key()
-        in_force = found.map(store_values.read_fleet_key).value_or(None)
-        if in_force is None or in_force in withdrawn:
-            return result.Failure(coordination.CallFault.NO_ANSWER)
-        return result.Success(in_force)
-
-    async def _read_fleet_key(
-        self,
-    ) -> result.Result[store_messages.StoredItem, coordination.CallFault]:
-        found = await self._range(store_values.FLEET_KEY)
-        if isinstance(found, result.Failure):
-            return found
-        item = next(iter(found.unwrap().items), None)
-        if item is None:
-            return result.Failure(coordination.CallFault.MISSING)
-        return result.Success(item)
+        return result.Failure(coordination.CallFault.NO_ANSWER)
 
     async def record_complete(
         self, era: ids.StoreEra
--- a/burdockcart/platform/store_values.py
+++ b/burdockcart/platform/store_values.py
@@ -147,6 +147,15 @@
 def read_claim_lost(
     body: bytes, key: str, era: ids.StoreEra
 ) -> coordination.ClaimLost:
+    """Return the record that a refused claim found, and its position.
+
+    Raises
+    ======
+
+    msgspec.MsgspecError
+        If the answer is not a list of items.
+
+    """
     page = msgspec.json.decode(body, type=store_messages.Range)
     item = next((each for each in page.items if each.key == key), None)
     if item is None:
--- a/burdockcart/platform/tests/test_store_eras.py
+++ b/burdockcart/platform/tests/test_store_eras.py
@@ -142,6 +142,19 @@
 
         test_calls.run(check)
 
+    def test_value_that_is_no_key_stays(self):
+        """A mistake of whoever replaces the key must not be overwritten."""
+
+        async def check(store):
+            found = test_calls.item(store_values.FLEET_KEY, {}, revision=33)
+            page = {"items": [found], "store-revision": 40}
+            store.answer_by_path["/api/kv-range"] = (200, page)
+            kept = await store.client.write_fleet_key(bytes(32), set())
+            self.assertIs(CallFault.UNREADABLE, kept.failure())
+            self.assertEqual(1, len(store.seen))
+
+        test_calls.run(check)
+
     def test_pages_of_two_eras(self):
         """A list must not mix the stores before and after a restore."""
 
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -278,7 +278,7 @@
             not self._admission.stopping
             and not self._isolation.isolated
             and self.tables.current is not None
-            and self.tables.read.is_set()
+            and self.tables.has_read
             and self._up_to_date()
         )
 
@@ -420,7 +420,7 @@
         None if the store did not answer.
         """
         era = None
-        if self.tables.read.is_set():
+        if self.tables.has_read:
             era = self._platform.eras.current
         if not await self._failover.restate():
             return None
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/coordination.py
@@ -169,7 +169,8 @@
     ) -> result.Result[bytes, CallFault]:
         """Write the key that all daemons share unless there is a valid one.
 
-        Returns the key that is in force.
+        Returns the key that is in force.  Fails with UNREADABLE if the store
+        holds a value that is no key.
         """
 
     async def record_complete(
--- a/burdockcart/process/gateway/link_key.py
+++ b/burdockcart/process/gateway/link_key.py
@@ -83,5 +83,8 @@
                 )
                 if isinstance(written, result.Success):
                     self.found(written.unwrap())
+                elif written.failure() is coordination.CallFault.UNREADABLE:
+                    # Only whoever wrote that value can tell what it should be.
+                    self._missing.clear()
                 else:
                     await asyncio.sleep(RETRY_S)
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -156,8 +156,6 @@
         self.current: manifest.Manifest | None = None
         self.catalog = member_catalog.MemberCatalog()
         self.dependency = DependencyState("store", loop_clock)
-        #: Set once the store has been read.
-        self.read = asyncio.Event()
         #: Set once the list of daemons is likely to be complete.
         self.settled = asyncio.Event()
         #: Newest era of which all open promotions are known to be recorded.
@@ -175,6 +173,11 @@
         """The registered daemons."""
         return frozenset(self._daemons.entry_by_id)
 
+    @property
+    def has_read(self) -> bool:
+        """Whether the store has been read."""
+        return self._position is not None
+
     @property
     def entry_by_daemon(
         self,
@@ -243,17 +246,20 @@
 
     def _use_contents(self, found: coordination.StoreSnapshot) -> None:
         now = self._clock.now()
-        if self._begins_era(found):
+        era = store_era.era_of(found.position)
+        before = self._position
+        if before is None:
+            self._listener.era_changed(era)
+        if before is not None and store_era.era_of(before) != era:
+            _log_restore(found, before, self.current)
+            self._listener.era_changed(era)
             self.catalog.restored(found.entry_by_member, now)
-            self._daemons.restored(
-                found.daemon_by_id, store_era.era_of(found.position), now
-            )
+            self._daemons.restored(found.daemon_by_id, era, now)
         else:
             self.catalog.listed(found.entry_by_member, now)
             self._daemons.listed(found.daemon_by_id, now)
         self._position = found.position
         self.complete_since = found.complete_since
-        self.read.set()
         if found.tables is not None:
             self._use_manifest(found.tables)
         self._notify_members(list(self.catalog.entry_by_id.values()))
@@ -265,30 +271,6 @@
             self.settled.set()
         self._listener.daemons_changed(self.entry_by_daemon)
 
-    def _begins_era(self, found: coordination.StoreSnapshot) -> bool:
-        """Return whether the store was restored since the last answer."""
-        era = store_era.era_of(found.position)
-        if self._position is None:
-            self._listener.era_changed(era)
-            return False
-        if era == store_era.era_of(self._position):
-            return False
-        loguru.logger.warning(
-            "event=store_restored era={} before={} revision={} last_seen={} "
-            "manifest={} in_force={} members={} daemons={} key={}",
-            era,
-            store_era.era_of(self._position),
-            store_era.revision_of(found.position),
-            store_era.revision_of(self._position),
-            found.tables.version if found.tables else None,
-            self.current.version if self.current else None,
-            len(found.entry_by_member),
-            len(found.daemon_by_id),
-            found.fleet_key is not None,
-        )
-        self._listener.era_changed(era)
-        return True
-
     def _use_changes(self, changes: coordination.StoreChanges) -> None:
         now = self._clock.now()
         for found in changes.tables:
@@ -335,3 +317,24 @@
         self._listener.members_changed(
             entries, self.catalog.remove_departed(self._clock.now())
         )
+
+
+def _log_restore(
+    found: coordination.StoreSnapshot,
+    before: ids.StorePosition,
+    in_force: manifest.Manifest | None,
+) -> None:
+    """Log what a restored store holds, beside what was known before."""
+    loguru.logger.warning(
+        "event=store_restored era={} before={} revision={} last_seen={} "
+        "manifest={} in_force={} members={} daemons={} key={}",
+        store_era.era_of(found.position),
+        store_era.era_of(before),
+        store_era.revision_of(found.position),
+        store_era.revision_of(before),
+        found.tables.version if found.tables else None,
+        in_force.version if in_force else None,
+        len(found.entry_by_member),
+        len(found.daemon_by_id),
+        found.fleet_key is not None,
+    )
--- a/burdockcart/process/gateway/tests/test_restored_lists.py
+++ b/burdockcart/process/gateway/tests/test_restored_lists.py
@@ -1,13 +1,17 @@
 """Tests daemons, members and the key of the links after a restore."""
 
 import asyncio
+import random
 
+from returns import result
 import testtools
 
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import daemon_catalog
+from burdockcart.process.gateway import link_key
 from burdockcart.process.gateway import member_catalog
 from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.process.peers import fleet_key
 from burdockcart.tests import gateway_deployment
 from burdockcart.version import manifest
 
@@ -51,11 +55,8 @@
             key = platform.fleet_key
             self.assertIsNotNone(key)
             platform.restore({**copied, "fleet_key": None})
-            late = deployment.daemon(2)
-            late.clients = gateway_deployment.FakeClientListener()
-            deployment.daemons.append(late)
             await asyncio.sleep(2.6)
-            await late.start(late.clients)
+            await deployment.join(2)
             await asyncio.sleep(1.0)
             self.assertEqual(key, platform.fleet_key)
             self.assertEqual(
@@ -86,6 +87,29 @@
 
         scenario(check)
 
+    def test_value_that_is_no_key_is_not_asked_for_again(self):
+        """An unusable key in the store must not cause calls without end."""
+
+        class Platform:
+            calls = 0
+
+            async def write_fleet_key(self, key, withdrawn):
+                self.calls += 1
+                return result.Failure(coordination.CallFault.UNREADABLE)
+
+        async def check():
+            platform = Platform()
+            keeper = link_key.LinkKey(
+                platform, fleet_key.FleetKey(), None, random.Random(1)
+            )
+            running = asyncio.create_task(keeper.run())
+            keeper.missing()
+            await asyncio.sleep(60.0)
+            running.cancel()
+            self.assertEqual(1, platform.calls)
+
+        gateway_deployment.run(check())
+
     def test_daemon_that_left_stays_away(self):
         """An entry in the copy must not bring a daemon back that has left."""
         catalog = daemon_catalog.DaemonCatalog()
--- a/burdockcart/process/gateway/tests/test_restored_store.py
+++ b/burdockcart/process/gateway/tests/test_restored_store.py
@@ -54,10 +54,7 @@
             platform.restore(copied)
             # Until the running daemons have registered again.
             await asyncio.sleep(2.6)
-            late = deployment.daemon(2)
-            late.clients = gateway_deployment.FakeClientListener()
-            deployment.daemons.append(late)
-            await late.start(late.clients)
+            late = await deployment.join(2)
             await asyncio.sleep(1.0)
             self.assertFalse(late.ready())
             platform.put_tables(gateway_deployment.tables(2))
@@ -207,10 +204,7 @@
             for daemon in deployment.daemons:
                 daemon.link.store_cut = True
             platform.restore(copied)
-            late = deployment.daemon(2)
-            late.clients = gateway_deployment.FakeClientListener()
-            deployment.daemons.append(late)
-            await late.start(late.clients)
+            late = await deployment.join(2)
             await asyncio.sleep(7.9)
             self.assertFalse(late._restore_wait.over())
             await asyncio.sleep(1.0)
--- a/burdockcart/process/gateway/tests/test_store_follower.py
+++ b/burdockcart/process/gateway/tests/test_store_follower.py
@@ -85,10 +85,7 @@
 
         async def check(deployment):
             deployment.platform.outage = True
-            late = deployment.daemon(2)
-            late.clients = gateway_deployment.FakeClientListener()
-            deployment.daemons.append(late)
-            await late.start(late.clients)
+            late = await deployment.join(2)
             await asyncio.sleep(2.0)
             self.assertFalse(late.ready())
             opened = await late.open_session("live")
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -155,6 +155,14 @@
         )
         return self
 
+    async def join(self, number):
+        """Start another daemon and return it."""
+        daemon = self.daemon(number)
+        daemon.clients = self.listener(daemon)
+        self.daemons.append(daemon)
+        await daemon.start(daemon.clients)
+        return daemon
+
     async def stop(self):
         """Stop all daemons."""
         for daemon in self.daemons:
