--- a/review/standin.py
+++ b/review/standin.py
@@ -791,6 +791,8 @@
         self._pause_s, self._write_share = pause_s, write_share
         self.acknowledged = []
         self.answers = {}
+        self.sent_at = {}
+        self.succeeded = set()
 
     async def run(self):
         """Send statements until cancelled; connect again after an end."""
@@ -823,6 +825,7 @@
         writes = random.random() < self._write_share
         text = f"WRITE 1a4 d{name}" if writes else "READ 1a4"
         writer.write(f"QUERY {name} {text}\r\n".encode())
+        self.sent_at[name] = time.monotonic()
         self._record("sent", id=name, to=self._daemon.name, text=text)
         answer = b""
         async with asyncio.timeout(4.0):
@@ -838,6 +841,8 @@
         outcome = words[0] if words[0] == "COMPLETE" else words[1]
         self._record("answered", id=name, answer=" ".join(words)[:80])
         self.answers[outcome] = self.answers.get(outcome, 0) + 1
+        if outcome == "COMPLETE":
+            self.succeeded.add(name)
         if writes and outcome == "COMPLETE":
             self.acknowledged.append(name)
 
