--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,23 +1,19 @@
-"""Daemons that have started forget that a replica has left.
+"""A primary is lost for good while all daemons are without power.
 
-See claim.txt.  With TROUBLE=0 the other replica receives all the while.
+See claim.txt.  With TROUBLE=0 neither happens.
 """
 
 import asyncio
 import pathlib
-import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 import standin  # noqa: E402
 
-#: drain-ms and a little longer.
-SERVES_ON_S = 7.4
-GRACE_S = 6.0
-GAP_S = 1.36
-DEAF_AFTER_S = 5.4
-DEAF_S = 6.0
-NEW_MEMBER_AFTER_S = 4.0
+DOWN_S = 5.0
+RECOVERY_S = 12.0
+MEASURED_S = 10.0
 
 
 def policy(number, trouble):
@@ -25,71 +21,53 @@
     return "now", None
 
 
-async def leave(site, member):
-    """Drain and end a member; later start another with its log."""
-    member.state = "draining"
-    site.record("draining", member=member.id)
-    await asyncio.sleep(SERVES_ON_S)
-    member.crash()
-    site.store.delete(f"servers/{member.id}")
-    site.record("left", member=member.id, log=member.received)
-    site.group.members.remove(member)
-    await asyncio.sleep(NEW_MEMBER_AFTER_S)
-    new = standin.Member(
-        site.group, "i-4a91c3", member.zone, member.host, member.link_s
-    )
-    primary = site.group.primary
-    kept = [
-        place
-        for place, (own, other) in enumerate(zip(member.log, primary.log))
-        if own == other
+def served(site, since, until):
+    """Return the statements sent in a time, and those that succeeded."""
+    sent = [
+        name
+        for each in site.clients
+        for name, at in each.sent_at.items()
+        if since <= at < until
     ]
-    new.log = member.log[: len(kept)]
-    new.term = member.term
-    await new.start()
-    site.group.members.append(new)
-    new.receive()
-    site.record("new_member", member=new.id, log=new.received)
-
-
-async def restart(site, daemon, after_s):
-    """Stop a daemon as planned and start it again."""
-    await asyncio.sleep(after_s)
-    site.record("sigterm", daemon=daemon.name)
-    daemon.send(signal.SIGTERM)
-    try:
-        await asyncio.wait_for(daemon.process.wait(), GRACE_S)
-    except TimeoutError:
-        await daemon.kill()
-    site.record("ended", daemon=daemon.name)
-    await asyncio.sleep(0.5)
-    await daemon.start("false")
-    site.record("started", daemon=daemon.name)
+    done = {name for each in site.clients for name in each.succeeded}
+    return len(sent), sum(name in done for name in sent)
 
 
 async def play(site, trouble):
-    """Let a replica leave while the daemons are restarted in turn."""
+    """Let all machines lose power, and lose the primary meanwhile."""
     group = site.group
-    deaf, leaving = group.replicas
-    await asyncio.sleep(3)
-    site.spawn(leave(site, leaving))
-    for place, each in enumerate(site.daemons):
-        site.spawn(restart(site, each, 2 + place * GAP_S))
-    await asyncio.sleep(DEAF_AFTER_S)
-    if trouble:
-        deaf.deaf = True
-        site.record("deaf", member=deaf.id)
-    await asyncio.sleep(DEAF_S)
-    deaf.deaf = False
-    site.record("hears", member=deaf.id)
-    deaf.receive()
+    began_at = time.monotonic()
     await asyncio.sleep(6)
-    told = set(site.client_acknowledged())
+    fault_at = time.monotonic()
+    if trouble:
+        await asyncio.gather(*(each.kill() for each in site.daemons))
+        site.record("machines_without_power", count=len(site.daemons))
+        await asyncio.sleep(0.5)
+        site.record("lost_for_good", member=group.primary.id)
+        group.primary.crash()
+        await asyncio.sleep(DOWN_S - 0.5)
+        for each in site.daemons:
+            await each.start("false")
+    back_at = time.monotonic()
+    site.record("machines_back")
+    await asyncio.sleep(RECOVERY_S + MEASURED_S)
+    before = served(site, began_at, fault_at)
+    since = back_at + RECOVERY_S
+    after = served(site, since, since + MEASURED_S - 1)
+    site.record(
+        "served",
+        before=f"{before[1]}/{before[0]}",
+        after=f"{after[1]}/{after[0]}",
+        promotion_calls=site.cloud.calls,
+    )
+    print(f"served before {before[1]}/{before[0]}, after {after[1]}/{after[0]}")
+    if before[1] * 4 < before[0] or not after[0]:
+        raise RuntimeError("too little was served before the fault")
+    if after[1] * 4 >= after[0]:
+        return []
     return [
-        f"LOST {write}: acknowledged to its client, not in the log of the "
-        "promoted member"
-        for write in group.lost
-        if write in told
+        f"RECOVER {after[1]} of {after[0]} requests were served later than "
+        f"{RECOVERY_S:.0f} s after the machines were back"
     ]
 
 
