Keep the roster of each group in the store

Cause: each daemon remembered by itself that a replica had left and which position a candidate must hold since then. A daemon that had just started took the list of members for the whole group; a member whose entry had lapsed counted as gone although it went on acknowledging.

Ruled out: a late call (one call, answered), a replica with a longer log in the list (no candidate_behind).

Change: the store holds a roster of each group. It names all members that may hold a commit alone; one is removed only together with a position that the primary has reported since the member has gone, which becomes the floor. A promotion asks all listed members, and those of the roster that still answer at their last address. If more than one of the roster was not asked, the candidate must hold a position that the primary reports now. A poll of the store beside the comparison finds members that have joined.

The emulated members received what they lacked at a RESUME even while they were deaf; they do not any more. The emulated deployment begins with a roster, as one that has been running.

--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -376,13 +376,7 @@
 
         async def work() -> member_channel.Answer:
             self.member.held_term = None
-            known = self.member.log
-            missing = [
-                each
-                for each in self.member.group.primary.log
-                if each not in known
-            ]
-            self.member.receive(missing)
+            self.member.catch_up()
             return self._answer()
 
         return await self._call(channel_state.Call.CONTROL, work, timeout_s)
--- a/burdockcart/emulator/wire_member.py
+++ b/burdockcart/emulator/wire_member.py
@@ -223,6 +223,16 @@
             or self.held_term is not None
         )
 
+    def catch_up(self) -> None:
+        """Receive what the primary has, as far as commits reach the member."""
+        primary = self.group.primary
+        if not self.receives or primary.crashed:
+            return
+        held = {commit.position for commit in self.log}
+        self.receive(
+            [each for each in primary.log if each.position not in held]
+        )
+
     def crash(self) -> None:
         """End the process: its connections are reset, new ones refused."""
         self.crashed = True
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -27,6 +27,7 @@
     "entry_by_id",
     "entry_changes",
     "record_by_group",
+    "roster_by_group",
     "daemon_by_id",
     "daemon_changes",
     "fleet_key",
@@ -67,6 +68,9 @@
         self.record_by_group: dict[
             ids.GroupId, tuple[coordination.PromotionRecord, int]
         ] = {}
+        self.roster_by_group: dict[
+            ids.GroupId, tuple[coordination.Roster, int]
+        ] = {}
         self.token_by_group: dict[ids.GroupId, ids.FencingToken] = {}
         self.promotions: list[tuple[ids.GroupId, ids.MemberId, int]] = []
         #: Calls with a token that was lower than that of another call.
@@ -119,6 +123,23 @@
         del self.entry_by_id[member]
         self.entry_changes.append((self._next_revision(), member, None))
 
+    def record_roster(
+        self,
+        group: ids.GroupId,
+        members: list[wire_member.EmulatedMember],
+    ) -> None:
+        """Write a roster of members whose entries are in the store."""
+        starts = sorted(
+            coordination.RosterMember(
+                entry.id, entry.started_ms, entry.address
+            )
+            for entry in (self.entry_by_id[each.id] for each in members)
+        )
+        self.roster_by_group[group] = (
+            coordination.Roster(tuple(starts)),
+            self._next_revision(),
+        )
+
     def _end_leases(self) -> None:
         """Remove the daemons whose leases have ended."""
         now = asyncio.get_running_loop().time()
@@ -164,6 +185,7 @@
                 fleet_key=self.fleet_key,
                 position=self._position(self.revision),
                 complete_since=self.complete_since,
+                roster_by_group=self._rosters(),
             )
         )
 
@@ -195,6 +217,7 @@
                 fleet_key=self.fleet_key,
                 position=self._position(self.revision),
                 complete_since=self.complete_since,
+                roster_by_group=self._rosters(after),
             )
         )
 
@@ -220,6 +243,33 @@
             return result.Failure(CallFault.NO_ANSWER)
         return result.Success(ids.FencingToken(self._position(revision)))
 
+    def _rosters(
+        self, after: int = 0
+    ) -> dict[ids.GroupId, coordination.StoredRoster]:
+        """Return the rosters that were written after a revision."""
+        return {
+            group: coordination.StoredRoster(roster, self._position(revision))
+            for group, (roster, revision) in self.roster_by_group.items()
+            if revision > after
+        }
+
+    async def write_roster(
+        self,
+        group: ids.GroupId,
+        roster: coordination.Roster,
+        expected: ids.StorePosition,
+    ):
+        """Replace a group's roster if it is still at the position."""
+        fault = await self._store_fault(store_era.era_of(expected))
+        if fault is not None:
+            return fault
+        _, revision = self.roster_by_group.get(group, (None, 0))
+        if self._position(revision) != expected:
+            return result.Failure(CallFault.CONFLICT)
+        revision = self._next_revision()
+        self.roster_by_group[group] = (roster, revision)
+        return result.Success(self._position(revision))
+
     async def promote(
         self,
         group: ids.GroupId,
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -54,6 +54,7 @@
 _FAULT_BY_STATUS = {
     404: coordination.CallFault.MISSING,
     410: coordination.CallFault.HISTORY_LOST,
+    412: coordination.CallFault.CONFLICT,
     429: coordination.CallFault.UNAVAILABLE,
     503: coordination.CallFault.UNAVAILABLE,
 }
@@ -234,6 +235,9 @@
                     if complete is None
                     else store_values.read_complete_since(complete)
                 ),
+                roster_by_group=store_values.read_rosters(
+                    page.items, self.eras.current
+                ),
             )
         )
 
@@ -337,6 +341,36 @@
             return result.Failure(coordination.CallFault.UNAVAILABLE)
         return result.Failure(coordination.CallFault.NO_ANSWER)
 
+    async def write_roster(
+        self,
+        group: ids.GroupId,
+        roster: coordination.Roster,
+        expected: ids.StorePosition,
+    ) -> result.Result[ids.StorePosition, coordination.CallFault]:
+        """Replace a group's roster if it is still at the position."""
+        key = store_values.ROSTER_PREFIX + group
+        era = store_era.era_of(expected)
+        answer = await self._write(
+            {key: store_era.revision_of(expected)},
+            {key: formats.encode_roster(roster)},
+            era=era,
+        )
+        written = _status(answer)
+        if isinstance(written, result.Failure):
+            return written
+        assert not isinstance(answer, coordination.CallFault)
+        try:
+            found = msgspec.json.decode(
+                answer.body, type=store_messages.Written
+            )
+        except msgspec.MsgspecError as error:
+            loguru.logger.error(
+                "event=answer_unreadable path=/api/kv-txn error={!r}",
+                str(error),
+            )
+            return result.Failure(coordination.CallFault.UNREADABLE)
+        return result.Success(store_era.position(era, found.revision))
+
     async def promote(
         self,
         group: ids.GroupId,
--- a/burdockcart/platform/formats.py
+++ b/burdockcart/platform/formats.py
@@ -156,6 +156,24 @@
     return msgspec.json.encode(record)
 
 
+def read_roster(value: bytes) -> coordination.Roster:
+    """Decode the roster of a group.
+
+    Raises
+    ======
+
+    msgspec.MsgspecError
+        If the value is no roster.
+
+    """
+    return msgspec.json.decode(value, type=coordination.Roster)
+
+
+def encode_roster(roster: coordination.Roster) -> bytes:
+    """Encode the roster of a group for the store."""
+    return msgspec.json.encode(roster)
+
+
 class _Daemon(msgspec.Struct):
     address: str
     domain: str
--- a/burdockcart/platform/store_values.py
+++ b/burdockcart/platform/store_values.py
@@ -16,6 +16,7 @@
 MANIFEST_KEY = "op/config"
 MEMBER_PREFIX = "servers/"
 PROMOTION_PREFIX = "promotions/"
+ROSTER_PREFIX = "rosters/"
 DAEMON_PREFIX = "daemons/"
 FLEET_KEY = "fleet/key"
 #: Newest era in which the store knows all promotions that may be open.
@@ -74,9 +75,39 @@
         fleet_key=keys[-1] if keys else None,
         position=store_era.position(era, seen.store_revision),
         complete_since=complete[-1] if complete else None,
+        roster_by_group=read_rosters(seen.events, era),
     )
 
 
+def read_rosters(
+    items: list[store_messages.StoredItem], era: ids.StoreEra
+) -> dict[ids.GroupId, coordination.StoredRoster]:
+    """Return the rosters among some items; the newest one of each group."""
+    return {
+        ids.GroupId(
+            item.key.removeprefix(ROSTER_PREFIX)
+        ): coordination.StoredRoster(
+            _read_roster(item), store_era.position(era, item.revision)
+        )
+        for item in items
+        if item.key.startswith(ROSTER_PREFIX) and not item.tombstone
+    }
+
+
+def _read_roster(
+    item: store_messages.StoredItem,
+) -> coordination.Roster | None:
+    try:
+        return formats.read_roster(item.data)
+    except (msgspec.MsgspecError, ValueError) as error:
+        loguru.logger.error(
+            "event=roster_unreadable key={} error={!r}",
+            item.key,
+            str(error)[:200],
+        )
+        return None
+
+
 def read_complete_since(
     item: store_messages.StoredItem,
 ) -> ids.StoreEra | None:
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -30,6 +30,7 @@
 from burdockcart.process.gateway import reachability
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import restore_wait
+from burdockcart.process.gateway import roster_keeper
 from burdockcart.process.gateway import settings
 from burdockcart.process.gateway import shutdown_steps
 from burdockcart.process.gateway import statement_runner
@@ -193,6 +194,16 @@
             self._reserved,
             lambda: self.tables.daemons,
             self._restore_wait,
+            connector,
+            self.tables.refresh,
+        )
+        self._rosters = roster_keeper.RosterKeeper(
+            config.daemon,
+            self.group_by_id,
+            platform,
+            connector,
+            self._clock,
+            lambda: self.tables.daemons,
         )
 
     async def start(self, clients: client_listener.ClientListener) -> None:
@@ -204,6 +215,7 @@
         self._spawn(self._link_key.run)
         self._spawn(self._listing.run)
         self._spawn(self._supervise)
+        self._spawn(self._rosters.run)
         if self._settings.promotions_fenced:
             # Without fencing, a token claimed in advance could be used after
             # a higher one.
@@ -351,8 +363,10 @@
                     self.relay.holding,
                     self._link,
                     self._settings.promotions_fenced,
+                    self._settings.first_start,
                 )
                 self.group_by_id[limits.id] = group
+                self._use_roster(group)
                 for entry in self.tables.catalog.entry_by_id.values():
                     if entry.group == limits.id:
                         group.use_member(entry)
@@ -400,6 +414,25 @@
             for member in left:
                 group.drop_member(member, "left")
 
+    def rosters_changed(
+        self, stored_by_group: dict[ids.GroupId, coordination.StoredRoster]
+    ) -> None:
+        """Apply new rosters of groups."""
+        for group in self.group_by_id.values():
+            self._use_roster(group)
+
+    def store_listed(self) -> None:
+        """Note that the whole store has been read."""
+        for group in self.group_by_id.values():
+            group.roster.store_read()
+
+    def _use_roster(self, group: groups.Group) -> None:
+        stored = self.tables.roster_by_group.get(group.id)
+        if stored is not None:
+            group.roster.use(stored)
+        if self.tables.has_read:
+            group.roster.store_read()
+
     def daemons_changed(
         self, entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry]
     ) -> None:
@@ -413,6 +446,8 @@
         self._failover.era_changed(era)
         if self._restore_wait.begin(era):
             self.metrics.store_restores.inc()
+            for group in self.group_by_id.values():
+                group.roster.restored()
 
     async def _prepare_registration(self) -> coordination.DaemonEntry | None:
         """Return the entry to register once the store knows open promotions.
--- /dev/null
+++ b/burdockcart/process/gateway/asked_members.py
@@ -0,0 +1,143 @@
+"""Connections to the members that have to be asked before a promotion."""
+
+import asyncio
+
+import loguru
+import msgspec
+
+from burdockcart.connection import member_channel
+from burdockcart import ids
+from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import pooled_connection
+from burdockcart.process.gateway import replica_roster
+
+#: Timeout of a connection to a member that is not listed, and of its first
+#: answer, in seconds; a running member answers without waiting for a slot.
+UNLISTED_TIMEOUT_S = 0.3
+
+
+class AskedMembers(msgspec.Struct):
+    """Open connections to all members but the primary.
+
+    Parameters
+    ==========
+
+    members : set of RosterMember
+        The members that are asked, listed or not.
+    listed : set of MemberId
+        Those that can be promoted.
+
+    """
+
+    members: set[coordination.RosterMember]
+    listed: set[ids.MemberId]
+    connections: list[pooled_connection.PooledConnection]
+    unlisted_channels: dict[ids.MemberId, member_channel.Channel]
+
+    @property
+    def channels(self) -> dict[ids.MemberId, member_channel.Channel]:
+        """The connections by member."""
+        return self.unlisted_channels | {
+            each.pool.entry.id: each.channel for each in self.connections
+        }
+
+    def joined(
+        self, group: groups.Group, old: ids.MemberId | None
+    ) -> list[ids.MemberId]:
+        """Return members that were not asked, but have to be."""
+        now_known = {
+            replica_roster.of_entry(pool.entry)
+            for pool in group.pool_by_member.values()
+            if pool.entry.id != old
+        }
+        return [each.id for each in now_known - self.members]
+
+    def close(self) -> None:
+        """Give all connections back."""
+        for connection in self.connections:
+            connection.pool.give_back(connection)
+        for channel in self.unlisted_channels.values():
+            channel.close()
+
+
+async def connect(
+    group: groups.Group,
+    old: ids.MemberId | None,
+    connector: member_channel.Connector,
+) -> AskedMembers | None:
+    """Connect to all members but the old primary.
+
+    None if a listed one cannot be reached.  Of the known ones that are not
+    listed, those that answer are asked.
+    """
+    pools = [
+        pool for pool in group.pool_by_member.values() if pool.entry.id != old
+    ]
+    listed = {
+        replica_roster.of_entry(pool.entry)
+        for pool in group.pool_by_member.values()
+    }
+    listed_ids = {member.id for member in listed}
+    unlisted = [
+        member
+        for member in group.roster.unlisted(listed)
+        if member.id not in listed_ids
+    ]
+    taken, answers = await asyncio.gather(
+        asyncio.gather(*(pool.take_or_open() for pool in pools)),
+        asyncio.gather(
+            *(_connect_unlisted(group, each, connector) for each in unlisted)
+        ),
+    )
+    found = [each for each in taken if each is not None]
+    channels = {
+        member: channel
+        for member, channel in zip(unlisted, answers, strict=True)
+        if channel is not None
+    }
+    asked = AskedMembers(
+        {replica_roster.of_entry(each.pool.entry) for each in found}
+        | channels.keys(),
+        {each.pool.entry.id for each in found},
+        found,
+        {member.id: channel for member, channel in channels.items()},
+    )
+    unreachable = [
+        pool
+        for pool, connection in zip(pools, taken, strict=True)
+        if connection is None
+    ]
+    for pool in unreachable:
+        loguru.logger.info(
+            "event=replica_not_reached group={} member={} started_ms={}",
+            group.id,
+            pool.entry.id,
+            pool.entry.started_ms,
+        )
+    if unreachable:
+        asked.close()
+        return None
+    return asked
+
+
+async def _connect_unlisted(
+    group: groups.Group,
+    member: coordination.RosterMember,
+    connector: member_channel.Connector,
+) -> member_channel.Channel | None:
+    """Return a connection to a replica that is not listed, if it answers."""
+    channel = await connector.connect(
+        member_channel.MemberAddress(member.id, group.id, member.address),
+        UNLISTED_TIMEOUT_S,
+    )
+    if isinstance(channel, member_channel.MemberFault):
+        return None
+    status = await channel.observe(UNLISTED_TIMEOUT_S)
+    if (
+        isinstance(status, member_channel.MemberStatus)
+        and status.role is member_channel.Role.REPLICA
+    ):
+        return channel
+    channel.close()
+    return None
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/coordination.py
@@ -9,6 +9,7 @@
 
 from burdockcart import ids
 from burdockcart.process.gateway import store_era
+from burdockcart.request import log_position
 from burdockcart.version import manifest
 
 
@@ -26,6 +27,7 @@
     HISTORY_LOST = "history no longer kept"
     RESTORED = "the store was restored from a copy"
     UNREADABLE = "unreadable"
+    CONFLICT = "another daemon wrote first"
 
 
 class DaemonEntry(msgspec.Struct, frozen=True):
@@ -60,6 +62,40 @@
     number: int
 
 
+class RosterMember(msgspec.Struct, frozen=True, order=True):
+    """One start of a member; it may have acknowledged commits alone."""
+
+    id: ids.MemberId
+    started_ms: int
+    address: str
+
+
+class Roster(msgspec.Struct, frozen=True):
+    """Members of a group, as recorded in the store.
+
+    Parameters
+    ==========
+
+    members : tuple of RosterMember
+        All that may hold an acknowledged commit which no other replica holds,
+        or may acknowledge one.
+    floor : LogPosition or None
+        Covers the commits of the members that have been removed: a log that
+        lacks this position may lack one of them.
+
+    """
+
+    members: tuple[RosterMember, ...] = ()
+    floor: log_position.LogPosition | None = None
+
+
+class StoredRoster(msgspec.Struct, frozen=True):
+    """A roster and its position in the store; None if it is unreadable."""
+
+    roster: Roster | None
+    position: ids.StorePosition
+
+
 class StoreSnapshot(msgspec.Struct, frozen=True, kw_only=True):
     """The gateway's data in the store at a position.
 
@@ -73,6 +109,9 @@
     fleet_key: bytes | None
     position: ids.StorePosition
     complete_since: ids.StoreEra | None = None
+    roster_by_group: dict[ids.GroupId, StoredRoster] = msgspec.field(
+        default_factory=dict
+    )
 
 
 class StoreChanges(msgspec.Struct, frozen=True, kw_only=True):
@@ -88,6 +127,9 @@
     fleet_key: bytes | None
     position: ids.StorePosition
     complete_since: ids.StoreEra | None = None
+    roster_by_group: dict[ids.GroupId, StoredRoster] = msgspec.field(
+        default_factory=dict
+    )
 
 
 class PromotionRecord(msgspec.Struct, frozen=True):
@@ -155,6 +197,14 @@
     ) -> result.Result[ids.FencingToken, ClaimLost | CallFault]:
         """Claim the right to promote if the record's position matches."""
 
+    async def write_roster(
+        self,
+        group: ids.GroupId,
+        roster: Roster,
+        expected: ids.StorePosition,
+    ) -> result.Result[ids.StorePosition, CallFault]:
+        """Replace a group's roster if it is still at the position."""
+
     async def promote(
         self,
         group: ids.GroupId,
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from typing import Any
+from typing import Awaitable
 from typing import Callable
 from typing import Collection
 from typing import Coroutine
@@ -10,6 +11,7 @@
 import loguru
 
 from burdockcart import clock
+from burdockcart.connection import member_channel
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover_rule
@@ -52,6 +54,8 @@
         reserved: reserved_claims.ReservedClaims,
         daemons: Callable[[], Collection[ids.DaemonId]],
         wait: restore_wait.RestoreWait,
+        connector: member_channel.Connector,
+        refresh: Callable[[], Awaitable[bool]],
     ):
         self._daemon = daemon
         self._daemons = daemons
@@ -70,6 +74,8 @@
             metrics,
             reserved,
             wait,
+            connector,
+            refresh,
         )
         self._scanned_at = loop_clock.now()
         self._begins_until = math.inf
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -55,6 +55,12 @@
             ["cause", "done"],
             registry=self.registry,
         )
+        self._promotions_put_off = prometheus_client.Counter(
+            "burdockcart_promotions_put_off",
+            "Attempts to replace a primary that were put off, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
         self._hedges = prometheus_client.Counter(
             "burdockcart_reads_hedged",
             "Reads that were sent to a second member",
@@ -144,6 +150,10 @@
         """Count a replacement of a primary."""
         self._promotions.labels(cause, str(done).lower()).inc()
 
+    def promotion_put_off(self, reason: str) -> None:
+        """Count an attempt to replace a primary that was put off."""
+        self._promotions_put_off.labels(reason).inc()
+
     def read_hedged(self) -> None:
         """Count a read that was sent to a second member."""
         self._hedges.inc()
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -16,6 +16,7 @@
 from burdockcart.process.gateway import member_pool
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.gateway import primary_tracker
+from burdockcart.process.gateway import replica_roster
 from burdockcart.request import member_choice
 from burdockcart.request import work_queue
 from burdockcart.version import manifest
@@ -47,6 +48,8 @@
         Failure domain of this daemon.
     drain_s : float
         Time after which a draining member must get no new work, in seconds.
+    first_start : bool
+        Whether the whole deployment starts for the first time.
 
     """
 
@@ -61,11 +64,13 @@
         plan: ConnectionPlan,
         link: own_link.OwnLink,
         promotions_fenced: bool = True,
+        first_start: bool = False,
     ):
         self.id = limits.id
         self.limits = limits
         self.promotions_fenced = promotions_fenced
         self.pool_by_member: dict[ids.MemberId, member_pool.MemberPool] = {}
+        self.roster = replica_roster.ReplicaRoster(first_start)
         self.primary = primary_tracker.PrimaryTracker(
             limits.id,
             self.pool_by_member,
--- a/burdockcart/process/gateway/log_comparison.py
+++ b/burdockcart/process/gateway/log_comparison.py
@@ -28,6 +28,8 @@
 
     channels : dict of MemberId to Channel
         A connection to each member but the primary.
+    listed : set of MemberId
+        Those that can be promoted.
 
     """
 
@@ -35,19 +37,20 @@
         self,
         group: groups.Group,
         channels: dict[ids.MemberId, member_channel.Channel],
+        listed: set[ids.MemberId],
         loop_clock: clock.Clock,
     ):
         self._group = group
         self._channels = channels
+        self._listed = listed
         self._clock = loop_clock
 
     async def candidate(
         self, only: ids.MemberId | None = None
     ) -> ids.MemberId | None:
-        """Return a replica that holds every acknowledged commit.
+        """Return a replica that holds all that the others hold.
 
-        All other replicas are on hold by then.  None if no replica can be
-        shown to hold all commits.
+        All other replicas are on hold by then.  None if there is none.
 
         Parameters
         ==========
@@ -61,7 +64,11 @@
         )
         if seen is None:
             return None
-        eligible = [each for each in seen if only in (None, each.id)]
+        eligible = [
+            each
+            for each in seen
+            if each.id in self._listed and only in (None, each.id)
+        ]
         if not eligible:
             return None
         candidate = failover_rule.first_candidate(eligible)
@@ -80,9 +87,8 @@
         )
         if held is None:
             return None
-        received = await self._wait_for_catch_up(candidate, held)
-        if received is not None:
-            return self._if_covers_departed_replicas(candidate.id, received)
+        if await self._wait_for_catch_up(candidate, held):
+            return candidate.id
         loguru.logger.info(
             "event=candidate_behind group={} member={} received={} others={}",
             self._group.id,
@@ -91,44 +97,59 @@
             [each.received for each in held],
         )
         longest = await self._choose_longest(candidate, term, held)
-        return longest if only in (None, longest) else None
+        if longest not in self._listed or only not in (None, longest):
+            return None
+        return longest
+
+    async def reaches(
+        self, candidate: ids.MemberId, position: log_position.LogPosition
+    ) -> bool:
+        """Return whether a candidate holds a position, or does so soon."""
+        until = self._clock.now() + CATCH_UP_S
+        only = {candidate: self._channels[candidate]}
+        while True:
+            seen = await self._query_all(
+                only, lambda each: each.observe(QUERY_TIMEOUT_S)
+            )
+            if seen is None:
+                return False
+            if seen[0].received >= position:
+                return True
+            if self._clock.now() >= until:
+                loguru.logger.info(
+                    "event=candidate_behind group={} member={} received={} "
+                    "required={}",
+                    self._group.id,
+                    candidate,
+                    seen[0].received,
+                    position,
+                )
+                return False
+            await asyncio.sleep(CATCH_UP_PAUSE_S)
 
     async def _wait_for_catch_up(
         self,
         candidate: failover_rule.ReplicaView,
         held: list[failover_rule.ReplicaView],
-    ) -> log_position.LogPosition | None:
+    ) -> bool:
         """Wait until the candidate holds what the others hold.
 
-        Returns its position by then, or None if it does not catch up in time.
+        Returns whether it does so in time.
         """
         until = self._clock.now() + CATCH_UP_S
         only = {candidate.id: self._channels[candidate.id]}
         current = candidate
         while not failover_rule.holds_all(current, held):
             if self._clock.now() >= until:
-                return None
+                return False
             await asyncio.sleep(CATCH_UP_PAUSE_S)
             seen = await self._query_all(
                 only, lambda each: each.observe(QUERY_TIMEOUT_S)
             )
             if seen is None:
-                return None
+                return False
             current = seen[0]
-        return current.received
-
-    def _if_covers_departed_replicas(
-        self, member: ids.MemberId, received: log_position.LogPosition
-    ) -> ids.MemberId | None:
-        """Return a member if its log covers the replicas that have left."""
-        if self._group.primary.covers_departed_replicas(received):
-            return member
-        loguru.logger.warning(
-            "event=promotion_put_off group={} reason='a replica that left "
-            "may have held a commit alone'",
-            self._group.id,
-        )
-        return None
+        return True
 
     async def _choose_longest(
         self,
@@ -146,7 +167,7 @@
         longest = max(
             stopped + held, key=lambda each: (each.received, each.id)
         )
-        return self._if_covers_departed_replicas(longest.id, longest.received)
+        return longest.id
 
     async def _query_all(
         self,
@@ -165,12 +186,12 @@
         views = []
         for member, answer in zip(channels, answers, strict=True):
             pool = self._group.pool_by_member.get(member)
-            if isinstance(answer, member_channel.MemberFault) or pool is None:
+            if isinstance(answer, member_channel.MemberFault):
                 loguru.logger.info(
                     "event=replica_not_asked group={} member={} fault={!r}",
                     self._group.id,
                     member,
-                    getattr(answer, "value", "left"),
+                    answer.value,
                 )
                 return None
             if answer.role is member_channel.Role.PRIMARY:
@@ -183,7 +204,10 @@
                 return None
             views.append(
                 failover_rule.ReplicaView(
-                    member, answer.received, pool.draining, answer.term
+                    member,
+                    answer.received,
+                    pool is None or pool.draining,
+                    answer.term,
                 )
             )
         return views
--- a/burdockcart/process/gateway/primary_tracker.py
+++ b/burdockcart/process/gateway/primary_tracker.py
@@ -59,10 +59,11 @@
         self._witness = term_witness.TermWitness(
             pool_by_member, boot_clock, self._record_status
         )
-        #: When the last replica left, until the primary has reported a
-        #: position after that; then the position that a candidate must hold.
-        self._departed_at: float | None = None
-        self._required_position: log_position.LogPosition | None = None
+        #: Newest position that covers all commits acknowledged before the
+        #: given boot-clock time.
+        self._newest_position: (
+            tuple[float, log_position.LogPosition] | None
+        ) = None
         self._check: asyncio.Task[bool] | None = None
 
     def pool(self) -> member_pool.MemberPool | None:
@@ -116,9 +117,7 @@
         if since is None:
             return
         self.samples.add(since, position)
-        if self._departed_at is not None and since >= self._departed_at:
-            self._departed_at = None
-            self._required_position = position
+        self._newest_position = since, position
 
     def _set_superseded(self, member: ids.MemberId | None) -> None:
         """Record a former primary that the platform does not depose."""
@@ -153,31 +152,25 @@
             cause,
         )
 
-    # Replicas that have left
-
     def record_departure(self, member: ids.MemberId) -> None:
         """Record that a member has left."""
-        if member != self.leadership.member:
-            self._departed_at = self._boot_clock.now()
         if self.superseded == member:
             self.superseded = None
         self.leadership.forget(member)
 
-    def covers_departed_replicas(
-        self, received: log_position.LogPosition
-    ) -> bool:
-        """Return whether a log covers the commits of departed replicas.
+    async def position_now(self) -> log_position.LogPosition | None:
+        """Return a position that covers all commits acknowledged until now.
 
-        A replica that has left may have been the only one to receive a
-        commit.  A position that the primary reports after the departure
-        covers all such commits; until there is one, they are unknown.
+        None if the presumed primary does not answer as the primary.
         """
-        if self._departed_at is not None:
-            return False
-        return (
-            self._required_position is None
-            or received >= self._required_position
-        )
+        asked_at = self._boot_clock.now()
+        pool = self.pool()
+        if pool is None or not await self.check(pool):
+            return None
+        if self._newest_position is None:
+            return None
+        since, position = self._newest_position
+        return position if since >= asked_at else None
 
     # Evidence
 
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import enum
+from typing import Awaitable
 from typing import Callable
 from typing import Iterable
 
@@ -21,14 +22,13 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart import ids
+from burdockcart.process.gateway import asked_members
 from burdockcart.process.gateway import claim_record
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import log_comparison
-from burdockcart.process.gateway import member_pool
-from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import restore_wait
@@ -59,7 +59,17 @@
 
 
 class Promoter:
-    """Claims the promotion, chooses a replica and promotes it."""
+    """Claims the promotion, chooses a replica and promotes it.
+
+    Parameters
+    ==========
+
+    connector : Connector
+        Opens connections to members that are not listed.
+    refresh : callable
+        Polls the store; returns whether all that it holds is applied.
+
+    """
 
     def __init__(
         self,
@@ -72,6 +82,8 @@
         metrics: gateway_metrics.GatewayMetrics,
         reserved: reserved_claims.ReservedClaims,
         wait: restore_wait.RestoreWait,
+        connector: member_channel.Connector,
+        refresh: Callable[[], Awaitable[bool]],
     ):
         #: Time that the platform needed for the last promotion, in seconds.
         self.promotion_s = INITIAL_PROMOTION_S
@@ -91,6 +103,8 @@
         )
         self._metrics = metrics
         self._reserved = reserved
+        self._connector = connector
+        self._refresh = refresh
         #: Replicas that were left on hold, and in which term, by group.
         self._left_on_hold: dict[
             ids.GroupId, tuple[int, set[ids.MemberId]]
@@ -101,10 +115,18 @@
     async def replace(
         self,
         group: groups.Group,
-        old: ids.MemberId,
+        old: ids.MemberId | None,
         cause: failover_rule.Cause,
     ) -> None:
-        """Replace a primary unless it recovers or another daemon does it."""
+        """Replace a primary unless it recovers or another daemon does it.
+
+        Parameters
+        ==========
+
+        old : MemberId or None
+            The primary; None if no listed member leads.
+
+        """
         started_at = self._clock.now()
         loguru.logger.info(
             "event=promotion_begun group={} primary={} cause={!r} term={}",
@@ -113,32 +135,22 @@
             cause.value,
             group.primary.leadership.term,
         )
-        others = _replicas(group, old)
-        if not others:
-            self._claims.failed(group.id, self._clock.now())
-            return
-        connections = await self._connections(others)
-        if connections is None:
-            loguru.logger.info(
-                "event=promotion_put_off group={} "
-                "reason='a replica cannot be asked'",
-                group.id,
-            )
+        asked = await asked_members.connect(group, old, self._connector)
+        if asked is None:
+            self._put_off(group, "a replica cannot be asked")
             self._claims.failed(group.id, self._clock.now())
             return
-        channels = {
-            connection.pool.entry.id: connection.channel
-            for connection in connections
-        }
         try:
-            done = await self._claim_and_promote(
+            done = bool(asked.listed) and await self._claim_and_promote(
                 group,
-                channels,
+                old,
+                asked,
                 lambda: self._needed(group, old, cause, started_at),
             )
         finally:
-            for connection in connections:
-                connection.pool.give_back(connection)
+            asked.close()
+        if not asked.listed:
+            self._claims.failed(group.id, self._clock.now())
         self._metrics.promotion_ended(cause.value, done)
         loguru.logger.info(
             "event=promotion_ended group={} done={} took_ms={}",
@@ -150,49 +162,62 @@
     def _needed(
         self,
         group: groups.Group,
-        old: ids.MemberId,
+        old: ids.MemberId | None,
         cause: failover_rule.Cause,
         began_at: float,
     ) -> bool:
         """Return whether the old primary must still be replaced."""
-        pool = group.pool_by_member.get(old)
         if group.primary.leadership.member not in (None, old):
             return False
+        pool = None if old is None else group.pool_by_member.get(old)
         return pool is None or failover_rule.still_needed(
             cause, began_at, pool.health.last_answer_at
         )
 
-    async def _connections(
-        self, pools: list[member_pool.MemberPool]
-    ) -> list[pooled_connection.PooledConnection] | None:
-        """Get a connection to each replica; None if any is unreachable."""
-        taken = await asyncio.gather(*(pool.take_or_open() for pool in pools))
-        connections = [each for each in taken if each is not None]
-        if len(connections) == len(pools):
-            return connections
-        for connection in connections:
-            connection.pool.give_back(connection)
-        return None
+    def _put_off(
+        self, group: groups.Group, reason: str, members: Iterable[str] = ()
+    ) -> None:
+        self._metrics.promotion_put_off(reason)
+        loguru.logger.info(
+            "event=promotion_put_off group={} reason={!r} members={}",
+            group.id,
+            reason,
+            ",".join(members),
+        )
 
     async def _claim_and_promote(
         self,
         group: groups.Group,
-        channels: dict[ids.MemberId, member_channel.Channel],
+        old: ids.MemberId | None,
+        asked: asked_members.AskedMembers,
         needed: Callable[[], bool],
     ) -> bool:
         """Claim the promotion, choose a replica and promote it."""
-        token = await self._record.claim(group.id) or self._reserved_token(
-            group
-        )
+        claimed = await self._record.claim(group.id)
+        token = claimed or self._reserved_token(group)
         if token is None:
             return False
+        channels = asked.channels
         outcome = CallOutcome.NOT_DONE
         self._calling.discard(group.id)
+        comparison = log_comparison.LogComparison(
+            group, channels, asked.listed, self._clock
+        )
+        refreshed = asyncio.create_task(
+            self._refreshed(claimed is not None), name="refresh_members"
+        )
         try:
-            candidate = await log_comparison.LogComparison(
-                group, channels, self._clock
-            ).candidate(self._claims.pinned(group.id, self._clock.now()))
-            if candidate is not None and needed():
+            candidate = await comparison.candidate(
+                self._claims.pinned(group.id, self._clock.now())
+            )
+            if (
+                candidate is not None
+                and needed()
+                and await refreshed
+                and await self._covers_all(
+                    group, old, asked, comparison, candidate
+                )
+            ):
                 outcome = await self._call_platform(group, candidate, token)
         except asyncio.CancelledError:
             # This daemon shuts down; nobody else knows what it has on hold.
@@ -203,6 +228,8 @@
             if group.id not in self._calling:
                 self._leave_on_hold(group, channels)
             raise
+        finally:
+            refreshed.cancel()
         if outcome is CallOutcome.DONE:
             assert candidate is not None
             await self._await_leadership(group, candidate)
@@ -213,6 +240,59 @@
         self._claims.failed(group.id, self._clock.now())
         return False
 
+    async def _refreshed(self, store_answers: bool) -> bool:
+        """Return whether the known members are those in the store.
+
+        While the store is away, nothing newer can be learned.
+        """
+        return not store_answers or await self._refresh()
+
+    async def _covers_all(
+        self,
+        group: groups.Group,
+        old: ids.MemberId | None,
+        asked: asked_members.AskedMembers,
+        comparison: log_comparison.LogComparison,
+        candidate: ids.MemberId,
+    ) -> bool:
+        """Return whether a candidate holds every acknowledged commit.
+
+        It holds what the others hold, which are on hold.  Commits that only a
+        member held that could not be asked are covered by a position of the
+        primary, recorded earlier or measured now.
+        """
+        joined = asked.joined(group, old)
+        if joined:
+            self._put_off(group, "a member has joined", joined)
+            return False
+        floor = group.roster.floor
+        gap = group.roster.gap(asked.members)
+        if gap is not None:
+            position = await group.primary.position_now()
+            if position is None:
+                self._put_off(group, gap.value)
+                return False
+            floor = max(position, floor or position)
+        loguru.logger.info(
+            "event=promotion_compared group={} candidate={} asked={} "
+            "not_asked={} floor={} measured={}",
+            group.id,
+            candidate,
+            ",".join(sorted(f"{e.id}/{e.started_ms}" for e in asked.members)),
+            ",".join(
+                sorted(
+                    f"{e.id}/{e.started_ms}"
+                    for e in group.roster.known - asked.members
+                )
+            ),
+            floor,
+            gap is not None,
+        )
+        if floor is None or await comparison.reaches(candidate, floor):
+            return True
+        self._put_off(group, "the candidate may lack acknowledged commits")
+        return False
+
     async def _call_platform(
         self,
         group: groups.Group,
@@ -229,11 +309,7 @@
                     return outcome
                 token = announced
             if self._boot_clock.now() - compared_at > COMPARISON_VALID_S:
-                loguru.logger.info(
-                    "event=promotion_put_off group={} "
-                    "reason='the comparison of the logs is old'",
-                    group.id,
-                )
+                self._put_off(group, "the comparison of the logs is old")
                 return outcome
             self._calling.add(group.id)
             answer = await self._platform.promote(
@@ -291,12 +367,11 @@
     def left_on_hold(self, group: groups.Group) -> bool:
         """Return whether replicas wait for this daemon to release them."""
         term, left = self._left_on_hold.get(group.id, (0, set()))
-        left &= group.pool_by_member.keys()
         if not left or group.primary.leadership.term > term:
             # A promotion ends every hold.
             self._left_on_hold.pop(group.id, None)
             return False
-        return True
+        return bool(left & group.pool_by_member.keys())
 
     async def release_left(self, group: groups.Group) -> None:
         """Claim the promotion to release what was left on hold.
@@ -305,7 +380,10 @@
         claimed for them, as a claim keeps other daemons from promoting.
         """
         _, left = self._left_on_hold[group.id]
-        pools = [group.pool_by_member[member] for member in left]
+        pools = [
+            group.pool_by_member[member]
+            for member in left & group.pool_by_member.keys()
+        ]
         taken = await asyncio.gather(*(each.take_or_open() for each in pools))
         connections = [each for each in taken if each is not None]
         try:
@@ -392,13 +470,3 @@
                 break
             await asyncio.sleep(LEADERSHIP_POLL_S)
         group.primary.expected_at = None
-
-
-def _replicas(
-    group: groups.Group, primary: ids.MemberId
-) -> list[member_pool.MemberPool]:
-    return [
-        pool
-        for pool in group.pool_by_member.values()
-        if pool.entry.id != primary
-    ]
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -24,6 +24,9 @@
 FIRST_PAUSES_S = (1.0, 0.6)
 #: Interval between polls while a group waits for a primary, in seconds.
 FAST_POLL_INTERVAL_S = 0.3
+#: Timeout of a poll that a promotion waits for, in seconds; its claim of a
+#: moment before was answered.
+REFRESH_TIMEOUT_S = 0.6
 #: Consecutive failures after which the whole store is read again.
 REREAD_AFTER = 2
 #: Backoff after a failed call, in seconds, with jitter: all daemons fail at
@@ -50,6 +53,14 @@
     ) -> None:
         """Apply a new list of the registered daemons."""
 
+    def rosters_changed(
+        self, stored_by_group: dict[ids.GroupId, coordination.StoredRoster]
+    ) -> None:
+        """Apply new rosters of groups."""
+
+    def store_listed(self) -> None:
+        """Note that the whole store has been read."""
+
     def fleet_key_changed(self, key: bytes) -> None:
         """Use another key for links between daemons."""
 
@@ -160,6 +171,7 @@
         self.settled = asyncio.Event()
         #: Newest era of which all open promotions are known to be recorded.
         self.complete_since: ids.StoreEra | None = None
+        self.roster_by_group: dict[ids.GroupId, coordination.StoredRoster] = {}
         self._daemons = daemon_catalog.DaemonCatalog()
         #: Position of the last answer; None before the first one.
         self._position: ids.StorePosition | None = None
@@ -167,6 +179,9 @@
         self._listener = listener
         self._clock = loop_clock
         self._backoff = Backoff(rng)
+        self._refresh = asyncio.Event()
+        #: Calls of :meth:`refresh` that wait for the next poll to begin.
+        self._refreshing: list[asyncio.Future[bool]] = []
 
     @property
     def daemons(self) -> frozenset[ids.DaemonId]:
@@ -185,6 +200,40 @@
         """The entries of the registered daemons."""
         return self._daemons.entry_by_id
 
+    async def refresh(self) -> bool:
+        """Poll now; return whether all that the store holds is applied.
+
+        Only a poll that begins after this call counts.
+        """
+        done = asyncio.get_running_loop().create_future()
+        self._refreshing.append(done)
+        self._refresh.set()
+        try:
+            async with asyncio.timeout(REFRESH_TIMEOUT_S):
+                return await done
+        except TimeoutError:
+            return False
+
+    def _begin_poll(self) -> list[asyncio.Future[bool]]:
+        """Return the calls that the next poll answers."""
+        self._refresh.clear()
+        waiting, self._refreshing = self._refreshing, []
+        return waiting
+
+    async def _pause(self, era: ids.StoreEra) -> None:
+        """Wait for the next poll, unless it is due at once."""
+        due = asyncio.create_task(
+            self._platform.eras.wait_beyond(era, self._pause_s())
+        )
+        asked = asyncio.create_task(self._refresh.wait())
+        try:
+            await asyncio.wait(
+                {due, asked}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            due.cancel()
+            asked.cancel()
+
     async def run(self) -> None:
         """Read the store and poll its changes until cancelled."""
         while True:
@@ -209,10 +258,12 @@
         failures = 0
         while True:
             era = store_era.era_of(position)
-            await self._platform.eras.wait_beyond(era, self._pause_s())
+            await self._pause(era)
+            refreshing = self._begin_poll()
             sent_at = self._clock.now()
             seen = await self._platform.changes(position)
             if isinstance(seen, result.Failure):
+                _answer(refreshing, False)
                 fault = seen.failure()
                 if fault is coordination.CallFault.RESTORED:
                     return
@@ -233,6 +284,7 @@
             position = max(position, changes.position)
             self._position = position
             self._use_changes(changes)
+            _answer(refreshing, True)
             if not self._first_pauses_s:
                 self.settled.set()
 
@@ -260,8 +312,11 @@
             self._daemons.listed(found.daemon_by_id, now)
         self._position = found.position
         self.complete_since = found.complete_since
+        self.roster_by_group = dict(found.roster_by_group)
         if found.tables is not None:
             self._use_manifest(found.tables)
+        self._listener.rosters_changed(self.roster_by_group)
+        self._listener.store_listed()
         self._notify_members(list(self.catalog.entry_by_id.values()))
         if found.fleet_key is not None:
             self._listener.fleet_key_changed(found.fleet_key)
@@ -275,6 +330,9 @@
         now = self._clock.now()
         for found in changes.tables:
             self._use_manifest(found)
+        if changes.roster_by_group:
+            self.roster_by_group |= changes.roster_by_group
+            self._listener.rosters_changed(self.roster_by_group)
         entries = changes.entry_by_member
         self.catalog.changed(entries, now)
         self._notify_members(
@@ -319,6 +377,13 @@
         )
 
 
+def _answer(waiting: list[asyncio.Future[bool]], applied: bool) -> None:
+    """Answer calls that waited for a poll, unless they have given up."""
+    for each in waiting:
+        if not each.done():
+            each.set_result(applied)
+
+
 def _log_restore(
     found: coordination.StoreSnapshot,
     before: ids.StorePosition,
--- a/burdockcart/process/gateway/tests/test_overlapping_promotions.py
+++ b/burdockcart/process/gateway/tests/test_overlapping_promotions.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from returns import result
 import testtools
 
 from burdockcart.process.gateway import coordination
@@ -29,6 +30,11 @@
     )
 
 
+def unavailable():
+    """Return the answer of a platform that has done nothing."""
+    return result.Failure(coordination.PromotionFault.UNAVAILABLE)
+
+
 async def call_accepted(deployment):
     """Wait until the platform has accepted a call to promote a member.
 
--- /dev/null
+++ b/burdockcart/process/gateway/tests/test_replica_rosters.py
@@ -0,0 +1,267 @@
+"""Tests promotions while replicas leave, join, lapse or start again.
+
+The members decide who acknowledges a commit: also a replica that is not in
+the list any more, or not yet.
+"""
+
+import asyncio
+
+import testtools
+
+from burdockcart.emulator import wire_member
+from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import failover_rule
+from burdockcart.process.gateway import replica_roster
+from burdockcart.process.gateway.tests import test_failover
+from burdockcart.process.gateway.tests import test_overlapping_promotions
+from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.request import log_position
+from burdockcart.tests import gateway_deployment
+from burdockcart.version import manifest
+
+GROUP = gateway_deployment.GROUP
+State = manifest.MemberState
+scenario = test_sessions.scenario
+
+
+async def leave(deployment, member):
+    """Let a member drain and leave."""
+    deployment.enter(member, State.DRAINING)
+    await asyncio.sleep(2.0)
+    member.crash()
+    deployment.platform.remove_member(member.id)
+
+
+async def restart_all(deployment):
+    """Stop all daemons at once, and start as many others."""
+    count = len(deployment.daemons)
+    await deployment.stop()
+    deployment.daemons.clear()
+    for number in range(count):
+        await deployment.join(number)
+
+
+def new_member(deployment, name, listed=True):
+    """Start another replica, which has all commits."""
+    member = wire_member.EmulatedMember(name, "a")
+    member.group = deployment.group
+    member.log = list(deployment.group.primary.log)
+    deployment.group.member_by_id[member.id] = member
+    for daemon in deployment.daemons:
+        daemon.connector.member_by_id[member.id] = member
+    if listed:
+        deployment.enter(member)
+    return member
+
+
+class TestRoster(testtools.TestCase):
+    """Members and floor of one roster."""
+
+    def setUp(self):
+        super().setUp()
+        self.primary, self.first, self.second = (
+            coordination.RosterMember(each, 1, f"{each}:1")
+            for each in ("m-a", "m-b", "m-c")
+        )
+        self.roster = replica_roster.ReplicaRoster(first_start=False)
+        self.store((self.primary, self.first, self.second), None, 7)
+
+    def store(self, members, floor, position):
+        self.roster.use(
+            coordination.StoredRoster(
+                coordination.Roster(tuple(members), floor), position
+            )
+        )
+
+    def test_member_is_removed_only_with_a_position(self):
+        """Without a floor, the commits of a removed member are forgotten."""
+        self.assertIsNone(self.roster.without({self.second}, None))
+        floor = log_position.LogPosition(1, 9)
+        self.assertEqual(
+            coordination.Roster((self.primary, self.first), floor),
+            self.roster.without({self.second}, floor),
+        )
+
+    def test_floor_never_falls(self):
+        """A lower position must not replace a floor."""
+        floor = log_position.LogPosition(2, 9)
+        self.store((self.primary, self.first, self.second), floor, 8)
+        lower = log_position.LogPosition(1, 30)
+        self.assertEqual(
+            floor, self.roster.without({self.second}, lower).floor
+        )
+
+    def test_member_that_started_again(self):
+        """A start that was not asked may have held a commit alone."""
+        again = coordination.RosterMember("m-b", 2, "m-b:1")
+        self.roster.confirm(again)
+        self.assertIs(
+            replica_roster.Gap.MEMBERS_MISSING,
+            self.roster.gap({again, self.second}),
+        )
+        self.assertIsNone(self.roster.gap({self.first, again, self.second}))
+
+    def test_restored_store(self):
+        """What a restored store lacks must stay known."""
+        floor = log_position.LogPosition(1, 9)
+        joined = coordination.RosterMember("m-d", 5, "m-d:1")
+        self.store((self.primary, self.first, joined), floor, 9)
+        self.roster.restored()
+        self.assertIs(replica_roster.Gap.NOT_READ, self.roster.gap(()))
+        self.store((self.primary, self.first, self.second), None, 1 << 40)
+        self.assertEqual(
+            {self.primary, self.first, self.second, joined},
+            self.roster.known,
+        )
+        self.assertEqual(floor, self.roster.floor)
+
+    def test_operator_gives_a_member_up(self):
+        """A roster that was written without a member must count."""
+        self.assertIsNotNone(self.roster.gap({self.first}))
+        self.store((self.primary, self.first), None, 8)
+        self.assertIsNone(self.roster.gap({self.first}))
+
+    def test_store_without_a_roster(self):
+        """A daemon that joins must not take the list for the whole group."""
+        for first_start, gap in (
+            (True, None),
+            (False, replica_roster.Gap.NO_HISTORY),
+        ):
+            roster = replica_roster.ReplicaRoster(first_start)
+            self.assertIs(replica_roster.Gap.NOT_READ, roster.gap(()))
+            roster.store_read()
+            self.assertIs(gap, roster.gap({self.first}))
+
+    def test_unreadable_roster(self):
+        """A value that is no roster tells nothing about the members."""
+        roster = replica_roster.ReplicaRoster(first_start=True)
+        roster.use(coordination.StoredRoster(None, 9))
+        self.assertIs(replica_roster.Gap.NO_HISTORY, roster.gap({self.first}))
+        self.assertEqual(9, roster.position(0))
+
+
+class TestDeparture(testtools.TestCase):
+    """A replica that received commits alone leaves or loses its entry."""
+
+    def test_daemons_that_start_after_a_departure(self):
+        """A restart must not make daemons forget that a replica has left.
+
+        One replica receives nothing, another one acknowledges alone and
+        leaves; the primary runs, but its writes stall from then on.
+        """
+
+        async def check(deployment):
+            primary, deaf, leaving = deployment.members
+            deaf.replication_cut = True
+            writes = asyncio.create_task(
+                test_failover.writes_for(deployment, 2.0)
+            )
+            await leave(deployment, leaving)
+            await writes
+            await restart_all(deployment)
+            await test_failover.writes_for(deployment, 8.0)
+            self.assertEqual([], deployment.platform.promotions)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+            self.assertTrue(primary.leads)
+
+        scenario(check, daemons=2)
+
+    def test_replica_whose_entry_lapsed(self):
+        """Commits of a replica that runs without an entry must stay.
+
+        It loses its entry, acknowledges alone, and the primary is lost.
+        """
+
+        async def check(deployment):
+            primary, deaf, lapsed = deployment.members
+            deployment.platform.remove_member(lapsed.id)
+            await test_failover.writes_for(deployment, 6.0)
+            deaf.replication_cut = True
+            await test_failover.writes_for(deployment, 1.0)
+            self.assertIn(
+                lapsed.received(), deployment.group.acknowledged[-1:]
+            )
+            primary.crash()
+            await test_failover.writes_for(deployment, 12.0)
+            self.assertEqual([], deployment.platform.promotions)
+            deployment.enter(lapsed)
+            await gateway_deployment.until(lambda: lapsed.leads)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
+
+    def test_replica_that_lost_its_log(self):
+        """A replica that starts again may have forgotten commits."""
+
+        async def check(deployment):
+            primary, deaf, forgetful = deployment.members
+            deaf.replication_cut = True
+            await test_failover.writes_for(deployment, 1.0)
+            forgetful.crash()
+            forgetful.log, forgetful.crashed = [], False
+            forgetful.replication_cut = True
+            entry = deployment.platform.entry_by_id[forgetful.id]
+            deployment.platform.put_member(
+                manifest.MemberEntry(
+                    id=entry.id,
+                    group=entry.group,
+                    address=entry.address,
+                    domain=entry.domain,
+                    slots=entry.slots,
+                    state=entry.state,
+                    leads=False,
+                    started_ms=2,
+                )
+            )
+            await asyncio.sleep(0.01)
+            primary.crash()
+            await test_failover.writes_for(deployment, 8.0)
+            self.assertEqual([], deployment.platform.promotions)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
+
+    def test_departure_does_not_bind_for_ever(self):
+        """Once the primary has reported a position, others may be promoted."""
+
+        async def check(deployment):
+            primary, other, leaving = deployment.members
+            await leave(deployment, leaving)
+            await test_failover.writes_for(deployment, 6.0)
+            self.assertTrue(other.receives)
+            primary.crash()
+            await gateway_deployment.until(lambda: other.leads)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
+
+
+class TestJoin(testtools.TestCase):
+    """A replica that the daemons do not know yet when they compare logs."""
+
+    def test_replica_that_joined_unseen(self):
+        """A member that joined since the last poll must be asked.
+
+        It acknowledges alone; the daemons that compare the logs have not
+        read its entry.
+        """
+
+        async def check(deployment):
+            primary, deaf, other = deployment.members
+            await test_failover.writes_for(deployment, 1.0)
+            joined = new_member(deployment, "m-d", listed=False)
+            deaf.replication_cut = other.replication_cut = True
+            primary.commit([("w1", "WRITE 1a4 x")])
+            self.assertEqual(joined.received(), primary.received())
+            deployment.enter(joined)
+            running = [
+                test_overlapping_promotions.replace(
+                    each, failover_rule.Cause.DRAINING, primary
+                )
+                for each in deployment.daemons
+            ]
+            await asyncio.gather(*running)
+            await asyncio.sleep(1.0)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -87,6 +87,8 @@
         )
         for member in self.members:
             self.enter(member)
+        # The deployment has been running before.
+        self.platform.record_roster(GROUP, self.members)
         self.daemons = [self.daemon(number) for number in range(daemons)]
 
     def enter(self, member, state=manifest.MemberState.READY):
