Release no replica while a promotion call may be open

Cause: the outcome of the last attempt decided on the release of the other replicas. A first call without an answer, then an attempt whose calls were answered 503, released them; then the first call was carried out. Evidence: the order promotion_refused fault='no answer', promotion_refused fault='unavailable', replicas_released in the log of the test on. Ruled out: a release by another daemon (one daemon logged all lines).

Change: nothing is released while a call may still be carried out, by its sender or by others. So that others know, the candidate is recorded before each call, as it was already where the platform checks no tokens; the record is settled after the answer. A call counts as open for 13 s, as the platform carries calls out up to 12 s later (8 s before). Replicas of an unanswered call are released after that, and a write of the own record whose answer was lost is recognized.

test_refused_call_after_an_open_one fails on (commits of the held replica lost).

Price: two more writes for each promotion.

--- a/burdockcart/process/gateway/claim_record.py
+++ b/burdockcart/process/gateway/claim_record.py
@@ -18,6 +18,8 @@
 #: Attempts to write a claim: another daemon may write a reserved one at the
 #: same time.
 MAX_WRITES = 3
+#: Attempts to replace the own record: an answer may be lost.
+MAX_REPLACEMENTS = 2
 
 
 class ClaimRecord:
@@ -84,14 +86,10 @@
                 silent = fault is not coordination.CallFault.RESTORED
                 self._claims.failed(group, now, store_silent=silent)
                 return None
-            if fault.record is not None and fault.record.attempt == (
-                record.attempt
-            ):
-                # An earlier claim of this attempt succeeded, but its answer
-                # was lost.
-                token = ids.FencingToken(fault.position)
-                self._claims.claimed(group, token, now)
-                return token
+            executed = _executed(fault, record)
+            if executed is not None:
+                self._claims.claimed(group, executed, now)
+                return executed
             if not self._claims.lost(group, fault, self._wall_ms(), now):
                 loguru.logger.info(
                     "event=promotion_left group={} holder={}",
@@ -106,14 +104,19 @@
     ) -> ids.FencingToken | None:
         """Record for which member the platform is called.
 
-        Where the platform checks no tokens, this write must fail if another
-        daemon has claimed the promotion meanwhile.  None if it failed.
+        Daemons that claim the promotion later must know the call: it may be
+        executed late.  The write fails if another daemon has claimed the
+        promotion meanwhile.  None if it failed.
         """
         own = self._claims.own_claim(group)
         if own is None:
             return None
         return await self._replace(group, self._new(candidate), own)
 
+    def owned(self, group: ids.GroupId) -> bool:
+        """Return whether this daemon's claim is the newest known one."""
+        return self._claims.own_claim(group) is not None
+
     async def settle(self, group: ids.GroupId) -> None:
         """Record that no call for the group can be executed later."""
         own = self._claims.own_claim(group)
@@ -182,8 +185,28 @@
         expected: ids.StorePosition,
     ) -> ids.FencingToken | None:
         """Replace the record at a position; None if that failed."""
-        written = await self._platform.claim_promotion(group, record, expected)
-        token = written.value_or(None)
-        if token is not None:
-            self._claims.claimed(group, token, self._clock.now())
-        return token
+        for _ in range(MAX_REPLACEMENTS):
+            written = await self._platform.claim_promotion(
+                group, record, expected
+            )
+            token = written.value_or(None)
+            if token is None:
+                token = _executed(written.failure(), record)
+            if token is not None:
+                self._claims.claimed(group, token, self._clock.now())
+                return token
+            if written.failure() is not coordination.CallFault.NO_ANSWER:
+                return None
+        return None
+
+
+def _executed(
+    fault: coordination.ClaimLost | coordination.CallFault,
+    record: coordination.PromotionRecord,
+) -> ids.FencingToken | None:
+    """Return the token of a write that was executed without an answer."""
+    if isinstance(fault, coordination.CallFault) or fault.record is None:
+        return None
+    if fault.record.attempt != record.attempt:
+        return None
+    return ids.FencingToken(fault.position)
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -33,10 +33,14 @@
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import restore_wait
 
-#: Longest time between the comparison of the logs and the promotion call, in
-#: seconds on the boot clock: a daemon that was suspended in between must
-#: compare again.
+#: Longest time between the comparison of the logs and a promotion call with a
+#: reserved token, in seconds on the boot clock: a daemon that was suspended in
+#: between must compare again.
 COMPARISON_VALID_S = 0.3
+#: Longest time between the start of the write that records the candidate and
+#: the promotion call, in seconds on the boot clock; half of the time for which
+#: others leave the group alone after that write.
+ANNOUNCEMENT_VALID_S = 1.5
 #: Initial estimate of the time that a promotion by the platform takes, in
 #: seconds, including the network latency of the call.
 INITIAL_PROMOTION_S = 0.7
@@ -210,6 +214,7 @@
             candidate = await comparison.candidate(
                 self._claims.pinned(group.id, self._clock.now())
             )
+            compared_at = self._boot_clock.now()
             if (
                 candidate is not None
                 and needed()
@@ -218,7 +223,9 @@
                     group, old, asked, comparison, candidate
                 )
             ):
-                outcome = await self._call_platform(group, candidate, token)
+                outcome = await self._call_platform(
+                    group, candidate, token, asked, compared_at
+                )
         except asyncio.CancelledError:
             # This daemon shuts down; nobody else knows what it has on hold.
             if group.id not in self._calling:
@@ -232,11 +239,16 @@
             refreshed.cancel()
         if outcome is CallOutcome.DONE:
             assert candidate is not None
+            if group.promotions_fenced:
+                # Calls with a lower token are refused from now on.
+                self._claims.unpin(group.id)
             await self._await_leadership(group, candidate)
-            await self._settle(group)
+            await self._record.settle(group.id)
             return True
         if outcome is CallOutcome.NOT_DONE:
             await self._release(group, channels)
+        else:
+            self._leave_on_hold(group, channels)
         self._claims.failed(group.id, self._clock.now())
         return False
 
@@ -298,17 +310,23 @@
         group: groups.Group,
         candidate: ids.MemberId,
         token: ids.FencingToken,
+        asked: asked_members.AskedMembers,
+        compared_at: float,
     ) -> CallOutcome:
         """Call the platform; retry with a new token where that can help."""
         outcome = CallOutcome.NOT_DONE
-        compared_at = self._boot_clock.now()
         for _ in range(MAX_CALLS):
-            if not group.promotions_fenced:
+            valid_s = COMPARISON_VALID_S
+            if self._record.owned(group.id):
+                # Fails if another daemon has claimed the promotion, so that
+                # nobody else has released a replica since the comparison.
+                compared_at = self._boot_clock.now()
+                valid_s = ANNOUNCEMENT_VALID_S
                 announced = await self._record.announce(group.id, candidate)
                 if announced is None:
                     return outcome
                 token = announced
-            if self._boot_clock.now() - compared_at > COMPARISON_VALID_S:
+            if self._boot_clock.now() - compared_at > valid_s:
                 self._put_off(group, "the comparison of the logs is old")
                 return outcome
             self._calling.add(group.id)
@@ -328,7 +346,7 @@
             )
             if fault is coordination.PromotionFault.REJECTED:
                 self._reserved.drop_token(group.id)
-                await self._settle(group)
+                await self._record.settle(group.id)
                 return outcome
             if fault is coordination.PromotionFault.NO_ANSWER:
                 # The call may be executed later, until one with a higher
@@ -340,15 +358,8 @@
             if next_token is None:
                 return outcome
             token = next_token
-            # The other replicas are still on hold, so the comparison is valid.
-            compared_at = self._boot_clock.now()
         return outcome
 
-    async def _settle(self, group: groups.Group) -> None:
-        """Record that no call for the group can be executed later."""
-        if not group.promotions_fenced:
-            await self._record.settle(group.id)
-
     async def restate(self) -> bool:
         """Record open calls again; False if the store did not answer."""
         restated = [
@@ -371,7 +382,14 @@
             # A promotion ends every hold.
             self._left_on_hold.pop(group.id, None)
             return False
-        return bool(left & group.pool_by_member.keys())
+        return (
+            bool(left & group.pool_by_member.keys())
+            and self._open_call(group) is None
+        )
+
+    def _open_call(self, group: groups.Group) -> ids.MemberId | None:
+        """Return the member of a call that may still be carried out."""
+        return self._claims.pinned(group.id, self._clock.now())
 
     async def release_left(self, group: groups.Group) -> None:
         """Claim the promotion to release what was left on hold.
@@ -407,11 +425,16 @@
         Another daemon may have called the platform meanwhile.  Its promotion
         loses commits if the replicas receive before it takes effect, so they
         stay on hold until this daemon has a claim, or the lead has changed.
+        The same holds for any earlier call that may still be carried out,
+        whatever the last one was answered.
         """
         self._leave_on_hold(group, channels)
-        if not await self._record.renew(group.id):
+        open_call = self._open_call(group)
+        if open_call is not None or not await self._record.renew(group.id):
             loguru.logger.warning(
-                "event=replicas_left_on_hold group={}", group.id
+                "event=replicas_left_on_hold group={} open_call={}",
+                group.id,
+                open_call,
             )
             return
         open_channels = {
--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -11,8 +11,8 @@
 #: account, in seconds; clocks jump by seconds and back.
 CLOCK_SKEW_S = 5.0
 #: Time for which an unanswered promotion may still be executed, in seconds;
-#: the platform delays calls by up to 6 s.
-LATE_CALL_S = 8.0
+#: the platform delays calls by up to 12 s.
+LATE_CALL_S = 13.0
 
 
 class PromotionClaims:
--- a/burdockcart/process/gateway/tests/test_replica_rosters.py
+++ b/burdockcart/process/gateway/tests/test_replica_rosters.py
@@ -348,3 +348,42 @@
             self.assertEqual([], test_failover.lost_commits(deployment))
 
         scenario(check, daemons=2)
+
+
+class TestOpenCall(testtools.TestCase):
+    """A call without an answer, which the platform carries out later."""
+
+    def test_refused_call_after_an_open_one(self):
+        """Replicas must stay on hold while any earlier call is open.
+
+        The platform answers the later calls that it is not available.
+        """
+
+        async def check(deployment):
+            platform = deployment.platform
+            primary = deployment.group.primary
+            platform.lose_promotions, platform.late_s = 1, 4.0
+            client = await deployment.client("live")
+            await client.write()
+            promote = platform.promote
+
+            called = []
+
+            async def refuse_later(group, member, *arguments):
+                called.append(member)
+                if len(called) > 1:
+                    return test_overlapping_promotions.unavailable()
+                return await promote(group, member, *arguments)
+
+            platform.promote = refuse_later
+            deployment.enter(primary, State.DRAINING)
+            await gateway_deployment.until(lambda: len(called) > 6)
+            self.assertTrue(primary.leads)
+            candidate = deployment.group.member_by_id[called[0]]
+            candidate.replication_cut = True
+            while primary.leads:
+                primary.commit([("late", "WRITE 1a4 x")])
+                await asyncio.sleep(0.05)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
