Compare again after a replica on hold has started again

A hold ends when the replica starts again. It then receives, and may acknowledge alone, while the daemon takes its comparison for valid: up to three calls of an attempt follow one comparison, each with a write of the record before it.

Change: right before each call the connections to all asked members must still be open; a restart ends them. Otherwise the attempt is put off and the logs are compared anew. A restart between the call and its effect is not covered (docs/platform.md).

After: the test passes.

--- a/burdockcart/process/gateway/asked_members.py
+++ b/burdockcart/process/gateway/asked_members.py
@@ -42,6 +42,18 @@
             each.pool.entry.id: each.channel for each in self.connections
         }
 
+    @property
+    def lost(self) -> list[ids.MemberId]:
+        """Members whose connection has ended.
+
+        A member that starts again is no longer on hold.
+        """
+        return [
+            member
+            for member, channel in self.channels.items()
+            if channel.closed
+        ]
+
     def joined(
         self, group: groups.Group, old: ids.MemberId | None
     ) -> list[ids.MemberId]:
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -329,6 +329,11 @@
             if self._boot_clock.now() - compared_at > valid_s:
                 self._put_off(group, "the comparison of the logs is old")
                 return outcome
+            if asked.lost:
+                self._put_off(
+                    group, "a replica may no longer be on hold", asked.lost
+                )
+                return outcome
             self._calling.add(group.id)
             answer = await self._platform.promote(
                 group.id, candidate, self._daemon, token
--- a/burdockcart/process/gateway/tests/test_replica_rosters.py
+++ b/burdockcart/process/gateway/tests/test_replica_rosters.py
@@ -387,3 +387,38 @@
             self.assertEqual([], test_failover.lost_commits(deployment))
 
         scenario(check, daemons=2)
+
+
+class TestEndOfHold(testtools.TestCase):
+    """A replica on hold receives again before the platform is called."""
+
+    def test_replica_that_starts_again(self):
+        """A restart ends a hold; the comparison of before is void."""
+
+        async def check(deployment):
+            primary, first, second = deployment.members
+            daemon = deployment.daemons[0]
+            await test_failover.writes_for(deployment, 0.5)
+            record = daemon._failover._promoter._record
+            announce = record.announce
+
+            async def announce_while_one_starts_again(group, candidate):
+                token = await announce(group, candidate)
+                held = first if candidate == second.id else second
+                held.crash()
+                held.crashed, held.held_term = False, None
+                other = deployment.group.member_by_id[candidate]
+                other.replication_cut = True
+                primary.commit([("late", "WRITE 1a4 x")])
+                record.announce = announce
+                return token
+
+            record.announce = announce_while_one_starts_again
+            await test_overlapping_promotions.replace(
+                daemon, failover_rule.Cause.DRAINING, primary
+            )
+            await asyncio.sleep(1.0)
+            self.assertEqual([], deployment.platform.promotions)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=1)
