Promote without a listed member that nobody has ever reached

Cause: a listed member that cannot be asked put off every promotion for as long as its entry stayed, and an entry without a heartbeat stays.

A listed member that no daemon has reached within 5 s of its first entry, while the store has a roster, is left out. The risk is a member that joins, acknowledges alone, and is reached by no daemon for 5 s.

--- a/burdockcart/process/gateway/asked_members.py
+++ b/burdockcart/process/gateway/asked_members.py
@@ -9,12 +9,17 @@
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import member_pool
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.gateway import replica_roster
 
 #: Timeout of a connection to a member that is not listed, and of its first
 #: answer, in seconds; a running member answers without waiting for a slot.
 UNLISTED_TIMEOUT_S = 0.3
+#: Time after which a listed member that no daemon has ever reached is left
+#: out, in seconds: its entry may be of another writer.  Daemons ask a new
+#: member within a second.
+UNCONFIRMED_S = 5.0
 
 
 class AskedMembers(msgspec.Struct):
@@ -61,7 +66,7 @@
         now_known = {
             replica_roster.of_entry(pool.entry)
             for pool in group.pool_by_member.values()
-            if pool.entry.id != old
+            if pool.entry.id != old and must_be_asked(group, pool)
         }
         return [each.id for each in now_known - self.members]
 
@@ -73,6 +78,16 @@
             channel.close()
 
 
+def must_be_asked(group: groups.Group, pool: member_pool.MemberPool) -> bool:
+    """Return whether a listed member may have acknowledged commits."""
+    member = replica_roster.of_entry(pool.entry)
+    return (
+        not group.roster.recorded
+        or member in group.roster.known
+        or pool.listed_for_s < UNCONFIRMED_S
+    )
+
+
 async def connect(
     group: groups.Group,
     old: ids.MemberId | None,
@@ -80,8 +95,8 @@
 ) -> AskedMembers | None:
     """Connect to all members but the old primary.
 
-    None if a listed one cannot be reached.  Of the known ones that are not
-    listed, those that answer are asked.
+    None if a listed one cannot be reached, unless no daemon ever reached it.
+    Of the known ones that are not listed, those that answer are asked.
     """
     pools = [
         pool for pool in group.pool_by_member.values() if pool.entry.id != old
@@ -121,16 +136,31 @@
         if connection is None
     ]
     for pool in unreachable:
+        _log_unreachable(group, pool)
+    if any(must_be_asked(group, pool) for pool in unreachable):
+        asked.close()
+        return None
+    return asked
+
+
+def _log_unreachable(
+    group: groups.Group, pool: member_pool.MemberPool
+) -> None:
+    if must_be_asked(group, pool):
         loguru.logger.info(
             "event=replica_not_reached group={} member={} started_ms={}",
             group.id,
             pool.entry.id,
             pool.entry.started_ms,
         )
-    if unreachable:
-        asked.close()
-        return None
-    return asked
+    else:
+        loguru.logger.warning(
+            "event=member_left_out group={} member={} address={} listed_s={}",
+            group.id,
+            pool.entry.id,
+            pool.entry.address,
+            int(pool.listed_for_s),
+        )
 
 
 async def _connect_unlisted(
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -67,6 +67,7 @@
         self._draining_since: float | None = None
         self._connector = connector
         self._clock = loop_clock
+        self._listed_at = loop_clock.now()
         self._changed = changed
         self._idle: list[pooled_connection.PooledConnection] = []
         self._busy: set[pooled_connection.PooledConnection] = set()
@@ -91,6 +92,11 @@
         elif self._draining_since is None:
             self._draining_since = self._clock.now()
 
+    @property
+    def listed_for_s(self) -> float:
+        """Time for which the member has been in the list, in seconds."""
+        return self._clock.now() - self._listed_at
+
     @property
     def draining(self) -> bool:
         """Whether the member has announced that it will leave."""
--- a/burdockcart/process/gateway/tests/test_replica_rosters.py
+++ b/burdockcart/process/gateway/tests/test_replica_rosters.py
@@ -422,3 +422,39 @@
             self.assertEqual([], test_failover.lost_commits(deployment))
 
         scenario(check, daemons=1)
+
+
+class TestEntryOfAnotherWriter(testtools.TestCase):
+    """A whole entry under which nobody has ever answered."""
+
+    def test_promotion_does_not_wait_for_it(self):
+        """It must not keep a group from getting a new primary."""
+
+        async def check(deployment):
+            foreign = wire_member.EmulatedMember("m-x", "a")
+            deployment.enter(foreign)
+            await test_failover.writes_for(deployment, 8.0)
+            deployment.group.primary.crash()
+            replies = await test_failover.writes_for(deployment, 6.0)
+            self.assertTrue(gateway_deployment.ok(replies[-1][1]))
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
+
+    def test_it_says_that_it_leads(self):
+        """It must not be taken for the old primary after a restart."""
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            foreign = wire_member.EmulatedMember("m-x", "a")
+            foreign.leads = True
+            deployment.enter(foreign)
+            await asyncio.sleep(2.0)
+            await restart_all(deployment)
+            await asyncio.sleep(6.0)
+            await leave(deployment, primary)
+            replies = await test_failover.writes_for(deployment, 12.0)
+            self.assertTrue(gateway_deployment.ok(replies[-1][1]))
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
