Refuse odd entries of another writer where they are read

Cause: read_member gave missing fields defaults and checked an address only when it was dialled; readers caught the decoder's own error and not the RecursionError that it raises for deep values. Evidence, on: 3,000 nested arrays in an unknown field raise RecursionError; port 99999, port "²", a capacity of 400 digits and an entry with four fields are accepted.

Change: one module decodes whatever another program may have written, and has one error. Names, numbers and addresses are checked there; a member's entry needs all fields. `born` may be missing, as it is in the examples of the platform's messages. Positions and terms in answers of members, answers of the store and promotion records are read in the same way. A process without descriptors reports a fault instead of ending the task.

Test addresses without an IP are replaced by one with.

--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -12,6 +12,7 @@
 from tornado import simple_httpclient
 
 from burdockcart import ids
+from burdockcart.platform import decoding
 from burdockcart.platform import formats
 from burdockcart.platform import store_messages
 from burdockcart.platform import store_values
@@ -155,7 +156,7 @@
         if isinstance(status, result.Failure):
             return status
         try:
-            return result.Success(msgspec.json.decode(answer.body, type=kind))
+            return result.Success(decoding.decode(answer.body, kind))
         except msgspec.MsgspecError as error:
             loguru.logger.error(
                 "event=answer_unreadable path={} error={!r}", path, str(error)
@@ -320,9 +321,7 @@
             return result.Failure(answer)
         try:
             if answer.code == 200:
-                written = msgspec.json.decode(
-                    answer.body, type=store_messages.Written
-                )
+                written = decoding.decode(answer.body, store_messages.Written)
                 return result.Success(
                     ids.FencingToken(store_era.position(era, written.revision))
                 )
@@ -360,9 +359,7 @@
             return written
         assert not isinstance(answer, coordination.CallFault)
         try:
-            found = msgspec.json.decode(
-                answer.body, type=store_messages.Written
-            )
+            found = decoding.decode(answer.body, store_messages.Written)
         except msgspec.MsgspecError as error:
             loguru.logger.error(
                 "event=answer_unreadable path=/api/kv-txn error={!r}",
--- a/burdockcart/platform/formats.py
+++ b/burdockcart/platform/formats.py
@@ -1,8 +1,11 @@
 """Decoding of the JSON values in the platform's store."""
 
+from typing import Annotated
+
 import msgspec
 
 from burdockcart import ids
+from burdockcart.platform import decoding
 from burdockcart.process.gateway import coordination
 from burdockcart.version import manifest
 
@@ -73,7 +76,7 @@
         If the value is not a manifest; the message names the invalid field.
 
     """
-    raw = msgspec.json.decode(value, type=_Manifest)
+    raw = decoding.decode(value, _Manifest)
     routes = [_route(route) for route in raw.routes]
     limits = [
         manifest.GroupLimits(
@@ -92,24 +95,34 @@
     )
 
 
+#: Statements that a member runs concurrently; more than any member has.
+_Capacity = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+
+
 class _Member(msgspec.Struct, rename="kebab"):
-    service: str
+    service: decoding.Word
     address: str
-    zone: str
-    state: str
+    zone: decoding.Word
+    # Version of the member's software.
+    version: str
     # Number of statements that the member runs concurrently.
-    capacity: int = 1
-    db_role: str = ""
-    # Wall-clock time of the member's start, in milliseconds.
-    born: int = 0
+    capacity: _Capacity
+    state: str
+    # How much longer the member is slow after its start.
+    warmup_left_ms: float
+    db_role: str
     # Counts what the member says of itself since its start.
-    seq: int = 0
+    seq: decoding.Counter
+    # Wall-clock time of the member's start, in milliseconds; not all
+    # platforms have it.
+    born: decoding.Counter = 0
 
 
 _STATE_BY_WORD = {
     "ready": manifest.MemberState.READY,
     "draining": manifest.MemberState.DRAINING,
 }
+_LEADS_BY_WORD = {"primary": True, "replica": False}
 
 
 def read_member(member: ids.MemberId, value: bytes) -> manifest.MemberEntry:
@@ -119,35 +132,44 @@
     ======
 
     msgspec.MsgspecError
-        If the entry does not describe a usable member.
+        If the entry does not describe a usable member: a field is missing or
+        odd, or the id cannot be sent to a member.
 
     """
-    raw = msgspec.json.decode(value, type=_Member)
+    raw = decoding.decode(value, _Member)
     state = _STATE_BY_WORD.get(raw.state)
-    host, _, port = raw.address.rpartition(":")
-    if state is None or not host or not port.isdigit():
-        raise msgspec.ValidationError(
-            f"unknown state {raw.state!r} or "
-            f"invalid address {raw.address!r}"
+    leads = _LEADS_BY_WORD.get(raw.db_role)
+    if state is None or leads is None:
+        raise decoding.UnreadableValue(
+            f"unknown state {raw.state[:decoding.QUOTED]!r} or "
+            f"role {raw.db_role[:decoding.QUOTED]!r}"
         )
     return manifest.MemberEntry(
-        id=member,
+        id=ids.MemberId(_word(member)),
         group=ids.GroupId(raw.service),
-        address=raw.address,
+        address=decoding.read_address(raw.address),
         domain=ids.DomainName(raw.zone),
-        slots=max(raw.capacity, 1),
+        slots=raw.capacity,
         state=state,
-        leads=raw.db_role == "primary",
+        leads=leads,
         started_ms=raw.born,
         sequence=raw.seq,
     )
 
 
+def _word(text: str) -> str:
+    """Return a name that a key of the store holds, if it is one."""
+    try:
+        return msgspec.convert(text, decoding.Word)
+    except msgspec.ValidationError as error:
+        raise decoding.UnreadableValue(str(error)) from None
+
+
 def read_promotion(value: bytes) -> coordination.PromotionRecord | None:
     """Decode a promotion record; return None if it is invalid."""
     try:
-        return msgspec.json.decode(value, type=coordination.PromotionRecord)
-    except msgspec.MsgspecError:
+        return decoding.decode(value, coordination.PromotionRecord)
+    except decoding.UnreadableValue:
         return None
 
 
@@ -166,7 +188,11 @@
         If the value is no roster.
 
     """
-    return msgspec.json.decode(value, type=coordination.Roster)
+    roster = decoding.decode(value, coordination.Roster)
+    for member in roster.members:
+        _word(member.id)
+        decoding.read_address(member.address)
+    return roster
 
 
 def encode_roster(roster: coordination.Roster) -> bytes:
@@ -178,8 +204,8 @@
     address: str
     domain: str
     incarnation: str
-    era: int = 0
-    manifest_version: int = 0
+    era: decoding.Counter = 0
+    manifest_version: decoding.Counter = 0
 
 
 def read_daemon(
@@ -194,13 +220,10 @@
         If the value is no registration.
 
     """
-    raw = msgspec.json.decode(value, type=_Daemon)
-    host, _, port = raw.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise msgspec.ValidationError(f"invalid address {raw.address!r}")
+    raw = decoding.decode(value, _Daemon)
     return coordination.DaemonEntry(
         daemon,
-        raw.address,
+        decoding.read_address(raw.address),
         ids.DomainName(raw.domain),
         ids.Incarnation(raw.incarnation),
         ids.StoreEra(raw.era),
@@ -227,11 +250,11 @@
     Raises
     ======
 
-    ValueError
+    msgspec.MsgspecError
         If the value is no era.
 
     """
-    return ids.StoreEra(msgspec.json.decode(value, type=int))
+    return ids.StoreEra(decoding.decode(value, decoding.Counter))
 
 
 def encode_era(era: ids.StoreEra) -> bytes:
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -291,6 +291,16 @@
     )
 
 
+def _no_socket(
+    member: member_channel.MemberAddress, error: OSError
+) -> member_channel.MemberFault:
+    """Log that this process has no descriptor left; return the fault."""
+    loguru.logger.error(
+        "event=no_socket member={} error={!r}", member.id, str(error)
+    )
+    return member_channel.MemberFault.OTHER
+
+
 class WireConnector:
     """Opens connections to members over the line protocol."""
 
@@ -305,9 +315,11 @@
     ) -> member_channel.MemberFault | None:
         """Return why a member accepts no connection; None if it accepts."""
         host, _, port = member.address.rpartition(":")
-        stream = iostream.IOStream(
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        )
+        try:
+            connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            return _no_socket(member, error)
+        stream = iostream.IOStream(connection)
         try:
             async with answer_timeout.AnswerTimeout(timeout_s):
                 await stream.connect((host, int(port)))
@@ -324,7 +336,10 @@
     ) -> member_channel.Channel | member_channel.MemberFault:
         """Open a connection and check that the expected member answers."""
         host, _, port = member.address.rpartition(":")
-        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            return _no_socket(member, error)
         sockets.enable_dead_peer_detection(connection)
         stream = iostream.IOStream(
             connection, max_buffer_size=4 * wire.MAX_MESSAGE_BYTES
--- a/burdockcart/platform/settings_file.py
+++ b/burdockcart/platform/settings_file.py
@@ -8,10 +8,9 @@
 from returns import result
 
 from burdockcart import ids
+from burdockcart.platform import decoding
 from burdockcart.process.gateway import settings
 
-MAX_PORT = 65535
-
 
 class SettingsFault(msgspec.Struct, frozen=True):
     """One mistake in a settings file."""
@@ -25,11 +24,10 @@
 
 
 def _endpoint(text: str) -> str:
-    host, _, port = text.rpartition(":")
-    digits = port.isascii() and port.isdigit()
-    if not host or not digits or int(port) > MAX_PORT:
-        raise ValueError(f"{text!r} is not ip:port")
-    return text
+    try:
+        return decoding.read_address(text)
+    except decoding.UnreadableValue:
+        raise ValueError(f"{text!r} is not ip:port") from None
 
 
 def _seconds(text: str) -> float:
@@ -51,7 +49,8 @@
 
 def _first_port(text: str) -> int:
     first, _, _ = text.partition(",")
-    if not first.isdigit():
+    digits = first.isascii() and first.isdigit() and len(first) <= 5
+    if not digits or int(first) > decoding.MAX_PORT:
         raise ValueError(f"{text!r} does not begin with a port")
     return int(first)
 
--- a/burdockcart/platform/store_messages.py
+++ b/burdockcart/platform/store_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from burdockcart.platform import decoding
 from burdockcart.process.gateway import store_era
 
 #: A revision of the store within one era.
@@ -21,8 +22,19 @@
 
     @property
     def data(self) -> bytes:
-        """The decoded value."""
-        return base64.b64decode(self.value)
+        """The decoded value.
+
+        Raises
+        ======
+
+        UnreadableValue
+            If the value is not base64.
+
+        """
+        try:
+            return base64.b64decode(self.value)
+        except ValueError as error:
+            raise decoding.UnreadableValue(str(error)) from None
 
 
 class Range(msgspec.Struct, rename="kebab"):
--- a/burdockcart/platform/store_values.py
+++ b/burdockcart/platform/store_values.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from burdockcart import ids
+from burdockcart.platform import decoding
 from burdockcart.platform import formats
 from burdockcart.platform import store_messages
 from burdockcart.process.gateway import coordination
@@ -27,7 +28,7 @@
     """Return a manifest; log an error and return None if it is invalid."""
     try:
         return formats.read_manifest(data)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except msgspec.MsgspecError as error:
         loguru.logger.error("event=manifest_unreadable error={!r}", str(error))
         return None
 
@@ -99,7 +100,7 @@
 ) -> coordination.Roster | None:
     try:
         return formats.read_roster(item.data)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except msgspec.MsgspecError as error:
         loguru.logger.error(
             "event=roster_unreadable key={} error={!r}",
             item.key,
@@ -114,7 +115,7 @@
     """Return the era of a record that it is complete; None if unusable."""
     try:
         return formats.read_era(item.data)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except msgspec.MsgspecError as error:
         loguru.logger.error(
             "event=era_unreadable key={} error={!r}", item.key, str(error)
         )
@@ -145,7 +146,7 @@
         return None
     try:
         return formats.read_daemon(_daemon_id(item), item.data)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except msgspec.MsgspecError as error:
         loguru.logger.warning(
             "event=daemon_entry_unusable key={} error={!r}",
             item.key,
@@ -166,7 +167,7 @@
         return None
     try:
         return formats.read_member(_member_id(item), item.data)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except msgspec.MsgspecError as error:
         loguru.logger.warning(
             "event=member_entry_unusable key={} error={!r}",
             item.key,
@@ -187,11 +188,14 @@
         If the answer is not a list of items.
 
     """
-    page = msgspec.json.decode(body, type=store_messages.Range)
+    page = decoding.decode(body, store_messages.Range)
     item = next((each for each in page.items if each.key == key), None)
     if item is None:
         return coordination.ClaimLost(None, store_era.position(era, 0))
+    try:
+        record = formats.read_promotion(item.data)
+    except decoding.UnreadableValue:
+        record = None
     return coordination.ClaimLost(
-        formats.read_promotion(item.data),
-        store_era.position(era, item.revision),
+        record, store_era.position(era, item.revision)
     )
--- a/burdockcart/platform/tests/test_calls.py
+++ b/burdockcart/platform/tests/test_calls.py
@@ -153,10 +153,19 @@
             "address": "10.0.0.1:1",
             "zone": "a",
             "state": "ready",
+            "version": "v1",
+            "capacity": 2,
+            "warmup-left-ms": 0,
+            "db-role": "replica",
+            "seq": 1,
+        }
+        incomplete = {
+            key: entry[key] for key in ("service", "address", "zone", "state")
         }
 
         async def check(store):
             items = [item("servers/a", entry), item("servers/b", {"x": 1})]
+            items.append(item("servers/d", incomplete))
             items.append({"key": "servers/c", "value": "%%", "revision": 1})
             store.answer_by_path["/api/kv-range"] = (
                 200,
@@ -193,7 +202,7 @@
             store.answer_by_path["/api/kv-lease"] = (200, {"lease": 7})
             store.answer_by_path["/api/kv-lease-end/7"] = (200, {})
             registered = await store.client.register_daemon(
-                coordination.DaemonEntry("d1", "d1:1", "a", "1"), 8.0
+                coordination.DaemonEntry("d1", "10.0.0.1:1", "a", "1"), 8.0
             )
             self.assertIs(CallFault.NO_ANSWER, registered.failure())
             self.assertEqual(
--- a/burdockcart/platform/tests/test_formats.py
+++ b/burdockcart/platform/tests/test_formats.py
@@ -3,6 +3,7 @@
 import msgspec
 import testtools
 
+from burdockcart.platform import decoding
 from burdockcart.platform import formats
 from burdockcart.platform import settings_file
 from burdockcart.process.gateway import coordination
@@ -91,13 +92,51 @@
             {**ENTRY, "address": "nowhere"},
             {**ENTRY, "address": 7},
             {**ENTRY, "capacity": "two"},
-            {key: ENTRY[key] for key in ENTRY if key != "service"},
+            {**ENTRY, "capacity": 0},
+            {**ENTRY, "seq": -1},
+            {**ENTRY, "born": 1.5},
+            {**ENTRY, "db-role": "witness"},
+            {**ENTRY, "service": "two words"},
+            {**ENTRY, "zone": "a\r\nQUERY"},
+            *(
+                {**ENTRY, "address": f"{host}:{port}"}
+                for host, port in (
+                    ("10.0.0.1", 0),
+                    ("10.0.0.1", 65536),
+                    ("10.0.0.1", 99999),
+                    ("10.0.0.1", "²"),
+                    ("10.0.0.1", "1e3"),
+                    ("10.0.0.1", ""),
+                    ("10.0.0\0.1", 8080),
+                    ("10.0.0.300", 8080),
+                    ("h" * 300, 8080),
+                    ("", 8080),
+                )
+            ),
+            # One field is missing in each.
+            *(
+                {key: ENTRY[key] for key in ENTRY if key != missing}
+                for missing in ENTRY
+            ),
             [1],
         ]
         values = [msgspec.json.encode(each) for each in broken]
-        for value in [*values, b"\xff\xfe", b""]:
+        huge = msgspec.json.encode(ENTRY).replace(b"2", b"2" * 400)
+        nested = (
+            msgspec.json.encode(ENTRY)[:-1]
+            + b',"x":'
+            + b"[" * 3000
+            + b"]" * 3000
+            + b"}"
+        )
+        for value in [*values, huge, nested, b"\xff\xfe", b""]:
+            self.assertRaises(
+                decoding.UnreadableValue, formats.read_member, "i-1", value
+            )
+        whole = msgspec.json.encode(ENTRY)
+        for member in ("", "a b", "a\r\nQUERY x", "m" * 300):
             self.assertRaises(
-                msgspec.MsgspecError, formats.read_member, "i-1", value
+                decoding.UnreadableValue, formats.read_member, member, whole
             )
 
     def test_promotion_record(self):
--- a/burdockcart/platform/tests/test_generated_input.py
+++ b/burdockcart/platform/tests/test_generated_input.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import socket
 
 import hypothesis
 from hypothesis import strategies
@@ -13,8 +14,12 @@
 from returns import result
 import testtools
 
+from burdockcart import ids
 from burdockcart.platform import calls
+from burdockcart.platform import decoding
 from burdockcart.platform import formats
+from burdockcart.platform import store_messages
+from burdockcart.platform import store_values
 from burdockcart.platform import wire
 from burdockcart.process.gateway import coordination
 
@@ -55,6 +60,47 @@
     strategies.binary(max_size=40), JSON.map(msgspec.json.encode)
 )
 
+ENTRY = {
+    "service": "g", "address": "10.0.0.1:80", "zone": "a", "version": "v1",
+    "capacity": 2, "state": "ready", "warmup-left-ms": 0,
+    "db-role": "replica", "seq": 4, "born": 5, "domain": "a",
+    "incarnation": "i", "holder": "d", "attempt": "x", "claimed_at_ms": 1,
+    "members": [], "routes": [], "services": [], "revision": 3, "lease": 4,
+}  # fmt: skip
+#: JSON texts that decoders of other languages may write.
+ODD = strategies.one_of(
+    JSON.map(msgspec.json.encode),
+    strategies.integers(1, 6000).map(lambda depth: b"[" * depth),
+    strategies.integers(1, 6000).map(lambda n: b"[" * n + b"]" * n),
+    strategies.integers(1, 5000).map(lambda digits: b"9" * digits),
+    strategies.sampled_from(
+        [
+            b"1e400", b"-1", b"1.5", b"null", b'"\\ud800"', b'"\\u0000"',
+            b'"10.0.0.1:99999"', b'"10.0.0.1:0"', b'"10.0.0.1:\xc2\xb2"',
+            b'"10.0.0.1"', b'"10.0.0.1\\u0000:80"', b'"a:80"', b'":80"',
+            b'"a b"', b'"a\\r\\nQUERY"', b'""', b"NaN",
+        ]
+    ),
+)  # fmt: skip
+
+
+@strategies.composite
+def odd_entries(draw):
+    """Draw an entry with some odd fields, cut or with bytes replaced."""
+    fields = {key: msgspec.json.encode(ENTRY[key]) for key in ENTRY}
+    names = strategies.sampled_from([*ENTRY, "unknown"])
+    fields |= draw(strategies.dictionaries(names, ODD, max_size=3))
+    value = b",".join(
+        msgspec.json.encode(key) + b":" + text for key, text in fields.items()
+    )
+    value = b"{" + value + b"}"
+    if draw(strategies.booleans()):
+        value = value[: draw(strategies.integers(0, len(value)))]
+    if draw(strategies.booleans()):
+        place = draw(strategies.integers(0, len(value)))
+        value = value[:place] + draw(strategies.binary()) + value[place:]
+    return value
+
 
 class TestWire(testtools.TestCase):
     """Messages of clients and members."""
@@ -92,9 +138,53 @@
         ):
             try:
                 read(value)
-            except (msgspec.MsgspecError, ValueError):
+            except decoding.UnreadableValue:
                 pass
 
+    @hypothesis.given(odd_entries(), strategies.text(max_size=8))
+    def test_odd_entries(self, value, name):
+        """An odd entry has one declared error, and a used one an address."""
+        for read in (
+            formats.read_manifest,
+            lambda data: formats.read_member(name, data),
+            lambda data: formats.read_daemon(name, data),
+            formats.read_promotion,
+            formats.read_roster,
+            formats.read_era,
+        ):
+            try:
+                found = read(value)
+            except decoding.UnreadableValue:
+                continue
+            address = getattr(found, "address", None)
+            if address is not None:
+                host, port = address.rsplit(":", 1)
+                socket.inet_aton(host)
+                self.assertIn(int(port), range(1, 65536))
+
+    @hypothesis.given(odd_entries())
+    def test_items(self, value):
+        """An odd value must hide no other item, in a list or a change."""
+        items = [
+            store_messages.StoredItem(
+                key, 3, base64.b64encode(value).decode()
+            )
+            for key in (
+                "op/config", "servers/a", "daemons/b", "fleet/key",
+                "promotions/g", "rosters/g", "fleet/complete-since",
+            )
+        ]  # fmt: skip
+        whole = msgspec.json.encode(ENTRY)
+        items.append(
+            store_messages.StoredItem(
+                "servers/whole", 4, base64.b64encode(whole).decode()
+            )
+        )
+        seen = store_values.read_changes(
+            store_messages.Events(items, 9), ids.StoreEra(0)
+        )
+        self.assertIn("whole", seen.entry_by_member)
+
 
 class TestAnswersOfTheStore(testtools.TestCase):
     """Answers of the store that are no answers."""
@@ -119,6 +209,7 @@
     def test_unreadable_answers(self):
         """Each call must report an unreadable answer as a fault."""
         record = coordination.PromotionRecord("d", "x", 1)
+        entry = coordination.DaemonEntry("d", "10.0.0.1:1", "z", "i", 0)
         bodies = [
             b"",
             b"[]",
@@ -129,6 +220,10 @@
             b'{"events": [], "store-revision": 99999999999999}',
             b"\xff",
             b"{",
+            b"[" * 5000,
+            b'{"items": ' + b"[" * 5000,
+            b'{"x": ' + b"[" * 5000 + b"]" * 5000 + b"}",
+            b'{"revision": ' + b"9" * 5000 + b"}",
         ]
         for body in bodies:
             for name, arguments in (
@@ -136,6 +231,8 @@
                 ("changes", (5,)),
                 ("claim_promotion", ("g", record, 0)),
                 ("write_fleet_key", (bytes(32), ())),
+                ("write_roster", ("g", coordination.Roster(), 0)),
+                ("register_daemon", (entry, 8.0)),
             ):
                 found = self.call(body, name, *arguments)
                 self.assertIsInstance(found, result.Failure, (name, body))
--- a/burdockcart/platform/tests/test_store_eras.py
+++ b/burdockcart/platform/tests/test_store_eras.py
@@ -100,11 +100,15 @@
 
     def test_withdrawal_removes_the_own_entry_only(self):
         """A daemon that leaves after a restore must spare its successor."""
-        entry = coordination.DaemonEntry("d1", "d1:1", "a", "boot-1")
+        entry = coordination.DaemonEntry("d1", "10.0.0.1:1", "a", "boot-1")
 
         async def check(store):
             key = store_values.DAEMON_PREFIX + "d1"
-            value = {"address": "d1:1", "domain": "a", "incarnation": "boot-2"}
+            value = {
+                "address": "10.0.0.1:1",
+                "domain": "a",
+                "incarnation": "boot-2",
+            }
             store.answer_by_path["/api/kv-key"] = (
                 200,
                 test_calls.item(key, value),
--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -20,6 +20,8 @@
 END = b"\r\n"
 #: Maximum size of a message, in bytes, as specified by the platform.
 MAX_MESSAGE_BYTES = 1024 * 1024
+#: Digits of the largest term or number of a log.
+MAX_DIGITS = 18
 #: Id of the statements that the proxy itself issues.
 PROXY_STATEMENT_ID = "-"
 
@@ -265,12 +267,19 @@
     return f"PREPARE {step.shape.member_name} {word} {step.shape.text}"
 
 
+def _number(text: str) -> int | None:
+    """Return a term or a number of a log; None if the text is not one."""
+    digits = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if digits else None
+
+
 def read_position(text: str) -> log_position.LogPosition | None:
     """Return a log position; None for '-' or if the text is not one."""
     term, point, number = text.partition(".")
-    if not point or not (term.isdigit() and number.isdigit()):
+    term_number, commit_number = _number(term), _number(number)
+    if not point or term_number is None or commit_number is None:
         return None
-    return log_position.LogPosition(int(term), int(number))
+    return log_position.LogPosition(term_number, commit_number)
 
 
 def _fault_of(fields: str) -> member_channel.MemberFault:
@@ -329,6 +338,11 @@
     fields = answer.rows[0].split(" ") if answer.rows else []
     received = read_position(fields[2]) if len(fields) > 2 else None
     role = _ROLE_BY_WORD.get(fields[0]) if fields else None
-    if received is None or role is None or not fields[1].isdigit():
-        raise ProtocolError(f"invalid member status: {answer.rows[:1]!r}")
-    return member_channel.MemberStatus(role, int(fields[1]), received)
+    term = _number(fields[1]) if len(fields) > 1 else None
+    if received is None or role is None or term is None:
+        raise ProtocolError(
+            f"invalid member status: {answer.rows[0][:200]!r}"
+            if answer.rows
+            else "no member status"
+        )
+    return member_channel.MemberStatus(role, term, received)
