Say that a daemon is not ready while one of its tasks keeps ending

Cause: a task was started again without an end, and nothing else noticed; a task that returned, or whose awaited work was cancelled, was not started again at all. An attempt to replace a primary that ended with an error was repeated at the next scan, each time with a claim.

Change: a keeper runs the tasks that a daemon cannot do without. Gauges: burdockcart_tasks_failing, burdockcart_store_age_seconds. An attempt that fails pauses like one that was put off.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -4,9 +4,6 @@
 import itertools
 import random
 import time
-from typing import Any
-from typing import Callable
-from typing import Coroutine
 
 import loguru
 from returns import result
@@ -36,6 +33,7 @@
 from burdockcart.process.gateway import statement_runner
 from burdockcart.process.gateway import stop_admission
 from burdockcart.process.gateway import store_follower
+from burdockcart.process.gateway import task_keeper
 from burdockcart.process.gateway import transaction_runner
 from burdockcart.process.peers import fleet_key
 from burdockcart.process.peers import relay
@@ -62,8 +60,6 @@
 #: Time after the start from which on members are contacted although the list
 #: of daemons may be incomplete, in seconds.
 SETTLE_TIMEOUT_S = 5.0
-#: Pause before a task that failed is started again, in seconds.
-RESTART_PAUSE_S = 0.1
 
 
 class GatewayApplication:
@@ -104,9 +100,9 @@
         self._link = own_link.OwnLink(self._clock.now())
         self._store = self._link.source()
         self._started_at = self._clock.now()
-        self._tasks: list[asyncio.Task[None]] = []
         self.group_by_id: dict[ids.GroupId, groups.Group] = {}
         self.metrics = gateway_metrics.GatewayMetrics()
+        self._tasks = task_keeper.TaskKeeper(self._clock, self.metrics)
         shared = attempts.StatementSender(
             self._clock, self._boot_clock, self.metrics
         )
@@ -211,15 +207,15 @@
         self._clients = clients
         clients.listen_on(self._settings.client_address)
         await self.relay.start(self._settings.peer_address)
-        self._spawn(self.tables.run)
-        self._spawn(self._link_key.run)
-        self._spawn(self._listing.run)
-        self._spawn(self._supervise)
-        self._spawn(self._rosters.run)
+        self._tasks.run_always(self.tables.run)
+        self._tasks.run_always(self._link_key.run)
+        self._tasks.run_to_end(self._listing.run)
+        self._tasks.run_always(self._supervise)
+        self._tasks.run_always(self._rosters.run)
         if self._settings.promotions_fenced:
             # Without fencing, a token claimed in advance could be used after
             # a higher one.
-            self._spawn(self._reserved.run)
+            self._tasks.run_always(self._reserved.run)
         loguru.logger.info(
             "event=daemon_started id={} failure_domain={}",
             self._settings.daemon,
@@ -242,7 +238,7 @@
         if not self._admission.stopping:
             # A drain that failed is tried again.
             self._admission.begin()
-            self._spawn(self._listing.leave)
+            self._tasks.run_to_end(self._listing.leave)
             self.relay.leave(self._settings.shutdown_s)
             self._failover.leave(self._settings.shutdown_s)
         await self._drain.run(self._clients)
@@ -272,23 +268,19 @@
         """Close everything."""
         await shutdown_steps.run(
             self._clients.stop,
-            self._end_tasks,
+            self._tasks.stop,
             self._failover.stop,
             *(group.close for group in self.group_by_id.values()),
             self.relay.end,
         )
         loguru.logger.info("event=daemon_stopped id={}", self._settings.daemon)
 
-    async def _end_tasks(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
     def ready(self) -> bool:
         """Return whether the load balancer should send new clients."""
         return (
             not self._admission.stopping
             and not self._isolation.isolated
+            and not self._tasks.failing
             and self.tables.current is not None
             and self.tables.has_read
             and self._up_to_date()
@@ -380,6 +372,8 @@
         self.metrics.sessions.set(len(self._connections()))
         self.metrics.ready.set(self.ready())
         self.metrics.manifest_version.set(current.version if current else 0)
+        self.metrics.tasks_failing.set(len(self._tasks.failing))
+        self.metrics.store_age.set(self.tables.age_s)
         for group in self.group_by_id.values():
             pools = group.pool_by_member.values()
             open_count = sum(pool.open_count for pool in pools)
@@ -544,32 +538,6 @@
             self._store.record_answer(sent_at, self._clock.now())
         return answers
 
-    def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Run a task of this daemon; start it again if it fails."""
-        name = getattr(run, "__qualname__", None)
-        self._tasks.append(
-            asyncio.create_task(self._keep_running(run), name=name)
-        )
-
-    async def _keep_running(
-        self, run: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        """Run a task to its end, starting it again after each failure.
-
-        Otherwise one unexpected error would end the failover, say, for the
-        rest of the life of the process.
-        """
-        while True:
-            try:
-                await run()
-                return
-            except Exception as error:  # noqa: B902 - logged and counted
-                self.metrics.task_failed()
-                loguru.logger.opt(exception=error).error(
-                    "event=task_failed task={}", run.__qualname__
-                )
-                await asyncio.sleep(RESTART_PAUSE_S)
-
 
 def _wall_ms() -> int:
     return int(time.time() * 1000)
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -59,6 +59,7 @@
     ):
         self._daemon = daemon
         self._daemons = daemons
+        self._metrics = metrics
         #: Since when there has been a cause to replace a group's primary.
         self._cause_since: dict[ids.GroupId, float] = {}
         self._group_by_id = group_by_id
@@ -161,9 +162,7 @@
         if self._promoter.left_on_hold(group) and self._claims.may_try(
             group.id, True, self._clock.now()
         ):
-            self._task_by_group[group.id] = asyncio.create_task(
-                self._promoter.release_left(group), name="release_replicas"
-            )
+            self._start_attempt(group, self._promoter.release_left(group))
             return
         if not (
             pool.awaits_answer
@@ -192,9 +191,8 @@
         if not self._claims.may_try(group.id, planned, now):
             self._start_check("search", group, self._search(group))
             return
-        self._task_by_group[group.id] = asyncio.create_task(
-            self._promoter.replace(group, pool.entry.id, cause),
-            name="replace_primary",
+        self._start_attempt(
+            group, self._promoter.replace(group, pool.entry.id, cause)
         )
 
     def _replace_missing(self, group: groups.Group) -> None:
@@ -210,11 +208,34 @@
             return
         if not self._claims.may_try(group.id, False, now):
             return
-        self._task_by_group[group.id] = asyncio.create_task(
+        self._start_attempt(
+            group,
             self._promoter.replace(group, None, failover_rule.Cause.MISSING),
-            name="replace_primary",
         )
 
+    def _start_attempt(
+        self, group: groups.Group, work: Coroutine[Any, Any, None]
+    ) -> None:
+        self._task_by_group[group.id] = asyncio.create_task(
+            self._attempt(group.id, work), name="replace_primary"
+        )
+
+    async def _attempt(
+        self, group: ids.GroupId, work: Coroutine[Any, Any, None]
+    ) -> None:
+        """Run an attempt; after an unexpected error, pause before the next.
+
+        Each attempt claims the promotion, which keeps other daemons from it.
+        """
+        try:
+            await work
+        except Exception as error:  # noqa: B902 - logged and counted
+            self._metrics.task_failed()
+            loguru.logger.opt(exception=error).error(
+                "event=promotion_failed group={}", group
+            )
+            self._claims.failed(group, self._clock.now())
+
     def acts_early(self, group: ids.GroupId) -> bool:
         """Return whether this daemon is among the first to act."""
         place = turn.rank(self._daemon, group, self._daemons())
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -95,6 +95,16 @@
             "Version of the manifest in force",
             registry=self.registry,
         )
+        self.tasks_failing = prometheus_client.Gauge(
+            "burdockcart_tasks_failing",
+            "Tasks that end again and again; the daemon is not ready",
+            registry=self.registry,
+        )
+        self.store_age = prometheus_client.Gauge(
+            "burdockcart_store_age_seconds",
+            "Time since what the store holds was last applied",
+            registry=self.registry,
+        )
         self.connections = prometheus_client.Gauge(
             "burdockcart_member_connections",
             "Open connections to members",
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -87,7 +87,7 @@
 
     async def pause(self) -> None:
         """Wait before the next attempt."""
-        longest_s = min(RETRY_MIN_S * 2**self._failures, RETRY_MAX_S)
+        longest_s = backoff.longest_s(RETRY_MIN_S, self._failures, RETRY_MAX_S)
         self._failures += 1
         await asyncio.sleep(self._rng.uniform(RETRY_MIN_S / 2, longest_s))
 
@@ -179,6 +179,7 @@
         self._listener = listener
         self._clock = loop_clock
         self._backoff = Backoff(rng)
+        self._applied_at = loop_clock.now()
         self._refresh = asyncio.Event()
         #: Calls of :meth:`refresh` that wait for the next poll to begin.
         self._refreshing: list[asyncio.Future[bool]] = []
@@ -188,6 +189,11 @@
         """The registered daemons."""
         return frozenset(self._daemons.entry_by_id)
 
+    @property
+    def age_s(self) -> float:
+        """Time since what the store holds was last applied, in seconds."""
+        return self._clock.now() - self._applied_at
+
     @property
     def has_read(self) -> bool:
         """Whether the store has been read."""
@@ -247,6 +253,7 @@
                 continue
             self._answered(sent_at)
             self._use_contents(read.unwrap())
+            self._applied_at = self._clock.now()
             await self._poll_changes(read.unwrap().position)
 
     async def _poll_changes(self, position: ids.StorePosition) -> None:
@@ -284,6 +291,7 @@
             position = max(position, changes.position)
             self._position = position
             self._use_changes(changes)
+            self._applied_at = self._clock.now()
             _answer(refreshing, True)
             if not self._first_pauses_s:
                 self.settled.set()
--- a/burdockcart/process/gateway/tests/test_tasks.py
+++ b/burdockcart/process/gateway/tests/test_tasks.py
@@ -60,3 +60,145 @@
             self.assertEqual(9, daemon.tables.current.version)
 
         scenario(check, daemons=1)
+
+
+class TestFailingTasks(testtools.TestCase):
+    """A task that ends must not leave a daemon that says it is ready."""
+
+    def check_not_ready(self, owner, step, fault):
+        """Let a step of a task end the task, each time that it runs.
+
+        The daemon is not ready then, and works again once the step does.
+        """
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            found = getattr(daemon, owner) if owner else daemon
+            self.assertTrue(daemon.ready())
+            setattr(found, step, fault)
+            await asyncio.sleep(8.0)
+            self.assertFalse(daemon.ready())
+            delattr(found, step)
+            await asyncio.sleep(8.0)
+            self.assertTrue(daemon.ready())
+            deployment.platform.put_tables(gateway_deployment.tables(9))
+            await asyncio.sleep(4.0)
+            self.assertEqual(9, daemon.tables.current.version)
+
+        scenario(check, daemons=1)
+
+    def fail(self, *arguments):
+        """End the task by an error that no code expects."""
+        raise RecursionError("fault of a test")
+
+    async def fail_later(self, *arguments):
+        """End the task in the same way from a coroutine."""
+        raise RecursionError("fault of a test")
+
+    async def cancel(self, *arguments):
+        """End the task because something that it waits for was cancelled."""
+        raise asyncio.CancelledError
+
+    def test_store_follower(self):
+        """Guards against a daemon that follows no manifest."""
+        self.check_not_ready("tables", "_use_changes", self.fail)
+
+    def test_store_follower_is_cancelled(self):
+        """Guards against a cancellation that nobody asked for."""
+        self.check_not_ready("tables", "_pause", self.cancel)
+
+    def test_supervision(self):
+        """Guards against a daemon that replaces no primary."""
+        self.check_not_ready("_failover", "scan", self.fail)
+
+    def test_roster_keeper(self):
+        """Guards against a daemon that records no members."""
+        self.check_not_ready("_rosters", "_keep", self.fail)
+
+    def test_reserved_claims(self):
+        """Guards against a daemon without tokens for outages."""
+        self.check_not_ready("_reserved", "_needs_claim", self.fail)
+
+    def test_listing(self):
+        """Guards against a daemon that no other one knows."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            daemon._listing._renew = self.fail_later
+            daemon._listing._platform.eras.observe(1)
+            deployment.platform.era = 1
+            await asyncio.sleep(8.0)
+            self.assertFalse(daemon.ready())
+
+        scenario(check, daemons=1)
+
+    def test_link_key(self):
+        """Guards against a daemon without links to others."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            daemon._link_key._platform.write_fleet_key = self.fail_later
+            daemon._link_key.missing()
+            await asyncio.sleep(8.0)
+            self.assertFalse(daemon.ready())
+
+        scenario(check, daemons=1)
+
+    def test_task_that_returns(self):
+        """Guards against a loop that ends without an error."""
+        kept = []
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+
+            async def returns():
+                kept.append(1)
+
+            daemon._tasks.run_always(returns)
+            await asyncio.sleep(1.0)
+            self.assertFalse(daemon.ready())
+            self.assertGreater(len(kept), 5)
+
+        scenario(check, daemons=1)
+
+    def test_every_task_is_kept(self):
+        """Guards against a task that none of these tests ends."""
+
+        async def check(deployment):
+            tasks = deployment.daemons[0]._tasks._tasks
+            self.assertEqual(
+                [
+                    "GatewayApplication._supervise",
+                    "LinkKey.run",
+                    "Listing.run",
+                    "ReservedClaims.run",
+                    "RosterKeeper.run",
+                    "StoreFollower.run",
+                ],
+                sorted(each.get_name() for each in tasks),
+            )
+
+        scenario(check, daemons=1)
+
+
+class TestAttempts(testtools.TestCase):
+    """Unexpected errors in an attempt to replace a primary."""
+
+    def test_pause_after_an_error(self):
+        """Each attempt claims the promotion, so the next one must wait."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            begun = []
+
+            async def fail(*arguments):
+                begun.append(arguments)
+                raise OverflowError("fault of a test")
+
+            daemon._failover._promoter.replace = fail
+            deployment.group.primary.crash()
+            await test_failover.writes_for(deployment, 3.0)
+            self.assertGreater(len(begun), 2)
+            self.assertLess(len(begun), 10)
+
+        scenario(check, daemons=1)
