Cap the doublings of pauses after failures

What operators would see: after 1,024 failures in a row, some ten minutes of an outage, the task that follows the store, the checks of a member or the links to a holder end with "int too large to convert to float", and so does each later attempt.

Cause: 2 to the power of the failures is a whole number, and its product with a pause does not fit a float.

--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -11,6 +11,7 @@
 import itertools
 from typing import Callable
 
+from burdockcart.connection import backoff
 from burdockcart.connection import member_channel
 from burdockcart.connection import own_link
 
@@ -224,7 +225,7 @@
             self.excused_at = now
             if self.failures == 1:
                 self.failures, self.first_failure_at = 0, None
-        pause_s = min(RETRY_MIN_S * 2 ** (self.attempts - 1), longest_s)
+        pause_s = backoff.longest_s(RETRY_MIN_S, self.attempts - 1, longest_s)
         self._retry_at = now + pause_s
         return not excused
 
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -8,6 +8,7 @@
 import loguru
 
 from burdockcart import clock
+from burdockcart.connection import backoff
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_health
 from burdockcart.connection import own_link
@@ -311,8 +312,8 @@
     def _exhausted_pause_s(self) -> float:
         """Return the pause after another refusal for lack of connections."""
         self._exhausted_count += 1
-        longest_s = min(
-            EXHAUSTED_MIN_S * 2**self._exhausted_count, EXHAUSTED_MAX_S
+        longest_s = backoff.longest_s(
+            EXHAUSTED_MIN_S, self._exhausted_count, EXHAUSTED_MAX_S
         )
         return self._rng.uniform(EXHAUSTED_MIN_S, longest_s)
 
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from burdockcart import clock
+from burdockcart.connection import backoff
 from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
--- a/burdockcart/process/gateway/tests/test_tasks.py
+++ b/burdockcart/process/gateway/tests/test_tasks.py
@@ -202,3 +202,42 @@
             self.assertLess(len(begun), 10)
 
         scenario(check, daemons=1)
+
+
+class TestLongOutage(testtools.TestCase):
+    """The platform is away for many attempts."""
+
+    def test_store(self):
+        """A daemon must follow the store again after thousands of failures.
+
+        The pause after the 1,024th failure did not fit a float.
+        """
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            daemon.tables._backoff._failures = 1022
+            daemon._listing._backoff._failures = 1022
+            deployment.platform.outage = True
+            await asyncio.sleep(10.0)
+            deployment.platform.outage = False
+            deployment.platform.put_tables(gateway_deployment.tables(9))
+            await asyncio.sleep(4.0)
+            self.assertEqual(9, daemon.tables.current.version)
+            self.assertEqual([], daemon._tasks.failing)
+
+        scenario(check, daemons=1)
+
+    def test_member(self):
+        """So must the checks of a member that was away for long."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            group = daemon.group_by_id[gateway_deployment.GROUP]
+            replica = deployment.members[1]
+            pool = group.pool_by_member[replica.id]
+            pool.health.attempts = 1024
+            replica.crash()
+            await pool.reach(0.1)
+            self.assertGreater(pool.health.attempts, 1024)
+
+        scenario(check, daemons=1)
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -8,6 +8,7 @@
 import loguru
 
 from burdockcart import clock
+from burdockcart.connection import backoff
 from burdockcart.connection import member_channel
 from burdockcart.connection import own_link
 from burdockcart import ids
@@ -141,7 +142,7 @@
         if await self._dialer.dial(entry.id, entry.address, accept) is None:
             failures = self._failures.get(entry.id, 0) + 1
             self._failures[entry.id] = failures
-            longest_s = min(RETRY_MIN_S * 2**failures, RETRY_MAX_S)
+            longest_s = backoff.longest_s(RETRY_MIN_S, failures, RETRY_MAX_S)
             pause_s = self._rng.uniform(RETRY_MIN_S, longest_s)
             self._retry_at[entry.id] = self._clock.now() + pause_s
             loguru.logger.info(
