Count the time to drain from when a member may have announced it

Cause: the time in which a draining member gets work that only it can run began when the daemon heard of the report.

Change: the daemon also keeps when it asked for the state that it knew before; the member reported later than that. Work ends 0.75 of the bound after it, at the latest. A daemon that polls as usual is not affected.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -403,7 +403,7 @@
         for entry in entries:
             group = self.group_by_id.get(entry.group)
             if group is not None:
-                group.use_member(entry)
+                group.use_member(entry, self.tables.known_until)
         for group in self.group_by_id.values():
             for member in left:
                 group.drop_member(member, "left")
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -115,8 +115,18 @@
         pool.resize(share, direct)
         return True
 
-    def use_member(self, entry: manifest.MemberEntry) -> None:
-        """Add a member or use its new entry."""
+    def use_member(
+        self, entry: manifest.MemberEntry, known_until: float | None = None
+    ) -> None:
+        """Add a member or use its new entry.
+
+        Parameters
+        ==========
+
+        known_until : float or None
+            Time at which the previous state of the store was asked for.
+
+        """
         pool = self.pool_by_member.get(entry.id)
         if pool is not None and _restarted(pool.entry, entry):
             self.drop_member(entry.id, "started again")
@@ -132,7 +142,7 @@
             self._apply_share(pool)
             self.pool_by_member[entry.id] = pool
         elif pool.entry != entry:
-            pool.use_entry(entry)
+            pool.use_entry(entry, known_until)
         if entry.leads:
             self.primary.suggest(entry.id)
         self.dispatch()
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -27,6 +27,9 @@
 #: no other member can run; the rest covers the delay until this daemon learns
 #: of the draining, and the latency of the last statement.
 DRAIN_SHARE = 0.5
+#: The same, of the time since the member may have announced it at the
+#: earliest: a daemon that was cut off from the store learns of it late.
+EARLIEST_DRAIN_SHARE = 0.75
 #: Backoff after a member reported that its connections are exhausted, in
 #: seconds, with jitter.  Daemons that tried again after a fixed pause kept a
 #: member busy with up to 1,000 refusals a second.
@@ -66,6 +69,8 @@
         self.lag = replica_lag.ReplicaLag()
         self.retired = False
         self._draining_since: float | None = None
+        #: Time after which the member announced that it will leave.
+        self._ready_until = 0.0
         self._connector = connector
         self._clock = loop_clock
         self._listed_at = loop_clock.now()
@@ -85,13 +90,27 @@
         )
         self.use_entry(entry)
 
-    def use_entry(self, entry: manifest.MemberEntry) -> None:
-        """Use a new entry of the same member."""
+    def use_entry(
+        self, entry: manifest.MemberEntry, known_until: float | None = None
+    ) -> None:
+        """Use a new entry of the same member.
+
+        Parameters
+        ==========
+
+        known_until : float or None
+            Time at which the previous state of the store was asked for; None
+            if this daemon knows of none.
+
+        """
         self.entry = entry
         if entry.state is not manifest.MemberState.DRAINING:
             self._draining_since = None
         elif self._draining_since is None:
             self._draining_since = self._clock.now()
+            self._ready_until = (
+                self._draining_since if known_until is None else known_until
+            )
 
     @property
     def listed_for_s(self) -> float:
@@ -115,8 +134,11 @@
         """
         if self._draining_since is None:
             return True
-        draining_s = self._clock.now() - self._draining_since
-        return draining_s < DRAIN_SHARE * drain_s
+        now = self._clock.now()
+        return (
+            now - self._draining_since < DRAIN_SHARE * drain_s
+            and now - self._ready_until < EARLIEST_DRAIN_SHARE * drain_s
+        )
 
     @property
     def address(self) -> member_channel.MemberAddress:
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -181,6 +181,8 @@
         self._clock = loop_clock
         self._backoff = Backoff(rng)
         self._applied_at = loop_clock.now()
+        #: When the state that is applied was asked for; None before the first.
+        self.known_until: float | None = None
         self._refresh = asyncio.Event()
         #: Calls of :meth:`refresh` that wait for the next poll to begin.
         self._refreshing: list[asyncio.Future[bool]] = []
@@ -254,7 +256,7 @@
                 continue
             self._answered(sent_at)
             self._use_contents(read.unwrap())
-            self._applied_at = self._clock.now()
+            self._applied_at, self.known_until = self._clock.now(), sent_at
             await self._poll_changes(read.unwrap().position)
 
     async def _poll_changes(self, position: ids.StorePosition) -> None:
@@ -292,7 +294,7 @@
             position = max(position, changes.position)
             self._position = position
             self._use_changes(changes)
-            self._applied_at = self._clock.now()
+            self._applied_at, self.known_until = self._clock.now(), sent_at
             _answer(refreshing, True)
             if not self._first_pauses_s:
                 self.settled.set()
