--- a/burdockcart/process/gateway/tests/test_replica_rosters.py
+++ b/burdockcart/process/gateway/tests/test_replica_rosters.py
@@ -388,6 +388,49 @@
 
         scenario(check, daemons=2)
 
+    def check_primary_that_came_back(self, late_s):
+        """Check an open call for a primary that answers again.
+
+        The candidate of the call receives nothing for a while.
+        """
+
+        async def check(deployment):
+            platform = deployment.platform
+            primary = deployment.group.primary
+            platform.lose_promotions, platform.late_s = 3, late_s
+            promote = platform.promote
+            called = []
+
+            async def note_call(group, member, *arguments):
+                called.append(member)
+                return await promote(group, member, *arguments)
+
+            platform.promote = note_call
+            writes = asyncio.create_task(
+                test_failover.writes_for(deployment, late_s + 3.0)
+            )
+            await asyncio.sleep(1.0)
+            primary.unresponsive = True
+            await gateway_deployment.until(lambda: len(called) == 3)
+            primary.unresponsive = False
+            candidate = deployment.group.member_by_id[called[0]]
+            candidate.replication_cut = True
+            while primary.leads:
+                primary.commit([("late", "WRITE 1a4 x")])
+                await asyncio.sleep(0.05)
+            await writes
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
+
+    def test_primary_that_came_back(self):
+        """An attempt that is not needed any more must not release them."""
+        self.check_primary_that_came_back(late_s=4.0)
+
+    def test_call_that_is_very_late(self):
+        """The platform carries out a call up to 12 s later."""
+        self.check_primary_that_came_back(late_s=11.5)
+
 
 class TestEndOfHold(testtools.TestCase):
     """A replica on hold receives again before the platform is called."""
