Explore promotions beside members that come and go

Class 2: 400 walks of 40 steps after which the primary is lost for good; where a log is known to be complete, a primary follows within 2,000 steps without disturbances.

--- /dev/null
+++ b/burdockcart/tests/test_roster_model.py
@@ -0,0 +1,74 @@
+"""Checks which logs a promotion compares, and that the model finds faults."""
+
+import dataclasses
+import random
+
+import testtools
+
+from burdockcart.tests import roster_model
+
+STEPS = 90
+
+
+def first_violation(walks, seed=20261205, **without):
+    """Return the first violation on random walks, or None."""
+    rng = random.Random(seed)
+    rules = dataclasses.replace(roster_model.Rules(), **without)
+    for _ in range(walks):
+        try:
+            roster_model.walk(rules, rng, STEPS)
+        except roster_model.Violation as violation:
+            return str(violation)
+    return None
+
+
+class TestRosterModel(testtools.TestCase):
+    """The protocol, and variants with a fault each."""
+
+    def test_protocol(self):
+        """No walk may break the invariant."""
+        self.assertIsNone(first_violation(1500))
+
+    def test_members_are_forgotten_at_a_restart(self):
+        """Without the roster a candidate lacks what others held alone."""
+        self.assertIsNotNone(first_violation(1500, roster=False))
+
+    def test_lapsed_entry_is_taken_for_a_departure(self):
+        """A member without an entry goes on acknowledging."""
+        self.assertIsNotNone(first_violation(1500, dial=False))
+
+    def test_member_is_removed_without_a_position(self):
+        """What it held alone is forgotten."""
+        self.assertIsNotNone(first_violation(1500, floor=False))
+
+    def test_list_is_not_read_again(self):
+        """A member that has joined acknowledges alone."""
+        self.assertIsNotNone(first_violation(3000, refresh=False))
+
+    def test_restart_of_a_replica_on_hold(self):
+        """It receives again, and the comparison is void."""
+        self.assertIsNotNone(first_violation(3000, recheck=False))
+
+    def test_open_call_is_forgotten(self):
+        """Replicas are released while an earlier call may land."""
+        self.assertIsNotNone(first_violation(1500, open_calls=False))
+
+    def test_progress(self):
+        """A lost primary is replaced if some log is known to be complete."""
+        rng = random.Random(20261205)
+        rules = roster_model.Rules()
+        checked = 0
+        for _ in range(400):
+            state = roster_model.walk(rules, rng, 40)
+            state = roster_model.lose_primary(state)
+            newest = state.members[state.primary].leads
+            if newest >= roster_model.MAX_TERM:
+                continue
+            if not roster_model.can_be_served(state):
+                continue
+            checked += 1
+            self.assertTrue(
+                roster_model.is_served_in_the_end(state, rules, rng, 2000),
+                state,
+            )
+        self.assertGreater(checked, 50)
