Record a floor only once a replica holds it

The floor of a roster could be a commit that no replica had received. If the primary was then lost for good, no candidate could reach the floor, and the group stood still for ever though the commit had never been acknowledged.

Change: a member is removed from the roster once a listed replica holds the position that the primary reports. Until then the member stays in it, and nobody is promoted if the primary is lost: the member may have been alone with the commit.

--- a/burdockcart/process/gateway/roster_keeper.py
+++ b/burdockcart/process/gateway/roster_keeper.py
@@ -30,6 +30,7 @@
 from burdockcart.process.gateway import replica_roster
 from burdockcart.process.gateway import store_era
 from burdockcart.process.gateway import turn
+from burdockcart.request import log_position
 
 #: Interval between scans of all groups, in seconds.
 SCAN_INTERVAL_S = 0.5
@@ -118,11 +119,37 @@
         gone = await self._gone(group)
         position = None
         if gone or not group.roster.history_known:
-            position = await group.primary.position_now()
+            position = await self._covered_position(group)
         roster = group.roster.without(gone, position)
         if roster is not None:
             await self._write(group, roster)
 
+    async def _covered_position(
+        self, group: groups.Group
+    ) -> log_position.LogPosition | None:
+        """Return a position of the primary that a listed replica holds.
+
+        The primary may have commits that no replica has received.  If it were
+        lost before one has, no candidate could ever reach such a floor.
+        """
+        position = await group.primary.position_now()
+        if position is None:
+            return None
+        replicas = [
+            pool
+            for member, pool in group.pool_by_member.items()
+            if member != group.primary.leadership.member
+        ]
+        answers = await asyncio.gather(
+            *(pool.observe(QUERY_TIMEOUT_S) for pool in replicas)
+        )
+        covered = any(
+            isinstance(answer, member_channel.MemberStatus)
+            and answer.received >= position
+            for answer in answers
+        )
+        return position if covered else None
+
     def _has_turn(self, group: groups.Group) -> bool:
         """Return whether the roster is outdated and this daemon may act."""
         listed = _listed(group).keys()
--- a/burdockcart/process/gateway/tests/test_replica_rosters.py
+++ b/burdockcart/process/gateway/tests/test_replica_rosters.py
@@ -235,6 +235,35 @@
 
         scenario(check, daemons=2)
 
+    def test_floor_that_no_replica_holds(self):
+        """A commit that nobody has received must not bind candidates.
+
+        A replica leaves while a write of the primary waits; then the primary
+        is lost for good.  The member that left was not alone with a commit.
+        """
+
+        async def check(deployment):
+            primary, other, leaving = deployment.members
+            await test_failover.writes_for(deployment, 1.0)
+            other.replication_cut = leaving.replication_cut = True
+            primary.commit([("waits", "WRITE 1a4 x")])
+            leaving.crash()
+            deployment.platform.remove_member(leaving.id)
+            await asyncio.sleep(6.0)
+            stored, _ = deployment.platform.roster_by_group[GROUP]
+            self.assertIsNone(stored.floor)
+            other.replication_cut = False
+            other.catch_up()
+            await asyncio.sleep(2.0)
+            stored, _ = deployment.platform.roster_by_group[GROUP]
+            self.assertEqual(primary.received(), stored.floor)
+            self.assertNotIn(leaving.id, [each.id for each in stored.members])
+            primary.crash()
+            await gateway_deployment.until(lambda: other.leads)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
+
 
 class TestJoin(testtools.TestCase):
     """A replica that the daemons do not know yet when they compare logs."""
