--- a/burdockcart/platform/standin/__main__.py
+++ b/burdockcart/platform/standin/__main__.py
@@ -43,6 +43,11 @@
         action="store_true",
         help="also restore the store from older copies",
     )
+    parser.add_argument(
+        "--odd-entries",
+        action="store_true",
+        help="also write odd entries among those of the members",
+    )
     parser.add_argument(
         "--logs", type=pathlib.Path, help="where to keep logs and journal"
     )
@@ -69,6 +74,7 @@
         not args.planned,
         args.connections,
         args.restores,
+        args.odd_entries,
     )
     found = asyncio.run(run.run())
     text = "".join(
--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -13,6 +13,7 @@
 from burdockcart import ids
 from burdockcart.platform.standin import client
 from burdockcart.platform.standin import member_server
+from burdockcart.platform.standin import odd_entries
 from burdockcart.platform.standin import store_server
 from burdockcart.platform import store_values
 from burdockcart.soak import history as histories
@@ -240,6 +241,12 @@
             "born": server.started_ms,
         }
 
+    def put_odd_entry(self, variant: int) -> None:
+        """Write an entry as another program may have written it."""
+        entry = self._entry(self.servers[0])
+        value = odd_entries.values(entry)[variant]
+        self.store.put(f"{store_values.MEMBER_PREFIX}odd-{variant}", value)
+
     def _promote(
         self, service: str, member: str, holder: str, token: int
     ) -> int:
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -67,6 +67,7 @@
         unplanned: bool,
         connections: int = 24,
         restores: bool = False,
+        odd_entries: bool = False,
     ):
         self.seed = seed
         self.folder = folder
@@ -74,6 +75,7 @@
         self._seconds = seconds
         self._unplanned = unplanned
         self._restores = restores
+        self._odd_entries = odd_entries
         self._count = count
         self._connections = connections
         self._tasks: list[asyncio.Task[None]] = []
@@ -240,6 +242,7 @@
             self._count,
             self._unplanned,
             self._restores,
+            self._odd_entries,
         )
         for fault in faults:
             await asyncio.sleep(start + fault.at_s - loop.time())
@@ -280,6 +283,8 @@
             await _disturb(self.daemons[fault.target], fault)
         elif kind is Kind.MANIFEST:
             site.put_manifest()
+        elif kind is Kind.ODD_ENTRY:
+            site.put_odd_entry(fault.target)
         elif kind is Kind.CRASH_PRIMARY:
             await site.crash_primary(fault.length_s)
         elif kind in (Kind.REPLACE_PRIMARY, Kind.REPLACE_REPLICA):
--- a/burdockcart/platform/standin/tests/test_soak.py
+++ b/burdockcart/platform/standin/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Runs daemons as processes and injects faults; takes two minutes."""
+"""Runs daemons as processes and injects faults; takes two to three minutes."""
 
 import asyncio
 import pathlib
@@ -6,8 +6,10 @@
 
 import testtools
 
+from burdockcart.platform.standin import odd_entries
 from burdockcart.platform.standin import soak
 from burdockcart.soak import history as histories
+from burdockcart.soak import schedule
 
 DAEMONS = 4
 
@@ -15,7 +17,7 @@
 class TestSoak(testtools.TestCase):
     """Daemons, members, store and clients over sockets."""
 
-    def check(self, seed, unplanned, restores=False):
+    def check(self, seed, unplanned, restores=False, odd_entries=False):
         """Run a seed and check that no rule was broken."""
         with tempfile.TemporaryDirectory() as folder:
             run = soak.Soak(
@@ -25,6 +27,7 @@
                 pathlib.Path(folder),
                 unplanned,
                 restores=restores,
+                odd_entries=odd_entries,
             )
             found = asyncio.run(run.run())
         text = soak.summary(run, found)
@@ -49,3 +52,16 @@
     def test_restored_store(self):
         """Guards against what a restored store has forgotten."""
         self.check(33, unplanned=True, restores=True)
+
+    def test_odd_entries(self):
+        """Guards against an entry of another writer that stops a daemon."""
+        self.check(3, unplanned=False, odd_entries=True)
+
+    def test_variants(self):
+        """Guards against a variant that is never written."""
+        entry = {
+            "service": "g",
+            "address": "127.0.0.1:1",
+            "state": "ready",
+        }
+        self.assertEqual(schedule.ODD_ENTRIES, len(odd_entries.values(entry)))
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -26,6 +26,7 @@
     LINK_ANSWERS_LOST = "link answers lost"
     LINK_RESET = "link reset"
     LINK_REPLICATION = "link of replication"
+    ODD_ENTRY = "odd entry"
 
 
 #: Planned work, during which no request may be cut.
@@ -51,7 +52,7 @@
         Seconds after the start.
     target : int
         Index of the daemon, or of the member for faults of links; -1 if the
-        fault concerns neither.
+        fault concerns neither.  Number of the variant for odd entries.
     length_s : float
         Seconds that the fault lasts, for those that do.
     age_s : float
@@ -68,6 +69,8 @@
 
 
 MEMBERS = 3
+#: Variants of odd entries.
+ODD_ENTRIES = 16
 #: Time of the last restore before the end of the schedule, in seconds.
 LAST_RESTORE_S = 0.5
 
@@ -148,6 +151,22 @@
     return faults
 
 
+def _odd_entries(rng: random.Random, daemons: int) -> list[Fault]:
+    """Write odd entries, then kill all daemons, then lose the primary."""
+    return [
+        *(
+            Fault(0.1 * place, Kind.ODD_ENTRY, variant)
+            for place, variant in enumerate(
+                rng.sample(range(ODD_ENTRIES), rng.randint(1, 4))
+            )
+        ),
+        Fault(1.0, Kind.MANIFEST),
+        *_begun_at(rng.uniform(2.0, 4.0), _all_killed(rng, daemons)),
+        Fault(6.0, Kind.MANIFEST),
+        Fault(rng.uniform(8.0, 9.0), Kind.CRASH_PRIMARY, -1, 4.0),
+    ]
+
+
 def _reload(rng: random.Random, daemons: int) -> list[Fault]:
     count = rng.randint(1, daemons)
     return [
@@ -213,11 +232,12 @@
     daemons: int,
     unplanned: bool = True,
     restores: bool = False,
+    odd_entries: bool = False,
 ) -> list[Fault]:
     """Return the faults of a soak in the order of their times.
 
     Half of the scenes are planned work in any case.  Restores of the store
-    come beside them, and leave the others as they are.
+    and odd entries come beside them, and leave the others as they are.
 
     Examples
     ========
@@ -240,6 +260,9 @@
             faults += _begun_at(begin_s, _restored(rng, daemons))
         # Nothing covers up a manifest that is missed after the last one.
         faults += _restored_at(rng, seconds - LAST_RESTORE_S, (0.8, 2.0), 0.2)
+    if odd_entries:
+        rng = random.Random(f"odd entries of {seed}")
+        faults += _begun_at(rng.uniform(1.0, 3.0), _odd_entries(rng, daemons))
     return sorted(fault for fault in faults if fault.at_s < seconds)
 
 
--- a/burdockcart/soak/tests/test_schedule.py
+++ b/burdockcart/soak/tests/test_schedule.py
@@ -13,7 +13,9 @@
     return [
         fault
         for seed in range(50)
-        for fault in schedule.generate(seed, 60.0, 4, unplanned, unplanned)
+        for fault in schedule.generate(
+            seed, 60.0, 4, unplanned, unplanned, unplanned
+        )
     ]
 
 
@@ -33,7 +35,9 @@
         """Guards against seeds that mean another run than before."""
         for seed in range(50):
             others = schedule.generate(seed, 60.0, 4)
-            both = schedule.generate(seed, 60.0, 4, restores=True)
+            both = schedule.generate(
+                seed, 60.0, 4, restores=True, odd_entries=True
+            )
             self.assertLess(len(others), len(both))
             self.assertEqual([], [each for each in others if each not in both])
 
@@ -56,4 +60,6 @@
                 targets = range(4)
             elif fault.kind.value.startswith("link"):
                 targets = range(schedule.MEMBERS)
+            elif fault.kind is Kind.ODD_ENTRY:
+                targets = range(schedule.ODD_ENTRIES)
             self.assertIn(fault.target, targets)
