--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -208,7 +208,8 @@
             group, channels, asked.listed, self._clock
         )
         refreshed = asyncio.create_task(
-            self._refreshed(claimed is not None), name="refresh_members"
+            self._refreshed(group, claimed is not None),
+            name="refresh_members",
         )
         try:
             candidate = await comparison.candidate(
@@ -252,12 +253,17 @@
         self._claims.failed(group.id, self._clock.now())
         return False
 
-    async def _refreshed(self, store_answers: bool) -> bool:
+    async def _refreshed(
+        self, group: groups.Group, store_answers: bool
+    ) -> bool:
         """Return whether the known members are those in the store.
 
         While the store is away, nothing newer can be learned.
         """
-        return not store_answers or await self._refresh()
+        if not store_answers or await self._refresh():
+            return True
+        self._put_off(group, "the list of members could not be read")
+        return False
 
     async def _covers_all(
         self,
