Compare only the last start of a member without an entry

A roster may hold two starts of one member: the first acknowledged alone, the second has lost that log. If its entry lapsed before the first was removed, both were asked at the same address, the running one answered for both, and the lost log counted as compared; one of the two connections was never closed.

Evidence: test_two_starts_without_an_entry promotes m-b and loses commits without this change. It needs a lost log, a lapsed entry and a lost primary within the time in which the keeper could not remove the first start.

Change: only the last start of an unlisted member is asked; an earlier one is missing, so a position of the primary is needed. The keeper uses the same rule where it had a second copy of it.

--- a/burdockcart/process/gateway/asked_members.py
+++ b/burdockcart/process/gateway/asked_members.py
@@ -105,12 +105,7 @@
         replica_roster.of_entry(pool.entry)
         for pool in group.pool_by_member.values()
     }
-    listed_ids = {member.id for member in listed}
-    unlisted = [
-        member
-        for member in group.roster.unlisted(listed)
-        if member.id not in listed_ids
-    ]
+    unlisted = list(group.roster.last_unlisted(listed))
     taken, answers = await asyncio.gather(
         asyncio.gather(*(pool.take_or_open() for pool in pools)),
         asyncio.gather(
--- a/burdockcart/process/gateway/replica_roster.py
+++ b/burdockcart/process/gateway/replica_roster.py
@@ -145,6 +145,23 @@
         """Return the members that are not in the list of members."""
         return self.known - frozenset(listed)
 
+    def last_unlisted(
+        self, listed: Collection[coordination.RosterMember]
+    ) -> frozenset[coordination.RosterMember]:
+        """Return the unlisted members that have not started again since.
+
+        Only these may still run: a query cannot tell an earlier start of a
+        member, whose log may be lost, from a later one.
+        """
+        last_by_id = {
+            member.id: member
+            for member in [
+                *sorted(self.known, key=lambda each: each.started_ms),
+                *listed,
+            ]
+        }
+        return frozenset(last_by_id.values()) - frozenset(listed)
+
     def gap(self, asked: Collection[coordination.RosterMember]) -> Gap | None:
         """Return why these members may not hold every acknowledged commit.
 
--- a/burdockcart/process/gateway/roster_keeper.py
+++ b/burdockcart/process/gateway/roster_keeper.py
@@ -209,12 +209,12 @@
             for member in group.roster.unlisted(listed)
             if self._query_due(member)
         ]
-        restarted = {member.id for member in listed}
+        may_run = group.roster.last_unlisted(listed)
         answers = await asyncio.gather(
             *(
                 self._answers(group, member)
                 for member in unlisted
-                if member.id not in restarted
+                if member in may_run
             )
         )
         answering = {each for each in answers if each is not None}
--- a/burdockcart/process/gateway/tests/test_replica_rosters.py
+++ b/burdockcart/process/gateway/tests/test_replica_rosters.py
@@ -264,6 +264,30 @@
 
         scenario(check, daemons=2)
 
+    def test_two_starts_without_an_entry(self):
+        """The log of an earlier start must not count as compared.
+
+        A member has acknowledged alone, has started again without its log,
+        and has lost its entry; only its last start answers.
+        """
+
+        async def check(deployment):
+            primary, deaf, member = deployment.members
+            await test_failover.writes_for(deployment, 0.5)
+            deaf.replication_cut = True
+            await test_failover.writes_for(deployment, 1.0)
+            member.log, member.replication_cut = [], True
+            again = coordination.RosterMember(member.id, 2, f"{member.id}:1")
+            for daemon in deployment.daemons:
+                daemon.group_by_id[GROUP].roster.confirm(again)
+            primary.crash()
+            deployment.platform.remove_member(member.id)
+            await test_failover.writes_for(deployment, 12.0)
+            self.assertEqual([], deployment.platform.promotions)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
+
 
 class TestJoin(testtools.TestCase):
     """A replica that the daemons do not know yet when they compare logs."""
