Let keepers take turns after a restore of the store, too

If roster and list agreed but the store held an older roster, each daemon wrote at once, whatever its turn: after a restore all daemons of a fleet would write the roster of every group that the copy has in an older form.

Change: what the store does not hold yet is part of how a roster is outdated, and the turn applies to it as to any other change.

--- a/burdockcart/process/gateway/roster_keeper.py
+++ b/burdockcart/process/gateway/roster_keeper.py
@@ -80,9 +80,17 @@
         self._connector = connector
         self._clock = loop_clock
         self._daemons = daemons
-        #: Members that a group's roster lacks or holds too many, since when.
+        #: How a group's roster is outdated, and since when: members of one
+        #: of roster and list only, and what the store does not hold yet.
         self._outdated_since: dict[
-            ids.GroupId, tuple[frozenset[coordination.RosterMember], float]
+            ids.GroupId,
+            tuple[
+                tuple[
+                    frozenset[coordination.RosterMember],
+                    coordination.Roster | None,
+                ],
+                float,
+            ],
         ] = {}
         #: When a roster may be written again after a failure.
         self._write_not_before: dict[ids.GroupId, float] = {}
@@ -152,17 +160,17 @@
 
     def _has_turn(self, group: groups.Group) -> bool:
         """Return whether the roster is outdated and this daemon may act."""
-        listed = _listed(group).keys()
         roster = group.roster
-        if roster.recorded and roster.known == listed:
+        different = roster.known ^ _listed(group).keys()
+        unwritten = roster.without((), None)
+        if roster.recorded and not different and unwritten is None:
             self._outdated_since.pop(group.id, None)
-            # A member that was confirmed may not have been written yet.
-            return roster.without((), None) is not None
+            return False
         now = self._clock.now()
-        different = roster.known ^ listed
+        outdated = different, unwritten
         known, since = self._outdated_since.get(group.id, (None, now))
-        if known != different:
-            self._outdated_since[group.id] = different, now
+        if known != outdated:
+            self._outdated_since[group.id] = outdated, now
             since = now
         place = turn.rank(self._daemon, group.id, self._daemons())
         return place < KEEPERS and now - since >= place * TURN_S
--- a/burdockcart/process/gateway/tests/test_replica_rosters.py
+++ b/burdockcart/process/gateway/tests/test_replica_rosters.py
@@ -289,6 +289,39 @@
         scenario(check, daemons=2)
 
 
+class TestKeeper(testtools.TestCase):
+    """Daemons that write the rosters."""
+
+    def test_writes_after_a_restore(self):
+        """Not all daemons may write what a restored store lacks at once."""
+
+        async def check(deployment):
+            platform = deployment.platform
+            old, _ = platform.roster_by_group[GROUP]
+            copied = platform.copy()
+            floor = log_position.LogPosition(1, 0)
+            platform.roster_by_group[GROUP] = (
+                coordination.Roster(old.members, floor),
+                platform._next_revision(),
+            )
+            await asyncio.sleep(4.0)
+            written = []
+            write = platform.write_roster
+
+            async def note_write(*arguments):
+                written.append(arguments)
+                return await write(*arguments)
+
+            platform.write_roster = note_write
+            platform.restore(copied)
+            await asyncio.sleep(8.0)
+            self.assertEqual(1, len(written))
+            stored, _ = platform.roster_by_group[GROUP]
+            self.assertEqual(floor, stored.floor)
+
+        scenario(check, daemons=8)
+
+
 class TestJoin(testtools.TestCase):
     """A replica that the daemons do not know yet when they compare logs."""
 
