Take a promotion call for open after a 5xx of a proxy

Callers: none seen.

Cause: every answer of the promotion service but 200 and 409 counted as "unavailable, nothing was done", also 500, 502, 504 and redirects, which something between the daemon and the service may send after passing the call on.

Change: only statuses that say that nothing was done count as refusals. Redirects are not followed.

Before: test_promotion_of_each_status failed on (500 gave UNAVAILABLE). After: platform/tests/test_calls.py, 11 passed.

--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -32,6 +32,12 @@
 MAX_CALLS = 50
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
+#: Statuses that say that a promotion was not carried out.  Any other one, as
+#: of a proxy in between, leaves open whether it will be.
+_NOT_CARRIED_OUT = frozenset(
+    {400, 401, 403, 404, 405, 406, 411, 413, 415, 422, 429, 503}
+)
+
 #: Header of all answers of the store; rises by one when it is restored.
 ERA_HEADER = "Store-Era"
 MAX_ERA_DIGITS = 6
@@ -102,6 +108,7 @@
             headers={"Content-Type": "application/json", **(headers or {})},
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=timeout_s,
+            follow_redirects=False,
         )
         try:
             return await self._client.fetch(request, raise_error=False)
@@ -391,7 +398,9 @@
         loguru.logger.warning(
             "event=promotion_refused group={} status={}", group, answer.code
         )
-        return result.Failure(coordination.PromotionFault.UNAVAILABLE)
+        if answer.code in _NOT_CARRIED_OUT:
+            return result.Failure(coordination.PromotionFault.UNAVAILABLE)
+        return result.Failure(coordination.PromotionFault.NO_ANSWER)
 
     async def write_fleet_key(
         self, key: bytes, withdrawn: Collection[bytes]
--- a/burdockcart/platform/tests/test_calls.py
+++ b/burdockcart/platform/tests/test_calls.py
@@ -303,3 +303,24 @@
             self.assertIs(fault.NO_ANSWER, lost.failure())
 
         run(check)
+
+    def test_promotion_of_each_status(self):
+        """Guards against a call that counts as refused and is carried out.
+
+        An answer of something between daemon and platform proves nothing.
+        """
+
+        async def check(store):
+            fault_by_status = {
+                status: coordination.PromotionFault.UNAVAILABLE
+                for status in (400, 404, 422, 429, 503)
+            } | {
+                status: coordination.PromotionFault.NO_ANSWER
+                for status in (202, 302, 408, 500, 502, 504)
+            }
+            for status, fault in fault_by_status.items():
+                store.answer_by_path["/promote"] = (status, {})
+                answer = await store.client.promote("g", "m", "d1", 41)
+                self.assertIs(fault, answer.failure(), status)
+
+        run(check)
