--- a/burdockcart/connection/member_channel.py
+++ b/burdockcart/connection/member_channel.py
@@ -29,6 +29,7 @@
     CONNECTIONS_EXHAUSTED = "connections exhausted"
     UNKNOWN_NAME = "unknown prepared name"
     UNCONFIRMED = "no replica confirmed the primary's term"
+    UNCOVERED = "the member that may be promoted has not reported the commit"
     FAILED = "failed"
     TIMED_OUT = "timed out at the member"
     REFUSED = "connection refused"
@@ -109,11 +110,13 @@
     the position that is visible to reads.  ``term`` is the newest term that
     the member knows, for a primary the one that it leads; it exceeds the
     term of the position until the first commit of a new primary.
+    ``held_term`` is the term with which it was put on hold, 0 if it was not.
     """
 
     role: Role
     term: int
     received: log_position.LogPosition
+    held_term: int = 0
 
 
 class Channel(Protocol):
--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -388,5 +388,8 @@
             else member_channel.Role.REPLICA
         )
         return member_channel.MemberStatus(
-            role, self.member.term, self.member.received()
+            role,
+            self.member.term,
+            self.member.received(),
+            self.member.held_term or 0,
         )
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -186,6 +186,7 @@
                 position=self._position(self.revision),
                 complete_since=self.complete_since,
                 roster_by_group=self._rosters(),
+                promotion_by_group=self._promotions(),
             )
         )
 
@@ -218,6 +219,7 @@
                 position=self._position(self.revision),
                 complete_since=self.complete_since,
                 roster_by_group=self._rosters(after),
+                promotion_by_group=self._promotions(after),
             )
         )
 
@@ -253,6 +255,18 @@
             if revision > after
         }
 
+    def _promotions(
+        self, after: int = 0
+    ) -> dict[ids.GroupId, coordination.StoredPromotion]:
+        """Return the promotion records that were written after a revision."""
+        return {
+            group: coordination.StoredPromotion(
+                record, self._position(revision)
+            )
+            for group, (record, revision) in self.record_by_group.items()
+            if revision > after
+        }
+
     async def write_roster(
         self,
         group: ids.GroupId,
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -246,6 +246,9 @@
                 roster_by_group=store_values.read_rosters(
                     page.items, self.eras.current
                 ),
+                promotion_by_group=store_values.read_promotions(
+                    page.items, self.eras.current
+                ),
             )
         )
 
--- a/burdockcart/platform/store_values.py
+++ b/burdockcart/platform/store_values.py
@@ -77,9 +77,29 @@
         position=store_era.position(era, seen.store_revision),
         complete_since=complete[-1] if complete else None,
         roster_by_group=read_rosters(seen.events, era),
+        promotion_by_group=read_promotions(seen.events, era),
     )
 
 
+def read_promotions(
+    items: list[store_messages.StoredItem], era: ids.StoreEra
+) -> dict[ids.GroupId, coordination.StoredPromotion]:
+    """Return the promotion records among some items, by group.
+
+    The newest one of each group counts; an unreadable one tells nothing.
+    """
+    return {
+        ids.GroupId(
+            item.key.removeprefix(PROMOTION_PREFIX)
+        ): coordination.StoredPromotion(
+            record, store_era.position(era, item.revision)
+        )
+        for item in items
+        if item.key.startswith(PROMOTION_PREFIX) and not item.tombstone
+        if (record := formats.read_promotion(item.data)) is not None
+    }
+
+
 def read_rosters(
     items: list[store_messages.StoredItem], era: ids.StoreEra
 ) -> dict[ids.GroupId, coordination.StoredRoster]:
--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -345,4 +345,5 @@
             if answer.rows
             else "no member status"
         )
-    return member_channel.MemberStatus(role, term, received)
+    held_term = _number(fields[3]) if len(fields) > 3 else None
+    return member_channel.MemberStatus(role, term, received, held_term or 0)
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -24,6 +24,7 @@
 from burdockcart.process.gateway import isolation_monitor
 from burdockcart.process.gateway import link_key
 from burdockcart.process.gateway import listing
+from burdockcart.process.gateway import open_calls
 from burdockcart.process.gateway import reachability
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import restore_wait
@@ -192,6 +193,10 @@
             self._restore_wait,
             connector,
             self.tables.refresh,
+            self.tables.notice_s,
+        )
+        self._open_calls = open_calls.KnownCalls(
+            self._failover.claims, self.tables, self._clock
         )
         self._rosters = roster_keeper.RosterKeeper(
             config.daemon,
@@ -354,6 +359,7 @@
                     self._boot_clock,
                     self.relay.holding,
                     self._link,
+                    self._open_calls,
                     self._settings.promotions_fenced,
                     self._settings.first_start,
                 )
@@ -382,6 +388,12 @@
             gauge.labels(group.id, "open").set(open_count)
             gauge.labels(group.id, "busy").set(busy_count)
             self.metrics.waiting.labels(group.id).set(len(group.queue))
+            self.metrics.call_open.labels(group.id).set(
+                self._open_calls.candidate(group.id) is not None
+            )
+            self.metrics.commits_blocked.labels(group.id).set(
+                group.commits.blocked
+            )
         self.metrics.links.labels("this").set(self.relay.open_links)
         self.metrics.links.labels("other").set(self.relay.service.links)
         self.metrics.relayed.set(self.relay.service.pending)
@@ -415,6 +427,15 @@
         for group in self.group_by_id.values():
             self._use_roster(group)
 
+    def promotions_changed(
+        self,
+        stored_by_group: dict[ids.GroupId, coordination.StoredPromotion],
+    ) -> None:
+        """Note which promotion calls may be carried out later."""
+        now = self._clock.now()
+        for group, stored in stored_by_group.items():
+            self._failover.claims.polled(group, stored, _wall_ms(), now)
+
     def store_listed(self) -> None:
         """Note that the whole store has been read."""
         for group in self.group_by_id.values():
@@ -479,7 +500,9 @@
     def awaits_primary(self) -> bool:
         """Return whether a group waits for a new primary."""
         return any(
-            group.primary.pool() is None or group.primary.failing()
+            group.primary.pool() is None
+            or group.primary.failing()
+            or self._open_calls.candidate(group.id) is not None
             for group in self.group_by_id.values()
             if self._failover.acts_early(group.id)
         )
--- a/burdockcart/process/gateway/claim_record.py
+++ b/burdockcart/process/gateway/claim_record.py
@@ -65,8 +65,8 @@
                 group, self._clock.now(), self._wait.store_away
             )
             return None
-        record = self._new(self._pinned(group))
         for _ in range(MAX_WRITES):
+            record = self._new(group)
             claimed = await self._platform.claim_promotion(
                 group, record, self._claims.position(group)
             )
@@ -102,16 +102,24 @@
     async def announce(
         self, group: ids.GroupId, candidate: ids.MemberId
     ) -> ids.FencingToken | None:
-        """Record for which member the platform is called.
+        """Record for which member the platform is about to be called.
 
-        Daemons that claim the promotion later must know the call: it may be
-        executed late.  The write fails if another daemon has claimed the
-        promotion meanwhile.  None if it failed.
+        Daemons that claim the promotion later, and those that pass on the
+        success of commits, must know the call: it may be executed late.  The
+        write fails if another daemon has claimed the promotion meanwhile.
+        None if it failed.
         """
         own = self._claims.own_claim(group)
         if own is None:
             return None
-        return await self._replace(group, self._new(candidate), own)
+        self.call_begins(group, candidate)
+        return await self._replace(group, self._new(group), own)
+
+    def call_begins(self, group: ids.GroupId, candidate: ids.MemberId) -> None:
+        """Note that the platform is about to be called."""
+        self._claims.call_begins(
+            group, candidate, self._wall_ms(), self._clock.now()
+        )
 
     def owned(self, group: ids.GroupId) -> bool:
         """Return whether this daemon's claim is the newest known one."""
@@ -120,8 +128,8 @@
     async def settle(self, group: ids.GroupId) -> None:
         """Record that no call for the group can be executed later."""
         own = self._claims.own_claim(group)
-        if own is not None and self._pinned(group) is None:
-            await self._replace(group, self._new(settled=True), own)
+        if own is not None and self._candidate(group) is None:
+            await self._replace(group, self._new(group, settled=True), own)
 
     async def restate(self, group: ids.GroupId) -> bool:
         """Record an open call again that a restored store may have lost.
@@ -130,11 +138,10 @@
         the second one finds the record of the first.
         """
         for _ in range(MAX_WRITES):
-            candidate = self._pinned(group)
-            if candidate is None:
+            if self._candidate(group) is None:
                 return True
             written = await self._platform.claim_promotion(
-                group, self._new(candidate), self._claims.position(group)
+                group, self._new(group), self._claims.position(group)
             )
             if isinstance(written, result.Success):
                 now = self._clock.now()
@@ -158,24 +165,25 @@
         if own is None:
             return False
         began_at = self._boot_clock.now()
-        renewed = await self._replace(
-            group, self._new(self._pinned(group)), own
-        )
+        renewed = await self._replace(group, self._new(group), own)
         elapsed_s = self._boot_clock.now() - began_at
         return renewed is not None and elapsed_s <= RENEWAL_VALID_S
 
-    def _pinned(self, group: ids.GroupId) -> ids.MemberId | None:
-        return self._claims.pinned(group, self._clock.now())
+    def _candidate(self, group: ids.GroupId) -> ids.MemberId | None:
+        return self._claims.candidate(group, self._clock.now())
 
     def _new(
-        self, candidate: ids.MemberId | None = None, settled: bool = False
+        self, group: ids.GroupId, settled: bool = False
     ) -> coordination.PromotionRecord:
+        """Return a record that names the open call of the group, if any."""
+        call = self._claims.open_call(group, self._clock.now())
         return coordination.PromotionRecord(
             self._daemon,
             uuid.uuid4().hex,
             self._wall_ms(),
-            candidate=candidate,
+            candidate=None if call is None else call.member,
             settled=settled,
+            called_at_ms=0 if call is None else call.called_at_ms,
         )
 
     async def _replace(
--- /dev/null
+++ b/burdockcart/process/gateway/commit_guard.py
@@ -0,0 +1,335 @@
+"""Holds back the success of commits that a pending promotion may discard.
+
+Explanation
+===========
+
+A promotion call without an answer may be carried out seconds later.  Until
+then, its candidate must hold every commit that a client is told to be done.
+The other replicas are on hold, so that only the candidate acknowledges; but a
+replica that starts again is not on hold any more, and neither is one that
+joins.  Either may acknowledge commits that the candidate lacks.
+
+So while a call is open, the success of a commit is passed on only once the
+candidate itself reports the commit.  While it lags, writes are refused before
+they are sent.
+
+A daemon may not know of a call: it has not read the store for a while, or the
+primary drains, so that a call may follow at any moment.  Then it asks all
+replicas.  Once it has seen one of them on hold, each of the others may be the
+candidate and must report the commit.
+
+"""
+
+import asyncio
+import enum
+import weakref
+
+import loguru
+
+from burdockcart import clock
+from burdockcart.connection import member_channel
+from burdockcart import ids
+from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway import open_calls
+from burdockcart.process.gateway import primary_tracker
+from burdockcart.process.gateway import promotion_claims
+from burdockcart.process.gateway import shared_inquiry
+from burdockcart.request import log_position
+
+#: Timeout of a query to a member, in seconds; longer than this daemon's own
+#: link may be full, since the query's connection ends with it.
+QUERY_TIMEOUT_S = 1.0
+#: Pause before a member that lacks a commit is asked again, in seconds.
+RETRY_PAUSE_S = 0.01
+#: Interval between looks at the candidate while commits are written, in
+#: seconds; also the lag at which writes are refused.
+LOOK_INTERVAL_S = 0.1
+#: The same while no replica has been seen on hold, in seconds.
+QUIET_INTERVAL_S = 0.4
+#: Time after the last write at which the looks end, in seconds.
+IDLE_S = 2.0
+
+
+class Coverage(enum.Enum):
+    """Whether a commit outlives a promotion that may follow."""
+
+    HELD = "the member that may be promoted has it"
+    PENDING = "it has not reported it yet"
+    UNKNOWN = "a later primary leads, which may lack it"
+
+
+class CommitGuard:
+    """Commits of one group while a promotion call may be open.
+
+    Parameters
+    ==========
+
+    pool_by_member : dict of MemberId to MemberPool
+        Owned by the group.
+    calls : OpenCalls
+        Which calls are open, and whether this daemon would know.
+
+    """
+
+    def __init__(
+        self,
+        group: ids.GroupId,
+        pool_by_member: dict[ids.MemberId, member_pool.MemberPool],
+        primary: primary_tracker.PrimaryTracker,
+        loop_clock: clock.Clock,
+        calls: open_calls.OpenCalls,
+    ):
+        #: Whether the group's commits have to outlive a promotion.
+        self.active = True
+        #: Whether writes are refused, as the candidate lags.
+        self.blocked = False
+        self._group = group
+        self._pool_by_member = pool_by_member
+        self._primary = primary
+        self._clock = loop_clock
+        self._calls = calls
+        self._blocked_at = 0.0
+        self._written_at = 0.0
+        #: Newest commit for which writes were blocked.
+        self._required: log_position.LogPosition | None = None
+        #: Until when a replica that was on hold tells of a call, and the
+        #: term of the primary then: a promotion ends every hold.
+        self._hold_until = 0.0
+        self._hold_term = 0
+        self._looks: asyncio.Task[None] | None = None
+        self._inquiry_by_pool: weakref.WeakKeyDictionary[
+            member_pool.MemberPool,
+            shared_inquiry.SharedInquiry[member_channel.MemberStatus | None],
+        ] = weakref.WeakKeyDictionary()
+
+    def begin_write(self) -> None:
+        """Note that a write or a COMMIT is about to be sent."""
+        self._written_at = self._clock.now()
+        if self._call_possible():
+            self._start_looks()
+
+    def _start_looks(self) -> None:
+        if self._looks is None or self._looks.done():
+            self._looks = asyncio.create_task(
+                self._look(), name="look_at_candidate"
+            )
+
+    async def confirm(
+        self, commit: log_position.LogPosition | None, until: float
+    ) -> bool:
+        """Return whether a commit may be reported to its client as done.
+
+        Parameters
+        ==========
+
+        commit : LogPosition or None
+            Position that the primary has reported after the commit.
+        until : float
+            Time on the event loop's clock until which to wait for that.
+
+        """
+        if not self._at_risk(commit):
+            return True
+        if commit is None:
+            return False
+        try:
+            async with asyncio.timeout_at(until):
+                return await self._covered(commit)
+        except TimeoutError:
+            return False
+
+    async def _covered(self, commit: log_position.LogPosition) -> bool:
+        """Wait until a commit is safe; False if it may never be."""
+        began_at = self._clock.now()
+        while True:
+            coverage = await self._coverage(commit)
+            if coverage is not Coverage.PENDING:
+                return coverage is Coverage.HELD
+            if self._clock.now() - began_at >= LOOK_INTERVAL_S:
+                self._block(commit)
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    def close(self) -> None:
+        """End the looks at the candidate."""
+        if self._looks is not None:
+            self._looks.cancel()
+
+    def _call_possible(self) -> bool:
+        """Return whether a call may be open, or may follow at any moment."""
+        if not self.active:
+            return False
+        candidate = self._calls.candidate(self._group)
+        if candidate is not None:
+            return candidate != self._primary.leadership.member
+        return self._primary_drains() or not self._calls.informed()
+
+    def _primary_drains(self) -> bool:
+        """Return whether a call for a promotion may follow at any moment."""
+        pool = self._primary.pool()
+        return pool is not None and pool.draining
+
+    def _at_risk(self, commit: log_position.LogPosition | None) -> bool:
+        """Return whether a commit could be discarded by an open call."""
+        if self._call_possible():
+            return True
+        return (
+            self.active
+            and commit is not None
+            and commit.term < self._primary.leadership.term
+            and self._calls.candidate(self._group) is not None
+        )
+
+    async def _coverage(self, commit: log_position.LogPosition) -> Coverage:
+        """Return whether the member that may be promoted has a commit."""
+        if commit.term < self._primary.leadership.term:
+            return Coverage.UNKNOWN
+        if not self._call_possible():
+            return await self._coverage_of_primary(commit)
+        candidate = self._calls.candidate(self._group)
+        if candidate is not None:
+            return _coverage_by(await self._observe(candidate), commit)
+        now = self._clock.now()
+        if not (self._primary_drains() or self._hold_seen(now)):
+            # The looks show a hold soon after it began.
+            return Coverage.HELD
+        answers = await self._observe_replicas()
+        found = [
+            _coverage_by(each, commit)
+            for each in answers
+            if each is None or not each.held_term
+        ]
+        if Coverage.UNKNOWN in found:
+            return Coverage.UNKNOWN
+        # If all are on hold, a member that is not known has acknowledged it.
+        covered = bool(found) and Coverage.PENDING not in found
+        if self._hold_seen(now) and not covered:
+            return Coverage.PENDING
+        return Coverage.HELD
+
+    async def _observe_replicas(
+        self,
+    ) -> list[member_channel.MemberStatus | None]:
+        """Return the status of each replica; note whether one is on hold."""
+        answers = await asyncio.gather(
+            *(
+                self._observe(member)
+                for member in self._pool_by_member
+                if member != self._primary.leadership.member
+            )
+        )
+        if any(each is not None and each.held_term for each in answers):
+            now = self._clock.now()
+            self._hold_until = now + promotion_claims.LATE_CALL_S
+            self._hold_term = self._primary.leadership.term
+        return answers
+
+    async def _observe(
+        self, member: ids.MemberId | None
+    ) -> member_channel.MemberStatus | None:
+        """Return a member's status; None without an answer."""
+        pool = self._pool_by_member.get(member) if member else None
+        if pool is None:
+            return None
+        inquiry = self._inquiry_by_pool.setdefault(
+            pool, shared_inquiry.SharedInquiry("member_status")
+        )
+        return await inquiry.ask(lambda: _observe(pool))
+
+    def _hold_seen(self, now: float) -> bool:
+        """Return whether a replica was on hold lately, in the present term."""
+        return (
+            now < self._hold_until
+            and self._hold_term == self._primary.leadership.term
+        )
+
+    async def _coverage_of_primary(
+        self, commit: log_position.LogPosition
+    ) -> Coverage:
+        """Return whether the primary still leads the term of a commit.
+
+        No call is open any more, so that the commit stays if it does.
+        """
+        position = await self._primary.position_now()
+        if position is None or position < commit:
+            return Coverage.PENDING
+        if position.term > commit.term:
+            return Coverage.UNKNOWN
+        return Coverage.HELD
+
+    async def _look(self) -> None:
+        """Refuse writes while the candidate lags; ends without writes."""
+        newest: log_position.LogPosition | None = None
+        while self._call_possible():
+            now = self._clock.now()
+            if not self.blocked and now - self._written_at >= IDLE_S:
+                return
+            if not (
+                self._hold_seen(now) or self._calls.candidate(self._group)
+            ):
+                self._resume("no replica is on hold")
+                await self._observe_replicas()
+                await asyncio.sleep(QUIET_INTERVAL_S)
+                continue
+            if self._required is not None:
+                newest = max(self._required, newest or self._required)
+            if newest is not None:
+                coverage = await self._coverage(newest)
+                if coverage is Coverage.PENDING:
+                    self._block(newest)
+                else:
+                    self._resume(coverage.value)
+            status = await self._observe(self._primary.leadership.member)
+            if status and status.role is member_channel.Role.PRIMARY:
+                newest = status.received
+            await asyncio.sleep(LOOK_INTERVAL_S)
+        self._resume("no call is open")
+
+    def _block(self, commit: log_position.LogPosition) -> None:
+        self._required = max(commit, self._required or commit)
+        if self.blocked:
+            return
+        self.blocked, self._blocked_at = True, self._clock.now()
+        loguru.logger.warning(
+            "event=commits_blocked group={} candidate={} position={}",
+            self._group,
+            self._calls.candidate(self._group),
+            f"{commit.term}.{commit.number}",
+        )
+        self._start_looks()
+
+    def _resume(self, cause: str) -> None:
+        if not self.blocked:
+            return
+        self.blocked, self._required = False, None
+        loguru.logger.info(
+            "event=commits_resumed group={} cause={!r} after_ms={}",
+            self._group,
+            cause,
+            int((self._clock.now() - self._blocked_at) * 1000),
+        )
+
+
+async def _observe(
+    pool: member_pool.MemberPool,
+) -> member_channel.MemberStatus | None:
+    status = await pool.observe(QUERY_TIMEOUT_S)
+    if isinstance(status, member_channel.MemberFault):
+        return None
+    return status
+
+
+def _coverage_by(
+    status: member_channel.MemberStatus | None,
+    commit: log_position.LogPosition,
+) -> Coverage:
+    """Return what a member's status tells about a commit.
+
+    A log of a later term may lack it, also if it is longer.
+    """
+    if status is None:
+        return Coverage.PENDING
+    if status.received.term > commit.term or (
+        status.role is member_channel.Role.PRIMARY
+    ):
+        return Coverage.UNKNOWN
+    return Coverage.HELD if status.received >= commit else Coverage.PENDING
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/coordination.py
@@ -96,6 +96,13 @@
     position: ids.StorePosition
 
 
+class StoredPromotion(msgspec.Struct, frozen=True):
+    """A group's promotion record and its position in the store."""
+
+    record: "PromotionRecord"
+    position: ids.StorePosition
+
+
 class StoreSnapshot(msgspec.Struct, frozen=True, kw_only=True):
     """The gateway's data in the store at a position.
 
@@ -112,6 +119,9 @@
     roster_by_group: dict[ids.GroupId, StoredRoster] = msgspec.field(
         default_factory=dict
     )
+    promotion_by_group: dict[ids.GroupId, StoredPromotion] = msgspec.field(
+        default_factory=dict
+    )
 
 
 class StoreChanges(msgspec.Struct, frozen=True, kw_only=True):
@@ -130,6 +140,9 @@
     roster_by_group: dict[ids.GroupId, StoredRoster] = msgspec.field(
         default_factory=dict
     )
+    promotion_by_group: dict[ids.GroupId, StoredPromotion] = msgspec.field(
+        default_factory=dict
+    )
 
 
 class PromotionRecord(msgspec.Struct, frozen=True):
@@ -138,9 +151,10 @@
     ``claimed_at_ms`` is the holder's wall-clock time, for operators and as an
     estimate of the record's age; clocks may differ by seconds.  ``reserved``
     marks a claim in advance, whose holder does not promote now.
-    ``candidate`` is the member that the holder calls the platform for, if the
-    platform checks no tokens; ``settled`` tells that each call was answered,
-    so that none can be executed later.
+    ``candidate`` is the member that the holder calls the platform for;
+    ``settled`` tells that each call was answered, so that none can be executed
+    later.  ``called_at_ms`` is the time of the last call by the wall clock of
+    its sender, which need not be the holder of the record; 0 without a call.
     """
 
     holder: ids.DaemonId
@@ -149,6 +163,7 @@
     reserved: bool = False
     candidate: ids.MemberId | None = None
     settled: bool = False
+    called_at_ms: int = 0
 
 
 class ClaimLost(msgspec.Struct, frozen=True):
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -9,6 +9,7 @@
 from typing import Coroutine
 
 import loguru
+import msgspec
 
 from burdockcart import clock
 from burdockcart.connection import member_channel
@@ -39,7 +40,15 @@
 
 
 class Failover:
-    """Monitors the primaries of all groups."""
+    """Monitors the primaries of all groups.
+
+    Parameters
+    ==========
+
+    notice_s : float
+        Time after which each daemon knows an entry of the store, in seconds.
+
+    """
 
     def __init__(
         self,
@@ -56,19 +65,25 @@
         wait: restore_wait.RestoreWait,
         connector: member_channel.Connector,
         refresh: Callable[[], Awaitable[bool]],
+        notice_s: float,
     ):
         self._daemon = daemon
         self._daemons = daemons
+        self._notice_s = notice_s
         self._metrics = metrics
+        #: Primaries that drain, and since when this daemon has known it.
+        self._draining_since: dict[ids.GroupId, tuple[ids.MemberId, float]] = (
+            {}
+        )
         #: Since when there has been a cause to replace a group's primary.
         self._cause_since: dict[ids.GroupId, float] = {}
         self._group_by_id = group_by_id
         self._clock = loop_clock
-        self._claims = promotion_claims.PromotionClaims(daemon, claim_ttl_s)
+        self.claims = promotion_claims.PromotionClaims(daemon, claim_ttl_s)
         self._promoter = promoter.Promoter(
             daemon,
             platform,
-            self._claims,
+            self.claims,
             loop_clock,
             boot_clock,
             wall_ms,
@@ -92,7 +107,7 @@
 
     def era_changed(self, era: ids.StoreEra) -> None:
         """Forget positions in the store; it was restored from a copy."""
-        self._claims.era_changed(era)
+        self.claims.era_changed(era)
 
     async def restate(self) -> bool:
         """Record again which calls are open, after a restore of the store.
@@ -159,7 +174,7 @@
             self._replace_missing(group)
             return
         self._missing_since.pop(group.id, None)
-        if self._promoter.left_on_hold(group) and self._claims.may_try(
+        if self._promoter.left_on_hold(group) and self.claims.may_try(
             group.id, True, self._clock.now()
         ):
             self._start_attempt(group, self._promoter.release_left(group))
@@ -179,6 +194,13 @@
         view = _view(pool, group, now)
         self._expect_primary(group, view)
         cause = failover_rule.cause_to_replace(view, now)
+        if cause is failover_rule.Cause.DRAINING and not self._is_known(
+            group.id, pool.entry.id, now
+        ):
+            # Another cause needs no notice.
+            cause = failover_rule.cause_to_replace(
+                msgspec.structs.replace(view, draining=False), now
+            )
         if cause is None or group.isolated:
             self._cause_since.pop(group.id, None)
             return
@@ -188,13 +210,27 @@
         if now >= self._begins_until:
             return
         planned = cause is failover_rule.Cause.DRAINING
-        if not self._claims.may_try(group.id, planned, now):
+        if not self.claims.may_try(group.id, planned, now):
             self._start_check("search", group, self._search(group))
             return
         self._start_attempt(
             group, self._promoter.replace(group, pool.entry.id, cause)
         )
 
+    def _is_known(
+        self, group: ids.GroupId, member: ids.MemberId, now: float
+    ) -> bool:
+        """Return whether each daemon knows that a primary drains.
+
+        Then they check commits, as it is about to be replaced, or know that
+        they have not read the store for a while.
+        """
+        known, since = self._draining_since.get(group, (None, now))
+        if known != member:
+            self._draining_since[group] = member, now
+            since = now
+        return now - since >= self._notice_s
+
     def _replace_missing(self, group: groups.Group) -> None:
         """Promote a replica if the primary has left the list for good."""
         now = self._clock.now()
@@ -206,7 +242,7 @@
             return
         if not self._has_turn(group.id, now) or now >= self._begins_until:
             return
-        if not self._claims.may_try(group.id, False, now):
+        if not self.claims.may_try(group.id, False, now):
             return
         self._start_attempt(
             group,
@@ -234,7 +270,7 @@
             loguru.logger.opt(exception=error).error(
                 "event=promotion_failed group={}", group
             )
-            self._claims.failed(group, self._clock.now())
+            self.claims.failed(group, self._clock.now())
 
     def acts_early(self, group: ids.GroupId) -> bool:
         """Return whether this daemon is among the first to act."""
@@ -254,7 +290,7 @@
         if failover_rule.is_lost(view, self._clock.now()):
             group.primary.expected_at = failover_rule.estimate_primary_at(
                 failover_rule.replacement_begins_at(view),
-                self._claims.failed_at(group.id),
+                self.claims.failed_at(group.id),
                 self._promoter.promotion_s,
                 self._clock.now(),
             )
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -117,6 +117,18 @@
             ["group"],
             registry=self.registry,
         )
+        self.call_open = prometheus_client.Gauge(
+            "burdockcart_promotion_call_open",
+            "Whether a promotion call may still be carried out",
+            ["group"],
+            registry=self.registry,
+        )
+        self.commits_blocked = prometheus_client.Gauge(
+            "burdockcart_commits_blocked",
+            "Whether writes are refused as a member to be promoted lags",
+            ["group"],
+            registry=self.registry,
+        )
         self.links = prometheus_client.Gauge(
             "burdockcart_peer_links",
             "Links to other daemons, by the side that opened them",
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -12,8 +12,10 @@
 from burdockcart.connection import own_link
 from burdockcart import errors
 from burdockcart import ids
+from burdockcart.process.gateway import commit_guard
 from burdockcart.process.gateway import connection_share
 from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway import open_calls
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.gateway import primary_tracker
 from burdockcart.process.gateway import replica_roster
@@ -24,6 +26,9 @@
 #: Retry hint for clients of a daemon that is cut off, in milliseconds: the
 #: load balancer sends them elsewhere by then.
 ISOLATED_RETRY_MS = 1000
+#: The same of a group whose primary leaves, in milliseconds: about the time
+#: until the next attempt to replace it.
+REPLACEMENT_RETRY_MS = 400
 
 
 class ConnectionPlan(Protocol):
@@ -48,6 +53,8 @@
         Failure domain of this daemon.
     drain_s : float
         Time after which a draining member must get no new work, in seconds.
+    calls : OpenCalls
+        Promotion calls that may be carried out later.
     first_start : bool
         Whether the whole deployment starts for the first time.
 
@@ -63,6 +70,7 @@
         boot_clock: clock.Clock,
         plan: ConnectionPlan,
         link: own_link.OwnLink,
+        calls: open_calls.OpenCalls,
         promotions_fenced: bool = True,
         first_start: bool = False,
     ):
@@ -79,6 +87,9 @@
             boot_clock,
             self.dispatch,
         )
+        self.commits = commit_guard.CommitGuard(
+            limits.id, self.pool_by_member, self.primary, loop_clock, calls
+        )
         self.queue = work_queue.WorkQueue()
         #: Whether no other failure domain is reachable.
         self.isolated = False
@@ -95,6 +106,7 @@
     def use_limits(self, limits: manifest.GroupLimits) -> None:
         """Apply new limits."""
         self.limits = limits
+        self.commits.active = limits.synchronous
         self.apply_shares()
 
     def apply_shares(self) -> None:
@@ -211,6 +223,12 @@
                 f"the primary of group {self.id} is unreachable",
                 retry_after_ms=ISOLATED_RETRY_MS,
             )
+        if work.primary_only and self._primary_has_drained():
+            return errors.Failure(
+                errors.ErrorKind.NO_PRIMARY,
+                f"the primary of group {self.id} leaves and is not replaced",
+                retry_after_ms=REPLACEMENT_RETRY_MS,
+            )
         if work.primary_only and self.primary.expected_at is not None:
             due_s = self.primary.expected_at - now
             if due_s > left_s:
@@ -264,6 +282,18 @@
         work.connection.set_result(result.Failure(failure))
         self.queue.remove(work)
 
+    def _primary_has_drained(self) -> bool:
+        """Return whether the primary gets no work any more as it leaves.
+
+        A new one that is about to lead is waited for.
+        """
+        pool = self.primary.pool()
+        return (
+            pool is not None
+            and not pool.takes_new_work(self._drain_s)
+            and self.primary.expected_at is None
+        )
+
     def _primary_is_local(self) -> bool:
         """Return whether the primary is in this failure domain."""
         pool = self.primary.pool()
@@ -387,6 +417,7 @@
 
     def close(self) -> None:
         """Close all connections."""
+        self.commits.close()
         for pool in self.pool_by_member.values():
             pool.retire()
 
--- a/burdockcart/process/gateway/log_comparison.py
+++ b/burdockcart/process/gateway/log_comparison.py
@@ -42,6 +42,8 @@
     ):
         self._group = group
         self._channels = channels
+        #: Term with which the other replicas are put on hold.
+        self.term = 0
         self._listed = listed
         self._clock = loop_clock
 
@@ -72,7 +74,7 @@
         if not eligible:
             return None
         candidate = failover_rule.first_candidate(eligible)
-        term = 1 + max(
+        self.term = 1 + max(
             [self._group.primary.leadership.term]
             + [max(each.received.term, each.term) for each in seen]
         )
@@ -83,7 +85,7 @@
         }
         held = await self._query_all(
             rest,
-            lambda each: each.hold_replication(term, QUERY_TIMEOUT_S),
+            lambda each: each.hold_replication(self.term, QUERY_TIMEOUT_S),
         )
         if held is None:
             return None
@@ -96,10 +98,11 @@
             candidate.received,
             [each.received for each in held],
         )
-        longest = await self._choose_longest(candidate, term, held)
-        if longest not in self._listed or only not in (None, longest):
+        if only is not None:
+            # On hold it could never receive what it lacks.
             return None
-        return longest
+        longest = await self._choose_longest(candidate, held)
+        return longest if longest in self._listed else None
 
     async def reaches(
         self, candidate: ids.MemberId, position: log_position.LogPosition
@@ -154,13 +157,12 @@
     async def _choose_longest(
         self,
         candidate: failover_rule.ReplicaView,
-        term: int,
         held: list[failover_rule.ReplicaView],
     ) -> ids.MemberId | None:
         """Put the candidate on hold too, and choose the longest log."""
         stopped = await self._query_all(
             {candidate.id: self._channels[candidate.id]},
-            lambda each: each.hold_replication(term, QUERY_TIMEOUT_S),
+            lambda each: each.hold_replication(self.term, QUERY_TIMEOUT_S),
         )
         if stopped is None:
             return None
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -24,12 +24,13 @@
 #: handshake (27 ms), since a handshake may queue behind statements.
 CONNECT_TIMEOUT_S = 0.3
 #: Share of the granted time for which a draining member still gets work that
-#: no other member can run; the rest covers the delay until this daemon learns
-#: of the draining, and the latency of the last statement.
-DRAIN_SHARE = 0.5
-#: The same, of the time since the member may have announced it at the
-#: earliest: a daemon that was cut off from the store learns of it late.
-EARLIEST_DRAIN_SHARE = 0.75
+#: no other member can run, counted from when it may have announced it at the
+#: earliest: a daemon learns of it late.  The rest covers the time that a
+#: statement needs to reach the member.
+DRAIN_SHARE = 0.8
+#: The same, counted from when this daemon learned of it, if it cannot tell
+#: when the member may have announced it.
+FIRST_SEEN_DRAIN_SHARE = 0.5
 #: Backoff after a member reported that its connections are exhausted, in
 #: seconds, with jitter.  Daemons that tried again after a fixed pause kept a
 #: member busy with up to 1,000 refusals a second.
@@ -70,7 +71,9 @@
         self.retired = False
         self._draining_since: float | None = None
         #: Time after which the member announced that it will leave.
-        self._ready_until = 0.0
+        #: When the last state of the store in which it did not drain was
+        #: asked for; None if there is none.
+        self._ready_until: float | None = None
         self._connector = connector
         self._clock = loop_clock
         self._listed_at = loop_clock.now()
@@ -108,9 +111,7 @@
             self._draining_since = None
         elif self._draining_since is None:
             self._draining_since = self._clock.now()
-            self._ready_until = (
-                self._draining_since if known_until is None else known_until
-            )
+            self._ready_until = known_until
 
     @property
     def listed_for_s(self) -> float:
@@ -135,10 +136,10 @@
         if self._draining_since is None:
             return True
         now = self._clock.now()
-        return (
-            now - self._draining_since < DRAIN_SHARE * drain_s
-            and now - self._ready_until < EARLIEST_DRAIN_SHARE * drain_s
-        )
+        if self._ready_until is None:
+            limit_s = FIRST_SEEN_DRAIN_SHARE * drain_s
+            return now - self._draining_since < limit_s
+        return now - self._ready_until < DRAIN_SHARE * drain_s
 
     @property
     def address(self) -> member_channel.MemberAddress:
--- /dev/null
+++ b/burdockcart/process/gateway/open_calls.py
@@ -0,0 +1,48 @@
+"""Whether a promotion call may still be carried out, as this daemon knows."""
+
+from typing import Protocol
+
+from burdockcart import clock
+from burdockcart import ids
+from burdockcart.process.gateway import promotion_claims
+from burdockcart.process.gateway import store_follower
+
+
+class OpenCalls(Protocol):
+    """Calls to promote a member, of any daemon."""
+
+    def candidate(self, group: ids.GroupId) -> ids.MemberId | None:
+        """Return the member of a call that may still be carried out."""
+
+    def informed(self) -> bool:
+        """Return whether a call of a while ago would be known."""
+
+
+class KnownCalls:
+    """Calls of this daemon, and those that the store has shown.
+
+    Parameters
+    ==========
+
+    tables : StoreFollower
+        Tells how old this daemon's knowledge of the store is.
+
+    """
+
+    def __init__(
+        self,
+        claims: promotion_claims.PromotionClaims,
+        tables: store_follower.StoreFollower,
+        loop_clock: clock.Clock,
+    ):
+        self._claims = claims
+        self._tables = tables
+        self._clock = loop_clock
+
+    def candidate(self, group: ids.GroupId) -> ids.MemberId | None:
+        """Return the member of a call that may still be carried out."""
+        return self._claims.candidate(group, self._clock.now())
+
+    def informed(self) -> bool:
+        """Return whether a call of a while ago would be known."""
+        return self._tables.informed
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -28,6 +28,7 @@
 from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import hold_keeper
 from burdockcart.process.gateway import log_comparison
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
@@ -213,7 +214,7 @@
         )
         try:
             candidate = await comparison.candidate(
-                self._claims.pinned(group.id, self._clock.now())
+                self._claims.candidate(group.id, self._clock.now())
             )
             compared_at = self._boot_clock.now()
             if (
@@ -224,9 +225,22 @@
                     group, old, asked, comparison, candidate
                 )
             ):
-                outcome = await self._call_platform(
-                    group, candidate, token, asked, compared_at
+                keeper = hold_keeper.HoldKeeper(
+                    group,
+                    {old, candidate},
+                    asked,
+                    comparison.term,
+                    lambda each: self._leave_on_hold(group, [each]),
+                )
+                keeping = asyncio.create_task(
+                    keeper.run(), name="keep_on_hold"
                 )
+                try:
+                    outcome = await self._call_platform(
+                        group, candidate, token, asked, compared_at
+                    )
+                finally:
+                    keeping.cancel()
         except asyncio.CancelledError:
             # This daemon shuts down; nobody else knows what it has on hold.
             if group.id not in self._calling:
@@ -240,10 +254,9 @@
             refreshed.cancel()
         if outcome is CallOutcome.DONE:
             assert candidate is not None
-            if group.promotions_fenced:
-                # Calls with a lower token are refused from now on.
-                self._claims.unpin(group.id)
             await self._await_leadership(group, candidate)
+            # Calls with a lower token are refused where there is fencing.
+            self._claims.call_done(group.id, group.promotions_fenced)
             await self._record.settle(group.id)
             return True
         if outcome is CallOutcome.NOT_DONE:
@@ -322,40 +335,24 @@
         """Call the platform; retry with a new token where that can help."""
         outcome = CallOutcome.NOT_DONE
         for _ in range(MAX_CALLS):
-            valid_s = COMPARISON_VALID_S
-            if self._record.owned(group.id):
-                # Fails if another daemon has claimed the promotion, so that
-                # nobody else has released a replica since the comparison.
-                compared_at = self._boot_clock.now()
-                valid_s = ANNOUNCEMENT_VALID_S
-                announced = await self._record.announce(group.id, candidate)
-                if announced is None:
-                    return outcome
-                token = announced
-            if self._boot_clock.now() - compared_at > valid_s:
-                self._put_off(group, "the comparison of the logs is old")
-                return outcome
-            if asked.lost:
-                self._put_off(
-                    group, "a replica may no longer be on hold", asked.lost
+            try:
+                answer = await self._call_once(
+                    group, candidate, token, asked, compared_at
                 )
+            except BaseException:
+                if group.id in self._calling:
+                    self._claims.call_unanswered(group.id, self._clock.now())
+                else:
+                    self._claims.call_refused(group.id)
+                raise
+            if answer is None:
+                self._claims.call_refused(group.id)
                 return outcome
-            self._calling.add(group.id)
-            answer = await self._platform.promote(
-                group.id, candidate, self._daemon, token
-            )
             if isinstance(answer, result.Success):
                 return CallOutcome.DONE
             fault = answer.failure()
-            loguru.logger.warning(
-                "event=promotion_refused group={} member={} token={} "
-                "fault={!r}",
-                group.id,
-                candidate,
-                token,
-                fault.value,
-            )
             if fault is coordination.PromotionFault.REJECTED:
+                self._claims.call_refused(group.id)
                 self._reserved.drop_token(group.id)
                 await self._record.settle(group.id)
                 return outcome
@@ -364,18 +361,67 @@
                 # token has been answered.
                 outcome = CallOutcome.UNANSWERED
                 self._reserved.drop_token(group.id)
-                self._claims.pin(group.id, candidate, self._clock.now())
+                self._claims.call_unanswered(group.id, self._clock.now())
+            else:
+                self._claims.call_refused(group.id)
             next_token = await self._record.claim(group.id)
             if next_token is None:
                 return outcome
             token = next_token
         return outcome
 
+    async def _call_once(
+        self,
+        group: groups.Group,
+        candidate: ids.MemberId,
+        token: ids.FencingToken,
+        asked: asked_members.AskedMembers,
+        compared_at: float,
+    ) -> result.Result[None, coordination.PromotionFault] | None:
+        """Record the candidate and call the platform.
+
+        None if the platform was not called.
+        """
+        valid_s = COMPARISON_VALID_S
+        if self._record.owned(group.id):
+            # Fails if another daemon has claimed the promotion, so that
+            # nobody else has released a replica since the comparison.
+            compared_at = self._boot_clock.now()
+            valid_s = ANNOUNCEMENT_VALID_S
+            announced = await self._record.announce(group.id, candidate)
+            if announced is None:
+                return None
+            token = announced
+        else:
+            self._record.call_begins(group.id, candidate)
+        if self._boot_clock.now() - compared_at > valid_s:
+            self._put_off(group, "the comparison of the logs is old")
+            return None
+        if asked.lost:
+            self._put_off(
+                group, "a replica may no longer be on hold", asked.lost
+            )
+            return None
+        self._calling.add(group.id)
+        answer = await self._platform.promote(
+            group.id, candidate, self._daemon, token
+        )
+        if isinstance(answer, result.Failure):
+            loguru.logger.warning(
+                "event=promotion_refused group={} member={} token={} "
+                "fault={!r}",
+                group.id,
+                candidate,
+                token,
+                answer.failure().value,
+            )
+        return answer
+
     async def restate(self) -> bool:
         """Record open calls again; False if the store did not answer."""
         restated = [
             await self._record.restate(group)
-            for group in self._claims.pinned_groups
+            for group in self._claims.groups_with_calls
         ]
         return all(restated)
 
@@ -400,7 +446,7 @@
 
     def _open_call(self, group: groups.Group) -> ids.MemberId | None:
         """Return the member of a call that may still be carried out."""
-        return self._claims.pinned(group.id, self._clock.now())
+        return self._claims.candidate(group.id, self._clock.now())
 
     async def release_left(self, group: groups.Group) -> None:
         """Claim the promotion to release what was left on hold.
--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -1,5 +1,8 @@
 """Decides when this daemon may start a promotion in a group."""
 
+import loguru
+import msgspec
+
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover_rule
@@ -15,6 +18,24 @@
 LATE_CALL_S = 13.0
 
 
+class OpenCall(msgspec.Struct, frozen=True):
+    """A promotion call that may be carried out until some time.
+
+    Parameters
+    ==========
+
+    called_at_ms : int
+        Time of the call by the wall clock of its sender.
+    until : float
+        On the event loop's clock.
+
+    """
+
+    member: ids.MemberId
+    called_at_ms: int
+    until: float
+
+
 class PromotionClaims:
     """Keeps promotions by this and other daemons apart.
 
@@ -42,8 +63,12 @@
         self._unplanned_not_before: dict[ids.GroupId, float] = {}
         self._failed_at: dict[ids.GroupId, float] = {}
         self._store_silent: set[ids.GroupId] = set()
-        #: Member of a call that may still be executed, and until when.
-        self._pin_by_group: dict[ids.GroupId, tuple[ids.MemberId, float]] = {}
+        #: Calls without an answer, of this or another daemon.
+        self._open_by_group: dict[ids.GroupId, OpenCall] = {}
+        #: Calls of this daemon that wait for their answer.
+        self._running_by_group: dict[ids.GroupId, OpenCall] = {}
+        #: Position of the newest record that a poll of the store has shown.
+        self._polled_by_group: dict[ids.GroupId, ids.StorePosition] = {}
 
     def era_changed(self, era: ids.StoreEra) -> None:
         """Forget the positions of all records: the store was restored.
@@ -53,25 +78,76 @@
         self._era = era
         self._position_by_group.clear()
         self._own_by_group.clear()
+        self._polled_by_group.clear()
 
-    def pin(
-        self, group: ids.GroupId, member: ids.MemberId, now: float
+    def call_begins(
+        self,
+        group: ids.GroupId,
+        member: ids.MemberId,
+        wall_ms: int,
+        now: float,
     ) -> None:
-        """Record that a call for a member may still be executed.
+        """Record that the platform is being called to promote a member."""
+        self._running_by_group[group] = OpenCall(
+            member, wall_ms, now + LATE_CALL_S
+        )
+
+    def call_refused(self, group: ids.GroupId) -> None:
+        """Record that the call that ran was not carried out, nor will be."""
+        self._running_by_group.pop(group, None)
+
+    def call_unanswered(self, group: ids.GroupId, now: float) -> None:
+        """Record that the call that ran may be carried out later.
 
         Until it can no longer be, no other member may be promoted: without
         fencing the late call would then depose the newer primary.
         """
-        self._pin_by_group[group] = (member, now + LATE_CALL_S)
+        running = self._running_by_group.pop(group)
+        self._open(
+            group, msgspec.structs.replace(running, until=now + LATE_CALL_S)
+        )
 
-    def unpin(self, group: ids.GroupId) -> None:
+    def call_done(self, group: ids.GroupId, fenced: bool) -> None:
+        """Record that the call that ran was carried out.
+
+        Where the platform checks tokens, no earlier one will be.
+        """
+        self._running_by_group.pop(group, None)
+        if fenced:
+            self.none_open(group)
+
+    def _open(self, group: ids.GroupId, call: OpenCall) -> None:
+        known = self._open_by_group.get(group)
+        self._open_by_group[group] = call
+        if known is None or known.member != call.member:
+            loguru.logger.warning(
+                "event=promotion_call_open group={} member={} "
+                "called_at_ms={}",
+                group,
+                call.member,
+                call.called_at_ms,
+            )
+
+    def none_open(self, group: ids.GroupId) -> None:
         """Record that each call for a group was answered."""
-        self._pin_by_group.pop(group, None)
+        if self._open_by_group.pop(group, None) is not None:
+            loguru.logger.info("event=promotion_call_closed group={}", group)
 
-    def pinned(self, group: ids.GroupId, now: float) -> ids.MemberId | None:
+    def open_call(self, group: ids.GroupId, now: float) -> OpenCall | None:
+        """Return the call that may still be carried out, if there is one."""
+        running = self._running_by_group.get(group)
+        if running is not None and now < running.until:
+            return running
+        known = self._open_by_group.get(group)
+        if known is None or now < known.until:
+            return known
+        self.none_open(group)
+        return None
+
+    def candidate(self, group: ids.GroupId, now: float) -> ids.MemberId | None:
         """Return the only member that may be promoted, if there is one."""
-        member, until = self._pin_by_group.get(group, (None, 0.0))
-        return member if now < until else None
+        call = self.open_call(group, now)
+        return None if call is None else call.member
 
     def store_silent(self, group: ids.GroupId) -> bool:
         """Return whether the store was unavailable at the last claim."""
@@ -91,9 +167,9 @@
         )
 
     @property
-    def pinned_groups(self) -> list[ids.GroupId]:
+    def groups_with_calls(self) -> list[ids.GroupId]:
         """Groups for which a call may still be executed."""
-        return list(self._pin_by_group)
+        return list(self._open_by_group.keys() | self._running_by_group)
 
     def own_claim(self, group: ids.GroupId) -> ids.StorePosition | None:
         """Return the position of this daemon's claim, if it has one."""
@@ -145,7 +221,7 @@
         self._store_silent.discard(group)
         record = lost.record
         if record is not None and not seen_before:
-            self._note_candidate(group, record, now)
+            self._note_call(group, record, wall_ms, now)
         if record is None or record.reserved or record.holder == self._daemon:
             return True
         age_s = (wall_ms - record.claimed_at_ms) / 1000
@@ -159,13 +235,41 @@
         self._not_before[group] = expires_at
         return False
 
-    def _note_candidate(
+    def polled(
+        self,
+        group: ids.GroupId,
+        stored: coordination.StoredPromotion,
+        wall_ms: int,
+        now: float,
+    ) -> None:
+        """Note the call that a record names, unless it is an old record.
+
+        The claim itself counts only once this daemon wants to claim.
+        """
+        known = self._polled_by_group.get(group, 0)
+        if stored.position <= max(known, self.position(group)):
+            return
+        self._polled_by_group[group] = stored.position
+        self._note_call(group, stored.record, wall_ms, now)
+
+    def _note_call(
         self,
         group: ids.GroupId,
         record: coordination.PromotionRecord,
+        wall_ms: int,
         now: float,
     ) -> None:
         if record.settled:
-            self.unpin(group)
-        elif record.candidate is not None:
-            self.pin(group, record.candidate, now)
+            self.none_open(group)
+        if record.settled or record.candidate is None:
+            return
+        # Daemons pass the call on from record to record, so its age counts
+        # from the call itself.
+        called_at_ms = record.called_at_ms or record.claimed_at_ms
+        age_s = (wall_ms - called_at_ms) / 1000
+        left_s = min(LATE_CALL_S + CLOCK_SKEW_S - age_s, LATE_CALL_S)
+        if left_s <= 0:
+            return
+        self._open(
+            group, OpenCall(record.candidate, called_at_ms, now + left_s)
+        )
--- a/burdockcart/process/gateway/refusals.py
+++ b/burdockcart/process/gateway/refusals.py
@@ -20,6 +20,11 @@
     fault=member_channel.MemberFault.UNCONFIRMED,
     text="no replica confirms the primary's term",
 )
+#: A commit that a promotion may discard; whether it will is not known.
+UNCOVERED = member_channel.Answer(
+    fault=member_channel.MemberFault.UNCOVERED,
+    text="the member that may be promoted has not reported the commit",
+)
 #: A statement whose call did not end.
 SILENT = member_channel.Answer(fault=member_channel.MemberFault.SILENT)
 
@@ -58,6 +63,17 @@
     )
 
 
+def commits_blocked(group: groups.Group) -> Outcome:
+    """Refuse a write that a pending promotion would discard."""
+    return result.Failure(
+        errors.Failure(
+            errors.ErrorKind.NO_PRIMARY,
+            f"a replica of group {group.id} that may be promoted lags",
+            retry_after_ms=STALLED_RETRY_MS,
+        )
+    )
+
+
 def primary_lacks_position(
     group: groups.Group,
     connection: pooled_connection.PooledConnection,
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -139,10 +139,15 @@
             series.work = work
             if request.writes and self._attempts.primary_stalled(group):
                 return refusals.writes_stalled(group)
+            if request.writes and group.commits.blocked:
+                return refusals.commits_blocked(group)
             acquired = await group.acquire(work)
             if isinstance(acquired, result.Failure):
                 return result.Failure(refusal or acquired.failure())
             connection = acquired.unwrap()
+            if request.writes and group.commits.blocked:
+                group.release(connection)
+                return refusals.commits_blocked(group)
             series.member = connection.pool.entry.id
             self._attempts.log_placement(
                 group, request, connection, work, attempt
@@ -159,6 +164,8 @@
                 )
             finally:
                 group.release(connection)
+            if answer.fault is None and request.writes:
+                answer = await self._confirmed(group, session, request, answer)
             if answer.fault is None:
                 return result.Success(answer)
             step = retry_policy.next_step_single(
@@ -188,6 +195,21 @@
             if series.cancelled:
                 return result.Failure(failure)
 
+    async def _confirmed(
+        self,
+        group: groups.Group,
+        session: attempts.Session,
+        request: attempts.Request,
+        answer: member_channel.Answer,
+    ) -> member_channel.Answer:
+        """Return the answer to a write unless a promotion may discard it."""
+        if not await group.commits.confirm(
+            answer.position, request.deadline_at
+        ):
+            return refusals.UNCOVERED
+        self._attempts.remember_commit(session, answer)
+        return answer
+
     async def _attempt(
         self,
         group: groups.Group,
@@ -218,12 +240,12 @@
                 return refusals.UNCONFIRMED
         if series.cancelled:
             return channel_state.not_sent("answered by another member")
+        if request.writes:
+            group.commits.begin_write()
         answer = await self._attempts.send(
             request, connection, work, request.writes, prove, timeout_factor
         )
         self._attempts.learn(group, connection, work, answer, since)
-        if answer.fault is None and request.writes:
-            self._attempts.remember_commit(session, answer)
         return answer
 
 
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store_follower.py
@@ -28,6 +28,8 @@
 #: Timeout of a poll that a promotion waits for, in seconds; its claim of a
 #: moment before was answered.
 REFRESH_TIMEOUT_S = 0.6
+#: Time by which a poll may be late, in seconds.
+POLL_SLACK_S = 0.35
 #: Consecutive failures after which the whole store is read again.
 REREAD_AFTER = 2
 #: Backoff after a failed call, in seconds, with jitter: all daemons fail at
@@ -59,6 +61,12 @@
     ) -> None:
         """Apply new rosters of groups."""
 
+    def promotions_changed(
+        self,
+        stored_by_group: dict[ids.GroupId, coordination.StoredPromotion],
+    ) -> None:
+        """Note new promotion records of groups."""
+
     def store_listed(self) -> None:
         """Note that the whole store has been read."""
 
@@ -192,6 +200,25 @@
         """The registered daemons."""
         return frozenset(self._daemons.entry_by_id)
 
+    @property
+    def informed(self) -> bool:
+        """Whether what was in the store some time ago is applied.
+
+        That time is :attr:`notice_s`.
+        """
+        asked_at = self.known_until
+        return asked_at is not None and (
+            self._clock.now() - asked_at <= self.notice_s
+        )
+
+    @property
+    def notice_s(self) -> float:
+        """Time after which a daemon knows what was written, in seconds.
+
+        One that has not polled the store in that time knows that, too.
+        """
+        return self._interval_s + POLL_SLACK_S
+
     @property
     def age_s(self) -> float:
         """Time since what the store holds was last applied, in seconds."""
@@ -327,6 +354,7 @@
         if found.tables is not None:
             self._use_manifest(found.tables)
         self._listener.rosters_changed(self.roster_by_group)
+        self._listener.promotions_changed(found.promotion_by_group)
         self._listener.store_listed()
         self._notify_members(list(self.catalog.entry_by_id.values()))
         if found.fleet_key is not None:
@@ -344,6 +372,8 @@
         if changes.roster_by_group:
             self.roster_by_group |= changes.roster_by_group
             self._listener.rosters_changed(self.roster_by_group)
+        if changes.promotion_by_group:
+            self._listener.promotions_changed(changes.promotion_by_group)
         entries = changes.entry_by_member
         self.catalog.changed(entries, now)
         self._notify_members(
--- a/burdockcart/process/gateway/term_witness.py
+++ b/burdockcart/process/gateway/term_witness.py
@@ -23,6 +23,7 @@
 from burdockcart.connection import member_channel
 from burdockcart import ids
 from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway import shared_inquiry
 
 #: Timeout of a replica's answer, in seconds; the query takes no slot, so only
 #: the network or a stopped member delays it.
@@ -92,8 +93,9 @@
         self._pool_by_member = pool_by_member
         self._boot_clock = boot_clock
         self._found = found
-        self._running: asyncio.Task[Witness | None] | None = None
-        self._next: asyncio.Task[Witness | None] | None = None
+        self._inquiry = shared_inquiry.SharedInquiry[Witness | None](
+            "term_inquiry"
+        )
         #: When the last inquiry failed, unless one has succeeded since.
         self._failed_at: float | None = None
         #: Queries in flight; the event loop holds only weak references.
@@ -105,24 +107,7 @@
         None if too few replicas answer.  Callers that arrive while an inquiry
         is running share the next one.
         """
-        running = self._running
-        if running is None or running.done():
-            self._running = asyncio.create_task(
-                self._inquire(primary), name="term_inquiry"
-            )
-            return await asyncio.shield(self._running)
-        if self._next is None:
-            self._next = asyncio.create_task(
-                self._inquire_after(running, primary), name="term_inquiry"
-            )
-        return await asyncio.shield(self._next)
-
-    async def _inquire_after(
-        self, running: asyncio.Task[Witness | None], primary: ids.MemberId
-    ) -> Witness | None:
-        await asyncio.wait({running})
-        self._running, self._next = asyncio.current_task(), None
-        return await self._inquire(primary)
+        return await self._inquiry.ask(lambda: self._inquire(primary))
 
     async def _inquire(self, primary: ids.MemberId) -> Witness | None:
         since = self._boot_clock.now()
--- a/burdockcart/process/gateway/tests/test_old_primary.py
+++ b/burdockcart/process/gateway/tests/test_old_primary.py
@@ -226,9 +226,10 @@
         The platform executes a call without an answer up to 12 s later.
         """
         claims = promotion_claims.PromotionClaims("d0", 3.0)
-        claims.pin(GROUP, "m-b", now=10.0)
-        self.assertEqual("m-b", claims.pinned(GROUP, 22.0))
-        self.assertIsNone(claims.pinned(GROUP, 23.5))
+        claims.call_begins(GROUP, "m-b", wall_ms=0, now=9.0)
+        claims.call_unanswered(GROUP, now=10.0)
+        self.assertEqual("m-b", claims.candidate(GROUP, 22.0))
+        self.assertIsNone(claims.candidate(GROUP, 23.5))
 
 
 class TestUnconfirmed(testtools.TestCase):
--- /dev/null
+++ b/burdockcart/process/gateway/tests/test_open_calls.py
@@ -0,0 +1,261 @@
+"""Tests what clients are told while a promotion call may be carried out.
+
+The call gets no answer, and its candidate receives nothing for a while.  The
+other replicas are on hold; one that starts again, or one that joins, is not,
+and acknowledges commits that the candidate lacks.
+"""
+
+import asyncio
+
+import msgspec
+from returns import result
+import testtools
+
+from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.tests import test_replica_rosters
+from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.request import command
+from burdockcart.tests import gateway_deployment
+from burdockcart.version import manifest
+
+GROUP = gateway_deployment.GROUP
+#: Time from a call until its candidate receives nothing, in seconds.
+DEAF_AFTER_S = 1.3
+#: Time from then until a member joins or starts again, in seconds.
+CHANGE_AFTER_S = 0.8
+
+
+class Writers:
+    """Clients that write all the time, singly and in transactions."""
+
+    def __init__(self, deployment, daemons):
+        self.clients = []
+        #: Time of each answer, time that it took, and the failure if any.
+        self.answers = []
+        self.tasks = [
+            asyncio.create_task(write(deployment, number))
+            for number in daemons
+            for write in (self._write_singly, self._write_in_transactions)
+        ]
+
+    async def _client(self, deployment, number):
+        client = await deployment.client("live", number)
+        self.clients.append(client)
+        return client
+
+    async def _note(self, answer):
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        reply = await answer
+        took_s = loop.time() - began_at
+        self.answers.append((loop.time(), took_s, reply.outcome))
+        await asyncio.sleep(0.03)
+
+    async def _write_singly(self, deployment, number):
+        client = await self._client(deployment, number)
+        while True:
+            await self._note(client.write())
+
+    async def _write_in_transactions(self, deployment, number):
+        client = await self._client(deployment, number)
+        kind = command.CommandKind
+        while True:
+            begun = await client.send(kind.BEGIN, "BEGIN")
+            written = await client.write()
+            if all(map(gateway_deployment.ok, (begun, written))):
+                await self._note(client.send(kind.COMMIT, "COMMIT"))
+            else:
+                await client.send(kind.ROLLBACK, "ROLLBACK")
+                await asyncio.sleep(0.05)
+
+    def stop(self):
+        """End all clients."""
+        for each in self.tasks:
+            each.cancel()
+
+    def told(self):
+        """Return the ids of the writes that clients were told to be done."""
+        done = []
+        for client in self.clients:
+            open_writes = []
+            for statement, reply in client.sent:
+                if statement.kind is command.CommandKind.BEGIN:
+                    open_writes = []
+                    continue
+                if not gateway_deployment.ok(reply):
+                    continue
+                if statement.kind is command.CommandKind.COMMIT:
+                    done += open_writes
+                elif client.session is not None:
+                    open_writes.append(statement.id)
+            if not any(
+                statement.kind is command.CommandKind.BEGIN
+                for statement, _ in client.sent
+            ):
+                done += open_writes
+        return done
+
+
+class Calls:
+    """Promotion service that leaves calls without an answer.
+
+    Parameters
+    ==========
+
+    all_late : bool
+        Whether each call is carried out late; otherwise only the first one
+        is, and the others are refused.
+
+    """
+
+    def __init__(self, deployment, late_s, all_late):
+        self.first = asyncio.get_running_loop().create_future()
+        self._platform = deployment.platform
+        self._late_s, self._all_late = late_s, all_late
+        deployment.platform.promote = self._promote
+
+    async def _promote(self, group, member, holder, token):
+        if self.first.done() and not self._all_late:
+            return result.Failure(coordination.PromotionFault.UNAVAILABLE)
+        if not self.first.done():
+            self.first.set_result((member, holder))
+        asyncio.get_running_loop().call_later(
+            self._late_s, self._platform.apply_promotion, group, member, token
+        )
+        await asyncio.sleep(1.0)
+        return result.Failure(coordination.PromotionFault.NO_ANSWER)
+
+
+async def start_again(deployment, member):
+    """Start a replica again with its log; that ends its hold."""
+    member.crash()
+    await asyncio.sleep(0.3)
+    member.crashed, member.held_term = False, None
+    entry = deployment.platform.entry_by_id[member.id]
+    deployment.platform.put_member(
+        msgspec.structs.replace(entry, started_ms=entry.started_ms + 1)
+    )
+    member.catch_up()
+
+
+class TestOpenCall(testtools.TestCase):
+    """A call is carried out late, and its candidate lags until then."""
+
+    def play(self, change, late_s=6.0, deaf_s=6.0, all_late=False, **options):
+        """Play the days of such a call; return its writers.
+
+        Parameters
+        ==========
+
+        change : callable
+            Called with the deployment and the replica on hold.
+        begin : callable
+            Called with the deployment before the primary drains.
+        called : callable
+            Called with the deployment and the daemon that has called.
+
+        """
+        begin = options.pop("begin", None)
+        called = options.pop("called", None)
+        played = []
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            writers = Writers(deployment, range(len(deployment.daemons)))
+            calls = Calls(deployment, late_s, all_late)
+            await asyncio.sleep(1.0)
+            if begin is not None:
+                begin(deployment)
+            deployment.enter(primary, manifest.MemberState.DRAINING)
+            name, holder = await asyncio.wait_for(calls.first, 8.0)
+            candidate = deployment.group.member_by_id[name]
+            if called is not None:
+                await called(deployment, holder)
+            await asyncio.sleep(DEAF_AFTER_S)
+            candidate.replication_cut = True
+            writers.deaf_from = asyncio.get_running_loop().time()
+            held = next(
+                each
+                for each in deployment.members
+                if each not in (primary, candidate)
+            )
+            await asyncio.sleep(CHANGE_AFTER_S)
+            await change(deployment, held)
+            await asyncio.sleep(deaf_s - CHANGE_AFTER_S)
+            candidate.replication_cut = False
+            writers.deaf_until = asyncio.get_running_loop().time()
+            candidate.catch_up()
+            await asyncio.sleep(4.0 + max(0.0, late_s - deaf_s))
+            writers.stop()
+            self.assertIs(candidate, deployment.group.primary)
+            kept = {
+                write for commit in candidate.log for write, _ in commit.writes
+            }
+            told = writers.told()
+            self.assertGreater(len(told), 50)
+            self.assertEqual([], [each for each in told if each not in kept])
+            played.append(writers)
+
+        test_sessions.scenario(check, daemons=3, **options)
+        return played[0]
+
+    async def join(self, deployment, held):
+        """Let another replica join."""
+        joined = test_replica_rosters.new_member(deployment, "m-d")
+        joined.catch_up()
+
+    async def restart(self, deployment, held):
+        """Let the replica on hold start again."""
+        await start_again(deployment, held)
+
+    async def unchanged(self, deployment, held):
+        """Let no member join or start again."""
+
+    def test_member_joins(self):
+        """What only a member that joined has must not be told as done."""
+        for late_s, deaf_s in ((4.0, 6.0), (6.0, 6.0), (12.0, 11.0)):
+            for all_late in (False, True):
+                with self.subTest(late_s=late_s, all_late=all_late):
+                    self.play(self.join, late_s, deaf_s, all_late)
+
+    def test_held_replica_starts_again(self):
+        """What only a replica has that is not on hold any more, either."""
+        for late_s, deaf_s in ((4.0, 6.0), (6.0, 6.0), (12.0, 11.0)):
+            for all_late in (False, True):
+                with self.subTest(late_s=late_s, all_late=all_late):
+                    self.play(self.restart, late_s, deaf_s, all_late)
+
+    def test_caller_is_gone(self):
+        """The other daemons must know of a call whose sender is gone."""
+
+        async def stop_caller(deployment, holder):
+            for number, each in enumerate(deployment.daemons):
+                if each._settings.daemon == holder:
+                    each.link.cut = True
+                    await each.stop()
+
+        for change in (self.join, self.restart):
+            with self.subTest(change=change.__name__):
+                self.play(change, called=stop_caller)
+
+    def test_daemon_without_the_store(self):
+        """A daemon that has not read the store must expect a call."""
+
+        def cut(deployment):
+            deployment.daemons[-1].link.store_cut = True
+
+        for change in (self.join, self.restart):
+            with self.subTest(change=change.__name__):
+                self.play(change, begin=cut)
+
+    def test_writes_are_refused_at_once(self):
+        """While the candidate lags, no write may wait for its deadline."""
+        writers = self.play(self.unchanged)
+        refused = [
+            took_s
+            for at, took_s, outcome in writers.answers
+            if isinstance(outcome, result.Failure)
+            and writers.deaf_from + 1.0 < at < writers.deaf_until
+        ]
+        self.assertGreater(len(refused), 50)
+        self.assertLess(max(refused), 0.05)
--- a/burdockcart/process/gateway/tests/test_overlapping_promotions.py
+++ b/burdockcart/process/gateway/tests/test_overlapping_promotions.py
@@ -123,7 +123,7 @@
             group = second.group_by_id[GROUP]
             await promoter._record.claim(GROUP)
             await asyncio.sleep(3.5)
-            first._failover._claims.lost(
+            first._failover.claims.lost(
                 GROUP,
                 coordination.ClaimLost(
                     *deployment.platform.record_by_group[GROUP]
--- a/burdockcart/process/gateway/tests/test_promotion_claims.py
+++ b/burdockcart/process/gateway/tests/test_promotion_claims.py
@@ -59,6 +59,41 @@
         """The member of another daemon's open call must be remembered."""
         found = lost(5, claimed_at_ms=100_000, candidate="m-b")
         self.claims.lost(GROUP, found, 100_000, now=50.0)
-        self.assertEqual("m-b", self.claims.pinned(GROUP, 54.0))
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 54.0))
         self.claims.lost(GROUP, lost(6, 104_000, settled=True), 104_000, 54.0)
-        self.assertIsNone(self.claims.pinned(GROUP, 54.0))
+        self.assertIsNone(self.claims.candidate(GROUP, 54.0))
+
+    def test_call_that_is_passed_on(self):
+        """Records of several daemons must not keep a call open for ever.
+
+        Each daemon names the call of the record that it replaces.
+        """
+        for second in range(0, 40, 2):
+            found = lost(
+                5 + second,
+                claimed_at_ms=1000 * second,
+                candidate="m-b",
+                called_at_ms=1,
+            )
+            now = float(second)
+            self.claims.lost(GROUP, found, 1000 * second, now)
+            if second < 12:
+                self.assertEqual("m-b", self.claims.candidate(GROUP, now))
+        self.assertIsNone(self.claims.candidate(GROUP, 40.0))
+
+    def test_record_of_a_poll(self):
+        """A call must be known before this daemon wants to claim."""
+        found = lost(5, claimed_at_ms=100_000, candidate="m-b")
+        stored = coordination.StoredPromotion(found.record, found.position)
+        self.claims.polled(GROUP, stored, 100_000, now=50.0)
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 60.0))
+        # Read again, as after lost history of the store.
+        self.claims.polled(GROUP, stored, 100_000, now=70.0)
+        self.assertIsNone(self.claims.candidate(GROUP, 70.0))
+
+    def test_old_record_of_a_poll(self):
+        """A daemon that starts must not take an old call for open."""
+        found = lost(5, claimed_at_ms=100_000, candidate="m-b")
+        stored = coordination.StoredPromotion(found.record, found.position)
+        self.claims.polled(GROUP, stored, 160_000, now=1.0)
+        self.assertIsNone(self.claims.candidate(GROUP, 1.0))
--- a/burdockcart/process/gateway/tests/test_restored_store.py
+++ b/burdockcart/process/gateway/tests/test_restored_store.py
@@ -117,9 +117,11 @@
             platform = deployment.platform
             copied = platform.copy()
             daemon = deployment.daemons[0]
-            claims = daemon._failover._claims
+            claims = daemon._failover.claims
             candidate = deployment.members[1].id
-            claims.pin(GROUP, candidate, asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            claims.call_begins(GROUP, candidate, wall_ms=0, now=now)
+            claims.call_unanswered(GROUP, now)
             platform.restore(copied)
             await asyncio.sleep(2.6)
             record, _ = platform.record_by_group[GROUP]
--- a/burdockcart/process/gateway/transaction_runner.py
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -79,6 +79,9 @@
             ) and self._attempts.primary_stalled(group):
                 self.abandon(group, transaction)
                 return refusals.writes_stalled(group)
+            if _commits(transaction, request) and group.commits.blocked:
+                self.abandon(group, transaction)
+                return refusals.commits_blocked(group)
             answer = await self._step(
                 group, session, transaction, connection, request
             )
@@ -229,8 +232,11 @@
         commits = request.statement.kind is command.CommandKind.COMMIT
         transaction.wrote |= request.writes
         sent_at = self._attempts.boot_clock.now()
+        commits_writes = commits and transaction.wrote
+        if commits_writes:
+            group.commits.begin_write()
         answer = await self._attempts.send_in_transaction(
-            request, connection, commits and transaction.wrote
+            request, connection, commits_writes
         )
         self._learn_in_transaction(
             group, transaction, connection, commits, answer, sent_at
@@ -241,11 +247,15 @@
             transaction.phase = open_transaction.Phase.STARTED
         if commits:
             transaction.phase = open_transaction.Phase.OVER
-            if transaction.wrote:
-                self._attempts.remember_commit(session, answer)
             if transaction.connection is connection:
                 transaction.connection = None
                 group.release(connection)
+        if commits_writes:
+            if not await group.commits.confirm(
+                answer.position, request.deadline_at
+            ):
+                return refusals.UNCOVERED
+            self._attempts.remember_commit(session, answer)
         return answer
 
     def _learn_in_transaction(
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -154,6 +154,7 @@
     role: member_channel.Role
     term: int
     received: tuple[int, int]
+    held_term: int = 0
 
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag=22):
--- a/burdockcart/process/peers/relay_actions.py
+++ b/burdockcart/process/peers/relay_actions.py
@@ -45,6 +45,7 @@
             status.role,
             status.term,
             (status.received.term, status.received.number),
+            status.held_term,
         )
     return messages.answered(
         message.number,
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -297,7 +297,7 @@
                 received = log_position.LogPosition(*reply.received)
                 found.append(
                     member_channel.MemberStatus(
-                        reply.role, reply.term, received
+                        reply.role, reply.term, received, reply.held_term
                     )
                 )
                 return member_channel.Answer()
