Keep the open call when a record is reserved

Cause: three seconds after a call whose sender was lost, a reserved claim replaced the record that named it. A daemon that started then did not know that the call may be carried out.

Change: the reserved record names the call of the one that it replaces.

Before: test_open_call_is_kept failed (the candidate was gone). After: test_reserved_claims.py passes.

--- a/burdockcart/process/gateway/reserved_claims.py
+++ b/burdockcart/process/gateway/reserved_claims.py
@@ -21,6 +21,7 @@
 import uuid
 
 import loguru
+import msgspec
 from returns import result
 
 from burdockcart import clock
@@ -107,9 +108,9 @@
         self._token_by_group: dict[ids.GroupId, ids.FencingToken] = {}
         #: Term of the primary when the token was claimed.
         self._term_by_group: dict[ids.GroupId, int] = {}
-        #: Position of another daemon's record, and when it was first seen.
+        #: Record of another daemon, and when it was first seen.
         self._seen_by_group: dict[
-            ids.GroupId, tuple[ids.StorePosition, float]
+            ids.GroupId, tuple[coordination.StoredPromotion, float]
         ] = {}
 
     async def run(self) -> None:
@@ -158,20 +159,18 @@
 
     async def _claim(self, group: groups.Group) -> None:
         expected = store_era.position(self._platform.eras.current, 0)
+        replaced: coordination.PromotionRecord | None = None
         seen = self._seen_by_group.get(group.id)
         if seen is not None:
-            position, seen_at = seen
-            if store_era.era_of(position) == store_era.era_of(expected):
-                expected = position
+            stored, seen_at = seen
+            if store_era.era_of(stored.position) == store_era.era_of(expected):
+                expected, replaced = stored.position, stored.record
             if self._clock.now() - seen_at < self._claim_ttl_s:
                 return
-        record = coordination.PromotionRecord(
-            self._daemon, uuid.uuid4().hex, self._wall_ms(), reserved=True
-        )
         term = group.primary.leadership.term
         for _ in range(HOLDERS + 1):
             claimed = await self._platform.claim_promotion(
-                group.id, record, expected
+                group.id, self._record_instead_of(replaced), expected
             )
             if isinstance(claimed, result.Success):
                 token = claimed.unwrap()
@@ -190,14 +189,35 @@
                 return
             if fault.record is not None and not fault.record.reserved:
                 # Its holder may be promoting; wait until the claim expires.
-                self._record_seen(group.id, fault.position)
+                self._note_seen(
+                    group.id,
+                    coordination.StoredPromotion(fault.record, fault.position),
+                )
                 return
-            expected = fault.position
+            expected, replaced = fault.position, fault.record
+
+    def _record_instead_of(
+        self, replaced: coordination.PromotionRecord | None
+    ) -> coordination.PromotionRecord:
+        """Return a reserved record; it keeps the call that may be open.
+
+        A daemon that starts knows of a call from the record alone.
+        """
+        record = coordination.PromotionRecord(
+            self._daemon, uuid.uuid4().hex, self._wall_ms(), reserved=True
+        )
+        if replaced is None or replaced.settled or not replaced.candidate:
+            return record
+        return msgspec.structs.replace(
+            record,
+            candidate=replaced.candidate,
+            called_at_ms=replaced.called_at_ms or replaced.claimed_at_ms,
+        )
 
-    def _record_seen(
-        self, group: ids.GroupId, position: ids.StorePosition
+    def _note_seen(
+        self, group: ids.GroupId, stored: coordination.StoredPromotion
     ) -> None:
-        """Record when a record was first seen."""
+        """Note when a record was first seen."""
         known = self._seen_by_group.get(group)
-        if known is None or known[0] != position:
-            self._seen_by_group[group] = (position, self._clock.now())
+        if known is None or known[0].position != stored.position:
+            self._seen_by_group[group] = (stored, self._clock.now())
--- a/burdockcart/process/gateway/tests/test_reserved_claims.py
+++ b/burdockcart/process/gateway/tests/test_reserved_claims.py
@@ -102,6 +102,24 @@
 
         scenario(check, daemons=2)
 
+    def test_open_call_is_kept(self):
+        """A reserved claim must not hide a call that may be carried out."""
+
+        async def check(deployment):
+            await asyncio.sleep(5.0)
+            platform = deployment.platform
+            revision = platform.record_by_group[GROUP][1]
+            record = coordination.PromotionRecord("other", "x", 7, False, "m")
+            await platform.claim_promotion(GROUP, record, revision)
+            for daemon in deployment.daemons:
+                daemon._reserved.drop_token(GROUP)
+            await asyncio.sleep(6.0)
+            found = platform.record_by_group[GROUP][0]
+            self.assertTrue(found.reserved)
+            self.assertEqual("m", found.candidate)
+
+        scenario(check, daemons=2)
+
     def test_reserved_record_stops_no_promotion(self):
         """A reserved record must not delay the replacement of a primary."""
 
