Record the candidate of a planned replacement ahead

A walk of the model broke the rule that daemons go by while a primary drains: an attempt that goes on after its claim has expired puts the candidate on hold and releases another replica, which then acknowledges alone; that all replicas that are not on hold have the commit says nothing about the candidate.

Change: a planned replacement first records its candidate, with nothing on hold, and begins 2.0 s later, when each daemon that reads the store knows it and goes by it alone. Daemons do not ask replicas because a primary drains any more. A candidate that another daemon has put on hold is released. A look that has failed is started again, as writes would be refused for ever.

--- a/burdockcart/process/gateway/claim_record.py
+++ b/burdockcart/process/gateway/claim_record.py
@@ -53,8 +53,18 @@
         self._wall_ms = wall_ms
         self._wait = wait
 
-    async def claim(self, group: ids.GroupId) -> ids.FencingToken | None:
-        """Claim the right to promote; None if the claim failed."""
+    async def claim(
+        self, group: ids.GroupId, prepared: ids.MemberId | None = None
+    ) -> ids.FencingToken | None:
+        """Claim the right to promote; None if the claim failed.
+
+        Parameters
+        ==========
+
+        prepared : MemberId or None
+            Member that will be promoted, so that all daemons know it before.
+
+        """
         if not self._wait.over():
             loguru.logger.info(
                 "event=promotion_claim_failed group={} "
@@ -66,7 +76,7 @@
             )
             return None
         for _ in range(MAX_WRITES):
-            record = self._new(group)
+            record = self._new(group, prepared=prepared)
             claimed = await self._platform.claim_promotion(
                 group, record, self._claims.position(group)
             )
@@ -173,10 +183,17 @@
         return self._claims.candidate(group, self._clock.now())
 
     def _new(
-        self, group: ids.GroupId, settled: bool = False
+        self,
+        group: ids.GroupId,
+        settled: bool = False,
+        prepared: ids.MemberId | None = None,
     ) -> coordination.PromotionRecord:
-        """Return a record that names the open call of the group, if any."""
-        call = self._claims.open_call(group, self._clock.now())
+        """Return a record that names what is open or prepared in a group."""
+        now = self._clock.now()
+        call = self._claims.open_call(group, now)
+        known = self._claims.preparation(group, now)
+        if prepared is None and known is not None:
+            prepared = known.member
         return coordination.PromotionRecord(
             self._daemon,
             uuid.uuid4().hex,
@@ -184,6 +201,7 @@
             candidate=None if call is None else call.member,
             settled=settled,
             called_at_ms=0 if call is None else call.called_at_ms,
+            prepared=None if settled else prepared,
         )
 
     async def _replace(
--- a/burdockcart/process/gateway/commit_guard.py
+++ b/burdockcart/process/gateway/commit_guard.py
@@ -13,10 +13,9 @@
 candidate itself reports the commit.  While it lags, writes are refused before
 they are sent.
 
-A daemon may not know of a call: it has not read the store for a while, or the
-primary drains, so that a call may follow at any moment.  Then it asks all
-replicas.  Once it has seen one of them on hold, each of the others may be the
-candidate and must report the commit.
+A daemon that has not read the store for a while does not know of a call.  It
+looks at the replicas while it writes.  Once it has seen one of them on hold,
+each of the others may be the candidate and must report the commit.
 
 """
 
@@ -41,12 +40,12 @@
 QUERY_TIMEOUT_S = 1.0
 #: Pause before a member that lacks a commit is asked again, in seconds.
 RETRY_PAUSE_S = 0.01
-#: Interval between looks at the candidate while commits are written, in
-#: seconds; also the lag at which writes are refused.
+#: Interval between looks at the candidate, in seconds; also the time for which
+#: it may lag until writes are refused.
 LOOK_INTERVAL_S = 0.1
 #: The same while no replica has been seen on hold, in seconds.
 QUIET_INTERVAL_S = 0.4
-#: Time after the last write at which the looks end, in seconds.
+#: Time after the last write after which the looks end, in seconds.
 IDLE_S = 2.0
 
 
@@ -89,7 +88,7 @@
         self._clock = loop_clock
         self._calls = calls
         self._blocked_at = 0.0
-        self._written_at = 0.0
+        self._watched_at = 0.0
         #: Newest commit for which writes were blocked.
         self._required: log_position.LogPosition | None = None
         #: Until when a replica that was on hold tells of a call, and the
@@ -102,12 +101,22 @@
             shared_inquiry.SharedInquiry[member_channel.MemberStatus | None],
         ] = weakref.WeakKeyDictionary()
 
-    def begin_write(self) -> None:
-        """Note that a write or a COMMIT is about to be sent."""
-        self._written_at = self._clock.now()
+    def watch(self) -> None:
+        """Look at the candidate for a while, if a call may be open.
+
+        Called before a write or a COMMIT is sent, and before a call.
+        """
+        self._watched_at = self._clock.now()
         if self._call_possible():
             self._start_looks()
 
+    def refuses(self) -> bool:
+        """Return whether writes are refused, as the candidate lags."""
+        if self.blocked:
+            # Only a look can end it.
+            self._start_looks()
+        return self.blocked
+
     def _start_looks(self) -> None:
         if self._looks is None or self._looks.done():
             self._looks = asyncio.create_task(
@@ -155,18 +164,13 @@
             self._looks.cancel()
 
     def _call_possible(self) -> bool:
-        """Return whether a call may be open, or may follow at any moment."""
+        """Return whether a call may be open or prepared."""
         if not self.active:
             return False
         candidate = self._calls.candidate(self._group)
         if candidate is not None:
             return candidate != self._primary.leadership.member
-        return self._primary_drains() or not self._calls.informed()
-
-    def _primary_drains(self) -> bool:
-        """Return whether a call for a promotion may follow at any moment."""
-        pool = self._primary.pool()
-        return pool is not None and pool.draining
+        return not self._calls.informed()
 
     def _at_risk(self, commit: log_position.LogPosition | None) -> bool:
         """Return whether a commit could be discarded by an open call."""
@@ -189,7 +193,7 @@
         if candidate is not None:
             return _coverage_by(await self._observe(candidate), commit)
         now = self._clock.now()
-        if not (self._primary_drains() or self._hold_seen(now)):
+        if not self._hold_seen(now):
             # The looks show a hold soon after it began.
             return Coverage.HELD
         answers = await self._observe_replicas()
@@ -257,11 +261,11 @@
         return Coverage.HELD
 
     async def _look(self) -> None:
-        """Refuse writes while the candidate lags; ends without writes."""
+        """Refuse writes while the candidate lags; ends when not needed."""
         newest: log_position.LogPosition | None = None
         while self._call_possible():
             now = self._clock.now()
-            if not self.blocked and now - self._written_at >= IDLE_S:
+            if not self.blocked and now - self._watched_at >= IDLE_S:
                 return
             if not (
                 self._hold_seen(now) or self._calls.candidate(self._group)
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/coordination.py
@@ -155,6 +155,8 @@
     ``settled`` tells that each call was answered, so that none can be executed
     later.  ``called_at_ms`` is the time of the last call by the wall clock of
     its sender, which need not be the holder of the record; 0 without a call.
+    ``prepared`` is the member that a planned replacement will promote; it has
+    not been called for yet.
     """
 
     holder: ids.DaemonId
@@ -164,6 +166,7 @@
     candidate: ids.MemberId | None = None
     settled: bool = False
     called_at_ms: int = 0
+    prepared: ids.MemberId | None = None
 
 
 class ClaimLost(msgspec.Struct, frozen=True):
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -71,10 +71,6 @@
         self._daemons = daemons
         self._notice_s = notice_s
         self._metrics = metrics
-        #: Primaries that drain, and since when this daemon has known it.
-        self._draining_since: dict[ids.GroupId, tuple[ids.MemberId, float]] = (
-            {}
-        )
         #: Since when there has been a cause to replace a group's primary.
         self._cause_since: dict[ids.GroupId, float] = {}
         self._group_by_id = group_by_id
@@ -194,13 +190,12 @@
         view = _view(pool, group, now)
         self._expect_primary(group, view)
         cause = failover_rule.cause_to_replace(view, now)
-        if cause is failover_rule.Cause.DRAINING and not self._is_known(
-            group.id, pool.entry.id, now
-        ):
+        if cause is failover_rule.Cause.DRAINING:
             # Another cause needs no notice.
-            cause = failover_rule.cause_to_replace(
+            lost = failover_rule.cause_to_replace(
                 msgspec.structs.replace(view, draining=False), now
             )
+            cause = lost or cause
         if cause is None or group.isolated:
             self._cause_since.pop(group.id, None)
             return
@@ -213,23 +208,42 @@
         if not self.claims.may_try(group.id, planned, now):
             self._start_check("search", group, self._search(group))
             return
+        prepared: ids.MemberId | None = None
+        if planned:
+            known = self._preparation(group, now)
+            if known is None:
+                self._start_attempt(
+                    group, self._promoter.prepare(group, pool.entry.id)
+                )
+                return
+            if now - known.since < self._notice_s:
+                group.commits.watch()
+                return
+            prepared = known.member
         self._start_attempt(
-            group, self._promoter.replace(group, pool.entry.id, cause)
+            group,
+            self._promoter.replace(group, pool.entry.id, cause, prepared),
         )
 
-    def _is_known(
-        self, group: ids.GroupId, member: ids.MemberId, now: float
-    ) -> bool:
-        """Return whether each daemon knows that a primary drains.
+    def _preparation(
+        self, group: groups.Group, now: float
+    ) -> promotion_claims.Preparation | None:
+        """Return which member a planned replacement will promote.
 
-        Then they check commits, as it is about to be replaced, or know that
-        they have not read the store for a while.
+        None if one has to be chosen, as the last one has gone or lags, or as
+        another one has been called for.
         """
-        known, since = self._draining_since.get(group, (None, now))
-        if known != member:
-            self._draining_since[group] = member, now
-            since = now
-        return now - since >= self._notice_s
+        known = self.claims.preparation(group.id, now)
+        if known is None:
+            return None
+        called = self.claims.candidate(group.id, now)
+        if called is not None:
+            return known if known.member == called else None
+        pool = group.pool_by_member.get(known.member)
+        if pool is None or pool.health.failing or group.commits.blocked:
+            self.claims.give_up_preparation(group.id)
+            return None
+        return known
 
     def _replace_missing(self, group: groups.Group) -> None:
         """Promote a replica if the primary has left the list for good."""
--- a/burdockcart/process/gateway/failover_rule.py
+++ b/burdockcart/process/gateway/failover_rule.py
@@ -213,6 +213,7 @@
     #: Newest term that the replica knows.  It can exceed the term in its log
     #: if the primary of that term has not committed yet.
     term: int = 0
+    on_hold: bool = False
 
 
 def first_candidate(
--- a/burdockcart/process/gateway/log_comparison.py
+++ b/burdockcart/process/gateway/log_comparison.py
@@ -11,6 +11,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import member_pool
 from burdockcart.request import log_position
 
 #: Timeout of a query to a replica, in seconds.
@@ -20,6 +21,40 @@
 CATCH_UP_PAUSE_S = 0.02
 
 
+async def observe_replicas(
+    group: groups.Group, primary: ids.MemberId
+) -> list[failover_rule.ReplicaView]:
+    """Return the listed replicas that answer; none is put on hold."""
+    pools = [
+        pool
+        for member, pool in group.pool_by_member.items()
+        if member != primary
+    ]
+    answers = await asyncio.gather(
+        *(each.observe(QUERY_TIMEOUT_S) for each in pools)
+    )
+    return [
+        _view(pool.entry.id, pool, answer)
+        for pool, answer in zip(pools, answers, strict=True)
+        if isinstance(answer, member_channel.MemberStatus)
+        and answer.role is member_channel.Role.REPLICA
+    ]
+
+
+def _view(
+    member: ids.MemberId,
+    pool: member_pool.MemberPool | None,
+    status: member_channel.MemberStatus,
+) -> failover_rule.ReplicaView:
+    return failover_rule.ReplicaView(
+        member,
+        status.received,
+        pool is None or pool.draining,
+        status.term,
+        bool(status.held_term),
+    )
+
+
 class LogComparison:
     """Compares the logs of the replicas of one group.
 
@@ -52,7 +87,8 @@
     ) -> ids.MemberId | None:
         """Return a replica that holds all that the others hold.
 
-        All other replicas are on hold by then.  None if there is none.
+        All other replicas are on hold by then, and it is not.  None if there
+        is none.
 
         Parameters
         ==========
@@ -89,6 +125,8 @@
         )
         if held is None:
             return None
+        if candidate.on_hold and not await self._release(candidate.id):
+            return None
         if await self._wait_for_catch_up(candidate, held):
             return candidate.id
         loguru.logger.info(
@@ -102,7 +140,21 @@
             # On hold it could never receive what it lacks.
             return None
         longest = await self._choose_longest(candidate, held)
-        return longest if longest in self._listed else None
+        if longest not in self._listed or not await self._release(longest):
+            return None
+        return longest
+
+    async def _release(self, candidate: ids.MemberId) -> bool:
+        """Let a candidate receive; True if it does.
+
+        Another daemon may have put it on hold.  A candidate on hold would
+        lack what a replica acknowledges that is released late, and daemons
+        could not tell it from the others.
+        """
+        answer = await self._channels[candidate].release_replication(
+            QUERY_TIMEOUT_S
+        )
+        return answer.fault is None
 
     async def reaches(
         self, candidate: ids.MemberId, position: log_position.LogPosition
@@ -204,12 +256,5 @@
                     member,
                 )
                 return None
-            views.append(
-                failover_rule.ReplicaView(
-                    member,
-                    answer.received,
-                    pool is None or pool.draining,
-                    answer.term,
-                )
-            )
+            views.append(_view(member, pool, answer))
         return views
--- a/burdockcart/process/gateway/open_calls.py
+++ b/burdockcart/process/gateway/open_calls.py
@@ -1,4 +1,4 @@
-"""Whether a promotion call may still be carried out, as this daemon knows."""
+"""Which members may be promoted soon, as far as this daemon knows."""
 
 from typing import Protocol
 
@@ -12,7 +12,10 @@
     """Calls to promote a member, of any daemon."""
 
     def candidate(self, group: ids.GroupId) -> ids.MemberId | None:
-        """Return the member of a call that may still be carried out."""
+        """Return the member of a call that may be carried out.
+
+        Also if the call has only been prepared.
+        """
 
     def informed(self) -> bool:
         """Return whether a call of a while ago would be known."""
@@ -40,8 +43,13 @@
         self._clock = loop_clock
 
     def candidate(self, group: ids.GroupId) -> ids.MemberId | None:
-        """Return the member of a call that may still be carried out."""
-        return self._claims.candidate(group, self._clock.now())
+        """Return the member of a call that may be carried out."""
+        now = self._clock.now()
+        called = self._claims.candidate(group, now)
+        if called is not None:
+            return called
+        prepared = self._claims.preparation(group, now)
+        return None if prepared is None else prepared.member
 
     def informed(self) -> bool:
         """Return whether a call of a while ago would be known."""
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -122,6 +122,7 @@
         group: groups.Group,
         old: ids.MemberId | None,
         cause: failover_rule.Cause,
+        prepared: ids.MemberId | None = None,
     ) -> None:
         """Replace a primary unless it recovers or another daemon does it.
 
@@ -130,6 +131,8 @@
 
         old : MemberId or None
             The primary; None if no listed member leads.
+        prepared : MemberId or None
+            The only member that may be promoted, as all daemons know it.
 
         """
         started_at = self._clock.now()
@@ -151,6 +154,7 @@
                 old,
                 asked,
                 lambda: self._needed(group, old, cause, started_at),
+                prepared,
             )
         finally:
             asked.close()
@@ -164,6 +168,32 @@
             int((self._clock.now() - started_at) * 1000),
         )
 
+    async def prepare(self, group: groups.Group, old: ids.MemberId) -> None:
+        """Choose and record the member that a planned replacement promotes.
+
+        Nothing is on hold, and the primary goes on.  A daemon that knows the
+        member passes on only commits that it has, whoever joins, starts again
+        or is released later.
+        """
+        found = await log_comparison.observe_replicas(group, old)
+        called = self._claims.candidate(group.id, self._clock.now())
+        eligible = [each for each in found if called in (None, each.id)]
+        if eligible:
+            chosen = failover_rule.first_candidate(eligible).id
+            if await self._record.claim(group.id, chosen) is not None:
+                now = self._clock.now()
+                self._claims.give_up_preparation(group.id)
+                self._claims.prepare(group.id, chosen, now)
+                loguru.logger.info(
+                    "event=promotion_prepared group={} primary={} member={}",
+                    group.id,
+                    old,
+                    chosen,
+                )
+        else:
+            self._put_off(group, "no replica answers")
+        self._claims.failed(group.id, self._clock.now())
+
     def _needed(
         self,
         group: groups.Group,
@@ -196,12 +226,15 @@
         old: ids.MemberId | None,
         asked: asked_members.AskedMembers,
         needed: Callable[[], bool],
+        prepared: ids.MemberId | None = None,
     ) -> bool:
         """Claim the promotion, choose a replica and promote it."""
         claimed = await self._record.claim(group.id)
         token = claimed or self._reserved_token(group)
         if token is None:
             return False
+        if claimed is not None and prepared is not None:
+            self._claims.prepare(group.id, prepared, self._clock.now())
         channels = asked.channels
         outcome = CallOutcome.NOT_DONE
         self._calling.discard(group.id)
@@ -213,9 +246,10 @@
             name="refresh_members",
         )
         try:
-            candidate = await comparison.candidate(
-                self._claims.candidate(group.id, self._clock.now())
-            )
+            called = self._claims.candidate(group.id, self._clock.now())
+            candidate = await comparison.candidate(called or prepared)
+            if candidate is None and called is None and prepared is not None:
+                self._claims.give_up_preparation(group.id)
             compared_at = self._boot_clock.now()
             if (
                 candidate is not None
--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -18,6 +18,11 @@
 LATE_CALL_S = 13.0
 
 
+#: Time for which daemons act on a planned replacement after its last record,
+#: in seconds; each attempt records it again.
+PREPARED_S = 6.0
+
+
 class OpenCall(msgspec.Struct, frozen=True):
     """A promotion call that may be carried out until some time.
 
@@ -36,6 +41,24 @@
     until: float
 
 
+class Preparation(msgspec.Struct, frozen=True):
+    """A member that a planned replacement will promote.
+
+    Parameters
+    ==========
+
+    since : float
+        When this daemon learned of it, on the event loop's clock.
+    until : float
+        When it is given up unless it is recorded again.
+
+    """
+
+    member: ids.MemberId
+    since: float
+    until: float
+
+
 class PromotionClaims:
     """Keeps promotions by this and other daemons apart.
 
@@ -67,6 +90,8 @@
         self._open_by_group: dict[ids.GroupId, OpenCall] = {}
         #: Calls of this daemon that wait for their answer.
         self._running_by_group: dict[ids.GroupId, OpenCall] = {}
+        #: Members that planned replacements will promote.
+        self._prepared_by_group: dict[ids.GroupId, Preparation] = {}
         #: Position of the newest record that a poll of the store has shown.
         self._polled_by_group: dict[ids.GroupId, ids.StorePosition] = {}
 
@@ -113,6 +138,7 @@
         Where the platform checks tokens, no earlier one will be.
         """
         self._running_by_group.pop(group, None)
+        self._prepared_by_group.pop(group, None)
         if fenced:
             self.none_open(group)
 
@@ -166,6 +192,29 @@
             group, store_era.position(self._era, 0)
         )
 
+    def prepare(
+        self, group: ids.GroupId, member: ids.MemberId, now: float
+    ) -> None:
+        """Record that a planned replacement will promote a member."""
+        known = self.preparation(group, now)
+        since = now
+        if known is not None and known.member == member:
+            since = known.since
+        self._prepared_by_group[group] = Preparation(
+            member, since, now + PREPARED_S
+        )
+
+    def give_up_preparation(self, group: ids.GroupId) -> None:
+        """Record that another member has to be chosen."""
+        self._prepared_by_group.pop(group, None)
+
+    def preparation(
+        self, group: ids.GroupId, now: float
+    ) -> Preparation | None:
+        """Return which member a planned replacement will promote."""
+        known = self._prepared_by_group.get(group)
+        return known if known is not None and now < known.until else None
+
     @property
     def groups_with_calls(self) -> list[ids.GroupId]:
         """Groups for which a call may still be executed."""
@@ -261,6 +310,11 @@
     ) -> None:
         if record.settled:
             self.none_open(group)
+        age_s = (wall_ms - record.claimed_at_ms) / 1000
+        if record.settled or record.prepared is None:
+            self.give_up_preparation(group)
+        elif age_s < PREPARED_S + CLOCK_SKEW_S:
+            self.prepare(group, record.prepared, now)
         if record.settled or record.candidate is None:
             return
         # Daemons pass the call on from record to record, so its age counts
--- a/burdockcart/process/gateway/reserved_claims.py
+++ b/burdockcart/process/gateway/reserved_claims.py
@@ -199,19 +199,20 @@
     def _record_instead_of(
         self, replaced: coordination.PromotionRecord | None
     ) -> coordination.PromotionRecord:
-        """Return a reserved record; it keeps the call that may be open.
+        """Return a reserved record; it keeps what is open or prepared.
 
         A daemon that starts knows of a call from the record alone.
         """
         record = coordination.PromotionRecord(
             self._daemon, uuid.uuid4().hex, self._wall_ms(), reserved=True
         )
-        if replaced is None or replaced.settled or not replaced.candidate:
+        if replaced is None or replaced.settled:
             return record
         return msgspec.structs.replace(
             record,
             candidate=replaced.candidate,
             called_at_ms=replaced.called_at_ms or replaced.claimed_at_ms,
+            prepared=replaced.prepared,
         )
 
     def _note_seen(
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -139,13 +139,13 @@
             series.work = work
             if request.writes and self._attempts.primary_stalled(group):
                 return refusals.writes_stalled(group)
-            if request.writes and group.commits.blocked:
+            if request.writes and group.commits.refuses():
                 return refusals.commits_blocked(group)
             acquired = await group.acquire(work)
             if isinstance(acquired, result.Failure):
                 return result.Failure(refusal or acquired.failure())
             connection = acquired.unwrap()
-            if request.writes and group.commits.blocked:
+            if request.writes and group.commits.refuses():
                 group.release(connection)
                 return refusals.commits_blocked(group)
             series.member = connection.pool.entry.id
@@ -241,7 +241,7 @@
         if series.cancelled:
             return channel_state.not_sent("answered by another member")
         if request.writes:
-            group.commits.begin_write()
+            group.commits.watch()
         answer = await self._attempts.send(
             request, connection, work, request.writes, prove, timeout_factor
         )
--- a/burdockcart/process/gateway/tests/test_open_calls.py
+++ b/burdockcart/process/gateway/tests/test_open_calls.py
@@ -259,3 +259,67 @@
         ]
         self.assertGreater(len(refused), 50)
         self.assertLess(max(refused), 0.05)
+
+    def test_look_that_has_failed(self):
+        """Writes must not be refused for ever after an unexpected error."""
+
+        async def check(deployment):
+            guard = deployment.daemons[0].group_by_id[GROUP].commits
+            guard.blocked = True
+            client = await deployment.client("live")
+            self.assertFalse(gateway_deployment.ok(await client.write()))
+            await asyncio.sleep(0.1)
+            self.assertTrue(gateway_deployment.ok(await client.write()))
+
+        test_sessions.scenario(check, daemons=1)
+
+
+class TestPlannedReplacement(testtools.TestCase):
+    """The candidate is recorded ahead, with nothing on hold."""
+
+    def test_prepared_member_is_lost(self):
+        """Another member must be recorded, and promoted in time."""
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            writers = Writers(deployment, range(3))
+            # Tokens are reserved by then.
+            await asyncio.sleep(3.0)
+            deployment.enter(primary, manifest.MemberState.DRAINING)
+            record = deployment.platform.record_by_group
+            await gateway_deployment.until(
+                lambda: record[GROUP][0].prepared is not None
+            )
+            name = record[GROUP][0].prepared
+            lost = deployment.group.member_by_id[name]
+            lost.crash()
+            deployment.platform.remove_member(lost.id)
+            await gateway_deployment.until(lambda: not primary.leads, 8.0)
+            await asyncio.sleep(1.0)
+            writers.stop()
+            kept = {
+                write
+                for commit in deployment.group.primary.log
+                for write, _ in commit.writes
+            }
+            self.assertEqual([], [e for e in writers.told() if e not in kept])
+
+        test_sessions.scenario(check, daemons=3)
+
+    def test_all_daemons_know_before_the_call(self):
+        """A poll must lie between the record and the first hold."""
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            replicas = [e for e in deployment.members if e is not primary]
+            deployment.enter(primary, manifest.MemberState.DRAINING)
+            await gateway_deployment.until(
+                lambda: any(each.held_term for each in replicas)
+            )
+            name = deployment.platform.record_by_group[GROUP][0].prepared
+            self.assertIsNotNone(name)
+            for daemon in deployment.daemons:
+                group = daemon.group_by_id[GROUP]
+                self.assertEqual(name, daemon._open_calls.candidate(group.id))
+
+        test_sessions.scenario(check, daemons=3)
--- a/burdockcart/process/gateway/transaction_runner.py
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -79,7 +79,7 @@
             ) and self._attempts.primary_stalled(group):
                 self.abandon(group, transaction)
                 return refusals.writes_stalled(group)
-            if _commits(transaction, request) and group.commits.blocked:
+            if _commits(transaction, request) and group.commits.refuses():
                 self.abandon(group, transaction)
                 return refusals.commits_blocked(group)
             answer = await self._step(
@@ -234,7 +234,7 @@
         sent_at = self._attempts.boot_clock.now()
         commits_writes = commits and transaction.wrote
         if commits_writes:
-            group.commits.begin_write()
+            group.commits.watch()
         answer = await self._attempts.send_in_transaction(
             request, connection, commits_writes
         )
