--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -11,13 +11,11 @@
 """
 
 import asyncio
-import enum
 from typing import Awaitable
 from typing import Callable
 from typing import Iterable
 
 import loguru
-from returns import result
 
 from burdockcart import clock
 from burdockcart.connection import member_channel
@@ -30,18 +28,11 @@
 from burdockcart.process.gateway import group as groups
 from burdockcart.process.gateway import hold_keeper
 from burdockcart.process.gateway import log_comparison
+from burdockcart.process.gateway import promotion_call
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import restore_wait
 
-#: Longest time between the comparison of the logs and a promotion call with a
-#: reserved token, in seconds on the boot clock: a daemon that was suspended in
-#: between must compare again.
-COMPARISON_VALID_S = 0.3
-#: Longest time between the start of the write that records the candidate and
-#: the promotion call, in seconds on the boot clock; half of the time for which
-#: others leave the group alone after that write.
-ANNOUNCEMENT_VALID_S = 1.5
 #: Initial estimate of the time that a promotion by the platform takes, in
 #: seconds, including the network latency of the call.
 INITIAL_PROMOTION_S = 0.7
@@ -51,16 +42,6 @@
 #: Timeout of waiting until a promoted member has become the primary, in
 #: seconds.
 LEADERSHIP_TIMEOUT_S = 3.0
-#: Calls for one promotion; each uses a new fencing token.
-MAX_CALLS = 3
-
-
-class CallOutcome(enum.Enum):
-    """Outcome of the promotion call."""
-
-    NOT_DONE = "not carried out"
-    DONE = "done"
-    UNANSWERED = "may be carried out later"
 
 
 class Promoter:
@@ -92,8 +73,6 @@
     ):
         #: Time that the platform needed for the last promotion, in seconds.
         self.promotion_s = INITIAL_PROMOTION_S
-        self._daemon = daemon
-        self._platform = platform
         self._claims = claims
         self._clock = loop_clock
         self._boot_clock = boot_clock
@@ -106,6 +85,16 @@
             wall_ms,
             wait,
         )
+        self._caller = promotion_call.PromotionCaller(
+            daemon,
+            platform,
+            claims,
+            self._record,
+            reserved,
+            loop_clock,
+            boot_clock,
+            metrics,
+        )
         self._metrics = metrics
         self._reserved = reserved
         self._connector = connector
@@ -114,8 +103,6 @@
         self._left_on_hold: dict[
             ids.GroupId, tuple[int, set[ids.MemberId]]
         ] = {}
-        #: Groups for which the platform was called.
-        self._calling: set[ids.GroupId] = set()
 
     async def replace(
         self,
@@ -145,7 +132,9 @@
         )
         asked = await asked_members.connect(group, old, self._connector)
         if asked is None:
-            self._put_off(group, "a replica cannot be asked")
+            promotion_call.put_off(
+                self._metrics, group, "a replica cannot be asked"
+            )
             self._claims.failed(group.id, self._clock.now())
             return
         try:
@@ -191,7 +180,7 @@
                     chosen,
                 )
         else:
-            self._put_off(group, "no replica answers")
+            promotion_call.put_off(self._metrics, group, "no replica answers")
         self._claims.failed(group.id, self._clock.now())
 
     def _needed(
@@ -209,17 +198,6 @@
             cause, began_at, pool.health.last_answer_at
         )
 
-    def _put_off(
-        self, group: groups.Group, reason: str, members: Iterable[str] = ()
-    ) -> None:
-        self._metrics.promotion_put_off(reason)
-        loguru.logger.info(
-            "event=promotion_put_off group={} reason={!r} members={}",
-            group.id,
-            reason,
-            ",".join(members),
-        )
-
     async def _claim_and_promote(
         self,
         group: groups.Group,
@@ -236,8 +214,8 @@
         if claimed is not None and prepared is not None:
             self._claims.prepare(group.id, prepared, self._clock.now())
         channels = asked.channels
-        outcome = CallOutcome.NOT_DONE
-        self._calling.discard(group.id)
+        outcome = promotion_call.CallOutcome.NOT_DONE
+        self._caller.forget(group.id)
         comparison = log_comparison.LogComparison(
             group, channels, asked.listed, self._clock
         )
@@ -270,30 +248,30 @@
                     keeper.run(), name="keep_on_hold"
                 )
                 try:
-                    outcome = await self._call_platform(
+                    outcome = await self._caller.call(
                         group, candidate, token, asked, compared_at
                     )
                 finally:
                     keeping.cancel()
         except asyncio.CancelledError:
             # This daemon shuts down; nobody else knows what it has on hold.
-            if group.id not in self._calling:
+            if not self._caller.called(group.id):
                 await self._release(group, channels)
             raise
         except Exception:
-            if group.id not in self._calling:
+            if not self._caller.called(group.id):
                 self._leave_on_hold(group, channels)
             raise
         finally:
             refreshed.cancel()
-        if outcome is CallOutcome.DONE:
+        if outcome is promotion_call.CallOutcome.DONE:
             assert candidate is not None
             await self._await_leadership(group, candidate)
             # Calls with a lower token are refused where there is fencing.
             self._claims.call_done(group.id, group.promotions_fenced)
             await self._record.settle(group.id)
             return True
-        if outcome is CallOutcome.NOT_DONE:
+        if outcome is promotion_call.CallOutcome.NOT_DONE:
             await self._release(group, channels)
         else:
             self._leave_on_hold(group, channels)
@@ -309,7 +287,9 @@
         """
         if not store_answers or await self._refresh():
             return True
-        self._put_off(group, "the list of members could not be read")
+        promotion_call.put_off(
+            self._metrics, group, "the list of members could not be read"
+        )
         return False
 
     async def _covers_all(
@@ -328,14 +308,16 @@
         """
         joined = asked.joined(group, old)
         if joined:
-            self._put_off(group, "a member has joined", joined)
+            promotion_call.put_off(
+                self._metrics, group, "a member has joined", joined
+            )
             return False
         floor = group.roster.floor
         gap = group.roster.gap(asked.members)
         if gap is not None:
             position = await group.primary.position_now()
             if position is None:
-                self._put_off(group, gap.value)
+                promotion_call.put_off(self._metrics, group, gap.value)
                 return False
             floor = max(position, floor or position)
         loguru.logger.info(
@@ -355,101 +337,10 @@
         )
         if floor is None or await comparison.reaches(candidate, floor):
             return True
-        self._put_off(group, "the candidate may lack acknowledged commits")
-        return False
-
-    async def _call_platform(
-        self,
-        group: groups.Group,
-        candidate: ids.MemberId,
-        token: ids.FencingToken,
-        asked: asked_members.AskedMembers,
-        compared_at: float,
-    ) -> CallOutcome:
-        """Call the platform; retry with a new token where that can help."""
-        outcome = CallOutcome.NOT_DONE
-        for _ in range(MAX_CALLS):
-            try:
-                answer = await self._call_once(
-                    group, candidate, token, asked, compared_at
-                )
-            except BaseException:
-                if group.id in self._calling:
-                    self._claims.call_unanswered(group.id, self._clock.now())
-                else:
-                    self._claims.call_refused(group.id)
-                raise
-            if answer is None:
-                self._claims.call_refused(group.id)
-                return outcome
-            if isinstance(answer, result.Success):
-                return CallOutcome.DONE
-            fault = answer.failure()
-            if fault is coordination.PromotionFault.REJECTED:
-                self._claims.call_refused(group.id)
-                self._reserved.drop_token(group.id)
-                await self._record.settle(group.id)
-                return outcome
-            if fault is coordination.PromotionFault.NO_ANSWER:
-                # The call may be executed later, until one with a higher
-                # token has been answered.
-                outcome = CallOutcome.UNANSWERED
-                self._reserved.drop_token(group.id)
-                self._claims.call_unanswered(group.id, self._clock.now())
-            else:
-                self._claims.call_refused(group.id)
-            next_token = await self._record.claim(group.id)
-            if next_token is None:
-                return outcome
-            token = next_token
-        return outcome
-
-    async def _call_once(
-        self,
-        group: groups.Group,
-        candidate: ids.MemberId,
-        token: ids.FencingToken,
-        asked: asked_members.AskedMembers,
-        compared_at: float,
-    ) -> result.Result[None, coordination.PromotionFault] | None:
-        """Record the candidate and call the platform.
-
-        None if the platform was not called.
-        """
-        valid_s = COMPARISON_VALID_S
-        if self._record.owned(group.id):
-            # Fails if another daemon has claimed the promotion, so that
-            # nobody else has released a replica since the comparison.
-            compared_at = self._boot_clock.now()
-            valid_s = ANNOUNCEMENT_VALID_S
-            announced = await self._record.announce(group.id, candidate)
-            if announced is None:
-                return None
-            token = announced
-        else:
-            self._record.call_begins(group.id, candidate)
-        if self._boot_clock.now() - compared_at > valid_s:
-            self._put_off(group, "the comparison of the logs is old")
-            return None
-        if asked.lost:
-            self._put_off(
-                group, "a replica may no longer be on hold", asked.lost
-            )
-            return None
-        self._calling.add(group.id)
-        answer = await self._platform.promote(
-            group.id, candidate, self._daemon, token
+        promotion_call.put_off(
+            self._metrics, group, "the candidate may lack acknowledged commits"
         )
-        if isinstance(answer, result.Failure):
-            loguru.logger.warning(
-                "event=promotion_refused group={} member={} token={} "
-                "fault={!r}",
-                group.id,
-                candidate,
-                token,
-                answer.failure().value,
-            )
-        return answer
+        return False
 
     async def restate(self) -> bool:
         """Record open calls again; False if the store did not answer."""
--- /dev/null
+++ b/burdockcart/process/gateway/promotion_call.py
@@ -0,0 +1,186 @@
+"""Calls the platform to promote a member."""
+
+import enum
+from typing import Iterable
+
+import loguru
+from returns import result
+
+from burdockcart import clock
+from burdockcart import ids
+from burdockcart.process.gateway import asked_members
+from burdockcart.process.gateway import claim_record
+from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import gateway_metrics
+from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import promotion_claims
+from burdockcart.process.gateway import reserved_claims
+
+#: Longest time between the comparison of the logs and a promotion call with a
+#: reserved token, in seconds on the boot clock: a daemon that was suspended in
+#: between must compare again.
+COMPARISON_VALID_S = 0.3
+#: Longest time between the start of the write that records the candidate and
+#: the promotion call, in seconds on the boot clock; half of the time for which
+#: others leave the group alone after that write.
+ANNOUNCEMENT_VALID_S = 1.5
+#: Calls for one promotion; each uses a new fencing token.
+MAX_CALLS = 3
+
+
+class CallOutcome(enum.Enum):
+    """Outcome of the promotion call."""
+
+    NOT_DONE = "not carried out"
+    DONE = "done"
+    UNANSWERED = "may be carried out later"
+
+
+class PromotionCaller:
+    """Records each call of a promotion, and what its answer leaves open.
+
+    Until a call was answered, or can no longer be carried out, all daemons
+    must know its candidate.
+    """
+
+    def __init__(
+        self,
+        daemon: ids.DaemonId,
+        platform: coordination.Platform,
+        claims: promotion_claims.PromotionClaims,
+        record: claim_record.ClaimRecord,
+        reserved: reserved_claims.ReservedClaims,
+        loop_clock: clock.Clock,
+        boot_clock: clock.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
+    ):
+        self._daemon = daemon
+        self._platform = platform
+        self._claims = claims
+        self._record = record
+        self._reserved = reserved
+        self._clock = loop_clock
+        self._boot_clock = boot_clock
+        self._metrics = metrics
+        #: Groups for which the platform was called in the present attempt.
+        self._called: set[ids.GroupId] = set()
+
+    def forget(self, group: ids.GroupId) -> None:
+        """Note that another attempt begins."""
+        self._called.discard(group)
+
+    def called(self, group: ids.GroupId) -> bool:
+        """Return whether the present attempt has called the platform."""
+        return group in self._called
+
+    async def call(
+        self,
+        group: groups.Group,
+        candidate: ids.MemberId,
+        token: ids.FencingToken,
+        asked: asked_members.AskedMembers,
+        compared_at: float,
+    ) -> CallOutcome:
+        """Call the platform; retry with a new token where that can help."""
+        outcome = CallOutcome.NOT_DONE
+        for _ in range(MAX_CALLS):
+            try:
+                answer = await self._call_once(
+                    group, candidate, token, asked, compared_at
+                )
+            except BaseException:
+                if group.id in self._called:
+                    self._claims.call_unanswered(group.id, self._clock.now())
+                else:
+                    self._claims.call_refused(group.id)
+                raise
+            if answer is None:
+                self._claims.call_refused(group.id)
+                return outcome
+            if isinstance(answer, result.Success):
+                return CallOutcome.DONE
+            fault = answer.failure()
+            if fault is coordination.PromotionFault.REJECTED:
+                self._claims.call_refused(group.id)
+                self._reserved.drop_token(group.id)
+                await self._record.settle(group.id)
+                return outcome
+            if fault is coordination.PromotionFault.NO_ANSWER:
+                # The call may be executed later, until one with a higher
+                # token has been answered.
+                outcome = CallOutcome.UNANSWERED
+                self._reserved.drop_token(group.id)
+                self._claims.call_unanswered(group.id, self._clock.now())
+            else:
+                self._claims.call_refused(group.id)
+            next_token = await self._record.claim(group.id)
+            if next_token is None:
+                return outcome
+            token = next_token
+        return outcome
+
+    async def _call_once(
+        self,
+        group: groups.Group,
+        candidate: ids.MemberId,
+        token: ids.FencingToken,
+        asked: asked_members.AskedMembers,
+        compared_at: float,
+    ) -> result.Result[None, coordination.PromotionFault] | None:
+        """Record the candidate and call the platform.
+
+        None if the platform was not called.
+        """
+        valid_s = COMPARISON_VALID_S
+        if self._record.owned(group.id):
+            # Fails if another daemon has claimed the promotion, so that
+            # nobody else has released a replica since the comparison.
+            compared_at = self._boot_clock.now()
+            valid_s = ANNOUNCEMENT_VALID_S
+            announced = await self._record.announce(group.id, candidate)
+            if announced is None:
+                return None
+            token = announced
+        else:
+            self._record.call_begins(group.id, candidate)
+        if self._boot_clock.now() - compared_at > valid_s:
+            put_off(self._metrics, group, "the comparison of the logs is old")
+            return None
+        if asked.lost:
+            put_off(
+                self._metrics,
+                group,
+                "a replica may no longer be on hold",
+                asked.lost,
+            )
+            return None
+        self._called.add(group.id)
+        answer = await self._platform.promote(
+            group.id, candidate, self._daemon, token
+        )
+        if isinstance(answer, result.Failure):
+            loguru.logger.warning(
+                "event=promotion_refused group={} member={} token={} "
+                "fault={!r}",
+                group.id,
+                candidate,
+                token,
+                answer.failure().value,
+            )
+        return answer
+
+
+def put_off(
+    metrics: gateway_metrics.GatewayMetrics,
+    group: groups.Group,
+    reason: str,
+    members: Iterable[str] = (),
+) -> None:
+    """Log and count an attempt at a promotion that is given up."""
+    metrics.promotion_put_off(reason)
+    loguru.logger.info(
+        "event=promotion_put_off group={} reason={!r} members={}",
+        group.id,
+        reason,
+        ",".join(members),
+    )
--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -127,7 +127,9 @@
         Until it can no longer be, no other member may be promoted: without
         fencing the late call would then depose the newer primary.
         """
-        running = self._running_by_group.pop(group)
+        running = self._running_by_group.pop(group, None)
+        if running is None:
+            return
         self._open(
             group, msgspec.structs.replace(running, until=now + LATE_CALL_S)
         )
--- a/burdockcart/process/gateway/tests/test_open_calls.py
+++ b/burdockcart/process/gateway/tests/test_open_calls.py
@@ -323,3 +323,24 @@
                 self.assertEqual(name, daemon._open_calls.candidate(group.id))
 
         test_sessions.scenario(check, daemons=3)
+
+    def test_candidate_that_is_on_hold(self):
+        """A candidate must receive when the platform is called.
+
+        Another daemon, whose claim has expired since, has put it on hold.
+        """
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            replicas = [e for e in deployment.members if e is not primary]
+            calls = Calls(deployment, 0.1, all_late=False)
+            await asyncio.sleep(3.0)
+            for each in replicas:
+                each.held_term = 9
+            deployment.enter(primary, manifest.MemberState.DRAINING)
+            name, _ = await asyncio.wait_for(calls.first, 8.0)
+            self.assertEqual(
+                [name], [e.id for e in replicas if e.held_term is None]
+            )
+
+        test_sessions.scenario(check, daemons=2)
