Poll often for an open call only, not for a prepared one

Change: the short interval is kept for calls that may still be carried out and would change the primary, so that members that join are known soon.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -502,7 +502,7 @@
         return any(
             group.primary.pool() is None
             or group.primary.failing()
-            or self._open_calls.candidate(group.id) is not None
+            or self._failover.awaits_call(group)
             for group in self.group_by_id.values()
             if self._failover.acts_early(group.id)
         )
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -286,6 +286,14 @@
             )
             self.claims.failed(group, self._clock.now())
 
+    def awaits_call(self, group: groups.Group) -> bool:
+        """Return whether a call may be carried out that changes the primary.
+
+        Members that join meanwhile should be known soon.
+        """
+        called = self.claims.candidate(group.id, self._clock.now())
+        return called not in (None, group.primary.leadership.member)
+
     def acts_early(self, group: ids.GroupId) -> bool:
         """Return whether this daemon is among the first to act."""
         place = turn.rank(self._daemon, group, self._daemons())
--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -70,6 +70,9 @@
     If two daemons compared the logs at the same time, each could promote a
     member that lacks commits that the other's member has acknowledged since.
 
+    It also keeps which member may be promoted soon: that of a call that may be
+    carried out later, or the one that a planned replacement has recorded.
+
     """
 
     def __init__(self, daemon: ids.DaemonId, claim_ttl_s: float):
