--- a/burdockcart/process/gateway/tests/test_open_calls.py
+++ b/burdockcart/process/gateway/tests/test_open_calls.py
@@ -29,71 +29,56 @@
     """Clients that write all the time, singly and in transactions."""
 
     def __init__(self, deployment, daemons):
-        self.clients = []
-        #: Time of each answer, time that it took, and the failure if any.
+        #: Ids of the writes that clients were told to be done.
+        self.told = []
+        #: Time of each answer, time that it took, and the outcome.
         self.answers = []
+        #: While the candidate receives nothing.
+        self.deaf_from = self.deaf_until = 0.0
         self.tasks = [
             asyncio.create_task(write(deployment, number))
             for number in daemons
             for write in (self._write_singly, self._write_in_transactions)
         ]
 
-    async def _client(self, deployment, number):
-        client = await deployment.client("live", number)
-        self.clients.append(client)
-        return client
-
     async def _note(self, answer):
+        """Note an answer; return whether it is a success."""
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         reply = await answer
         took_s = loop.time() - began_at
         self.answers.append((loop.time(), took_s, reply.outcome))
         await asyncio.sleep(0.03)
+        return gateway_deployment.ok(reply)
 
     async def _write_singly(self, deployment, number):
-        client = await self._client(deployment, number)
+        client = await deployment.client("live", number)
         while True:
-            await self._note(client.write())
+            if await self._note(client.write()):
+                self.told.append(client.sent[-1][0].id)
 
     async def _write_in_transactions(self, deployment, number):
-        client = await self._client(deployment, number)
+        client = await deployment.client("live", number)
         kind = command.CommandKind
         while True:
             begun = await client.send(kind.BEGIN, "BEGIN")
             written = await client.write()
-            if all(map(gateway_deployment.ok, (begun, written))):
-                await self._note(client.send(kind.COMMIT, "COMMIT"))
-            else:
+            write = client.sent[-1][0].id
+            if not all(map(gateway_deployment.ok, (begun, written))):
                 await client.send(kind.ROLLBACK, "ROLLBACK")
                 await asyncio.sleep(0.05)
+            elif await self._note(client.send(kind.COMMIT, "COMMIT")):
+                self.told.append(write)
 
     def stop(self):
         """End all clients."""
         for each in self.tasks:
             each.cancel()
 
-    def told(self):
-        """Return the ids of the writes that clients were told to be done."""
-        done = []
-        for client in self.clients:
-            open_writes = []
-            for statement, reply in client.sent:
-                if statement.kind is command.CommandKind.BEGIN:
-                    open_writes = []
-                    continue
-                if not gateway_deployment.ok(reply):
-                    continue
-                if statement.kind is command.CommandKind.COMMIT:
-                    done += open_writes
-                elif client.session is not None:
-                    open_writes.append(statement.id)
-            if not any(
-                statement.kind is command.CommandKind.BEGIN
-                for statement, _ in client.sent
-            ):
-                done += open_writes
-        return done
+    def lost(self, primary):
+        """Return the writes told to be done that a primary lacks."""
+        kept = {write for commit in primary.log for write, _ in commit.writes}
+        return [each for each in self.told if each not in kept]
 
 
 class Calls:
@@ -142,7 +127,7 @@
     """A call is carried out late, and its candidate lags until then."""
 
     def play(self, change, late_s=6.0, deaf_s=6.0, all_late=False, **options):
-        """Play the days of such a call; return its writers.
+        """Play the time of such a call; return the clients.
 
         Parameters
         ==========
@@ -188,12 +173,8 @@
             await asyncio.sleep(4.0 + max(0.0, late_s - deaf_s))
             writers.stop()
             self.assertIs(candidate, deployment.group.primary)
-            kept = {
-                write for commit in candidate.log for write, _ in commit.writes
-            }
-            told = writers.told()
-            self.assertGreater(len(told), 50)
-            self.assertEqual([], [each for each in told if each not in kept])
+            self.assertGreater(len(writers.told), 50)
+            self.assertEqual([], writers.lost(candidate))
             played.append(writers)
 
         test_sessions.scenario(check, daemons=3, **options)
@@ -297,12 +278,7 @@
             await gateway_deployment.until(lambda: not primary.leads, 8.0)
             await asyncio.sleep(1.0)
             writers.stop()
-            kept = {
-                write
-                for commit in deployment.group.primary.log
-                for write, _ in commit.writes
-            }
-            self.assertEqual([], [e for e in writers.told() if e not in kept])
+            self.assertEqual([], writers.lost(deployment.group.primary))
 
         test_sessions.scenario(check, daemons=3)
 
