Derive prepared names from a digest of the shape

The name on member connections was w_ or r_ and the text of the shape: PREPARE w_q2c a WRITE q2c a is read as the name w_q2c with another definition, and EXECUTE w_q2c a 1a4 d as an EXECUTE of that name with other arguments.

The name is now a prefix and a digest of the text in hex: one word of 34 characters for any shape. A name by the connection would be shorter, but a connection whose prepared statements were lost could then run another shape under it; a digest is either right or unknown.

The test failed before.

--- a/burdockcart/platform/tests/test_wire.py
+++ b/burdockcart/platform/tests/test_wire.py
@@ -90,18 +90,31 @@
         """Guards against changed arguments of a prepared statement."""
         read = wire.read_request(b"QUERY 5c0e EXECUTE s1 1a4 some data")
         shape = command.Shape(True, "q2c")
+        name = shape.member_name
         self.assertEqual(
-            "EXECUTE w_q2c 1a4 some data", wire.member_text(read, shape)
+            f"EXECUTE {name} 1a4 some data", wire.member_text(read, shape)
         )
         self.assertEqual(
-            "PREPARE w_q2c WRITE q2c",
+            f"PREPARE {name} WRITE q2c",
             wire.step_text(
                 member_session.Step(
-                    member_session.StepKind.PREPARE, "w_q2c", "", shape
+                    member_session.StepKind.PREPARE, name, "", shape
                 )
             ),
         )
 
+    def test_shapes_with_blanks(self):
+        """Guards against a name that a member reads as several fields."""
+        shapes = [
+            command.Shape(writes, text)
+            for writes in (False, True)
+            for text in ("q2c", "q2c a", "q2c  a", " q2c", "q" * 10**6, "ß")
+        ]
+        names = {shape.member_name for shape in shapes}
+        self.assertEqual(len(shapes), len(names))
+        for name in names:
+            self.assertRegex(name, r"^[!-~]{1,40}\Z")
+
     def test_answer(self):
         """Guards against wrongly decoded fields of an answer."""
         answer = wire.read_answer(
--- a/burdockcart/request/command.py
+++ b/burdockcart/request/command.py
@@ -1,11 +1,17 @@
 """Statement of a client session, decoded from the wire."""
 
 import enum
+import functools
+import hashlib
 
 import msgspec
 
 from burdockcart import ids
 
+#: Size of the digest in a prepared name, in bytes: collisions stay out of
+#: reach for clients that look for them.
+NAME_BYTES = 16
+
 
 class CommandKind(enum.Enum):
     """Type of a client's statement."""
@@ -22,20 +28,32 @@
     DEALLOCATE = "deallocate"
 
 
-class Shape(msgspec.Struct, frozen=True):
-    """Prepared statement, whatever name a session gave it."""
+class Shape(msgspec.Struct, frozen=True, dict=True):
+    """Prepared statement, whatever name a session gave it.
+
+    Examples
+    ========
+
+    >>> from burdockcart.request import command
+    >>> command.Shape(True, "q2c a").member_name
+    'w_c6cd5ade3fb7d4f96f937d837cd597d2'
+
+    """
 
     writes: bool
     text: str
 
-    @property
+    @functools.cached_property
     def member_name(self) -> str:
         """Name on member connections, the same for every session.
 
         Names chosen by sessions may collide; a name derived from the shape
-        lets all sessions share the statements prepared on a connection.
+        lets all sessions share the statements prepared on a connection.  It
+        is one word of a fixed length, whatever the text holds, and still
+        right on a connection whose prepared statements were lost.
         """
-        return ("w_" if self.writes else "r_") + self.text
+        digest = hashlib.blake2b(self.text.encode(), digest_size=NAME_BYTES)
+        return ("w_" if self.writes else "r_") + digest.hexdigest()
 
 
 class Command(msgspec.Struct, frozen=True):
