Refuse an EXECUTE without an item

A client's EXECUTE s1 with a blank and nothing behind it reached the member without the blank: a changed text. The protocol asks for an item, so a missing or empty one is refused before anything is sent, and what stands behind the name is taken from the text as it came.

--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -170,6 +170,21 @@
     return read
 
 
+def _read_execute(
+    statement_id: ids.StatementId, text: str, rest: str
+) -> command.Command:
+    name, _, argument = rest.partition(" ")
+    if not name or not argument or argument.startswith(" "):
+        raise ProtocolError("EXECUTE needs a name and an item")
+    return command.Command(
+        statement_id,
+        command.CommandKind.EXECUTE,
+        text,
+        name=name,
+        argument=argument,
+    )
+
+
 def _read_prepare(
     statement_id: ids.StatementId, text: str, rest: str
 ) -> command.Command:
@@ -194,7 +209,7 @@
     "WRITE": _reader_with_item(command.CommandKind.WRITE),
     "SET": _reader_with_name(command.CommandKind.SET),
     "PREPARE": _read_prepare,
-    "EXECUTE": _reader_with_name(command.CommandKind.EXECUTE),
+    "EXECUTE": _read_execute,
     "DEALLOC": _reader_with_name(command.CommandKind.DEALLOCATE),
 }
 
@@ -252,8 +267,8 @@
     """
     if shape is None:
         return statement.text
-    text = f"EXECUTE {shape.member_name}"
-    return f"{text} {statement.argument}" if statement.argument else text
+    word, _, *fields = statement.text.split(" ", 2)
+    return " ".join([word, shape.member_name, *fields])
 
 
 def step_text(step: member_session.Step) -> str:
