Refuse a SET without a value

A session that had sent SET zone was told that it is set. The value was then set on members as an empty one, with a text that the client had not sent, or refused by them, in which case no statement of the session could run. The protocol asks for a value; an empty one (with the blank in front of it) stays allowed.

--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -170,6 +170,23 @@
     return read
 
 
+def _read_set(
+    statement_id: ids.StatementId, text: str, rest: str
+) -> command.Command:
+    # The value may be empty, but a field without its blank would be set again
+    # with one.
+    name, blank, value = rest.partition(" ")
+    if not name or not blank:
+        raise ProtocolError("SET needs a name and a value")
+    return command.Command(
+        statement_id,
+        command.CommandKind.SET,
+        text,
+        name=name,
+        argument=value,
+    )
+
+
 def _read_execute(
     statement_id: ids.StatementId, text: str, rest: str
 ) -> command.Command:
@@ -207,7 +224,7 @@
     "ROLLBACK": _reader_without_fields(command.CommandKind.ROLLBACK),
     "READ": _reader_with_item(command.CommandKind.READ),
     "WRITE": _reader_with_item(command.CommandKind.WRITE),
-    "SET": _reader_with_name(command.CommandKind.SET),
+    "SET": _read_set,
     "PREPARE": _read_prepare,
     "EXECUTE": _read_execute,
     "DEALLOC": _reader_with_name(command.CommandKind.DEALLOCATE),
