Refuse a DEALLOC with more than a name

DEALLOC s1 s2 dropped s1, although the name in it is none that PREPARE can define: s1 was unknown afterwards, without its client having dropped it (PINNED).

The test failed before (the line was read).

--- a/burdockcart/platform/tests/test_wire.py
+++ b/burdockcart/platform/tests/test_wire.py
@@ -56,6 +56,8 @@
             b"QUERY 5c0e READ 1\x00",
             b"QUERY 5c0e PREPARE s1 DROP q",
             b"QUERY 5c0e COMMIT now",
+            b"QUERY 5c0e DEALLOC s1 s2",
+            b"QUERY 5c0e DEALLOC s1 ",
             b"QUERY 5c0e SET zone",
             b"QUERY 5c0e SET  a",
             b"QUERY 5c0e EXECUTE s1",
--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -156,18 +156,14 @@
     return read
 
 
-def _reader_with_name(kind: command.CommandKind):
-    def read(
-        statement_id: ids.StatementId, text: str, rest: str
-    ) -> command.Command:
-        name, _, argument = rest.partition(" ")
-        if not name:
-            raise ProtocolError(f"{kind.value} needs a name")
-        return command.Command(
-            statement_id, kind, text, name=name, argument=argument
-        )
-
-    return read
+def _read_deallocate(
+    statement_id: ids.StatementId, text: str, rest: str
+) -> command.Command:
+    if not rest or " " in rest:
+        raise ProtocolError("DEALLOC needs a name, which is one word")
+    return command.Command(
+        statement_id, command.CommandKind.DEALLOCATE, text, name=rest
+    )
 
 
 def _read_set(
@@ -227,7 +223,7 @@
     "SET": _read_set,
     "PREPARE": _read_prepare,
     "EXECUTE": _read_execute,
-    "DEALLOC": _reader_with_name(command.CommandKind.DEALLOCATE),
+    "DEALLOC": _read_deallocate,
 }
 
 
