Refuse empty fields behind COMMIT, and before data

COMMIT with a trailing blank was forwarded as it came: a member that follows the protocol knows no such statement. The same for ROLLBACK and BEGIN, and for a WRITE whose item is empty.

--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -126,7 +126,7 @@
 def _read_begin(
     statement_id: ids.StatementId, text: str, rest: str
 ) -> command.Command:
-    if rest not in ("", "READ"):
+    if text not in ("BEGIN", "BEGIN READ"):
         raise ProtocolError(f"BEGIN takes READ or nothing, not {rest[:20]!r}")
     kind = command.CommandKind.BEGIN
     if rest == "READ":
@@ -138,22 +138,27 @@
     def read(
         statement_id: ids.StatementId, text: str, rest: str
     ) -> command.Command:
-        if rest:
+        if text != kind.name:
             raise ProtocolError(f"{kind.value} takes no fields")
         return command.Command(statement_id, kind, text)
 
     return read
 
 
-def _reader_with_item(kind: command.CommandKind):
-    def read(
-        statement_id: ids.StatementId, text: str, rest: str
-    ) -> command.Command:
-        if not rest:
-            raise ProtocolError(f"{kind.value} needs an item")
-        return command.Command(statement_id, kind, text)
+def _read_read(
+    statement_id: ids.StatementId, text: str, rest: str
+) -> command.Command:
+    if not rest:
+        raise ProtocolError("READ needs an item")
+    return command.Command(statement_id, command.CommandKind.READ, text)
 
-    return read
+
+def _read_write(
+    statement_id: ids.StatementId, text: str, rest: str
+) -> command.Command:
+    if not rest or rest.startswith(" "):
+        raise ProtocolError("WRITE needs an item")
+    return command.Command(statement_id, command.CommandKind.WRITE, text)
 
 
 def _read_deallocate(
@@ -218,8 +223,8 @@
     "BEGIN": _read_begin,
     "COMMIT": _reader_without_fields(command.CommandKind.COMMIT),
     "ROLLBACK": _reader_without_fields(command.CommandKind.ROLLBACK),
-    "READ": _reader_with_item(command.CommandKind.READ),
-    "WRITE": _reader_with_item(command.CommandKind.WRITE),
+    "READ": _read_read,
+    "WRITE": _read_write,
     "SET": _read_set,
     "PREPARE": _read_prepare,
     "EXECUTE": _read_execute,
