--- a/burdockcart/process/gateway/log_comparison.py
+++ b/burdockcart/process/gateway/log_comparison.py
@@ -81,6 +81,10 @@
         self.term = 0
         self._listed = listed
         self._clock = loop_clock
+        #: Position that each replica has reported last.
+        self.received_by_member: dict[
+            ids.MemberId, log_position.LogPosition
+        ] = {}
 
     async def candidate(
         self, only: ids.MemberId | None = None
@@ -256,5 +260,6 @@
                     member,
                 )
                 return None
+            self.received_by_member[member] = answer.received
             views.append(_view(member, pool, answer))
         return views
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -143,6 +143,7 @@
                 old,
                 asked,
                 lambda: self._needed(group, old, cause, started_at),
+                cause,
                 prepared,
             )
         finally:
@@ -204,6 +205,7 @@
         old: ids.MemberId | None,
         asked: asked_members.AskedMembers,
         needed: Callable[[], bool],
+        cause: failover_rule.Cause,
         prepared: ids.MemberId | None = None,
     ) -> bool:
         """Claim the promotion, choose a replica and promote it."""
@@ -249,7 +251,12 @@
                 )
                 try:
                     outcome = await self._caller.call(
-                        group, candidate, token, asked, compared_at
+                        group,
+                        promotion_call.Replacement(
+                            old, cause, candidate, asked, comparison
+                        ),
+                        token,
+                        compared_at,
                     )
                 finally:
                     keeping.cancel()
--- a/burdockcart/process/gateway/promotion_call.py
+++ b/burdockcart/process/gateway/promotion_call.py
@@ -4,6 +4,7 @@
 from typing import Iterable
 
 import loguru
+import msgspec
 from returns import result
 
 from burdockcart import clock
@@ -11,8 +12,10 @@
 from burdockcart.process.gateway import asked_members
 from burdockcart.process.gateway import claim_record
 from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import log_comparison
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
 
@@ -36,6 +39,32 @@
     UNANSWERED = "may be carried out later"
 
 
+class Replacement(msgspec.Struct, frozen=True):
+    """A replacement of a primary that is ready to be carried out.
+
+    Parameters
+    ==========
+
+    old : MemberId or None
+        The primary; None if no listed member leads.
+    cause : Cause
+        Why it is replaced.
+    candidate : MemberId
+        The member to be promoted.
+    asked : AskedMembers
+        The members whose logs were compared.
+    comparison : LogComparison
+        Positions that they have reported.
+
+    """
+
+    old: ids.MemberId | None
+    cause: failover_rule.Cause
+    candidate: ids.MemberId
+    asked: asked_members.AskedMembers
+    comparison: log_comparison.LogComparison
+
+
 class PromotionCaller:
     """Records each call of a promotion, and what its answer leaves open.
 
@@ -76,9 +105,8 @@
     async def call(
         self,
         group: groups.Group,
-        candidate: ids.MemberId,
+        replacement: Replacement,
         token: ids.FencingToken,
-        asked: asked_members.AskedMembers,
         compared_at: float,
     ) -> CallOutcome:
         """Call the platform; retry with a new token where that can help."""
@@ -86,7 +114,7 @@
         for _ in range(MAX_CALLS):
             try:
                 answer = await self._call_once(
-                    group, candidate, token, asked, compared_at
+                    group, replacement, token, compared_at
                 )
             except BaseException:
                 if group.id in self._called:
@@ -122,15 +150,15 @@
     async def _call_once(
         self,
         group: groups.Group,
-        candidate: ids.MemberId,
+        replacement: Replacement,
         token: ids.FencingToken,
-        asked: asked_members.AskedMembers,
         compared_at: float,
     ) -> result.Result[None, coordination.PromotionFault] | None:
         """Record the candidate and call the platform.
 
         None if the platform was not called.
         """
+        candidate, asked = replacement.candidate, replacement.asked
         valid_s = COMPARISON_VALID_S
         if self._record.owned(group.id):
             # Fails if another daemon has claimed the promotion, so that
@@ -155,6 +183,7 @@
             )
             return None
         self._called.add(group.id)
+        _log_call(group, replacement, token)
         answer = await self._platform.promote(
             group.id, candidate, self._daemon, token
         )
@@ -170,6 +199,28 @@
         return answer
 
 
+def _log_call(
+    group: groups.Group, replacement: Replacement, token: ids.FencingToken
+) -> None:
+    """Log what is known of the logs when a promotion is called for."""
+    received = replacement.comparison.received_by_member
+    not_asked = group.roster.known - replacement.asked.members
+    loguru.logger.info(
+        "event=promotion_called group={} primary={} candidate={} token={} "
+        "cause={!r} received={} not_asked={}",
+        group.id,
+        replacement.old,
+        replacement.candidate,
+        token,
+        replacement.cause.value,
+        ",".join(
+            f"{member}:{position.term}.{position.number}"
+            for member, position in sorted(received.items())
+        ),
+        ",".join(sorted(f"{e.id}/{e.started_ms}" for e in not_asked)),
+    )
+
+
 def put_off(
     metrics: gateway_metrics.GatewayMetrics,
     group: groups.Group,
