Report the commits that a promotion discards

A promoted member leads with what it has received; members that had more drop it.

Until its first commit a new primary reports the position at which its term began. PromotionAudit compares it with each position of an earlier term that another member reports, or has reported before. The answers that come anyway are used, and each other member that the daemon connects to is asked once after the promotion. commits_discarded names both members and positions and is counted (burdockcart_commits_discarded_total); term_begun is logged for each promotion that was seen in time.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -360,6 +360,7 @@
                     self.relay.holding,
                     self._link,
                     self._open_calls,
+                    self.metrics,
                     self._settings.promotions_fenced,
                     self._settings.first_start,
                 )
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -61,6 +61,12 @@
             ["reason"],
             registry=self.registry,
         )
+        self._discarded = prometheus_client.Counter(
+            "burdockcart_commits_discarded",
+            "Commits of a member that a promotion has discarded",
+            ["group", "led"],
+            registry=self.registry,
+        )
         self._hedges = prometheus_client.Counter(
             "burdockcart_reads_hedged",
             "Reads that were sent to a second member",
@@ -176,6 +182,10 @@
         """Count an attempt to replace a primary that was put off."""
         self._promotions_put_off.labels(reason).inc()
 
+    def commits_discarded(self, group: str, led: bool, count: int) -> None:
+        """Count commits that the promoted member lacked."""
+        self._discarded.labels(group, str(led).lower()).inc(count)
+
     def read_hedged(self) -> None:
         """Count a read that was sent to a second member."""
         self._hedges.inc()
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -14,10 +14,12 @@
 from burdockcart import ids
 from burdockcart.process.gateway import commit_guard
 from burdockcart.process.gateway import connection_share
+from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import member_pool
 from burdockcart.process.gateway import open_calls
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.process.gateway import primary_tracker
+from burdockcart.process.gateway import promotion_watch
 from burdockcart.process.gateway import replica_roster
 from burdockcart.request import member_choice
 from burdockcart.request import work_queue
@@ -71,6 +73,7 @@
         plan: ConnectionPlan,
         link: own_link.OwnLink,
         calls: open_calls.OpenCalls,
+        metrics: gateway_metrics.GatewayMetrics,
         promotions_fenced: bool = True,
         first_start: bool = False,
     ):
@@ -87,6 +90,9 @@
             boot_clock,
             self.dispatch,
         )
+        self.watch = promotion_watch.PromotionWatch(
+            limits.id, self.pool_by_member, loop_clock, metrics
+        )
         self.commits = commit_guard.CommitGuard(
             limits.id, self.pool_by_member, self.primary, loop_clock, calls
         )
@@ -150,6 +156,7 @@
                 self._clock,
                 self.dispatch,
                 self._link,
+                self.watch.observe,
             )
             self._apply_share(pool)
             self.pool_by_member[entry.id] = pool
@@ -418,6 +425,7 @@
     def close(self) -> None:
         """Close all connections."""
         self.commits.close()
+        self.watch.close()
         for pool in self.pool_by_member.values():
             pool.retire()
 
--- a/burdockcart/process/gateway/log_comparison.py
+++ b/burdockcart/process/gateway/log_comparison.py
@@ -261,5 +261,6 @@
                 )
                 return None
             self.received_by_member[member] = answer.received
+            self._group.watch.observe(member, answer)
             views.append(_view(member, pool, answer))
         return views
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -12,6 +12,7 @@
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_health
 from burdockcart.connection import own_link
+from burdockcart import ids
 from burdockcart.process.gateway import connection_share
 from burdockcart.process.gateway import pooled_connection
 from burdockcart.request import command
@@ -52,6 +53,8 @@
         Called when a connection becomes free or opening one has ended.
     link : OwnLink
         What this daemon receives from all members.
+    observed : callable
+        Called with each status that the member reports.
 
     """
 
@@ -62,6 +65,7 @@
         loop_clock: clock.Clock,
         changed: Callable[[], None],
         link: own_link.OwnLink,
+        observed: Callable[[ids.MemberId, member_channel.MemberStatus], None],
     ):
         self.entry = entry
         self.share = connection_share.Share(1, 1)
@@ -78,6 +82,7 @@
         self._clock = loop_clock
         self._listed_at = loop_clock.now()
         self._changed = changed
+        self._observed = observed
         self._idle: list[pooled_connection.PooledConnection] = []
         self._busy: set[pooled_connection.PooledConnection] = set()
         self._opening: dict[asyncio.Task[None], float] = {}
@@ -383,7 +388,10 @@
         self, timeout_s: float
     ) -> member_channel.MemberStatus | member_channel.MemberFault:
         """Ask for the member's status; takes none of its slots."""
-        return await self.query(lambda channel: channel.observe(timeout_s))
+        status = await self.query(lambda channel: channel.observe(timeout_s))
+        if isinstance(status, member_channel.MemberStatus):
+            self._observed(self.entry.id, status)
+        return status
 
     async def demote(
         self, term: int, timeout_s: float
--- a/burdockcart/process/gateway/tests/test_promotion_audit.py
+++ b/burdockcart/process/gateway/tests/test_promotion_audit.py
@@ -4,8 +4,13 @@
 
 import testtools
 
+from burdockcart.connection import member_channel
+from burdockcart.process.gateway import promotion_audit
+from burdockcart.process.gateway.tests import test_open_calls
 from burdockcart.process.gateway.tests import test_own_link
+from burdockcart.process.gateway.tests import test_replica_rosters
 from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.request import log_position
 from burdockcart.tests import gateway_deployment
 from burdockcart.version import manifest
 
@@ -51,3 +56,146 @@
             self.assertIn("cause='drains'", line)
 
         scenario(check, daemons=2)
+
+
+class TestDiscardedCommits(testtools.TestCase):
+    """What members report after a promotion shows what was discarded."""
+
+    def observe(self, audit, member, role, term, *received):
+        status = member_channel.MemberStatus(
+            member_channel.Role[role],
+            term,
+            log_position.LogPosition(*received),
+        )
+        return [
+            (each.member, each.led, each.commits)
+            for each in audit.observe(member, status)
+        ]
+
+    def test_reported_before_and_after(self):
+        """A member that drops its commits soon must not hide them."""
+        audit = promotion_audit.PromotionAudit()
+        self.assertEqual([], self.observe(audit, "a", "PRIMARY", 1, 1, 9))
+        self.assertEqual([], self.observe(audit, "d", "REPLICA", 1, 1, 8))
+        self.assertEqual([], self.observe(audit, "c", "REPLICA", 1, 1, 6))
+        self.assertEqual(
+            [("a", True, 2), ("d", False, 1)],
+            self.observe(audit, "b", "PRIMARY", 2, 1, 7),
+        )
+        self.assertEqual([], self.observe(audit, "c", "REPLICA", 1, 1, 7))
+        self.assertEqual(
+            [("c", False, 3)], self.observe(audit, "c", "REPLICA", 1, 1, 10)
+        )
+
+    def test_found_once(self):
+        """Each commit is counted once, also after another promotion."""
+        audit = promotion_audit.PromotionAudit()
+        self.observe(audit, "b", "PRIMARY", 2, 1, 7)
+        for number, commits in ((9, 2), (9, None), (10, 1)):
+            self.assertEqual(
+                [("c", False, commits)] if commits else [],
+                self.observe(audit, "c", "REPLICA", 1, 1, number),
+            )
+        self.assertEqual([], self.observe(audit, "d", "PRIMARY", 3, 1, 7))
+        self.assertEqual([], self.observe(audit, "c", "REPLICA", 1, 1, 10))
+
+    def test_beginning_not_seen(self):
+        """After its first commit a primary does not tell what it lacked."""
+        audit = promotion_audit.PromotionAudit()
+        self.observe(audit, "a", "PRIMARY", 1, 1, 9)
+        self.assertEqual([], self.observe(audit, "b", "PRIMARY", 2, 2, 8))
+        self.assertEqual([], self.observe(audit, "c", "REPLICA", 1, 1, 10))
+
+    def test_commits_of_a_term_that_the_promoted_member_lacks(self):
+        """Their number is not known, but there is one at least."""
+        audit = promotion_audit.PromotionAudit()
+        self.observe(audit, "b", "PRIMARY", 3, 1, 7)
+        self.assertEqual(
+            [("c", False, 1)], self.observe(audit, "c", "REPLICA", 2, 2, 20)
+        )
+
+    def test_members_kept(self):
+        """Members that come and go must not be kept without a limit."""
+        audit = promotion_audit.PromotionAudit()
+        for number in range(3 * promotion_audit.MEMBERS_KEPT):
+            self.observe(audit, f"m{number}", "REPLICA", 1, 1, number)
+        found = self.observe(audit, "b", "PRIMARY", 2, 1, 0)
+        self.assertEqual(promotion_audit.MEMBERS_KEPT - 1, len(found))
+
+    def test_member_that_was_not_asked(self):
+        """The issue: what a newcomer alone acknowledged left no trace.
+
+        It is cut off when the promotion takes effect, so that it still has
+        its log at the first contact.
+        """
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            calls = test_open_calls.Calls(deployment, 3.0, all_late=False)
+            await asyncio.sleep(3.0)
+            deployment.enter(primary, manifest.MemberState.DRAINING)
+            name, _ = await asyncio.wait_for(calls.first, 8.0)
+            candidate = deployment.group.member_by_id[name]
+            await asyncio.sleep(1.0)
+            joined = test_replica_rosters.new_member(deployment, "m-d")
+            candidate.replication_cut = True
+            received = candidate.received()
+            for number in range(3):
+                primary.commit([(f"late{number}", "WRITE 1a4 x")])
+            self.assertEqual(3, joined.received().number - received.number)
+            log = list(joined.log)
+            with logged("commits_discarded", "term_begun") as lines:
+                await gateway_deployment.until(lambda: candidate.leads)
+                joined.log = log
+                await asyncio.sleep(1.0)
+            at = f"{received.term}.{received.number}"
+            begun = [each for each in lines if "=term_begun " in each]
+            self.assertEqual(
+                {("g", name, "2", at)},
+                {
+                    tuple(
+                        fields(each)[field]
+                        for field in ("group", "member", "term", "received")
+                    )
+                    for each in begun
+                },
+            )
+            found = [fields(e) for e in lines if "member=m-d" in e]
+            self.assertEqual(len(begun), len(found))
+            for each in found:
+                self.assertEqual(
+                    ("False", name, at, "3"),
+                    (
+                        each["led"],
+                        each["promoted"],
+                        each["received"],
+                        each["commits"],
+                    ),
+                )
+            line = b'discarded_total{group="g",led="false"} 3.0'
+            self.assertIn(line, deployment.daemons[0].measure())
+
+        scenario(check, daemons=2)
+
+    def test_calm_day(self):
+        """Without a promotion, only the primary's position is sampled."""
+
+        async def check(deployment):
+            asked = []
+            for daemon in deployment.daemons:
+                group = daemon.group_by_id[GROUP]
+                for pool in group.pool_by_member.values():
+                    observe = pool._observed
+                    pool._observed = lambda *each, known=observe: (
+                        asked.append(each),
+                        known(*each),
+                    )
+            client = await deployment.client("live")
+            for _ in range(100):
+                self.assertTrue(gateway_deployment.ok(await client.write()))
+                await asyncio.sleep(0.05)
+            self.assertEqual({"m-a"}, {member for member, _ in asked})
+            for daemon in deployment.daemons:
+                self.assertIsNone(daemon.group_by_id[GROUP].watch._asking)
+
+        scenario(check, daemons=2)
