Report success passed on for discarded commits

Each daemon now keeps the newest position that it has passed on as done (CommitGuard.confirm) and compares it with the position at which the next term begins: acknowledged_discarded, and its counter. A daemon that sees the new primary only after its first commit does not know that position; term_begun names its newest commit of the terms before, to be compared with the lines of the others.

--- a/burdockcart/process/gateway/commit_guard.py
+++ b/burdockcart/process/gateway/commit_guard.py
@@ -21,6 +21,7 @@
 
 import asyncio
 import enum
+from typing import Callable
 import weakref
 
 import loguru
@@ -67,6 +68,9 @@
         Owned by the group.
     calls : OpenCalls
         Which calls are open, and whether this daemon would know.
+    passed_on : callable
+        Called with each commit that outlives a promotion, before its client
+        is told.
 
     """
 
@@ -77,6 +81,7 @@
         primary: primary_tracker.PrimaryTracker,
         loop_clock: clock.Clock,
         calls: open_calls.OpenCalls,
+        passed_on: Callable[[log_position.LogPosition], None],
     ):
         #: Whether the group's commits have to outlive a promotion.
         self.active = True
@@ -87,6 +92,7 @@
         self._primary = primary
         self._clock = loop_clock
         self._calls = calls
+        self._passed_on = passed_on
         self._blocked_at = 0.0
         self._watched_at = 0.0
         #: Newest commit for which writes were blocked.
@@ -137,6 +143,14 @@
             Time on the event loop's clock until which to wait for that.
 
         """
+        confirmed = await self._confirmed(commit, until)
+        if confirmed and commit is not None and self.active:
+            self._passed_on(commit)
+        return confirmed
+
+    async def _confirmed(
+        self, commit: log_position.LogPosition | None, until: float
+    ) -> bool:
         if not self._at_risk(commit):
             return True
         if commit is None:
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -67,6 +67,12 @@
             ["group", "led"],
             registry=self.registry,
         )
+        self._acknowledged_discarded = prometheus_client.Counter(
+            "burdockcart_acknowledged_discarded",
+            "Commits told to be done that a promotion has discarded",
+            ["group"],
+            registry=self.registry,
+        )
         self._hedges = prometheus_client.Counter(
             "burdockcart_reads_hedged",
             "Reads that were sent to a second member",
@@ -186,6 +192,10 @@
         """Count commits that the promoted member lacked."""
         self._discarded.labels(group, str(led).lower()).inc(count)
 
+    def acknowledged_discarded(self, group: str, count: int) -> None:
+        """Count commits that clients were told to be done."""
+        self._acknowledged_discarded.labels(group).inc(count)
+
     def read_hedged(self) -> None:
         """Count a read that was sent to a second member."""
         self._hedges.inc()
--- a/burdockcart/process/gateway/group.py
+++ b/burdockcart/process/gateway/group.py
@@ -94,7 +94,12 @@
             limits.id, self.pool_by_member, loop_clock, metrics
         )
         self.commits = commit_guard.CommitGuard(
-            limits.id, self.pool_by_member, self.primary, loop_clock, calls
+            limits.id,
+            self.pool_by_member,
+            self.primary,
+            loop_clock,
+            calls,
+            self.watch.pass_on,
         )
         self.queue = work_queue.WorkQueue()
         #: Whether no other failure domain is reachable.
--- a/burdockcart/process/gateway/promotion_audit.py
+++ b/burdockcart/process/gateway/promotion_audit.py
@@ -93,7 +93,9 @@
     def __init__(self) -> None:
         self.beginning: Beginning | None = None
         #: Newest term that a primary has reported.
-        self._term = 0
+        self.term = 0
+        #: Newest commit passed on before one of a later term was.
+        self._passed_on_earlier: log_position.LogPosition | None = None
         #: Newest position of each member, and of the commits passed on (None).
         self._newest: dict[ids.MemberId | None, log_position.LogPosition] = {}
         self._found: dict[ids.MemberId | None, log_position.LogPosition] = {}
@@ -115,17 +117,26 @@
 
     def pass_on(self, commit: log_position.LogPosition) -> Finding | None:
         """Use the position of a commit that a client is told to be done."""
+        known = self._newest.get(None)
+        if known is not None and known.term < commit.term:
+            self._passed_on_earlier = known
         self._keep(None, commit)
         return self._examine(None)
 
+    def passed_on_before(self, term: int) -> log_position.LogPosition | None:
+        """Return the newest commit passed on of the terms before."""
+        known = self._newest.get(None), self._passed_on_earlier
+        earlier = [e for e in known if e is not None and e.term < term]
+        return max(earlier, default=None)
+
     def _begins(
         self, member: ids.MemberId, status: member_channel.MemberStatus
     ) -> bool:
         """Return whether a status shows where a new term began."""
-        if status.term < self._term:
+        if status.term < self.term:
             return False
-        if status.term > self._term:
-            self._term, self.beginning = status.term, None
+        if status.term > self.term:
+            self.term, self.beginning = status.term, None
         if self.beginning is not None or status.received.term >= status.term:
             return False
         self.beginning = Beginning(member, status.term, status.received)
--- a/burdockcart/process/gateway/promotion_watch.py
+++ b/burdockcart/process/gateway/promotion_watch.py
@@ -56,23 +56,34 @@
         self, member: ids.MemberId, status: member_channel.MemberStatus
     ) -> None:
         """Use the status that a member has reported."""
-        known = self._audit.beginning
+        term, known = self._audit.term, self._audit.beginning
         for finding in self._audit.observe(member, status):
             self._report(finding)
         begun = self._audit.beginning
-        if begun is not None and begun is not known:
+        found = begun is not None and begun is not known
+        if found or 0 < term < self._audit.term:
+            passed_on = self._audit.passed_on_before(self._audit.term)
             loguru.logger.info(
-                "event=term_begun group={} member={} term={} received={}",
+                "event=term_begun group={} member={} term={} received={} "
+                "passed_on={}",
                 self._group,
-                begun.member,
-                begun.term,
-                _text(begun.received),
+                member,
+                self._audit.term,
+                begun and _text(begun.received),
+                passed_on and _text(passed_on),
             )
+        if begun is not None and found:
             self.close()
             self._asking = asyncio.create_task(
                 self._ask_others(begun.member), name="ask_after_promotion"
             )
 
+    def pass_on(self, commit: log_position.LogPosition) -> None:
+        """Note that a client is told that a commit is done."""
+        finding = self._audit.pass_on(commit)
+        if finding is not None:
+            self._report(finding)
+
     def close(self) -> None:
         """Ask no more members."""
         if self._asking is not None:
@@ -113,6 +124,19 @@
 
     def _report(self, finding: promotion_audit.Finding) -> None:
         begun = finding.beginning
+        if finding.member is None:
+            self._metrics.acknowledged_discarded(self._group, finding.commits)
+            loguru.logger.error(
+                "event=acknowledged_discarded group={} position={} "
+                "promoted={} term={} received={} commits={}",
+                self._group,
+                _text(finding.position),
+                begun.member,
+                begun.term,
+                _text(begun.received),
+                finding.commits,
+            )
+            return
         self._metrics.commits_discarded(
             self._group, finding.led, finding.commits
         )
--- a/burdockcart/process/gateway/tests/test_promotion_audit.py
+++ b/burdockcart/process/gateway/tests/test_promotion_audit.py
@@ -10,6 +10,7 @@
 from burdockcart.process.gateway.tests import test_own_link
 from burdockcart.process.gateway.tests import test_replica_rosters
 from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.request import command
 from burdockcart.request import log_position
 from burdockcart.tests import gateway_deployment
 from burdockcart.version import manifest
@@ -199,3 +200,148 @@
                 self.assertIsNone(daemon.group_by_id[GROUP].watch._asking)
 
         scenario(check, daemons=2)
+
+
+class TestAcknowledgedCommits(testtools.TestCase):
+    """Commits passed on as done that a promotion discards are reported."""
+
+    def test_before_and_after_the_promotion(self):
+        """Success may be passed on before and after the new term is known."""
+        audit = promotion_audit.PromotionAudit()
+        at = log_position.LogPosition
+        self.assertIsNone(audit.pass_on(at(1, 8)))
+        self.assertIsNone(audit.pass_on(at(1, 7)))
+        (found,) = audit.observe(
+            "b",
+            member_channel.MemberStatus(
+                member_channel.Role.PRIMARY, 2, at(1, 7)
+            ),
+        )
+        self.assertEqual(
+            (None, at(1, 8), 1), (found.member, found.position, found.commits)
+        )
+        self.assertEqual(2, audit.pass_on(at(1, 10)).commits)
+        self.assertIsNone(audit.pass_on(at(1, 10)))
+        self.assertIsNone(audit.pass_on(at(2, 8)))
+
+    def test_many_members(self):
+        """The position passed on is kept, however many members there are."""
+        audit = promotion_audit.PromotionAudit()
+        audit.pass_on(log_position.LogPosition(1, 1))
+        for number in range(3 * promotion_audit.MEMBERS_KEPT):
+            audit.observe(
+                f"m{number}",
+                member_channel.MemberStatus(
+                    member_channel.Role.REPLICA,
+                    1,
+                    log_position.LogPosition(1, 5),
+                ),
+            )
+        found = audit.observe(
+            "b",
+            member_channel.MemberStatus(
+                member_channel.Role.PRIMARY, 2, log_position.LogPosition(1, 0)
+            ),
+        )
+        self.assertIn(None, [each.member for each in found])
+
+    def play(self, statements, discard):
+        """Let clients write, then promote a member; return the lines.
+
+        Parameters
+        ==========
+
+        discard : bool
+            Whether the promoted member lacks the last write.
+
+        """
+        kept = []
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            promoted = deployment.members[1]
+            client = await deployment.client("live")
+            self.assertTrue(gateway_deployment.ok(await client.write()))
+            promoted.replication_cut = discard
+            for kind in statements:
+                reply = await client.send(kind, f"{kind.value} 1a4 x")
+                self.assertTrue(gateway_deployment.ok(reply))
+            promoted.replication_cut = False
+            with logged("acknowledged_discarded") as lines:
+                deployment.group.promote(promoted)
+                primary.crash()
+                await asyncio.sleep(4.0)
+            kept.append(lines)
+            kept.append(deployment.daemons[0].measure().decode())
+
+        scenario(check, daemons=1)
+        return kept
+
+    def test_line_and_counter(self):
+        """The issue: no line told that a success passed on was lost."""
+        kind = command.CommandKind
+        for statements in (
+            [kind.WRITE],
+            [kind.BEGIN, kind.WRITE, kind.COMMIT],
+        ):
+            with self.subTest(statements=statements):
+                (line,), metrics = self.play(statements, True)
+                found = fields(line)
+                self.assertEqual(
+                    ("g", "1.2", "m-b", "2", "1.1", "1"),
+                    tuple(
+                        found[name]
+                        for name in (
+                            "group",
+                            "position",
+                            "promoted",
+                            "term",
+                            "received",
+                            "commits",
+                        )
+                    ),
+                )
+                self.assertIn(
+                    'acknowledged_discarded_total{group="g"} 1.0', metrics
+                )
+
+    def test_beginning_not_seen(self):
+        """Two daemons' lines must show together what one cannot know."""
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            promoted = deployment.members[1]
+            client = await deployment.client("live")
+            for _ in range(2):
+                self.assertTrue(gateway_deployment.ok(await client.write()))
+            with logged("term_begun") as lines:
+                deployment.group.promote(promoted)
+                promoted.commit([("other", "WRITE 1a4 x")])
+                primary.crash()
+                await asyncio.sleep(4.0)
+            (found,) = map(fields, lines)
+            self.assertEqual(
+                ("m-b", "2", "None", "1.2"),
+                tuple(
+                    found[name]
+                    for name in ("member", "term", "received", "passed_on")
+                ),
+            )
+
+        scenario(check, daemons=1)
+
+    def test_passed_on_before(self):
+        """Commits of the new term must not hide the last one of before."""
+        audit = promotion_audit.PromotionAudit()
+        at = log_position.LogPosition
+        self.assertIsNone(audit.passed_on_before(2))
+        for commit in (at(1, 7), at(1, 8), at(2, 9), at(2, 10)):
+            audit.pass_on(commit)
+        self.assertEqual(at(1, 8), audit.passed_on_before(2))
+        self.assertEqual(at(2, 10), audit.passed_on_before(3))
+
+    def test_nothing_discarded(self):
+        """A promotion that keeps all commits must not be reported."""
+        lines, metrics = self.play([command.CommandKind.WRITE], False)
+        self.assertEqual([], lines)
+        self.assertNotIn("acknowledged_discarded_total{", metrics)
