Log commits passed on without knowledge of the calls

A daemon that has not read the store cannot know of a promotion call and goes by the holds that replicas show.

--- a/burdockcart/process/gateway/commit_guard.py
+++ b/burdockcart/process/gateway/commit_guard.py
@@ -21,6 +21,7 @@
 
 import asyncio
 import enum
+import math
 from typing import Callable
 import weakref
 
@@ -46,6 +47,9 @@
 LOOK_INTERVAL_S = 0.1
 #: The same while no replica has been seen on hold, in seconds.
 QUIET_INTERVAL_S = 0.4
+#: Least time between two log lines of commits that are passed on without
+#: knowledge of the calls, in seconds.
+UNKNOWN_LOG_S = 1.0
 #: Time after the last write after which the looks end, in seconds.
 IDLE_S = 2.0
 
@@ -102,6 +106,11 @@
         self._hold_until = 0.0
         self._hold_term = 0
         self._looks: asyncio.Task[None] | None = None
+        #: When a replica has last told whether it is on hold.
+        self._answered_at = -math.inf
+        #: Commits passed on without knowledge since the last line of them.
+        self._unknown_count = 0
+        self._unknown_logged_at = -math.inf
         self._inquiry_by_pool: weakref.WeakKeyDictionary[
             member_pool.MemberPool,
             shared_inquiry.SharedInquiry[member_channel.MemberStatus | None],
@@ -146,6 +155,7 @@
         confirmed = await self._confirmed(commit, until)
         if confirmed and commit is not None and self.active:
             self._passed_on(commit)
+            self._log_unknown(commit)
         return confirmed
 
     async def _confirmed(
@@ -172,6 +182,34 @@
                 self._block(commit)
             await asyncio.sleep(RETRY_PAUSE_S)
 
+    def _log_unknown(self, commit: log_position.LogPosition) -> None:
+        """Log that a call may be open that neither store nor replicas tell.
+
+        The last look may not have had an answer yet.
+        """
+        now = self._clock.now()
+        quiet_s = now - self._answered_at
+        if (
+            quiet_s <= QUERY_TIMEOUT_S + QUIET_INTERVAL_S
+            or self._calls.informed()
+            or self._calls.candidate(self._group) is not None
+        ):
+            return
+        self._unknown_count += 1
+        if now - self._unknown_logged_at < UNKNOWN_LOG_S:
+            return
+        age_s = self._calls.age_s()
+        loguru.logger.warning(
+            "event=commits_passed_on_unknown group={} position={} count={} "
+            "store_age_ms={} replicas_answered_ms_ago={}",
+            self._group,
+            f"{commit.term}.{commit.number}",
+            self._unknown_count,
+            None if age_s is None else int(age_s * 1000),
+            None if math.isinf(quiet_s) else int(quiet_s * 1000),
+        )
+        self._unknown_count, self._unknown_logged_at = 0, now
+
     def close(self) -> None:
         """End the looks at the candidate."""
         if self._looks is not None:
@@ -235,8 +273,10 @@
                 if member != self._primary.leadership.member
             )
         )
+        now = self._clock.now()
+        if any(each is not None for each in answers):
+            self._answered_at = now
         if any(each is not None and each.held_term for each in answers):
-            now = self._clock.now()
             self._hold_until = now + promotion_claims.LATE_CALL_S
             self._hold_term = self._primary.leadership.term
         return answers
--- a/burdockcart/process/gateway/open_calls.py
+++ b/burdockcart/process/gateway/open_calls.py
@@ -20,6 +20,9 @@
     def informed(self) -> bool:
         """Return whether a call of a while ago would be known."""
 
+    def age_s(self) -> float | None:
+        """Return the age of what is known, in seconds; None if nothing is."""
+
 
 class KnownCalls:
     """Calls of this daemon, and those that the store has shown.
@@ -54,3 +57,8 @@
     def informed(self) -> bool:
         """Return whether a call of a while ago would be known."""
         return self._tables.informed
+
+    def age_s(self) -> float | None:
+        """Return the age of what is known, in seconds; None if nothing is."""
+        asked_at = self._tables.known_until
+        return None if asked_at is None else self._clock.now() - asked_at
--- a/burdockcart/process/gateway/tests/test_promotion_audit.py
+++ b/burdockcart/process/gateway/tests/test_promotion_audit.py
@@ -345,3 +345,52 @@
         lines, metrics = self.play([command.CommandKind.WRITE], False)
         self.assertEqual([], lines)
         self.assertNotIn("acknowledged_discarded_total{", metrics)
+
+
+class TestUnknownCalls(testtools.TestCase):
+    """Success passed on without knowledge of the calls is reported."""
+
+    def play(self, store_cut, replicas_silent):
+        """Let a client write for 9 s; return the lines and the writes."""
+        kept = []
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            client = await deployment.client("live")
+            daemon.link.store_cut = store_cut
+            if replicas_silent:
+                daemon.connector.cut |= {e.id for e in deployment.members[1:]}
+            count = 0
+            with logged("commits_passed_on_unknown") as lines:
+                for _ in range(180):
+                    count += gateway_deployment.ok(await client.write())
+                    await asyncio.sleep(0.05)
+            kept.append((list(map(fields, lines)), count))
+
+        scenario(check, daemons=1)
+        return kept[0]
+
+    def test_neither_store_nor_replicas(self):
+        """The issue: nothing told that a call could not be known."""
+        lines, count = self.play(store_cut=True, replicas_silent=True)
+        self.assertGreater(count, 100)
+        self.assertGreater(len(lines), 4)
+        # One line a second, whatever number of commits.
+        self.assertLess(len(lines), 10)
+        self.assertTrue(all(e["position"].startswith("1.") for e in lines))
+        self.assertGreater(int(lines[0]["store_age_ms"]), 2000)
+        # Nearly all writes of these seconds are counted.
+        self.assertGreater(sum(int(each["count"]) for each in lines), 80)
+
+    def test_replicas_answer(self):
+        """Only what was passed on before the first look is reported."""
+        lines, count = self.play(store_cut=True, replicas_silent=False)
+        self.assertGreater(count, 150)
+        self.assertEqual(["1"], [each["count"] for each in lines])
+
+    def test_store_answers(self):
+        """A daemon that reads the store knows each call."""
+        for silent in (False, True):
+            lines, count = self.play(store_cut=False, replicas_silent=silent)
+            self.assertGreater(count, 150)
+            self.assertEqual([], lines)
