Replace all connections of a member that lost prepared names

EXECUTE of an acknowledged name was answered BUSY when a member had lost what was prepared on more than four idle connections: each attempt took another one of them, and the fifth was the last. A member reports a lost name (UNKNOWN, not run) but not lost session values, so statements on the other connections could also have run with other values.

All idle connections to the member are now closed and those in use after their work, unless the name was unknown right after it was prepared, which says nothing about the others.

--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -336,7 +336,11 @@
         elif fault is None:
             connection.pool.limit.record_answer()
         if answer.fault is member_channel.MemberFault.UNKNOWN_NAME:
+            # What the member lost on one connection it may have lost on all,
+            # values included, which it would not report.
             connection.channel.close()
+            if not connection.set_up:
+                connection.pool.replace_connections()
         return answer
 
     async def prepare(
@@ -347,6 +351,7 @@
     ) -> member_channel.Answer | None:
         """Apply a session's state to a connection; return a fault if any."""
         steps = connection.session_state.steps(value_by_name, shape)
+        connection.set_up = bool(steps)
         if not steps:
             return None
         sent_at = self.loop_clock.now()
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/member_pool.py
@@ -477,15 +477,19 @@
         """
         if direct != self.direct:
             self.direct = direct
-            for connection in self._busy:
-                connection.stale = True
-            while self._idle:
-                self._idle.pop().channel.close()
+            self.replace_connections()
         self.share = share
         self.limit.set_maximum(share.hard_limit)
         while self._idle and self.open_count > share.hard_limit:
             self._idle.pop(0).channel.close()
 
+    def replace_connections(self) -> None:
+        """Close all connections, those in use after their work."""
+        for connection in self._busy:
+            connection.stale = True
+        while self._idle:
+            self._idle.pop().channel.close()
+
     def trim(self) -> None:
         """Close idle connections above the soft limit after a burst."""
         now = self._clock.now()
--- a/burdockcart/process/gateway/tests/test_sessions.py
+++ b/burdockcart/process/gateway/tests/test_sessions.py
@@ -297,6 +297,52 @@
 
         scenario(check)
 
+    def test_lost_prepared_names(self):
+        """Guards against an acknowledged name that is unknown at a member.
+
+        All connections of a member may have lost what was prepared on them.
+        """
+
+        async def check(deployment):
+            shapes = [command.Shape(writes, "q a") for writes in (False, True)]
+            deployment.platform.put_tables(
+                gateway_deployment.tables(2, connections=64)
+            )
+            # The daemons have their whole share of the connections by then.
+            await asyncio.sleep(16)
+            clients = [
+                await deployment.client(daemon=number % 2)
+                for number in range(16)
+            ]
+            for client in clients:
+                for shape in shapes:
+                    await client.send(
+                        Kind.PREPARE, name=f"s{shape.writes}", shape=shape
+                    )
+
+            async def execute(client, shape):
+                name = f"s{shape.writes}"
+                reply = await client.send(
+                    Kind.EXECUTE, f"EXECUTE {name} 1a4", name, "1a4"
+                )
+                self.assertTrue(gateway_deployment.ok(reply), reply)
+                (run,) = runs_of(deployment, client.sent[-1])
+                self.assertEqual(shape, run.shape)
+
+            for shape in shapes * 5:
+                # Each transaction prepares on a connection of its own.
+                for client in clients:
+                    await client.send(Kind.BEGIN)
+                    await execute(client, shape)
+                for client in clients:
+                    await client.send(Kind.ROLLBACK)
+                for member in deployment.members:
+                    for channel in member.connections:
+                        channel.prepared.clear()
+                await execute(clients[0], shape)
+
+        scenario(check, connection_limit=64)
+
     def test_transactions_do_not_mix(self):
         """A statement must not run in another client's transaction."""
 
