Log what tells the causes of a mixed-up session apart

A record of UNASKED or PINNED could not be traced: no line named the connection, what it had been set up with, what a member said of a failed attempt, or a success that left another transaction state.

Connections have numbers, which placed and attempt_failed name, with the member's text; connection_set_up lists the setup statements of a connection; prepared_name_unknown and transaction_state_unexpected are warnings.

--- a/burdockcart/connection/channel_state.py
+++ b/burdockcart/connection/channel_state.py
@@ -14,9 +14,11 @@
 from typing import Awaitable
 from typing import Callable
 
+import loguru
 import msgspec
 
 from burdockcart.connection import member_channel
+from burdockcart import ids
 
 _Fault = member_channel.MemberFault
 _State = member_channel.TransactionState
@@ -158,13 +160,19 @@
         Closes the connection; calls :meth:`close`.
     lost : callable
         Returns whether the connection has ended by itself.
+    member : MemberId or None
+        Member that the log names.
 
     """
 
     def __init__(
-        self, close: Callable[[], None], lost: Callable[[], bool]
+        self,
+        close: Callable[[], None],
+        lost: Callable[[], bool],
+        member: ids.MemberId | None = None,
     ) -> None:
         self.phase = Phase.FREE
+        self._member = member
         self._close = close
         self._lost = lost
         self._running: Call | None = None
@@ -221,7 +229,17 @@
             self._running = None
         if self.phase is Phase.CLOSED:
             return _after_close(call, answer)
+        succeeded = answer.fault is None
         self.phase, answer = judge(call, before, answer)
+        if succeeded and answer.fault is not None:
+            loguru.logger.warning(
+                "event=transaction_state_unexpected member={} call={!r} "
+                "before={!r} state={}",
+                self._member,
+                call.value,
+                before.value,
+                answer.state.value,
+            )
         if self.phase is Phase.CLOSED:
             # The phase counts only once the connection itself is closed.
             self.phase = before
--- a/burdockcart/connection/tests/test_channel_state.py
+++ b/burdockcart/connection/tests/test_channel_state.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+import loguru
 import testtools
 
 from burdockcart.connection import channel_state
@@ -49,6 +50,22 @@
 
         virtual_time.run(whole())
 
+    def test_unexpected_state_is_logged(self):
+        """Guards against a statement outside of its transaction, unseen."""
+
+        async def check(connection):
+            await connection.call(Call.BEGIN, State.OPEN)
+            await connection.call(Call.STATEMENT, State.IDLE)
+
+        lines = []
+        sink = loguru.logger.add(lines.append, level="WARNING")
+        self.addCleanup(loguru.logger.remove, sink)
+        self.run_check(check)
+        (line,) = lines
+        self.assertIn("event=transaction_state_unexpected", line)
+        self.assertIn("call='statement of a transaction'", line)
+        self.assertIn("before='in a transaction' state=idle", line)
+
     def test_closed_connection_sends_nothing(self):
         """Neither one that was closed nor one that has ended may send."""
 
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -38,7 +38,9 @@
     ):
         self._stream = stream
         self._member = member
-        self._guard = channel_state.CallGuard(self.close, stream.closed)
+        self._guard = channel_state.CallGuard(
+            self.close, stream.closed, member.id
+        )
 
     @property
     def closed(self) -> bool:
--- a/burdockcart/platform/tests/test_generated_statements.py
+++ b/burdockcart/platform/tests/test_generated_statements.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import re
+import types
 
 import hypothesis
 from hypothesis import strategies
@@ -156,7 +157,8 @@
         address = member_channel.MemberAddress("m", "g", "127.0.0.1:1")
         self.connections = [
             pooled_connection.PooledConnection(
-                None, member_wire.WireChannel(member, address)
+                types.SimpleNamespace(entry=address),
+                member_wire.WireChannel(member, address),
             )
             for member in self.members
         ]
--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -36,6 +36,10 @@
 #: Timeout for preparing a connection, for BEGIN and for ROLLBACK, in seconds;
 #: none of them needs one of the member's slots.
 PREPARE_TIMEOUT_S = 0.4
+#: Longest text of a member in the log, in characters.
+LOGGED_TEXT = 80
+#: Most setup statements in one line of the log.
+LOGGED_STEPS = 10
 
 T = TypeVar("T")
 
@@ -104,12 +108,14 @@
         assert answer.fault is not None
         self.metrics.attempt_failed(answer.fault.value)
         loguru.logger.info(
-            "event=attempt_failed id={} kind={!r} member={} fault={!r} "
-            "attempt={} next={!r}",
+            "event=attempt_failed id={} kind={!r} member={} connection={} "
+            "fault={!r} text={!r} attempt={} next={!r}",
             request.statement.id,
             request.statement.kind.value,
             connection.pool.entry.id,
+            connection.number,
             answer.fault.value,
+            answer.text[:LOGGED_TEXT],
             attempt,
             step.value,
         )
@@ -126,13 +132,14 @@
         now = self.loop_clock.now()
         loguru.logger.info(
             "event=placed id={} kind={!r} route={} group={} member={} "
-            "primary={} term={} position={} position_age_ms={} waited_ms={} "
-            "attempt={}",
+            "connection={} primary={} term={} position={} position_age_ms={} "
+            "waited_ms={} attempt={}",
             request.statement.id,
             request.statement.kind.value,
             request.route.name,
             group.id,
             connection.pool.entry.id,
+            connection.number,
             group.primary.leadership.member,
             group.primary.leadership.term,
             work.position and f"{work.position.term}.{work.position.number}",
@@ -338,6 +345,16 @@
         if answer.fault is member_channel.MemberFault.UNKNOWN_NAME:
             # What the member lost on one connection it may have lost on all,
             # values included, which it would not report.
+            loguru.logger.warning(
+                "event=prepared_name_unknown id={} group={} member={} "
+                "connection={} direct={} just_prepared={}",
+                statement,
+                connection.pool.entry.group,
+                connection.pool.entry.id,
+                connection.number,
+                connection.channel.direct,
+                connection.set_up,
+            )
             connection.channel.close()
             if not connection.set_up:
                 connection.pool.replace_connections()
@@ -354,6 +371,17 @@
         connection.set_up = bool(steps)
         if not steps:
             return None
+        if connection.channel.direct:
+            # A holder logs the statements that it sends itself.
+            loguru.logger.info(
+                "event=connection_set_up member={} connection={} steps={!r}",
+                connection.pool.entry.id,
+                connection.number,
+                " ".join(
+                    f"{step.kind.value}:{step.name[:LOGGED_TEXT]}"
+                    for step in steps[:LOGGED_STEPS]
+                ),
+            )
         sent_at = self.loop_clock.now()
         answers = await connection.channel.prepare(steps, PREPARE_TIMEOUT_S)
         for step, answer in zip(steps, answers, strict=False):
--- a/burdockcart/process/gateway/pooled_connection.py
+++ b/burdockcart/process/gateway/pooled_connection.py
@@ -1,5 +1,6 @@
 """Connection of a pool, and what it is used for."""
 
+import itertools
 from typing import TYPE_CHECKING
 
 from burdockcart.connection import member_channel
@@ -13,9 +14,13 @@
 class PooledConnection:
     """A connection and the session state that it holds."""
 
+    _numbers = itertools.count(1)
+
     def __init__(
         self, pool: "member_pool.MemberPool", channel: member_channel.Channel
     ):
+        #: Names the connection in the log of this daemon.
+        self.number = next(self._numbers)
         self.pool = pool
         self.channel = channel
         self.session_state = member_session.MemberSession()
--- a/burdockcart/process/gateway/tests/test_sessions.py
+++ b/burdockcart/process/gateway/tests/test_sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import loguru
 import testtools
 
 from burdockcart.connection import member_channel
@@ -340,7 +341,12 @@
                     for channel in member.connections:
                         channel.prepared.clear()
                 await execute(clients[0], shape)
+            self.assertIn("event=prepared_name_unknown id=s", "".join(lines))
+            self.assertIn(" just_prepared=False", "".join(lines))
 
+        lines = []
+        sink = loguru.logger.add(lines.append, level="WARNING")
+        self.addCleanup(loguru.logger.remove, sink)
         scenario(check, connection_limit=64)
 
     def test_transactions_do_not_mix(self):
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -72,7 +72,7 @@
         self._transaction: int | None = None
         self._urgency = messages.Urgency(wait_ms=DEFAULT_WAIT_MS)
         self._guard = channel_state.CallGuard(
-            self.close, lambda: link.is_closed
+            self.close, lambda: link.is_closed, member.id
         )
 
     @property
