Keep a large session from ending the link of all clients

A daemon that relays closed its link, and failed what ran on it for all clients, when one client had set values or prepared shapes of more than half a MiB: they go with each of its statements, and so does the argument of EXECUTE a second time, but a frame held little more than one message. One legal EXECUTE with 0.6 MiB of data was enough.

A session keeps at most 1 MiB of names, values and shapes (beyond that TOOLARGE; before, 1,000 of 1 MiB each), and a frame holds such a session with the largest statement. A name that is set again no longer counts twice against the 1,000.

The test failed before: FrameError: frame of 3670304 bytes.

--- a/burdockcart/connection/session_names.py
+++ b/burdockcart/connection/session_names.py
@@ -7,9 +7,11 @@
 from burdockcart.process.gateway import attempts
 from burdockcart.request import command
 
-#: Maximum number of prepared names and values in one session; bounds the
-#: memory that one client can use.
+#: Maximum number of prepared names and values in one session, and of bytes in
+#: all of them, which is that of one message; bounds the memory that one client
+#: can use, and the size of what is relayed with each statement.
 MAX_NAMES = 1000
+MAX_BYTES = 1024 * 1024
 
 #: Kinds of the statements that change only values or names.
 KINDS = frozenset(
@@ -35,6 +37,7 @@
     def __init__(self, value_by_name: dict[str, str]):
         self._value_by_name = value_by_name
         self._shape_by_name: dict[str, command.Shape] = {}
+        self._bytes_by_key: dict[tuple[bool, str], int] = {}
 
     def shape_of(self, statement: command.Command) -> command.Shape | None:
         """Return the shape that a statement executes, if there is one."""
@@ -55,12 +58,14 @@
         if statement.kind is command.CommandKind.DEALLOCATE:
             if shapes.pop(statement.name, None) is None:
                 return result.Failure(unknown(statement.name))
+            del self._bytes_by_key[False, statement.name]
             return result.Success(member_channel.Answer())
-        if len(values) + len(shapes) >= MAX_NAMES:
+        if not self._make_room(statement):
             return result.Failure(
                 errors.Failure(
                     errors.ErrorKind.REQUEST_TOO_LARGE,
-                    f"a session keeps at most {MAX_NAMES} names",
+                    f"a session keeps at most {MAX_NAMES} names and "
+                    f"{MAX_BYTES} bytes",
                 )
             )
         if statement.kind is command.CommandKind.SET:
@@ -69,6 +74,20 @@
             shapes[statement.name] = statement.shape
         return result.Success(member_channel.Answer())
 
+    def _make_room(self, statement: command.Command) -> bool:
+        """Count what a statement adds; return whether the session keeps it."""
+        shape = statement.shape
+        text = statement.argument if shape is None else shape.text
+        key = (statement.kind is command.CommandKind.SET, statement.name)
+        sizes = self._bytes_by_key
+        size = len(statement.name.encode()) + len(text.encode())
+        names = len(sizes.keys() | {key})
+        total = sum(sizes.values()) - sizes.get(key, 0) + size
+        if names > MAX_NAMES or total > MAX_BYTES:
+            return False
+        sizes[key] = size
+        return True
+
 
 def unknown(name: str) -> errors.Failure:
     """Return the failure of a statement with an unknown name."""
--- a/burdockcart/process/peers/frames.py
+++ b/burdockcart/process/peers/frames.py
@@ -24,9 +24,10 @@
 _NUMBER = struct.Struct("!Q")
 MAC_BYTES = 12
 NONCE_BYTES = 16
-#: Maximum size of a frame, in bytes: a statement or an answer of the maximum
-#: size of a client's message, and the fields around it.
-MAX_FRAME_BYTES = 1024 * 1024 + 64 * 1024
+#: Maximum size of a frame, in bytes: a statement of the maximum size of a
+#: client's message, its argument, the values and the shape of its session
+#: (session_names.MAX_BYTES), and the fields around them.
+MAX_FRAME_BYTES = 4 * 1024 * 1024
 #: Maximum size of the first frame, which is not authenticated.
 MAX_GREETING_BYTES = 512
 #: Changes with each incompatible change of the messages.
--- a/burdockcart/process/peers/tests/test_frames.py
+++ b/burdockcart/process/peers/tests/test_frames.py
@@ -4,7 +4,12 @@
 from hypothesis import strategies
 import testtools
 
+from burdockcart.connection import session_names
 from burdockcart.process.peers import frames
+from burdockcart.process.peers import messages
+from burdockcart.request import command
+
+MEBIBYTE = 1024 * 1024
 
 
 def pair(sender_key=b"key", receiver_key=b"key"):
@@ -15,6 +20,52 @@
     )
 
 
+class TestSizes(testtools.TestCase):
+    """Limits of a frame and of what it carries."""
+
+    def test_largest_statement(self):
+        """Guards the link of all clients against a large session of one."""
+        values = {}
+        names = session_names.SessionNames(values)
+        half = "x" * (MEBIBYTE // 2)
+        kinds = command.CommandKind
+        for name in ("a", "b"):
+            names.change(
+                command.Command("1", kinds.SET, "", name, half + name)
+            )
+            shape = command.Shape(True, half + name)
+            names.change(
+                command.Command("1", kinds.PREPARE, "", name, "", shape)
+            )
+        argument = "y" * (MEBIBYTE - 100)
+        for name in ("a", "b", "c"):
+            statement = command.Command(
+                "1",
+                kinds.EXECUTE,
+                f"EXECUTE {name} {argument}",
+                name,
+                argument,
+            )
+            sent = messages.encode(
+                messages.Run(
+                    1,
+                    "g" * 200,
+                    "m" * 200,
+                    messages.statement_of(
+                        statement, names.shape_of(statement), values
+                    ),
+                    (10**18, 10**18),
+                    False,
+                    1,
+                    messages.Urgency(),
+                )
+            )
+            reader = frames.FrameReader()
+            reader.feed(frames.encode(b"greeting", bytes(12)))
+            framed = frames.encode(sent, bytes(12))
+            self.assertEqual([(sent, bytes(12))], reader.feed(framed))
+
+
 class TestSealer(testtools.TestCase):
     """Only frames of this link, in order, are accepted."""
 
