Answer a statement that is not allowed with READY

A client that sent a statement the protocol does not allow got an ERROR without READY and lost its connection, with its values, names and transaction; the protocol ends the answer to every QUERY with READY.

A QUERY whose line is whole and whose id can be read is now refused with MALFORMED and READY, an open transaction fails (state E) and the session goes on. What may be read as another number of lines (a lone CR, LF or NUL, bytes that are not UTF-8) and what is no message still ends the connection.

The test at the sockets failed before (the answer ended after ERROR).

--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -86,9 +86,7 @@
 
     async def handle(self, statement: command.Command) -> Reply:
         """Run a statement and return the reply to the client."""
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-            self._idle_timer = None
+        self._stop_idle_timer()
         transaction = self._transaction
         arrived_at = self._clock.now()
         try:
@@ -187,6 +185,17 @@
         self._record(statement, reply, self._clock.now())
         return reply
 
+    def refuse_unread(self, failure: errors.Failure) -> Reply:
+        """Return the reply to a statement that the protocol does not allow.
+
+        As on a member, a transaction fails.
+        """
+        transaction = self._transaction
+        if transaction is not None and transaction.failure is None:
+            self._fail(failure)
+            self._stop_idle_timer()
+        return self._reply(result.Failure(failure))
+
     def closing_failure(self) -> errors.Failure:
         """Abandon what is open; return why the session closes."""
         failure = stop_admission.closing(self.in_transaction)
@@ -371,6 +380,11 @@
         transaction.failure = failure
         transaction.unreported = unreported
 
+    def _stop_idle_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
     def _start_idle_timer(self) -> None:
         """Start the idle timeout of the open transaction."""
         transaction, current = self._transaction, self._manifest_source.current
@@ -392,8 +406,7 @@
 
     def close(self) -> None:
         """End the session; an open transaction is rolled back."""
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
+        self._stop_idle_timer()
         if self._transaction is not None:
             self._transactions.abandon_transaction(self._transaction)
             self._transaction = None
--- a/burdockcart/platform/client_wire.py
+++ b/burdockcart/platform/client_wire.py
@@ -214,7 +214,22 @@
 
     async def _serve_one(self, session: client_session.ClientSession) -> bool:
         """Serve one message; return False if the client ends the session."""
-        request = wire.read_request(await self._read())
+        line = await self._read()
+        try:
+            request = wire.read_request(line)
+        except wire.RefusedStatement as refused:
+            loguru.logger.info(
+                "event=statement_refused id={} error={!r}",
+                refused.statement_id,
+                refused.failure.message,
+            )
+            reply = session.refuse_unread(refused.failure)
+            self._answering = True
+            try:
+                await self._write(_reply_lines(reply))
+            finally:
+                self._answering = False
+            return self._told is None
         if isinstance(request, wire.Terminate):
             return False
         if self._told is not None:
--- a/burdockcart/platform/tests/test_sockets.py
+++ b/burdockcart/platform/tests/test_sockets.py
@@ -57,6 +57,13 @@
             member_channel.TransactionState.IDLE,
         )
 
+    def refuse_unread(self, failure):
+        """Refuse a statement that is not allowed."""
+        return client_session.Reply(
+            result.Failure(failure),
+            member_channel.TransactionState.IDLE,
+        )
+
     def close(self):
         """Record that the session is closed."""
         self.closed = True
@@ -133,6 +140,20 @@
         self.assertTrue(received.startswith(b"ERROR MALFORMED"))
         self.assertEqual([], gateway.sessions)
 
+    def test_statement_that_is_not_allowed(self):
+        """Guards against an error without READY, and a session that ends."""
+        received, gateway = talk(
+            b"STARTUP db who\r\nQUERY 1 DROP a\r\nQUERY 2 SET a\r\n"
+            b"QUERY 3 READ b\r\nTERMINATE\r\n"
+        )
+        lines = received.split(b"\r\n")
+        self.assertEqual(
+            [b"READY", b"ERROR", b"READY", b"ERROR", b"READY", b"DATAROW"],
+            [line.partition(b" ")[0] for line in lines[:6]],
+        )
+        self.assertEqual(2, received.count(b"ERROR MALFORMED"))
+        self.assertEqual(b"DATAROW READ b", lines[5])
+
     def test_not_text(self):
         """Guards members against bytes that are not UTF-8."""
         received, gateway = talk(b"STARTUP db who\r\nQUERY 1 READ \xff\r\n")
--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -67,6 +67,23 @@
     """A message that does not follow the protocol."""
 
 
+class RefusedStatement(ProtocolError):
+    """A statement that is not run; its connection can go on.
+
+    Parameters
+    ==========
+
+    failure : Failure
+        What the client is told.
+
+    """
+
+    def __init__(self, statement_id: ids.StatementId, failure: errors.Failure):
+        super().__init__(failure.message)
+        self.statement_id = statement_id
+        self.failure = failure
+
+
 class Startup(msgspec.Struct, frozen=True):
     """First message from a client."""
 
@@ -100,7 +117,17 @@
 
 
 def read_request(line: bytes) -> command.Command | Terminate:
-    """Decode a later message of a client."""
+    """Decode a later message of a client.
+
+    Raises
+    ======
+
+    RefusedStatement
+        If the protocol does not allow the statement.
+    ProtocolError
+        If it is no message at all.
+
+    """
     word, _, rest = _text(line).partition(" ")
     if word == "TERMINATE":
         return Terminate()
@@ -109,7 +136,15 @@
     statement_id, _, text = rest.partition(" ")
     if not statement_id or statement_id == PROXY_STATEMENT_ID:
         raise ProtocolError("QUERY needs an id other than '-'")
-    return read_statement(ids.StatementId(statement_id), text)
+    known = ids.StatementId(statement_id)
+    try:
+        statement = read_statement(known, text)
+    except ProtocolError as error:
+        raise RefusedStatement(
+            known,
+            errors.Failure(errors.ErrorKind.BAD_REQUEST, str(error)),
+        ) from None
+    return statement
 
 
 def read_statement(
--- a/burdockcart/process/gateway/tests/test_sessions.py
+++ b/burdockcart/process/gateway/tests/test_sessions.py
@@ -377,6 +377,33 @@
 
         scenario(check)
 
+    def test_refused_statement_fails_its_transaction(self):
+        """Guards against a commit without a statement that was refused."""
+
+        async def check(deployment):
+            client = await deployment.client("live")
+            await client.send(Kind.BEGIN)
+            self.assertTrue(gateway_deployment.ok(await client.write()))
+            failure = errors.Failure(Error.BAD_REQUEST, "unknown statement")
+            reply = client.session.refuse_unread(failure)
+            self.assertIs(State.FAILED, reply.state)
+            # Longer than a transaction may be idle.
+            await asyncio.sleep(4.0)
+            for kind in (Kind.SET, Kind.PREPARE, Kind.READ, Kind.BEGIN):
+                reply = await client.send(kind, name="s", argument="a")
+                self.assertIs(State.FAILED, reply.state)
+                self.assertIs(
+                    Error.BAD_REQUEST, gateway_deployment.kind_of(reply)
+                )
+            reply = await client.send(Kind.COMMIT)
+            self.assertIs(
+                Error.TRANSACTION_LOST, gateway_deployment.kind_of(reply)
+            )
+            self.assertIs(State.IDLE, reply.state)
+            self.assertEqual([], deployment.group.acknowledged)
+
+        scenario(check)
+
     def test_idle_transaction_is_ended(self):
         """An idle transaction must not keep its connection."""
 
