Send no line over 1 MiB to a member

A legal statement of almost 1 MiB became a line of more than 1 MiB at a member, by the position of a read (AFTER) or a prepared name longer than the client's: a member may refuse or end that connection. A READ, EXECUTE or PREPARE that leaves less than 44, 78 or 34 bytes for these is refused with TOOLARGE, nothing is sent and the session goes on. A line of the client over 1 MiB is refused with TOOLARGE as before and ends the connection, whose next line cannot be found.

--- a/burdockcart/platform/tests/test_wire.py
+++ b/burdockcart/platform/tests/test_wire.py
@@ -71,6 +71,36 @@
         ):
             self.assertRaises(wire.ProtocolError, wire.read_request, line)
 
+    def test_longer_line_for_a_member(self):
+        """Guards against a line over 1 MiB that the proxy itself makes."""
+        position = log_position.LogPosition(10**17, 10**17)
+        shape = command.Shape(True, "q")
+        for start in ("READ ", "EXECUTE s ", "PREPARE s WRITE ", "WRITE 1 "):
+            head = f"QUERY i {start}"
+            for growth in (0, 10, 45, 80, 200):
+                size = wire.MAX_MESSAGE_BYTES - len(head) - 2 - growth
+                try:
+                    read = wire.read_request((head + "x" * size).encode())
+                except wire.RefusedStatement as refused:
+                    self.assertIs(
+                        errors.ErrorKind.REQUEST_TOO_LARGE,
+                        refused.failure.kind,
+                    )
+                    self.assertLess(growth, 200)
+                    self.assertNotEqual("WRITE 1 ", start)
+                    continue
+                text = wire.member_text(
+                    read, shape if read.kind is Kind.EXECUTE else None
+                )
+                after = None if read.kind is Kind.WRITE else position
+                if read.shape is not None:
+                    step = member_session.Step(
+                        member_session.StepKind.PREPARE, "", "", read.shape
+                    )
+                    text, after = wire.step_text(step), None
+                line = wire.query_line("i", text, after)
+                self.assertLessEqual(len(line), wire.MAX_MESSAGE_BYTES)
+
     def test_startup(self):
         """Guards against a session without a database."""
         self.assertEqual(
--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -22,6 +22,8 @@
 MAX_MESSAGE_BYTES = 1024 * 1024
 #: Digits of the largest term or number of a log.
 MAX_DIGITS = 18
+#: Length of the longest prefix that a read or EXECUTE gets for a member.
+_AFTER_LENGTH = len("AFTER . ") + 2 * MAX_DIGITS
 #: Id of the statements that the proxy itself issues.
 PROXY_STATEMENT_ID = "-"
 
@@ -144,9 +146,29 @@
             known,
             errors.Failure(errors.ErrorKind.BAD_REQUEST, str(error)),
         ) from None
+    if len(line) + len(END) + _growth(statement) > MAX_MESSAGE_BYTES:
+        raise RefusedStatement(
+            known,
+            errors.Failure(
+                errors.ErrorKind.REQUEST_TOO_LARGE,
+                "message over 1 MiB with the fields that a member needs",
+            ),
+        )
     return statement
 
 
+def _growth(statement: command.Command) -> int:
+    """Return by how many bytes the line for a member may be longer."""
+    if statement.kind is command.CommandKind.READ:
+        return _AFTER_LENGTH
+    longer_name = command.NAME_LENGTH - len(statement.name.encode())
+    if statement.kind is command.CommandKind.EXECUTE:
+        return max(longer_name + _AFTER_LENGTH, 0)
+    if statement.kind is command.CommandKind.PREPARE:
+        return max(longer_name, 0)
+    return 0
+
+
 def read_statement(
     statement_id: ids.StatementId, text: str
 ) -> command.Command:
--- a/burdockcart/request/command.py
+++ b/burdockcart/request/command.py
@@ -11,6 +11,8 @@
 #: Size of the digest in a prepared name, in bytes: collisions stay out of
 #: reach for clients that look for them.
 NAME_BYTES = 16
+#: Length of a prepared name on member connections, in characters.
+NAME_LENGTH = 2 + 2 * NAME_BYTES
 
 
 class CommandKind(enum.Enum):
