Keep a client's id from making up lines and fields of the log

The id of a statement is logged as it came. It holds no space, but an id with another end of a line or another blank (U+0085, U+2028, tab) was read as a second event or as more fields by what splits lines and words, and an id of 1 MiB was one line of 1 MiB.

Characters that cannot be printed, which includes all blanks but the space, are escaped in every line, and a message ends after 4,000 characters.

--- a/burdockcart/process/event_log.py
+++ b/burdockcart/process/event_log.py
@@ -9,7 +9,38 @@
 
 from burdockcart.process import log_sink
 
-_LINE_FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSS} level={level} {message}"
+_LINE_FORMAT = (
+    "time={time:YYYY-MM-DDTHH:mm:ss.SSS} level={level} {extra[line]}"
+)
+#: Longest message, in characters; ids of clients may have a megabyte.
+MAX_LENGTH = 4000
+
+
+def one_line(message: str) -> str:
+    """Return a message without characters that end or split its line.
+
+    Explanation
+    ===========
+
+    Ids of clients are logged as they are.  They hold no space, but may hold
+    other blanks, ends of lines and control characters, in any alphabet.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process import event_log
+    >>> print(event_log.one_line("event=placed id=a\\x85level=ERROR"))
+    event=placed id=a\\x85level=ERROR
+
+    """
+    if len(message) > MAX_LENGTH:
+        message = message[:MAX_LENGTH] + "..."
+    if message.isprintable():
+        return message
+    return "".join(
+        each if each.isprintable() else each.encode("unicode_escape").decode()
+        for each in message
+    )
 
 
 def line_format(record: Any) -> str:
@@ -22,6 +53,7 @@
     read one event from each line.
 
     """
+    record["extra"]["line"] = one_line(record["message"])
     exception = record["exception"]
     if exception is None:
         return _LINE_FORMAT + "\n"
--- a/burdockcart/process/tests/test_event_log.py
+++ b/burdockcart/process/tests/test_event_log.py
@@ -27,3 +27,21 @@
         self.assertIn("event=request_failed id=d1 trace=", lines[0])
         self.assertIn("of {two} lines", lines[0])
         self.assertIn("level=INFO event=daemon_stopped id=d1", lines[1])
+
+    def test_id_of_a_client(self):
+        """Guards against lines and fields that a client makes up."""
+        output = io.StringIO()
+        with contextlib.redirect_stderr(output):
+            event_log.configure("INFO")
+            for blank in "\x85\u2028\x0b\x1c\t\xa0\u2003\x1b":
+                name = f"7{blank}event=daemon_stopped{blank}id=d1"
+                loguru.logger.info("event=placed id={} attempt=1", name)
+            loguru.logger.info("event=placed id={}", "x" * 2**20)
+        lines = output.getvalue().splitlines()
+        self.assertEqual(9, len(lines))
+        for line in lines[:8]:
+            fields = [field.partition("=")[0] for field in line.split()]
+            self.assertEqual(
+                ["time", "level", "event", "id", "attempt"], fields
+            )
+        self.assertLess(len(lines[8]), 5000)
