Replace connections only for names prepared earlier

Whether other connections may have lost their names was decided by any setup statement before the EXECUTE; a SET alone says nothing about the name. It is now whether the shape was prepared for this statement.

--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/attempts.py
@@ -353,10 +353,10 @@
                 connection.pool.entry.id,
                 connection.number,
                 connection.channel.direct,
-                connection.set_up,
+                connection.just_prepared,
             )
             connection.channel.close()
-            if not connection.set_up:
+            if not connection.just_prepared:
                 connection.pool.replace_connections()
         return answer
 
@@ -368,7 +368,7 @@
     ) -> member_channel.Answer | None:
         """Apply a session's state to a connection; return a fault if any."""
         steps = connection.session_state.steps(value_by_name, shape)
-        connection.set_up = bool(steps)
+        connection.just_prepared = any(step.shape for step in steps)
         if not steps:
             return None
         if connection.channel.direct:
--- a/burdockcart/process/gateway/pooled_connection.py
+++ b/burdockcart/process/gateway/pooled_connection.py
@@ -24,8 +24,8 @@
         self.pool = pool
         self.channel = channel
         self.session_state = member_session.MemberSession()
-        #: Whether setup statements were sent for the current statement.
-        self.set_up = False
+        #: Whether the shape of the current statement was prepared for it.
+        self.just_prepared = False
         self.taken_at = 0.0
         self.idle_since = 0.0
         #: Whether a statement runs or is about to; False while a transaction
--- a/burdockcart/process/gateway/tests/test_sessions.py
+++ b/burdockcart/process/gateway/tests/test_sessions.py
@@ -349,6 +349,46 @@
         self.addCleanup(loguru.logger.remove, sink)
         scenario(check, connection_limit=64)
 
+    def test_name_that_a_member_never_knows(self):
+        """Guards against closing all connections for one odd shape."""
+
+        class Forgetful(set):
+            """Prepared shapes that are lost at once."""
+
+            def add(self, shape):
+                """Do not keep it."""
+
+        async def check(deployment):
+            client = await deployment.client("live")
+            shape = command.Shape(True, "q")
+            await client.send(Kind.PREPARE, name="s", shape=shape)
+            others = [await deployment.client("live") for _ in range(6)]
+            for other in others:
+                await other.send(Kind.BEGIN)
+                await other.read()
+            for other in others:
+                await other.send(Kind.ROLLBACK)
+            before = set(deployment.group.primary.connections)
+            for channel in before:
+                channel.prepared = Forgetful()
+            reply = await client.send(
+                Kind.EXECUTE, "EXECUTE s 1a4", "s", "1a4"
+            )
+            # A promise: the member says that it did not run.
+            self.assertIs(Error.OVERLOADED, gateway_deployment.kind_of(reply))
+            after = deployment.group.primary.connections
+            self.assertGreater(len(before), 5)
+            self.assertEqual(5, len(before - after))
+
+        async def settled(deployment):
+            deployment.platform.put_tables(
+                gateway_deployment.tables(2, connections=64)
+            )
+            await asyncio.sleep(16)
+            await check(deployment)
+
+        scenario(settled, connection_limit=64)
+
     def test_transactions_do_not_mix(self):
         """A statement must not run in another client's transaction."""
 
