--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -22,6 +22,8 @@
 MAX_MESSAGE_BYTES = 1024 * 1024
 #: Digits of the largest term or number of a log.
 MAX_DIGITS = 18
+#: Length of the longest prefix that a read or EXECUTE gets for a member.
+_AFTER_LENGTH = len("AFTER . ") + 2 * MAX_DIGITS
 #: Id of the statements that the proxy itself issues.
 PROXY_STATEMENT_ID = "-"
 
@@ -67,6 +69,23 @@
     """A message that does not follow the protocol."""
 
 
+class RefusedStatement(ProtocolError):
+    """A statement that is not run; its connection can go on.
+
+    Parameters
+    ==========
+
+    failure : Failure
+        What the client is told.
+
+    """
+
+    def __init__(self, statement_id: ids.StatementId, failure: errors.Failure):
+        super().__init__(failure.message)
+        self.statement_id = statement_id
+        self.failure = failure
+
+
 class Startup(msgspec.Struct, frozen=True):
     """First message from a client."""
 
@@ -100,7 +119,17 @@
 
 
 def read_request(line: bytes) -> command.Command | Terminate:
-    """Decode a later message of a client."""
+    """Decode a later message of a client.
+
+    Raises
+    ======
+
+    RefusedStatement
+        If the protocol does not allow the statement.
+    ProtocolError
+        If it is no message at all.
+
+    """
     word, _, rest = _text(line).partition(" ")
     if word == "TERMINATE":
         return Terminate()
@@ -109,7 +138,35 @@
     statement_id, _, text = rest.partition(" ")
     if not statement_id or statement_id == PROXY_STATEMENT_ID:
         raise ProtocolError("QUERY needs an id other than '-'")
-    return read_statement(ids.StatementId(statement_id), text)
+    known = ids.StatementId(statement_id)
+    try:
+        statement = read_statement(known, text)
+    except ProtocolError as error:
+        raise RefusedStatement(
+            known,
+            errors.Failure(errors.ErrorKind.BAD_REQUEST, str(error)),
+        ) from None
+    if len(line) + len(END) + _growth(statement) > MAX_MESSAGE_BYTES:
+        raise RefusedStatement(
+            known,
+            errors.Failure(
+                errors.ErrorKind.REQUEST_TOO_LARGE,
+                "message over 1 MiB with the fields that a member needs",
+            ),
+        )
+    return statement
+
+
+def _growth(statement: command.Command) -> int:
+    """Return by how many bytes the line for a member may be longer."""
+    if statement.kind is command.CommandKind.READ:
+        return _AFTER_LENGTH
+    longer_name = command.NAME_LENGTH - len(statement.name.encode())
+    if statement.kind is command.CommandKind.EXECUTE:
+        return max(longer_name + _AFTER_LENGTH, 0)
+    if statement.kind is command.CommandKind.PREPARE:
+        return max(longer_name, 0)
+    return 0
 
 
 def read_statement(
--- a/burdockcart/process/gateway/tests/test_sessions.py
+++ b/burdockcart/process/gateway/tests/test_sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import loguru
 import testtools
 
 from burdockcart.connection import member_channel
@@ -297,6 +298,97 @@
 
         scenario(check)
 
+    def test_lost_prepared_names(self):
+        """Guards against an acknowledged name that is unknown at a member.
+
+        All connections of a member may have lost what was prepared on them.
+        """
+
+        async def check(deployment):
+            shapes = [command.Shape(writes, "q a") for writes in (False, True)]
+            deployment.platform.put_tables(
+                gateway_deployment.tables(2, connections=64)
+            )
+            # The daemons have their whole share of the connections by then.
+            await asyncio.sleep(16)
+            clients = [
+                await deployment.client(daemon=number % 2)
+                for number in range(16)
+            ]
+            for client in clients:
+                for shape in shapes:
+                    await client.send(
+                        Kind.PREPARE, name=f"s{shape.writes}", shape=shape
+                    )
+
+            async def execute(client, shape):
+                name = f"s{shape.writes}"
+                reply = await client.send(
+                    Kind.EXECUTE, f"EXECUTE {name} 1a4", name, "1a4"
+                )
+                self.assertTrue(gateway_deployment.ok(reply), reply)
+                (run,) = runs_of(deployment, client.sent[-1])
+                self.assertEqual(shape, run.shape)
+
+            for shape in shapes * 5:
+                # Each transaction prepares on a connection of its own.
+                for client in clients:
+                    await client.send(Kind.BEGIN)
+                    await execute(client, shape)
+                for client in clients:
+                    await client.send(Kind.ROLLBACK)
+                for member in deployment.members:
+                    for channel in member.connections:
+                        channel.prepared.clear()
+                await execute(clients[0], shape)
+            self.assertIn("event=prepared_name_unknown id=s", "".join(lines))
+            self.assertIn(" just_prepared=False", "".join(lines))
+
+        lines = []
+        sink = loguru.logger.add(lines.append, level="WARNING")
+        self.addCleanup(loguru.logger.remove, sink)
+        scenario(check, connection_limit=64)
+
+    def test_name_that_a_member_never_knows(self):
+        """Guards against closing all connections for one odd shape."""
+
+        class Forgetful(set):
+            """Prepared shapes that are lost at once."""
+
+            def add(self, shape):
+                """Do not keep it."""
+
+        async def check(deployment):
+            client = await deployment.client("live")
+            shape = command.Shape(True, "q")
+            await client.send(Kind.PREPARE, name="s", shape=shape)
+            others = [await deployment.client("live") for _ in range(6)]
+            for other in others:
+                await other.send(Kind.BEGIN)
+                await other.read()
+            for other in others:
+                await other.send(Kind.ROLLBACK)
+            before = set(deployment.group.primary.connections)
+            for channel in before:
+                channel.prepared = Forgetful()
+            reply = await client.send(
+                Kind.EXECUTE, "EXECUTE s 1a4", "s", "1a4"
+            )
+            # A promise: the member says that it did not run.
+            self.assertIs(Error.OVERLOADED, gateway_deployment.kind_of(reply))
+            after = deployment.group.primary.connections
+            self.assertGreater(len(before), 5)
+            self.assertEqual(5, len(before - after))
+
+        async def settled(deployment):
+            deployment.platform.put_tables(
+                gateway_deployment.tables(2, connections=64)
+            )
+            await asyncio.sleep(16)
+            await check(deployment)
+
+        scenario(settled, connection_limit=64)
+
     def test_transactions_do_not_mix(self):
         """A statement must not run in another client's transaction."""
 
@@ -325,6 +417,33 @@
 
         scenario(check)
 
+    def test_refused_statement_fails_its_transaction(self):
+        """Guards against a commit without a statement that was refused."""
+
+        async def check(deployment):
+            client = await deployment.client("live")
+            await client.send(Kind.BEGIN)
+            self.assertTrue(gateway_deployment.ok(await client.write()))
+            failure = errors.Failure(Error.BAD_REQUEST, "unknown statement")
+            reply = client.session.refuse_unread(failure)
+            self.assertIs(State.FAILED, reply.state)
+            # Longer than a transaction may be idle.
+            await asyncio.sleep(4.0)
+            for kind in (Kind.SET, Kind.PREPARE, Kind.READ, Kind.BEGIN):
+                reply = await client.send(kind, name="s", argument="a")
+                self.assertIs(State.FAILED, reply.state)
+                self.assertIs(
+                    Error.BAD_REQUEST, gateway_deployment.kind_of(reply)
+                )
+            reply = await client.send(Kind.COMMIT)
+            self.assertIs(
+                Error.TRANSACTION_LOST, gateway_deployment.kind_of(reply)
+            )
+            self.assertIs(State.IDLE, reply.state)
+            self.assertEqual([], deployment.group.acknowledged)
+
+        scenario(check)
+
     def test_idle_transaction_is_ended(self):
         """An idle transaction must not keep its connection."""
 
