Read statements in the stand-in apart from the gateway

The member of the soak read statements with platform/wire.py, and kept prepared statements by the gateway's own notion of a shape. A line that the gateway wrote wrongly was read wrongly in the same way, and nobody saw it. The member now has a reader written from the protocol: words are separated by single spaces, the last field extends to the end of the line, and a prepared name stands for kind and shape until it is prepared again, forgotten or reset. A kind other than READ and WRITE is kept, for the checks to report.

Every statement that arrives is recorded with its connection, session values, meaning, transaction and answer, also those with the id "-". The receipt names the run itself: it was that of the last run of the id at the member, so that of two runs at a time both had the same one.

In a transaction that has failed, every statement but its end gets MALFORMED, as the protocol says; it ran before.

--- a/burdockcart/platform/standin/member_server.py
+++ b/burdockcart/platform/standin/member_server.py
@@ -7,14 +7,13 @@
 
 from burdockcart.connection import channel_state
 from burdockcart.connection import member_channel
-from burdockcart.connection import member_session
 from burdockcart.emulator import host_link
 from burdockcart.emulator import wire_channel
 from burdockcart.emulator import wire_member
 from burdockcart import ids
-from burdockcart.platform import wire
+from burdockcart.platform.standin import member_statements
 from burdockcart.request import command
-from burdockcart.request import log_position
+from burdockcart.soak import history as histories
 
 Fault = member_channel.MemberFault
 State = member_channel.TransactionState
@@ -25,7 +24,7 @@
 HANDSHAKE_S = 0.012
 LINK_DELAY_S = 0.15
 LINK_POLL_S = 0.05
-_SLOW = re.compile(r"\bslow-(\d+)-")
+_SLOW = re.compile(r"slow-(\d+)-")
 _WORD_BY_FAULT = {
     Fault.QUEUE_FULL: "BUSY",
     Fault.BEHIND: "LAGGING",
@@ -56,7 +55,10 @@
     ):
         super().__init__(member, 0.0, set(), host_link.HostLink())
         self._writer = writer
-        self.shape_by_name: dict[str, command.Shape] = {}
+        self.number = next(member.group.serials)
+        self.session = member_statements.Session()
+        #: Place of its last run among those of the group.
+        self.run_place = -1
 
     async def _call(
         self,
@@ -67,6 +69,27 @@
         """Run whatever arrives; only a daemon's own end of it is guarded."""
         return await self._send(work, timeout_s)
 
+    async def apply(
+        self, statement: member_statements.Statement, timeout_s: float
+    ) -> member_channel.Answer:
+        """Run a statement that changes values or prepared statements."""
+
+        async def work() -> member_channel.Answer:
+            self.session.apply(statement)
+            self.value_by_name = dict(self.session.value_by_name)
+            self.prepared = {
+                _shape(each) for each in self.session.prepared_by_name.values()
+            }
+            return self._answer()
+
+        return await self._call(channel_state.Call.PREPARE, work, timeout_s)
+
+    def _record(
+        self, statement: command.Command, shape: command.Shape | None
+    ) -> None:
+        super()._record(statement, shape)
+        self.run_place = len(self.member.group.runs) - 1
+
     def close(self) -> None:
         """Close the connection and its socket."""
         super().close()
@@ -79,8 +102,8 @@
     Parameters
     ==========
 
-    received_at_by_id : dict of str to float
-        Filled with the time at which a client's statement arrived.
+    history : History
+        Filled with the statements that arrive.
 
     """
 
@@ -90,7 +113,7 @@
         service: str,
         host: str,
         port: int,
-        received_at_by_id: dict[str, float],
+        history: histories.History,
     ):
         self.member = member
         self.address = f"{host}:{port}"
@@ -98,14 +121,18 @@
         self.started_ms = int(time.time() * 1000)
         self._service = service
         self._host, self._port = host, port
-        self._received_at_by_id = received_at_by_id
+        self._history = history
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Listen for daemons."""
         self._server = await asyncio.start_server(
-            self._accept, self._host, self._port, reuse_address=True
+            self._accept,
+            self._host,
+            self._port,
+            reuse_address=True,
+            limit=2 * member_statements.MAX_LINE_BYTES,
         )
 
     def crash(self) -> None:
@@ -145,7 +172,12 @@
         self._tasks.add(task)
         try:
             await self._serve(reader, writer)
-        except (OSError, asyncio.CancelledError, wire.ProtocolError):
+        except (
+            OSError,
+            EOFError,
+            asyncio.CancelledError,
+            asyncio.LimitOverrunError,
+        ):
             pass
         finally:
             self._tasks.discard(task)
@@ -170,109 +202,159 @@
         channel = ServedChannel(member, writer)
         writer.write(_ready(channel))
         try:
-            while line := await reader.readline():
+            while True:
+                line = await reader.readuntil(member_statements.END)
                 await self._cross(LinkFault.SILENT)
                 if channel.closed:
                     return
-                answer = await self._answer(channel, line.decode().rstrip())
+                answer = await self._answer(channel, line)
                 await self._cross(LinkFault.SILENT, LinkFault.ANSWERS_LOST)
-                if channel.closed:
+                if answer is None or channel.closed:
                     return
                 writer.write(answer)
                 await writer.drain()
         finally:
             channel.close()
 
-    async def _answer(self, channel: ServedChannel, line: str) -> bytes:
+    async def _answer(
+        self, channel: ServedChannel, line: bytes
+    ) -> bytes | None:
         """Run one statement and return the lines of its answer."""
-        _, statement_id, text = line.split(" ", 2)
-        if statement_id != wire.PROXY_STATEMENT_ID:
+        text = line.removesuffix(member_statements.END)
+        try:
+            statement = member_statements.read(text)
+        except member_statements.Malformed as error:
+            self._history.malformed.append(
+                (self.member.id, text.decode(errors="replace"), str(error))
+            )
+            return _refusal(channel, "MALFORMED")
+        if statement is None:
+            return None
+        if statement.id != member_statements.OWN_ID:
             now = asyncio.get_running_loop().time()
-            self._received_at_by_id.setdefault(statement_id, now)
-        after = None
-        if text.startswith("AFTER "):
-            _, position, text = text.split(" ", 2)
-            after = wire.read_position(position)
-        word, _, rest = text.partition(" ")
-        if word in ("STATUS", "PAUSE", "DEMOTE"):
-            return await _status(channel, word, rest)
-        if statement_id == wire.PROXY_STATEMENT_ID:
-            answer = await _own_statement(channel, word, rest, after)
-            return _lines(channel, answer, "-", ())
-        statement = wire.read_statement(ids.StatementId(statement_id), text)
-        answer = await self._run(channel, statement, after)
-        reads = statement.kind is command.CommandKind.READ
-        rows = (f"row-{statement_id}",) if reads else ()
-        receipt = "-"
-        if answer.fault is None:
-            receipt = f"{answer.receipt}.{self._run_number(statement_id)}"
-        return _lines(channel, answer, receipt, rows)
-
-    def _run_number(self, statement_id: str) -> int:
-        """Return the place of a statement's last run; -1 if there is none."""
-        runs = self.member.group.runs
-        return next(
-            (
-                place
-                for place in reversed(range(len(runs)))
-                if runs[place].statement == statement_id
-                and runs[place].member == self.member.id
-            ),
-            -1,
-        )
+            self._history.received_at_by_id.setdefault(statement.id, now)
+        if statement.word in ("STATUS", "PAUSE", "DEMOTE"):
+            return await _status(channel, statement.word, statement.value)
+        record = _record(channel, statement)
+        self._history.statements.append(record)
+        return await self._run(channel, statement, record)
 
     async def _run(
         self,
         channel: ServedChannel,
-        statement: command.Command,
-        after: log_position.LogPosition | None,
+        statement: member_statements.Statement,
+        record: histories.MemberStatement,
+    ) -> bytes:
+        """Run a recorded statement and complete its record."""
+        kind = statement.client_kind
+        failed = channel.state is State.FAILED
+        if failed and statement.word not in ("COMMIT", "ROLLBACK"):
+            record.answered, record.fault = True, "MALFORMED"
+            return _refusal(channel, record.fault)
+        if kind is None:
+            try:
+                answer = await _session_statement(channel, statement)
+            except member_statements.Malformed:
+                record.answered, record.fault = True, "MALFORMED"
+                return _refusal(channel, record.fault)
+        else:
+            answer = await self._run_for_client(channel, statement, kind)
+        record.answered = True
+        if answer.fault is not None:
+            record.fault = _WORD_BY_FAULT.get(answer.fault, "FAILED")
+            return _refusal(channel, record.fault)
+        if kind is not None:
+            record.receipt = f"{answer.receipt}.{channel.run_place}"
+        if _reads(statement, record):
+            record.rows = (f"row  of {statement.id} ", "", " größe")
+        record.position = _position(channel)
+        rows = "".join(f"DATAROW {row}\r\n" for row in record.rows)
+        lines = f"{rows}COMPLETE {record.receipt or '-'}\r\n"
+        return lines.encode() + _ready(channel, record.position)
+
+    async def _run_for_client(
+        self,
+        channel: ServedChannel,
+        statement: member_statements.Statement,
+        kind: command.CommandKind,
     ) -> member_channel.Answer:
         shape = None
-        if statement.kind is command.CommandKind.EXECUTE:
-            shape = channel.shape_by_name.get(statement.name)
-            if shape is None:
+        if statement.word == "EXECUTE":
+            meaning = channel.session.meaning(statement)
+            if meaning is None:
                 return member_channel.Answer(fault=Fault.UNKNOWN_NAME)
+            shape = _shape(meaning)
         answer = await channel.run(
-            statement, shape, STATEMENT_TIMEOUT_S, after
+            command.Command(
+                ids.StatementId(statement.id), kind, statement.text
+            ),
+            shape,
+            STATEMENT_TIMEOUT_S,
+            statement.after,
         )
-        slow = _SLOW.search(statement.text)
+        slow = _SLOW.match(statement.item)
         if slow is not None and answer.fault is None:
             await asyncio.sleep(int(slow[1]) / 1000)
         return answer
 
 
-async def _own_statement(
-    channel: ServedChannel,
-    word: str,
-    rest: str,
-    after: log_position.LogPosition | None,
+def _shape(meaning: tuple[str, str]) -> command.Shape:
+    kind, text = meaning
+    return command.Shape(kind == "WRITE", text)
+
+
+def _record(
+    channel: ServedChannel, statement: member_statements.Statement
+) -> histories.MemberStatement:
+    """Return the record of a statement that has arrived."""
+    prepared = None
+    if statement.word == "PREPARE":
+        prepared = (statement.kind, statement.shape)
+    elif statement.word == "EXECUTE":
+        prepared = channel.session.meaning(statement)
+    return histories.MemberStatement(
+        member=channel.member.id,
+        connection=channel.number,
+        statement=statement.id,
+        word=statement.word,
+        text=statement.text,
+        at=asyncio.get_running_loop().time(),
+        name=statement.name,
+        value=statement.value,
+        prepared=prepared,
+        item=statement.item,
+        data=statement.data,
+        values=channel.session.values(),
+        transaction=channel.transaction,
+    )
+
+
+def _reads(
+    statement: member_statements.Statement,
+    record: histories.MemberStatement,
+) -> bool:
+    return statement.word == "READ" or (
+        statement.word == "EXECUTE"
+        and record.prepared is not None
+        and record.prepared[0] == "READ"
+    )
+
+
+async def _session_statement(
+    channel: ServedChannel, statement: member_statements.Statement
 ) -> member_channel.Answer:
-    """Run a statement that the proxy itself issued."""
+    """Run a statement that the gateway may answer or issue itself."""
     timeout_s = STATEMENT_TIMEOUT_S
-    if word == "BEGIN":
-        return await channel.begin(rest == "READ", timeout_s, after)
-    if word == "ROLLBACK":
+    if statement.word == "BEGIN":
+        if channel.state is not State.IDLE:
+            raise member_statements.Malformed("already in a transaction")
+        read_only = statement.value == "READ"
+        return await channel.begin(read_only, timeout_s, statement.after)
+    if statement.word == "ROLLBACK":
         return await channel.roll_back(timeout_s)
-    if word == "RESUME":
+    if statement.word == "RESUME":
         return await channel.release_replication(timeout_s)
-    step = member_session.Step(member_session.StepKind.RESET)
-    if word == "RESET":
-        channel.shape_by_name.clear()
-    elif word == "SET":
-        name, _, value = rest.partition(" ")
-        step = member_session.Step(
-            member_session.StepKind.SET, name=name, value=value
-        )
-    elif word == "PREPARE":
-        name, kind, shape_text = rest.split(" ", 2)
-        shape = command.Shape(kind == "WRITE", shape_text)
-        channel.shape_by_name[name] = shape
-        step = member_session.Step(
-            member_session.StepKind.PREPARE, shape=shape
-        )
-    else:
-        raise wire.ProtocolError(f"unknown statement {word!r}")
-    return (await channel.prepare([step], timeout_s))[0]
+    return await channel.apply(statement, timeout_s)
 
 
 async def _status(channel: ServedChannel, word: str, rest: str) -> bytes:
@@ -291,18 +373,16 @@
     return f"DATAROW {row}\r\nCOMPLETE -\r\n".encode() + _ready(channel)
 
 
-def _lines(
-    channel: ServedChannel,
-    answer: member_channel.Answer,
-    receipt: str,
-    rows: tuple[str, ...],
-) -> bytes:
-    if answer.fault is not None:
-        word = _WORD_BY_FAULT.get(answer.fault, "FAILED")
-        return f"ERROR {word} member\r\n".encode() + _ready(channel)
-    text = "".join(f"DATAROW {row}\r\n" for row in rows)
-    return (text + f"COMPLETE {receipt}\r\n").encode() + _ready(channel)
+def _refusal(channel: ServedChannel, code: str) -> bytes:
+    return f"ERROR {code} member\r\n".encode() + _ready(channel)
+
+
+def _position(channel: ServedChannel) -> str:
+    position = channel.member.applied()
+    return f"{position.term}.{position.number}"
 
 
-def _ready(channel: ServedChannel) -> bytes:
-    return wire.ready_line(channel.state, channel.member.applied())
+def _ready(channel: ServedChannel, position: str | None = None) -> bytes:
+    """Return READY with the given position, or the present one."""
+    letter = _LETTER_BY_STATE[channel.state]
+    return f"READY {letter} {position or _position(channel)}\r\n".encode()
--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -146,7 +146,7 @@
             SERVICE,
             host,
             MEMBER_PORT,
-            self._history.received_at_by_id,
+            self._history,
         )
 
     async def start(self) -> None:
--- a/burdockcart/soak/history.py
+++ b/burdockcart/soak/history.py
@@ -13,7 +13,8 @@
 class Outcome(enum.Enum):
     """How a request of a client ended.
 
-    ``PROMISE`` is an error after which nothing of the attempt is kept.
+    ``PROMISE`` is an error after which nothing of the attempt is kept;
+    ``LEFT`` means that the client did not wait for an answer.
     """
 
     SUCCESS = "success"
@@ -21,6 +22,7 @@
     ERROR = "error"
     CLOSED = "closed"
     GAVE_UP = "gave up"
+    LEFT = "left"
 
 
 class Freshness(enum.Enum):
@@ -47,11 +49,18 @@
     values : tuple
         Session values that had been acknowledged, sorted by name.
     shape : Shape or None
-        What EXECUTE must run.
+        What EXECUTE must run, and what PREPARE prepares.
+    item, data : str and str or None
+        Arguments of EXECUTE.
+    allowed : bool
+        Whether a member may run it: its line was ended, and the protocol
+        allows it.
     timeout_s : float
         Time limit of the statement.
     receipt : str
         Names the statement and, after a point, the place of its run.
+    rows, position : tuple of str and str
+        Rows of the answer, and the position in READY.
 
     """
 
@@ -69,10 +78,60 @@
     sent_at: float
     values: tuple[tuple[str, str], ...] = ()
     shape: command.Shape | None = None
+    item: str = ""
+    data: str | None = None
+    allowed: bool = True
     ended_at: float = 0.0
     outcome: Outcome | None = None
     detail: str = ""
     receipt: str = ""
+    rows: tuple[str, ...] = ()
+    position: str = ""
+
+
+@dataclasses.dataclass(kw_only=True)
+class MemberStatement:
+    """One statement that reached a member, whether or not it ran.
+
+    Parameters
+    ==========
+
+    connection : int
+        Serial number of the connection, unique among all members.
+    statement : str
+        Id in the message; ``-`` for statements that the gateway issued.
+    text : str
+        Text as it arrived, without AFTER.
+    prepared : tuple of str or None
+        Kind and shape that EXECUTE ran or PREPARE prepared; None for a name
+        that was not prepared on the connection.
+    transaction : int or None
+        Transaction of the connection when the statement arrived.
+    fault : str
+        Code of the error that was answered; empty for a success.
+    answered : bool
+        Whether the member came to an answer.
+
+    """
+
+    member: str
+    connection: int
+    statement: str
+    word: str
+    text: str
+    at: float
+    name: str = ""
+    value: str = ""
+    prepared: tuple[str, str] | None = None
+    item: str = ""
+    data: str | None = None
+    values: tuple[tuple[str, str], ...] = ()
+    transaction: int | None = None
+    answered: bool = False
+    fault: str = ""
+    receipt: str = ""
+    rows: tuple[str, ...] = ()
+    position: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -146,6 +205,11 @@
 
     requests: list[Request] = dataclasses.field(default_factory=list)
     runs: list[wire_member.Run] = dataclasses.field(default_factory=list)
+    statements: list[MemberStatement] = dataclasses.field(default_factory=list)
+    #: Member, line and reason of lines that are not statements.
+    malformed: list[tuple[str, str, str]] = dataclasses.field(
+        default_factory=list
+    )
     received_at_by_id: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
