Cut daemons off from the primary in the soak

All daemons connect from one address of loopback, so the owner of a connection is found by the sockets of the daemons' processes.

The scenes come from a generator of their own and leave the others as they are. A member that starts again forgets its hold, and receives from a crashed primary only once that is back.

LOST at a promotion counts what clients were told, single writes and transactions, whenever they were told: a commit that a joined replica alone has acknowledged, and that no client was told of, may be dropped. The number stays in the summary ("dropped"). In exchange every told write must be in the last log.

--- a/burdockcart/platform/standin/__main__.py
+++ b/burdockcart/platform/standin/__main__.py
@@ -48,6 +48,12 @@
         action="store_true",
         help="also write odd entries among those of the members",
     )
+    parser.add_argument(
+        "--cuts",
+        action="store_true",
+        help="also cut daemons off from the primary while promotions are "
+        "late and replicas join, start again or leave",
+    )
     parser.add_argument(
         "--plain-shapes",
         action="store_true",
@@ -81,6 +87,7 @@
         args.restores,
         args.odd_entries,
         args.plain_shapes,
+        args.cuts,
     )
     found = asyncio.run(run.run())
     text = "".join(
--- a/burdockcart/platform/standin/daemons.py
+++ b/burdockcart/platform/standin/daemons.py
@@ -84,6 +84,11 @@
         """Whether the process exists and has not been asked to end."""
         return self._process is not None and self._asked_at is None
 
+    @property
+    def pid(self) -> int | None:
+        """Id of the process, if there is one."""
+        return None if self._process is None else self._process.pid
+
     @property
     def alive(self) -> bool:
         """Whether the process exists."""
--- a/burdockcart/platform/standin/member_server.py
+++ b/burdockcart/platform/standin/member_server.py
@@ -1,7 +1,6 @@
 """Sockets in front of an emulated member, which speaks the line protocol."""
 
 import asyncio
-import enum
 import re
 import time
 
@@ -11,19 +10,19 @@
 from burdockcart.emulator import wire_channel
 from burdockcart.emulator import wire_member
 from burdockcart import ids
+from burdockcart.platform.standin import member_link
 from burdockcart.platform.standin import member_statements
 from burdockcart.request import command
 from burdockcart.soak import history as histories
 
 Fault = member_channel.MemberFault
+LinkFault = member_link.LinkFault
 State = member_channel.TransactionState
 
 #: Time after which the member gives up a statement, in seconds.
 STATEMENT_TIMEOUT_S = 2.0
 #: Time that a new connection holds a slot, in seconds.
 HANDSHAKE_S = 0.012
-LINK_DELAY_S = 0.15
-LINK_POLL_S = 0.05
 _SLOW = re.compile(r"slow-(\d+)-")
 _WORD_BY_FAULT = {
     Fault.QUEUE_FULL: "BUSY",
@@ -34,17 +33,6 @@
 _LETTER_BY_STATE = {State.IDLE: "I", State.OPEN: "T", State.FAILED: "E"}
 
 
-class LinkFault(enum.Enum):
-    """What the network between the daemons and a member does."""
-
-    NONE = "none"
-    DELAYED = "delayed"
-    #: Neither requests nor answers arrive.
-    SILENT = "silent"
-    #: Requests arrive and run, answers do not arrive.
-    ANSWERS_LOST = "answers lost"
-
-
 class ServedChannel(wire_channel.EmulatedChannel):
     """Channel whose socket ends with it."""
 
@@ -104,6 +92,8 @@
 
     history : History
         Filled with the statements that arrive.
+    owners : callable
+        Returns the daemons that have connections to an address, by port.
 
     """
 
@@ -114,10 +104,11 @@
         host: str,
         port: int,
         history: histories.History,
+        owners: member_link.Owners,
     ):
         self.member = member
         self.address = f"{host}:{port}"
-        self.link = LinkFault.NONE
+        self.link = member_link.MemberLink(host, port, owners)
         self.started_ms = int(time.time() * 1000)
         self._service = service
         self._host, self._port = host, port
@@ -149,19 +140,17 @@
         for channel in list(self.member.connections):
             channel.close()
 
-    async def _cross(self, *cut_by: LinkFault) -> None:
-        """Wait until the network passes a message on."""
-        if self.link is LinkFault.DELAYED:
-            await asyncio.sleep(LINK_DELAY_S)
-        while self.link in cut_by:
-            await asyncio.sleep(LINK_POLL_S)
-
     async def restart(self) -> None:
         """Come back with the log that the member had."""
         self.member.crashed = False
-        primary = self.member.group.primary
-        if primary is not self.member:
-            self.member.follow(primary)
+        self.member.held_term = None
+        self.started_ms = int(time.time() * 1000)
+        group = self.member.group
+        if group.primary is self.member:
+            for each in group.member_by_id.values():
+                each.catch_up()
+        elif not group.primary.crashed:
+            self.member.follow(group.primary)
         await self.start()
 
     async def _accept(
@@ -186,8 +175,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        port = writer.get_extra_info("peername")[1]
+        self.link.connected(port)
         fields = (await reader.readline()).decode().split()
-        await self._cross(LinkFault.SILENT)
+        await self.link.cross(port, LinkFault.SILENT)
         member = self.member
         named = fields[1:2] == [self._service]
         if not named or fields[3:4] not in ([], [member.id]):
@@ -204,11 +195,13 @@
         try:
             while True:
                 line = await reader.readuntil(member_statements.END)
-                await self._cross(LinkFault.SILENT)
+                await self.link.cross(port, LinkFault.SILENT)
                 if channel.closed:
                     return
                 answer = await self._answer(channel, line)
-                await self._cross(LinkFault.SILENT, LinkFault.ANSWERS_LOST)
+                await self.link.cross(
+                    port, LinkFault.SILENT, LinkFault.ANSWERS_LOST
+                )
                 if answer is None or channel.closed:
                     return
                 writer.write(answer)
--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -12,6 +12,7 @@
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
 from burdockcart.platform.standin import client
+from burdockcart.platform.standin import member_link
 from burdockcart.platform.standin import member_server
 from burdockcart.platform.standin import odd_entries
 from burdockcart.platform.standin import store_server
@@ -60,14 +61,12 @@
 
     def promote(self, member: wire_member.EmulatedMember) -> None:
         """Make a member the primary."""
-        acknowledged = set(self.acknowledged)
         held = {commit.position for commit in member.log}
         missing = sorted(
             {
                 statement
                 for commit in self.primary.log
-                if commit.position in acknowledged
-                and commit.position not in held
+                if commit.position not in held
                 for statement, _ in commit.writes
             }
         )
@@ -90,6 +89,8 @@
         Writes an entry of the journal.
     connections : int
         Most connections that a member accepts.
+    owners : callable
+        Returns the daemons that have connections to an address, by port.
 
     """
 
@@ -99,16 +100,18 @@
         history: histories.History,
         note: Callable[..., None],
         connections: int,
+        owners: member_link.Owners,
     ):
         self._history = history
-        self._note = note
+        self._owners = owners
+        self.note = note
         self._connections = connections
         self._serials = itertools.count(1)
-        members = [self._new_member(zone) for zone in ZONES]
+        members = [self.new_member(zone) for zone in ZONES]
         self.group = RecordedGroup(members, history)
         history.runs = self.group.runs
         self.servers = [
-            self._serve(member, f"{prefix}.{201 + place}")
+            self.serve(member, f"{prefix}.{201 + place}")
             for place, member in enumerate(members)
         ]
         self.platform = wire_platform.EmulatedPlatform(
@@ -123,12 +126,13 @@
         self.store_host = f"{prefix}.250"
         self.store = store_server.Store(self._promote)
         self.version = 0
-        self._changing = False
+        self.changing = False
         self._draining: set[str] = set()
         self._seen_by_member: dict[str, tuple[float, object]] = {}
         self._sequence = itertools.count(1)
 
-    def _new_member(self, zone: str) -> wire_member.EmulatedMember:
+    def new_member(self, zone: str) -> wire_member.EmulatedMember:
+        """Return a member that is not part of the group yet."""
         serial = next(self._serials)
         return wire_member.EmulatedMember(
             f"i-{serial:08x}",
@@ -138,15 +142,17 @@
             connection_limit=self._connections,
         )
 
-    def _serve(
+    def serve(
         self, member: wire_member.EmulatedMember, host: str
     ) -> member_server.MemberServer:
+        """Return a listener of a member, which has not been started."""
         return member_server.MemberServer(
             member,
             SERVICE,
             host,
             MEMBER_PORT,
             self._history,
+            self._owners,
         )
 
     async def start(self) -> None:
@@ -263,11 +269,16 @@
             self._history.promotions.append(
                 histories.Promotion(member, holder, token, now)
             )
-        self._note(
+        self.note(
             "promote", member=member, holder=holder, token=token, status=status
         )
         return status
 
+    def drain(self, member: wire_member.EmulatedMember) -> None:
+        """Let a member report that it drains."""
+        self._draining.add(member.id)
+        self.note("member_draining", member=member.id, leads=member.leads)
+
     async def replace_member(self, primary: bool) -> None:
         """Let a member drain and end, then start another at its address."""
         server = next(
@@ -278,54 +289,53 @@
             ),
             None,
         )
-        if self._changing or server is None:
+        if self.changing or server is None:
             return
-        self._changing = True
+        self.changing = True
         old = server.member
-        self._draining.add(old.id)
-        self._note("member_draining", member=old.id, leads=old.leads)
+        self.drain(old)
         await asyncio.sleep(DRAIN_S + 1.0)
         while self.store.fault is not store_server.StoreFault.NONE:
             await asyncio.sleep(0.1)
-        self._note("member_gone", member=old.id, leads=old.leads)
+        self.note("member_gone", member=old.id, leads=old.leads)
         server.crash()
         now = asyncio.get_running_loop().time()
         self._history.member_ends.append((old.id, now))
         self.store.delete(store_values.MEMBER_PREFIX + old.id)
         await asyncio.sleep(0.5)
-        new = self._new_member(old.domain)
+        new = self.new_member(old.domain)
         new.group, new.term = self.group, old.term
         new.log, new.pending = list(old.log), list(old.pending)
         self.group.member_by_id[new.id] = new
         host = server.address.partition(":")[0]
-        replacement = self._serve(new, host)
+        replacement = self.serve(new, host)
         self.servers[self.servers.index(server)] = replacement
         await replacement.restart()
-        self._changing = False
+        self.changing = False
 
     async def crash_primary(self, seconds: float) -> None:
         """End the primary without notice and start it again later."""
         server = next(
             (each for each in self.servers if each.member.leads), None
         )
-        if self._changing or server is None or server.member.crashed:
+        if self.changing or server is None or server.member.crashed:
             return
-        self._changing = True
-        self._note("member_crashed", member=server.member.id)
+        self.changing = True
+        self.note("member_crashed", member=server.member.id)
         server.crash()
         await asyncio.sleep(seconds)
         await server.restart()
-        self._note("member_back", member=server.member.id)
-        self._changing = False
+        self.note("member_back", member=server.member.id)
+        self.changing = False
 
     async def fail_link(
-        self, place: int, fault: member_server.LinkFault, seconds: float
+        self, place: int, fault: member_link.LinkFault, seconds: float
     ) -> None:
         """Let the network to a member fail for some time."""
         server = self.servers[place]
-        server.link = fault
+        server.link.fault = fault
         await asyncio.sleep(seconds)
-        server.link = member_server.LinkFault.NONE
+        server.link.fault = member_link.LinkFault.NONE
 
     async def cut_replication(self, place: int, seconds: float) -> None:
         """Let a replica receive no commits for some time."""
--- /dev/null
+++ b/burdockcart/platform/standin/site_faults.py
@@ -0,0 +1,87 @@
+"""Faults beside a promotion: cuts of the primary, late calls, replicas."""
+
+import asyncio
+
+from burdockcart.platform.standin import site as sites
+from burdockcart.platform.standin import store_server
+from burdockcart.platform import store_values
+
+CallFault = store_server.CallFault
+
+#: Time that a replica which starts again is away, in seconds.
+RESTART_S = 0.3
+#: Last byte of the addresses of members that join, at least.
+FIRST_JOINED = 211
+
+
+async def cut_primary(site: sites.Site, daemon: str, seconds: float) -> None:
+    """Let a daemon and the present primary not reach each other."""
+    server = next((each for each in site.servers if each.member.leads), None)
+    if server is None:
+        return
+    server.link.cut_off[daemon] += 1
+    await asyncio.sleep(seconds)
+    server.link.cut_off[daemon] -= 1
+
+
+async def delay_calls(
+    site: sites.Site, following: CallFault, seconds: float
+) -> None:
+    """Carry promotion calls out late, or only the first one."""
+    store = site.store
+    store.call_delay_s = seconds
+    store.call_fault, store.next_call_fault = CallFault.LATE, following
+    await asyncio.sleep(seconds)
+    store.call_fault = CallFault.NONE
+
+
+async def join_replica(site: sites.Site, seconds: float) -> None:
+    """Let a replica join for some time; it stays if it is promoted."""
+    new = site.new_member(site.servers[-1].member.domain)
+    group = site.group
+    new.group, new.term = group, group.term
+    group.member_by_id[new.id] = new
+    new.catch_up()
+    prefix = site.store_host.rpartition(".")[0]
+    taken = {each.address.partition(":")[0] for each in site.servers}
+    host = next(
+        host
+        for place in range(FIRST_JOINED, 250)
+        if (host := f"{prefix}.{place}") not in taken
+    )
+    server = site.serve(new, host)
+    await server.start()
+    site.servers.append(server)
+    site.note("member_joined", member=new.id, primary=group.primary.id)
+    await asyncio.sleep(seconds)
+    if new.leads or group.primary is new:
+        return
+    site.drain(new)
+    await asyncio.sleep(sites.DRAIN_S + 1.0)
+    if new.leads or group.primary is new:
+        return
+    site.note("member_gone", member=new.id, leads=False)
+    server.crash()
+    site.servers.remove(server)
+    del group.member_by_id[new.id]
+    site.store.delete(store_values.MEMBER_PREFIX + new.id)
+
+
+async def restart_replica(site: sites.Site) -> None:
+    """Let a replica start again under its id, without notice."""
+    server = next(
+        (
+            each
+            for each in site.servers
+            if not (each.member.leads or each.member.crashed)
+        ),
+        None,
+    )
+    if server is None or site.changing:
+        return
+    site.changing = True
+    site.note("member_restarts", member=server.member.id)
+    server.crash()
+    await asyncio.sleep(RESTART_S)
+    await server.restart()
+    site.changing = False
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -14,8 +14,10 @@
 
 from burdockcart.platform.standin import client
 from burdockcart.platform.standin import daemons
-from burdockcart.platform.standin import member_server
+from burdockcart.platform.standin import member_link
+from burdockcart.platform.standin import peer_processes
 from burdockcart.platform.standin import site as sites
+from burdockcart.platform.standin import site_faults
 from burdockcart.platform.standin import store_server
 from burdockcart.soak import checks
 from burdockcart.soak import history as histories
@@ -37,9 +39,14 @@
 
 _OF_DAEMON = frozenset({Kind.STOP, Kind.RELOAD, Kind.FREEZE, Kind.KILL})
 _LINK_FAULT_BY_KIND = {
-    Kind.LINK_DELAYED: member_server.LinkFault.DELAYED,
-    Kind.LINK_SILENT: member_server.LinkFault.SILENT,
-    Kind.LINK_ANSWERS_LOST: member_server.LinkFault.ANSWERS_LOST,
+    Kind.LINK_DELAYED: member_link.LinkFault.DELAYED,
+    Kind.LINK_SILENT: member_link.LinkFault.SILENT,
+    Kind.LINK_ANSWERS_LOST: member_link.LinkFault.ANSWERS_LOST,
+}
+#: Fault of the calls that follow a late one.
+_CALL_FAULT_BY_KIND = {
+    Kind.CALLS_LATE: store_server.CallFault.LATE,
+    Kind.CALLS_REFUSED: store_server.CallFault.REFUSED,
 }
 _STORE_FAULT_BY_KIND = {
     Kind.STORE_DOWN: store_server.StoreFault.UNAVAILABLE,
@@ -69,6 +76,7 @@
         restores: bool = False,
         odd_entries: bool = False,
         plain_shapes: bool = False,
+        cuts: bool = False,
     ):
         self.seed = seed
         self.folder = folder
@@ -78,6 +86,7 @@
         self._restores = restores
         self._odd_entries = odd_entries
         self._plain_shapes = plain_shapes
+        self._cuts = cuts
         self._count = count
         self._connections = connections
         self._tasks: list[asyncio.Task[None]] = []
@@ -142,7 +151,11 @@
             number = (os.getpid() + attempt * 7919) % 60000
             prefix = f"127.{16 + number // 250}.{1 + number % 250}"
             site = sites.Site(
-                prefix, self.history, self.note, self._connections
+                prefix,
+                self.history,
+                self.note,
+                self._connections,
+                self._owners,
             )
             try:
                 await site.start()
@@ -154,6 +167,15 @@
             return site
         raise RuntimeError("no free loopback addresses")
 
+    def _owners(self, host: str, port: int) -> dict[int, str]:
+        """Return the daemons that have connections to a member, by port."""
+        pid_by_name = {
+            each.name: each.pid
+            for each in self.daemons
+            if each.pid is not None
+        }
+        return peer_processes.owner_by_port(host, port, pid_by_name)
+
     def _start_daemons(self) -> None:
         store = f"{self._site.store_host}:{sites.STORE_PORT}"
         self.daemons = [
@@ -246,6 +268,7 @@
             self._unplanned,
             self._restores,
             self._odd_entries,
+            self._cuts,
         )
         for fault in faults:
             await asyncio.sleep(start + fault.at_s - loop.time())
@@ -288,6 +311,17 @@
             site.put_manifest()
         elif kind is Kind.ODD_ENTRY:
             site.put_odd_entry(fault.target)
+        elif kind is Kind.CUT_PRIMARY:
+            name = self.daemons[fault.target].name
+            await site_faults.cut_primary(site, name, fault.length_s)
+        elif kind in _CALL_FAULT_BY_KIND:
+            await site_faults.delay_calls(
+                site, _CALL_FAULT_BY_KIND[kind], fault.length_s
+            )
+        elif kind is Kind.JOIN_REPLICA:
+            await site_faults.join_replica(site, fault.length_s)
+        elif kind is Kind.RESTART_REPLICA:
+            await site_faults.restart_replica(site)
         elif kind is Kind.CRASH_PRIMARY:
             await site.crash_primary(fault.length_s)
         elif kind in (Kind.REPLACE_PRIMARY, Kind.REPLACE_REPLICA):
@@ -336,6 +370,7 @@
         f"probes={len(soak.history.probes)} "
         f"runs={len(soak.history.runs)} commits={len(soak.history.log)} "
         f"promotions={len(soak.history.promotions)} "
+        f"dropped={sum(len(e.missing) for e in soak.history.takeovers)} "
         f"ends={len(soak.history.process_ends)} "
         f"stall_s={stall_s:.2f} "
         f"violations={rules or 'none'}"
--- a/burdockcart/platform/standin/store_server.py
+++ b/burdockcart/platform/standin/store_server.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import enum
+import functools
 import json
 from typing import Any
 from typing import Callable
@@ -15,10 +16,21 @@
 
 #: Interval of ending leases and of copying the data, in seconds.
 LEASE_SCAN_S = 0.2
+#: Time after which a call that gets no answer is broken off, in seconds.
+UNANSWERED_S = 30.0
 #: Copies that are kept; they reach back for 30 s.
 MAX_COPIES = 150
 
 
+class CallFault(enum.Enum):
+    """What the platform does with a promotion call."""
+
+    NONE = "none"
+    #: No answer; it is carried out later.
+    LATE = "late"
+    REFUSED = "refused"
+
+
 class StoreFault(enum.Enum):
     """What the store does with a call."""
 
@@ -53,6 +65,11 @@
     def __init__(self, promote: Callable[[str, str, str, int], int]):
         self.promote = promote
         self.fault = StoreFault.NONE
+        self.call_fault = CallFault.NONE
+        #: Delay of late calls, in seconds.
+        self.call_delay_s = 0.0
+        #: Fault of the calls that follow a late one.
+        self.next_call_fault = CallFault.NONE
         self.revision = 100
         self.era = 1
         self.item_by_key: dict[str, dict[str, Any]] = {}
@@ -275,13 +292,25 @@
 
 
 class _PromotionHandler(_Handler):
-    def post(self) -> None:
+    async def post(self) -> None:
         """Promote a member."""
         body = json.loads(self.request.body)
-        status = self.store.promote(
+        store = self.store
+        call = functools.partial(
+            store.promote,
             body["service"],
             body["id"],
             self.request.headers["X-Lease-Holder"],
             int(self.request.headers["X-Fencing-Token"]),
         )
-        self.answer(status, {})
+        fault = store.call_fault
+        if fault is CallFault.REFUSED:
+            self.answer(503, {})
+        elif fault is CallFault.LATE:
+            store.call_fault = store.next_call_fault
+            loop = asyncio.get_running_loop()
+            loop.call_later(store.call_delay_s, call)
+            await asyncio.sleep(UNANSWERED_S)
+            self.detach().close()
+        else:
+            self.answer(call(), {})
--- a/burdockcart/platform/standin/tests/test_soak.py
+++ b/burdockcart/platform/standin/tests/test_soak.py
@@ -1,12 +1,15 @@
 """Runs daemons as processes and injects faults; takes two to three minutes."""
 
 import asyncio
+import os
 import pathlib
+import socket
 import tempfile
 
 import testtools
 
 from burdockcart.platform.standin import odd_entries
+from burdockcart.platform.standin import peer_processes
 from burdockcart.platform.standin import soak
 from burdockcart.soak import history as histories
 from burdockcart.soak import schedule
@@ -17,17 +20,17 @@
 class TestSoak(testtools.TestCase):
     """Daemons, members, store and clients over sockets."""
 
-    def check(self, seed, unplanned, restores=False, odd_entries=False):
+    def check(self, seed, unplanned, seconds=25.0, plain=True, **beside):
         """Run a seed and check that no rule was broken."""
         with tempfile.TemporaryDirectory() as folder:
             run = soak.Soak(
                 seed,
-                25.0,
+                seconds,
                 DAEMONS,
                 pathlib.Path(folder),
                 unplanned,
-                restores=restores,
-                odd_entries=odd_entries,
+                plain_shapes=plain,
+                **beside,
             )
             found = asyncio.run(run.run())
         text = soak.summary(run, found)
@@ -57,6 +60,21 @@
         """Guards against an entry of another writer that stops a daemon."""
         self.check(3, unplanned=False, odd_entries=True)
 
+    def test_spaced_shapes(self):
+        """Guards against a space that ends a prepared name (issue 49)."""
+        self.check(301, unplanned=True, seconds=10.0, plain=False)
+
+    def test_connections_of_a_daemon(self):
+        """Guards against a cut that leaves the daemon's connections."""
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            host, port = server.getsockname()
+            with socket.create_connection((host, port)) as connection:
+                found = peer_processes.owner_by_port(
+                    host, port, {"d0": os.getpid()}
+                )
+                own_port = connection.getsockname()[1]
+        self.assertEqual({own_port: "d0"}, found)
+
     def test_variants(self):
         """Guards against a variant that is never written."""
         entry = {
--- a/burdockcart/soak/checks.py
+++ b/burdockcart/soak/checks.py
@@ -29,7 +29,6 @@
         statement_checks.violations(history),
         late_statements(history, limits),
         old_manifests(history, limits),
-        lost_commits(history),
         shared_tokens(history),
         process_faults(history, limits),
     )
@@ -263,18 +262,6 @@
             )
 
 
-def lost_commits(history: histories.History) -> Iterator[Violation]:
-    """LOST: a promoted member lacks an acknowledged commit."""
-    for takeover in history.takeovers:
-        if takeover.missing:
-            yield Violation(
-                "LOST",
-                f"commits missing from the promoted {takeover.member}",
-                takeover.at,
-                takeover.missing,
-            )
-
-
 def shared_tokens(history: histories.History) -> Iterator[Violation]:
     """ONE: two holders promote with the same token."""
     holder_by_token: dict[int, str] = {}
--- a/burdockcart/soak/history.py
+++ b/burdockcart/soak/history.py
@@ -159,8 +159,8 @@
 class Takeover:
     """Begin of a member's lead.
 
-    ``missing`` are the statement ids of the acknowledged writes that the
-    member lacked.
+    ``missing`` are the statement ids of the writes that were in the log of
+    the primary before it, acknowledged or not, and that the member lacked.
     """
 
     member: str
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -27,6 +27,11 @@
     LINK_RESET = "link reset"
     LINK_REPLICATION = "link of replication"
     ODD_ENTRY = "odd entry"
+    CUT_PRIMARY = "cut primary"
+    JOIN_REPLICA = "join replica"
+    RESTART_REPLICA = "restart replica"
+    CALLS_LATE = "calls late"
+    CALLS_REFUSED = "calls refused"
 
 
 #: Planned work, during which no request may be cut.
@@ -52,7 +57,8 @@
         Seconds after the start.
     target : int
         Index of the daemon, or of the member for faults of links; -1 if the
-        fault concerns neither.  Number of the variant for odd entries.
+        fault concerns neither.  Number of the variant for odd entries.  The
+        daemon that does not reach the primary.
     length_s : float
         Seconds that the fault lasts, for those that do.
     age_s : float
@@ -71,6 +77,8 @@
 MEMBERS = 3
 #: Variants of odd entries.
 ODD_ENTRIES = 16
+#: Time until a late promotion is carried out, in seconds.
+LATE_CALL_S = 7.0
 #: Time of the last restore before the end of the schedule, in seconds.
 LAST_RESTORE_S = 0.5
 
@@ -167,6 +175,40 @@
     ]
 
 
+def _cut_primary(rng: random.Random, daemons: int) -> list[Fault]:
+    """Cut some daemons off from the primary, or crash it.
+
+    Promotions are late meanwhile, one replica may receive nothing, and
+    another one joins, starts again or leaves.
+    """
+    back_s = rng.choice([1.5, 3.0, 5.0])
+    faults = [
+        Fault(0.0, Kind.CUT_PRIMARY, each, back_s)
+        for each in rng.sample(range(daemons), rng.randint(1, daemons))
+    ]
+    if rng.random() < 0.3:
+        faults = [Fault(0.0, Kind.CRASH_PRIMARY, -1, back_s)]
+    calls = rng.choice([Kind.CALLS_LATE, Kind.CALLS_REFUSED])
+    faults.append(Fault(0.0, calls, -1, LATE_CALL_S))
+    if rng.random() < 0.6:
+        at_s = rng.uniform(0.5, 1.2)
+        member = rng.randrange(MEMBERS)
+        faults.append(
+            Fault(at_s, Kind.LINK_REPLICATION, member, LATE_CALL_S + 1.0)
+        )
+    how = rng.choice(
+        [
+            Kind.JOIN_REPLICA,
+            Kind.JOIN_REPLICA,
+            Kind.RESTART_REPLICA,
+            Kind.REPLACE_REPLICA,
+        ]
+    )
+    length_s = LATE_CALL_S + 2.0 if how is Kind.JOIN_REPLICA else 0.0
+    faults.append(Fault(rng.uniform(0.8, 2.0), how, -1, length_s))
+    return faults
+
+
 def _reload(rng: random.Random, daemons: int) -> list[Fault]:
     count = rng.randint(1, daemons)
     return [
@@ -233,11 +275,13 @@
     unplanned: bool = True,
     restores: bool = False,
     odd_entries: bool = False,
+    cuts: bool = False,
 ) -> list[Fault]:
     """Return the faults of a soak in the order of their times.
 
-    Half of the scenes are planned work in any case.  Restores of the store
-    and odd entries come beside them, and leave the others as they are.
+    Half of the scenes are planned work in any case.  Restores of the store,
+    odd entries and cuts of the primary come beside them, and leave the
+    others as they are.
 
     Examples
     ========
@@ -263,6 +307,10 @@
     if odd_entries:
         rng = random.Random(f"odd entries of {seed}")
         faults += _begun_at(rng.uniform(1.0, 3.0), _odd_entries(rng, daemons))
+    if cuts:
+        rng = random.Random(f"cuts of {seed}")
+        for begin_s in _cut_times(rng, seconds):
+            faults += _begun_at(begin_s, _cut_primary(rng, daemons))
     return sorted(fault for fault in faults if fault.at_s < seconds)
 
 
@@ -279,6 +327,13 @@
         at_s += rng.uniform(8.0, 14.0)
 
 
+def _cut_times(rng: random.Random, seconds: float) -> Iterator[float]:
+    at_s = rng.uniform(1.0, 3.0)
+    while at_s < seconds:
+        yield at_s
+        at_s += LATE_CALL_S + rng.uniform(4.0, 7.0)
+
+
 def _scenes(
     rng: random.Random, seconds: float, unplanned: bool
 ) -> Iterator[tuple[float, Scene]]:
--- a/burdockcart/soak/statement_checks.py
+++ b/burdockcart/soak/statement_checks.py
@@ -37,6 +37,7 @@
     yield from mistaken_names(history)
     yield from false_answers(history)
     yield from lost_writes(history)
+    yield from lost_commits(history)
 
 
 def _request_by_id(
@@ -224,34 +225,55 @@
         )
 
 
+def told_writes(history: histories.History) -> dict[str, histories.Request]:
+    """Return writes by id that their clients know to be in effect.
+
+    Those of a transaction are so with the success of its COMMIT.
+    """
+    requests_by_attempt = collections.defaultdict(list)
+    for request in history.requests:
+        requests_by_attempt[request.attempt].append(request)
+    return {
+        each.id: each
+        for requests in requests_by_attempt.values()
+        if _ends_in_effect(requests[-1])
+        for each in requests
+        if _writes(each) and each.outcome is Outcome.SUCCESS
+    }
+
+
+def _ends_in_effect(last: histories.Request) -> bool:
+    ends = last.kind is Kind.COMMIT or not last.in_transaction
+    return last.outcome is Outcome.SUCCESS and last.allowed and ends
+
+
 def lost_writes(history: histories.History) -> Iterator[Violation]:
     """LOST: a client was told of a write that is not in the last log."""
     kept = {
         statement for commit in history.log for statement, _ in commit.writes
     }
-    requests_by_attempt = collections.defaultdict(list)
-    for request in history.requests:
-        requests_by_attempt[request.attempt].append(request)
-    for requests in requests_by_attempt.values():
-        last = requests[-1]
-        if last.outcome is not Outcome.SUCCESS or not last.allowed:
-            continue
-        if last.in_transaction and last.kind is not Kind.COMMIT:
-            continue
-        lost = tuple(
-            each.id
-            for each in requests
-            if _writes(each)
-            and each.outcome is Outcome.SUCCESS
-            and each.id not in kept
-        )
-        if lost:
+    for request in told_writes(history).values():
+        if request.id not in kept:
             yield Violation(
                 "LOST",
                 "told to be done, and not in the log of the last primary",
-                last.ended_at,
+                request.ended_at,
+                (request.id,),
+                request.daemon,
+            )
+
+
+def lost_commits(history: histories.History) -> Iterator[Violation]:
+    """LOST: a promoted member lacks a write that its client was told of."""
+    told = told_writes(history)
+    for takeover in history.takeovers:
+        lost = tuple(each for each in takeover.missing if each in told)
+        if lost:
+            yield Violation(
+                "LOST",
+                f"writes missing from the promoted {takeover.member}",
+                takeover.at,
                 lost,
-                last.daemon,
             )
 
 
--- a/burdockcart/soak/tests/test_checks.py
+++ b/burdockcart/soak/tests/test_checks.py
@@ -252,7 +252,7 @@
 
 
 class TestWrites(testtools.TestCase):
-    """TWICE, REFUSED, LOST commits and ONE."""
+    """TWICE, REFUSED and ONE."""
 
     def test_twice(self):
         """Guards against a write that takes effect twice."""
@@ -283,14 +283,6 @@
         history.requests[1] = dataclasses.replace(ends, outcome=Outcome.ERROR)
         self.assertEqual([], rules(history))
 
-    def test_lost_commit(self):
-        """Guards against a promotion that drops an acknowledged commit."""
-        takeover = histories.Takeover("m2", 10.0, ())
-        history = histories.History(takeovers=[takeover])
-        self.assertEqual([], rules(history))
-        history.takeovers = [histories.Takeover("m2", 10.0, ("a",))]
-        self.assertEqual(["LOST"], rules(history))
-
     def test_shared_token(self):
         """Guards against two holders with one token."""
         first = histories.Promotion("m1", "d0", 5, 10.0)
--- a/burdockcart/soak/tests/test_schedule.py
+++ b/burdockcart/soak/tests/test_schedule.py
@@ -5,7 +5,13 @@
 from burdockcart.soak import schedule
 
 Kind = schedule.Kind
-DAEMON_KINDS = (Kind.STOP, Kind.RELOAD, Kind.FREEZE, Kind.KILL)
+DAEMON_KINDS = (
+    Kind.STOP,
+    Kind.RELOAD,
+    Kind.FREEZE,
+    Kind.KILL,
+    Kind.CUT_PRIMARY,
+)
 
 
 def faults(unplanned):
@@ -14,7 +20,7 @@
         fault
         for seed in range(50)
         for fault in schedule.generate(
-            seed, 60.0, 4, unplanned, unplanned, unplanned
+            seed, 60.0, 4, unplanned, unplanned, unplanned, unplanned
         )
     ]
 
@@ -31,12 +37,12 @@
             schedule.generate(3, 60.0, 4), schedule.generate(4, 60.0, 4)
         )
 
-    def test_restores_leave_the_others(self):
+    def test_others_stay(self):
         """Guards against seeds that mean another run than before."""
         for seed in range(50):
             others = schedule.generate(seed, 60.0, 4)
             both = schedule.generate(
-                seed, 60.0, 4, restores=True, odd_entries=True
+                seed, 60.0, 4, restores=True, odd_entries=True, cuts=True
             )
             self.assertLess(len(others), len(both))
             self.assertEqual([], [each for each in others if each not in both])
--- a/burdockcart/soak/tests/test_statement_checks.py
+++ b/burdockcart/soak/tests/test_statement_checks.py
@@ -277,5 +277,29 @@
         arrived = [arrival(each) for each in sent]
         self.check([], sent, arrived, [commit(1, first, second)])
         self.check(["LOST"], sent, arrived, [commit(1, first)])
+        self.check(["LOST", "LOST"], sent, arrived)
         back = client("c", Kind.ROLLBACK, "ROLLBACK", in_transaction=True)
         self.check([], [first, second, back], arrived[:2])
+
+    def test_promoted_without(self):
+        """Guards against a promotion that drops what a client was told."""
+        write = client("a", Kind.WRITE, "WRITE i1 d")
+        log = [commit(1, write)]
+        held = histories.Takeover("m2", 10.0, ())
+        lacks = histories.Takeover("m2", 10.0, ("a",))
+        arrived = [arrival(write)]
+        self.check([], [write], arrived, log, takeovers=[held])
+        self.check(["LOST"], [write], arrived, log, takeovers=[lacks])
+        write.outcome = Outcome.ERROR
+        self.check([], [write], arrived, log, takeovers=[lacks])
+
+    def test_promoted_without_a_transaction(self):
+        """Guards against a promotion that drops a write of a transaction."""
+        write = client("a", Kind.WRITE, "WRITE i1 d", in_transaction=True)
+        ends = client("b", Kind.COMMIT, "COMMIT", in_transaction=True)
+        lacks = histories.Takeover("m2", 10.0, ("a",))
+        sent, log = [write, ends], [commit(1, write)]
+        arrived = [arrival(each) for each in sent]
+        self.check(["LOST"], sent, arrived, log, takeovers=[lacks])
+        ends.outcome = Outcome.ERROR
+        self.check([], sent, arrived, log, takeovers=[lacks])
