--- a/burdockcart/platform/standin/store_server.py
+++ b/burdockcart/platform/standin/store_server.py
@@ -68,6 +68,7 @@
         self.call_fault = CallFault.NONE
         #: Delay of late calls, in seconds.
         self.call_delay_s = 0.0
+        self.late_calls: list[asyncio.TimerHandle] = []
         #: Fault of the calls that follow a late one.
         self.next_call_fault = CallFault.NONE
         self.revision = 100
@@ -130,7 +131,9 @@
         self._expiring = asyncio.create_task(self._expire())
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening, and drop late calls."""
+        for each in self.late_calls:
+            each.cancel()
         if self._server is not None and self._expiring is not None:
             self._server.stop()
             self._expiring.cancel()
@@ -309,7 +312,7 @@
         elif fault is CallFault.LATE:
             store.call_fault = store.next_call_fault
             loop = asyncio.get_running_loop()
-            loop.call_later(store.call_delay_s, call)
+            store.late_calls.append(loop.call_later(store.call_delay_s, call))
             await asyncio.sleep(UNANSWERED_S)
             self.detach().close()
         else:
--- a/burdockcart/platform/standin/tests/test_soak.py
+++ b/burdockcart/platform/standin/tests/test_soak.py
@@ -64,6 +64,10 @@
         """Guards against a space that ends a prepared name (issue 49)."""
         self.check(301, unplanned=True, seconds=10.0, plain=False)
 
+    def test_cut_primary(self):
+        """Guards against commits lost beside a late promotion."""
+        self.check(401, unplanned=True, seconds=10.0, cuts=True)
+
     def test_connections_of_a_daemon(self):
         """Guards against a cut that leaves the daemon's connections."""
         with socket.create_server(("127.0.0.1", 0)) as server:
