Tell daemons of a promotion call before it is sent

The caller now tells the daemons that may reach the primary, beside the write that records the candidate. A daemon that answers goes by the candidate from then on, and tells the newest position that it has passed on; what was passed on since the replicas are on hold, the candidate must have. Older positions are not asked for: the primary reports the end of its log, of which nobody may have the last commits. A daemon that refuses the connection has ended. If one is silent, the candidate is recorded with nothing on hold and promoted 2 s later, as before a planned replacement. A holder names the call in its answers, so that daemons that relay through it need not be told.

--- a/burdockcart/emulator/peer_network.py
+++ b/burdockcart/emulator/peer_network.py
@@ -120,10 +120,14 @@
         """Open a link; None if the daemon is unreachable."""
         await asyncio.sleep(self._network.latency_s)
         found = self._network.peers_by_address.get(address)
-        if found is None or found._daemon != daemon:
+        if found is None and self._network.reachable(self._daemon, daemon):
+            raise ConnectionRefusedError
+        if found is not None and found._daemon != daemon:
             return None
-        if daemon in self._network.frozen or not self._network.reachable(
-            self._daemon, daemon
+        if (
+            found is None
+            or daemon in self._network.frozen
+            or not self._network.reachable(self._daemon, daemon)
         ):
             await asyncio.sleep(tcp.DIAL_TIMEOUT_S)
             return None
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -194,9 +194,10 @@
             connector,
             self.tables.refresh,
             self.tables.notice_s,
+            self.relay.notices,
         )
         self._open_calls = open_calls.KnownCalls(
-            self._failover.claims, self.tables, self._clock
+            self._failover.claims, self.tables, self._clock, _wall_ms
         )
         self._rosters = roster_keeper.RosterKeeper(
             config.daemon,
--- a/burdockcart/process/gateway/claim_record.py
+++ b/burdockcart/process/gateway/claim_record.py
@@ -125,11 +125,16 @@
         self.call_begins(group, candidate)
         return await self._replace(group, self._new(group), own)
 
-    def call_begins(self, group: ids.GroupId, candidate: ids.MemberId) -> None:
-        """Note that the platform is about to be called."""
+    def call_begins(self, group: ids.GroupId, candidate: ids.MemberId) -> int:
+        """Note that the platform is about to be called; return the time.
+
+        It is the wall clock's, in milliseconds.
+        """
+        called_at_ms = self._wall_ms()
         self._claims.call_begins(
-            group, candidate, self._wall_ms(), self._clock.now()
+            group, candidate, called_at_ms, self._clock.now()
         )
+        return called_at_ms
 
     def owned(self, group: ids.GroupId) -> bool:
         """Return whether this daemon's claim is the newest known one."""
--- a/burdockcart/process/gateway/commit_guard.py
+++ b/burdockcart/process/gateway/commit_guard.py
@@ -30,6 +30,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import member_pool
 from burdockcart.process.gateway import open_calls
+from burdockcart.process.gateway import passed_commits
 from burdockcart.process.gateway import primary_tracker
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import shared_inquiry
@@ -82,11 +83,12 @@
         self.active = True
         #: Whether writes are refused, as the candidate lags.
         self.blocked = False
+        self.passed = passed_commits.PassedCommits(loop_clock)
+        self.calls = calls
         self._group = group
         self._pool_by_member = pool_by_member
         self._primary = primary
         self._clock = loop_clock
-        self._calls = calls
         self._blocked_at = 0.0
         self._watched_at = 0.0
         #: Newest commit for which writes were blocked.
@@ -137,21 +139,27 @@
             Time on the event loop's clock until which to wait for that.
 
         """
-        if not self._at_risk(commit):
-            return True
-        if commit is None:
-            return False
-        try:
-            async with asyncio.timeout_at(until):
-                return await self._covered(commit)
-        except TimeoutError:
-            return False
+        covered = not self._at_risk(commit)
+        if not covered and commit is not None:
+            try:
+                async with asyncio.timeout_at(until):
+                    covered = await self._covered(commit)
+            except TimeoutError:
+                return False
+        if covered:
+            # Nothing else runs between the check and this.
+            self.passed.add(commit)
+        return covered
 
     async def _covered(self, commit: log_position.LogPosition) -> bool:
         """Wait until a commit is safe; False if it may never be."""
         began_at = self._clock.now()
         while True:
+            candidate = self.calls.candidate(self._group)
             coverage = await self._coverage(commit)
+            if self.calls.candidate(self._group) != candidate:
+                # What was asked meanwhile tells nothing about the new one.
+                continue
             if coverage is not Coverage.PENDING:
                 return coverage is Coverage.HELD
             if self._clock.now() - began_at >= LOOK_INTERVAL_S:
@@ -167,10 +175,10 @@
         """Return whether a call may be open or prepared."""
         if not self.active:
             return False
-        candidate = self._calls.candidate(self._group)
+        candidate = self.calls.candidate(self._group)
         if candidate is not None:
             return candidate != self._primary.leadership.member
-        return not self._calls.informed()
+        return not self.calls.informed()
 
     def _at_risk(self, commit: log_position.LogPosition | None) -> bool:
         """Return whether a commit could be discarded by an open call."""
@@ -180,7 +188,7 @@
             self.active
             and commit is not None
             and commit.term < self._primary.leadership.term
-            and self._calls.candidate(self._group) is not None
+            and self.calls.candidate(self._group) is not None
         )
 
     async def _coverage(self, commit: log_position.LogPosition) -> Coverage:
@@ -189,7 +197,7 @@
             return Coverage.UNKNOWN
         if not self._call_possible():
             return await self._coverage_of_primary(commit)
-        candidate = self._calls.candidate(self._group)
+        candidate = self.calls.candidate(self._group)
         if candidate is not None:
             return _coverage_by(await self._observe(candidate), commit)
         now = self._clock.now()
@@ -267,9 +275,7 @@
             now = self._clock.now()
             if not self.blocked and now - self._watched_at >= IDLE_S:
                 return
-            if not (
-                self._hold_seen(now) or self._calls.candidate(self._group)
-            ):
+            if not (self._hold_seen(now) or self.calls.candidate(self._group)):
                 self._resume("no replica is on hold")
                 await self._observe_replicas()
                 await asyncio.sleep(QUIET_INTERVAL_S)
@@ -296,7 +302,7 @@
         loguru.logger.warning(
             "event=commits_blocked group={} candidate={} position={}",
             self._group,
-            self._calls.candidate(self._group),
+            self.calls.candidate(self._group),
             f"{commit.term}.{commit.number}",
         )
         self._start_looks()
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/failover.py
@@ -14,6 +14,7 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart import ids
+from burdockcart.process.gateway import call_notice
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import gateway_metrics
@@ -66,6 +67,7 @@
         connector: member_channel.Connector,
         refresh: Callable[[], Awaitable[bool]],
         notice_s: float,
+        notices: call_notice.Notices,
     ):
         self._daemon = daemon
         self._daemons = daemons
@@ -88,6 +90,7 @@
             wait,
             connector,
             refresh,
+            notices,
         )
         #: Since when no listed member of a group has led.
         self._missing_since: dict[ids.GroupId, float] = {}
@@ -209,7 +212,7 @@
             self._start_check("search", group, self._search(group))
             return
         prepared: ids.MemberId | None = None
-        if planned:
+        if planned or self._promoter.notice_due(group.id):
             known = self._preparation(group, now)
             if known is None:
                 self._start_attempt(
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -77,6 +77,11 @@
             ["phase"],
             registry=self.registry,
         )
+        self.notices_unanswered = prometheus_client.Counter(
+            "burdockcart_call_notices_unanswered",
+            "Promotion calls of which some daemons could not be told",
+            registry=self.registry,
+        )
         self.store_restores = prometheus_client.Counter(
             "burdockcart_store_restores",
             "Restores of the platform's store from a copy",
--- a/burdockcart/process/gateway/log_comparison.py
+++ b/burdockcart/process/gateway/log_comparison.py
@@ -79,6 +79,8 @@
         self._channels = channels
         #: Term with which the other replicas are put on hold.
         self.term = 0
+        #: Time before the first replica was put on hold.
+        self.held_since = loop_clock.now()
         self._listed = listed
         self._clock = loop_clock
 
--- a/burdockcart/process/gateway/open_calls.py
+++ b/burdockcart/process/gateway/open_calls.py
@@ -1,5 +1,6 @@
 """Which members may be promoted soon, as far as this daemon knows."""
 
+from typing import Callable
 from typing import Protocol
 
 from burdockcart import clock
@@ -20,6 +21,26 @@
     def informed(self) -> bool:
         """Return whether a call of a while ago would be known."""
 
+    def known_call(
+        self, group: ids.GroupId
+    ) -> tuple[ids.MemberId, int, ids.StorePosition] | None:
+        """Return the open call as other daemons are told of it."""
+
+    def noticed(
+        self,
+        group: ids.GroupId,
+        call: tuple[ids.MemberId, int, ids.StorePosition],
+    ) -> bool:
+        """Note a call that another daemon has told of; False if outdated."""
+
+    def withdrawn(
+        self,
+        group: ids.GroupId,
+        member: ids.MemberId,
+        position: ids.StorePosition,
+    ) -> None:
+        """Note that a call that another daemon told of was not sent."""
+
 
 class KnownCalls:
     """Calls of this daemon, and those that the store has shown.
@@ -37,7 +58,9 @@
         claims: promotion_claims.PromotionClaims,
         tables: store_follower.StoreFollower,
         loop_clock: clock.Clock,
+        wall_ms: Callable[[], int],
     ):
+        self._wall_ms = wall_ms
         self._claims = claims
         self._tables = tables
         self._clock = loop_clock
@@ -54,3 +77,28 @@
     def informed(self) -> bool:
         """Return whether a call of a while ago would be known."""
         return self._tables.informed
+
+    def known_call(
+        self, group: ids.GroupId
+    ) -> tuple[ids.MemberId, int, ids.StorePosition] | None:
+        """Return the open call as other daemons are told of it."""
+        return self._claims.known_call(group, self._clock.now())
+
+    def noticed(
+        self,
+        group: ids.GroupId,
+        call: tuple[ids.MemberId, int, ids.StorePosition],
+    ) -> bool:
+        """Note a call that another daemon has told of; False if outdated."""
+        return self._claims.noticed(
+            group, call, self._wall_ms(), self._clock.now()
+        )
+
+    def withdrawn(
+        self,
+        group: ids.GroupId,
+        member: ids.MemberId,
+        position: ids.StorePosition,
+    ) -> None:
+        """Note that a call that another daemon told of was not sent."""
+        self._claims.notice_withdrawn(group, member, position)
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -21,6 +21,7 @@
 from burdockcart.connection import member_channel
 from burdockcart import ids
 from burdockcart.process.gateway import asked_members
+from burdockcart.process.gateway import call_notice
 from burdockcart.process.gateway import claim_record
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import failover_rule
@@ -70,6 +71,7 @@
         wait: restore_wait.RestoreWait,
         connector: member_channel.Connector,
         refresh: Callable[[], Awaitable[bool]],
+        notices: call_notice.Notices,
     ):
         #: Time that the platform needed for the last promotion, in seconds.
         self.promotion_s = INITIAL_PROMOTION_S
@@ -94,7 +96,11 @@
             loop_clock,
             boot_clock,
             metrics,
+            call_notice.NoticeRounds(notices, loop_clock, metrics),
         )
+        #: Groups with a daemon that could not be told of a call.  Their
+        #: candidate is recorded ahead, as before a planned replacement.
+        self._notice_due: set[ids.GroupId] = set()
         self._metrics = metrics
         self._reserved = reserved
         self._connector = connector
@@ -169,20 +175,39 @@
         eligible = [each for each in found if called in (None, each.id)]
         if eligible:
             chosen = failover_rule.first_candidate(eligible).id
-            if await self._record.claim(group.id, chosen) is not None:
-                now = self._clock.now()
-                self._claims.give_up_preparation(group.id)
-                self._claims.prepare(group.id, chosen, now)
-                loguru.logger.info(
-                    "event=promotion_prepared group={} primary={} member={}",
-                    group.id,
-                    old,
-                    chosen,
-                )
+            await self._record_prepared(group, old, chosen)
         else:
             promotion_call.put_off(self._metrics, group, "no replica answers")
         self._claims.failed(group.id, self._clock.now())
 
+    def notice_due(self, group: ids.GroupId) -> bool:
+        """Return whether an unplanned promotion waits for the others.
+
+        It has recorded its candidate, as some daemon could not be told.
+        """
+        if self._claims.preparation(group, self._clock.now()) is None:
+            self._notice_due.discard(group)
+        return group in self._notice_due
+
+    async def _record_prepared(
+        self,
+        group: groups.Group,
+        old: ids.MemberId | None,
+        member: ids.MemberId,
+    ) -> bool:
+        """Record that a member will be promoted; False if that failed."""
+        if await self._record.claim(group.id, member) is None:
+            return False
+        self._claims.give_up_preparation(group.id)
+        self._claims.prepare(group.id, member, self._clock.now())
+        loguru.logger.info(
+            "event=promotion_prepared group={} primary={} member={}",
+            group.id,
+            old,
+            member,
+        )
+        return True
+
     def _needed(
         self,
         group: groups.Group,
@@ -249,7 +274,13 @@
                 )
                 try:
                     outcome = await self._caller.call(
-                        group, candidate, token, asked, compared_at
+                        group,
+                        candidate,
+                        token,
+                        asked,
+                        compared_at,
+                        None if prepared else old,
+                        comparison,
                     )
                 finally:
                     keeping.cancel()
@@ -266,15 +297,20 @@
             refreshed.cancel()
         if outcome is promotion_call.CallOutcome.DONE:
             assert candidate is not None
+            self._notice_due.discard(group.id)
             await self._await_leadership(group, candidate)
             # Calls with a lower token are refused where there is fencing.
             self._claims.call_done(group.id, group.promotions_fenced)
             await self._record.settle(group.id)
             return True
-        if outcome is promotion_call.CallOutcome.NOT_DONE:
-            await self._release(group, channels)
-        else:
+        if outcome is promotion_call.CallOutcome.UNANSWERED:
             self._leave_on_hold(group, channels)
+        else:
+            await self._release(group, channels)
+        if outcome is promotion_call.CallOutcome.NOTICE_DUE:
+            assert candidate is not None
+            if await self._record_prepared(group, old, candidate):
+                self._notice_due.add(group.id)
         self._claims.failed(group.id, self._clock.now())
         return False
 
--- a/burdockcart/process/gateway/promotion_call.py
+++ b/burdockcart/process/gateway/promotion_call.py
@@ -1,7 +1,9 @@
 """Calls the platform to promote a member."""
 
+import asyncio
 import enum
 from typing import Iterable
+from typing import Literal
 
 import loguru
 from returns import result
@@ -9,10 +11,12 @@
 from burdockcart import clock
 from burdockcart import ids
 from burdockcart.process.gateway import asked_members
+from burdockcart.process.gateway import call_notice
 from burdockcart.process.gateway import claim_record
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway import log_comparison
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
 
@@ -32,6 +36,7 @@
     """Outcome of the promotion call."""
 
     NOT_DONE = "not carried out"
+    NOTICE_DUE = "not sent, as a daemon may not know of it"
     DONE = "done"
     UNANSWERED = "may be carried out later"
 
@@ -53,7 +58,9 @@
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
         metrics: gateway_metrics.GatewayMetrics,
+        notices: call_notice.NoticeRounds,
     ):
+        self._notices = notices
         self._daemon = daemon
         self._platform = platform
         self._claims = claims
@@ -64,6 +71,8 @@
         self._metrics = metrics
         #: Groups for which the platform was called in the present attempt.
         self._called: set[ids.GroupId] = set()
+        #: The last notice to other daemons.
+        self._notice_by_group: dict[ids.GroupId, call_notice.CallNotice] = {}
 
     def forget(self, group: ids.GroupId) -> None:
         """Note that another attempt begins."""
@@ -80,13 +89,29 @@
         token: ids.FencingToken,
         asked: asked_members.AskedMembers,
         compared_at: float,
+        notify_for: ids.MemberId | None,
+        comparison: log_comparison.LogComparison,
     ) -> CallOutcome:
-        """Call the platform; retry with a new token where that can help."""
+        """Call the platform; retry with a new token where that can help.
+
+        Parameters
+        ==========
+
+        notify_for : MemberId or None
+            The primary if other daemons may not know of the candidate.
+
+        """
         outcome = CallOutcome.NOT_DONE
         for _ in range(MAX_CALLS):
             try:
                 answer = await self._call_once(
-                    group, candidate, token, asked, compared_at
+                    group,
+                    candidate,
+                    token,
+                    asked,
+                    compared_at,
+                    notify_for,
+                    comparison,
                 )
             except BaseException:
                 if group.id in self._called:
@@ -94,9 +119,10 @@
                 else:
                     self._claims.call_refused(group.id)
                 raise
-            if answer is None:
+            if answer is None or answer is CallOutcome.NOTICE_DUE:
                 self._claims.call_refused(group.id)
-                return outcome
+                self._withdraw(group, notify_for)
+                return answer or outcome
             if isinstance(answer, result.Success):
                 return CallOutcome.DONE
             fault = answer.failure()
@@ -126,23 +152,67 @@
         token: ids.FencingToken,
         asked: asked_members.AskedMembers,
         compared_at: float,
-    ) -> result.Result[None, coordination.PromotionFault] | None:
-        """Record the candidate and call the platform.
+        notify_for: ids.MemberId | None,
+        comparison: log_comparison.LogComparison,
+    ) -> (
+        result.Result[None, coordination.PromotionFault]
+        | Literal[CallOutcome.NOTICE_DUE]
+        | None
+    ):
+        """Record the candidate, tell the other daemons, call the platform.
 
         None if the platform was not called.
         """
         valid_s = COMPARISON_VALID_S
-        if self._record.owned(group.id):
+        owned = self._record.owned(group.id)
+        known = self._claims.candidate(group.id, self._clock.now())
+        called_at_ms = self._record.call_begins(group.id, candidate)
+        telling = asyncio.create_task(
+            self._tell(
+                group,
+                call_notice.CallNotice(
+                    group.id,
+                    candidate,
+                    called_at_ms,
+                    ids.StorePosition(token),
+                ),
+                notify_for,
+                comparison,
+            ),
+            name="call_notice",
+        )
+        if owned:
             # Fails if another daemon has claimed the promotion, so that
             # nobody else has released a replica since the comparison.
             compared_at = self._boot_clock.now()
             valid_s = ANNOUNCEMENT_VALID_S
-            announced = await self._record.announce(group.id, candidate)
+            try:
+                announced = await self._record.announce(group.id, candidate)
+            finally:
+                told = await telling
             if announced is None:
                 return None
             token = announced
+            # Those that are told already know a call that is open.
+            if told.unsure and known is None:
+                put_off(
+                    self._metrics,
+                    group,
+                    "a daemon may not know of the call",
+                    told.unsure,
+                )
+                return CallOutcome.NOTICE_DUE
         else:
-            self._record.call_begins(group.id, candidate)
+            told = await telling
+        if told.required is not None and not await comparison.reaches(
+            candidate, told.required
+        ):
+            put_off(
+                self._metrics,
+                group,
+                "the candidate may lack commits that were passed on",
+            )
+            return None
         if self._boot_clock.now() - compared_at > valid_s:
             put_off(self._metrics, group, "the comparison of the logs is old")
             return None
@@ -169,6 +239,40 @@
             )
         return answer
 
+    async def _tell(
+        self,
+        group: groups.Group,
+        notice: call_notice.CallNotice,
+        primary: ids.MemberId | None,
+        comparison: log_comparison.LogComparison,
+    ) -> call_notice.Round:
+        """Tell the other daemons of a call, if any may not know of it."""
+        self._notice_by_group.pop(group.id, None)
+        if primary is None or not group.commits.active:
+            return call_notice.Round([], None)
+        self._notice_by_group[group.id] = notice
+        return await self._notices.run(
+            primary,
+            notice,
+            comparison.held_since,
+            group.commits.passed.promise(self._clock.now()),
+        )
+
+    def _withdraw(
+        self, group: groups.Group, primary: ids.MemberId | None
+    ) -> None:
+        """Tell the other daemons that the last call was not sent.
+
+        Not if an earlier one may be carried out: they may know of it from
+        the notice alone.
+        """
+        notice = self._notice_by_group.pop(group.id, None)
+        now = self._clock.now()
+        if notice is None or primary is None or group.id in self._called:
+            return
+        if self._claims.candidate(group.id, now) is None:
+            self._notices.withdraw(primary, notice)
+
 
 def put_off(
     metrics: gateway_metrics.GatewayMetrics,
--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -41,6 +41,21 @@
     until: float
 
 
+class NoticedCall(msgspec.Struct, frozen=True):
+    """A call of which another daemon has told, not the store.
+
+    Parameters
+    ==========
+
+    position : StorePosition
+        Position of a record; later ones tell what became of the call.
+
+    """
+
+    call: OpenCall
+    position: ids.StorePosition
+
+
 class Preparation(msgspec.Struct, frozen=True):
     """A member that a planned replacement will promote.
 
@@ -93,6 +108,8 @@
         self._open_by_group: dict[ids.GroupId, OpenCall] = {}
         #: Calls of this daemon that wait for their answer.
         self._running_by_group: dict[ids.GroupId, OpenCall] = {}
+        #: Calls that other daemons have told of, until a later record.
+        self._noticed_by_group: dict[ids.GroupId, NoticedCall] = {}
         #: Members that planned replacements will promote.
         self._prepared_by_group: dict[ids.GroupId, Preparation] = {}
         #: Position of the newest record that a poll of the store has shown.
@@ -159,9 +176,82 @@
                 call.called_at_ms,
             )
 
+    def noticed(
+        self,
+        group: ids.GroupId,
+        call: tuple[ids.MemberId, int, ids.StorePosition],
+        wall_ms: int,
+        now: float,
+    ) -> bool:
+        """Record a call that another daemon has told of.
+
+        False if this daemon cannot go by it: it knows a later record, has
+        called for another member itself, or the call is an old one.
+
+        Parameters
+        ==========
+
+        call : tuple
+            The member, the time of the call, and the position of a record;
+            see :class:`OpenCall` and :class:`NoticedCall`.
+
+        """
+        member, called_at_ms, position = call
+        left_s = _left_s(called_at_ms, wall_ms)
+        known = self._newest_known(group)
+        current = self.candidate(group, now)
+        if left_s <= 0 or (
+            current != member
+            and (position < known or group in self._running_by_group)
+        ):
+            return False
+        self._noticed_by_group[group] = NoticedCall(
+            OpenCall(member, called_at_ms, now + left_s), position
+        )
+        # Records that the call rests on do not tell what becomes of it.
+        self._polled_by_group[group] = max(position, known)
+        if current != member:
+            loguru.logger.info(
+                "event=promotion_call_noticed group={} member={}",
+                group,
+                member,
+            )
+        return True
+
+    def notice_withdrawn(
+        self,
+        group: ids.GroupId,
+        member: ids.MemberId,
+        position: ids.StorePosition,
+    ) -> None:
+        """Record that a call that another daemon told of was not sent."""
+        known = self._noticed_by_group.get(group)
+        if known is not None and (
+            (known.call.member, known.position) == (member, position)
+        ):
+            del self._noticed_by_group[group]
+
+    def known_call(
+        self, group: ids.GroupId, now: float
+    ) -> tuple[ids.MemberId, int, ids.StorePosition] | None:
+        """Return the open call, as :meth:`noticed` of others takes it."""
+        call = self.open_call(group, now)
+        if call is None:
+            return None
+        noticed = self._noticed_by_group.get(group)
+        if noticed is not None and noticed.call is call:
+            return call.member, call.called_at_ms, noticed.position
+        return call.member, call.called_at_ms, self._newest_known(group)
+
+    def _newest_known(self, group: ids.GroupId) -> ids.StorePosition:
+        """Return the position of the newest record that is known."""
+        polled = self._polled_by_group.get(group, ids.StorePosition(0))
+        return max(polled, self.position(group))
+
     def none_open(self, group: ids.GroupId) -> None:
         """Record that each call for a group was answered."""
-        if self._open_by_group.pop(group, None) is not None:
+        noticed = self._noticed_by_group.pop(group, None)
+        if self._open_by_group.pop(group, noticed) is not None:
             loguru.logger.info("event=promotion_call_closed group={}", group)
 
     def open_call(self, group: ids.GroupId, now: float) -> OpenCall | None:
@@ -169,6 +259,9 @@
         running = self._running_by_group.get(group)
         if running is not None and now < running.until:
             return running
+        noticed = self._noticed_by_group.get(group)
+        if noticed is not None and now < noticed.call.until:
+            return noticed.call
         known = self._open_by_group.get(group)
         if known is None or now < known.until:
             return known
@@ -223,7 +316,11 @@
     @property
     def groups_with_calls(self) -> list[ids.GroupId]:
         """Groups for which a call may still be executed."""
-        return list(self._open_by_group.keys() | self._running_by_group)
+        return list(
+            self._open_by_group.keys()
+            | self._running_by_group
+            | self._noticed_by_group.keys()
+        )
 
     def own_claim(self, group: ids.GroupId) -> ids.StorePosition | None:
         """Return the position of this daemon's claim, if it has one."""
@@ -275,6 +372,7 @@
         self._store_silent.discard(group)
         record = lost.record
         if record is not None and not seen_before:
+            self._supersede_notice(group, lost.position)
             self._note_call(group, record, wall_ms, now)
         if record is None or record.reserved or record.holder == self._daemon:
             return True
@@ -300,12 +398,28 @@
 
         The claim itself counts only once this daemon wants to claim.
         """
-        known = self._polled_by_group.get(group, 0)
-        if stored.position <= max(known, self.position(group)):
+        if stored.position <= self._newest_known(group):
             return
         self._polled_by_group[group] = stored.position
+        self._supersede_notice(group, stored.position)
         self._note_call(group, stored.record, wall_ms, now)
 
+    def _supersede_notice(
+        self, group: ids.GroupId, position: ids.StorePosition
+    ) -> None:
+        """Go by a record of the store that is later than a notice.
+
+        A restored store may hold an older one.
+        """
+        noticed = self._noticed_by_group.get(group)
+        if (
+            noticed is not None
+            and position > noticed.position
+            and store_era.era_of(position)
+            == store_era.era_of(noticed.position)
+        ):
+            del self._noticed_by_group[group]
+
     def _note_call(
         self,
         group: ids.GroupId,
@@ -325,10 +439,15 @@
         # Daemons pass the call on from record to record, so its age counts
         # from the call itself.
         called_at_ms = record.called_at_ms or record.claimed_at_ms
-        age_s = (wall_ms - called_at_ms) / 1000
-        left_s = min(LATE_CALL_S + CLOCK_SKEW_S - age_s, LATE_CALL_S)
+        left_s = _left_s(called_at_ms, wall_ms)
         if left_s <= 0:
             return
         self._open(
             group, OpenCall(record.candidate, called_at_ms, now + left_s)
         )
+
+
+def _left_s(called_at_ms: int, wall_ms: int) -> float:
+    """Return for how long a call may still be carried out, in seconds."""
+    age_s = (wall_ms - called_at_ms) / 1000
+    return min(LATE_CALL_S + CLOCK_SKEW_S - age_s, LATE_CALL_S)
--- a/burdockcart/process/gateway/tests/test_promotion_claims.py
+++ b/burdockcart/process/gateway/tests/test_promotion_claims.py
@@ -4,6 +4,7 @@
 
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import promotion_claims
+from burdockcart.process.gateway import store_era
 
 GROUP = "g"
 
@@ -91,6 +92,78 @@
         self.claims.polled(GROUP, stored, 100_000, now=70.0)
         self.assertIsNone(self.claims.candidate(GROUP, 70.0))
 
+    def poll(self, position, **fields):
+        """Read a record in the store."""
+        found = lost(position, claimed_at_ms=100_000, **fields)
+        stored = coordination.StoredPromotion(found.record, found.position)
+        self.claims.polled(GROUP, stored, 100_000, now=50.0)
+
+    def notice(self, position, member="m-b", called_at_ms=100_000, now=50.0):
+        """Hear of a call from another daemon."""
+        call = (member, called_at_ms, position)
+        return self.claims.noticed(GROUP, call, 100_000, now)
+
+    def test_notice_of_a_call(self):
+        """It must count for as long as a call may be open, and no longer."""
+        self.assertTrue(self.notice(5))
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 62.9))
+        self.assertIsNone(self.claims.candidate(GROUP, 63.1))
+
+    def test_record_before_a_notice(self):
+        """A late answer of the store must not end a call heard of since."""
+        self.notice(5)
+        for position in (4, 5):
+            self.poll(position, settled=True)
+            self.assertEqual("m-b", self.claims.candidate(GROUP, 51.0))
+
+    def test_record_after_a_notice(self):
+        """A call that was not sent must not bind until it would expire."""
+        for fields in ({}, {"settled": True}):
+            self.claims = promotion_claims.PromotionClaims("own", 3.0)
+            self.notice(5)
+            self.poll(6, **fields)
+            self.assertIsNone(self.claims.candidate(GROUP, 51.0))
+
+    def test_notice_that_is_withdrawn(self):
+        """What was open before must be open again."""
+        self.poll(4, candidate="m-b")
+        self.notice(5)
+        self.claims.notice_withdrawn(GROUP, "m-b", 4)
+        self.claims.notice_withdrawn(GROUP, "m-b", 5)
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 51.0))
+        self.assertIsNone(self.claims.candidate(GROUP, 63.1))
+        self.notice(6, now=64.0)
+        self.claims.notice_withdrawn(GROUP, "m-b", 6)
+        self.assertIsNone(self.claims.candidate(GROUP, 65.0))
+
+    def test_notice_that_is_out_of_date(self):
+        """A daemon must not promise what it does not keep."""
+        self.poll(6, candidate="m-c")
+        self.assertFalse(self.notice(5))
+        self.assertEqual("m-c", self.claims.candidate(GROUP, 51.0))
+        self.assertTrue(self.notice(5, "m-c"))
+        self.assertFalse(self.notice(7, called_at_ms=80_000))
+        self.claims.call_begins(GROUP, "m-c", 100_000, 52.0)
+        self.assertFalse(self.notice(7))
+
+    def test_notice_after_a_restore(self):
+        """An older record of a restored store must not end a call."""
+        self.notice(5)
+        self.poll(store_era.position(1, 4))
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 51.0))
+
+    def test_call_for_other_daemons(self):
+        """Who hears of a call from a holder must go by the same records."""
+        self.assertIsNone(self.claims.known_call(GROUP, 50.0))
+        self.notice(5)
+        self.assertEqual(
+            ("m-b", 100_000, 5), self.claims.known_call(GROUP, 50.0)
+        )
+        self.poll(7, candidate="m-b", called_at_ms=100_000)
+        self.assertEqual(
+            ("m-b", 100_000, 7), self.claims.known_call(GROUP, 50.0)
+        )
+
     def test_old_record_of_a_poll(self):
         """A daemon that starts must not take an old call for open."""
         found = lost(5, claimed_at_ms=100_000, candidate="m-b")
--- a/burdockcart/process/peers/held_transaction.py
+++ b/burdockcart/process/peers/held_transaction.py
@@ -41,6 +41,8 @@
     def __init__(self, daemon: ids.DaemonId, number: int):
         self.number = number
         self.phase = Phase.BEGINNING
+        #: Whether a write has been sent in it.
+        self.wrote = False
         self._daemon = daemon
         self._group: groups.Group | None = None
         self._connection: pooled_connection.PooledConnection | None = None
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -219,7 +219,9 @@
                 self._source.record_answer(sent_at, self._received_at)
             self._answer(message)
 
-    def _answer(self, message: messages.Answered | messages.Status) -> None:
+    def _answer(
+        self, message: messages.Answered | messages.Status | messages.Noticed
+    ) -> None:
         """Resolve a request; the answer to one given up is dropped."""
         future = self._future_by_number.get(message.number)
         if future is not None and not future.done():
--- a/burdockcart/process/peers/holding.py
+++ b/burdockcart/process/peers/holding.py
@@ -17,6 +17,9 @@
 #: relayed through it, in seconds: longer than the pause between two polls of
 #: the list of daemons, so that its connections last until all lists agree.
 DRAFTED_S = 4.0
+#: Time for which a daemon that has left the list may still serve clients, in
+#: seconds: one that drains leaves the list first.
+LEFT_S = 8.0
 #: Connections of a daemon to a member by way of its holders.  They cost the
 #: member nothing; the number bounds what one daemon has at a member.
 RELAYED = connection_share.Share(16, 16)
@@ -32,6 +35,11 @@
         self.leaving = False
         self._started_at = loop_clock.now()
         self._entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry] = {}
+        #: Daemons in the store, and those that left it and when.
+        self._listed: dict[ids.DaemonId, coordination.DaemonEntry] = {}
+        self._left_by_id: dict[
+            ids.DaemonId, tuple[coordination.DaemonEntry, float]
+        ] = {}
         self._count = connection_share.DaemonCount(
             INITIAL_DAEMONS, loop_clock.now()
         )
@@ -47,6 +55,17 @@
         self.recount()
         self._holders_by_member.clear()
 
+    def note_listed(self, entries: Iterable[coordination.DaemonEntry]) -> None:
+        """Note which daemons are listed, also while this one leaves."""
+        now = self._clock.now()
+        left = {each: (entry, now) for each, entry in self._listed.items()}
+        self._listed = {each.id: each for each in entries}
+        self._left_by_id = {
+            each: (entry, left_at)
+            for each, (entry, left_at) in (left | self._left_by_id).items()
+            if each not in self._listed and now - left_at < LEFT_S
+        }
+
     def recount(self) -> None:
         """Count the daemons again: those that left count for some time."""
         self._daemons = self._count.record_count(
@@ -84,6 +103,31 @@
             if entry.id != self._daemon
         ]
 
+    def connecting(
+        self, member: manifest.MemberEntry, connections: int
+    ) -> list[coordination.DaemonEntry]:
+        """Return the other daemons that may connect to a member directly.
+
+        Also those that have left the list a short time ago.
+        """
+        now = self._clock.now()
+        used = {each.address for each in self._listed.values()}
+        entry_by_id = self._listed | {
+            each: entry
+            for each, (entry, left_at) in self._left_by_id.items()
+            if now - left_at < LEFT_S and entry.address not in used
+        }
+        found = list(entry_by_id.values())
+        holders = self.holders(member, connections)
+        if holders is not None:
+            ranked = holder_choice.rank(member.id, member.domain, found)
+            found = list(holders.ranked) + [
+                each
+                for each in ranked[: len(holders.ranked)]
+                if each not in holders.ranked
+            ]
+        return [each for each in found if each.id != self._daemon]
+
     def draft(self, member: ids.MemberId) -> bool:
         """Hold a member because another daemon relays through this one.
 
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -125,6 +125,36 @@
     number: int
 
 
+class CallNotice(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Tell that the platform is about to be called to promote a member.
+
+    Parameters
+    ==========
+
+    candidate : MemberId
+        The member.
+    called_at_ms : int
+        By the wall clock of the sender.
+    position : StorePosition
+        Position of the sender's claim.
+
+    """
+
+    number: int
+    group: ids.GroupId
+    candidate: ids.MemberId
+    called_at_ms: int
+    position: ids.StorePosition
+
+
+class Withdrawal(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Tell that a call was not sent; there is no answer."""
+
+    group: ids.GroupId
+    candidate: ids.MemberId
+    position: ids.StorePosition
+
+
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag=20):
     """Answer of a member, or the reason why it has none.
 
@@ -134,6 +164,9 @@
     sample : tuple of int, or None
         The holder's newest sample of the group's primary: age when the answer
         was sent, term and number.
+    call : tuple, or None
+        The open promotion call that the holder goes by: member, time of the
+        call, and the position of a record in the store.
 
     """
 
@@ -145,6 +178,7 @@
     state: member_channel.TransactionState
     position: tuple[int, int] | None
     sample: tuple[int, int, int] | None = None
+    call: tuple[ids.MemberId, int, ids.StorePosition] | None = None
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True, tag=21):
@@ -181,8 +215,40 @@
     number: int
 
 
-Request = Union[Run, RunInTransaction, Begin, RollBack, Discard, Action, Ping]
-Reply = Union[Answered, Status, Pong, Leaving, Closing]
+class Noticed(msgspec.Struct, frozen=True, array_like=True, tag=25):
+    """Answer to the notice of a call.
+
+    Parameters
+    ==========
+
+    agreed : bool
+        Whether the daemon passes on the success of a commit from now on only
+        if the candidate has it.
+    newest : tuple of int, or None
+        Position that covers all commits whose success it has passed on.
+    age_ms : int
+        Time since it passed on the last one.
+
+    """
+
+    number: int
+    agreed: bool
+    newest: tuple[int, int] | None = None
+    age_ms: int = 0
+
+
+Request = Union[
+    Run,
+    RunInTransaction,
+    Begin,
+    RollBack,
+    Discard,
+    Action,
+    Ping,
+    CallNotice,
+    Withdrawal,
+]
+Reply = Union[Answered, Status, Pong, Leaving, Closing, Noticed]
 
 encode = msgspec.msgpack.Encoder().encode
 request_decoder: msgspec.msgpack.Decoder[Request] = msgspec.msgpack.Decoder(
@@ -246,6 +312,7 @@
     number: int,
     answer: member_channel.Answer,
     sample: tuple[int, int, int] | None = None,
+    call: tuple[ids.MemberId, int, ids.StorePosition] | None = None,
 ) -> Answered:
     """Return the message for an answer."""
     return Answered(
@@ -257,6 +324,7 @@
         answer.state,
         position_pair(answer.position),
         sample,
+        call,
     )
 
 
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -16,6 +16,8 @@
 from burdockcart.process.gateway import member_pool
 from burdockcart.process.peers import holder_choice
 from burdockcart.process.peers import holding
+from burdockcart.process.peers import messages
+from burdockcart.process.peers import peer_notices
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.peers import relay_service
 from burdockcart.request import log_position
@@ -77,6 +79,9 @@
         self._peers = peers
         self._group_by_id = group_by_id
         self._links = relay_connector.HolderLinks(peers, loop_clock, rng, own)
+        self.notices = peer_notices.PeerNotices(
+            group_by_id, self.holding, self._links, loop_clock
+        )
         self.service = relay_service.RelayService(self, sender, loop_clock)
         self.connector = relay_connector.RelayConnector(
             direct, self._links, self, loop_clock, boot_clock
@@ -128,6 +133,7 @@
         self, entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry]
     ) -> None:
         """Use a new list of daemons."""
+        self.holding.note_listed(entry_by_id.values())
         if self.service.leaving:
             # Daemons that leave together vanish from the list; until the end
             # each member keeps its holders.
@@ -203,6 +209,34 @@
                 log_position.LogPosition(term, number),
             )
 
+    def open_call(
+        self, group: ids.GroupId
+    ) -> tuple[ids.MemberId, int, ids.StorePosition] | None:
+        """Return the open promotion call of a group, as it is sent."""
+        return self.notices.open_call(group)
+
+    def use_call(
+        self,
+        group: ids.GroupId,
+        call: tuple[ids.MemberId, int, ids.StorePosition],
+    ) -> None:
+        """Go by a promotion call of which a holder knows."""
+        self.notices.use_call(group, call)
+
+    def passed_on(
+        self, group: ids.GroupId, commit: log_position.LogPosition | None
+    ) -> None:
+        """Note a commit whose success another daemon is told of now."""
+        self.notices.passed_on(group, commit)
+
+    def notified(self, notice: messages.CallNotice) -> messages.Noticed:
+        """Go by a promotion call from now on."""
+        return self.notices.notified(notice)
+
+    def withdrawn(self, withdrawal: messages.Withdrawal) -> None:
+        """Note that a promotion call was not sent."""
+        self.notices.withdrawn(withdrawal)
+
     def held_pool(
         self, group: ids.GroupId, member: ids.MemberId
     ) -> tuple[groups.Group, member_pool.MemberPool] | None:
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -40,7 +40,15 @@
         address: str,
         accept: Callable[[tcp.Transport], tcp.Receiver],
     ) -> tcp.Transport | None:
-        """Open a link to a daemon; None if it cannot be opened."""
+        """Open a link to a daemon; None if it cannot be opened.
+
+        Raises
+        ======
+
+        ConnectionRefusedError
+            If no process listens there any more.
+
+        """
 
 
 class Route(Protocol):
@@ -65,6 +73,13 @@
     ) -> None:
         """Use a holder's sample of a group's primary."""
 
+    def use_call(
+        self,
+        group: ids.GroupId,
+        call: tuple[ids.MemberId, int, ids.StorePosition],
+    ) -> None:
+        """Go by a promotion call of which a holder knows."""
+
     def hold(self, member: ids.MemberId) -> None:
         """Connect to a member directly from now on."""
 
@@ -90,6 +105,8 @@
         ] = {}
         self._failures: dict[ids.DaemonId, int] = {}
         self._retry_at: dict[ids.DaemonId, float] = {}
+        #: Daemons that refused the last connection.
+        self._refused: set[ids.DaemonId] = set()
         self._listed: set[ids.DaemonId] = set()
         #: Counts the changes of the list of daemons.
         self._generation = 0
@@ -126,6 +143,35 @@
             )
         return await asyncio.shield(running)
 
+    async def reach(
+        self, entry: coordination.DaemonEntry
+    ) -> holder_link.HolderLink | None:
+        """Return an open link, also to a daemon that failed lately.
+
+        Raises
+        ======
+
+        ConnectionRefusedError
+            If its process has ended.
+
+        """
+        link = self._link_by_daemon.get(entry.id)
+        if link is not None and not link.is_closed:
+            return link
+        running = self._dial_by_daemon.get(entry.id)
+        if running is not None:
+            await asyncio.wait({running})
+        self._retry_at.pop(entry.id, None)
+        found = await self.link(entry)
+        if found is None and entry.id in self._refused:
+            raise ConnectionRefusedError
+        return found
+
+    def open_link(self, daemon: ids.DaemonId) -> holder_link.HolderLink | None:
+        """Return the link to a daemon if one is open."""
+        link = self._link_by_daemon.get(daemon)
+        return None if link is None or link.is_closed else link
+
     async def _dial(
         self, entry: coordination.DaemonEntry
     ) -> holder_link.HolderLink | None:
@@ -139,7 +185,14 @@
             )
             return opened[0]
 
-        if await self._dialer.dial(entry.id, entry.address, accept) is None:
+        self._refused.discard(entry.id)
+        try:
+            opening = self._dialer.dial(entry.id, entry.address, accept)
+            transport = await opening
+        except ConnectionRefusedError:
+            self._refused.add(entry.id)
+            transport = None
+        if transport is None:
             failures = self._failures.get(entry.id, 0) + 1
             self._failures[entry.id] = failures
             longest_s = backoff.longest_s(RETRY_MIN_S, failures, RETRY_MAX_S)
@@ -230,6 +283,7 @@
             chosen,
             self._boot_clock,
             self._route.use_sample,
+            self._route.use_call,
             avoid,
             last_resort,
         )
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -22,6 +22,7 @@
 from burdockcart.process.peers import relay_actions
 from burdockcart.process.peers import tcp
 from burdockcart.request import command
+from burdockcart.request import log_position
 from burdockcart.request import work_queue
 
 #: Statements that one link may have running or waiting; more are refused.
@@ -44,6 +45,22 @@
     def newest_sample(self, group: ids.GroupId) -> tuple[int, int, int] | None:
         """Return the newest sample of a group's primary, as it is sent."""
 
+    def open_call(
+        self, group: ids.GroupId
+    ) -> tuple[ids.MemberId, int, ids.StorePosition] | None:
+        """Return the open promotion call of a group, as it is sent."""
+
+    def passed_on(
+        self, group: ids.GroupId, commit: log_position.LogPosition | None
+    ) -> None:
+        """Note a commit whose success another daemon is told of now."""
+
+    def notified(self, notice: messages.CallNotice) -> messages.Noticed:
+        """Go by a promotion call from now on."""
+
+    def withdrawn(self, withdrawal: messages.Withdrawal) -> None:
+        """Note that a promotion call was not sent."""
+
 
 class Service(Protocol):
     """What the sessions of all links share."""
@@ -108,11 +125,17 @@
         if isinstance(message, messages.Discard):
             self._discard(message.transaction, "given up by the daemon")
             return
+        if isinstance(message, messages.Withdrawal):
+            self._service.pools.withdrawn(message)
+            return
         if message.number <= self._last_number:
             raise frames.FrameError(
                 f"request {message.number} after {self._last_number}"
             )
         self._last_number = message.number
+        if isinstance(message, messages.CallNotice):
+            self._send(self._service.pools.notified(message))
+            return
         if len(self._tasks) >= MAX_STATEMENTS:
             self._refuse(message.number, "too many statements on this link")
             return
@@ -145,16 +168,18 @@
         answer: member_channel.Answer,
         group: ids.GroupId | None = None,
     ) -> None:
-        sample = None
+        sample = call = None
         if group is not None:
             sample = self._service.pools.newest_sample(group)
-        self._send(messages.answered(number, answer, sample))
+            call = self._service.pools.open_call(group)
+        self._send(messages.answered(number, answer, sample, call))
 
     def _refuse(self, number: int, text: str) -> None:
         self._answer(number, _fault(Fault.RELAY_REFUSED, text))
 
     async def _serve(self, message: Served) -> None:
         group = self._group_of(message)
+        writes = self._writes(message)
         try:
             match message:
                 case messages.Run():
@@ -170,6 +195,8 @@
                         await relay_actions.act(self._service.pools, message)
                     )
                     return
+            if group is not None and answer.fault is None and writes:
+                self._service.pools.passed_on(group, answer.position)
             self._answer(message.number, answer, group)
         except Exception as error:  # noqa: B902 - others go on
             loguru.logger.opt(exception=error).error(
@@ -194,6 +221,19 @@
             return None if held is None else held.group
         return None
 
+    def _writes(self, message: Served) -> bool:
+        """Return whether a success tells that writes are committed."""
+        if isinstance(message, messages.Run):
+            return _writes(message.statement)
+        if not isinstance(message, messages.RunInTransaction):
+            return False
+        held = self._transaction_by_number.get(message.transaction)
+        if held is None:
+            return False
+        held.wrote |= _writes(message.statement)
+        commits = message.statement.kind is command.CommandKind.COMMIT
+        return commits and held.wrote
+
     # Statements
 
     def _refusal_at_end(
@@ -295,9 +335,8 @@
         if refused is not None:
             return refused
         waits_for_replica = (
-            statement.kind
-            in (command.CommandKind.WRITE, command.CommandKind.COMMIT)
-        ) or (shape is not None and shape.writes)
+            statement.kind is command.CommandKind.COMMIT or _writes(statement)
+        )
         return await self._service.sender.exchange(
             connection, statement.id, run, waits_for_replica
         )
@@ -458,5 +497,13 @@
         self._ended(self)
 
 
+def _writes(statement: messages.Statement) -> bool:
+    """Return whether a statement is a write."""
+    shape = messages.read_shape(statement.shape)
+    return statement.kind is command.CommandKind.WRITE or (
+        shape is not None and shape.writes
+    )
+
+
 def _fault(fault: Fault, text: str) -> member_channel.Answer:
     return member_channel.Answer(fault=fault, text=text)
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -43,6 +43,8 @@
     use_sample : callable
         Called with the group, the boot-clock time of a request, and the
         holder's sample in the answer to it.
+    use_call : callable
+        Called with the group and the open promotion call in an answer.
     avoid : callable
         Called when the holder does not reach the member.
     last_resort : bool
@@ -57,6 +59,9 @@
         chosen: Callable[[], bool],
         boot_clock: clock.Clock,
         use_sample: Callable[[ids.GroupId, float, tuple[int, int, int]], None],
+        use_call: Callable[
+            [ids.GroupId, tuple[ids.MemberId, int, ids.StorePosition]], None
+        ],
         avoid: Callable[[], None],
         last_resort: bool = False,
     ):
@@ -65,6 +70,7 @@
         self._chosen = chosen
         self._boot_clock = boot_clock
         self._use_sample = use_sample
+        self._use_call = use_call
         self._link = link
         self._member = member
         self._value_by_name: dict[str, str] = {}
@@ -135,6 +141,8 @@
         if isinstance(reply, messages.Answered):
             if reply.sample is not None:
                 self._use_sample(self._member.group, sent_at, reply.sample)
+            if reply.call is not None:
+                self._use_call(self._member.group, reply.call)
             answer = messages.read_answer(reply)
             if reply.fault in _NO_WAY:
                 if reply.fault is Fault.RELAY_REFUSED and (
--- a/burdockcart/process/peers/tcp.py
+++ b/burdockcart/process/peers/tcp.py
@@ -205,7 +205,15 @@
         address: str,
         accept: Callable[[Transport], Receiver],
     ) -> Transport | None:
-        """Open a link to a daemon; None if it cannot be opened."""
+        """Open a link to a daemon; None if it cannot be opened.
+
+        Raises
+        ======
+
+        ConnectionRefusedError
+            If no process listens there any more.
+
+        """
 
         def check(other: frames.Greeting, link: FrameProtocol) -> Receiver:
             if other.daemon != daemon:
@@ -233,6 +241,8 @@
                 task is not None and task.cancelling()
             ):
                 raise
+            if isinstance(error, ConnectionRefusedError):
+                raise
             return None
         return protocol
 
--- a/burdockcart/process/peers/tests/test_holding.py
+++ b/burdockcart/process/peers/tests/test_holding.py
@@ -117,3 +117,36 @@
             held.leaving = True
             share = held.share(member(), 16)
             self.assertEqual(expected, (share.soft_limit, share.hard_limit))
+
+    def test_daemons_that_may_connect(self):
+        """Who may pass on a commit must be told of a promotion call.
+
+        A daemon that drains leaves the list, and still serves its clients.
+        """
+        listed = entries(4)
+        self.holding.note_listed(listed)
+        self.holding.use_daemons(listed)
+        self.holding.note_listed(listed[:2])
+        self.holding.use_daemons(listed[:2])
+        self.assertEqual({"d1", "d2", "d3"}, self.connecting(16))
+        # Another process has the address of one of them.
+        other = coordination.DaemonEntry("e2", "d2:1", "a", "1")
+        self.holding.note_listed([*listed[:2], other])
+        self.assertEqual({"d1", "d3", "e2"}, self.connecting(16))
+        self.clock.time += holding.LEFT_S + 0.1
+        self.assertEqual({"d1", "e2"}, self.connecting(16))
+
+    def test_few_may_connect_in_a_large_fleet(self):
+        """Thousands of daemons must not be told."""
+        listed = entries(4000)
+        self.holding.note_listed(listed)
+        self.holding.use_daemons(listed)
+        ranked = self.holding.holders(member(), 58).ranked
+        self.assertEqual(
+            {each.id for each in ranked} - {"d0"}, self.connecting(58)
+        )
+
+    def connecting(self, connections):
+        """Return the ids of those that may connect directly."""
+        found = self.holding.connecting(member(), connections)
+        return {each.id for each in found}
--- a/burdockcart/process/peers/tests/test_relay.py
+++ b/burdockcart/process/peers/tests/test_relay.py
@@ -1,9 +1,11 @@
 """Tests statements that daemons relay through the holders of members."""
 
 import asyncio
+import time
 
 import testtools
 
+from burdockcart import errors
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.peers import holder_choice
@@ -229,6 +231,51 @@
 
         relay_case.scenario(check)
 
+    def test_call_that_a_holder_knows(self):
+        """A daemon must not pass on what its holder would hold back.
+
+        Daemons that are no holders are not told of a call.
+        """
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            number = relay_case.relaying_daemon(deployment, primary)
+            daemon = deployment.daemons[number]
+            claims = daemon._failover.claims
+            for transaction in (False, True):
+                client = await deployment.client("live", number)
+                self.assertTrue(gateway_deployment.ok(await client.write()))
+                if transaction:
+                    await client.send(Kind.BEGIN, "BEGIN")
+                    await client.write()
+                candidate, other = deployment.members[1:]
+                candidate.replication_cut = True
+                holder = relay_case.holder_in_use(deployment, daemon, primary)
+                holder.relay.use_call(
+                    relay_case.GROUP,
+                    (candidate.id, int(time.time() * 1000), 1 << 39),
+                )
+                self.assertIsNone(daemon._open_calls.candidate("g"))
+                if transaction:
+                    reply = await client.send(Kind.COMMIT, "COMMIT")
+                else:
+                    reply = await client.write()
+                self.assertIs(
+                    errors.ErrorKind.OUTCOME_UNKNOWN,
+                    gateway_deployment.kind_of(reply),
+                )
+                self.assertEqual(
+                    candidate.id, daemon._open_calls.candidate("g")
+                )
+                candidate.replication_cut = False
+                candidate.catch_up()
+                for each in (daemon, holder):
+                    each._failover.claims.none_open(relay_case.GROUP)
+                await asyncio.sleep(0.5)
+            self.assertIsNone(claims.candidate(relay_case.GROUP, 0.0))
+
+        relay_case.scenario(check)
+
     def test_sample_is_not_too_young(self):
         """A sample must not count as younger than it is at the holder."""
 
--- a/burdockcart/process/peers/tests/test_relay_session.py
+++ b/burdockcart/process/peers/tests/test_relay_session.py
@@ -46,6 +46,9 @@
             def newest_sample(self, group):
                 return None
 
+            def open_call(self, group):
+                return None
+
         service = relay_service.RelayService(
             NoPools(), None, clock.LoopClock()
         )
