Tell daemons of a call also once the primary's entry is gone

The caller polls the store right before the call. If the entry of the primary had gone for good by then, it told nobody, while daemons that had not polled since still sent writes there. The entry of the beginning of the attempt is used now; test_entry_of_the_primary_goes failed before.

Notices of calls that are recorded wait 0.25 s instead of 0.12 s: that costs nothing where all answer, and a late answer costs 2 s. Time in which the process stood still is left out, as for other answers.

--- a/burdockcart/process/gateway/call_notice.py
+++ b/burdockcart/process/gateway/call_notice.py
@@ -29,14 +29,20 @@
 import msgspec
 
 from burdockcart import clock
+from burdockcart.connection import answer_timeout
 from burdockcart import ids
 from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.request import log_position
+from burdockcart.version import manifest
 
-#: Timeout of a notice, in seconds: links are opened and answered in a few
-#: round trips between failure domains.
-TIMEOUT_S = 0.12
+#: Timeout of a notice, in seconds: a link is opened and answered in a few
+#: round trips between failure domains, and each daemon has much to do at the
+#: loss of a primary.
+TIMEOUT_S = 0.25
+#: The same of a call with a reserved token, which goes out in any case while
+#: the comparison of the logs is valid (0.3 s).
+SHORT_TIMEOUT_S = 0.12
 
 
 class CallNotice(msgspec.Struct, frozen=True):
@@ -88,7 +94,7 @@
     """Takes notices to other daemons."""
 
     def recipients(
-        self, group: ids.GroupId, primary: ids.MemberId
+        self, group: ids.GroupId, primary: manifest.MemberEntry
     ) -> list[coordination.DaemonEntry]:
         """Return the other daemons that may connect to a primary directly."""
 
@@ -135,10 +141,11 @@
 
     async def run(
         self,
-        primary: ids.MemberId,
+        primary: manifest.MemberEntry,
         notice: CallNotice,
         held_since: float,
         own: Promise,
+        timeout_s: float = TIMEOUT_S,
     ) -> Round:
         """Tell all at once; wait for their answers for a short time.
 
@@ -155,7 +162,7 @@
         began_at = self._clock.now()
         daemons = self._notices.recipients(notice.group, primary)
         answers = await asyncio.gather(
-            *(self._tell(each, notice) for each in daemons)
+            *(self._tell(each, notice, timeout_s) for each in daemons)
         )
         now = self._clock.now()
         promises = [own]
@@ -192,15 +199,20 @@
         return Round(unsure, required)
 
     async def _tell(
-        self, daemon: coordination.DaemonEntry, notice: CallNotice
+        self,
+        daemon: coordination.DaemonEntry,
+        notice: CallNotice,
+        timeout_s: float,
     ) -> Promise | NoPromise:
         try:
-            async with asyncio.timeout(TIMEOUT_S):
+            async with answer_timeout.AnswerTimeout(timeout_s):
                 return await self._notices.tell(daemon, notice)
         except TimeoutError:
             return NoPromise.SILENT
 
-    def withdraw(self, primary: ids.MemberId, notice: CallNotice) -> None:
+    def withdraw(
+        self, primary: manifest.MemberEntry, notice: CallNotice
+    ) -> None:
         """Tell the daemons that a call was not sent, nor will be."""
         for daemon in self._notices.recipients(notice.group, primary):
             self._notices.withdraw(daemon, notice)
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promoter.py
@@ -33,6 +33,7 @@
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
 from burdockcart.process.gateway import restore_wait
+from burdockcart.version import manifest
 
 #: Initial estimate of the time that a promotion by the platform takes, in
 #: seconds, including the network latency of the call.
@@ -129,6 +130,9 @@
 
         """
         started_at = self._clock.now()
+        pool = None if old is None else group.pool_by_member.get(old)
+        # Its entry may go meanwhile, and other daemons know it longer.
+        primary = None if pool is None else pool.entry
         loguru.logger.info(
             "event=promotion_begun group={} primary={} cause={!r} term={}",
             group.id,
@@ -148,6 +152,7 @@
                 group,
                 old,
                 asked,
+                primary,
                 lambda: self._needed(group, old, cause, started_at),
                 prepared,
             )
@@ -228,6 +233,7 @@
         group: groups.Group,
         old: ids.MemberId | None,
         asked: asked_members.AskedMembers,
+        primary: manifest.MemberEntry | None,
         needed: Callable[[], bool],
         prepared: ids.MemberId | None = None,
     ) -> bool:
@@ -279,7 +285,7 @@
                         token,
                         asked,
                         compared_at,
-                        None if prepared else old,
+                        None if prepared else primary,
                         comparison,
                     )
                 finally:
--- a/burdockcart/process/gateway/promotion_call.py
+++ b/burdockcart/process/gateway/promotion_call.py
@@ -19,6 +19,7 @@
 from burdockcart.process.gateway import log_comparison
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
+from burdockcart.version import manifest
 
 #: Longest time between the comparison of the logs and a promotion call with a
 #: reserved token, in seconds on the boot clock: a daemon that was suspended in
@@ -89,7 +90,7 @@
         token: ids.FencingToken,
         asked: asked_members.AskedMembers,
         compared_at: float,
-        notify_for: ids.MemberId | None,
+        notify_for: manifest.MemberEntry | None,
         comparison: log_comparison.LogComparison,
     ) -> CallOutcome:
         """Call the platform; retry with a new token where that can help.
@@ -97,7 +98,7 @@
         Parameters
         ==========
 
-        notify_for : MemberId or None
+        notify_for : MemberEntry or None
             The primary if other daemons may not know of the candidate.
 
         """
@@ -152,7 +153,7 @@
         token: ids.FencingToken,
         asked: asked_members.AskedMembers,
         compared_at: float,
-        notify_for: ids.MemberId | None,
+        notify_for: manifest.MemberEntry | None,
         comparison: log_comparison.LogComparison,
     ) -> (
         result.Result[None, coordination.PromotionFault]
@@ -178,6 +179,7 @@
                 ),
                 notify_for,
                 comparison,
+                owned,
             ),
             name="call_notice",
         )
@@ -243,8 +245,9 @@
         self,
         group: groups.Group,
         notice: call_notice.CallNotice,
-        primary: ids.MemberId | None,
+        primary: manifest.MemberEntry | None,
         comparison: log_comparison.LogComparison,
+        owned: bool,
     ) -> call_notice.Round:
         """Tell the other daemons of a call, if any may not know of it."""
         self._notice_by_group.pop(group.id, None)
@@ -256,10 +259,11 @@
             notice,
             comparison.held_since,
             group.commits.passed.promise(self._clock.now()),
+            call_notice.TIMEOUT_S if owned else call_notice.SHORT_TIMEOUT_S,
         )
 
     def _withdraw(
-        self, group: groups.Group, primary: ids.MemberId | None
+        self, group: groups.Group, primary: manifest.MemberEntry | None
     ) -> None:
         """Tell the other daemons that the last call was not sent.
 
--- a/burdockcart/process/gateway/tests/test_unplanned_calls.py
+++ b/burdockcart/process/gateway/tests/test_unplanned_calls.py
@@ -178,6 +178,36 @@
 
         self.scenario(check)
 
+    def test_entry_of_the_primary_goes(self):
+        """Daemons that still know a primary must be told when others do not.
+
+        The caller polls the store between the cause and the call.
+        """
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            calls = test_open_calls.Calls(deployment, 0.5, all_late=False)
+
+            def refresh_and_drop(daemon, refresh):
+                async def refreshed():
+                    answered = await refresh()
+                    group = daemon.group_by_id[GROUP]
+                    group.drop_member(primary.id, "left")
+                    return answered
+
+                return refreshed
+
+            for daemon in deployment.daemons[:2]:
+                daemon.connector.cut.add(primary.id)
+                promoter = daemon._failover._promoter
+                promoter._refresh = refresh_and_drop(daemon, promoter._refresh)
+            name, _ = await calls.first
+            third = deployment.daemons[2]
+            self.assertIn(primary.id, third.group_by_id[GROUP].pool_by_member)
+            self.assertEqual(name, third._open_calls.candidate(GROUP))
+
+        self.scenario(check)
+
     def test_cause_that_vanishes(self):
         """A primary that answers again meanwhile must stay."""
 
--- a/burdockcart/process/peers/peer_notices.py
+++ b/burdockcart/process/peers/peer_notices.py
@@ -10,6 +10,7 @@
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import relay_connector
 from burdockcart.request import log_position
+from burdockcart.version import manifest
 
 #: Links that are tried: one may end as its daemon does.
 MAX_LINKS = 2
@@ -41,14 +42,13 @@
     # Sent
 
     def recipients(
-        self, group: ids.GroupId, primary: ids.MemberId
+        self, group: ids.GroupId, primary: manifest.MemberEntry
     ) -> list[coordination.DaemonEntry]:
         """Return the other daemons that may connect to a primary directly."""
         found = self._group_by_id.get(group)
-        pool = None if found is None else found.pool_by_member.get(primary)
-        if found is None or pool is None:
+        if found is None:
             return []
-        return self._holding.connecting(pool.entry, found.limits.connections)
+        return self._holding.connecting(primary, found.limits.connections)
 
     async def tell(
         self,
