Walk through unplanned promotions in the roster model

An attempt may now begin without a plan: it tells the other daemon, which answers or is silent, and requires what was passed on since the hold.

1500 walks of the protocol break nothing. Walks find a call that is not told of, one that does not wait for a silent daemon, and one whose candidate need not have what was passed on meanwhile. Walks without such promotions are as before.

--- a/burdockcart/tests/roster_model.py
+++ b/burdockcart/tests/roster_model.py
@@ -14,11 +14,13 @@
 unless it knows of a candidate that lacks the commit.  Members join, start
 again, or get a late message that ends their hold, also while a call is open.
 
-Assumptions, as in docs/platform.md: promotions are planned, and daemons read
-the store.  A member that starts is in the roster within two seconds; until
-then it is not lost and its entry does not lapse.  The candidate of an open
-call does not lose its log: the call would promote it without any commit,
-whatever the daemons do.
+A planned promotion begins once all daemons know its candidate.  Any other one
+tells the other daemon before the call, and is given up if that is silent.
+
+Assumptions, as in docs/platform.md: daemons read the store.  A member that
+starts is in the roster within two seconds; until then it is not lost and its
+entry does not lapse.  The candidate of an open call does not lose its log: the
+call would promote it without any commit, whatever the daemons do.
 
 """
 
@@ -65,6 +67,14 @@
         Whether a daemon passes on only what the candidate has that it knows.
     notice : bool
         Whether all daemons know a candidate before an attempt begins.
+    unplanned : bool
+        Whether there are promotions that are not planned.
+    told : bool
+        Whether the other daemon is told of a call that was not planned.
+    waits : bool
+        Whether such a call is given up if the other daemon is silent.
+    passed : bool
+        Whether its candidate must have what was passed on since the hold.
     calm : bool
         Whether no member joins, starts again or is released late while a call
         is open or about to be sent.  Then nothing that members acknowledge
@@ -80,6 +90,10 @@
     open_calls: bool = True
     answers: bool = True
     notice: bool = True
+    unplanned: bool = False
+    told: bool = True
+    waits: bool = True
+    passed: bool = True
     calm: bool = False
 
 
@@ -120,6 +134,10 @@
         Starts of the members when they were put on hold.
     required : frozenset
         Commits that the asked members held then.
+    planned : bool
+        Whether all daemons knew the candidate before.
+    passed : frozenset
+        Commits that clients were told of before the hold.
 
     """
 
@@ -130,6 +148,8 @@
     restarts: tuple = ()
     required: frozenset = frozenset()
     candidate: int = -1
+    planned: bool = True
+    passed: frozenset = frozenset()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -401,6 +421,8 @@
         if state.fresh in (None, daemon):
             yield from _Steps._prepare(state, rules, daemon, own)
             yield from _Steps._claim(state, rules, daemon, own)
+            if rules.unplanned:
+                yield from _Steps._claim_unplanned(state, rules, daemon, own)
 
     @staticmethod
     def _prepare(state, rules, daemon, own):
@@ -441,6 +463,33 @@
                 recorded=candidate,
             )
 
+    @staticmethod
+    def _claim_unplanned(state, rules, daemon, own):
+        """Claim although others may not know the candidate."""
+        called = {candidate for _, candidate in state.calls}
+        for candidate, _ in own.view:
+            if candidate == state.primary or (
+                rules.open_calls and called - {candidate}
+            ):
+                continue
+            claim = state.claim + 1
+            yield dataclasses.replace(
+                _with(
+                    state,
+                    daemon,
+                    dataclasses.replace(
+                        own,
+                        step="claimed",
+                        claim=claim,
+                        candidate=candidate,
+                        planned=False,
+                        passed=state.told,
+                    ),
+                ),
+                claim=claim,
+                fresh=daemon,
+            )
+
     @staticmethod
     def claimed(state, rules, daemon, own):
         """Ask all members but the primary, and put all but one on hold."""
@@ -531,15 +580,34 @@
             )
             return
         claim = state.claim + 1
+        step = "announced"
+        if not own.planned:
+            step = "notifying"
+            state = dataclasses.replace(
+                _see(state, daemon, own.candidate), recorded=own.candidate
+            )
         yield dataclasses.replace(
             _with(
                 state,
                 daemon,
-                dataclasses.replace(own, step="announced", claim=claim),
+                dataclasses.replace(own, step=step, claim=claim),
             ),
             claim=claim,
         )
 
+    @staticmethod
+    def notifying(state, rules, daemon, own):
+        """Tell the other daemon, which answers or is silent."""
+        told = state
+        if rules.told:
+            for each in DAEMONS:
+                told = _see(told, each, own.candidate)
+        log = set(state.members[own.candidate].log)
+        answered = not rules.passed or state.told - own.passed <= log
+        for after, goes_on in ((told, answered), (state, not rules.waits)):
+            step = "announced" if goes_on else "given_up"
+            yield _with(after, daemon, dataclasses.replace(own, step=step))
+
     @staticmethod
     def announced(state, rules, daemon, own):
         """Call the platform: it answers, does not answer, or refuses."""
--- a/burdockcart/tests/test_roster_model.py
+++ b/burdockcart/tests/test_roster_model.py
@@ -29,6 +29,10 @@
         """No walk may break the invariant."""
         self.assertIsNone(first_violation(1500))
 
+    def test_protocol_without_plans(self):
+        """Nor may a walk with promotions that were not planned."""
+        self.assertIsNone(first_violation(1500, unplanned=True))
+
     def test_protocol_below_the_answers(self):
         """Members may lose nothing that they alone acknowledged before.
 
@@ -44,6 +48,22 @@
         """A call goes out before all daemons have read of it."""
         self.assertIsNotNone(first_violation(1500, notice=False))
 
+    def test_daemon_is_not_told_of_an_unplanned_call(self):
+        """It passes on what a member has alone that joins after the call."""
+        self.assertIsNotNone(first_violation(4000, unplanned=True, told=False))
+
+    def test_silent_daemon_is_not_waited_for(self):
+        """It may run and pass commits on all the same."""
+        self.assertIsNotNone(
+            first_violation(4000, unplanned=True, waits=False)
+        )
+
+    def test_what_was_passed_on_meanwhile(self):
+        """The candidate lacks what was passed on between hold and notice."""
+        self.assertIsNotNone(
+            first_violation(4000, unplanned=True, passed=False)
+        )
+
     def test_members_are_forgotten_at_a_restart(self):
         """Without the roster a candidate lacks what others held alone."""
         self.assertIsNotNone(first_violation(1500, roster=False))
