--- a/burdockcart/process/gateway/commit_guard.py
+++ b/burdockcart/process/gateway/commit_guard.py
@@ -32,6 +32,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway import member_pool
 from burdockcart.process.gateway import open_calls
+from burdockcart.process.gateway import passed_commits
 from burdockcart.process.gateway import primary_tracker
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import shared_inquiry
@@ -91,11 +92,12 @@
         self.active = True
         #: Whether writes are refused, as the candidate lags.
         self.blocked = False
+        self.passed = passed_commits.PassedCommits(loop_clock)
+        self.calls = calls
         self._group = group
         self._pool_by_member = pool_by_member
         self._primary = primary
         self._clock = loop_clock
-        self._calls = calls
         self._passed_on = passed_on
         self._blocked_at = 0.0
         self._watched_at = 0.0
@@ -152,30 +154,30 @@
             Time on the event loop's clock until which to wait for that.
 
         """
-        confirmed = await self._confirmed(commit, until)
-        if confirmed and commit is not None and self.active:
-            self._passed_on(commit)
-            self._log_unknown(commit)
-        return confirmed
-
-    async def _confirmed(
-        self, commit: log_position.LogPosition | None, until: float
-    ) -> bool:
-        if not self._at_risk(commit):
-            return True
-        if commit is None:
-            return False
-        try:
-            async with asyncio.timeout_at(until):
-                return await self._covered(commit)
-        except TimeoutError:
-            return False
+        covered = not self._at_risk(commit)
+        if not covered and commit is not None:
+            try:
+                async with asyncio.timeout_at(until):
+                    covered = await self._covered(commit)
+            except TimeoutError:
+                return False
+        if covered:
+            # Nothing else runs between the check and this.
+            self.passed.add(commit)
+            if commit is not None and self.active:
+                self._passed_on(commit)
+                self._log_unknown(commit)
+        return covered
 
     async def _covered(self, commit: log_position.LogPosition) -> bool:
         """Wait until a commit is safe; False if it may never be."""
         began_at = self._clock.now()
         while True:
+            candidate = self.calls.candidate(self._group)
             coverage = await self._coverage(commit)
+            if self.calls.candidate(self._group) != candidate:
+                # What was asked meanwhile tells nothing about the new one.
+                continue
             if coverage is not Coverage.PENDING:
                 return coverage is Coverage.HELD
             if self._clock.now() - began_at >= LOOK_INTERVAL_S:
@@ -191,14 +193,14 @@
         quiet_s = now - self._answered_at
         if (
             quiet_s <= QUERY_TIMEOUT_S + QUIET_INTERVAL_S
-            or self._calls.informed()
-            or self._calls.candidate(self._group) is not None
+            or self.calls.informed()
+            or self.calls.candidate(self._group) is not None
         ):
             return
         self._unknown_count += 1
         if now - self._unknown_logged_at < UNKNOWN_LOG_S:
             return
-        age_s = self._calls.age_s()
+        age_s = self.calls.age_s()
         loguru.logger.warning(
             "event=commits_passed_on_unknown group={} position={} count={} "
             "store_age_ms={} replicas_answered_ms_ago={}",
@@ -219,10 +221,10 @@
         """Return whether a call may be open or prepared."""
         if not self.active:
             return False
-        candidate = self._calls.candidate(self._group)
+        candidate = self.calls.candidate(self._group)
         if candidate is not None:
             return candidate != self._primary.leadership.member
-        return not self._calls.informed()
+        return not self.calls.informed()
 
     def _at_risk(self, commit: log_position.LogPosition | None) -> bool:
         """Return whether a commit could be discarded by an open call."""
@@ -232,7 +234,7 @@
             self.active
             and commit is not None
             and commit.term < self._primary.leadership.term
-            and self._calls.candidate(self._group) is not None
+            and self.calls.candidate(self._group) is not None
         )
 
     async def _coverage(self, commit: log_position.LogPosition) -> Coverage:
@@ -241,7 +243,7 @@
             return Coverage.UNKNOWN
         if not self._call_possible():
             return await self._coverage_of_primary(commit)
-        candidate = self._calls.candidate(self._group)
+        candidate = self.calls.candidate(self._group)
         if candidate is not None:
             return _coverage_by(await self._observe(candidate), commit)
         now = self._clock.now()
@@ -321,9 +323,7 @@
             now = self._clock.now()
             if not self.blocked and now - self._watched_at >= IDLE_S:
                 return
-            if not (
-                self._hold_seen(now) or self._calls.candidate(self._group)
-            ):
+            if not (self._hold_seen(now) or self.calls.candidate(self._group)):
                 self._resume("no replica is on hold")
                 await self._observe_replicas()
                 await asyncio.sleep(QUIET_INTERVAL_S)
@@ -350,7 +350,7 @@
         loguru.logger.warning(
             "event=commits_blocked group={} candidate={} position={}",
             self._group,
-            self._calls.candidate(self._group),
+            self.calls.candidate(self._group),
             f"{commit.term}.{commit.number}",
         )
         self._start_looks()
