Tell daemons of a call that go by an earlier list

Clients were told that commits are done which the promoted member lacked (LOST), beside a daemon that started: with a fifth daemon members have holders, and the caller told only those of its own list. A daemon that still had the list of four connected to the primary itself, was not told, and passed on what a replica that had joined acknowledged alone until its next poll: 4 commits in a run of real processes, three daemons and spare ones. In a large fleet the holders of a former list were not told either.

All daemons are told that connect directly by the present list, or by one of the last 8 s. In a fleet of thousands these are a few.

--- a/burdockcart/process/peers/holding.py
+++ b/burdockcart/process/peers/holding.py
@@ -20,6 +20,10 @@
 #: Time for which a daemon that has left the list may still serve clients, in
 #: seconds: one that drains leaves the list first.
 LEFT_S = 8.0
+#: Time for which other daemons may go by an earlier list, in seconds: longer
+#: than the pause between two polls and the time for which they go on to hold
+#: a member.
+EARLIER_S = 8.0
 #: Connections of a daemon to a member by way of its holders.  They cost the
 #: member nothing; the number bounds what one daemon has at a member.
 RELAYED = connection_share.Share(16, 16)
@@ -44,6 +48,10 @@
             INITIAL_DAEMONS, loop_clock.now()
         )
         self._daemons = INITIAL_DAEMONS
+        #: Earlier lists, how many daemons counted, and when each ended.
+        self._earlier: list[
+            tuple[list[coordination.DaemonEntry], int, float]
+        ] = []
         self._drafted_until: dict[ids.MemberId, float] = {}
         self._holders_by_member: dict[
             tuple[ids.MemberId, int], holder_choice.Holders
@@ -51,6 +59,11 @@
 
     def use_daemons(self, entries: Iterable[coordination.DaemonEntry]) -> None:
         """Use a new list of daemons."""
+        now = self._clock.now()
+        before = list(self._entry_by_id.values())
+        self._earlier = [
+            each for each in self._earlier if now - each[2] < EARLIER_S
+        ] + [(before, self._daemons, now)]
         self._entry_by_id = {each.id: each for each in entries}
         self.recount()
         self._holders_by_member.clear()
@@ -108,7 +121,8 @@
     ) -> list[coordination.DaemonEntry]:
         """Return the other daemons that may connect to a member directly.
 
-        Also those that have left the list a short time ago.
+        Also those that have left the list a short time ago, and those that do
+        so by an earlier list.
         """
         now = self._clock.now()
         used = {each.address for each in self._listed.values()}
@@ -117,16 +131,25 @@
             for each, (entry, left_at) in self._left_by_id.items()
             if now - left_at < LEFT_S and entry.address not in used
         }
-        found = list(entry_by_id.values())
+        lists = [(list(entry_by_id.values()), self._daemons)] + [
+            (entries, count)
+            for entries, count, ended_at in self._earlier
+            if now - ended_at < EARLIER_S
+        ]
+        found = {
+            each.id
+            for entries, count in lists
+            for each in _connecting(member, connections, entries, count)
+        }
+        # A daemon that leaves goes by the list that it had.
         holders = self.holders(member, connections)
         if holders is not None:
-            ranked = holder_choice.rank(member.id, member.domain, found)
-            found = list(holders.ranked) + [
-                each
-                for each in ranked[: len(holders.ranked)]
-                if each not in holders.ranked
-            ]
-        return [each for each in found if each.id != self._daemon]
+            found |= {each.id for each in holders.ranked}
+        return [
+            entry
+            for each, entry in entry_by_id.items()
+            if each in found and each != self._daemon
+        ]
 
     def draft(self, member: ids.MemberId) -> bool:
         """Hold a member because another daemon relays through this one.
@@ -164,3 +187,17 @@
             # Unused connections make room for those of the next holders.
             return connection_share.Share(0, share.soft_limit)
         return share
+
+
+def _connecting(
+    member: manifest.MemberEntry,
+    connections: int,
+    entries: list[coordination.DaemonEntry],
+    daemons: int,
+) -> list[coordination.DaemonEntry]:
+    """Return the daemons that may connect to a member by one list."""
+    count = holder_choice.holder_count(connections, daemons)
+    if count >= daemons:
+        return entries
+    ranked = holder_choice.rank(member.id, member.domain, entries)
+    return ranked[: count + SUCCESSORS]
--- a/burdockcart/process/peers/tests/test_holding.py
+++ b/burdockcart/process/peers/tests/test_holding.py
@@ -146,6 +146,22 @@
             {each.id for each in ranked} - {"d0"}, self.connecting(58)
         )
 
+    def test_holder_of_a_former_list(self):
+        """It holds the member by its own list, and by those that relay."""
+        listed = entries(300)
+        self.holding.note_listed(listed)
+        self.holding.use_daemons(listed)
+        ranked = self.holding.holders(member(), 58).ranked
+        # Daemons start that hold the member from now on.
+        more = [
+            coordination.DaemonEntry(f"e{each}", f"e{each}:1", "a", "1")
+            for each in range(3000)
+        ]
+        self.holding.note_listed(listed + more)
+        self.holding.use_daemons(listed + more)
+        former = {each.id for each in ranked}
+        self.assertEqual(set(), former - {"d0"} - self.connecting(58))
+
     def connecting(self, connections):
         """Return the ids of those that may connect directly."""
         found = self.holding.connecting(member(), connections)
