Wait for a member that acknowledged before it was known

Acknowledged commits were missing at the promoted member (LOST) without any late call: both listed replicas had received nothing for a while, a replica that had joined acknowledged alone before its entry was in the store, and the primary crashed.

The end of the log that a primary reports is no evidence, as the commits at its end may be nobody's. But a commit comes after all that had been reported before it was sent. Each daemon keeps that bound for what it passes on, the answers to notices carry it, and a candidate below it is promoted only after 5 s: the entry of the member that has the commits is in the store by then, or the primary is back.

TestUnlistedReplica.test_commits_before_the_hold_that_it_has_alone failed before; the others guard the bound and the end of the wait. Two tests of notices call the changed method, as strict as before.

--- a/burdockcart/process/gateway/call_notice.py
+++ b/burdockcart/process/gateway/call_notice.py
@@ -12,8 +12,9 @@
 of such a daemon is a promise: from then on it passes on the success of a
 commit only if the candidate has it.  With it comes the newest position that
 the daemon has passed on so far.  What was passed on before the replicas were
-put on hold is covered by the comparison of their logs; what was passed on
-since then, the candidate must have.
+put on hold is covered by the comparison of their logs, unless a member has
+acknowledged it that is not known yet; what was passed on since then, the
+candidate must have.
 
 A daemon whose process is gone passes nothing on.  One that is silent may still
 reach the primary; then the promotion waits until each daemon that runs knows
@@ -75,11 +76,14 @@
         Covers all commits whose success it has passed on.
     age_s : float
         Time since it passed on the last one, in seconds.
+    certain : LogPosition or None
+        A log without this position lacks one of these commits.
 
     """
 
     newest: log_position.LogPosition | None = None
     age_s: float = 0.0
+    certain: log_position.LogPosition | None = None
 
 
 class NoPromise(enum.Enum):
@@ -119,11 +123,14 @@
         Daemons that may pass on commits that the candidate lacks.
     required : LogPosition or None
         Newest position that was passed on while replicas were on hold.
+    certain : LogPosition or None
+        A log without this position lacks a commit that was passed on.
 
     """
 
     unsure: list[ids.DaemonId]
     required: log_position.LogPosition | None
+    certain: log_position.LogPosition | None
 
 
 class NoticeRounds:
@@ -175,6 +182,10 @@
             ),
             default=None,
         )
+        certain = max(
+            (each.certain for each in promises if each.certain is not None),
+            default=None,
+        )
         by_fault: dict[NoPromise | None, list[ids.DaemonId]] = {}
         for daemon, answer in zip(daemons, answers, strict=True):
             fault = answer if isinstance(answer, NoPromise) else None
@@ -196,7 +207,7 @@
             required,
             int((now - began_at) * 1000),
         )
-        return Round(unsure, required)
+        return Round(unsure, required, certain)
 
     async def _tell(
         self,
--- a/burdockcart/process/gateway/commit_guard.py
+++ b/burdockcart/process/gateway/commit_guard.py
@@ -141,7 +141,10 @@
             )
 
     async def confirm(
-        self, commit: log_position.LogPosition | None, until: float
+        self,
+        commit: log_position.LogPosition | None,
+        until: float,
+        asked_at: float,
     ) -> bool:
         """Return whether a commit may be reported to its client as done.
 
@@ -152,6 +155,8 @@
             Position that the primary has reported after the commit.
         until : float
             Time on the event loop's clock until which to wait for that.
+        asked_at : float
+            Time before the commit was sent.
 
         """
         covered = not self._at_risk(commit)
@@ -163,7 +168,7 @@
                 return False
         if covered:
             # Nothing else runs between the check and this.
-            self.passed.add(commit)
+            self.passed.add(commit, asked_at)
             if commit is not None and self.active:
                 self._passed_on(commit)
                 self._log_unknown(commit)
--- a/burdockcart/process/gateway/promotion_call.py
+++ b/burdockcart/process/gateway/promotion_call.py
@@ -21,6 +21,7 @@
 from burdockcart.process.gateway import log_comparison
 from burdockcart.process.gateway import promotion_claims
 from burdockcart.process.gateway import reserved_claims
+from burdockcart.request import log_position
 from burdockcart.version import manifest
 
 #: Longest time between the comparison of the logs and a promotion call with a
@@ -31,6 +32,9 @@
 #: the promotion call, in seconds on the boot clock; half of the time for which
 #: others leave the group alone after that write.
 ANNOUNCEMENT_VALID_S = 1.5
+#: Time for which a promotion waits for a member that has commits which no
+#: known replica has, in seconds; its entry should be in the store by then.
+MISSING_MEMBER_S = 5.0
 #: Calls for one promotion; each uses a new fencing token.
 MAX_CALLS = 3
 
@@ -105,6 +109,10 @@
         self._called: set[ids.GroupId] = set()
         #: The last notice to other daemons.
         self._notice_by_group: dict[ids.GroupId, call_notice.CallNotice] = {}
+        #: Positions that no candidate has had, and since when.
+        self._missing_by_group: dict[
+            ids.GroupId, tuple[log_position.LogPosition, float]
+        ] = {}
 
     def forget(self, group: ids.GroupId) -> None:
         """Note that another attempt begins."""
@@ -229,6 +237,13 @@
                 "the candidate may lack commits that were passed on",
             )
             return None
+        if not await self._has_certain(group, replacement, told.certain):
+            put_off(
+                self._metrics,
+                group,
+                "a member that is not known has acknowledged commits",
+            )
+            return None
         if self._boot_clock.now() - compared_at > valid_s:
             put_off(self._metrics, group, "the comparison of the logs is old")
             return None
@@ -266,17 +281,53 @@
         """Tell the other daemons of a call, if any may not know of it."""
         self._notice_by_group.pop(group.id, None)
         primary = replacement.notify_for
-        if primary is None or not group.commits.active:
-            return call_notice.Round([], None)
+        own = group.commits.passed.promise(self._clock.now())
+        if not group.commits.active:
+            return call_notice.Round([], None, None)
+        if primary is None:
+            return call_notice.Round([], None, own.certain)
         self._notice_by_group[group.id] = notice
         return await self._notices.run(
             primary,
             notice,
             replacement.comparison.held_since,
-            group.commits.passed.promise(self._clock.now()),
+            own,
             call_notice.TIMEOUT_S if owned else call_notice.SHORT_TIMEOUT_S,
         )
 
+    async def _has_certain(
+        self,
+        group: groups.Group,
+        replacement: Replacement,
+        certain: log_position.LogPosition | None,
+    ) -> bool:
+        """Return whether to promote a candidate as far as commits tell.
+
+        One that lacks an acknowledged commit is not promoted for a while: a
+        member whose entry is not in the store yet may have it, or the
+        primary comes back.
+        """
+        if certain is None or await replacement.comparison.reaches(
+            replacement.candidate, certain
+        ):
+            self._missing_by_group.pop(group.id, None)
+            return True
+        now = self._clock.now()
+        known, since = self._missing_by_group.get(group.id, (None, now))
+        if known != certain:
+            since = now
+        self._missing_by_group[group.id] = certain, since
+        if now - since < MISSING_MEMBER_S:
+            return False
+        loguru.logger.warning(
+            "event=promotion_with_missing_commits group={} candidate={} "
+            "position={}",
+            group.id,
+            replacement.candidate,
+            f"{certain.term}.{certain.number}",
+        )
+        return True
+
     def _withdraw(
         self, group: groups.Group, primary: manifest.MemberEntry | None
     ) -> None:
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/statement_runner.py
@@ -204,7 +204,7 @@
     ) -> member_channel.Answer:
         """Return the answer to a write unless a promotion may discard it."""
         if not await group.commits.confirm(
-            answer.position, request.deadline_at
+            answer.position, request.deadline_at, request.arrived_at
         ):
             return refusals.UNCOVERED
         self._attempts.remember_commit(session, answer)
--- /dev/null
+++ b/burdockcart/process/gateway/tests/test_unlisted_replicas.py
@@ -0,0 +1,117 @@
+"""Tests promotions beside replicas that no daemon knows yet."""
+
+import asyncio
+
+import testtools
+
+from burdockcart.process.gateway import passed_commits
+from burdockcart.process.gateway import promotion_call
+from burdockcart.process.gateway.tests import test_open_calls
+from burdockcart.process.gateway.tests import test_replica_rosters
+from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.request import log_position
+
+
+class TestUnlistedReplica(testtools.TestCase):
+    """A replica acknowledges before its entry is in the store."""
+
+    def test_commits_before_the_hold_that_it_has_alone(self):
+        """What clients were told must not be promoted away unseen."""
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            writers = test_open_calls.Writers(deployment, range(3))
+            await asyncio.sleep(3.0)
+            for member in deployment.members[1:]:
+                member.replication_cut = True
+            new = test_replica_rosters.new_member(
+                deployment, "m-d", listed=False
+            )
+            new.catch_up()
+            await asyncio.sleep(0.2)
+            primary.crash()
+            new.replication_cut = True
+            await asyncio.sleep(1.5)
+            deployment.enter(new)
+            await asyncio.sleep(3.0)
+            writers.stop()
+            self.assertEqual([], writers.lost(deployment.group.primary))
+
+        test_sessions.scenario(check, daemons=3)
+
+    def test_member_that_is_lost_as_well(self):
+        """Guards against a group without a primary for good."""
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            writers = test_open_calls.Writers(deployment, range(3))
+            await asyncio.sleep(3.0)
+            for member in deployment.members[1:]:
+                member.replication_cut = True
+            new = test_replica_rosters.new_member(
+                deployment, "m-d", listed=False
+            )
+            new.catch_up()
+            await asyncio.sleep(0.2)
+            primary.crash()
+            new.crash()
+            waited_s = promotion_call.MISSING_MEMBER_S
+            await asyncio.sleep(waited_s - 0.5)
+            self.assertIs(primary, deployment.group.primary)
+            await asyncio.sleep(4.0)
+            writers.stop()
+            self.assertIsNot(primary, deployment.group.primary)
+
+        test_sessions.scenario(check, daemons=3)
+
+
+class TestCertainPosition(testtools.TestCase):
+    """What a log must have at least if it has all that was passed on."""
+
+    def setUp(self):
+        super().setUp()
+        self.time = 0.0
+        self.passed = passed_commits.PassedCommits(self)
+
+    def now(self):
+        """Return the time of this clock."""
+        return self.time
+
+    def add(self, number, asked_at, at, term=1):
+        """Pass on a commit with a position of the primary."""
+        self.time = at
+        position = log_position.LogPosition(term, number)
+        self.passed.add(position, asked_at)
+
+    def certain(self):
+        """Return the position as a pair; None if there is none."""
+        found = self.passed.promise(self.time).certain
+        return found and (found.term, found.number)
+
+    def test_reported_end_of_the_log_is_not_certain(self):
+        """Guards against a wait for commits that no replica received."""
+        self.add(90, asked_at=0.9, at=1.0)
+        self.assertIsNone(self.certain())
+        # Sent before 90 was known.
+        self.add(95, asked_at=0.95, at=1.1)
+        self.assertIsNone(self.certain())
+        self.add(99, asked_at=1.2, at=1.3)
+        self.assertEqual((1, 96), self.certain())
+
+    def test_commit_of_a_new_term(self):
+        """Guards against numbers of one term that are used in another."""
+        self.add(90, asked_at=0.9, at=1.0)
+        self.add(5, asked_at=2.0, at=2.1, term=2)
+        self.assertIsNone(self.certain())
+        self.add(6, asked_at=2.2, at=2.3, term=2)
+        self.assertEqual((2, 6), self.certain())
+
+    def test_commits_at_a_high_rate(self):
+        """Guards against positions that are known earlier than they were."""
+        for place in range(100):
+            at = 1.0 + place * 0.001
+            self.add(100 + place, asked_at=at - 0.01, at=at)
+            known = 100 + place - 10
+            certain = self.certain()
+            if certain is not None:
+                self.assertLessEqual(certain[1], known + 1)
--- a/burdockcart/process/gateway/tests/test_unplanned_calls.py
+++ b/burdockcart/process/gateway/tests/test_unplanned_calls.py
@@ -236,7 +236,7 @@
             passed = deployment.daemons[2].group_by_id[GROUP].commits.passed
             add = passed.add
             beyond = log_position.LogPosition(1, 1_000_000)
-            passed.add = lambda commit: add(beyond)
+            passed.add = lambda commit, asked_at: add(beyond, asked_at)
             for daemon in deployment.daemons[:2]:
                 daemon.connector.cut.add(primary.id)
             await asyncio.sleep(3.0)
@@ -245,7 +245,8 @@
                 each.metrics.text() for each in deployment.daemons
             )
             self.assertIn(b"lack commits that were passed on", put_off)
-            passed.add, passed._newest = add, None
+            passed.add, passed._newest, passed._certain = add, None, None
+            passed._known.clear()
             await lose_primary(deployment)
 
         self.scenario(check)
@@ -259,7 +260,7 @@
         async def check(deployment):
             for daemon in deployment.daemons:
                 daemon.group_by_id[GROUP].commits.passed.add(
-                    log_position.LogPosition(1, 1_000_000)
+                    log_position.LogPosition(1, 1_000_000), 0.0
                 )
             self.assertLess(await lose_primary(deployment), 1.2)
 
--- a/burdockcart/process/gateway/transaction_runner.py
+++ b/burdockcart/process/gateway/transaction_runner.py
@@ -252,7 +252,7 @@
                 group.release(connection)
         if commits_writes:
             if not await group.commits.confirm(
-                answer.position, request.deadline_at
+                answer.position, request.deadline_at, request.arrived_at
             ):
                 return refusals.UNCOVERED
             self._attempts.remember_commit(session, answer)
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -228,6 +228,8 @@
         Position that covers all commits whose success it has passed on.
     age_ms : int
         Time since it passed on the last one.
+    certain : tuple of int, or None
+        A log without this position lacks one of these commits.
 
     """
 
@@ -235,6 +237,7 @@
     agreed: bool
     newest: tuple[int, int] | None = None
     age_ms: int = 0
+    certain: tuple[int, int] | None = None
 
 
 Request = Union[
--- a/burdockcart/process/peers/peer_notices.py
+++ b/burdockcart/process/peers/peer_notices.py
@@ -108,6 +108,7 @@
             True,
             messages.position_pair(promise.newest),
             int(promise.age_s * 1000),
+            messages.position_pair(promise.certain),
         )
 
     def withdrawn(self, withdrawal: messages.Withdrawal) -> None:
@@ -136,12 +137,18 @@
             found.commits.calls.noticed(group, call)
 
     def passed_on(
-        self, group: ids.GroupId, commit: log_position.LogPosition | None
+        self,
+        group: ids.GroupId,
+        commit: log_position.LogPosition | None,
+        asked_at: float,
     ) -> None:
-        """Note a commit whose success another daemon is told of now."""
+        """Note a commit whose success another daemon is told of now.
+
+        It was sent after ``asked_at``.
+        """
         found = self._group_by_id.get(group)
         if found is not None:
-            found.commits.passed.add(commit)
+            found.commits.passed.add(commit, asked_at)
 
 
 def _promise(
@@ -150,5 +157,7 @@
     if not reply.agreed:
         return call_notice.NoPromise.REFUSED
     return call_notice.Promise(
-        messages.read_position(reply.newest), reply.age_ms / 1000
+        messages.read_position(reply.newest),
+        reply.age_ms / 1000,
+        messages.read_position(reply.certain),
     )
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -224,10 +224,16 @@
         self.notices.use_call(group, call)
 
     def passed_on(
-        self, group: ids.GroupId, commit: log_position.LogPosition | None
+        self,
+        group: ids.GroupId,
+        commit: log_position.LogPosition | None,
+        asked_at: float,
     ) -> None:
-        """Note a commit whose success another daemon is told of now."""
-        self.notices.passed_on(group, commit)
+        """Note a commit whose success another daemon is told of now.
+
+        It was sent after ``asked_at``.
+        """
+        self.notices.passed_on(group, commit, asked_at)
 
     def notified(self, notice: messages.CallNotice) -> messages.Noticed:
         """Go by a promotion call from now on."""
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -51,9 +51,15 @@
         """Return the open promotion call of a group, as it is sent."""
 
     def passed_on(
-        self, group: ids.GroupId, commit: log_position.LogPosition | None
+        self,
+        group: ids.GroupId,
+        commit: log_position.LogPosition | None,
+        asked_at: float,
     ) -> None:
-        """Note a commit whose success another daemon is told of now."""
+        """Note a commit whose success another daemon is told of now.
+
+        It was sent after ``asked_at``.
+        """
 
     def notified(self, notice: messages.CallNotice) -> messages.Noticed:
         """Go by a promotion call from now on."""
@@ -180,6 +186,7 @@
     async def _serve(self, message: Served) -> None:
         group = self._group_of(message)
         writes = self._writes(message)
+        asked_at = self._service.clock.now()
         try:
             match message:
                 case messages.Run():
@@ -196,7 +203,7 @@
                     )
                     return
             if group is not None and answer.fault is None and writes:
-                self._service.pools.passed_on(group, answer.position)
+                self._service.pools.passed_on(group, answer.position, asked_at)
             self._answer(message.number, answer, group)
         except Exception as error:  # noqa: B902 - others go on
             loguru.logger.opt(exception=error).error(
