Accept calls with the lower reserved token

All daemons in touch with the holder of the lower of two reserved tokens refused the notice of its call, and passed on commits that the candidate may lack. The other holder's reservation had replaced the record, so its position was later than the one of the call, and was taken for a record that tells what became of it.

Only records of claims count in the comparison, unless a call is known: then any later record does, as before, so that no known call is forgotten for an older one.

--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -114,6 +114,8 @@
         self._prepared_by_group: dict[ids.GroupId, Preparation] = {}
         #: Position of the newest record that a poll of the store has shown.
         self._polled_by_group: dict[ids.GroupId, ids.StorePosition] = {}
+        #: Position of the newest known record that is not a reserved one.
+        self._claim_by_group: dict[ids.GroupId, ids.StorePosition] = {}
 
     def era_changed(self, era: ids.StoreEra) -> None:
         """Forget the positions of all records: the store was restored.
@@ -124,6 +126,7 @@
         self._position_by_group.clear()
         self._own_by_group.clear()
         self._polled_by_group.clear()
+        self._claim_by_group.clear()
 
     def call_begins(
         self,
@@ -200,9 +203,11 @@
         left_s = _left_s(called_at_ms, wall_ms)
         known = self._newest_known(group)
         current = self.candidate(group, now)
+        # A reservation after the claim tells nothing of the call.
+        newest = self._newest_claim(group) if current is None else known
         if left_s <= 0 or (
             current != member
-            and (position < known or group in self._running_by_group)
+            and (position < newest or group in self._running_by_group)
         ):
             return False
         self._noticed_by_group[group] = NoticedCall(
@@ -248,6 +253,17 @@
         polled = self._polled_by_group.get(group, ids.StorePosition(0))
         return max(polled, self.position(group))
 
+    def _newest_claim(self, group: ids.GroupId) -> ids.StorePosition:
+        """Return the position of the newest claim, reservations left out."""
+        return self._claim_by_group.get(
+            group, store_era.position(self._era, 0)
+        )
+
+    def _note_claim(
+        self, group: ids.GroupId, position: ids.StorePosition
+    ) -> None:
+        self._claim_by_group[group] = max(position, self._newest_claim(group))
+
     def none_open(self, group: ids.GroupId) -> None:
         """Record that each call for a group was answered."""
         noticed = self._noticed_by_group.pop(group, None)
@@ -340,6 +356,7 @@
         if store_era.era_of(claimed) == self._era:
             self._position_by_group[group] = claimed
             self._own_by_group[group] = claimed
+            self._note_claim(group, claimed)
         self._store_silent.discard(group)
         self._unplanned_not_before[group] = now + failover_rule.UNPLANNED_GAP_S
 
@@ -372,6 +389,8 @@
         self._store_silent.discard(group)
         record = lost.record
         if record is not None and not seen_before:
+            if not record.reserved:
+                self._note_claim(group, lost.position)
             self._supersede_notice(group, lost.position)
             self._note_call(group, record, wall_ms, now)
         if record is None or record.reserved or record.holder == self._daemon:
@@ -401,6 +420,8 @@
         if stored.position <= self._newest_known(group):
             return
         self._polled_by_group[group] = stored.position
+        if not stored.record.reserved:
+            self._note_claim(group, stored.position)
         self._supersede_notice(group, stored.position)
         self._note_call(group, stored.record, wall_ms, now)
 
--- a/burdockcart/process/gateway/tests/test_promotion_claims.py
+++ b/burdockcart/process/gateway/tests/test_promotion_claims.py
@@ -170,3 +170,25 @@
         stored = coordination.StoredPromotion(found.record, found.position)
         self.claims.polled(GROUP, stored, 160_000, now=1.0)
         self.assertIsNone(self.claims.candidate(GROUP, 1.0))
+
+    def test_reservation_before_a_notice(self):
+        """A call with the lower one of two reserved tokens must bind.
+
+        Each holder's reservation replaces the record of the other one.
+        """
+        self.poll(7, reserved=True)
+        self.poll(8, reserved=True)
+        self.assertTrue(self.notice(7))
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 51.0))
+
+    def test_reservation_that_names_another_call(self):
+        """A call that may be carried out must not be forgotten for it."""
+        self.poll(8, reserved=True, candidate="m-c", called_at_ms=100_000)
+        self.assertFalse(self.notice(7))
+        self.assertEqual("m-c", self.claims.candidate(GROUP, 51.0))
+
+    def test_claim_before_a_reservation(self):
+        """A call that rests on an earlier claim must not bind."""
+        self.poll(8)
+        self.poll(9, reserved=True)
+        self.assertFalse(self.notice(7))
