Keep the promise for a call after a reservation

A daemon that had promised to go by a call with a reserved token went back to knowing none as soon as it polled a reservation, while the call could still be carried out. A reservation copies the record that it replaces, and no record names such a call.

A reserved record ends a notice only if it names a candidate: that is the copy of a record which the daemon may have missed.

test_reservation_after_a_notice failed before.

--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -391,7 +391,7 @@
         if record is not None and not seen_before:
             if not record.reserved:
                 self._note_claim(group, lost.position)
-            self._supersede_notice(group, lost.position)
+            self._supersede_notice(group, record, lost.position)
             self._note_call(group, record, wall_ms, now)
         if record is None or record.reserved or record.holder == self._daemon:
             return True
@@ -422,16 +422,22 @@
         self._polled_by_group[group] = stored.position
         if not stored.record.reserved:
             self._note_claim(group, stored.position)
-        self._supersede_notice(group, stored.position)
+        self._supersede_notice(group, stored.record, stored.position)
         self._note_call(group, stored.record, wall_ms, now)
 
     def _supersede_notice(
-        self, group: ids.GroupId, position: ids.StorePosition
+        self,
+        group: ids.GroupId,
+        record: coordination.PromotionRecord,
+        position: ids.StorePosition,
     ) -> None:
         """Go by a record of the store that is later than a notice.
 
-        A restored store may hold an older one.
+        A restored store may hold an older one.  A reservation only copies
+        what the record before it names.
         """
+        if record.reserved and record.candidate is None:
+            return
         noticed = self._noticed_by_group.get(group)
         if (
             noticed is not None
--- a/burdockcart/process/gateway/tests/test_promotion_claims.py
+++ b/burdockcart/process/gateway/tests/test_promotion_claims.py
@@ -192,3 +192,17 @@
         self.poll(8)
         self.poll(9, reserved=True)
         self.assertFalse(self.notice(7))
+
+    def test_reservation_after_a_notice(self):
+        """It copies the record before it, which does not name the call."""
+        self.notice(7)
+        self.poll(8, reserved=True)
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 51.0))
+        self.poll(9)
+        self.assertIsNone(self.claims.candidate(GROUP, 51.0))
+
+    def test_reservation_that_passes_on_a_later_call(self):
+        """A call of which the store tells must not be hidden by a notice."""
+        self.notice(5)
+        self.poll(8, reserved=True, candidate="m-c", called_at_ms=100_000)
+        self.assertEqual("m-c", self.claims.candidate(GROUP, 51.0))
