End a recorded call that was not sent for all

A caller that waited for a silent daemon put its call off and told the others, but those that had polled its record meanwhile held writes back for up to 13 s: only a settled record ended a call known from the store.

Whoever replaces a record has read it and passes its call on: by open_call in ClaimRecord, by a copy in ReservedClaims. So a claim of the same era that names no call ends the one known from the records. It does not if it is a reservation, if this daemon itself has an unanswered call, which no record may name, or if it was written 8 s after the call or later by the clocks of the writers: then its writer may have given the call up by time alone, earlier than a daemon that read of it later would.

test_call_that_was_recorded_and_not_sent and test_call_that_is_put_off_for_a_silent_daemon failed before.

--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -106,6 +106,8 @@
         self._store_silent: set[ids.GroupId] = set()
         #: Calls without an answer, of this or another daemon.
         self._open_by_group: dict[ids.GroupId, OpenCall] = {}
+        #: Positions of the records that name them, if only records do.
+        self._recorded_by_group: dict[ids.GroupId, ids.StorePosition] = {}
         #: Calls of this daemon that wait for their answer.
         self._running_by_group: dict[ids.GroupId, OpenCall] = {}
         #: Calls that other daemons have told of, until a later record.
@@ -153,6 +155,7 @@
         running = self._running_by_group.pop(group, None)
         if running is None:
             return
+        self._recorded_by_group.pop(group, None)
         self._open(
             group, msgspec.structs.replace(running, until=now + LATE_CALL_S)
         )
@@ -267,6 +270,7 @@
     def none_open(self, group: ids.GroupId) -> None:
         """Record that each call for a group was answered."""
         noticed = self._noticed_by_group.pop(group, None)
+        self._recorded_by_group.pop(group, None)
         if self._open_by_group.pop(group, noticed) is not None:
             loguru.logger.info("event=promotion_call_closed group={}", group)
 
@@ -392,7 +396,7 @@
             if not record.reserved:
                 self._note_claim(group, lost.position)
             self._supersede_notice(group, record, lost.position)
-            self._note_call(group, record, wall_ms, now)
+            self._note_call(group, record, lost.position, wall_ms, now)
         if record is None or record.reserved or record.holder == self._daemon:
             return True
         age_s = (wall_ms - record.claimed_at_ms) / 1000
@@ -423,7 +427,7 @@
         if not stored.record.reserved:
             self._note_claim(group, stored.position)
         self._supersede_notice(group, stored.record, stored.position)
-        self._note_call(group, stored.record, wall_ms, now)
+        self._note_call(group, stored.record, stored.position, wall_ms, now)
 
     def _supersede_notice(
         self,
@@ -451,6 +455,7 @@
         self,
         group: ids.GroupId,
         record: coordination.PromotionRecord,
+        position: ids.StorePosition,
         wall_ms: int,
         now: float,
     ) -> None:
@@ -461,7 +466,10 @@
             self.give_up_preparation(group)
         elif age_s < PREPARED_S + CLOCK_SKEW_S:
             self.prepare(group, record.prepared, now)
-        if record.settled or record.candidate is None:
+        if record.settled:
+            return
+        if record.candidate is None:
+            self._close_unsent(group, record, position)
             return
         # Daemons pass the call on from record to record, so its age counts
         # from the call itself.
@@ -469,10 +477,45 @@
         left_s = _left_s(called_at_ms, wall_ms)
         if left_s <= 0:
             return
+        recorded = self._recorded_by_group.get(group)
+        if group not in self._open_by_group or (
+            recorded is not None
+            and store_era.era_of(recorded) == store_era.era_of(position)
+        ):
+            self._recorded_by_group[group] = position
         self._open(
             group, OpenCall(record.candidate, called_at_ms, now + left_s)
         )
 
+    def _close_unsent(
+        self,
+        group: ids.GroupId,
+        record: coordination.PromotionRecord,
+        position: ids.StorePosition,
+    ) -> None:
+        """Close a call that a later record no longer names.
+
+        Whoever replaces a record passes on the call that it names, unless it
+        was not sent, was answered, or has expired by the clock of the writer.
+        A call of this daemon may be in no record, and one of an earlier era
+        in none of the restored ones.
+        """
+        recorded = self._recorded_by_group.get(group)
+        call = self._open_by_group.get(group)
+        if (
+            recorded is None
+            or call is None
+            or record.reserved
+            or position <= recorded
+            or store_era.era_of(position) != store_era.era_of(recorded)
+        ):
+            return
+        age_s = (record.claimed_at_ms - call.called_at_ms) / 1000
+        if age_s < LATE_CALL_S - CLOCK_SKEW_S:
+            del self._open_by_group[group]
+            del self._recorded_by_group[group]
+            loguru.logger.info("event=promotion_call_closed group={}", group)
+
 
 def _left_s(called_at_ms: int, wall_ms: int) -> float:
     """Return for how long a call may still be carried out, in seconds."""
--- a/burdockcart/process/gateway/tests/test_missed_daemons.py
+++ b/burdockcart/process/gateway/tests/test_missed_daemons.py
@@ -40,3 +40,43 @@
             )
 
         test_sessions.scenario(check, daemons=3)
+
+
+class TestCallThatIsPutOff(testtools.TestCase):
+    """A call that is recorded, and not sent for a silent daemon."""
+
+    def test_call_that_is_put_off_for_a_silent_daemon(self):
+        """Who has polled its record must not hold writes back for it."""
+        for begins_s in (0.0, 0.15, 0.3, 0.45, 0.6, 0.75):
+            with self.subTest(begins_s=begins_s):
+                self.put_off(begins_s)
+
+    def put_off(self, begins_s):
+        """Let a call wait for a silent daemon until its cause has gone."""
+
+        async def check(deployment):
+            await asyncio.sleep(2.0 + begins_s)
+            primary = deployment.group.primary
+            test_unplanned_calls.cut_links(deployment, 2)
+            for daemon in deployment.daemons[:2]:
+                daemon.connector.cut.add(primary.id)
+            record = deployment.platform.record_by_group
+            await gateway_deployment.until(
+                lambda: GROUP in record
+                and record[GROUP][0].prepared is not None
+            )
+            for daemon in deployment.daemons[:2]:
+                daemon.connector.cut.clear()
+            await asyncio.sleep(3.0)
+            self.assertEqual([], deployment.platform.promotions)
+            self.assertEqual(
+                [None] * 3,
+                [
+                    each._failover.claims.candidate(
+                        GROUP, asyncio.get_running_loop().time()
+                    )
+                    for each in deployment.daemons
+                ],
+            )
+
+        test_sessions.scenario(check, daemons=3)
--- a/burdockcart/process/gateway/tests/test_promotion_claims.py
+++ b/burdockcart/process/gateway/tests/test_promotion_claims.py
@@ -94,7 +94,8 @@
 
     def poll(self, position, **fields):
         """Read a record in the store."""
-        found = lost(position, claimed_at_ms=100_000, **fields)
+        fields = {"claimed_at_ms": 100_000} | fields
+        found = lost(position, **fields)
         stored = coordination.StoredPromotion(found.record, found.position)
         self.claims.polled(GROUP, stored, 100_000, now=50.0)
 
@@ -206,3 +207,43 @@
         self.notice(5)
         self.poll(8, reserved=True, candidate="m-c", called_at_ms=100_000)
         self.assertEqual("m-c", self.claims.candidate(GROUP, 51.0))
+
+    def test_call_that_was_recorded_and_not_sent(self):
+        """It must not bind daemons that have read its record by chance.
+
+        Its sender writes the next record without it.
+        """
+        self.poll(5)
+        self.poll(6, candidate="m-b", called_at_ms=100_000)
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 50.0))
+        self.poll(7)
+        self.assertIsNone(self.claims.candidate(GROUP, 50.0))
+
+    def test_records_that_do_not_tell_what_became_of_a_call(self):
+        """A call that may be carried out must not be forgotten for them."""
+        self.poll(6, candidate="m-b", called_at_ms=100_000)
+        self.poll(7, reserved=True)
+        # The writer may have known the call for longer.
+        self.poll(8, claimed_at_ms=108_000)
+        # Its writer may not know what a restored store lacks.
+        self.poll(store_era.position(1, 4))
+        self.poll(
+            store_era.position(1, 5), candidate="m-b", called_at_ms=99_000
+        )
+        self.poll(store_era.position(1, 6))
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 51.0))
+
+    def test_own_call_that_others_do_not_know(self):
+        """Records of daemons that do not know a call must not end it."""
+        self.claims.call_begins(GROUP, "m-b", 100_000, 50.0)
+        self.claims.call_unanswered(GROUP, 50.0)
+        self.poll(6, candidate="m-b", called_at_ms=100_000)
+        self.poll(7)
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 51.0))
+        # An own call for the member of a recorded one.
+        self.claims = promotion_claims.PromotionClaims("own", 3.0)
+        self.poll(6, candidate="m-b", called_at_ms=100_000)
+        self.claims.call_begins(GROUP, "m-b", 100_000, 50.0)
+        self.claims.call_unanswered(GROUP, 50.0)
+        self.poll(7)
+        self.assertEqual("m-b", self.claims.candidate(GROUP, 51.0))
