--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion_claims.py
@@ -106,6 +106,8 @@
         self._store_silent: set[ids.GroupId] = set()
         #: Calls without an answer, of this or another daemon.
         self._open_by_group: dict[ids.GroupId, OpenCall] = {}
+        #: Positions of the records that name them, if only records do.
+        self._recorded_by_group: dict[ids.GroupId, ids.StorePosition] = {}
         #: Calls of this daemon that wait for their answer.
         self._running_by_group: dict[ids.GroupId, OpenCall] = {}
         #: Calls that other daemons have told of, until a later record.
@@ -114,6 +116,8 @@
         self._prepared_by_group: dict[ids.GroupId, Preparation] = {}
         #: Position of the newest record that a poll of the store has shown.
         self._polled_by_group: dict[ids.GroupId, ids.StorePosition] = {}
+        #: Position of the newest known record that is not a reserved one.
+        self._claim_by_group: dict[ids.GroupId, ids.StorePosition] = {}
 
     def era_changed(self, era: ids.StoreEra) -> None:
         """Forget the positions of all records: the store was restored.
@@ -124,6 +128,7 @@
         self._position_by_group.clear()
         self._own_by_group.clear()
         self._polled_by_group.clear()
+        self._claim_by_group.clear()
 
     def call_begins(
         self,
@@ -150,6 +155,7 @@
         running = self._running_by_group.pop(group, None)
         if running is None:
             return
+        self._recorded_by_group.pop(group, None)
         self._open(
             group, msgspec.structs.replace(running, until=now + LATE_CALL_S)
         )
@@ -200,9 +206,11 @@
         left_s = _left_s(called_at_ms, wall_ms)
         known = self._newest_known(group)
         current = self.candidate(group, now)
+        # A reservation after the claim tells nothing of the call.
+        newest = self._newest_claim(group) if current is None else known
         if left_s <= 0 or (
             current != member
-            and (position < known or group in self._running_by_group)
+            and (position < newest or group in self._running_by_group)
         ):
             return False
         self._noticed_by_group[group] = NoticedCall(
@@ -248,9 +256,21 @@
         polled = self._polled_by_group.get(group, ids.StorePosition(0))
         return max(polled, self.position(group))
 
+    def _newest_claim(self, group: ids.GroupId) -> ids.StorePosition:
+        """Return the position of the newest claim, reservations left out."""
+        return self._claim_by_group.get(
+            group, store_era.position(self._era, 0)
+        )
+
+    def _note_claim(
+        self, group: ids.GroupId, position: ids.StorePosition
+    ) -> None:
+        self._claim_by_group[group] = max(position, self._newest_claim(group))
+
     def none_open(self, group: ids.GroupId) -> None:
         """Record that each call for a group was answered."""
         noticed = self._noticed_by_group.pop(group, None)
+        self._recorded_by_group.pop(group, None)
         if self._open_by_group.pop(group, noticed) is not None:
             loguru.logger.info("event=promotion_call_closed group={}", group)
 
@@ -340,6 +360,7 @@
         if store_era.era_of(claimed) == self._era:
             self._position_by_group[group] = claimed
             self._own_by_group[group] = claimed
+            self._note_claim(group, claimed)
         self._store_silent.discard(group)
         self._unplanned_not_before[group] = now + failover_rule.UNPLANNED_GAP_S
 
@@ -372,8 +393,10 @@
         self._store_silent.discard(group)
         record = lost.record
         if record is not None and not seen_before:
-            self._supersede_notice(group, lost.position)
-            self._note_call(group, record, wall_ms, now)
+            if not record.reserved:
+                self._note_claim(group, lost.position)
+            self._supersede_notice(group, record, lost.position)
+            self._note_call(group, record, lost.position, wall_ms, now)
         if record is None or record.reserved or record.holder == self._daemon:
             return True
         age_s = (wall_ms - record.claimed_at_ms) / 1000
@@ -401,16 +424,24 @@
         if stored.position <= self._newest_known(group):
             return
         self._polled_by_group[group] = stored.position
-        self._supersede_notice(group, stored.position)
-        self._note_call(group, stored.record, wall_ms, now)
+        if not stored.record.reserved:
+            self._note_claim(group, stored.position)
+        self._supersede_notice(group, stored.record, stored.position)
+        self._note_call(group, stored.record, stored.position, wall_ms, now)
 
     def _supersede_notice(
-        self, group: ids.GroupId, position: ids.StorePosition
+        self,
+        group: ids.GroupId,
+        record: coordination.PromotionRecord,
+        position: ids.StorePosition,
     ) -> None:
         """Go by a record of the store that is later than a notice.
 
-        A restored store may hold an older one.
+        A restored store may hold an older one.  A reservation only copies
+        what the record before it names.
         """
+        if record.reserved and record.candidate is None:
+            return
         noticed = self._noticed_by_group.get(group)
         if (
             noticed is not None
@@ -424,6 +455,7 @@
         self,
         group: ids.GroupId,
         record: coordination.PromotionRecord,
+        position: ids.StorePosition,
         wall_ms: int,
         now: float,
     ) -> None:
@@ -434,7 +466,10 @@
             self.give_up_preparation(group)
         elif age_s < PREPARED_S + CLOCK_SKEW_S:
             self.prepare(group, record.prepared, now)
-        if record.settled or record.candidate is None:
+        if record.settled:
+            return
+        if record.candidate is None:
+            self._close_unsent(group, record, position)
             return
         # Daemons pass the call on from record to record, so its age counts
         # from the call itself.
@@ -442,10 +477,45 @@
         left_s = _left_s(called_at_ms, wall_ms)
         if left_s <= 0:
             return
+        recorded = self._recorded_by_group.get(group)
+        if group not in self._open_by_group or (
+            recorded is not None
+            and store_era.era_of(recorded) == store_era.era_of(position)
+        ):
+            self._recorded_by_group[group] = position
         self._open(
             group, OpenCall(record.candidate, called_at_ms, now + left_s)
         )
 
+    def _close_unsent(
+        self,
+        group: ids.GroupId,
+        record: coordination.PromotionRecord,
+        position: ids.StorePosition,
+    ) -> None:
+        """Close a call that a later record no longer names.
+
+        Whoever replaces a record passes on the call that it names, unless it
+        was not sent, was answered, or has expired by the clock of the writer.
+        A call of this daemon may be in no record, and one of an earlier era
+        in none of the restored ones.
+        """
+        recorded = self._recorded_by_group.get(group)
+        call = self._open_by_group.get(group)
+        if (
+            recorded is None
+            or call is None
+            or record.reserved
+            or position <= recorded
+            or store_era.era_of(position) != store_era.era_of(recorded)
+        ):
+            return
+        age_s = (record.claimed_at_ms - call.called_at_ms) / 1000
+        if age_s < LATE_CALL_S - CLOCK_SKEW_S:
+            del self._open_by_group[group]
+            del self._recorded_by_group[group]
+            loguru.logger.info("event=promotion_call_closed group={}", group)
+
 
 def _left_s(called_at_ms: int, wall_ms: int) -> float:
     """Return for how long a call may still be carried out, in seconds."""
