--- a/burdockcart/process/peers/holding.py
+++ b/burdockcart/process/peers/holding.py
@@ -1,5 +1,6 @@
 """Members whose connections this daemon holds."""
 
+import itertools
 from typing import Iterable
 
 from burdockcart import clock
@@ -139,8 +140,19 @@
         found = {
             each.id
             for entries, count in lists
-            for each in _connecting(member, connections, entries, count)
+            for each in itertools.chain(
+                _connecting(member, connections, entries, count),
+                # Others may no longer count daemons that have left.
+                _connecting(member, connections, entries, len(entries)),
+            )
         }
+        half = len(entry_by_id) // 2
+        if now - self._started_at < EARLIER_S and (
+            holder_choice.holder_count(connections, half) >= half
+        ):
+            # The lists of before this daemon started are not known here; all
+            # connected directly by one with half as many daemons.
+            found |= entry_by_id.keys()
         # A daemon that leaves goes by the list that it had.
         holders = self.holders(member, connections)
         if holders is not None:
