--- a/burdockcart/platform/tests/test_generated_input.py
+++ b/burdockcart/platform/tests/test_generated_input.py
@@ -124,6 +124,12 @@
             pass
 
 
+#: How long an example takes to make says nothing about what is tested.
+_ON_A_BUSY_MACHINE = hypothesis.settings(
+    deadline=None, suppress_health_check=[hypothesis.HealthCheck.too_slow]
+)
+
+
 class TestStore(testtools.TestCase):
     """Values of the store, which other programs may have written."""
 
@@ -141,6 +147,7 @@
             except decoding.UnreadableValue:
                 pass
 
+    @_ON_A_BUSY_MACHINE
     @hypothesis.given(odd_entries(), strategies.text(max_size=8))
     def test_odd_entries(self, value, name):
         """An odd entry has one declared error, and a used one an address."""
@@ -162,6 +169,7 @@
                 socket.inet_aton(host)
                 self.assertIn(int(port), range(1, 65536))
 
+    @_ON_A_BUSY_MACHINE
     @hypothesis.given(odd_entries())
     def test_items(self, value):
         """An odd value must hide no other item, in a list or a change."""
