Set up both plays of a lost primary in one place

The two tests of test_unlisted_replicas.py repeated eleven lines; their assertions are the same. A comment said that daemons which are told know an open call, which is not so for silent ones: what makes the wait needless is that the call was sent after one.

--- a/burdockcart/process/gateway/promotion_call.py
+++ b/burdockcart/process/gateway/promotion_call.py
@@ -214,7 +214,8 @@
             if announced is None:
                 return None
             token = announced
-            # Those that are told already know a call that is open.
+            # An open call was sent after such a wait, unless its token was
+            # reserved.
             if told.unsure and known is None:
                 put_off(
                     self._metrics,
--- a/burdockcart/process/gateway/tests/test_unlisted_replicas.py
+++ b/burdockcart/process/gateway/tests/test_unlisted_replicas.py
@@ -12,6 +12,23 @@
 from burdockcart.request import log_position
 
 
+async def lose_primary(deployment):
+    """Lose it after a replica that nobody knows acknowledged alone.
+
+    Returns the writers and that replica.
+    """
+    primary = deployment.group.primary
+    writers = test_open_calls.Writers(deployment, range(3))
+    await asyncio.sleep(3.0)
+    for member in deployment.members[1:]:
+        member.replication_cut = True
+    new = test_replica_rosters.new_member(deployment, "m-d", listed=False)
+    new.catch_up()
+    await asyncio.sleep(0.2)
+    primary.crash()
+    return writers, new
+
+
 class TestUnlistedReplica(testtools.TestCase):
     """A replica acknowledges before its entry is in the store."""
 
@@ -19,17 +36,7 @@
         """What clients were told must not be promoted away unseen."""
 
         async def check(deployment):
-            primary = deployment.group.primary
-            writers = test_open_calls.Writers(deployment, range(3))
-            await asyncio.sleep(3.0)
-            for member in deployment.members[1:]:
-                member.replication_cut = True
-            new = test_replica_rosters.new_member(
-                deployment, "m-d", listed=False
-            )
-            new.catch_up()
-            await asyncio.sleep(0.2)
-            primary.crash()
+            writers, new = await lose_primary(deployment)
             new.replication_cut = True
             await asyncio.sleep(1.5)
             deployment.enter(new)
@@ -44,16 +51,7 @@
 
         async def check(deployment):
             primary = deployment.group.primary
-            writers = test_open_calls.Writers(deployment, range(3))
-            await asyncio.sleep(3.0)
-            for member in deployment.members[1:]:
-                member.replication_cut = True
-            new = test_replica_rosters.new_member(
-                deployment, "m-d", listed=False
-            )
-            new.catch_up()
-            await asyncio.sleep(0.2)
-            primary.crash()
+            writers, new = await lose_primary(deployment)
             new.crash()
             waited_s = promotion_call.MISSING_MEMBER_S
             await asyncio.sleep(waited_s - 0.5)
