--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -13,11 +13,11 @@
 from burdockcart.connection import session_names
 from burdockcart import errors
 from burdockcart import ids
-from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import gateway_metrics
-from burdockcart.process.gateway import statement_runner
-from burdockcart.process.gateway import stop_admission
-from burdockcart.process.gateway import transaction_runner
+from burdockcart.process.gateway.sessions import attempts
+from burdockcart.process.gateway.sessions import statement_runner
+from burdockcart.process.gateway.sessions import stop_admission
+from burdockcart.process.gateway.sessions import transaction_runner
 from burdockcart.request import answer_times
 from burdockcart.request import command
 from burdockcart.request import log_position
--- a/burdockcart/connection/open_transaction.py
+++ b/burdockcart/connection/open_transaction.py
@@ -3,7 +3,7 @@
 import enum
 
 from burdockcart import errors
-from burdockcart.process.gateway import pooled_connection
+from burdockcart.process.gateway.members import pooled_connection
 from burdockcart.version import manifest
 
 
--- a/burdockcart/connection/session_names.py
+++ b/burdockcart/connection/session_names.py
@@ -4,7 +4,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import errors
-from burdockcart.process.gateway import attempts
+from burdockcart.process.gateway.sessions import attempts
 from burdockcart.request import command
 
 #: Maximum number of prepared names and values in one session, and of bytes in
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -11,8 +11,8 @@
 from burdockcart.emulator import host_link
 from burdockcart.emulator import wire_member
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_era
 from burdockcart.version import manifest
 
 CallFault = coordination.CallFault
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -16,8 +16,8 @@
 from burdockcart.platform import formats
 from burdockcart.platform import store_messages
 from burdockcart.platform import store_values
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_era
 
 #: Timeout of a call, in seconds; the store answers in 4 ms normally, and in
 #: 0.4 s when it is slowed a hundredfold.
--- a/burdockcart/platform/client_wire.py
+++ b/burdockcart/platform/client_wire.py
@@ -16,8 +16,8 @@
 from burdockcart.connection import sockets
 from burdockcart import errors
 from burdockcart.platform import wire
-from burdockcart.process.gateway import client_listener
-from burdockcart.process.gateway import stop_admission
+from burdockcart.process.gateway.sessions import client_listener
+from burdockcart.process.gateway.sessions import stop_admission
 from burdockcart.request import command
 
 #: Timeout of a client's first message, in seconds; the platform abandons a
--- a/burdockcart/platform/formats.py
+++ b/burdockcart/platform/formats.py
@@ -6,7 +6,7 @@
 
 from burdockcart import ids
 from burdockcart.platform import decoding
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.store import coordination
 from burdockcart.version import manifest
 
 
--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -26,8 +26,8 @@
 from burdockcart.platform import wire
 from burdockcart.process import event_log
 from burdockcart.process.gateway import application
+from burdockcart.process.gateway.sessions import shutdown_steps
 from burdockcart.process.gateway import settings
-from burdockcart.process.gateway import shutdown_steps
 from burdockcart.process import log_sink
 from burdockcart.process.peers import fleet_key
 from burdockcart.process.peers import tcp
--- a/burdockcart/platform/store_messages.py
+++ b/burdockcart/platform/store_messages.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from burdockcart.platform import decoding
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.store import store_era
 
 #: A revision of the store within one era.
 Revision = Annotated[int, msgspec.Meta(ge=0, lt=1 << store_era.REVISION_BITS)]
--- a/burdockcart/platform/store_values.py
+++ b/burdockcart/platform/store_values.py
@@ -9,8 +9,8 @@
 from burdockcart.platform import decoding
 from burdockcart.platform import formats
 from burdockcart.platform import store_messages
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_era
 from burdockcart.process.peers import fleet_key
 from burdockcart.version import manifest
 
--- a/burdockcart/platform/tests/test_calls.py
+++ b/burdockcart/platform/tests/test_calls.py
@@ -12,7 +12,7 @@
 
 from burdockcart.platform import calls
 from burdockcart.platform.tests import test_formats
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.store import coordination
 
 CallFault = coordination.CallFault
 
--- a/burdockcart/platform/tests/test_formats.py
+++ b/burdockcart/platform/tests/test_formats.py
@@ -6,7 +6,7 @@
 from burdockcart.platform import decoding
 from burdockcart.platform import formats
 from burdockcart.platform import settings_file
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.store import coordination
 from burdockcart.version import manifest
 
 MANIFEST = b"""{"version":7,"routes":[
--- a/burdockcart/platform/tests/test_generated_input.py
+++ b/burdockcart/platform/tests/test_generated_input.py
@@ -21,7 +21,7 @@
 from burdockcart.platform import store_messages
 from burdockcart.platform import store_values
 from burdockcart.platform import wire
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.store import coordination
 
 LINES = strategies.one_of(
     strategies.binary(max_size=60),
--- a/burdockcart/platform/tests/test_generated_statements.py
+++ b/burdockcart/platform/tests/test_generated_statements.py
@@ -18,9 +18,9 @@
 from burdockcart.connection import session_names
 from burdockcart.platform import member_wire
 from burdockcart.platform import wire
-from burdockcart.process.gateway import attempts
 from burdockcart.process.gateway import gateway_metrics
-from burdockcart.process.gateway import pooled_connection
+from burdockcart.process.gateway.members import pooled_connection
+from burdockcart.process.gateway.sessions import attempts
 from burdockcart.process.peers import messages
 from burdockcart.request import command
 
--- a/burdockcart/platform/tests/test_generated_stops.py
+++ b/burdockcart/platform/tests/test_generated_stops.py
@@ -10,7 +10,7 @@
 import testtools
 
 from burdockcart.platform.tests import memory_clients
-from burdockcart.process.gateway import shutdown_plan
+from burdockcart.process.gateway.sessions import shutdown_plan
 from burdockcart.version import manifest
 
 #: Texts of the refusals of a planned stop.
--- a/burdockcart/platform/tests/test_sockets.py
+++ b/burdockcart/platform/tests/test_sockets.py
@@ -16,8 +16,8 @@
 from burdockcart.platform import client_wire
 from burdockcart.platform import member_wire
 from burdockcart.platform import wire
-from burdockcart.process.gateway import client_listener
-from burdockcart.process.gateway import stop_admission
+from burdockcart.process.gateway.sessions import client_listener
+from burdockcart.process.gateway.sessions import stop_admission
 from burdockcart.request import command
 from burdockcart.request import log_position
 
--- a/burdockcart/platform/tests/test_store_eras.py
+++ b/burdockcart/platform/tests/test_store_eras.py
@@ -6,8 +6,8 @@
 
 from burdockcart.platform import store_values
 from burdockcart.platform.tests import test_calls
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_era
 
 CallFault = coordination.CallFault
 EVENTS = {"events": [], "store-revision": 90}
--- /dev/null
+++ b/burdockcart/process/gateway/members/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of members, and the connections of this daemon to them."""
--- a/burdockcart/process/gateway/isolation_monitor.py
+++ b/burdockcart/process/gateway/members/isolation_monitor.py
@@ -8,9 +8,9 @@
 
 from burdockcart.connection import own_link
 from burdockcart import ids
-from burdockcart.process.gateway import client_listener
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import isolation
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import isolation
+from burdockcart.process.gateway.sessions import client_listener
 
 #: Longest interval between two checks, in seconds; sessions are closed evenly
 #: over the steps of this length.
--- a/burdockcart/process/gateway/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -13,8 +13,8 @@
 from burdockcart.connection import member_health
 from burdockcart.connection import own_link
 from burdockcart import ids
-from burdockcart.process.gateway import connection_share
-from burdockcart.process.gateway import pooled_connection
+from burdockcart.process.gateway.members import connection_share
+from burdockcart.process.gateway.members import pooled_connection
 from burdockcart.request import command
 from burdockcart.request import member_choice
 from burdockcart.request import member_limit
--- a/burdockcart/process/gateway/pooled_connection.py
+++ b/burdockcart/process/gateway/members/pooled_connection.py
@@ -8,7 +8,7 @@
 from burdockcart import ids
 
 if TYPE_CHECKING:
-    from burdockcart.process.gateway import member_pool
+    from burdockcart.process.gateway.members import member_pool
 
 
 class PooledConnection:
--- a/burdockcart/process/gateway/reachability.py
+++ b/burdockcart/process/gateway/members/reachability.py
@@ -17,9 +17,9 @@
 from burdockcart import clock
 from burdockcart.connection import own_link
 from burdockcart import ids
-from burdockcart.process.gateway import failover_rule
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import member_pool
+from burdockcart.process.gateway.promotion import failover_rule
 
 #: Time without an answer after which a member is checked, in seconds: five
 #: times the longest mean running time of a route (26 ms), since each check
--- a/burdockcart/process/gateway/asked_members.py
+++ b/burdockcart/process/gateway/promotion/asked_members.py
@@ -7,11 +7,11 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
-from burdockcart.process.gateway import pooled_connection
-from burdockcart.process.gateway import replica_roster
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import member_pool
+from burdockcart.process.gateway.members import pooled_connection
+from burdockcart.process.gateway.promotion import replica_roster
+from burdockcart.process.gateway.store import coordination
 
 #: Timeout of a connection to a member that is not listed, and of its first
 #: answer, in seconds; a running member answers without waiting for a slot.
--- a/burdockcart/process/gateway/call_notice.py
+++ b/burdockcart/process/gateway/promotion/call_notice.py
@@ -32,8 +32,8 @@
 from burdockcart import clock
 from burdockcart.connection import answer_timeout
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
 from burdockcart.process.gateway import gateway_metrics
+from burdockcart.process.gateway.store import coordination
 from burdockcart.request import log_position
 from burdockcart.version import manifest
 
--- a/burdockcart/process/gateway/claim_record.py
+++ b/burdockcart/process/gateway/promotion/claim_record.py
@@ -8,9 +8,9 @@
 
 from burdockcart import clock
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import promotion_claims
-from burdockcart.process.gateway import restore_wait
+from burdockcart.process.gateway.promotion import promotion_claims
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import restore_wait
 
 #: Longest time that a renewal may take, in seconds on the boot clock; half of
 #: the time for which a claim holds.
--- a/burdockcart/process/gateway/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -30,12 +30,12 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import member_pool
-from burdockcart.process.gateway import open_calls
-from burdockcart.process.gateway import passed_commits
-from burdockcart.process.gateway import primary_tracker
-from burdockcart.process.gateway import promotion_claims
-from burdockcart.process.gateway import shared_inquiry
+from burdockcart.process.gateway.members import member_pool
+from burdockcart.process.gateway.promotion import open_calls
+from burdockcart.process.gateway.promotion import passed_commits
+from burdockcart.process.gateway.promotion import primary_tracker
+from burdockcart.process.gateway.promotion import promotion_claims
+from burdockcart.process.gateway.promotion import shared_inquiry
 from burdockcart.request import log_position
 
 #: Timeout of a query to a member, in seconds; longer than this daemon's own
--- a/burdockcart/process/gateway/failover.py
+++ b/burdockcart/process/gateway/promotion/failover.py
@@ -14,17 +14,17 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import call_notice
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import gateway_metrics
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
-from burdockcart.process.gateway import promoter
-from burdockcart.process.gateway import promotion_claims
-from burdockcart.process.gateway import reserved_claims
-from burdockcart.process.gateway import restore_wait
-from burdockcart.process.gateway import turn
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import member_pool
+from burdockcart.process.gateway.promotion import call_notice
+from burdockcart.process.gateway.promotion import failover_rule
+from burdockcart.process.gateway.promotion import promoter
+from burdockcart.process.gateway.promotion import promotion_claims
+from burdockcart.process.gateway.promotion import reserved_claims
+from burdockcart.process.gateway.promotion import turn
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import restore_wait
 
 #: Pause between two queries of all members of a group for the primary, in
 #: seconds; a promotion takes at least 0.6 s.
--- a/burdockcart/process/gateway/hold_keeper.py
+++ b/burdockcart/process/gateway/promotion/hold_keeper.py
@@ -7,11 +7,11 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import asked_members
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import log_comparison
-from burdockcart.process.gateway import pooled_connection
-from burdockcart.process.gateway import replica_roster
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import pooled_connection
+from burdockcart.process.gateway.promotion import asked_members
+from burdockcart.process.gateway.promotion import log_comparison
+from burdockcart.process.gateway.promotion import replica_roster
 
 #: Interval between checks for replicas that are not on hold, in seconds.
 CHECK_INTERVAL_S = 0.1
--- a/burdockcart/process/gateway/log_comparison.py
+++ b/burdockcart/process/gateway/promotion/log_comparison.py
@@ -9,9 +9,9 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import failover_rule
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import member_pool
+from burdockcart.process.gateway.promotion import failover_rule
 from burdockcart.request import log_position
 
 #: Timeout of a query to a replica, in seconds.
--- a/burdockcart/process/gateway/open_calls.py
+++ b/burdockcart/process/gateway/promotion/open_calls.py
@@ -5,8 +5,8 @@
 
 from burdockcart import clock
 from burdockcart import ids
-from burdockcart.process.gateway import promotion_claims
-from burdockcart.process.gateway import store_follower
+from burdockcart.process.gateway.promotion import promotion_claims
+from burdockcart.process.gateway.store import store_follower
 
 
 class OpenCalls(Protocol):
--- a/burdockcart/process/gateway/passed_commits.py
+++ b/burdockcart/process/gateway/promotion/passed_commits.py
@@ -3,7 +3,7 @@
 import collections
 
 from burdockcart import clock
-from burdockcart.process.gateway import call_notice
+from burdockcart.process.gateway.promotion import call_notice
 from burdockcart.request import log_position
 
 #: Time for which earlier positions are kept, in seconds; longer than the
--- a/burdockcart/process/gateway/primary_tracker.py
+++ b/burdockcart/process/gateway/promotion/primary_tracker.py
@@ -8,9 +8,9 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import leadership
-from burdockcart.process.gateway import member_pool
-from burdockcart.process.gateway import term_witness
+from burdockcart.process.gateway.members import member_pool
+from burdockcart.process.gateway.promotion import leadership
+from burdockcart.process.gateway.promotion import term_witness
 from burdockcart.request import log_position
 from burdockcart.request import sample_window
 
--- a/burdockcart/process/gateway/promoter.py
+++ b/burdockcart/process/gateway/promotion/promoter.py
@@ -20,19 +20,19 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import asked_members
-from burdockcart.process.gateway import call_notice
-from burdockcart.process.gateway import claim_record
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import gateway_metrics
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import hold_keeper
-from burdockcart.process.gateway import log_comparison
-from burdockcart.process.gateway import promotion_call
-from burdockcart.process.gateway import promotion_claims
-from burdockcart.process.gateway import reserved_claims
-from burdockcart.process.gateway import restore_wait
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.promotion import asked_members
+from burdockcart.process.gateway.promotion import call_notice
+from burdockcart.process.gateway.promotion import claim_record
+from burdockcart.process.gateway.promotion import failover_rule
+from burdockcart.process.gateway.promotion import hold_keeper
+from burdockcart.process.gateway.promotion import log_comparison
+from burdockcart.process.gateway.promotion import promotion_call
+from burdockcart.process.gateway.promotion import promotion_claims
+from burdockcart.process.gateway.promotion import reserved_claims
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import restore_wait
 from burdockcart.version import manifest
 
 #: Initial estimate of the time that a promotion by the platform takes, in
--- a/burdockcart/process/gateway/promotion_call.py
+++ b/burdockcart/process/gateway/promotion/promotion_call.py
@@ -11,16 +11,16 @@
 
 from burdockcart import clock
 from burdockcart import ids
-from burdockcart.process.gateway import asked_members
-from burdockcart.process.gateway import call_notice
-from burdockcart.process.gateway import claim_record
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import failover_rule
 from burdockcart.process.gateway import gateway_metrics
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import log_comparison
-from burdockcart.process.gateway import promotion_claims
-from burdockcart.process.gateway import reserved_claims
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.promotion import asked_members
+from burdockcart.process.gateway.promotion import call_notice
+from burdockcart.process.gateway.promotion import claim_record
+from burdockcart.process.gateway.promotion import failover_rule
+from burdockcart.process.gateway.promotion import log_comparison
+from burdockcart.process.gateway.promotion import promotion_claims
+from burdockcart.process.gateway.promotion import reserved_claims
+from burdockcart.process.gateway.store import coordination
 from burdockcart.request import log_position
 from burdockcart.version import manifest
 
--- a/burdockcart/process/gateway/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion/promotion_claims.py
@@ -4,9 +4,9 @@
 import msgspec
 
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import failover_rule
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.promotion import failover_rule
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_era
 
 #: Pause after an attempt without a promotion, in seconds.
 FAILED_PAUSE_S = 0.4
--- a/burdockcart/process/gateway/promotion_watch.py
+++ b/burdockcart/process/gateway/promotion/promotion_watch.py
@@ -8,8 +8,8 @@
 from burdockcart.connection import member_channel
 from burdockcart import ids
 from burdockcart.process.gateway import gateway_metrics
-from burdockcart.process.gateway import member_pool
-from burdockcart.process.gateway import promotion_audit
+from burdockcart.process.gateway.members import member_pool
+from burdockcart.process.gateway.promotion import promotion_audit
 from burdockcart.request import log_position
 
 #: Timeout of a query to a member, in seconds.
--- a/burdockcart/process/gateway/replica_roster.py
+++ b/burdockcart/process/gateway/promotion/replica_roster.py
@@ -17,7 +17,7 @@
 from typing import Collection
 
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.store import coordination
 from burdockcart.request import log_position
 from burdockcart.version import manifest
 
--- a/burdockcart/process/gateway/reserved_claims.py
+++ b/burdockcart/process/gateway/promotion/reserved_claims.py
@@ -26,11 +26,11 @@
 
 from burdockcart import clock
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import restore_wait
-from burdockcart.process.gateway import store_era
-from burdockcart.process.gateway import turn
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.promotion import turn
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import restore_wait
+from burdockcart.process.gateway.store import store_era
 
 #: Daemons that hold a reserved token of a group: one may be cut off together
 #: with the primary.
--- a/burdockcart/process/gateway/roster_keeper.py
+++ b/burdockcart/process/gateway/promotion/roster_keeper.py
@@ -24,12 +24,12 @@
 from burdockcart import clock
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
-from burdockcart.process.gateway import replica_roster
-from burdockcart.process.gateway import store_era
-from burdockcart.process.gateway import turn
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import member_pool
+from burdockcart.process.gateway.promotion import replica_roster
+from burdockcart.process.gateway.promotion import turn
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_era
 from burdockcart.request import log_position
 
 #: Interval between scans of all groups, in seconds.
--- a/burdockcart/process/gateway/term_witness.py
+++ b/burdockcart/process/gateway/promotion/term_witness.py
@@ -22,8 +22,8 @@
 from burdockcart.connection import answer_timeout
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import member_pool
-from burdockcart.process.gateway import shared_inquiry
+from burdockcart.process.gateway.members import member_pool
+from burdockcart.process.gateway.promotion import shared_inquiry
 
 #: Timeout of a replica's answer, in seconds; the query takes no slot, so only
 #: the network or a stopped member delays it.
--- /dev/null
+++ b/burdockcart/process/gateway/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Statements and transactions of clients, and their end at a shutdown."""
--- a/burdockcart/process/gateway/attempts.py
+++ b/burdockcart/process/gateway/sessions/attempts.py
@@ -15,9 +15,9 @@
 from burdockcart.connection import member_channel
 from burdockcart import ids
 from burdockcart.process.gateway import gateway_metrics
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import pooled_connection
-from burdockcart.process.gateway import refusals
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import pooled_connection
+from burdockcart.process.gateway.sessions import refusals
 from burdockcart.request import command
 from burdockcart.request import retry_policy
 from burdockcart.request import sample_window
--- a/burdockcart/process/gateway/drain.py
+++ b/burdockcart/process/gateway/sessions/drain.py
@@ -7,10 +7,10 @@
 import loguru
 
 from burdockcart import clock
-from burdockcart.process.gateway import client_listener
 from burdockcart.process.gateway import gateway_metrics
-from burdockcart.process.gateway import shutdown_plan
-from burdockcart.process.gateway import stop_admission
+from burdockcart.process.gateway.sessions import client_listener
+from burdockcart.process.gateway.sessions import shutdown_plan
+from burdockcart.process.gateway.sessions import stop_admission
 
 #: Interval of checking whether the last connections have closed, in seconds.
 LAST_STEP_S = 0.01
--- a/burdockcart/process/gateway/refusals.py
+++ b/burdockcart/process/gateway/sessions/refusals.py
@@ -4,8 +4,8 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import errors
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import pooled_connection
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import pooled_connection
 from burdockcart.version import manifest
 
 #: First pause before retrying a member with a full queue, in seconds; about
--- a/burdockcart/process/gateway/statement_runner.py
+++ b/burdockcart/process/gateway/sessions/statement_runner.py
@@ -10,10 +10,10 @@
 from burdockcart.connection import member_channel
 from burdockcart import errors
 from burdockcart import ids
-from burdockcart.process.gateway import attempts
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import pooled_connection
-from burdockcart.process.gateway import refusals
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import pooled_connection
+from burdockcart.process.gateway.sessions import attempts
+from burdockcart.process.gateway.sessions import refusals
 from burdockcart.request import retry
 from burdockcart.request import retry_policy
 from burdockcart.request import work_queue
--- a/burdockcart/process/gateway/stop_admission.py
+++ b/burdockcart/process/gateway/sessions/stop_admission.py
@@ -6,7 +6,7 @@
 
 from burdockcart import clock
 from burdockcart import errors
-from burdockcart.process.gateway import shutdown_plan
+from burdockcart.process.gateway.sessions import shutdown_plan
 from burdockcart.request import answer_times
 from burdockcart.version import manifest
 
--- /dev/null
+++ b/burdockcart/process/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""What the daemon reads from and keeps in the platform's store."""
--- a/burdockcart/process/gateway/coordination.py
+++ b/burdockcart/process/gateway/store/coordination.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from burdockcart import ids
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.store import store_era
 from burdockcart.request import log_position
 from burdockcart.version import manifest
 
--- a/burdockcart/process/gateway/daemon_catalog.py
+++ b/burdockcart/process/gateway/store/daemon_catalog.py
@@ -1,7 +1,7 @@
 """Daemons that are registered in the platform's store."""
 
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.store import coordination
 
 #: Time for which an entry that the restored store lacks stays in use, in
 #: seconds: the lifetime of a registration.  A daemon that runs registers
--- a/burdockcart/process/gateway/link_key.py
+++ b/burdockcart/process/gateway/store/link_key.py
@@ -7,7 +7,7 @@
 import loguru
 from returns import result
 
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import fleet_key
 
 #: Interval between attempts to write the key, in seconds.
--- a/burdockcart/process/gateway/listing.py
+++ b/burdockcart/process/gateway/store/listing.py
@@ -7,8 +7,8 @@
 import loguru
 from returns import result
 
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import store_follower
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_follower
 
 #: Lifetime of a daemon's registration, and interval between renewals, in
 #: seconds.
--- a/burdockcart/process/gateway/restore_wait.py
+++ b/burdockcart/process/gateway/store/restore_wait.py
@@ -16,10 +16,10 @@
 
 from burdockcart import clock
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import promotion_claims
-from burdockcart.process.gateway import store_follower
-from burdockcart.process.gateway import turn
+from burdockcart.process.gateway.promotion import promotion_claims
+from burdockcart.process.gateway.promotion import turn
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_follower
 
 #: Interval between attempts to record the end of a wait, in seconds.
 RECORD_INTERVAL_S = 0.5
--- a/burdockcart/process/gateway/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -11,10 +11,10 @@
 from burdockcart.connection import backoff
 from burdockcart.connection import own_link
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import daemon_catalog
-from burdockcart.process.gateway import member_catalog
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import daemon_catalog
+from burdockcart.process.gateway.store import member_catalog
+from burdockcart.process.gateway.store import store_era
 from burdockcart.version import manifest
 
 #: Interval between two polls of the store, as a share of the time in which a
--- a/burdockcart/process/gateway/tests/test_connections.py
+++ b/burdockcart/process/gateway/tests/test_connections.py
@@ -6,7 +6,7 @@
 import testtools
 
 from burdockcart import errors
-from burdockcart.process.gateway import connection_share
+from burdockcart.process.gateway.members import connection_share
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.request import command
 from burdockcart.request import work_queue
--- a/burdockcart/process/gateway/tests/test_failover.py
+++ b/burdockcart/process/gateway/tests/test_failover.py
@@ -5,7 +5,7 @@
 import testtools
 
 from burdockcart.emulator import wire_member
-from burdockcart.process.gateway import failover_rule
+from burdockcart.process.gateway.promotion import failover_rule
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.request import log_position
 from burdockcart.tests import gateway_deployment
--- a/burdockcart/process/gateway/tests/test_hedged_reads.py
+++ b/burdockcart/process/gateway/tests/test_hedged_reads.py
@@ -5,8 +5,8 @@
 import testtools
 
 from burdockcart.connection import member_channel
-from burdockcart.process.gateway import attempts
-from burdockcart.process.gateway import statement_runner
+from burdockcart.process.gateway.sessions import attempts
+from burdockcart.process.gateway.sessions import statement_runner
 from burdockcart.request import command
 from burdockcart.tests import gateway_deployment
 
--- a/burdockcart/process/gateway/tests/test_isolation.py
+++ b/burdockcart/process/gateway/tests/test_isolation.py
@@ -5,7 +5,7 @@
 import testtools
 
 from burdockcart.connection import member_channel
-from burdockcart.process.gateway import isolation
+from burdockcart.process.gateway.members import isolation
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.tests import gateway_deployment
 
--- a/burdockcart/process/gateway/tests/test_listing.py
+++ b/burdockcart/process/gateway/tests/test_listing.py
@@ -7,8 +7,8 @@
 
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import listing as listings
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import listing as listings
 from burdockcart.tests import gateway_deployment
 
 ENTRY = coordination.DaemonEntry(
--- a/burdockcart/process/gateway/tests/test_load.py
+++ b/burdockcart/process/gateway/tests/test_load.py
@@ -5,8 +5,8 @@
 import testtools
 
 from burdockcart import errors
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import shutdown_plan
+from burdockcart.process.gateway.sessions import shutdown_plan
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.request import command
 from burdockcart.request import work_queue
--- a/burdockcart/process/gateway/tests/test_old_primary.py
+++ b/burdockcart/process/gateway/tests/test_old_primary.py
@@ -6,7 +6,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import errors
-from burdockcart.process.gateway import promotion_claims
+from burdockcart.process.gateway.promotion import promotion_claims
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.request import command
--- a/burdockcart/process/gateway/tests/test_open_calls.py
+++ b/burdockcart/process/gateway/tests/test_open_calls.py
@@ -11,7 +11,7 @@
 from returns import result
 import testtools
 
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.tests import test_replica_rosters
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.request import command
--- a/burdockcart/process/gateway/tests/test_overlapping_promotions.py
+++ b/burdockcart/process/gateway/tests/test_overlapping_promotions.py
@@ -10,9 +10,9 @@
 from returns import result
 import testtools
 
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import failover_rule
-from burdockcart.process.gateway import reserved_claims
+from burdockcart.process.gateway.promotion import failover_rule
+from burdockcart.process.gateway.promotion import reserved_claims
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.tests import gateway_deployment
--- a/burdockcart/process/gateway/tests/test_promotion_at_stop.py
+++ b/burdockcart/process/gateway/tests/test_promotion_at_stop.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from burdockcart.process.gateway import log_comparison
+from burdockcart.process.gateway.promotion import log_comparison
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.tests import gateway_deployment
--- a/burdockcart/process/gateway/tests/test_promotion_audit.py
+++ b/burdockcart/process/gateway/tests/test_promotion_audit.py
@@ -5,7 +5,7 @@
 import testtools
 
 from burdockcart.connection import member_channel
-from burdockcart.process.gateway import promotion_audit
+from burdockcart.process.gateway.promotion import promotion_audit
 from burdockcart.process.gateway.tests import test_open_calls
 from burdockcart.process.gateway.tests import test_own_link
 from burdockcart.process.gateway.tests import test_replica_rosters
--- a/burdockcart/process/gateway/tests/test_promotion_claims.py
+++ b/burdockcart/process/gateway/tests/test_promotion_claims.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import promotion_claims
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.promotion import promotion_claims
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_era
 
 GROUP = "g"
 
--- a/burdockcart/process/gateway/tests/test_replica_rosters.py
+++ b/burdockcart/process/gateway/tests/test_replica_rosters.py
@@ -9,9 +9,9 @@
 import testtools
 
 from burdockcart.emulator import wire_member
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import failover_rule
-from burdockcart.process.gateway import replica_roster
+from burdockcart.process.gateway.promotion import failover_rule
+from burdockcart.process.gateway.promotion import replica_roster
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_overlapping_promotions
 from burdockcart.process.gateway.tests import test_sessions
--- a/burdockcart/process/gateway/tests/test_reserved_claims.py
+++ b/burdockcart/process/gateway/tests/test_reserved_claims.py
@@ -5,8 +5,8 @@
 import testtools
 
 from burdockcart.emulator import wire_platform
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import reserved_claims
+from burdockcart.process.gateway.promotion import reserved_claims
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.tests import gateway_deployment
--- a/burdockcart/process/gateway/tests/test_restored_lists.py
+++ b/burdockcart/process/gateway/tests/test_restored_lists.py
@@ -6,10 +6,10 @@
 from returns import result
 import testtools
 
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import daemon_catalog
-from burdockcart.process.gateway import link_key
-from burdockcart.process.gateway import member_catalog
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import daemon_catalog
+from burdockcart.process.gateway.store import link_key
+from burdockcart.process.gateway.store import member_catalog
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.peers import fleet_key
 from burdockcart.tests import gateway_deployment
--- a/burdockcart/process/gateway/tests/test_restored_store.py
+++ b/burdockcart/process/gateway/tests/test_restored_store.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from burdockcart.process.gateway import reserved_claims
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.promotion import reserved_claims
+from burdockcart.process.gateway.store import store_era
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.gateway.tests import test_store_follower
--- a/burdockcart/process/gateway/tests/test_stop_admission.py
+++ b/burdockcart/process/gateway/tests/test_stop_admission.py
@@ -4,7 +4,7 @@
 
 from burdockcart import errors
 from burdockcart import ids
-from burdockcart.process.gateway import stop_admission
+from burdockcart.process.gateway.sessions import stop_admission
 from burdockcart.request import answer_times
 from burdockcart.tests import gateway_deployment
 
--- a/burdockcart/process/gateway/tests/test_store_follower.py
+++ b/burdockcart/process/gateway/tests/test_store_follower.py
@@ -7,11 +7,11 @@
 from returns import result
 import testtools
 
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import listing as listings
-from burdockcart.process.gateway import member_catalog
-from burdockcart.process.gateway import promotion_claims
-from burdockcart.process.gateway import store_era
+from burdockcart.process.gateway.promotion import promotion_claims
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import listing as listings
+from burdockcart.process.gateway.store import member_catalog
+from burdockcart.process.gateway.store import store_era
 from burdockcart.process.gateway.tests import test_listing
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.tests import gateway_deployment
--- a/burdockcart/process/gateway/tests/test_unlisted_replicas.py
+++ b/burdockcart/process/gateway/tests/test_unlisted_replicas.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from burdockcart.process.gateway import passed_commits
-from burdockcart.process.gateway import promotion_call
+from burdockcart.process.gateway.promotion import passed_commits
+from burdockcart.process.gateway.promotion import promotion_call
 from burdockcart.process.gateway.tests import test_open_calls
 from burdockcart.process.gateway.tests import test_replica_rosters
 from burdockcart.process.gateway.tests import test_sessions
--- a/burdockcart/process/peers/held_transaction.py
+++ b/burdockcart/process/peers/held_transaction.py
@@ -6,8 +6,8 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import pooled_connection
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import pooled_connection
 
 State = member_channel.TransactionState
 
--- a/burdockcart/process/peers/holder_choice.py
+++ b/burdockcart/process/peers/holder_choice.py
@@ -21,8 +21,8 @@
 import xxhash
 
 from burdockcart import ids
-from burdockcart.process.gateway import connection_share
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.members import connection_share
+from burdockcart.process.gateway.store import coordination
 
 #: Connections that a daemon must be able to keep to each member for the whole
 #: fleet to connect directly.
--- a/burdockcart/process/peers/holding.py
+++ b/burdockcart/process/peers/holding.py
@@ -5,8 +5,8 @@
 
 from burdockcart import clock
 from burdockcart import ids
-from burdockcart.process.gateway import connection_share
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.members import connection_share
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import holder_choice
 from burdockcart.version import manifest
 
--- a/burdockcart/process/peers/peer_notices.py
+++ b/burdockcart/process/peers/peer_notices.py
@@ -2,9 +2,9 @@
 
 from burdockcart import clock
 from burdockcart import ids
-from burdockcart.process.gateway import call_notice
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import group as groups
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.promotion import call_notice
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import holder_link
 from burdockcart.process.peers import holding
 from burdockcart.process.peers import messages
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -10,10 +10,10 @@
 from burdockcart.connection import member_channel
 from burdockcart.connection import own_link
 from burdockcart import ids
-from burdockcart.process.gateway import attempts
-from burdockcart.process.gateway import coordination
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import member_pool
+from burdockcart.process.gateway.sessions import attempts
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import holder_choice
 from burdockcart.process.peers import holding
 from burdockcart.process.peers import messages
--- a/burdockcart/process/peers/relay_actions.py
+++ b/burdockcart/process/peers/relay_actions.py
@@ -4,8 +4,8 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import member_pool
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.peers import messages
 
 Fault = member_channel.MemberFault
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -12,7 +12,7 @@
 from burdockcart.connection import member_channel
 from burdockcart.connection import own_link
 from burdockcart import ids
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import holder_link
 from burdockcart.process.peers import relayed_channel
 from burdockcart.process.peers import tcp
--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -8,8 +8,8 @@
 
 from burdockcart import clock
 from burdockcart import ids
-from burdockcart.process.gateway import attempts
-from burdockcart.process.gateway import shutdown_plan
+from burdockcart.process.gateway.sessions import attempts
+from burdockcart.process.gateway.sessions import shutdown_plan
 from burdockcart.process.peers import relay_session
 from burdockcart.process.peers import tcp
 
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -13,9 +13,9 @@
 from burdockcart.connection import member_channel
 from burdockcart import errors
 from burdockcart import ids
-from burdockcart.process.gateway import attempts
-from burdockcart.process.gateway import group as groups
-from burdockcart.process.gateway import pooled_connection
+from burdockcart.process.gateway.members import group as groups
+from burdockcart.process.gateway.members import pooled_connection
+from burdockcart.process.gateway.sessions import attempts
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import held_transaction
 from burdockcart.process.peers import messages
--- a/burdockcart/process/peers/tests/test_holding.py
+++ b/burdockcart/process/peers/tests/test_holding.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from burdockcart.process.gateway import coordination
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import holding
 from burdockcart.version import manifest
 
--- a/burdockcart/process/peers/tests/test_leaving_holder.py
+++ b/burdockcart/process/peers/tests/test_leaving_holder.py
@@ -6,7 +6,7 @@
 import testtools
 
 from burdockcart import errors
-from burdockcart.process.gateway import client_listener
+from burdockcart.process.gateway.sessions import client_listener
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.peers.tests import relay_case
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -11,7 +11,7 @@
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
 from burdockcart.process.gateway import application
-from burdockcart.process.gateway import client_listener
+from burdockcart.process.gateway.sessions import client_listener
 from burdockcart.process.gateway import settings
 from burdockcart.process.peers import fleet_key
 from burdockcart.request import command
