Prepare the interfaces for client accounts

Sessions ask an access object before a statement runs, and connections, queued work and link messages name the client account.

--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -13,6 +13,7 @@
 from burdockcart.connection import session_names
 from burdockcart import errors
 from burdockcart import ids
+from burdockcart.process.accounts import session_access
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway.sessions import attempts
 from burdockcart.process.gateway.sessions import statement_runner
@@ -24,6 +25,9 @@
 from burdockcart.version import manifest
 
 _DONE = member_channel.Answer()
+#: Share of a route's latency goal for which an operation waits for a share of
+#: its account's rate.
+RATE_WAIT_SHARE = 0.5
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -62,8 +66,10 @@
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
         metrics: gateway_metrics.GatewayMetrics,
+        access: session_access.SessionAccess | None = None,
     ):
         self.database = database
+        self._access = access or session_access.OpenAccess()
         self._metrics = metrics
         self._manifest_source = manifest_source
         self._statements = statements
@@ -74,7 +80,7 @@
         self.ends = False
         self._clock = loop_clock
         self._boot_clock = boot_clock
-        self._session = attempts.Session()
+        self._session = attempts.Session(account=self._access.account)
         self._names = session_names.SessionNames(self._session.value_by_name)
         self._transaction: open_transaction.OpenTransaction | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -206,10 +212,14 @@
         kind = statement.kind
         if kind in session_names.KINDS:
             return self._reply(self._names.change(statement))
-        if kind in _BEGINS:
-            return self._reply(self._begin(statement))
         if kind is command.CommandKind.ROLLBACK:
             return self._reply(self._roll_back())
+        refused = self._access.refusal()
+        if refused is not None:
+            self.ends |= refused.kind is errors.ErrorKind.UNAUTHORIZED
+            return self._fail_at(statement, refused)
+        if kind in _BEGINS:
+            return self._reply(self._begin(statement))
         if kind is command.CommandKind.COMMIT and self._transaction is None:
             return self._refuse("COMMIT outside of a transaction")
         shape = self._names.shape_of(statement)
@@ -309,6 +319,7 @@
     ) -> Reply:
         """Run a statement on a member."""
         transaction = self._transaction
+        arrived_at, read_at = self._clock.now(), self._boot_clock.now()
         route = self._route() if transaction is None else transaction.route
         if route is None:
             return self._reply(result.Failure(self._no_route()))
@@ -325,14 +336,27 @@
             shape=shape,
             writes=writes,
             route=self._admission.limited(route),
-            arrived_at=self._clock.now(),
-            read_at=self._boot_clock.now(),
+            arrived_at=arrived_at,
+            read_at=read_at,
+        )
+        begins = (
+            transaction is None
+            or transaction.phase is open_transaction.Phase.NEW
         )
+        if begins:
+            refused = await self._access.begin_operation(
+                RATE_WAIT_SHARE * route.latency_goal_s
+            )
+            if refused is not None:
+                return self._fail_at(statement, refused)
         if transaction is None:
             outcome = await self._statements.run(self._session, request)
+            self._return_unsent(outcome)
             self._learn(route, work, request.arrived_at)
             return self._reply(outcome)
         if writes and transaction.read_only:
+            if begins:
+                self._access.operation_unsent()
             failure = errors.Failure(
                 errors.ErrorKind.NO_PRIMARY, "the transaction is read-only"
             )
@@ -341,6 +365,8 @@
         outcome = await self._transactions.run(
             self._session, transaction, request
         )
+        if begins:
+            self._return_unsent(outcome)
         self._learn(route, work, request.arrived_at)
         if commits:
             self._learn(
@@ -352,6 +378,13 @@
             self._fail(outcome.failure())
         return self._reply(outcome)
 
+    def _return_unsent(self, outcome: attempts.Outcome) -> None:
+        """Give back an operation whose first statement was not run."""
+        if isinstance(outcome, result.Failure):
+            answer = errors.answer_for(outcome.failure().kind)
+            if answer.effect is errors.Effect.NOT_RUN:
+                self._access.operation_unsent()
+
     def _learn(
         self,
         route: manifest.DatabaseRoute,
--- a/burdockcart/connection/member_channel.py
+++ b/burdockcart/connection/member_channel.py
@@ -247,9 +247,21 @@
     """Opens connections to members."""
 
     async def connect(
-        self, member: MemberAddress, timeout_s: float
+        self,
+        member: MemberAddress,
+        timeout_s: float,
+        account: ids.AccountName | None = None,
     ) -> Channel | MemberFault:
-        """Open a connection and check which member answers."""
+        """Open a connection and check which member answers.
+
+        Parameters
+        ==========
+
+        account : AccountName or None
+            Client account whose statements will run on it; None for the
+            daemon's own and for clients without an account.
+
+        """
 
     async def detour(self, member: MemberAddress) -> Channel | None:
         """Find a way to a member that this daemon cannot reach itself."""
--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -40,7 +40,10 @@
         latency_s: float,
         cut: set[ids.MemberId],
         link: host_link.HostLink,
+        account: ids.AccountName | None = None,
     ):
+        #: What the member was told about who connects.
+        self.account = account
         self._link = link
         self.member = member
         self.latency_s = latency_s
--- a/burdockcart/emulator/wire_connector.py
+++ b/burdockcart/emulator/wire_connector.py
@@ -70,7 +70,10 @@
         return None
 
     async def connect(
-        self, member: member_channel.MemberAddress, timeout_s: float
+        self,
+        member: member_channel.MemberAddress,
+        timeout_s: float,
+        account: ids.AccountName | None = None,
     ) -> member_channel.Channel | Fault:
         """Open a connection and check which member answers."""
         fault = await self._connect_fault(member.id, timeout_s)
@@ -88,7 +91,7 @@
         ):
             return Fault.CONNECTIONS_EXHAUSTED
         channel = wire_channel.EmulatedChannel(
-            target, self.latency_s, self.cut, self.link
+            target, self.latency_s, self.cut, self.link, account
         )
         self.channels.append(channel)
         return channel
--- a/burdockcart/errors.py
+++ b/burdockcart/errors.py
@@ -27,6 +27,8 @@
     SESSION_TOO_LARGE = "session_too_large"
     REQUEST_TOO_LARGE = "request_too_large"
     REQUEST_TIMEOUT = "request_timeout"
+    RATE_LIMITED = "rate_limited"
+    CREDENTIALS_UNCONFIRMED = "credentials_unconfirmed"
     OVERLOADED = "overloaded"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     NO_PRIMARY = "no_primary"
@@ -101,6 +103,8 @@
 
 _RETRYABLE_STATUS_BY_KIND = {
     ErrorKind.REQUEST_TIMEOUT: 408,
+    ErrorKind.RATE_LIMITED: 429,
+    ErrorKind.CREDENTIALS_UNCONFIRMED: 503,
     ErrorKind.OVERLOADED: 503,
     ErrorKind.DEADLINE_UNREACHABLE: 503,
     ErrorKind.NO_PRIMARY: 503,
--- a/burdockcart/ids.py
+++ b/burdockcart/ids.py
@@ -2,6 +2,8 @@
 
 from typing import NewType
 
+#: Name of a client account, as the manifest gives it and members are told it.
+AccountName = NewType("AccountName", str)
 CallerId = NewType("CallerId", str)
 DaemonId = NewType("DaemonId", str)
 DomainName = NewType("DomainName", str)
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -11,6 +11,7 @@
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
 from burdockcart.connection import sockets
+from burdockcart import ids
 from burdockcart.platform import wire
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -334,7 +335,10 @@
         return None
 
     async def connect(
-        self, member: member_channel.MemberAddress, timeout_s: float
+        self,
+        member: member_channel.MemberAddress,
+        timeout_s: float,
+        account: ids.AccountName | None = None,
     ) -> member_channel.Channel | member_channel.MemberFault:
         """Open a connection and check that the expected member answers."""
         host, _, port = member.address.rpartition(":")
@@ -349,7 +353,7 @@
         try:
             async with answer_timeout.AnswerTimeout(timeout_s):
                 await stream.connect((host, int(port)))
-                stream.write(wire.startup_line(member))
+                stream.write(wire.startup_line(member, account))
                 data = await stream.read_until_regex(
                     _STARTUP_END, max_bytes=wire.MAX_MESSAGE_BYTES
                 )
--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -24,6 +24,8 @@
 MAX_DIGITS = 18
 #: Length of the longest prefix that a read or EXECUTE gets for a member.
 _AFTER_LENGTH = len("AFTER . ") + 2 * MAX_DIGITS
+#: Who connects to a member where no client account does.
+OWN_NAME = "burdockcart"
 #: Id of the statements that the proxy itself issues.
 PROXY_STATEMENT_ID = "-"
 
@@ -50,7 +52,10 @@
 _WORD_BY_ERROR = {
     errors.ErrorKind.BAD_REQUEST: "MALFORMED",
     errors.ErrorKind.REQUEST_TOO_LARGE: "TOOLARGE",
+    errors.ErrorKind.UNAUTHORIZED: "NOAUTH",
     errors.ErrorKind.NO_ROUTE: "NODB",
+    errors.ErrorKind.RATE_LIMITED: "BUSY",
+    errors.ErrorKind.CREDENTIALS_UNCONFIRMED: "BUSY",
     errors.ErrorKind.OVERLOADED: "BUSY",
     errors.ErrorKind.DEADLINE_UNREACHABLE: "BUSY",
     errors.ErrorKind.DRAINING: "BUSY",
@@ -318,9 +323,16 @@
     return f"ERROR {word} {text}\r\n".encode()
 
 
-def startup_line(member: member_channel.MemberAddress) -> bytes:
-    """Encode the first message to a member."""
-    return f"STARTUP {member.group} burdockcart {member.id}\r\n".encode()
+def startup_line(
+    member: member_channel.MemberAddress,
+    account: ids.AccountName | None = None,
+) -> bytes:
+    """Encode the first message to a member.
+
+    Without an account the connection is the proxy's own.
+    """
+    who = OWN_NAME if account is None else account
+    return f"STARTUP {member.group} {who} {member.id}\r\n".encode()
 
 
 def query_line(
--- /dev/null
+++ b/burdockcart/process/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts on this daemon: keys, evidence and access."""
--- a/burdockcart/process/gateway/members/connection_share.py
+++ b/burdockcart/process/gateway/members/connection_share.py
@@ -51,7 +51,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import connection_share
+    >>> from burdockcart.process.gateway.members import connection_share
     >>> connection_share.share_of(16, 4, uptime_s=60.0)
     Share(soft_limit=2, hard_limit=3)
     >>> connection_share.share_of(16, 4, uptime_s=1.0)
@@ -80,7 +80,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import connection_share
+    >>> from burdockcart.process.gateway.members import connection_share
     >>> count = connection_share.DaemonCount(4, now=0.0)
     >>> count.record_count(3, now=1.0)
     4
--- a/burdockcart/process/gateway/members/isolation.py
+++ b/burdockcart/process/gateway/members/isolation.py
@@ -49,7 +49,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import isolation
+    >>> from burdockcart.process.gateway.members import isolation
     >>> down = isolation.RemoteMember(True, last_answer_at=1.0)
     >>> well = isolation.RemoteMember(False, last_answer_at=1.9)
     >>> isolation.suspected([down, down], now=2.0)
@@ -74,7 +74,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import isolation
+    >>> from burdockcart.process.gateway.members import isolation
     >>> isolation.sessions_to_close(1.0, ["a", "b"], 0.1)
     []
     >>> isolation.sessions_to_close(3.0, ["a", "b"], 0.1)
--- a/burdockcart/process/gateway/promotion/failover_rule.py
+++ b/burdockcart/process/gateway/promotion/failover_rule.py
@@ -98,7 +98,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import failover_rule
+    >>> from burdockcart.process.gateway.promotion import failover_rule
     >>> view = failover_rule.PrimaryView(
     ...     leads_since=0.0, draining=False, failures=2, refusals=2,
     ...     first_failure_at=9.8, last_answer_at=9.7, oldest_write_at=None,
@@ -181,7 +181,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import failover_rule
+    >>> from burdockcart.process.gateway.promotion import failover_rule
     >>> failover_rule.estimate_primary_at(1.25, None, 0.6, now=1.1)
     1.85
     >>> failover_rule.estimate_primary_at(1.25, None, 0.6, now=2.85)
--- a/burdockcart/process/gateway/promotion/leadership.py
+++ b/burdockcart/process/gateway/promotion/leadership.py
@@ -18,7 +18,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import leadership
+    >>> from burdockcart.process.gateway.promotion import leadership
     >>> known = leadership.Leadership()
     >>> known.suggest_leader("a", now=1.0)
     True
--- a/burdockcart/process/gateway/promotion/promotion_audit.py
+++ b/burdockcart/process/gateway/promotion/promotion_audit.py
@@ -74,7 +74,7 @@
     ========
 
     >>> from burdockcart.connection import member_channel
-    >>> from burdockcart.process.gateway import promotion_audit
+    >>> from burdockcart.process.gateway.promotion import promotion_audit
     >>> from burdockcart.request import log_position
     >>> def status(role, term, *received):
     ...     return member_channel.MemberStatus(
--- a/burdockcart/process/gateway/promotion/replica_roster.py
+++ b/burdockcart/process/gateway/promotion/replica_roster.py
@@ -48,8 +48,8 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import coordination
-    >>> from burdockcart.process.gateway import replica_roster
+    >>> from burdockcart.process.gateway.store import coordination
+    >>> from burdockcart.process.gateway.promotion import replica_roster
     >>> a, b, c = (
     ...     coordination.RosterMember(each, 1, f"{each}:1") for each in "abc")
     >>> known = replica_roster.ReplicaRoster(first_start=False)
--- a/burdockcart/process/gateway/promotion/reserved_claims.py
+++ b/burdockcart/process/gateway/promotion/reserved_claims.py
@@ -58,7 +58,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import reserved_claims
+    >>> from burdockcart.process.gateway.promotion import reserved_claims
     >>> fleet = ["a", "b", "c", "d"]
     >>> ranks = [reserved_claims.rank(each, "g", fleet) for each in fleet]
     >>> sorted(each for each in ranks if each is not None)
--- a/burdockcart/process/gateway/promotion/term_witness.py
+++ b/burdockcart/process/gateway/promotion/term_witness.py
@@ -60,7 +60,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import term_witness
+    >>> from burdockcart.process.gateway.promotion import term_witness
     >>> [term_witness.answers_needed(others) for others in (0, 1, 2, 3)]
     [0, 0, 1, 2]
 
--- a/burdockcart/process/gateway/promotion/turn.py
+++ b/burdockcart/process/gateway/promotion/turn.py
@@ -41,7 +41,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import turn
+    >>> from burdockcart.process.gateway.promotion import turn
     >>> fleet = ["a", "b", "c", "d"]
     >>> sorted(turn.rank(each, "g", fleet) for each in fleet)
     [0, 1, 2, 3]
@@ -61,7 +61,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import turn
+    >>> from burdockcart.process.gateway.promotion import turn
     >>> [turn.delay_s(each) for each in (3, 4, 8, 70)]
     [0.0, 0.15, 1.5, 3.0]
 
--- a/burdockcart/process/gateway/sessions/attempts.py
+++ b/burdockcart/process/gateway/sessions/attempts.py
@@ -53,6 +53,8 @@
     #: Position of the last commit and the boot-clock time of its
     #: acknowledgement.
     own_commit: sample_window.Sample | None = None
+    #: Client account that the session belongs to.
+    account: ids.AccountName | None = None
 
 
 class Request(msgspec.Struct, frozen=True, kw_only=True):
@@ -208,6 +210,7 @@
             excluded=excluded,
             value_by_name=session.value_by_name,
             shape=request.shape,
+            account=session.account,
         )
 
     async def send(
--- a/burdockcart/process/gateway/sessions/shutdown_plan.py
+++ b/burdockcart/process/gateway/sessions/shutdown_plan.py
@@ -53,7 +53,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import shutdown_plan
+    >>> from burdockcart.process.gateway.sessions import shutdown_plan
     >>> plan = shutdown_plan.ShutdownPlan(6.0)
     >>> plan.to_close(1.0, ["a", "b"])
     []
--- a/burdockcart/process/gateway/store/daemon_catalog.py
+++ b/burdockcart/process/gateway/store/daemon_catalog.py
@@ -25,8 +25,8 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import coordination
-    >>> from burdockcart.process.gateway import daemon_catalog
+    >>> from burdockcart.process.gateway.store import coordination
+    >>> from burdockcart.process.gateway.store import daemon_catalog
     >>> catalog = daemon_catalog.DaemonCatalog()
     >>> entry = coordination.DaemonEntry("a", "a:1", "z", "boot-1", 1)
     >>> catalog.changed({"a": entry}, now=0.0)
--- a/burdockcart/process/gateway/store/member_catalog.py
+++ b/burdockcart/process/gateway/store/member_catalog.py
@@ -34,7 +34,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import member_catalog
+    >>> from burdockcart.process.gateway.store import member_catalog
     >>> catalog = member_catalog.MemberCatalog()
     >>> catalog.changed({"a": None}, now=0.0)
     >>> catalog.remove_departed(now=9.0)
--- a/burdockcart/process/gateway/store/store_era.py
+++ b/burdockcart/process/gateway/store/store_era.py
@@ -32,7 +32,7 @@
     Examples
     ========
 
-    >>> from burdockcart.process.gateway import store_era
+    >>> from burdockcart.process.gateway.store import store_era
     >>> store_era.position(0, 41)
     41
     >>> before, after = store_era.position(1, 90), store_era.position(2, 41)
--- a/burdockcart/process/gateway/tests/test_connections.py
+++ b/burdockcart/process/gateway/tests/test_connections.py
@@ -134,7 +134,7 @@
             pool = pool_of(deployment)
             connector = deployment.daemons[0].connector
 
-            async def fail(address, timeout_s):
+            async def fail(address, timeout_s, account=None):
                 raise ValueError("a fault in the program")
 
             self.patch(connector, "connect", fail)
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -53,6 +53,7 @@
     prove: bool
     timeout_ms: int
     urgency: Urgency
+    account: ids.AccountName | None = None
 
 
 class RunInTransaction(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -84,6 +85,7 @@
     after: tuple[int, int] | None
     timeout_ms: int
     urgency: Urgency
+    account: ids.AccountName | None = None
 
 
 class RollBack(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -271,6 +271,7 @@
         link: holder_link.HolderLink,
         member: member_channel.MemberAddress,
         chosen: Callable[[], bool],
+        account: ids.AccountName | None = None,
         last_resort: bool = False,
     ) -> relayed_channel.RelayedChannel:
         def avoid() -> None:
@@ -285,6 +286,7 @@
             self._route.use_sample,
             self._route.use_call,
             avoid,
+            account,
             last_resort,
         )
 
@@ -345,7 +347,10 @@
         return await self._direct.reach(member, timeout_s)
 
     async def connect(
-        self, member: member_channel.MemberAddress, timeout_s: float
+        self,
+        member: member_channel.MemberAddress,
+        timeout_s: float,
+        account: ids.AccountName | None = None,
     ) -> member_channel.Channel | member_channel.MemberFault:
         """Open a connection, or choose a holder to relay through.
 
@@ -357,16 +362,17 @@
         holders = self._route.holders_of(member.id)
         if holders is not None:
             for entries in holders:
-                relayed = await self._connect_through(entries, member)
+                relayed = await self._connect_through(entries, member, account)
                 if relayed is not None:
                     return relayed
             self._route.hold(member.id)
-        return await self._direct.connect(member, timeout_s)
+        return await self._direct.connect(member, timeout_s, account)
 
     async def _connect_through(
         self,
         entries: list[coordination.DaemonEntry],
         member: member_channel.MemberAddress,
+        account: ids.AccountName | None,
     ) -> member_channel.Channel | None:
         """Relay through the first daemon that can be used, if any."""
         unchanged = self._links.unchanged()
@@ -377,9 +383,9 @@
         ):
             link = await self._links.link(entry)
             if link is not None:
-                return self._channel(link, member, unchanged)
+                return self._channel(link, member, unchanged, account)
         for entry in entries:
             link = self._links.leaving(entry)
             if link is not None and not self._avoids(entry.id, member.id):
-                return self._channel(link, member, unchanged, True)
+                return self._channel(link, member, unchanged, account, True)
         return None
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -377,6 +377,7 @@
             member=message.member,
             value_by_name=value_by_name,
             shape=shape,
+            account=message.account,
         )
         self._waiting.append((group, work))
         try:
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -47,6 +47,8 @@
         Called with the group and the open promotion call in an answer.
     avoid : callable
         Called when the holder does not reach the member.
+    account : AccountName or None
+        Client account whose statements are relayed.
     last_resort : bool
         Whether the holder may be leaving.
 
@@ -63,8 +65,10 @@
             [ids.GroupId, tuple[ids.MemberId, int, ids.StorePosition]], None
         ],
         avoid: Callable[[], None],
+        account: ids.AccountName | None = None,
         last_resort: bool = False,
     ):
+        self._account = account
         self._last_resort = last_resort
         self._avoid = avoid
         self._chosen = chosen
@@ -203,6 +207,7 @@
                 prove,
                 int(timeout_s * 1000),
                 self._urgency,
+                self._account,
             )
 
         return await self._call(Call.SINGLE, build, timeout_s)
@@ -250,6 +255,7 @@
                 messages.position_pair(after),
                 int(timeout_s * 1000),
                 self._urgency,
+                self._account,
             )
 
         return await self._call(Call.BEGIN, build, timeout_s + wait_s)
--- a/burdockcart/process/peers/tests/test_leaving_holder.py
+++ b/burdockcart/process/peers/tests/test_leaving_holder.py
@@ -337,10 +337,12 @@
         for daemon in deployment.daemons:
             connect = daemon.connector.connect
 
-            async def counted(address, timeout_s, connect=connect):
+            async def counted(
+                address, timeout_s, account=None, connect=connect
+            ):
                 if address.id == primary:
                     attempts.append(address.id)
-                return await connect(address, timeout_s)
+                return await connect(address, timeout_s, account)
 
             daemon.connector.connect = counted
         return attempts
--- a/burdockcart/process/peers/tests/test_relay.py
+++ b/burdockcart/process/peers/tests/test_relay.py
@@ -77,10 +77,12 @@
                 connector = daemon.connector
                 connect = connector.connect
 
-                async def counted(address, timeout_s, connect=connect):
+                async def counted(
+                    address, timeout_s, account=None, connect=connect
+                ):
                     if address.id == member.id:
                         attempts.append(address.id)
-                    return await connect(address, timeout_s)
+                    return await connect(address, timeout_s, account)
 
                 connector.connect = counted
             await test_failover.writes_for(deployment, 5.0)
--- a/burdockcart/request/work_queue.py
+++ b/burdockcart/request/work_queue.py
@@ -54,6 +54,8 @@
         Members that refused it or failed to run it.
     connection : Future
         Resolves to the connection, or to the failure that ends the wait.
+    account : AccountName or None
+        Client account that it belongs to.
 
     """
 
@@ -67,6 +69,7 @@
     excluded: set[ids.MemberId] = msgspec.field(default_factory=set)
     value_by_name: dict[str, str] = msgspec.field(default_factory=dict)
     shape: command.Shape | None = None
+    account: ids.AccountName | None = None
 
     @property
     def primary_only(self) -> bool:
--- a/burdockcart/version/manifest.py
+++ b/burdockcart/version/manifest.py
@@ -41,6 +41,36 @@
     timeout_s: float = 1.0
     latency_goal_s: float = 0.2
     priority: int = 0
+    #: Whether clients need no key, so that sessions have no account.
+    anonymous: bool = False
+
+
+class Account(msgspec.Struct, frozen=True, kw_only=True):
+    """A client account: who clients are, and how much they may send.
+
+    Parameters
+    ==========
+
+    keys : frozenset of str
+        Keys that its clients send; they must not be logged.
+    priority : int
+        0 has the largest share of a member that is full.
+    rate_per_s : float or None
+        Operations per second of all daemons together; None for no limit.
+    burst : float
+        Operations that may exceed the rate at once.
+
+    """
+
+    name: ids.AccountName
+    keys: frozenset[str] = frozenset()
+    priority: int = 0
+    rate_per_s: float | None = None
+    burst: float = 0.0
+
+    def __repr__(self) -> str:
+        """Return a text without the keys."""
+        return f"Account({self.name!r}, keys={len(self.keys)})"
 
 
 class GroupLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,6 +93,10 @@
     route_by_database: dict[ids.DatabaseName, DatabaseRoute]
     limits_by_group: dict[ids.GroupId, GroupLimits]
     transaction_idle_s: float
+    #: Empty if the deployment has no accounts.
+    account_by_name: dict[ids.AccountName, Account] = msgspec.field(
+        default_factory=dict
+    )
 
 
 class MemberState(enum.Enum):
