Keep the schedule of a poller that is asked in between

Daemons that asked at different times each caused a poll of their own and stayed apart. An additional poll no longer moves the schedule by which they ask. The emulated store reports the key of the links only when it has changed.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -79,7 +79,8 @@
         self.daemon_changes: list[
             tuple[int, ids.DaemonId, coordination.DaemonEntry | None]
         ] = []
-        self.fleet_key: bytes | None = None
+        self._fleet_key: bytes | None = None
+        self._fleet_key_revision = 0
         #: Faults: the store is unavailable, that many answers to claims or
         #: promotions are lost, lost promotions take effect late.
         self.outage = False
@@ -108,6 +109,16 @@
             setattr(self, name, copy.copy(value))
         self.era = ids.StoreEra(self.era + 1)
 
+    @property
+    def fleet_key(self) -> bytes | None:
+        """The key of the links; a new value is a change of the store."""
+        return self._fleet_key
+
+    @fleet_key.setter
+    def fleet_key(self, key: bytes | None) -> None:
+        self._fleet_key = key
+        self._fleet_key_revision = self._next_revision()
+
     def put_tables(self, tables: manifest.Manifest) -> None:
         """Write a manifest, as the operator does."""
         self.tables = tables
@@ -215,7 +226,11 @@
                     for revision, daemon, entry in self.daemon_changes
                     if revision > after
                 },
-                fleet_key=self.fleet_key,
+                fleet_key=(
+                    self.fleet_key
+                    if self._fleet_key_revision > after
+                    else None
+                ),
                 position=self._position(self.revision),
                 complete_since=self.complete_since,
                 roster_by_group=self._rosters(after),
--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -306,8 +306,13 @@
 
     async def _pause(self, era: ids.StoreEra) -> None:
         """Wait for the next poll, unless it is due at once."""
+        now = self._clock.now()
         pause_s = self._pause_s()
-        self._due_at = self._clock.now() + pause_s
+        if self._due_at > now:
+            # An additional poll does not move the schedule, by which other
+            # daemons ask.
+            pause_s = min(pause_s, self._due_at - now)
+        self._due_at = now + pause_s
         due = asyncio.create_task(
             self._platform.eras.wait_beyond(era, pause_s)
         )
