--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -162,6 +162,12 @@
             "Members that this daemon connects to directly",
             registry=self.registry,
         )
+        self._store_polls = prometheus_client.Counter(
+            "burdockcart_store_polls",
+            "Polls of the store, by who was asked",
+            ["asked"],
+            registry=self.registry,
+        )
         self.log_lines_left_out = prometheus_client.Counter(
             "burdockcart_log_lines_left_out",
             "Log lines suppressed or dropped, by event",
@@ -169,6 +175,10 @@
             registry=self.registry,
         )
 
+    def store_polled(self, direct: bool) -> None:
+        """Count a poll of the store, made directly or by another daemon."""
+        self._store_polls.labels("store" if direct else "daemon").inc()
+
     def task_failed(self) -> None:
         """Count a task that failed unexpectedly."""
         self._task_failures.inc()
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -86,7 +86,12 @@
             group_by_id, self.holding, self._links, loop_clock
         )
         self.polls = shared_polls.SharedPolls(
-            daemon, domain, platform, self._links, loop_clock
+            daemon,
+            domain,
+            platform,
+            self._links,
+            loop_clock,
+            sender.metrics.store_polled,
         )
         self.service = relay_service.RelayService(self, sender, loop_clock)
         self.connector = relay_connector.RelayConnector(
--- a/burdockcart/process/peers/shared_polls.py
+++ b/burdockcart/process/peers/shared_polls.py
@@ -1,6 +1,7 @@
 """Polls of the store that the daemons of a failure domain share."""
 
 import asyncio
+from typing import Callable
 from typing import Protocol
 
 import loguru
@@ -59,6 +60,12 @@
     Manifests and the key of the links are not passed on: they hold secrets,
     and each daemon reads them from the store.
 
+    Parameters
+    ==========
+
+    polled : callable
+        Called for each poll, with whether the store itself is asked.
+
     """
 
     def __init__(
@@ -68,12 +75,14 @@
         platform: coordination.Platform,
         links: relay_connector.HolderLinks,
         loop_clock: clock.Clock,
+        polled: Callable[[bool], None],
     ):
         self._daemon = daemon
         self._domain = domain
         self._platform = platform
         self._links = links
         self._clock = loop_clock
+        self._polled = polled
         self._cache = change_cache.ChangeCache()
         self._entries: list[coordination.DaemonEntry] = []
         self._direct_until = loop_clock.now()
@@ -127,8 +136,10 @@
             changes = await self._ask(entry, after)
             if changes is not None:
                 self.direct = False
+                self._polled(False)
                 return result.Success(changes)
         self.direct = True
+        self._polled(True)
         seen = await self._platform.changes(after)
         if isinstance(seen, result.Success):
             self._cache.record(after, seen.unwrap(), self._clock.now())
