--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -370,7 +370,7 @@
                 for entry in self.tables.catalog.entry_by_id.values():
                     if entry.group == limits.id:
                         group.use_member(entry)
-            group.use_limits(limits)
+            group.use_limits(limits, _has_accounts(found, limits.id))
         for removed in self.group_by_id.keys() - found.limits_by_group.keys():
             self.group_by_id.pop(removed).close()
 
@@ -566,3 +566,11 @@
 
 def _wall_ms() -> int:
     return int(time.time() * 1000)
+
+
+def _has_accounts(found: manifest.Manifest, group: ids.GroupId) -> bool:
+    """Return whether clients of a group have accounts."""
+    return bool(found.account_by_name) and any(
+        route.group == group and not route.anonymous
+        for route in found.route_by_database.values()
+    )
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -78,6 +78,12 @@
             "Reads that were sent to a second member",
             registry=self.registry,
         )
+        self._account_connections = prometheus_client.Counter(
+            "burdockcart_account_connections",
+            "Uses of connections to members by client accounts, by outcome",
+            ["group", "outcome"],
+            registry=self.registry,
+        )
         self._task_failures = prometheus_client.Counter(
             "burdockcart_task_failures",
             "Tasks that failed unexpectedly and were started again",
@@ -205,6 +211,10 @@
         """Count a read that was sent to a second member."""
         self._hedges.inc()
 
+    def account_connection(self, group: str, outcome: str) -> None:
+        """Count a hit, miss or eviction of an account's connection."""
+        self._account_connections.labels(group, outcome).inc()
+
     def statement_cut(self, phase: str) -> None:
         """Count a statement that the end of the process cuts."""
         self._cut.labels(phase).inc()
--- a/burdockcart/process/gateway/members/account_cache.py
+++ b/burdockcart/process/gateway/members/account_cache.py
@@ -16,10 +16,12 @@
 
 import itertools
 import math
+from typing import Iterable
 from typing import Mapping
 from typing import Sequence
 
 import msgspec
+import xxhash
 
 from burdockcart import ids
 
@@ -162,3 +164,18 @@
             index,
         ),
     )
+
+
+def expected_at(
+    account: ids.AccountName, members: Iterable[ids.MemberId]
+) -> ids.MemberId:
+    """Return the member at which an account's reads are expected.
+
+    All daemons choose the same one of the same members.
+    """
+    return max(
+        members,
+        key=lambda member: xxhash.xxh3_64_intdigest(
+            f"{account}/{member}".encode()
+        ),
+    )
--- a/burdockcart/process/gateway/members/connection_share.py
+++ b/burdockcart/process/gateway/members/connection_share.py
@@ -8,6 +8,12 @@
 above its limit.  So all daemons together keep at most half of a member's
 connections open.  A burst may use more, which are closed when it is over.
 
+With client accounts a connection serves one account only, and closing one
+after a burst costs a handshake for the next statement of its account.  Then
+the share of a burst stays open, and while a member may keep connections of
+dead processes, a daemon opens only what its limit leaves beside them;
+docs/design/account-connections.md compares the two.
+
 """
 
 import collections
@@ -42,12 +48,20 @@
     hard_limit: int
 
 
-def share_of(connections: int, daemons: int, uptime_s: float) -> Share:
+def share_of(
+    connections: int, daemons: int, uptime_s: float, accounts: bool = False
+) -> Share:
     """Return this daemon's share of a member's connections.
 
     A daemon starts with one connection, so that all daemons that start at the
     same time get one while the member still holds stale connections.
 
+    Parameters
+    ==========
+
+    accounts : bool
+        Whether clients have accounts, which share no connections.
+
     Examples
     ========
 
@@ -60,18 +74,24 @@
     Share(soft_limit=1, hard_limit=1)
     >>> connection_share.share_of(46, 31, uptime_s=60.0)
     Share(soft_limit=1, hard_limit=2)
+    >>> connection_share.share_of(70, 5, uptime_s=60.0)
+    Share(soft_limit=7, hard_limit=10)
+    >>> connection_share.share_of(70, 5, uptime_s=60.0, accounts=True)
+    Share(soft_limit=10, hard_limit=10)
+    >>> connection_share.share_of(70, 5, uptime_s=1.0, accounts=True)
+    Share(soft_limit=4, hard_limit=4)
 
     """
     if uptime_s < SLOW_START_S:
         return Share(1, 1)
     daemons = max(daemons, 1)
     soft_limit = max(int(STEADY_SHARE * connections / daemons), 1)
+    hard_limit = max(int(BURST_SHARE * connections / daemons), soft_limit + 1)
     if uptime_s < STALE_CONNECTIONS_S:
+        if accounts:
+            soft_limit = max(connections // daemons - hard_limit, 1)
         return Share(soft_limit, soft_limit)
-    return Share(
-        soft_limit,
-        max(int(BURST_SHARE * connections / daemons), soft_limit + 1),
-    )
+    return Share(hard_limit if accounts else soft_limit, hard_limit)
 
 
 class DaemonCount:
--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from typing import Iterable
+import functools
 from typing import Protocol
 
 import loguru
@@ -14,6 +14,7 @@
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import gateway_metrics
+from burdockcart.process.gateway.members import account_cache
 from burdockcart.process.gateway.members import connection_share
 from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.gateway.members import pooled_connection
@@ -42,9 +43,20 @@
     """Divides a member's connections among the daemons."""
 
     def share(
-        self, member: manifest.MemberEntry, connections: int
+        self,
+        member: manifest.MemberEntry,
+        connections: int,
+        accounts: bool = False,
     ) -> connection_share.Share:
-        """Return the limits of this daemon's connections to a member."""
+        """Return the limits of this daemon's connections to a member.
+
+        Parameters
+        ==========
+
+        accounts : bool
+            Whether clients have accounts, which share no connections.
+
+        """
 
     def holds(self, member: manifest.MemberEntry, connections: int) -> bool:
         """Return whether this daemon connects to a member directly."""
@@ -84,6 +96,8 @@
     ):
         self.id = limits.id
         self.limits = limits
+        #: Whether clients have accounts, which share no connections.
+        self.accounts = False
         self.promotions_fenced = promotions_fenced
         self.pool_by_member: dict[ids.MemberId, member_pool.MemberPool] = {}
         self.roster = replica_roster.ReplicaRoster(first_start)
@@ -114,15 +128,27 @@
         self._domain = domain
         self._drain_s = drain_s
         self._connector = connector
+        self._metrics = metrics
         self._clock = loop_clock
         self._timers: dict[work_queue.Work, asyncio.TimerHandle] = {}
         self._queued_at: dict[work_queue.Work, float] = {}
 
     # Members
 
-    def use_limits(self, limits: manifest.GroupLimits) -> None:
-        """Apply new limits."""
+    def use_limits(
+        self, limits: manifest.GroupLimits, accounts: bool = False
+    ) -> None:
+        """Apply new limits.
+
+        Parameters
+        ==========
+
+        accounts : bool
+            Whether clients of the group have accounts.
+
+        """
         self.limits = limits
+        self.accounts = accounts
         self.commits.active = limits.synchronous
         self.apply_shares()
 
@@ -137,7 +163,7 @@
     def _apply_share(self, pool: member_pool.MemberPool) -> bool:
         """Apply the plan to one member; True if that changed its share."""
         connections = self.limits.connections
-        share = self._plan.share(pool.entry, connections)
+        share = self._plan.share(pool.entry, connections, self.accounts)
         direct = self._plan.holds(pool.entry, connections)
         if (share, direct) == (pool.share, pool.direct):
             return False
@@ -168,6 +194,7 @@
                 self.dispatch,
                 self._link,
                 self.watch.observe,
+                functools.partial(self._metrics.account_connection, self.id),
             )
             self._apply_share(pool)
             self.pool_by_member[entry.id] = pool
@@ -338,7 +365,7 @@
                 # Its wait has ended, but its task has not run since.
                 continue
             pools = self._eligible_pools(work, now)
-            preferred = self._choose(pools, now)
+            preferred = self._choose(pools, now, work.account)
             if preferred is None:
                 continue
             account = work.account
@@ -358,7 +385,7 @@
                 for pool in pools
                 if pool.has_idle_for(account) and pool.has_room()
             ]
-            chosen = self._choose(free, now)
+            chosen = self._choose(free, now, work.account)
             if chosen is None:
                 continue
             connection = chosen.take(work.value_by_name, work.shape, account)
@@ -461,8 +488,12 @@
         ]
 
     def _choose(
-        self, pools: Iterable[member_pool.MemberPool], now: float
+        self,
+        pools: list[member_pool.MemberPool],
+        now: float,
+        account: ids.AccountName | None,
     ) -> member_pool.MemberPool | None:
+        connected = self._connected(pools, account)
         found = member_choice.best(
             member_choice.Candidate(
                 id=pool.entry.id,
@@ -471,11 +502,47 @@
                 slots=pool.entry.slots,
                 same_domain=pool.entry.domain == self._domain,
                 leads=pool.entry.id == self.primary.leadership.member,
+                connected=pool.entry.id in connected,
+                handshake_s=pool.handshake_s,
             )
             for pool in pools
         )
         return None if found is None else self.pool_by_member[found]
 
+    def _connected(
+        self,
+        pools: list[member_pool.MemberPool],
+        account: ids.AccountName | None,
+    ) -> set[ids.MemberId]:
+        """Return members where a read of an account needs no handshake.
+
+        The primary counts as one that needs it: writes open a connection
+        there, which must not draw the account's reads.  This daemon does not
+        know what holders have; so for each domain it expects an account at
+        one replica, which is the same for all daemons.
+        """
+        if account is None or len(pools) < 2:
+            return {pool.entry.id for pool in pools}
+        replicas = [
+            pool
+            for pool in pools
+            if pool.entry.id != self.primary.leadership.member
+        ]
+        relayed_by_domain: dict[ids.DomainName, list[ids.MemberId]] = {}
+        for pool in replicas:
+            if not pool.direct:
+                relayed_by_domain.setdefault(pool.entry.domain, []).append(
+                    pool.entry.id
+                )
+        return {
+            pool.entry.id
+            for pool in replicas
+            if pool.direct and pool.has_connection(account)
+        } | {
+            account_cache.expected_at(account, members)
+            for members in relayed_by_domain.values()
+        }
+
     def _open_if_needed(
         self,
         pool: member_pool.MemberPool,
--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -45,6 +45,8 @@
 LISTED = 8
 #: Weight of a new answer time of a status query in its moving average.
 OBSERVED_WEIGHT = 0.2
+#: Weight of a new time of opening a connection in its moving average.
+HANDSHAKE_WEIGHT = 0.2
 #: Time for which accounts go on to use detours after one was found, in
 #: seconds; as long as an unused detour lasts.
 DETOUR_KNOWN_S = 1.0
@@ -74,6 +76,9 @@
         What this daemon receives from all members.
     observed : callable
         Called with each status that the member reports.
+    count : callable
+        Called with what happened to an account's direct connections: "hit" or
+        "miss" for each use, and "eviction".
 
     """
 
@@ -85,7 +90,9 @@
         changed: Callable[[], None],
         link: own_link.OwnLink,
         observed: Callable[[ids.MemberId, member_channel.MemberStatus], None],
+        count: Callable[[str], None] = lambda outcome: None,
     ):
+        self._count = count
         self.entry = entry
         self.share = connection_share.Share(1, 1)
         #: Whether its connections go to the member and not to a holder.
@@ -110,6 +117,8 @@
         self._detour_task: asyncio.Task[None] | None = None
         #: Until when accounts use a detour instead of the direct way.
         self._detour_until = 0.0
+        #: Moving average of the time for opening a connection, in seconds.
+        self.handshake_s = member_choice.HANDSHAKE_S
         self._demand = account_cache.AccountDemand()
         self._rng = random.Random(f"{entry.id}/{id(self)}")
         #: Moving average of the answer time of status queries, in seconds.
@@ -308,6 +317,8 @@
                 each.session_state.steps(value_by_name, shape)
             ),
         )
+        if account is not None and best.channel.direct:
+            self._count("hit" if best.used else "miss")
         best.used = True
         self._demand.record_use(account, self._clock.now())
         return self._take(best)
@@ -377,6 +388,8 @@
             return
         self._idle.remove(victim)
         victim.channel.close()
+        if victim.channel.direct:
+            self._count("eviction")
         loguru.logger.debug(
             "event=connection_evicted group={} member={} connection={}",
             self.entry.group,
@@ -427,6 +440,10 @@
         if not isinstance(opened, member_channel.MemberFault):
             # A relayed connection is opened without asking the member.
             self.health.record_answer(now, sent_at if opened.direct else None)
+            if opened.direct:
+                self.handshake_s += HANDSHAKE_WEIGHT * (
+                    now - sent_at - self.handshake_s
+                )
             self._exhausted_count = 0
             return opened
         if opened is member_channel.MemberFault.CONNECTIONS_EXHAUSTED:
--- a/burdockcart/process/peers/holder_choice.py
+++ b/burdockcart/process/peers/holder_choice.py
@@ -100,14 +100,20 @@
 
 
 def in_order(
-    daemon: ids.DaemonId, member: ids.MemberId, holders: Holders
+    daemon: ids.DaemonId,
+    member: ids.MemberId,
+    holders: Holders,
+    account: ids.AccountName | None = None,
 ) -> tuple[list[coordination.DaemonEntry], list[coordination.DaemonEntry]]:
     """Return the holders, and those that take over, in the order of use.
 
     Each daemon has an order of its own, so that the holders share the load.
+    For an account all daemons have the same order: a connection serves one
+    account, and those of an account at a member are to be at one holder.
     """
+    chooser = daemon if account is None else account
     active = sorted(
         holders.ranked[: holders.count],
-        key=lambda each: _weight(f"{member}/{daemon}", each.id),
+        key=lambda each: _weight(f"{member}/{chooser}", each.id),
     )
     return active, list(holders.ranked[holders.count :])
--- a/burdockcart/process/peers/holding.py
+++ b/burdockcart/process/peers/holding.py
@@ -184,9 +184,20 @@
         return any(each.id == self._daemon for each in active)
 
     def share(
-        self, member: manifest.MemberEntry, connections: int
+        self,
+        member: manifest.MemberEntry,
+        connections: int,
+        accounts: bool = False,
     ) -> connection_share.Share:
-        """Return the limits of this daemon's connections to a member."""
+        """Return the limits of this daemon's connections to a member.
+
+        Parameters
+        ==========
+
+        accounts : bool
+            Whether clients have accounts, which share no connections.
+
+        """
         if not self.holds(member, connections):
             return RELAYED
         holders = self.holders(member, connections)
@@ -194,6 +205,7 @@
             connections,
             self._daemons if holders is None else holders.count,
             self._clock.now() - self._started_at,
+            accounts,
         )
         if self.leaving and holders is not None:
             # Unused connections make room for those of the next holders.
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -151,7 +151,7 @@
         return None
 
     def holders_of(
-        self, member: ids.MemberId
+        self, member: ids.MemberId, account: ids.AccountName | None = None
     ) -> list[list[coordination.DaemonEntry]] | None:
         """Return the daemons to relay through; None to connect directly."""
         found = self._pool(member)
@@ -165,7 +165,9 @@
         assert holders is not None
         return [
             [entry for entry in each if entry.id != self._daemon]
-            for each in holder_choice.in_order(self._daemon, member, holders)
+            for each in holder_choice.in_order(
+                self._daemon, member, holders, account
+            )
         ]
 
     def detours(self, member: ids.MemberId) -> list[coordination.DaemonEntry]:
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -14,6 +14,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import holder_link
+from burdockcart.process.peers import holder_placement
 from burdockcart.process.peers import relayed_channel
 from burdockcart.process.peers import tcp
 
@@ -21,9 +22,9 @@
 #: daemons lose a holder at the same moment.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 2.0
-#: Time for which a holder without a way to a member is not used for it, in
-#: seconds.
-AVOIDED_S = 1.0
+#: Time for which an account uses a holder that is not its first, in seconds:
+#: long enough that its connections there are of use.
+OTHER_HOLDER_S = 5.0
 #: Timeout of asking a daemon for a member's status on a detour, in seconds.
 DETOUR_QUERY_S = 0.15
 #: Time after which an unused detour ends, in seconds: the direct way may be
@@ -55,11 +56,12 @@
     """Tells how members are reached."""
 
     def holders_of(
-        self, member: ids.MemberId
+        self, member: ids.MemberId, account: ids.AccountName | None = None
     ) -> list[list[coordination.DaemonEntry]] | None:
         """Return the daemons to relay through; None to connect directly.
 
-        The holders, and those that take over if all holders are lost.
+        The holders, and those that take over if all holders are lost; in the
+        order of use, which is the same on all daemons for an account.
         """
 
     def detours(self, member: ids.MemberId) -> list[coordination.DaemonEntry]:
@@ -259,9 +261,7 @@
     ):
         self._clock = loop_clock
         self._boot_clock = boot_clock
-        self._avoided_until: dict[tuple[ids.DaemonId, ids.MemberId], float] = (
-            {}
-        )
+        self._placement = holder_placement.HolderPlacement(loop_clock)
         self._direct = direct
         self._links = links
         self._route = route
@@ -274,26 +274,30 @@
         account: ids.AccountName | None = None,
         last_resort: bool = False,
     ) -> relayed_channel.RelayedChannel:
-        def avoid() -> None:
-            avoided_until = self._clock.now() + AVOIDED_S
-            self._avoided_until[link.daemon, member.id] = avoided_until
-
-        return relayed_channel.RelayedChannel(
+        channel = relayed_channel.RelayedChannel(
             link,
             member,
             chosen,
             self._boot_clock,
             self._route.use_sample,
             self._route.use_call,
-            avoid,
+            lambda: self._placement.avoid(link.daemon, member.id),
             account,
             last_resort,
+            lambda: self._placement.record_full(
+                link.daemon, member.id, account
+            ),
         )
+        self._placement.add(link.daemon, member.id, account, channel)
+        return channel
 
-    def _avoids(self, daemon: ids.DaemonId, member: ids.MemberId) -> bool:
-        """Return whether a holder recently had no way to a member."""
-        until = self._avoided_until.get((daemon, member), 0.0)
-        return self._clock.now() < until
+    def _until(self, unchanged: Callable[[], bool]) -> Callable[[], bool]:
+        """Return a function that tells whether to use another holder still.
+
+        An account's connections are to be at its first holder again.
+        """
+        expires_at = self._clock.now() + OTHER_HOLDER_S
+        return lambda: unchanged() and self._clock.now() < expires_at
 
     async def detour(
         self,
@@ -362,7 +366,7 @@
         no holder can be reached, this daemon becomes one: the daemons between
         which the network is partitioned each use what they reach.
         """
-        holders = self._route.holders_of(member.id)
+        holders = self._route.holders_of(member.id, account)
         if holders is not None:
             for entries in holders:
                 relayed = await self._connect_through(entries, member, account)
@@ -379,16 +383,17 @@
     ) -> member_channel.Channel | None:
         """Relay through the first daemon that can be used, if any."""
         unchanged = self._links.unchanged()
-        # A holder that has no way to the member comes last: if no holder has
-        # one, the member is lost.
-        for entry in sorted(
-            entries, key=lambda each: self._avoids(each.id, member.id)
-        ):
+        for entry in self._placement.in_order(entries, member.id, account):
             link = await self._links.link(entry)
             if link is not None:
-                return self._channel(link, member, unchanged, account)
+                chosen = unchanged
+                if account is not None and entry is not entries[0]:
+                    chosen = self._until(unchanged)
+                return self._channel(link, member, chosen, account)
         for entry in entries:
             link = self._links.leaving(entry)
-            if link is not None and not self._avoids(entry.id, member.id):
+            if link is not None and not self._placement.avoids(
+                entry.id, member.id
+            ):
                 return self._channel(link, member, unchanged, account, True)
         return None
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -51,6 +51,8 @@
         Client account whose statements are relayed.
     last_resort : bool
         Whether the holder may be leaving.
+    full : callable
+        Called when the holder had no connection for a statement in time.
 
     """
 
@@ -67,7 +69,9 @@
         avoid: Callable[[], None],
         account: ids.AccountName | None = None,
         last_resort: bool = False,
+        full: Callable[[], None] = lambda: None,
     ):
+        self._full = full
         self._account = account
         self._last_resort = last_resort
         self._avoid = avoid
@@ -108,6 +112,11 @@
         """Whether a transaction is open on it."""
         return self._guard.in_transaction
 
+    @property
+    def in_use(self) -> bool:
+        """Whether a statement or transaction runs on it."""
+        return not (self._guard.free or self._guard.closed)
+
     def close(self) -> None:
         """End the transaction, whatever its state."""
         self._guard.close()
@@ -156,6 +165,8 @@
                     answer = _fault(Fault.ROLLED_BACK, reply.text)
                 self.close()
                 self._avoid()
+            elif reply.fault is Fault.QUEUE_FULL:
+                self._full()
             return answer
         self.close()
         return _fault(Fault.RELAY_LOST, "the link to the holder ended")
