--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -1,7 +1,8 @@
 """State of a database group on this daemon, and its queue of work."""
 
 import asyncio
-from typing import Iterable
+import collections
+import functools
 from typing import Protocol
 
 import loguru
@@ -13,6 +14,7 @@
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.gateway import gateway_metrics
+from burdockcart.process.gateway.members import account_cache
 from burdockcart.process.gateway.members import connection_share
 from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.gateway.members import pooled_connection
@@ -31,15 +33,30 @@
 #: The same of a group whose primary leaves, in milliseconds: about the time
 #: until the next attempt to replace it.
 REPLACEMENT_RETRY_MS = 400
+#: Time after which work of an account without a connection is first to get
+#: one, in seconds: longer than a handshake (12 ms), and short against the
+#: least latency goal (100 ms).
+LEFT_OUT_S = 0.03
 
 
 class ConnectionPlan(Protocol):
     """Divides a member's connections among the daemons."""
 
     def share(
-        self, member: manifest.MemberEntry, connections: int
+        self,
+        member: manifest.MemberEntry,
+        connections: int,
+        accounts: bool = False,
     ) -> connection_share.Share:
-        """Return the limits of this daemon's connections to a member."""
+        """Return the limits of this daemon's connections to a member.
+
+        Parameters
+        ==========
+
+        accounts : bool
+            Whether clients have accounts, which share no connections.
+
+        """
 
     def holds(self, member: manifest.MemberEntry, connections: int) -> bool:
         """Return whether this daemon connects to a member directly."""
@@ -79,6 +96,8 @@
     ):
         self.id = limits.id
         self.limits = limits
+        #: Whether clients have accounts, which share no connections.
+        self.accounts = False
         self.promotions_fenced = promotions_fenced
         self.pool_by_member: dict[ids.MemberId, member_pool.MemberPool] = {}
         self.roster = replica_roster.ReplicaRoster(first_start)
@@ -109,14 +128,27 @@
         self._domain = domain
         self._drain_s = drain_s
         self._connector = connector
+        self._metrics = metrics
         self._clock = loop_clock
         self._timers: dict[work_queue.Work, asyncio.TimerHandle] = {}
+        self._queued_at: dict[work_queue.Work, float] = {}
 
     # Members
 
-    def use_limits(self, limits: manifest.GroupLimits) -> None:
-        """Apply new limits."""
+    def use_limits(
+        self, limits: manifest.GroupLimits, accounts: bool = False
+    ) -> None:
+        """Apply new limits.
+
+        Parameters
+        ==========
+
+        accounts : bool
+            Whether clients of the group have accounts.
+
+        """
         self.limits = limits
+        self.accounts = accounts
         self.commits.active = limits.synchronous
         self.apply_shares()
 
@@ -131,7 +163,7 @@
     def _apply_share(self, pool: member_pool.MemberPool) -> bool:
         """Apply the plan to one member; True if that changed its share."""
         connections = self.limits.connections
-        share = self._plan.share(pool.entry, connections)
+        share = self._plan.share(pool.entry, connections, self.accounts)
         direct = self._plan.holds(pool.entry, connections)
         if (share, direct) == (pool.share, pool.direct):
             return False
@@ -162,6 +194,7 @@
                 self.dispatch,
                 self._link,
                 self.watch.observe,
+                functools.partial(self._metrics.account_connection, self.id),
             )
             self._apply_share(pool)
             self.pool_by_member[entry.id] = pool
@@ -199,7 +232,8 @@
         refusal = self._refusal_for(work)
         if refusal is not None:
             return result.Failure(refusal)
-        self.queue.push(work, self._clock.now())
+        self._queued_at[work] = self._clock.now()
+        self.queue.push(work, self._queued_at[work])
         loop = asyncio.get_running_loop()
         self._timers[work] = loop.call_at(work.give_up_at, self._give_up, work)
         self.dispatch()
@@ -211,6 +245,7 @@
         finally:
             self.queue.remove(work)
             self._timers.pop(work).cancel()
+            del self._queued_at[work]
 
     def _return_unused(self, work: work_queue.Work) -> None:
         """Return the connection of work that has been cancelled."""
@@ -255,16 +290,9 @@
         self, work: work_queue.Work, left_s: float
     ) -> errors.Failure | None:
         """Return a failure if the queue is too long for work."""
-        only = work.member
-        if only is None and work.primary_only:
-            only = self.primary.leadership.member
-        pools = [
-            pool
-            for pool in self.pool_by_member.values()
-            if (only is None and not work.primary_only)
-            or pool.entry.id == only
-        ]
-        connections = sum(pool.share.hard_limit for pool in pools)
+        connections = sum(
+            pool.share.hard_limit for pool in self._possible_pools(work)
+        )
         wait_s = self.queue.wait_s(work, connections)
         if wait_s <= left_s:
             return None
@@ -327,29 +355,82 @@
         now = self._clock.now()
         if not self.queue:
             return
-        for work in self.queue.in_order(now, self._min_latency_s(now)):
+        lacking: collections.Counter[
+            tuple[ids.MemberId, ids.AccountName | None]
+        ] = collections.Counter()
+        in_order = self._in_order(now)
+        unassigned = sum(work.account is None for work in in_order)
+        for work in in_order:
             if work.connection.done():
                 # Its wait has ended, but its task has not run since.
                 continue
             pools = self._eligible_pools(work, now)
-            preferred = self._choose(pools, now)
+            preferred = self._choose(pools, now, work.account)
             if preferred is None:
                 continue
-            if not preferred.has_idle() and preferred.has_room():
-                self._open_if_needed(preferred)
+            account = work.account
+            if not preferred.has_idle_for(account) and preferred.has_room():
+                lacking[preferred.entry.id, account] += 1
+                self._open_if_needed(
+                    preferred,
+                    account,
+                    (
+                        unassigned + 1
+                        if account is None
+                        else lacking[preferred.entry.id, account]
+                    ),
+                )
             free = [
-                pool for pool in pools if pool.has_idle() and pool.has_room()
+                pool
+                for pool in pools
+                if pool.has_idle_for(account) and pool.has_room()
             ]
-            chosen = self._choose(free, now)
+            chosen = self._choose(free, now, work.account)
             if chosen is None:
                 continue
-            connection = chosen.take(work.value_by_name, work.shape)
+            connection = chosen.take(work.value_by_name, work.shape, account)
             connection.channel.set_urgency(
                 work.priority, work.goal_at - now, work.give_up_at - now
             )
             self.queue.remove(work)
+            unassigned -= account is None
             work.connection.set_result(result.Success(connection))
 
+    def _in_order(self, now: float) -> list[work_queue.Work]:
+        """Return the queued work, that of accounts left out first.
+
+        The order of the queue may prefer other accounts' work for ever.  It
+        is served by connections that are returned, so an account without one
+        would never get one.
+        """
+        in_order = self.queue.in_order(now, self._min_latency_s(now))
+        if all(work.account is None for work in in_order):
+            return in_order
+        return sorted(in_order, key=lambda work: not self._left_out(work, now))
+
+    def _left_out(self, work: work_queue.Work, now: float) -> bool:
+        """Return whether work has waited as its account has no connection."""
+        if now - self._queued_at.get(work, now) < LEFT_OUT_S:
+            return False
+        return not any(
+            pool.has_connection(work.account)
+            for pool in self._possible_pools(work)
+        )
+
+    def _possible_pools(
+        self, work: work_queue.Work
+    ) -> list[member_pool.MemberPool]:
+        """Return the pools of the members that work may be meant for."""
+        only = work.member
+        if only is None and work.primary_only:
+            only = self.primary.leadership.member
+        return [
+            pool
+            for pool in self.pool_by_member.values()
+            if (only is None and not work.primary_only)
+            or pool.entry.id == only
+        ]
+
     def _min_latency_s(self, now: float) -> float:
         """Return the expected latency of the fastest member."""
         return min(
@@ -403,12 +484,16 @@
         return [
             pool
             for pool in staying or holding or usable
-            if pool.has_idle() or pool.may_open()
+            if pool.has_idle_for(work.account) or pool.may_open(work.account)
         ]
 
     def _choose(
-        self, pools: Iterable[member_pool.MemberPool], now: float
+        self,
+        pools: list[member_pool.MemberPool],
+        now: float,
+        account: ids.AccountName | None,
     ) -> member_pool.MemberPool | None:
+        connected = self._connected(pools, account)
         found = member_choice.best(
             member_choice.Candidate(
                 id=pool.entry.id,
@@ -417,15 +502,64 @@
                 slots=pool.entry.slots,
                 same_domain=pool.entry.domain == self._domain,
                 leads=pool.entry.id == self.primary.leadership.member,
+                connected=pool.entry.id in connected,
+                handshake_s=pool.handshake_s,
             )
             for pool in pools
         )
         return None if found is None else self.pool_by_member[found]
 
-    def _open_if_needed(self, pool: member_pool.MemberPool) -> None:
-        """Open a connection unless enough of them are being opened."""
-        if pool.may_open() and pool.opening_count <= len(self.queue):
-            pool.open()
+    def _connected(
+        self,
+        pools: list[member_pool.MemberPool],
+        account: ids.AccountName | None,
+    ) -> set[ids.MemberId]:
+        """Return members where a read of an account needs no handshake.
+
+        The primary counts as one that needs it: writes open a connection
+        there, which must not draw the account's reads.  This daemon does not
+        know what holders have; so for each domain it expects an account at
+        one replica, which is the same for all daemons.
+        """
+        if account is None or len(pools) < 2:
+            return {pool.entry.id for pool in pools}
+        replicas = [
+            pool
+            for pool in pools
+            if pool.entry.id != self.primary.leadership.member
+        ]
+        relayed_by_domain: dict[ids.DomainName, list[ids.MemberId]] = {}
+        for pool in replicas:
+            if not pool.direct:
+                relayed_by_domain.setdefault(pool.entry.domain, []).append(
+                    pool.entry.id
+                )
+        return {
+            pool.entry.id
+            for pool in replicas
+            if pool.direct and pool.has_connection(account)
+        } | {
+            account_cache.expected_at(account, members)
+            for members in relayed_by_domain.values()
+        }
+
+    def _open_if_needed(
+        self,
+        pool: member_pool.MemberPool,
+        account: ids.AccountName | None,
+        wanted: int,
+    ) -> None:
+        """Open a connection unless enough of them are being opened.
+
+        Parameters
+        ==========
+
+        wanted : int
+            Connections of the account to open at the same time.
+
+        """
+        if pool.opening_for(account) < wanted and pool.may_open(account):
+            pool.open(account)
 
     def close(self) -> None:
         """Close all connections."""
