Check the keys of clients, and the evidence for them

A route may ask for a key, and a removed key must not be used 5 s after its removal. The manifest's accounts are read, sessions open with the account of their key, and each statement is checked when it is read: the key against the manifest in force, and the age of the evidence that the store still holds that manifest, by the boot clock.

--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -76,8 +76,11 @@
         self._transactions = transactions
         self._admission = admission
         self._limit: asyncio.Timeout | None = None
-        #: Whether a statement came too late, and the session should close.
+        #: Whether a statement came too late, or its key was removed, and the
+        #: session should close.
         self.ends = False
+        #: Why the key of the session was refused.
+        self._key_refused: errors.Failure | None = None
         self._clock = loop_clock
         self._boot_clock = boot_clock
         self._session = attempts.Session(account=self._access.account)
@@ -95,11 +98,14 @@
         self._stop_idle_timer()
         transaction = self._transaction
         arrived_at = self._clock.now()
+        refused = self._access.refusal()
         try:
-            if transaction is not None and transaction.failure is not None:
+            if refused and refused.kind is errors.ErrorKind.UNAUTHORIZED:
+                reply = self._end_without_key(refused)
+            elif transaction is not None and transaction.failure is not None:
                 reply = self._after_failure(transaction, statement)
             else:
-                reply = await self._handle_until_cut(statement)
+                reply = await self._handle_until_cut(statement, refused)
         finally:
             self._start_idle_timer()
         self._record(statement, reply, arrived_at)
@@ -137,12 +143,22 @@
                 failure.message,
             )
 
-    async def _handle_until_cut(self, statement: command.Command) -> Reply:
+    def _end_without_key(self, refused: errors.Failure) -> Reply:
+        """Roll back and close a session whose key is not valid any more."""
+        self._key_refused = refused
+        self.ends = True
+        self._fail(refused)
+        self._transaction = None
+        return self._reply(result.Failure(refused))
+
+    async def _handle_until_cut(
+        self, statement: command.Command, refused: errors.Failure | None
+    ) -> Reply:
         limit = asyncio.timeout(None)
         try:
             async with limit:
                 self._limit = limit
-                return await self._handle(statement)
+                return await self._handle(statement, refused)
         except TimeoutError:
             if not limit.expired():
                 raise
@@ -204,20 +220,23 @@
 
     def closing_failure(self) -> errors.Failure:
         """Abandon what is open; return why the session closes."""
-        failure = stop_admission.closing(self.in_transaction)
+        failure = self._key_refused or stop_admission.closing(
+            self.in_transaction
+        )
         self._fail(failure)
         return failure
 
-    async def _handle(self, statement: command.Command) -> Reply:
+    async def _handle(
+        self, statement: command.Command, refused: errors.Failure | None
+    ) -> Reply:
         kind = statement.kind
-        if kind in session_names.KINDS:
-            return self._reply(self._names.change(statement))
         if kind is command.CommandKind.ROLLBACK:
             return self._reply(self._roll_back())
-        refused = self._access.refusal()
+        refused = refused or self._use_account()
         if refused is not None:
-            self.ends |= refused.kind is errors.ErrorKind.UNAUTHORIZED
             return self._fail_at(statement, refused)
+        if kind in session_names.KINDS:
+            return self._reply(self._names.change(statement))
         if kind in _BEGINS:
             return self._reply(self._begin(statement))
         if kind is command.CommandKind.COMMIT and self._transaction is None:
@@ -227,6 +246,23 @@
             return self._refuse_unknown(statement.name)
         return await self._forward(statement, shape)
 
+    def _use_account(self) -> errors.Failure | None:
+        """Go by the session's account, which a manifest may have changed.
+
+        An open transaction has a connection of the account before.
+        """
+        account = self._access.account
+        if account == self._session.account:
+            return None
+        self._session.account = account
+        transaction = self._transaction
+        if transaction is None or transaction.connection is None:
+            return None
+        return errors.Failure(
+            errors.ErrorKind.TRANSACTION_LOST,
+            "the account of the session has changed",
+        )
+
     def _reply(self, outcome: attempts.Outcome) -> Reply:
         """Return a reply with the session's transaction state."""
         transaction = self._transaction
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -58,8 +58,10 @@
         self.eras = store_era.EraWatch()
         self.complete_since: ids.StoreEra | None = self.era
         self.revision = 99
-        self.tables = tables
-        self.history = [(self.revision, tables)]
+        self.tables: manifest.Manifest | None = tables
+        self.history: list[tuple[int, manifest.Manifest | None]] = [
+            (self.revision, tables)
+        ]
         self.oldest_kept = 0
         self.entry_by_id: dict[ids.MemberId, manifest.MemberEntry] = {}
         self.entry_changes: list[
@@ -113,6 +115,11 @@
         self.tables = tables
         self.history.append((self._next_revision(), tables))
 
+    def put_unreadable_tables(self) -> None:
+        """Write a value that no daemon can read as a manifest."""
+        self.tables = None
+        self.history.append((self._next_revision(), None))
+
     def put_member(self, entry: manifest.MemberEntry) -> None:
         """Write a member's entry."""
         self.entry_by_id[entry.id] = entry
@@ -198,13 +205,13 @@
         after = store_era.revision_of(position)
         if after < self.oldest_kept or after > self.revision:
             return result.Failure(CallFault.HISTORY_LOST)
+        written = [
+            tables for revision, tables in self.history if revision > after
+        ]
         return result.Success(
             coordination.StoreChanges(
-                tables=[
-                    tables
-                    for revision, tables in self.history
-                    if revision > after
-                ],
+                tables=[each for each in written if each is not None],
+                tables_unreadable=bool(written) and written[-1] is None,
                 entry_by_member={
                     member: entry
                     for revision, member, entry in self.entry_changes
@@ -412,6 +419,8 @@
         self.cut = False
         #: Whether only promotions reach the platform.
         self.store_cut = False
+        #: Time that each call takes longer, in seconds.
+        self.delay_s = 0.0
         self.eras = store_era.EraWatch()
 
     def __getattr__(self, name: str):
@@ -421,6 +430,8 @@
             cut = self.cut or (self.store_cut and name != "promote")
             if not cut:
                 answer = await method(*arguments)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
                 await self._link.arrive()
                 if not self._platform.outage and name != "promote":
                     self.eras.observe(self._platform.era)
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -218,7 +218,7 @@
                 tables=(
                     None
                     if config is None
-                    else store_values.read_manifest(config.data)
+                    else store_values.read_stored_manifest(config)
                 ),
                 entry_by_member={
                     entry.id: entry
--- a/burdockcart/platform/formats.py
+++ b/burdockcart/platform/formats.py
@@ -1,6 +1,7 @@
 """Decoding of the JSON values in the platform's store."""
 
 from typing import Annotated
+import unicodedata
 
 import msgspec
 
@@ -9,6 +10,9 @@
 from burdockcart.process.gateway.store import coordination
 from burdockcart.version import manifest
 
+#: A number that limits a rate.
+_Limit = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+
 
 class _Route(msgspec.Struct, rename="kebab"):
     name: str
@@ -20,6 +24,7 @@
     latency_goal_ms: float = 200.0
     priority: int = 0
     max_staleness_ms: float = 0.0
+    anonymous: bool = False
 
 
 class _Service(msgspec.Struct, rename="kebab"):
@@ -32,11 +37,20 @@
     tx_idle_ms: float = 0.0
 
 
+class _Tenant(msgspec.Struct, rename="kebab"):
+    name: str
+    api_keys: list[str] = []
+    priority: Annotated[int, msgspec.Meta(ge=0)] = 0
+    rate_per_s: _Limit | msgspec.UnsetType = msgspec.UNSET
+    burst: _Limit | msgspec.UnsetType = msgspec.UNSET
+
+
 class _Manifest(msgspec.Struct, rename="kebab"):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
 
 
 _CONSISTENCY_BY_WORD = {
@@ -63,9 +77,59 @@
         timeout_s=route.timeout_ms / 1000,
         latency_goal_s=route.latency_goal_ms / 1000,
         priority=route.priority,
+        anonymous=route.anonymous,
+    )
+
+
+def _is_field(text: str) -> bool:
+    """Return whether a text can be one field of a line."""
+    return bool(text) and not any(
+        each.isspace() or unicodedata.category(each) in ("Cc", "Cs")
+        for each in text
     )
 
 
+def _given(limit: float | msgspec.UnsetType) -> float | None:
+    """Return a limit; None if the manifest has none."""
+    return None if isinstance(limit, msgspec.UnsetType) else limit
+
+
+def _account(number: int, tenant: _Tenant) -> manifest.Account:
+    """Read an account; no error text may show a key."""
+    for rule, texts in (("name", [tenant.name]), ("key", tenant.api_keys)):
+        if not all(map(_is_field, texts)):
+            raise decoding.UnreadableValue(
+                f"a {rule} of tenant {number} is empty, or has a space or a "
+                "control character"
+            )
+    rate_per_s = _given(tenant.rate_per_s)
+    burst = _given(tenant.burst)
+    if burst is None:
+        burst = rate_per_s or 0.0
+    return manifest.Account(
+        name=ids.AccountName(tenant.name),
+        keys=frozenset(tenant.api_keys),
+        priority=tenant.priority,
+        rate_per_s=rate_per_s,
+        burst=burst,
+    )
+
+
+def _read_accounts(
+    tenants: list[_Tenant],
+) -> dict[ids.AccountName, manifest.Account]:
+    accounts = [
+        _account(number, tenant) for number, tenant in enumerate(tenants)
+    ]
+    account_by_name = {each.name: each for each in accounts}
+    if len(account_by_name) < len(accounts):
+        raise decoding.UnreadableValue("two tenants have the same name")
+    keys = frozenset().union(*(each.keys for each in accounts))
+    if len(keys) < sum(len(each.keys) for each in accounts):
+        raise decoding.UnreadableValue("two tenants have the same key")
+    return account_by_name
+
+
 def read_manifest(value: bytes) -> manifest.Manifest:
     """Decode a manifest.
 
@@ -92,6 +156,7 @@
         route_by_database={route.database: route for route in routes},
         limits_by_group={each.id: each for each in limits},
         transaction_idle_s=idle_s,
+        account_by_name=_read_accounts(raw.tenants),
     )
 
 
--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -53,7 +53,7 @@
         self, startup: wire.Startup
     ) -> result.Result[client_session.ClientSession, errors.Failure]:
         """Open a session, or return why it is refused."""
-        return await self._daemon.open_session(startup.database)
+        return await self._daemon.open_session(startup.database, startup.user)
 
 
 def main() -> int:
--- a/burdockcart/platform/settings_file.py
+++ b/burdockcart/platform/settings_file.py
@@ -77,6 +77,8 @@
     ("contract-params.drain-ms", "drain_s", _milliseconds),
     ("contract-params.config-apply-ms", "manifest_s", _milliseconds),
     ("contract-params.lease-ms", "promotion_claim_s", _milliseconds),
+    ("contract-params.strict-revoke", "strict_revoke", _flag),
+    ("contract-params.revoke-ms", "revoke_s", _milliseconds),
     ("bootstrap", "first_start", _flag),
     ("contract-params.fencing-required", "promotions_fenced", _flag),
 )
--- a/burdockcart/platform/store_values.py
+++ b/burdockcart/platform/store_values.py
@@ -33,15 +33,26 @@
         return None
 
 
+def read_stored_manifest(
+    item: store_messages.StoredItem,
+) -> manifest.Manifest | None:
+    """Return the manifest of an item; log an error if it is invalid."""
+    try:
+        data = item.data
+    except decoding.UnreadableValue as error:
+        loguru.logger.error("event=manifest_unreadable error={!r}", str(error))
+        return None
+    return read_manifest(data)
+
+
 def read_changes(
     seen: store_messages.Events, era: ids.StoreEra
 ) -> coordination.StoreChanges:
     """Group events into manifests, members and daemons."""
-    manifests = [
-        found
+    written = [
+        None if event.tombstone else read_stored_manifest(event)
         for event in seen.events
-        if event.key == MANIFEST_KEY and not event.tombstone
-        if (found := read_manifest(event.data)) is not None
+        if event.key == MANIFEST_KEY
     ]
     entry_by_member = {
         _member_id(event): entry
@@ -70,7 +81,8 @@
         if (era_found := read_complete_since(event)) is not None
     ]
     return coordination.StoreChanges(
-        tables=manifests,
+        tables=[each for each in written if each is not None],
+        tables_unreadable=bool(written) and written[-1] is None,
         entry_by_member=entry_by_member,
         entry_by_daemon=entry_by_daemon,
         fleet_key=keys[-1] if keys else None,
--- a/burdockcart/platform/tests/test_formats.py
+++ b/burdockcart/platform/tests/test_formats.py
@@ -1,11 +1,15 @@
 """Guards decoding of the platform's store and settings file."""
 
+import base64
+
 import msgspec
 import testtools
 
 from burdockcart.platform import decoding
 from burdockcart.platform import formats
 from burdockcart.platform import settings_file
+from burdockcart.platform import store_messages
+from burdockcart.platform import store_values
 from burdockcart.process.gateway.store import coordination
 from burdockcart.version import manifest
 
@@ -74,6 +78,150 @@
             )
 
 
+def with_tenants(*tenants, anonymous=None):
+    """Return a manifest with accounts."""
+    value = msgspec.json.decode(MANIFEST)
+    value["tenants"] = list(tenants)
+    if anonymous is not None:
+        value["routes"][0]["anonymous"] = anonymous
+    return msgspec.json.encode(value)
+
+
+def tenant(**changes):
+    """Return an account as the platform writes it."""
+    return {
+        "name": "acme",
+        "api-keys": ["secret-1", "secret-2"],
+        "priority": 1,
+        "rate-per-s": 5.5,
+        "burst": 7,
+        **changes,
+    }
+
+
+class TestAccounts(testtools.TestCase):
+    """Decoding of the accounts in a manifest."""
+
+    def test_values(self):
+        """Guards against fields with a wrong meaning."""
+        read = formats.read_manifest(with_tenants(tenant(), anonymous=True))
+        expected = manifest.Account(
+            name="acme",
+            keys=frozenset(("secret-1", "secret-2")),
+            priority=1,
+            rate_per_s=5.5,
+            burst=7.0,
+        )
+        self.assertEqual({"acme": expected}, read.account_by_name)
+        routes = read.route_by_database
+        self.assertTrue(routes["fiti"].anonymous)
+        self.assertFalse(routes["lepu"].anonymous)
+
+    def test_missing_fields(self):
+        """Guards against limits that the manifest does not set."""
+        read = formats.read_manifest(MANIFEST)
+        self.assertEqual({}, read.account_by_name)
+        self.assertFalse(read.route_by_database["fiti"].anonymous)
+        read = formats.read_manifest(with_tenants({"name": "acme"}))
+        self.assertEqual(
+            {"acme": manifest.Account(name="acme")}, read.account_by_name
+        )
+        limited = {"name": "acme", "rate-per-s": 5}
+        read = formats.read_manifest(with_tenants(limited))
+        self.assertEqual(5.0, read.account_by_name["acme"].burst)
+        stopped = tenant(**{"rate-per-s": 0, "burst": 0})
+        read = formats.read_manifest(with_tenants(stopped))
+        self.assertEqual(0.0, read.account_by_name["acme"].rate_per_s)
+
+    def test_key_listed_twice(self):
+        """Guards against a refusal of a repeated key of one account."""
+        twice = tenant(**{"api-keys": ["secret-1", "secret-1"]})
+        read = formats.read_manifest(with_tenants(twice))
+        self.assertEqual({"secret-1"}, read.account_by_name["acme"].keys)
+
+    def test_refused(self):
+        """Guards against half a manifest, and keys in error texts."""
+        for tenants in (
+            [tenant(), tenant(**{"api-keys": []})],
+            [tenant(), tenant(name="zeta")],
+            [tenant(name="")],
+            [tenant(name="ac me")],
+            [tenant(name="ac\u0085me")],
+            [tenant(name=7)],
+            [{"api-keys": ["secret-1"]}],
+            [tenant(**{"api-keys": [""]})],
+            [tenant(**{"api-keys": ["secret-1", "secret 2"]})],
+            [tenant(**{"api-keys": ["secret-1\u0007"]})],
+            [tenant(**{"api-keys": ["secret-1\t"]})],
+            [tenant(**{"api-keys": ["secret-1\u007f"]})],
+            [tenant(**{"api-keys": "secret-1"})],
+            [tenant(**{"api-keys": ["secret-1", 5]})],
+            [tenant(**{"api-keys": None})],
+            [tenant(priority="secret-1")],
+            [tenant(priority=-1)],
+            [tenant(**{"rate-per-s": "secret-1"})],
+            [tenant(**{"rate-per-s": -1})],
+            [tenant(**{"rate-per-s": None})],
+            [tenant(burst=True)],
+            ["secret-1"],
+        ):
+            error = self.assertRaises(
+                msgspec.MsgspecError,
+                formats.read_manifest,
+                with_tenants(*tenants),
+            )
+            self.assertNotIn("secret", str(error))
+        self.assertRaises(
+            msgspec.MsgspecError,
+            formats.read_manifest,
+            with_tenants(anonymous="yes"),
+        )
+
+    def test_refused_keeps_the_rule(self):
+        """Guards against a refusal that does not say why."""
+        for tenants, rule in (
+            ([tenant(), tenant(**{"api-keys": []})], "same name"),
+            ([tenant(), tenant(name="zeta")], "same key"),
+            ([tenant(**{"api-keys": ["a b"]})], "a key of tenant 0"),
+        ):
+            error = self.assertRaises(
+                msgspec.MsgspecError,
+                formats.read_manifest,
+                with_tenants(*tenants),
+            )
+            self.assertIn(rule, str(error))
+
+    def test_newest_is_unreadable(self):
+        """Guards against evidence from a manifest that cannot be read."""
+
+        def event(value, revision):
+            return store_messages.StoredItem(
+                store_values.MANIFEST_KEY,
+                revision,
+                base64.b64encode(value).decode(),
+            )
+
+        good, bad = event(MANIFEST, 1), event(b"{}", 2)
+        odd = store_messages.StoredItem(store_values.MANIFEST_KEY, 2, "?")
+        gone = store_messages.StoredItem(
+            store_values.MANIFEST_KEY, 2, tombstone=True
+        )
+        for events, expected in (
+            ([], (0, False)),
+            ([good], (1, False)),
+            ([good, bad], (1, True)),
+            ([good, odd], (1, True)),
+            ([good, gone], (1, True)),
+            ([bad, good], (1, False)),
+        ):
+            seen = store_values.read_changes(
+                store_messages.Events(events, 2), 0
+            )
+            self.assertEqual(
+                expected, (len(seen.tables), seen.tables_unreadable)
+            )
+
+
 class TestMembers(testtools.TestCase):
     """Decoding of members' entries and of promotion records."""
 
--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -95,8 +95,13 @@
     """First message from a client."""
 
     database: ids.DatabaseName
+    #: Key of the client, where the manifest has accounts.
     user: str
 
+    def __repr__(self) -> str:
+        """Return a text without the key."""
+        return f"Startup({self.database!r})"
+
 
 class Terminate(msgspec.Struct, frozen=True):
     """Last message from a client."""
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -14,6 +14,9 @@
 from burdockcart.connection import own_link
 from burdockcart import errors
 from burdockcart import ids
+from burdockcart.process.accounts import key_evidence
+from burdockcart.process.accounts import key_metrics
+from burdockcart.process.accounts import keyed_access
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway.members import group as groups
 from burdockcart.process.gateway.members import isolation_monitor
@@ -137,6 +140,15 @@
             self._busy_for_others,
             self.metrics,
         )
+        evidence = key_evidence.KeyEvidence(
+            config.key_bound_s, config.manifest_s
+        )
+        self.gatekeeper = keyed_access.Gatekeeper(
+            evidence,
+            boot_clock,
+            key_metrics.KeyMetrics(self.metrics.registry),
+            rng,
+        )
         self.tables = store_follower.StoreFollower(
             platform,
             self,
@@ -145,6 +157,8 @@
             config.manifest_s,
             config.first_start,
             self._store,
+            evidence,
+            boot_clock,
         )
         self._restore_wait = restore_wait.RestoreWait(
             config.daemon,
@@ -310,9 +324,17 @@
         )
 
     async def open_session(
-        self, database: ids.DatabaseName
+        self, database: ids.DatabaseName, key: str
     ) -> result.Result[client_session.ClientSession, errors.Failure]:
-        """Open a session, or return why that is not possible."""
+        """Open a session, or return why that is not possible.
+
+        Parameters
+        ==========
+
+        key : str
+            What the client sent as its key; it is not kept.
+
+        """
         refused = self._admission.refusal_to_open()
         if refused is not None:
             return result.Failure(refused)
@@ -333,8 +355,8 @@
                     f"no route names the database {database[:60]!r}",
                 )
             )
-        return result.Success(
-            client_session.ClientSession(
+        return self.gatekeeper.open(database, key).map(
+            lambda access: client_session.ClientSession(
                 database,
                 self.tables,
                 self.statements,
@@ -343,11 +365,13 @@
                 self._clock,
                 self._boot_clock,
                 self.metrics,
+                access,
             )
         )
 
     def manifest_changed(self, found: manifest.Manifest) -> None:
         """Apply a new manifest."""
+        self.gatekeeper.use_manifest(found)
         for limits in found.limits_by_group.values():
             group = self.group_by_id.get(limits.id)
             if group is None:
@@ -382,6 +406,7 @@
         self.metrics.manifest_version.set(current.version if current else 0)
         self.metrics.tasks_failing.set(len(self._tasks.failing))
         self.metrics.store_age.set(self.tables.age_s)
+        self.gatekeeper.measure()
         for group in self.group_by_id.values():
             pools = group.pool_by_member.values()
             open_count = sum(pool.open_count for pool in pools)
@@ -460,6 +485,7 @@
 
     def era_changed(self, era: ids.StoreEra) -> None:
         """Forget positions of other eras of the store."""
+        self.gatekeeper.evidence.era_changed(self._boot_clock.now())
         self._failover.era_changed(era)
         if self._restore_wait.begin(era):
             self.metrics.store_restores.inc()
--- a/burdockcart/process/gateway/settings.py
+++ b/burdockcart/process/gateway/settings.py
@@ -27,6 +27,11 @@
     promotion_claim_s : float
         Least time between promotions of one group by different daemons,
         in seconds.
+    strict_revoke : bool
+        Whether a removed key must not be used later than ``revoke_s`` after
+        the store acknowledged its removal, whatever this daemon can reach.
+    revoke_s : float
+        That time, in seconds.
     first_start : bool
         Whether the whole deployment starts for the first time.
     promotions_fenced : bool
@@ -49,8 +54,15 @@
     promotion_claim_s: float = 3.0
     manifest_s: float = 3.0
     promotions_fenced: bool = True
+    strict_revoke: bool = False
+    revoke_s: float = 5.0
     first_start: bool = False
 
+    @property
+    def key_bound_s(self) -> float | None:
+        """Bound on the use of a removed key in seconds; None for none."""
+        return self.revoke_s if self.strict_revoke else None
+
     @property
     def peer_address(self) -> str:
         """``ip:port`` on which other daemons connect."""
--- a/burdockcart/process/gateway/store/coordination.py
+++ b/burdockcart/process/gateway/store/coordination.py
@@ -128,6 +128,7 @@
     """Changes of the store up to a position; None for a removed entry.
 
     ``tables`` holds the manifests in the order in which they were written;
+    ``tables_unreadable`` tells whether the newest one is unreadable or gone;
     ``fleet_key`` and ``complete_since`` are None if they have not changed.
     """
 
@@ -136,6 +137,7 @@
     entry_by_daemon: dict[ids.DaemonId, DaemonEntry | None]
     fleet_key: bytes | None
     position: ids.StorePosition
+    tables_unreadable: bool = False
     complete_since: ids.StoreEra | None = None
     roster_by_group: dict[ids.GroupId, StoredRoster] = msgspec.field(
         default_factory=dict
--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -11,6 +11,7 @@
 from burdockcart.connection import backoff
 from burdockcart.connection import own_link
 from burdockcart import ids
+from burdockcart.process.accounts import key_evidence
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.store import daemon_catalog
 from burdockcart.process.gateway.store import member_catalog
@@ -157,6 +158,8 @@
         of daemons is still incomplete.
     source : Source
         The store's answers, as evidence for the state of the link.
+    evidence : KeyEvidence
+        Is told which manifest the store holds; times of the boot clock.
 
     """
 
@@ -169,11 +172,17 @@
         manifest_s: float,
         first_start: bool,
         source: own_link.Source,
+        evidence: key_evidence.KeyEvidence,
+        boot_clock: clock.Clock,
     ):
         self._source = source
+        self._evidence = evidence
+        self._boot_clock = boot_clock
         self._first_pauses_s = list(FIRST_PAUSES_S) if first_start else []
         self._interval_s = POLL_SHARE * manifest_s
         self.current: manifest.Manifest | None = None
+        #: Manifest that the store holds; None if it is unreadable or missing.
+        self._stored: manifest.Manifest | None = None
         self.catalog = member_catalog.MemberCatalog()
         self.dependency = DependencyState("store", loop_clock)
         #: Set once the list of daemons is likely to be complete.
@@ -256,10 +265,10 @@
         waiting, self._refreshing = self._refreshing, []
         return waiting
 
-    async def _pause(self, era: ids.StoreEra) -> None:
+    async def _pause(self, era: ids.StoreEra, failures: int) -> None:
         """Wait for the next poll, unless it is due at once."""
         due = asyncio.create_task(
-            self._platform.eras.wait_beyond(era, self._pause_s())
+            self._platform.eras.wait_beyond(era, self._pause_s(failures))
         )
         asked = asyncio.create_task(self._refresh.wait())
         try:
@@ -273,7 +282,7 @@
     async def run(self) -> None:
         """Read the store and poll its changes until cancelled."""
         while True:
-            sent_at = self._clock.now()
+            sent_at, evidence_at = self._clock.now(), self._boot_clock.now()
             read = await self._platform.read_store()
             if isinstance(read, result.Failure):
                 if read.failure() is coordination.CallFault.RESTORED:
@@ -284,6 +293,7 @@
             self._answered(sent_at)
             self._use_contents(read.unwrap())
             self._applied_at, self.known_until = self._clock.now(), sent_at
+            self._add_evidence(evidence_at)
             await self._poll_changes(read.unwrap().position)
 
     async def _poll_changes(self, position: ids.StorePosition) -> None:
@@ -295,9 +305,9 @@
         failures = 0
         while True:
             era = store_era.era_of(position)
-            await self._pause(era)
+            await self._pause(era, failures)
             refreshing = self._begin_poll()
-            sent_at = self._clock.now()
+            sent_at, evidence_at = self._clock.now(), self._boot_clock.now()
             seen = await self._platform.changes(position)
             if isinstance(seen, result.Failure):
                 _answer(refreshing, False)
@@ -322,17 +332,39 @@
             self._position = position
             self._use_changes(changes)
             self._applied_at, self.known_until = self._clock.now(), sent_at
+            self._add_evidence(evidence_at)
             _answer(refreshing, True)
             if not self._first_pauses_s:
                 self.settled.set()
 
-    def _pause_s(self) -> float:
-        """Return the pause before the next poll."""
+    def _pause_s(self, failures: int) -> float:
+        """Return the pause before the next poll, after failed ones."""
+        if failures and self._evidence.needed_for(self.current):
+            # The backoff was the pause: a whole interval more would leave the
+            # evidence too old after one poll without an answer.
+            return 0.0
         if self._first_pauses_s:
             return self._first_pauses_s.pop()
         if self._listener.awaits_primary():
             return FAST_POLL_INTERVAL_S
-        return self._interval_s
+        return self._evidence.interval_s(self._interval_s, self.current)
+
+    def _add_evidence(self, sent_at: float) -> None:
+        """Tell what an answer of the store showed, once it is applied."""
+        if self._stored == self.current:
+            # Later comparisons of the same object cost nothing.
+            self._stored = self.current
+        assert self._position is not None
+        self._evidence.polled(
+            sent_at,
+            key_evidence.shown(self._stored, self.current),
+            self.current is not None
+            and key_evidence.complete(
+                self.entry_by_daemon.values(),
+                store_era.era_of(self._position),
+                self.current.version,
+            ),
+        )
 
     def _use_contents(self, found: coordination.StoreSnapshot) -> None:
         now = self._clock.now()
@@ -351,6 +383,7 @@
         self._position = found.position
         self.complete_since = found.complete_since
         self.roster_by_group = dict(found.roster_by_group)
+        self._stored = found.tables
         if found.tables is not None:
             self._use_manifest(found.tables)
         self._listener.rosters_changed(self.roster_by_group)
@@ -368,7 +401,10 @@
     def _use_changes(self, changes: coordination.StoreChanges) -> None:
         now = self._clock.now()
         for found in changes.tables:
+            self._stored = found
             self._use_manifest(found)
+        if changes.tables_unreadable:
+            self._stored = None
         if changes.roster_by_group:
             self.roster_by_group |= changes.roster_by_group
             self._listener.rosters_changed(self.roster_by_group)
@@ -405,10 +441,12 @@
             return
         self.current = found
         loguru.logger.info(
-            "event=manifest_in_force version={} routes={} groups={}",
+            "event=manifest_in_force version={} routes={} groups={} "
+            "accounts={}",
             found.version,
             len(found.route_by_database),
             len(found.limits_by_group),
+            len(found.account_by_name),
         )
         self._listener.manifest_changed(found)
 
--- a/burdockcart/process/gateway/tests/test_sessions.py
+++ b/burdockcart/process/gateway/tests/test_sessions.py
@@ -233,7 +233,7 @@
         """A session must not open without a route."""
 
         async def check(deployment):
-            opened = await deployment.daemons[0].open_session("nowhere")
+            opened = await deployment.daemons[0].open_session("nowhere", "-")
             self.assertIs(Error.NO_ROUTE, opened.failure().kind)
 
         scenario(check)
--- a/burdockcart/process/gateway/tests/test_store_follower.py
+++ b/burdockcart/process/gateway/tests/test_store_follower.py
@@ -88,7 +88,7 @@
             late = await deployment.join(2)
             await asyncio.sleep(2.0)
             self.assertFalse(late.ready())
-            opened = await late.open_session("live")
+            opened = await late.open_session("live", "-")
             self.assertEqual("draining", opened.failure().kind.value)
             deployment.platform.outage = False
             await gateway_deployment.until(late.ready, within_s=2.0)
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -30,7 +30,9 @@
 GOAL_S = {name: route[3] for name, route in ROUTES.items()}
 
 
-def tables(version=1, routes=ROUTES, connections=16):
+def tables(
+    version=1, routes=ROUTES, connections=16, accounts=(), anonymous=()
+):
     """Return a manifest with the given routes."""
     return manifest.Manifest(
         version=version,
@@ -44,6 +46,7 @@
                 timeout_s=timeout_s,
                 latency_goal_s=latency_goal_s,
                 priority=priority,
+                anonymous=name in anonymous,
             )
             for name, (
                 consistency,
@@ -59,9 +62,20 @@
             )
         },
         transaction_idle_s=3.0,
+        account_by_name={each.name: each for each in accounts},
     )
 
 
+class SuspendableClock(clock.LoopClock):
+    """Boot clock of a host that has been suspended for some time."""
+
+    suspended_s = 0.0
+
+    def now(self):
+        """Return the time since the host booted in seconds."""
+        return super().now() + self.suspended_s
+
+
 class GatewayDeployment:
     """One group of three members, its platform and some daemons."""
 
@@ -72,8 +86,12 @@
         deposes=True,
         shutdown_s=6.0,
         routes=ROUTES,
+        accounts=(),
+        anonymous=(),
+        strict_revoke=False,
         **member_options,
     ):
+        self.strict_revoke = strict_revoke
         self.fenced = fenced
         self.shutdown_s = shutdown_s
         self.peers = peer_network.PeerNetwork()
@@ -83,7 +101,8 @@
         ]
         self.group = wire_member.EmulatedGroup(self.members, deposes=deposes)
         self.platform = wire_platform.EmulatedPlatform(
-            tables(routes=routes), {GROUP: self.group}
+            tables(routes=routes, accounts=accounts, anonymous=anonymous),
+            {GROUP: self.group},
         )
         for member in self.members:
             self.enter(member)
@@ -118,6 +137,7 @@
             promotions_fenced=self.fenced,
             peer_host=f"d{number}",
             shutdown_s=self.shutdown_s,
+            strict_revoke=self.strict_revoke,
         )
         connector = wire_connector.EmulatedConnector(
             {member.id: member for member in self.members}
@@ -125,15 +145,17 @@
         host_link = self.peers.link_by_daemon[config.daemon]
         connector.link = host_link
         link = wire_platform.EmulatedPlatformClient(self.platform, host_link)
+        boot_clock = SuspendableClock()
         daemon = application.GatewayApplication(
             config,
             link,
             connector,
-            clock.LoopClock(),
+            boot_clock,
             peer_network.MemoryPeers(self.peers, config.daemon),
             fleet_key.FleetKey(),
             ids.Incarnation(f"{number}/{id(config)}"),
         )
+        daemon.boot_clock = boot_clock
         daemon.connector = connector
         daemon.link = link
         daemon.host_link = host_link
@@ -170,9 +192,9 @@
         for daemon in self.daemons:
             await daemon.stop()
 
-    async def client(self, database="layers", daemon=0):
+    async def client(self, database="layers", daemon=0, key="-"):
         """Return a session of a client."""
-        opened = await self.daemons[daemon].open_session(database)
+        opened = await self.daemons[daemon].open_session(database, key)
         return Client(opened.unwrap())
 
 
