Merge connections per account and keys of clients

Both parts meet in sessions and in the follower of the store. A poll that another daemon makes counts as evidence for keys, dated by the question; an unreadable manifest is not passed on.

--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -37,6 +37,9 @@
 #: one, in seconds: longer than a handshake (12 ms), and short against the
 #: least latency goal (100 ms).
 LEFT_OUT_S = 0.03
+#: Interval of looking again at queued work of accounts, in seconds: that a
+#: connection may be closed in favor of another account depends on the time.
+ACCOUNT_DISPATCH_S = 0.03
 
 
 class ConnectionPlan(Protocol):
@@ -132,6 +135,7 @@
         self._clock = loop_clock
         self._timers: dict[work_queue.Work, asyncio.TimerHandle] = {}
         self._queued_at: dict[work_queue.Work, float] = {}
+        self._account_timer: asyncio.TimerHandle | None = None
 
     # Members
 
@@ -395,6 +399,20 @@
             self.queue.remove(work)
             unassigned -= account is None
             work.connection.set_result(result.Success(connection))
+        self._dispatch_accounts_later()
+
+    def _dispatch_accounts_later(self) -> None:
+        """Look again soon at work that is left in the queue."""
+        if self._account_timer is None and any(
+            each.account is not None for each in self._queued_at
+        ):
+            self._account_timer = asyncio.get_running_loop().call_later(
+                ACCOUNT_DISPATCH_S, self._dispatch_accounts
+            )
+
+    def _dispatch_accounts(self) -> None:
+        self._account_timer = None
+        self.dispatch()
 
     def _in_order(self, now: float) -> list[work_queue.Work]:
         """Return the queued work, that of accounts left out first.
--- a/burdockcart/process/gateway/store/change_cache.py
+++ b/burdockcart/process/gateway/store/change_cache.py
@@ -109,4 +109,6 @@
         return operator.or_(earlier, later)
     if isinstance(earlier, list):
         return earlier + later
+    if isinstance(earlier, bool):
+        return earlier or later
     return earlier if later is None else later
--- a/burdockcart/process/gateway/tests/account_case.py
+++ b/burdockcart/process/gateway/tests/account_case.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from burdockcart import ids
+from burdockcart.process.accounts import session_access
 from burdockcart.request import command
 from burdockcart.tests import gateway_deployment
 
@@ -11,10 +12,22 @@
 ACCOUNTS = tuple(ids.AccountName(f"account-{each}") for each in "abcdefgh")
 
 
+class AccountAccess(session_access.OpenAccess):
+    """Access of a session of a given account, without a key."""
+
+    def __init__(self, account):
+        self._account = account
+
+    @property
+    def account(self):
+        """The account."""
+        return self._account
+
+
 async def client_of(deployment, account, database="live", daemon=0):
     """Return a client whose session belongs to an account."""
     client = await deployment.client(database, daemon)
-    client.session._session.account = account
+    client.session._access = AccountAccess(account)
     client.account = account
     return client
 
--- a/burdockcart/process/peers/shared_polls.py
+++ b/burdockcart/process/peers/shared_polls.py
@@ -196,7 +196,7 @@
         self._asked_at = self._clock.now()
         applied = await self.follower.join_poll(JOIN_S)
         known = self._cache.since(message.after) if applied else None
-        if known is None or known.tables or known.fleet_key is not None:
+        if known is None or _is_private(known):
             # The other daemon asks the store itself.
             return messages.Polled(message.number, self._next_ms(), None)
         return messages.Polled(
@@ -205,3 +205,12 @@
 
     def _next_ms(self) -> int:
         return int(self.follower.next_poll_s * 1000)
+
+
+def _is_private(changes: coordination.StoreChanges) -> bool:
+    """Return whether changes concern what each daemon reads itself."""
+    return bool(
+        changes.tables
+        or changes.tables_unreadable
+        or changes.fleet_key is not None
+    )
