--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -131,6 +131,8 @@
         self._metrics = metrics
         self._clock = loop_clock
         self._timers: dict[work_queue.Work, asyncio.TimerHandle] = {}
+        #: Whether the queue has work of accounts.
+        self._mixed = False
         self._queued_at: dict[work_queue.Work, float] = {}
 
     # Members
@@ -359,6 +361,7 @@
             tuple[ids.MemberId, ids.AccountName | None]
         ] = collections.Counter()
         in_order = self._in_order(now)
+        self._note_awaited(in_order)
         unassigned = sum(work.account is None for work in in_order)
         for work in in_order:
             if work.connection.done():
@@ -379,6 +382,7 @@
                         if account is None
                         else lacking[preferred.entry.id, account]
                     ),
+                    self._left_out(work, now),
                 )
             free = [
                 pool
@@ -404,13 +408,25 @@
         would never get one.
         """
         in_order = self.queue.in_order(now, self._min_latency_s(now))
-        if all(work.account is None for work in in_order):
+        self._mixed = any(work.account is not None for work in in_order)
+        if not self._mixed:
             return in_order
         return sorted(in_order, key=lambda work: not self._left_out(work, now))
 
+    def _note_awaited(self, works: list[work_queue.Work]) -> None:
+        """Tell the pools which accounts' connections are about to be used."""
+        for pool in self.pool_by_member.values():
+            pool.awaited = set()
+        # Without accounts one stands for all: a long queue costs nothing.
+        for work in works if self._mixed else works[:1]:
+            for pool in self._possible_pools(work):
+                pool.awaited.add(work.account)
+
     def _left_out(self, work: work_queue.Work, now: float) -> bool:
         """Return whether work has waited as its account has no connection."""
-        if now - self._queued_at.get(work, now) < LEFT_OUT_S:
+        if not self._mixed or (
+            now - self._queued_at.get(work, now) < LEFT_OUT_S
+        ):
             return False
         return not any(
             pool.has_connection(work.account)
@@ -484,7 +500,8 @@
         return [
             pool
             for pool in staying or holding or usable
-            if pool.has_idle_for(work.account) or pool.may_open(work.account)
+            if pool.has_idle_for(work.account)
+            or pool.may_open(work.account, self._left_out(work, now))
         ]
 
     def _choose(
@@ -548,6 +565,7 @@
         pool: member_pool.MemberPool,
         account: ids.AccountName | None,
         wanted: int,
+        left_out: bool,
     ) -> None:
         """Open a connection unless enough of them are being opened.
 
@@ -558,8 +576,10 @@
             Connections of the account to open at the same time.
 
         """
-        if pool.opening_for(account) < wanted and pool.may_open(account):
-            pool.open(account)
+        if pool.opening_for(account) < wanted and pool.may_open(
+            account, left_out
+        ):
+            pool.open(account, left_out)
 
     def close(self) -> None:
         """Close all connections."""
--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -120,6 +120,8 @@
         #: Moving average of the time for opening a connection, in seconds.
         self.handshake_s = member_choice.HANDSHAKE_S
         self._demand = account_cache.AccountDemand()
+        #: Accounts whose queued work may take a connection.
+        self.awaited: set[ids.AccountName | None] = set()
         self._rng = random.Random(f"{entry.id}/{id(self)}")
         #: Moving average of the answer time of status queries, in seconds.
         self.observed_s = 0.0
@@ -240,10 +242,19 @@
         active = sum(connection.active for connection in self._busy)
         return active < self.limit.statements
 
-    def may_open(self, account: ids.AccountName | None = None) -> bool:
+    def may_open(
+        self, account: ids.AccountName | None = None, left_out: bool = False
+    ) -> bool:
         """Return whether another connection may be opened now.
 
         At the limit, an idle connection of another account makes room.
+
+        Parameters
+        ==========
+
+        left_out : bool
+            Whether the account has long waited for its first connection.
+
         """
         now = self._clock.now()
         return (
@@ -252,7 +263,7 @@
                 self.open_count < self.share.hard_limit
                 or (
                     self.open_count == self.share.hard_limit
-                    and self._victim(account) is not None
+                    and self._victim(account, left_out) is not None
                 )
             )
             and now >= self._exhausted_until
@@ -261,15 +272,20 @@
         )
 
     def _victim(
-        self, account: ids.AccountName | None
+        self, account: ids.AccountName | None, left_out: bool
     ) -> pooled_connection.PooledConnection | None:
-        """Return the idle connection to close in favor of an account."""
+        """Return the idle connection to close in favor of an account.
+
+        One that queued work is about to take is closed for an account only
+        that would not be served at all.
+        """
         now = self._clock.now()
         return self._least_useful(
             [
                 each
                 for each in self._idle
                 if each.account != account
+                and (left_out or each.account not in self.awaited)
                 and (each.used or now - each.idle_since >= UNUSED_KEPT_S)
             ]
         )
@@ -374,16 +390,20 @@
             self._idle.append(connection)
         self._changed()
 
-    def open(self, account: ids.AccountName | None = None) -> None:
+    def open(
+        self, account: ids.AccountName | None = None, left_out: bool = False
+    ) -> None:
         """Start opening a connection; make room for it at the limit."""
         if self.open_count >= self.share.hard_limit:
-            self._evict(account)
+            self._evict(account, left_out)
         task = asyncio.create_task(self._open(account), name="open_connection")
         self._opening[task] = _Opening(account, self._clock.now())
 
-    def _evict(self, account: ids.AccountName | None) -> None:
+    def _evict(
+        self, account: ids.AccountName | None, left_out: bool = False
+    ) -> None:
         """Close an idle connection of another account."""
-        victim = self._victim(account)
+        victim = self._victim(account, left_out)
         if victim is None:
             return
         self._idle.remove(victim)
--- a/burdockcart/process/peers/tests/test_account_relay.py
+++ b/burdockcart/process/peers/tests/test_account_relay.py
@@ -6,7 +6,10 @@
 
 from burdockcart.process.gateway.tests import account_case
 from burdockcart.process.peers.tests import relay_case
+from burdockcart.request import command
+from burdockcart.tests import gateway_deployment
 
+Kind = command.CommandKind
 A, B, C, *_ = account_case.ACCOUNTS
 
 
@@ -91,3 +94,89 @@
             self.assertEqual([], account_case.mixed_up(deployment, clients))
 
         relay_case.scenario(check)
+
+    def test_connections_at_one_holder(self):
+        """An account's connections at a member must be at one holder.
+
+        With a holder for each sender, every holder opened connections of
+        every account, which displaced each other.
+        """
+
+        async def check(deployment):
+            member = deployment.group.primary
+            senders = [
+                number
+                for number, daemon in enumerate(deployment.daemons)
+                if not relay_case.holds(daemon, member)
+            ]
+            clients = [
+                await account_case.client_of(
+                    deployment, account, "live", number
+                )
+                for account in (A, B, C)
+                for number in senders
+            ]
+            for client in clients:
+                replies = await account_case.repeat(client, 2, 0.05)
+                self.assertEqual(2, account_case.answered(replies))
+            for account in (A, B, C):
+                holders = {
+                    each._settings.daemon
+                    for each in deployment.daemons
+                    for channel in each.connector.channels
+                    if channel.member is member and channel.account == account
+                }
+                self.assertEqual(1, len(holders))
+
+        relay_case.scenario(check)
+
+    def test_busy_holder(self):
+        """A full holder must not stop an account that others can serve.
+
+        Each idle transaction keeps a connection, and a holder has few.
+        """
+
+        async def check(deployment):
+            member = deployment.group.primary
+            number = relay_case.relaying_daemon(deployment, member)
+            clients = [
+                await account_case.client_of(deployment, A, "live", number)
+                for _ in range(9)
+            ]
+            for client in clients:
+                await client.send(Kind.BEGIN)
+                self.assertTrue(gateway_deployment.ok(await client.write()))
+            for client in clients:
+                reply = await client.send(Kind.COMMIT)
+                self.assertTrue(gateway_deployment.ok(reply))
+            self.assertEqual([], account_case.mixed_up(deployment, clients))
+
+        relay_case.scenario(check)
+
+    def test_many_accounts_at_one_sender(self):
+        """Accounts must not wait for each other's relayed connections.
+
+        A daemon has 16 of them to a member; one in use by no statement is
+        closed for another account at once.
+        """
+
+        async def check(deployment):
+            number = relay_case.relaying_daemon(
+                deployment, deployment.group.primary
+            )
+            pool = (
+                deployment.daemons[number]
+                .group_by_id[relay_case.GROUP]
+                .pool_by_member[deployment.group.primary.id]
+            )
+            loop = asyncio.get_running_loop()
+            for serial in range(40):
+                client = await account_case.client_of(
+                    deployment, f"account-{serial}", "live", number
+                )
+                begun = loop.time()
+                self.assertTrue(gateway_deployment.ok(await client.write()))
+                self.assertLess(loop.time() - begun, 0.06)
+                self.assertLessEqual(pool.open_count, 16)
+
+        relay_case.scenario(check)
