--- a/burdockcart/platform/tests/memory_clients.py
+++ b/burdockcart/platform/tests/memory_clients.py
@@ -228,9 +228,9 @@
         answer.ended_at = loop.time()
         return answer
 
-    async def start(self, database="layers"):
+    async def start(self, database="layers", key="user"):
         """Open a session; return whether it is open."""
-        text = f"STARTUP {database} user"
+        text = f"STARTUP {database} {key}"
         await self._ask("-", text, f"{text}\r\n")
         return self.answers[-1].end == "I"
 
--- a/burdockcart/platform/tests/test_formats.py
+++ b/burdockcart/platform/tests/test_formats.py
@@ -305,6 +305,13 @@
         self.assertEqual("10.1.0.8:8784", read.client_address)
         self.assertEqual("10.1.0.8:7440", read.peer_address)
         self.assertEqual(6.0, read.shutdown_s)
+        self.assertIsNone(read.key_bound_s)
+        revoke = "contract-params.strict-revoke=true\n"
+        read = settings_file.parse(SETTINGS + revoke).unwrap()
+        self.assertEqual(5.0, read.key_bound_s)
+        revoke += "contract-params.revoke-ms=4000\n"
+        read = settings_file.parse(SETTINGS + revoke).unwrap()
+        self.assertEqual(4.0, read.key_bound_s)
 
     def test_faults_name_their_place(self):
         """Guards against a start with incomplete settings."""
