--- a/burdockcart/platform/standin/member_server.py
+++ b/burdockcart/platform/standin/member_server.py
@@ -24,6 +24,11 @@
 #: Time that a new connection holds a slot, in seconds.
 HANDSHAKE_S = 0.012
 _SLOW = re.compile(r"slow-(\d+)-")
+#: Reads whose answer has as many rows of as many characters.
+_LARGE = re.compile(r"large-(\d+)x(\d+)-")
+#: Reads whose answer never ends, and the size of a row of it.
+_ENDLESS = "endless-"
+_ENDLESS_ROW = b"DATAROW " + b"x" * 16 * 1024 + b"\r\n"
 _WORD_BY_FAULT = {
     Fault.QUEUE_FULL: "BUSY",
     Fault.BEHIND: "LAGGING",
@@ -204,6 +209,8 @@
                 )
                 if answer is None or channel.closed:
                     return
+                if b" READ " + _ENDLESS.encode() in line:
+                    await _write_without_end(writer)
                 writer.write(answer)
                 await writer.drain()
         finally:
@@ -259,7 +266,7 @@
         if kind is not None:
             record.receipt = f"{answer.receipt}.{channel.run_place}"
         if _reads(statement, record):
-            record.rows = (f"row  of {statement.id} ", "", " größe")
+            record.rows = _rows(statement)
         record.position = _position(channel)
         rows = "".join(f"DATAROW {row}\r\n" for row in record.rows)
         lines = f"{rows}COMPLETE {record.receipt or '-'}\r\n"
@@ -333,6 +340,20 @@
     )
 
 
+def _rows(statement: member_statements.Statement) -> tuple[str, ...]:
+    large = _LARGE.match(statement.item)
+    if large is not None:
+        return ("x" * int(large[2]),) * int(large[1])
+    return (f"row  of {statement.id} ", "", " größe")
+
+
+async def _write_without_end(writer: asyncio.StreamWriter) -> None:
+    """Write rows until the connection ends."""
+    while True:
+        writer.write(_ENDLESS_ROW)
+        await writer.drain()
+
+
 async def _session_statement(
     channel: ServedChannel, statement: member_statements.Statement
 ) -> member_channel.Answer:
