Check the use of keys, accounts and rates in a soak

The soak compares what clients sent with what members ran, and knew neither keys nor accounts. REVOKED, UNKNOWN, ACCOUNT, KEY, NOAUTH and RATE are written from docs/client-accounts.md, and read a record that is empty unless a soak has accounts. A schedule of removed keys, changed rates, hot accounts and cuts from the store is seeded by itself, so that other seeds mean what they meant.

--- a/burdockcart/soak/checks.py
+++ b/burdockcart/soak/checks.py
@@ -6,8 +6,10 @@
 
 from burdockcart.emulator import wire_member
 from burdockcart.request import command
+from burdockcart.soak import account_checks
 from burdockcart.soak import data_checks
 from burdockcart.soak import history as histories
+from burdockcart.soak import rate_checks
 from burdockcart.soak import statement_checks
 from burdockcart.soak import violation
 
@@ -31,6 +33,8 @@
         old_manifests(history, limits),
         shared_tokens(history),
         process_faults(history, limits),
+        account_checks.violations(history, limits.accounts),
+        rate_checks.excessive_operations(history, limits.accounts),
     )
     return sorted(found, key=lambda each: each.at)
 
--- a/burdockcart/soak/history.py
+++ b/burdockcart/soak/history.py
@@ -8,6 +8,7 @@
 
 from burdockcart.emulator import wire_member
 from burdockcart.request import command
+from burdockcart.soak import account_history
 
 
 class Outcome(enum.Enum):
@@ -59,6 +60,8 @@
         Time limit of the statement.
     receipt : str
         Names the statement and, after a point, the place of its run.
+    key : str
+        Second field of the session's STARTUP.
     rows, position : tuple of str and str
         Rows of the answer, and the position in READY.
 
@@ -81,6 +84,7 @@
     item: str = ""
     data: str | None = None
     allowed: bool = True
+    key: str = ""
     ended_at: float = 0.0
     outcome: Outcome | None = None
     detail: str = ""
@@ -111,6 +115,8 @@
         Code of the error that was answered; empty for a success.
     answered : bool
         Whether the member came to an answer.
+    who : str
+        Name with which the connection was opened.
 
     """
 
@@ -132,6 +138,7 @@
     receipt: str = ""
     rows: tuple[str, ...] = ()
     position: str = ""
+    who: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -235,3 +242,5 @@
     #: When the soak's own event loop was late, and by how much.
     stalls: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     tracebacks: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    #: None if the manifest has no accounts.
+    accounts: account_history.AccountRecord | None = None
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -32,6 +32,13 @@
     RESTART_REPLICA = "restart replica"
     CALLS_LATE = "calls late"
     CALLS_REFUSED = "calls refused"
+    KEY_REMOVED = "key removed"
+    KEYS_REMOVED = "keys removed"
+    KEYS_RETURNED = "keys returned"
+    RATE_LOWERED = "rate lowered"
+    RATE_RAISED = "rate raised"
+    HOT_ACCOUNT = "hot account"
+    STORE_CUT = "store cut"
 
 
 #: Planned work, during which no request may be cut.
@@ -44,6 +51,17 @@
         Kind.REPLACE_PRIMARY,
     }
 )
+#: Changes of accounts, during which no request may be cut either.
+PLANNED_OF_ACCOUNTS = frozenset(
+    {
+        Kind.KEY_REMOVED,
+        Kind.KEYS_REMOVED,
+        Kind.KEYS_RETURNED,
+        Kind.RATE_LOWERED,
+        Kind.RATE_RAISED,
+        Kind.HOT_ACCOUNT,
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True, order=True)
@@ -58,12 +76,15 @@
     target : int
         Index of the daemon, or of the member for faults of links; -1 if the
         fault concerns neither.  Number of the variant for odd entries.  The
-        daemon that does not reach the primary.
+        daemon that does not reach the primary or the store.  Place of the
+        account.
     length_s : float
         Seconds that the fault lasts, for those that do.
     age_s : float
         Age of the copy from which the store is restored, in seconds before
         the store went away.
+    factor : float
+        Factor of an account's rate or demand.
 
     """
 
@@ -72,6 +93,7 @@
     target: int = -1
     length_s: float = 0.0
     age_s: float = 0.0
+    factor: float = 1.0
 
 
 MEMBERS = 3
@@ -169,7 +191,7 @@
             )
         ),
         Fault(1.0, Kind.MANIFEST),
-        *_begun_at(rng.uniform(2.0, 4.0), _all_killed(rng, daemons)),
+        *begun_at(rng.uniform(2.0, 4.0), _all_killed(rng, daemons)),
         Fault(6.0, Kind.MANIFEST),
         Fault(rng.uniform(8.0, 9.0), Kind.CRASH_PRIMARY, -1, 4.0),
     ]
@@ -296,25 +318,26 @@
     faults = [
         fault
         for begin_s, scene in _scenes(rng, seconds, unplanned)
-        for fault in _begun_at(begin_s, scene(rng, daemons))
+        for fault in begun_at(begin_s, scene(rng, daemons))
     ]
     if restores:
         rng = random.Random(f"restores of {seed}")
         for begin_s in _restore_times(rng, seconds):
-            faults += _begun_at(begin_s, _restored(rng, daemons))
+            faults += begun_at(begin_s, _restored(rng, daemons))
         # Nothing covers up a manifest that is missed after the last one.
         faults += _restored_at(rng, seconds - LAST_RESTORE_S, (0.8, 2.0), 0.2)
     if odd_entries:
         rng = random.Random(f"odd entries of {seed}")
-        faults += _begun_at(rng.uniform(1.0, 3.0), _odd_entries(rng, daemons))
+        faults += begun_at(rng.uniform(1.0, 3.0), _odd_entries(rng, daemons))
     if cuts:
         rng = random.Random(f"cuts of {seed}")
         for begin_s in _cut_times(rng, seconds):
-            faults += _begun_at(begin_s, _cut_primary(rng, daemons))
+            faults += begun_at(begin_s, _cut_primary(rng, daemons))
     return sorted(fault for fault in faults if fault.at_s < seconds)
 
 
-def _begun_at(begin_s: float, faults: list[Fault]) -> list[Fault]:
+def begun_at(begin_s: float, faults: list[Fault]) -> list[Fault]:
+    """Return the faults of a scene that begins at a time."""
     return [
         dataclasses.replace(each, at_s=each.at_s + begin_s) for each in faults
     ]
--- a/burdockcart/soak/tests/test_schedule.py
+++ b/burdockcart/soak/tests/test_schedule.py
@@ -1,7 +1,10 @@
 """Guards the schedule of faults."""
 
+import collections
+
 import testtools
 
+from burdockcart.soak import account_schedule
 from burdockcart.soak import schedule
 
 Kind = schedule.Kind
@@ -11,7 +14,9 @@
     Kind.FREEZE,
     Kind.KILL,
     Kind.CUT_PRIMARY,
+    Kind.STORE_CUT,
 )
+ACCOUNT_KINDS = schedule.PLANNED_OF_ACCOUNTS
 
 
 def faults(unplanned):
@@ -25,6 +30,15 @@
     ]
 
 
+def account_faults(unplanned):
+    """Return the changes of accounts of many seeds."""
+    return [
+        fault
+        for seed in range(50)
+        for fault in account_schedule.generate(seed, 60.0, 4, unplanned)
+    ]
+
+
 class TestSchedule(testtools.TestCase):
     """Seeded faults."""
 
@@ -49,23 +63,54 @@
 
     def test_every_kind_occurs(self):
         """Guards against a fault that is never injected."""
-        self.assertEqual(set(Kind), {fault.kind for fault in faults(True)})
+        found = faults(True) + account_faults(True)
+        self.assertEqual(set(Kind), {fault.kind for fault in found})
 
     def test_planned_work_only(self):
         """Guards against an unplanned fault that excuses cut requests."""
         self.assertEqual(
             schedule.PLANNED, {fault.kind for fault in faults(False)}
         )
+        self.assertEqual(
+            schedule.PLANNED_OF_ACCOUNTS,
+            {fault.kind for fault in account_faults(False)},
+        )
+
+    def test_no_accounts_by_default(self):
+        """Guards against a default run that changes accounts."""
+        kinds = {fault.kind for fault in faults(True)}
+        others = schedule.PLANNED_OF_ACCOUNTS | {Kind.STORE_CUT}
+        self.assertEqual(set(), kinds & others)
+
+    def test_same_changes_of_accounts(self):
+        """Guards against changes of accounts that a seed does not repeat."""
+        first, again, other = (
+            account_schedule.generate(seed, 60.0, 4) for seed in (3, 3, 4)
+        )
+        self.assertEqual(first, again)
+        self.assertNotEqual(first, other)
+
+    def test_cuts_of_one_half_and_all(self):
+        """Guards against keys that are never removed during a cut."""
+        cuts = collections.Counter(
+            (seed, fault.at_s)
+            for seed in range(50)
+            for fault in account_schedule.generate(seed, 60.0, 4)
+            if fault.kind is Kind.STORE_CUT
+        )
+        self.assertEqual({1, 2, 4}, set(cuts.values()))
 
     def test_targets_and_times(self):
         """Guards against faults of daemons or members that do not exist."""
-        for fault in faults(True):
+        for fault in faults(True) + account_faults(True):
             self.assertTrue(0 <= fault.at_s < 60.0)
             targets = [-1]
             if fault.kind in DAEMON_KINDS:
                 targets = range(4)
             elif fault.kind.value.startswith("link"):
                 targets = range(schedule.MEMBERS)
+            elif fault.kind in ACCOUNT_KINDS:
+                targets = range(account_schedule.ACCOUNTS)
             elif fault.kind is Kind.ODD_ENTRY:
                 targets = range(schedule.ODD_ENTRIES)
             self.assertIn(fault.target, targets)
--- a/burdockcart/soak/violation.py
+++ b/burdockcart/soak/violation.py
@@ -3,6 +3,37 @@
 import dataclasses
 
 
+@dataclasses.dataclass(frozen=True)
+class AccountLimits:
+    """Limits of the rules on accounts.
+
+    Parameters
+    ==========
+
+    revoke_s : float
+        Time after the removal of a key from which statements may not run, in
+        seconds.
+    window_s : float
+        Length of a window of operations, in seconds.
+    excess, slack : float
+        Share and number of operations that a window may have in addition.
+    apply_s : float
+        Time in contact with the store after which a daemon knows a manifest,
+        in seconds.
+    restart_s : float
+        Time from a fault of a daemon until it is in contact again, in
+        seconds.
+
+    """
+
+    revoke_s: float = 5.0
+    window_s: float = 5.0
+    excess: float = 0.1
+    slack: float = 20.0
+    apply_s: float = 3.0
+    restart_s: float = 2.0
+
+
 @dataclasses.dataclass(frozen=True)
 class Limits:
     """Times of the rules, in seconds.
@@ -26,6 +57,8 @@
     late_work_s : float
         A request sent that soon after SIGTERM may be cut in the last sixth
         of the grace.
+    accounts : AccountLimits
+        Limits of the rules on accounts.
 
     """
 
@@ -36,6 +69,7 @@
     drain_s: float = 3.0
     apply_s: float = 3.0
     late_work_s: float = 3.0
+    accounts: AccountLimits = AccountLimits()
 
 
 @dataclasses.dataclass(frozen=True)
