Run a soak with accounts

Keys, rates and accounts could not be played against real daemons. A daemon can be cut off from the store alone.

--- a/burdockcart/platform/standin/__main__.py
+++ b/burdockcart/platform/standin/__main__.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 
+from burdockcart.platform.standin import report
 from burdockcart.platform.standin import soak
 from burdockcart.soak import checks
 
@@ -54,6 +55,11 @@
         help="also cut daemons off from the primary while promotions are "
         "late and replicas join, start again or leave",
     )
+    parser.add_argument(
+        "--accounts",
+        action="store_true",
+        help="give clients accounts with keys and rates, which change",
+    )
     parser.add_argument(
         "--plain-shapes",
         action="store_true",
@@ -88,6 +94,7 @@
         args.odd_entries,
         args.plain_shapes,
         args.cuts,
+        args.accounts,
     )
     found = asyncio.run(run.run())
     text = "".join(
@@ -95,7 +102,7 @@
         for each in found
     )
     (logs / "violations.txt").write_text(text, encoding="utf-8")
-    print(soak.summary(run, found), f"logs={logs}", flush=True)
+    print(report.summary(run, found), f"logs={logs}", flush=True)
     print(text, end="", flush=True)
     return not found
 
--- a/burdockcart/platform/standin/client_session.py
+++ b/burdockcart/platform/standin/client_session.py
@@ -8,6 +8,7 @@
 
 from burdockcart.platform.standin import client_statements
 from burdockcart.request import command
+from burdockcart.soak import account_history
 from burdockcart.soak import history as histories
 
 Outcome = histories.Outcome
@@ -15,10 +16,20 @@
 
 END = b"\r\n"
 STARTUP_TIMEOUT_S = 2.0
+#: Time in which a refused connection has to be closed, in seconds.
+CLOSED_S = 2.0
 #: Answers later than this many seconds after the timeout are not awaited.
 PATIENCE_S = 3.0
 _PROMISES = frozenset(
-    {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANYCON"}
+    {
+        "BUSY",
+        "ABORTED",
+        "LAGGING",
+        "READONLY",
+        "WRONGNODE",
+        "TOOMANYCON",
+        "NOAUTH",
+    }
 )
 _CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -36,8 +47,10 @@
         freshness: histories.Freshness,
         max_age_s: float,
         timeout_s: float,
+        anonymous: bool = False,
     ):
         self.database = database
+        self.anonymous = anonymous
         self.freshness = freshness
         self.max_age_s = max_age_s
         self.timeout_s = timeout_s
@@ -51,6 +64,10 @@
 
     route : Request
         Template of the requests: database and rules of the route.
+    key : str
+        Second field of STARTUP.
+    accounts : AccountRecord or None
+        Filled with the first message, if the manifest has accounts.
 
     """
 
@@ -60,31 +77,65 @@
         daemon: str,
         route: Route,
         record: Callable[[histories.Request], None],
+        key: str,
+        accounts: account_history.AccountRecord | None = None,
     ):
         self.number = number
         self._daemon = daemon
         self._route = route
         self._record = record
+        self._key = key
+        self._accounts = accounts
+        if accounts is not None and route.anonymous:
+            accounts.anonymous_sessions.add(number)
         self._ids = itertools.count(1)
         self._values: dict[str, str] = {}
         self.shape_by_name: dict[str, command.Shape] = {}
 
     async def open(self, host: str, port: int) -> None:
         """Connect; raise Ended if the daemon refuses."""
+        sent_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(STARTUP_TIMEOUT_S):
                 self._reader, self._writer = await asyncio.open_connection(
                     host, port
                 )
-                line = f"STARTUP {self._route.database} u{self.number}\r\n"
-                self._writer.write(line.encode())
+                line = f"STARTUP {self._route.database} {self._key}".strip()
+                self._writer.write(f"{line}\r\n".encode())
                 answer = await self._reader.readline()
         except (OSError, TimeoutError) as error:
             raise Ended(repr(error)) from None
+        await self._note_answer(sent_at, answer)
         if not answer.startswith(b"READY"):
             self.close()
             raise Ended(f"STARTUP answered with {answer!r}")
 
+    async def _note_answer(self, sent_at: float, answer: bytes) -> None:
+        """Record what a key got, and whether an error ends the session."""
+        if self._accounts is None or self._route.anonymous:
+            return
+        text = answer.decode(errors="replace").removesuffix("\r\n")
+        words = text.split(" ")
+        closed = True
+        if words[0] == "ERROR":
+            words = words[1:]
+            closed = await self._closes()
+        self._accounts.startups.append(
+            account_history.Startup(
+                self._daemon, self._key, sent_at, words[0], text, closed
+            )
+        )
+
+    async def _closes(self) -> bool:
+        """Return whether the daemon closes the connection in time."""
+        try:
+            async with asyncio.timeout(CLOSED_S):
+                return not await self._reader.read(1)
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
     def close(self) -> None:
         """Close the connection."""
         self._writer.transport.abort()
@@ -138,6 +189,7 @@
             item=statement.item,
             data=statement.data,
             allowed=allowed,
+            key=self._key,
         )
         self._record(request)
         return request
@@ -182,6 +234,12 @@
             if outcome is not Outcome.SUCCESS:
                 request.outcome, request.detail = outcome, detail
             request.ended_at = asyncio.get_running_loop().time()
+            if outcome is Outcome.SUCCESS and _key_refused(request):
+                # The daemon closes the session without further answers.
+                await self._note_answer(
+                    request.sent_at, f"ERROR {request.detail}".encode()
+                )
+                outcome, detail = Outcome.LEFT, "after NOAUTH"
         if outcome is not Outcome.SUCCESS:
             self.close()
             raise Ended(outcome)
@@ -278,5 +336,10 @@
         del self.shape_by_name[name]
 
 
+def _key_refused(request: histories.Request) -> bool:
+    """Return whether a statement was refused for the session's key."""
+    return request.detail.split(" ")[0] == "NOAUTH"
+
+
 def _line(request: histories.Request) -> bytes:
     return f"QUERY {request.id} {request.text}\r\n".encode()
--- a/burdockcart/platform/standin/member_link.py
+++ b/burdockcart/platform/standin/member_link.py
@@ -47,6 +47,10 @@
         """Forget the owner of an earlier connection from a port."""
         self._owner_by_port.pop(port, None)
 
+    def forget_owners(self) -> None:
+        """Forget all owners; ports may have been given to others."""
+        self._owner_by_port.clear()
+
     async def cross(self, port: int, *cut_by: LinkFault) -> None:
         """Wait until a message from or to a port is passed on."""
         if self.fault is LinkFault.DELAYED:
--- a/burdockcart/platform/standin/member_server.py
+++ b/burdockcart/platform/standin/member_server.py
@@ -13,6 +13,7 @@
 from burdockcart.platform.standin import member_link
 from burdockcart.platform.standin import member_statements
 from burdockcart.request import command
+from burdockcart.soak import account_history
 from burdockcart.soak import history as histories
 
 Fault = member_channel.MemberFault
@@ -40,9 +41,12 @@
         self,
         member: wire_member.EmulatedMember,
         writer: asyncio.StreamWriter,
+        who: str,
     ):
         super().__init__(member, 0.0, set(), host_link.HostLink())
         self._writer = writer
+        #: Name with which it was opened.
+        self.who = who
         self.number = next(member.group.serials)
         self.session = member_statements.Session()
         #: Place of its last run among those of the group.
@@ -177,7 +181,9 @@
     ) -> None:
         port = writer.get_extra_info("peername")[1]
         self.link.connected(port)
-        fields = (await reader.readline()).decode().split()
+        startup = await reader.readline()
+        self._note_line(startup)
+        fields = startup.decode().split()
         await self.link.cross(port, LinkFault.SILENT)
         member = self.member
         named = fields[1:2] == [self._service]
@@ -190,7 +196,8 @@
             writer.write(b"ERROR TOOMANYCON no connection is left\r\n")
             await writer.drain()
             return
-        channel = ServedChannel(member, writer)
+        who = "".join(fields[-2:-1])
+        channel = ServedChannel(member, writer, who)
         writer.write(_ready(channel))
         try:
             while True:
@@ -198,6 +205,7 @@
                 await self.link.cross(port, LinkFault.SILENT)
                 if channel.closed:
                     return
+                self._note_line(line)
                 answer = await self._answer(channel, line)
                 await self.link.cross(
                     port, LinkFault.SILENT, LinkFault.ANSWERS_LOST
@@ -209,6 +217,15 @@
         finally:
             channel.close()
 
+    def _note_line(self, line: bytes) -> None:
+        """Record a line if the manifest has accounts."""
+        if self._history.accounts is not None:
+            now = asyncio.get_running_loop().time()
+            text = line.decode(errors="replace")
+            self._history.accounts.member_lines.append(
+                account_history.Line(self.member.id, text, now)
+            )
+
     async def _answer(
         self, channel: ServedChannel, line: bytes
     ) -> bytes | None:
@@ -319,6 +336,7 @@
         data=statement.data,
         values=channel.session.values(),
         transaction=channel.transaction,
+        who=channel.who,
     )
 
 
--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -11,6 +11,7 @@
 from burdockcart.emulator import wire_member
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
+from burdockcart.platform.standin import account_book
 from burdockcart.platform.standin import client
 from burdockcart.platform.standin import member_link
 from burdockcart.platform.standin import member_server
@@ -32,6 +33,8 @@
     histories.Freshness.BOUNDED: "bounded_stale",
     histories.Freshness.SESSION: "read_your_writes",
 }
+#: Database without keys in a manifest with accounts.
+OPEN_DATABASE = "open4"
 STORE_PORT = 8783
 MEMBER_PORT = 5432
 HEARTBEAT_S = 1.2
@@ -91,6 +94,8 @@
         Most connections that a member accepts.
     owners : callable
         Returns the daemons that have connections to an address, by port.
+    book : AccountBook or None
+        Accounts of the manifest, if it has any.
 
     """
 
@@ -101,9 +106,13 @@
         note: Callable[..., None],
         connections: int,
         owners: member_link.Owners,
+        book: account_book.AccountBook | None = None,
     ):
         self._history = history
         self._owners = owners
+        self._book = book
+        #: Time until the manifest is written to a restored store, in seconds.
+        self.rewrite_s = 0.0
         self.note = note
         self._connections = connections
         self._serials = itertools.count(1)
@@ -124,7 +133,10 @@
             {SERVICE: self.group},
         )
         self.store_host = f"{prefix}.250"
-        self.store = store_server.Store(self._promote)
+        self.store = store_server.Store(
+            self._promote,
+            member_link.MemberLink(self.store_host, STORE_PORT, owners),
+        )
         self.version = 0
         self.changing = False
         self._draining: set[str] = set()
@@ -175,6 +187,8 @@
         now = asyncio.get_running_loop().time()
         self._put_manifest()
         self._history.manifests.append((self.version, now))
+        if self._book is not None:
+            self._book.acknowledged(asyncio.get_running_loop().time())
 
     def _put_manifest(self) -> None:
         """Write the manifest of the current version."""
@@ -191,8 +205,10 @@
             }
             for route in ROUTES
         ]
-        extra = dict(routes[0], name="r-extra", host=database_of(self.version))
-        body = {
+        extra: dict[str, Any] = dict(
+            routes[0], name="r-extra", host=database_of(self.version)
+        )
+        body: dict[str, Any] = {
             "version": self.version,
             "routes": routes + [extra],
             "services": [
@@ -204,6 +220,12 @@
             ],
             "limits": {"tx-idle-ms": 3000},
         }
+        if self._book is not None:
+            # Clients of the extra database and of the last one have no key.
+            extra["anonymous"] = True
+            opened = dict(extra, name="r-open", host=OPEN_DATABASE)
+            body["routes"].append(opened)
+            body["tenants"] = self._book.tenants()
         self.store.put(store_values.MANIFEST_KEY, json.dumps(body).encode())
 
     async def run(self) -> None:
@@ -367,5 +389,7 @@
             member = key.removeprefix(store_values.MEMBER_PREFIX)
             if member != key and member not in self.group.member_by_id:
                 self.store.delete(key)
-        self._put_manifest()
         self._seen_by_member.clear()
+        if self.rewrite_s:
+            await asyncio.sleep(self.rewrite_s)
+        self._put_manifest()
--- a/burdockcart/platform/standin/site_faults.py
+++ b/burdockcart/platform/standin/site_faults.py
@@ -1,4 +1,4 @@
-"""Faults beside a promotion: cuts of the primary, late calls, replicas."""
+"""Faults of the network, of promotion calls and of replicas."""
 
 import asyncio
 
@@ -24,6 +24,19 @@
     server.link.cut_off[daemon] -= 1
 
 
+async def cut_store(site: sites.Site, daemon: str, seconds: float) -> None:
+    """Let a daemon and the store not reach each other.
+
+    Calls that it sends meanwhile arrive after the cut.
+    """
+    cut_off = site.store.link.cut_off
+    if not any(cut_off.values()):
+        site.store.link.forget_owners()
+    cut_off[daemon] += 1
+    await asyncio.sleep(seconds)
+    cut_off[daemon] -= 1
+
+
 async def delay_calls(
     site: sites.Site, following: CallFault, seconds: float
 ) -> None:
--- a/burdockcart/platform/standin/store_server.py
+++ b/burdockcart/platform/standin/store_server.py
@@ -13,6 +13,7 @@
 from tornado import web
 
 from burdockcart.platform import calls
+from burdockcart.platform.standin import member_link
 
 #: Interval of ending leases and of copying the data, in seconds.
 LEASE_SCAN_S = 0.2
@@ -59,11 +60,18 @@
 
     promote : callable
         Called with service, member, holder and token; returns the status.
+    link : MemberLink
+        Network between the daemons and the store.
 
     """
 
-    def __init__(self, promote: Callable[[str, str, str, int], int]):
+    def __init__(
+        self,
+        promote: Callable[[str, str, str, int], int],
+        link: member_link.MemberLink,
+    ):
         self.promote = promote
+        self.link = link
         self.fault = StoreFault.NONE
         self.call_fault = CallFault.NONE
         #: Delay of late calls, in seconds.
@@ -218,6 +226,9 @@
     async def prepare(self) -> None:
         """Apply the store's fault."""
         self.set_header(calls.ERA_HEADER, str(self.store.era))
+        # The interface of tornado does not declare the context.
+        connection: Any = self.request.connection
+        await self.store.link.cross(connection.context.address[1])
         while self.store.fault is StoreFault.SILENT:
             await asyncio.sleep(0.1)
         if self.store.fault is StoreFault.UNAVAILABLE:
--- a/burdockcart/soak/account_checks.py
+++ b/burdockcart/soak/account_checks.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+import itertools
 import re
 from typing import Iterable
 from typing import Iterator
@@ -39,7 +40,7 @@
     yield from unknown_statements(history, record)
     yield from wrong_accounts(history, record, limits)
     yield from leaked_keys(history, record)
-    yield from accepted_unknown_keys(history, record)
+    yield from accepted_unknown_keys(history, record, limits)
 
 
 Arrival = tuple[histories.Request, Statement]
@@ -203,7 +204,7 @@
     pattern = re.compile("|".join(map(re.escape, sorted(keys))))
     places = [
         *(("member", each) for each in record.member_lines),
-        *(("log of", each) for each in record.log_lines),
+        *(("output of", each) for each in record.outputs),
         *(("answer of", each) for each in _answers(history, record)),
     ]
     found_by_place = collections.defaultdict(list)
@@ -234,20 +235,49 @@
 
 
 def accepted_unknown_keys(
-    history: histories.History, record: Record
+    history: histories.History,
+    record: Record,
+    limits: violation.AccountLimits,
 ) -> Iterator[Violation]:
     """NOAUTH: a key of no manifest got another answer, or stays connected.
 
-    A daemon that answers nothing, as one that ends, is not reported.
+    A daemon that answers nothing, as one that ends, is not reported.  One
+    that stops, or that may not have read a manifest yet, may answer BUSY.
     """
     known = record.keys()
     for each in record.startups:
-        if each.key in known or not each.answer:
-            continue
         message = ""
-        if each.answer != "NOAUTH":
-            message = f"unknown key answered with {each.answer}"
-        elif not each.closed:
+        if each.answer == "BUSY" and _may_be_busy(history, limits, each):
+            continue
+        if each.answer == "NOAUTH" and not each.closed:
             message = "connection stays open after NOAUTH"
+        elif each.answer not in ("", "NOAUTH") and each.key not in known:
+            message = f"unknown key answered with {each.answer}"
         if message:
             yield Violation("NOAUTH", message, each.sent_at, (), each.daemon)
+
+
+def _may_be_busy(
+    history: histories.History,
+    limits: violation.AccountLimits,
+    startup: account_history.Startup,
+) -> bool:
+    """Return whether a daemon stops, or may not have read a manifest."""
+    at = startup.sent_at
+    faults = (
+        (each.begin, each.end)
+        for each in history.disturbances
+        if not each.planned
+    )
+    ends = (
+        (
+            each.ended_at if each.asked_at is None else each.asked_at,
+            each.ended_at,
+        )
+        for each in history.process_ends
+        if each.daemon == startup.daemon
+    )
+    return any(
+        begin <= at <= end + limits.restart_s + limits.apply_s
+        for begin, end in itertools.chain(faults, ends)
+    )
--- a/burdockcart/soak/account_history.py
+++ b/burdockcart/soak/account_history.py
@@ -55,7 +55,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Startup:
-    """First message of a client, and its answer.
+    """First message of a client, or a later one with NOAUTH as its answer.
 
     Parameters
     ==========
@@ -79,13 +79,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Line:
-    """Text that a member received or a daemon logged.
+    """Text that a member received or a daemon wrote.
 
     Parameters
     ==========
 
     place : str
-        Name of the member or daemon.
+        Name of the member, or of the daemon and what it wrote.
 
     """
 
@@ -102,7 +102,8 @@
     versions: list[AccountsVersion] = dataclasses.field(default_factory=list)
     startups: list[Startup] = dataclasses.field(default_factory=list)
     member_lines: list[Line] = dataclasses.field(default_factory=list)
-    log_lines: list[Line] = dataclasses.field(default_factory=list)
+    #: Logs and metrics of the daemons, and what they wrote to the store.
+    outputs: list[Line] = dataclasses.field(default_factory=list)
     #: Sessions on an anonymous route.
     anonymous_sessions: set[int] = dataclasses.field(default_factory=set)
 
