Restore the store to a copy with removed keys

A restore right after a removal brings a removed key back until the operator writes the manifest again; the soak with accounts plays that now. Two wrong versions of the RATE check passed its tests: one looked at windows from the first operation only, the other counted a transaction at its last statement. Both are tested.

--- a/burdockcart/soak/account_schedule.py
+++ b/burdockcart/soak/account_schedule.py
@@ -60,6 +60,17 @@
     ]
 
 
+def _removal_then_restore(rng: random.Random, _daemons: int) -> list[Fault]:
+    """Restore the store from a copy that holds the removed keys."""
+    restored_s = rng.uniform(1.2, 6.0)
+    age_s = restored_s + rng.uniform(0.2, 2.0)
+    length_s = rng.choice([0.2, 1.0])
+    return [
+        *_removal(rng),
+        Fault(restored_s, Kind.STORE_RESTORED, -1, length_s, age_s),
+    ]
+
+
 def _hot(rng: random.Random, _daemons: int) -> list[Fault]:
     return [
         Fault(
@@ -97,6 +108,7 @@
     _removals_in_a_cut,
     _removals_in_a_cut,
     _removal_in_a_freeze,
+    _removal_then_restore,
 )
 
 
--- a/burdockcart/soak/tests/test_rate_checks.py
+++ b/burdockcart/soak/tests/test_rate_checks.py
@@ -74,6 +74,22 @@
         arrived = operations(BOUND + 1, begin=102.6)
         self.assertEqual(["RATE"], self.rules(arrived))
 
+    def test_excess_later(self):
+        """Guards against windows that begin at the first operation only."""
+        arrived = operations(1, begin=50.0) + operations(BOUND + 1)
+        self.assertEqual(["RATE"], self.rules(arrived))
+
+    def test_transactions_that_last(self):
+        """Guards against transactions that count when they end."""
+        first = operations(BOUND + 1, in_transaction=True)
+        last = operations(BOUND + 1, 110.0, 60.0, in_transaction=True)
+        for place, ((sent, begun), (end, ended)) in enumerate(
+            zip(first, last)
+        ):
+            sent.attempt = end.attempt = place
+            begun.transaction = ended.transaction = place
+        self.assertEqual(["RATE"], self.rules(first + last))
+
     def test_two_windows(self):
         """Guards against a count of more than one window."""
         arrived = operations(BOUND) + operations(BOUND, begin=105.1)
--- a/burdockcart/soak/tests/test_schedule.py
+++ b/burdockcart/soak/tests/test_schedule.py
@@ -90,6 +90,20 @@
         self.assertEqual(first, again)
         self.assertNotEqual(first, other)
 
+    def test_restored_keys(self):
+        """Guards against a store that never goes back to a removed key."""
+        found = account_faults(True)
+        restores = [e for e in found if e.kind is Kind.STORE_RESTORED]
+        removals = [
+            e.at_s
+            for e in found
+            if e.kind in (Kind.KEY_REMOVED, Kind.KEYS_REMOVED)
+        ]
+        self.assertTrue(restores)
+        for each in restores:
+            copied_s = each.at_s - each.age_s
+            self.assertTrue(any(copied_s < at <= each.at_s for at in removals))
+
     def test_cuts_of_one_half_and_all(self):
         """Guards against keys that are never removed during a cut."""
         cuts = collections.Counter(
