--- a/burdockcart/soak/history.py
+++ b/burdockcart/soak/history.py
@@ -61,7 +61,7 @@
     receipt : str
         Names the statement and, after a point, the place of its run.
     key : str
-        Second field of the session's STARTUP.
+        Second field of the session's first message.
     rows, position : tuple of str and str
         Rows of the answer, and the position in READY.
 
--- a/burdockcart/soak/tests/test_account_checks.py
+++ b/burdockcart/soak/tests/test_account_checks.py
@@ -256,8 +256,8 @@
 
     def test_at_a_member(self):
         """Guards against a key that is sent as the name of a connection."""
-        bad = self.line(f"STARTUP ledger {KEY} m1")
-        good = self.line("STARTUP ledger a1 m1")
+        bad = self.line(f"CONNECT ledger {KEY} m1")
+        good = self.line("CONNECT ledger a1 m1")
         self.check(["KEY"], [], member_lines=[good, bad])
         self.check([], [], member_lines=[good])
 
