Report no age of evidence where nothing depends on it

Without strict revocation the store is polled less often, so the alert on half of the bound would fire without need. The gauge is 0 then.

Measured: 56 tests of accounts, keys and pages pass.

--- a/burdockcart/process/accounts/key_metrics.py
+++ b/burdockcart/process/accounts/key_metrics.py
@@ -20,8 +20,8 @@
         )
         self.evidence_age = prometheus_client.Gauge(
             "burdockcart_key_evidence_age_seconds",
-            "Time since the store was asked what the manifest is; 0 without"
-            " accounts",
+            "Time since the store was asked what the manifest is; 0 if no"
+            " statement depends on it",
             registry=registry,
         )
         self.accounts = prometheus_client.Gauge(
--- a/burdockcart/process/accounts/keyed_access.py
+++ b/burdockcart/process/accounts/keyed_access.py
@@ -199,7 +199,8 @@
 
     def measure(self) -> None:
         """Update the gauges."""
-        age_s = self.evidence.age_s(self._clock.now()) if self.active else 0.0
+        needed = self.evidence.needed_for(self._manifest)
+        age_s = self.evidence.age_s(self._clock.now()) if needed else 0.0
         self.metrics.evidence_age.set(age_s)
         self.metrics.accounts.set(
             len(self._manifest.account_by_name) if self._manifest else 0
--- a/burdockcart/process/accounts/tests/test_keyed_sessions.py
+++ b/burdockcart/process/accounts/tests/test_keyed_sessions.py
@@ -611,3 +611,17 @@
             self.assertGreater(age_s(), 9.9)
 
         scenario(check)
+
+    def test_age_that_does_not_matter(self):
+        """Guards against alerts where no bound or no account is set."""
+
+        async def check(deployment):
+            deployment.platform.outage = True
+            await asyncio.sleep(10.0)
+            self.assertIn(
+                b"burdockcart_key_evidence_age_seconds 0.0",
+                deployment.daemons[0].measure(),
+            )
+
+        scenario(check, strict_revoke=False)
+        scenario(check, accounts=())
