--- a/burdockcart/process/gateway/members/pooled_connection.py
+++ b/burdockcart/process/gateway/members/pooled_connection.py
@@ -35,6 +35,9 @@
         #: Whether a statement has run on it.
         self.used = False
         self.taken_at = 0.0
+        #: Account that it was taken for, and the expected hold time.
+        self.charged_to: ids.AccountName | None = None
+        self.expected_hold_s = 0.0
         self.idle_since = 0.0
         #: Whether a statement runs or is about to; False while a transaction
         #: is idle.
