--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -133,6 +133,7 @@
         self._timers: dict[work_queue.Work, asyncio.TimerHandle] = {}
         #: Whether the queue has work of accounts.
         self._mixed = False
+        self._dispatch_timer: asyncio.TimerHandle | None = None
         self._queued_at: dict[work_queue.Work, float] = {}
 
     # Members
@@ -374,23 +375,19 @@
             account = work.account
             if not preferred.has_idle_for(account) and preferred.has_room():
                 lacking[preferred.entry.id, account] += 1
-                self._open_if_needed(
-                    preferred,
-                    account,
-                    (
-                        unassigned + 1
-                        if account is None
-                        else lacking[preferred.entry.id, account]
-                    ),
-                    self._left_out(work, now),
-                )
+                wanted = lacking[preferred.entry.id, account]
+                if account is None:
+                    wanted = unassigned + 1
+                self._open_if_needed(preferred, work, wanted, now)
             free = [
                 pool
                 for pool in pools
                 if pool.has_idle_for(account) and pool.has_room()
             ]
             chosen = self._choose(free, now, work.account)
-            if chosen is None:
+            if chosen is None or (
+                chosen is not preferred and self._awaits(work, preferred, now)
+            ):
                 continue
             connection = chosen.take(work.value_by_name, work.shape, account)
             connection.channel.set_urgency(
@@ -399,6 +396,35 @@
             self.queue.remove(work)
             unassigned -= account is None
             work.connection.set_result(result.Success(connection))
+        if self._mixed and self.queue and self._dispatch_timer is None:
+            self._dispatch_timer = asyncio.get_running_loop().call_later(
+                LEFT_OUT_S / 2, self._dispatch_again
+            )
+
+    def _awaits(
+        self,
+        work: work_queue.Work,
+        pool: member_pool.MemberPool,
+        now: float,
+    ) -> bool:
+        """Return whether work waits for a connection that is being opened.
+
+        Otherwise the connection of its account might never be used.
+        """
+        return (
+            work.account is not None
+            and pool.opening_for(work.account) > 0
+            and now - self._queued_at.get(work, now) < LEFT_OUT_S
+        )
+
+    def _dispatch_again(self) -> None:
+        """Look again at queued work.
+
+        Whether it may close another account's connection depends on time,
+        and nothing else may happen until then.
+        """
+        self._dispatch_timer = None
+        self.dispatch()
 
     def _in_order(self, now: float) -> list[work_queue.Work]:
         """Return the queued work, that of accounts left out first.
@@ -554,7 +580,8 @@
         return {
             pool.entry.id
             for pool in replicas
-            if pool.direct and pool.has_connection(account)
+            if pool.direct
+            and (pool.has_idle_for(account) or pool.opening_for(account))
         } | {
             account_cache.expected_at(account, members)
             for members in relayed_by_domain.values()
@@ -563,9 +590,9 @@
     def _open_if_needed(
         self,
         pool: member_pool.MemberPool,
-        account: ids.AccountName | None,
+        work: work_queue.Work,
         wanted: int,
-        left_out: bool,
+        now: float,
     ) -> None:
         """Open a connection unless enough of them are being opened.
 
@@ -576,13 +603,23 @@
             Connections of the account to open at the same time.
 
         """
-        if pool.opening_for(account) < wanted and pool.may_open(
-            account, left_out
+        account = work.account
+        if pool.opening_for(account) >= wanted or not pool.may_open(
+            account, self._left_out(work, now)
+        ):
+            return
+        waited_s = now - self._queued_at.get(work, now)
+        if (
+            account is None
+            or waited_s >= member_choice.HANDSHAKE_S
+            or not pool.returns_soon(account, wanted)
         ):
-            pool.open(account, left_out)
+            pool.open(account, self._left_out(work, now))
 
     def close(self) -> None:
         """Close all connections."""
+        if self._dispatch_timer is not None:
+            self._dispatch_timer.cancel()
         self.commits.close()
         self.watch.close()
         for pool in self.pool_by_member.values():
--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -217,6 +217,19 @@
         """Return how many connections of an account are being opened."""
         return sum(each.account == account for each in self._opening.values())
 
+    def returns_soon(
+        self, account: ids.AccountName | None, count: int
+    ) -> bool:
+        """Return whether as many of an account's connections are running.
+
+        Its statements are over in about the time of a handshake, so at the
+        limit no other account's connection is closed at once.
+        """
+        running = sum(
+            each.account == account and each.active for each in self._busy
+        )
+        return self.open_count >= self.share.hard_limit and running >= count
+
     def has_connection(self, account: ids.AccountName | None) -> bool:
         """Return whether an account has a connection or soon gets one."""
         return self.opening_for(account) > 0 or any(
