--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -217,6 +217,19 @@
         """Return how many connections of an account are being opened."""
         return sum(each.account == account for each in self._opening.values())
 
+    def returns_soon(
+        self, account: ids.AccountName | None, count: int
+    ) -> bool:
+        """Return whether as many of an account's connections are running.
+
+        Its statements are over in about the time of a handshake, so at the
+        limit no other account's connection is closed at once.
+        """
+        running = sum(
+            each.account == account and each.active for each in self._busy
+        )
+        return self.open_count >= self.share.hard_limit and running >= count
+
     def has_connection(self, account: ids.AccountName | None) -> bool:
         """Return whether an account has a connection or soon gets one."""
         return self.opening_for(account) > 0 or any(
@@ -470,8 +483,7 @@
             self._exhausted_until = now + self._exhausted_pause_s()
             self.health.record_answer(now)
             self._log_connect_failure(opened)
-            if account is not None:
-                self._evict(account)
+            self._evict(account)
         else:
             self._record_failure(opened, sent_at, account)
             self._log_connect_failure(opened)
