Keep a hot account from filling a member's queue

Small accounts went first in the daemon's queue and then waited behind up to 12 statements of a hot account at a member with two slots: 0.125 s on average, bound 0.05 s. An account has no more statements at a member than that has slots, and does not close connections of others for more. The test waits until the daemon has its full share of connections: with three for three accounts it measured handshakes.

--- a/burdockcart/process/accounts/tests/test_slot_shares.py
+++ b/burdockcart/process/accounts/tests/test_slot_shares.py
@@ -7,6 +7,7 @@
 from burdockcart import ids
 from burdockcart.process.accounts.tests import test_keyed_sessions
 from burdockcart.process.gateway import gateway_metrics
+from burdockcart.process.gateway.members import connection_share
 from burdockcart.process.peers.tests import relay_case
 from burdockcart.request import command
 from burdockcart.tests import gateway_deployment
@@ -134,10 +135,12 @@
         """Guards against small accounts that wait behind a hot one.
 
         One account has 40 clients that send without a pause, two others have
-        one each.
+        one each.  The daemon has its full share of the connections, so that
+        slots are scarce and not connections.
         """
 
         async def check(deployment):
+            await asyncio.sleep(connection_share.COUNT_WINDOW_S + 1.0)
             hot = [
                 await deployment.client("live", key="k-hot") for _ in range(40)
             ]
--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -380,7 +380,9 @@
             if preferred is None:
                 continue
             account = work.account
-            if not preferred.has_idle_for(account) and preferred.has_room():
+            if not preferred.has_idle_for(account) and preferred.has_room(
+                account
+            ):
                 lacking[preferred.entry.id, account] += 1
                 wanted = lacking[preferred.entry.id, account]
                 if account is None:
@@ -389,7 +391,7 @@
             free = [
                 pool
                 for pool in pools
-                if pool.has_idle_for(account) and pool.has_room()
+                if pool.has_idle_for(account) and pool.has_room(account)
             ]
             chosen = self._choose(free, now, work.account)
             if chosen is None or (
--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -250,10 +250,24 @@
             each.account == account for each in self._idle
         )
 
-    def has_room(self) -> bool:
-        """Return whether the limit allows another statement."""
+    def has_room(self, account: ids.AccountName | None = None) -> bool:
+        """Return whether the limit allows another statement of an account.
+
+        What a member has accepted waits there in the order of arrival, so no
+        account may have more statements at a member than that has slots.
+        """
         active = sum(connection.active for connection in self._busy)
-        return active < self.limit.statements
+        if active >= self.limit.statements:
+            return False
+        if account is None or not self.direct:
+            return True
+        return self._running(account) < self.entry.slots
+
+    def _running(self, account: ids.AccountName | None) -> int:
+        """Return the statements of an account that run on the member."""
+        return sum(
+            each.active for each in self._busy if each.account == account
+        )
 
     def may_open(
         self, account: ids.AccountName | None = None, left_out: bool = False
@@ -284,6 +298,15 @@
             and not (self.health.failing and self._opening)
         )
 
+    def _fills_slots(self, account: ids.AccountName | None) -> bool:
+        """Return whether an account could use no further connection.
+
+        A hot account would otherwise close the connections of the others,
+        which then need a handshake for each statement.
+        """
+        running = self._running(account) + self.opening_for(account)
+        return running >= self.entry.slots
+
     def _victim(
         self, account: ids.AccountName | None, left_out: bool
     ) -> pooled_connection.PooledConnection | None:
@@ -292,6 +315,8 @@
         One that queued work is about to take is closed for an account only
         that would not be served at all.
         """
+        if self.direct and self._fills_slots(account):
+            return None
         now = self._clock.now()
         return self._least_useful(
             [
--- a/burdockcart/process/peers/tests/test_leaving_holder.py
+++ b/burdockcart/process/peers/tests/test_leaving_holder.py
@@ -168,7 +168,7 @@
         pool = daemon.group_by_id[relay_case.GROUP].pool_by_member[primary.id]
         channel = pool.take({}, None).channel
         held = holder.group_by_id[relay_case.GROUP].pool_by_member[primary.id]
-        held.has_room = lambda: False
+        held.has_room = lambda account=None: False
         channel.set_urgency(1, 0.1, 0.7)
         statement = command.Command("waits", Kind.READ, "READ 1")
         running = asyncio.create_task(channel.run(statement, None, 0.7))
