--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -545,7 +545,7 @@
                 slots=pool.entry.slots,
                 same_domain=pool.entry.domain == self._domain,
                 leads=pool.entry.id == self.primary.leadership.member,
-                connected=pool.entry.id in connected,
+                connected=connected is None or pool.entry.id in connected,
                 handshake_s=pool.handshake_s,
             )
             for pool in pools
@@ -556,16 +556,18 @@
         self,
         pools: list[member_pool.MemberPool],
         account: ids.AccountName | None,
-    ) -> set[ids.MemberId]:
+    ) -> set[ids.MemberId] | None:
         """Return members where a read of an account needs no handshake.
 
+        None stands for all.
+
         The primary counts as one that needs it: writes open a connection
         there, which must not draw the account's reads.  This daemon does not
         know what holders have; so for each domain it expects an account at
         one replica, which is the same for all daemons.
         """
         if account is None or len(pools) < 2:
-            return {pool.entry.id for pool in pools}
+            return None
         replicas = [
             pool
             for pool in pools
--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -246,9 +246,12 @@
 
     def has_idle_for(self, account: ids.AccountName | None) -> bool:
         """Return whether a connection of an account is idle."""
-        return self.has_idle() and any(
-            each.account == account for each in self._idle
-        )
+        if not self.has_idle():
+            return False
+        for each in self._idle:
+            if each.account == account:
+                return True
+        return False
 
     def has_room(self) -> bool:
         """Return whether the limit allows another statement."""
@@ -292,6 +295,8 @@
         One that queued work is about to take is closed for an account only
         that would not be served at all.
         """
+        if not self._idle:
+            return None
         now = self._clock.now()
         return self._least_useful(
             [
--- a/burdockcart/process/gateway/tests/test_account_connections.py
+++ b/burdockcart/process/gateway/tests/test_account_connections.py
@@ -86,6 +86,28 @@
 
         scenario(check, daemons=4)
 
+    def test_full_member(self):
+        """An account must get a connection from a member that is full.
+
+        Other processes keep the rest of its connections, so only one that
+        this daemon closes makes room.
+        """
+
+        async def check(deployment):
+            clients = [
+                await account_case.client_of(deployment, account)
+                for account in (A, B)
+            ]
+            self.assertTrue(gateway_deployment.ok(await clients[0].write()))
+            member = deployment.group.primary
+            member.half_open_connections = member.connection_limit - len(
+                member.connections
+            )
+            self.assertTrue(gateway_deployment.ok(await clients[1].write()))
+            self.assertEqual([], account_case.mixed_up(deployment, clients))
+
+        scenario(check, daemons=2)
+
     def test_own_queries_use_any_connection(self):
         """Status queries must not need a connection of their own."""
 
