Leave a holder that had no connection for an account

The account's relayed connections went on to be used, so each of its statements waited there in vain while idle transactions of other accounts kept all connections of the holder. The new test fails without it.

--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -165,7 +165,11 @@
                     answer = _fault(Fault.ROLLED_BACK, reply.text)
                 self.close()
                 self._avoid()
-            elif reply.fault is Fault.QUEUE_FULL:
+            elif reply.fault is Fault.QUEUE_FULL and (
+                self._account is not None and not self._guard.in_transaction
+            ):
+                # The account's next statement goes through another holder.
+                self.close()
                 self._full()
             return answer
         self.close()
--- a/burdockcart/process/peers/tests/test_account_relay.py
+++ b/burdockcart/process/peers/tests/test_account_relay.py
@@ -180,3 +180,37 @@
                 self.assertLessEqual(pool.open_count, 16)
 
         relay_case.scenario(check)
+
+    def test_holder_full_of_other_accounts(self):
+        """An account must go to another holder if its own one is full.
+
+        The idle transactions of other accounts keep all connections there.
+        """
+
+        async def check(deployment):
+            member = deployment.group.primary
+            number = relay_case.relaying_daemon(deployment, member)
+            relay = deployment.daemons[number].relay
+
+            def first_holder(account):
+                return relay.holders_of(member.id, account)[0][0].id
+
+            others = [
+                account
+                for account in (f"other-{each}" for each in range(40))
+                if first_holder(account) == first_holder(A)
+            ]
+            for account in others[:2]:
+                for _ in range(3):
+                    client = await account_case.client_of(
+                        deployment, account, "live", number
+                    )
+                    await client.send(Kind.BEGIN)
+                    await client.write()
+            client = await account_case.client_of(
+                deployment, A, "live", number
+            )
+            replies = [await client.write() for _ in range(2)]
+            self.assertTrue(gateway_deployment.ok(replies[-1]))
+
+        relay_case.scenario(check)
