Divide the rates of accounts among daemons

Rates and bursts of accounts hold for all daemons together, so an owner of each shard grants shares that expire with its authority. Tokens move with shares; what is not granted is a bucket of the owner.

--- /dev/null
+++ b/burdockcart/process/rates/division.py
@@ -0,0 +1,91 @@
+"""Division of an account's rate and burst among the daemons that use it."""
+
+import math
+from typing import Mapping
+from typing import TypeVar
+
+from burdockcart.process.rates import share_terms
+
+#: Part of the rate that the owner keeps for daemons that join, while demand
+#: allows it.
+RESERVE = 0.2
+#: A daemon's rate relative to its demand, so that it seldom has to ask.
+HEADROOM = 1.2
+
+Key = TypeVar("Key")
+
+
+def max_min(
+    total: float, want_by_key: Mapping[Key, float]
+) -> dict[Key, float]:
+    """Divide a total so that no part can grow but at a smaller one's cost.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.rates import division
+    >>> division.max_min(10.0, {"a": 2.0, "b": 7.0, "c": 9.0})
+    {'a': 2.0, 'b': 4.0, 'c': 4.0}
+
+    """
+    given = {}
+    left = max(0.0, total)
+    ordered = sorted(want_by_key, key=lambda key: want_by_key[key])
+    for position, key in enumerate(ordered):
+        given[key] = min(want_by_key[key], left / (len(ordered) - position))
+        left -= given[key]
+    return given
+
+
+def divide_rate(
+    rate: float, demand_by_key: Mapping[Key, float]
+) -> dict[Key, float]:
+    """Divide a rate by demand, and keep a reserve while demand allows it.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.rates import division
+    >>> division.divide_rate(10.0, {"a": 5.0})
+    {'a': 6.0}
+    >>> division.divide_rate(10.0, {"a": 50.0, "b": 50.0})
+    {'a': 5.0, 'b': 5.0}
+
+    """
+    spare = rate - sum(demand_by_key.values())
+    reserve = max(0.0, min(RESERVE * rate, spare))
+    wants = {key: HEADROOM * each for key, each in demand_by_key.items()}
+    return max_min(rate - reserve, wants)
+
+
+def divide_burst(
+    burst: float, demand_by_key: Mapping[Key, float]
+) -> dict[Key, float]:
+    """Divide whole tokens by demand; one for each daemon goes first.
+
+    Explanation
+    ===========
+
+    A daemon needs what it spends between two reports.  The rest stays with
+    the owner, whose tokens any daemon can get at once; with more daemons
+    than tokens all of them do.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.rates import division
+    >>> division.divide_burst(5.0, {"a": 3.0, "b": 1.0})
+    {'a': 3, 'b': 1}
+    >>> division.divide_burst(2.0, {"a": 3.0, "b": 1.0})
+    {'a': 0, 'b': 0}
+
+    """
+    whole = math.floor(burst) - 1
+    if whole < len(demand_by_key):
+        return {key: 0 for key in demand_by_key}
+    wants = {
+        key: math.ceil(each * share_terms.REPORT_S)
+        for key, each in demand_by_key.items()
+    }
+    more = max_min(whole - len(wants), wants)
+    return {key: 1 + math.floor(more[key]) for key in wants}
--- /dev/null
+++ b/burdockcart/process/rates/local_shares.py
@@ -0,0 +1,240 @@
+"""A daemon's shares of the accounts' rates: demand, spending and expiry."""
+
+import math
+from typing import Iterable
+
+from burdockcart import ids
+from burdockcart.process.rates import share_terms
+from burdockcart.process.rates import token_bucket
+
+#: Time constant of the measured demand, in seconds: shares follow demand
+#: within a second.
+DEMAND_S = 0.5
+#: Age of a share from which on unsent operations are given back, in seconds;
+#: longer than any operation.  An operation that was counted in an expired
+#: share must not be given back to the next one.
+REFUND_AGE_S = 5.0
+#: Longest retry time in an error, in milliseconds.
+MAX_RETRY_MS = 1000
+
+
+class DemandMeter:
+    """Operations per second, weighted by their age."""
+
+    def __init__(self, now: float):
+        self._per_s = 0.0
+        self._at = now
+
+    def per_s(self, now: float) -> float:
+        """Return the demand, in operations per second."""
+        if now > self._at:
+            self._per_s *= math.exp((self._at - now) / DEMAND_S)
+            self._at = now
+        return self._per_s
+
+    def count(self, now: float) -> None:
+        """Count an operation that a client wants to begin."""
+        self._per_s = self.per_s(now) + 1 / DEMAND_S
+
+
+class LocalShare:
+    """The daemon's share of one account."""
+
+    def __init__(self, account: ids.AccountName, now: float):
+        self._account = account
+        self._bucket = token_bucket.TokenBucket(0.0, 0.0, now)
+        self._started_at = now
+        self._valid_until = -math.inf
+        self._term = share_terms.Term(0)
+        self._serial = 0
+        #: Tokens that are given up with the next report.
+        self._returned = 0.0
+        self._meter = DemandMeter(now)
+        self._offered_at = now
+        self._exhausted_until = -math.inf
+        #: Operations that wait for a token.
+        self.waiting = 0
+
+    def _check(self, now: float) -> None:
+        """Forget the share if it has expired."""
+        if now >= self._valid_until and self._serial:
+            self._drop(now)
+
+    def _drop(self, now: float) -> None:
+        self._bucket = token_bucket.TokenBucket(0.0, 0.0, now)
+        self._returned, self._serial = 0.0, 0
+        self._valid_until = -math.inf
+
+    def offered(self, now: float) -> None:
+        """Count an operation that a client wants to begin."""
+        self._meter.count(now)
+        self._offered_at = now
+
+    def idle(self, now: float) -> bool:
+        """Return whether the share is to be returned."""
+        idle_s = now - self._offered_at
+        return self.waiting == 0 and idle_s >= share_terms.IDLE_S
+
+    def spend(self, now: float) -> bool:
+        """Admit an operation, if there is a token."""
+        self._check(now)
+        return self._bucket.spend(now)
+
+    def refund(self, now: float) -> None:
+        """Give back a token whose operation never left the daemon."""
+        self._check(now)
+        if self._serial and now - self._started_at >= REFUND_AGE_S:
+            self._bucket.add(1.0, now)
+
+    def exhausted(self, now: float) -> bool:
+        """Return whether the owner has said that nothing is available."""
+        return now < self._exhausted_until
+
+    def wait_s(self, now: float) -> float:
+        """Return the time until there is a token, in seconds."""
+        self._check(now)
+        return self._bucket.wait_s(now)
+
+    def retry_ms(self, now: float) -> int:
+        """Return the time until a token may be free, in milliseconds."""
+        wait_s = self.wait_s(now)
+        if now < self._exhausted_until:
+            wait_s = min(wait_s, self._exhausted_until - now)
+        return max(1, int(min(MAX_RETRY_MS, 1000 * wait_s)))
+
+    @property
+    def valid_until(self) -> float:
+        """Time at which the share expires, in seconds."""
+        return self._valid_until
+
+    @property
+    def limits(self) -> tuple[float, float]:
+        """Rate and burst of the share."""
+        return self._bucket.rate, self._bucket.burst
+
+    def level(self, now: float) -> float:
+        """Return the number of tokens, with those that are to be returned."""
+        self._check(now)
+        return self._bucket.level(now) + self._returned
+
+    def demand(self, now: float) -> share_terms.Demand:
+        """Return what to report; an idle share is given up."""
+        self._check(now)
+        idle = self.idle(now)
+        reported = share_terms.Demand(
+            self._account,
+            self._term,
+            self._serial,
+            0.0 if idle else max(self._meter.per_s(now), 1e-6),
+            self.waiting,
+            self._returned + (self._bucket.level(now) if idle else 0.0),
+            self._bucket.rate,
+            self._bucket.burst,
+        )
+        self._returned = 0.0
+        if idle:
+            self._drop(now)
+        return reported
+
+    def apply(
+        self,
+        share: share_terms.Share,
+        term: share_terms.Term,
+        valid_until: float,
+        now: float,
+    ) -> None:
+        """Use the share in the answer to the last report."""
+        self._check(now)
+        if share.next_ms:
+            self._exhausted_until = now + share.next_ms / 1000
+        else:
+            self._exhausted_until = -math.inf
+        if now >= valid_until:
+            return
+        if share.renews:
+            if not self._serial:
+                # What it continues may have been granted to another daemon.
+                return
+        elif not self._serial or self._term != term:
+            self._drop(now)
+            self._started_at = now
+        level = self._bucket.take(self._bucket.burst, now) + share.tokens
+        self._bucket.set_limits(share.rate, share.burst, now)
+        self._bucket.add(level, now)
+        self._returned += max(0.0, level - share.burst)
+        self._term, self._serial = term, share.serial
+        self._valid_until = valid_until
+
+
+class LocalShares:
+    """The daemon's shares of all accounts that are active on it."""
+
+    def __init__(self) -> None:
+        self._by_shard: dict[
+            share_terms.Shard, dict[ids.AccountName, LocalShare]
+        ] = {share_terms.Shard(n): {} for n in range(share_terms.SHARDS)}
+        #: Number of reports; a later one makes the answers to earlier ones
+        #: void.
+        self._sequence = 0
+
+    def share(self, account: ids.AccountName, now: float) -> LocalShare:
+        """Return the share of an account."""
+        by_account = self._by_shard[share_terms.shard_of(account)]
+        if account not in by_account:
+            by_account[account] = LocalShare(account, now)
+        return by_account[account]
+
+    def known(self, account: ids.AccountName) -> LocalShare | None:
+        """Return the share of an account that is active, if any."""
+        return self._by_shard[share_terms.shard_of(account)].get(account)
+
+    def active(self, shard: share_terms.Shard) -> bool:
+        """Return whether there is anything to report."""
+        return bool(self._by_shard[shard])
+
+    def valid_until(self, shard: share_terms.Shard) -> float:
+        """Return the latest time at which a share expires, in seconds."""
+        shares = self._by_shard[shard].values()
+        return max((each.valid_until for each in shares), default=-math.inf)
+
+    def next_sequence(self) -> int:
+        """Return the number of the next report."""
+        self._sequence += 1
+        return self._sequence
+
+    def report(
+        self, shard: share_terms.Shard, now: float
+    ) -> list[share_terms.Demand]:
+        """Return what to report; shares without demand are given up."""
+        by_account = self._by_shard[shard]
+        idle = [
+            account for account, each in by_account.items() if each.idle(now)
+        ]
+        demands = [each.demand(now) for each in by_account.values()]
+        for account in idle:
+            del by_account[account]
+        return demands
+
+    def apply(
+        self,
+        shard: share_terms.Shard,
+        shares: Iterable[share_terms.Share],
+        term: share_terms.Term,
+        valid_until: float,
+        now: float,
+    ) -> None:
+        """Use the shares in the answer to the last report.
+
+        Parameters
+        ==========
+
+        valid_until : float
+            Time at which they expire, in seconds, counted from the time at
+            which the report was sent.
+
+        """
+        by_account = self._by_shard[shard]
+        for share in shares:
+            local = by_account.get(share.account)
+            if local is not None:
+                local.apply(share, term, valid_until, now)
--- /dev/null
+++ b/burdockcart/process/rates/share_ledger.py
@@ -0,0 +1,392 @@
+"""The owner's side: which shares of an account may still be spent."""
+
+import math
+from typing import Iterable
+from typing import Mapping
+
+import msgspec
+
+from burdockcart import ids
+from burdockcart.process.rates import division
+from burdockcart.process.rates import share_terms
+from burdockcart.process.rates import token_bucket
+
+#: Time after which a daemon asks again if the owner has no rate left, in
+#: milliseconds, and if other daemons are to have smaller shares soon.
+EXHAUSTED_MS = 500
+SHRINKING_MS = 100
+
+
+class Limit(msgspec.Struct, frozen=True):
+    """Rate (per second) and burst of an account over all daemons."""
+
+    rate: float
+    burst: float
+
+
+class _Grant(msgspec.Struct, frozen=True):
+    serial: int
+    rate: float
+    burst: float
+    tokens: float
+    ends_at: float
+
+
+class _Outstanding:
+    """Shares of one holder that may still be spent."""
+
+    def __init__(self) -> None:
+        #: The share that the holder has reported, and later ones of which it
+        #: has not; at most one of them can be in use.
+        self._held: _Grant | None = None
+        self._sent: list[_Grant] = []
+        self.demand = 0.0
+        self.demand_at = -math.inf
+
+    def acknowledged(self, serial: int, returned: bool) -> bool:
+        """Forget all shares but the one that the holder has.
+
+        It no longer accepts answers to what it sent before this report.
+        Returns whether the share that it reports is still in force: the
+        tokens that come back from an expired one have been granted anew.
+
+        Parameters
+        ==========
+
+        returned : bool
+            Whether it has given up that share, too.
+
+        """
+        grants = [*self._sent, *([self._held] if self._held else [])]
+        self._held = next((g for g in grants if g.serial == serial), None)
+        self._sent = []
+        in_force = self._held is not None
+        if returned:
+            self._held = None
+        return in_force
+
+    def expire(self, now: float) -> None:
+        """Forget shares that have expired."""
+        if self._held is not None and self._held.ends_at <= now:
+            self._held = None
+        self._sent = [each for each in self._sent if each.ends_at > now]
+
+    def add(self, grant: _Grant) -> None:
+        """Record a share that is about to be sent."""
+        self._sent.append(grant)
+
+    @property
+    def rate(self) -> float:
+        """Highest rate at which the holder may spend."""
+        held = self._held.rate if self._held else 0.0
+        return max([held, *(each.rate for each in self._sent)])
+
+    @property
+    def burst(self) -> float:
+        """Most tokens that the holder has, with those that are sent."""
+        most = self._held.burst if self._held else 0.0
+        for each in self._sent:
+            most = max(most + each.tokens, each.burst)
+        return most
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing can be spent."""
+        return self._held is None and not self._sent
+
+
+class AccountLedger:
+    """Shares of one account.
+
+    Explanation
+    ===========
+
+    What no share may spend is a token bucket of the owner, the pool.  The
+    rates and bursts of the pool and of all shares that may still be spent
+    sum to at most the limit.  Tokens move from the pool to a daemon with a
+    share, and back with the report that acknowledges a smaller one.
+
+    Parameters
+    ==========
+
+    renews_from, grants_from : float
+        Times from which on no former owner has authority, and from which on
+        no share of one can be spent; between them such shares are only
+        continued.
+
+    """
+
+    def __init__(
+        self,
+        limit: Limit,
+        renews_from: float,
+        grants_from: float,
+        now: float,
+    ):
+        self._limit = limit
+        self._renews_from = renews_from
+        self._grants_from = grants_from
+        self._by_holder: dict[share_terms.Holder, _Outstanding] = {}
+        self._pool = token_bucket.TokenBucket(
+            limit.rate, limit.burst, grants_from
+        )
+        self._pool.level(now)
+        self._serial = 0
+
+    def use_limit(self, limit: Limit, now: float) -> None:
+        """Use another limit from now on."""
+        if limit != self._limit:
+            self._limit = limit
+            self._settle_pool(now)
+
+    @property
+    def granted_rate(self) -> float:
+        """Sum of the rates of all shares that may be spent."""
+        return sum(each.rate for each in self._by_holder.values())
+
+    @property
+    def granted_burst(self) -> float:
+        """Sum of the bursts of all shares that may be spent."""
+        return sum(each.burst for each in self._by_holder.values())
+
+    def pool(self, now: float) -> tuple[float, float, float]:
+        """Return rate, burst and tokens of what is not granted."""
+        self._expire(now)
+        return *self._free(), self._pool.level(now)
+
+    def _free(self) -> tuple[float, float]:
+        return (
+            max(0.0, self._limit.rate - self.granted_rate),
+            max(0.0, self._limit.burst - self.granted_burst),
+        )
+
+    def _settle_pool(self, now: float) -> None:
+        """Let the pool have what is not granted."""
+        self._pool.set_limits(*self._free(), now)
+
+    def _expire(self, now: float) -> None:
+        for holder, each in list(self._by_holder.items()):
+            each.expire(now)
+            if each.empty and each.demand_at + share_terms.IDLE_S <= now:
+                del self._by_holder[holder]
+
+    def answer(
+        self,
+        holder: share_terms.Holder,
+        demand: share_terms.Demand,
+        own_term: bool,
+        ends_at: float,
+        now: float,
+    ) -> share_terms.Share:
+        """Return the share of a daemon that reports its demand.
+
+        Parameters
+        ==========
+
+        own_term : bool
+            Whether the share that it holds was granted by this owner.
+        ends_at : float
+            Time at which the new share expires, in seconds.
+
+        """
+        self._expire(now)
+        found = self._by_holder.setdefault(holder, _Outstanding())
+        in_force = found.acknowledged(
+            demand.serial if own_term else 0, demand.per_s <= 0
+        )
+        self._settle_pool(now)
+        found.demand, found.demand_at = demand.per_s, now
+        if now < self._grants_from:
+            claimed = not own_term and demand.serial > 0
+            if found.burst > 0 or (claimed and now >= self._renews_from):
+                return self._renew(found, demand, claimed, ends_at, now)
+            return self._nothing(demand.account, now)
+        if in_force:
+            self._pool.add(demand.returned, now)
+        return self._grant(holder, found, demand, ends_at, now)
+
+    def _nothing(
+        self, account: ids.AccountName, now: float
+    ) -> share_terms.Share:
+        wait_ms = math.ceil(1000 * (self._grants_from - now))
+        self._serial += 1
+        return share_terms.Share(account, self._serial, 0, 0, 0, wait_ms)
+
+    def _renew(
+        self,
+        found: _Outstanding,
+        demand: share_terms.Demand,
+        claimed: bool,
+        ends_at: float,
+        now: float,
+    ) -> share_terms.Share:
+        """Continue a share of a former owner, or one continued already."""
+        rate, burst = self._free()
+        return self._add(
+            found,
+            demand,
+            min(demand.rate, found.rate + rate),
+            min(demand.burst, found.burst + burst),
+            0.0,
+            ends_at,
+            now,
+            renews=claimed,
+        )
+
+    def _grant(
+        self,
+        holder: share_terms.Holder,
+        found: _Outstanding,
+        demand: share_terms.Demand,
+        ends_at: float,
+        now: float,
+    ) -> share_terms.Share:
+        """Grant what the division gives and other shares leave."""
+        active = {
+            each: outstanding.demand
+            for each, outstanding in self._by_holder.items()
+            if outstanding.demand > 0
+            and now - outstanding.demand_at < share_terms.IDLE_S
+        }
+        bursts = division.divide_burst(self._limit.burst, active)
+        rates = division.divide_rate(
+            self._limit.rate,
+            {each: active[each] for each in active if bursts[each] > 0},
+        )
+        free_rate, free_burst = self._free()
+        target = bursts.get(holder, 0.0)
+        burst = min(max(target, demand.wanted), found.burst + free_burst)
+        rate = min(rates.get(holder, 0.0), found.rate + free_rate)
+        # A new share begins with the tokens that it is to hold, unless they
+        # would leave too few for others.
+        level = self._pool.level(now)
+        growth = min(burst - found.burst, level / 2)
+        # Parts of tokens would let several daemons have none at all.
+        whole = math.floor(level + token_bucket.EPSILON)
+        tokens = self._pool.take(max(growth, min(demand.wanted, whole)), now)
+        return self._add(
+            found,
+            demand,
+            rate,
+            max(burst, min(tokens, found.burst + free_burst)),
+            tokens,
+            ends_at,
+            now,
+            shrinking=rate < rates.get(holder, 0.0) - token_bucket.EPSILON,
+        )
+
+    def _add(
+        self,
+        found: _Outstanding,
+        demand: share_terms.Demand,
+        rate: float,
+        burst: float,
+        tokens: float,
+        ends_at: float,
+        now: float,
+        renews: bool = False,
+        shrinking: bool = False,
+    ) -> share_terms.Share:
+        self._serial += 1
+        found.add(_Grant(self._serial, rate, burst, tokens, ends_at))
+        self._settle_pool(now)
+        next_ms = 0
+        if demand.wanted > tokens + token_bucket.EPSILON:
+            next_ms = min(
+                self._next_ms(now),
+                SHRINKING_MS if shrinking else EXHAUSTED_MS,
+            )
+        return share_terms.Share(
+            demand.account, self._serial, rate, burst, tokens, next_ms, renews
+        )
+
+    def _next_ms(self, now: float) -> int:
+        wait_s = self._pool.wait_s(now)
+        if math.isinf(wait_s):
+            return EXHAUSTED_MS
+        return max(1, min(EXHAUSTED_MS, math.ceil(1000 * wait_s)))
+
+
+class ShareLedger:
+    """Shares of all accounts of one shard, under one owner.
+
+    Parameters
+    ==========
+
+    renews_from, grants_from : float
+        See :class:`AccountLedger`.
+
+    """
+
+    def __init__(
+        self, term: share_terms.Term, renews_from: float, grants_from: float
+    ):
+        self.term = term
+        self._renews_from = renews_from
+        self._grants_from = grants_from
+        self._limit_by_account: dict[ids.AccountName, Limit] = {}
+        self._ledger_by_account: dict[ids.AccountName, AccountLedger] = {}
+        self._sequence_by_holder: dict[share_terms.Holder, int] = {}
+
+    def use_limits(
+        self, limit_by_account: Mapping[ids.AccountName, Limit], now: float
+    ) -> None:
+        """Use the limits of a manifest.
+
+        An account that is gone keeps its ledger: it may come back while
+        shares of it are in use.
+        """
+        self._limit_by_account = dict(limit_by_account)
+        for account, ledger in self._ledger_by_account.items():
+            limit = limit_by_account.get(account)
+            if limit is not None:
+                ledger.use_limit(limit, now)
+
+    def _ledger(
+        self, account: ids.AccountName, now: float
+    ) -> AccountLedger | None:
+        ledger = self._ledger_by_account.get(account)
+        limit = self._limit_by_account.get(account)
+        if ledger is None and limit is not None:
+            ledger = AccountLedger(
+                limit, self._renews_from, self._grants_from, now
+            )
+            self._ledger_by_account[account] = ledger
+        return ledger
+
+    def answer(
+        self,
+        holder: share_terms.Holder,
+        sequence: int,
+        demands: Iterable[share_terms.Demand],
+        ends_at: float,
+        now: float,
+    ) -> list[share_terms.Share] | None:
+        """Return the shares for a report; None if it came after a later one.
+
+        Parameters
+        ==========
+
+        sequence : int
+            Number of the report; the daemon has given up all with a smaller
+            one.
+        ends_at : float
+            Time at which the shares expire, in seconds.
+
+        """
+        if sequence <= self._sequence_by_holder.get(holder, 0):
+            return None
+        self._sequence_by_holder[holder] = sequence
+        return [
+            ledger.answer(
+                holder, demand, demand.term == self.term, ends_at, now
+            )
+            for demand in demands
+            if (ledger := self._ledger(demand.account, now)) is not None
+        ]
+
+    def pools(self, now: float) -> list[tuple[float, float, float]]:
+        """Return rate, burst and tokens of all that may be granted."""
+        if now < self._grants_from:
+            return []
+        return [each.pool(now) for each in self._ledger_by_account.values()]
--- /dev/null
+++ b/burdockcart/process/rates/share_terms.py
@@ -0,0 +1,103 @@
+"""What daemons and the owner of a shard tell each other about shares."""
+
+import hashlib
+from typing import NewType
+
+import msgspec
+
+from burdockcart import ids
+
+#: Number of parts into which the accounts are divided by hash.
+SHARDS = 4
+#: Lease of a shard's key, in seconds.
+LEASE_S = 3.0
+#: Interval of its renewal, in seconds.  With 0.75 s a share that was granted
+#: before the last renewal could end 50 ms after the lease, before a
+#: successor has renewed it; with 0.5 s it has 300 ms.
+RENEW_S = 0.5
+#: Part of the lease that an owner does not use, for the clocks, in seconds.
+CLOCK_MARGIN_S = 0.2
+#: Time for which a share outlives the authority of its owner, in seconds.
+GRACE_S = 1.0
+#: Interval of reports to an owner, in seconds.
+REPORT_S = 0.5
+#: Shortest time between two reports to one owner, in seconds.
+ASK_S = 0.05
+#: Time without demand after which a share is returned, in seconds.
+IDLE_S = 2.0
+
+Shard = NewType("Shard", int)
+#: Position of the key in the store by which an owner became one.
+Term = NewType("Term", int)
+#: One process of a daemon: a daemon that starts again is another holder.
+Holder = NewType("Holder", tuple[ids.DaemonId, int])
+
+
+class Demand(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon needs of one account, and what it holds.
+
+    Parameters
+    ==========
+
+    term, serial : int
+        The share that it holds; 0 for none.
+    per_s : float
+        Operations that clients want to begin, per second.
+    wanted : int
+        Operations that wait for a token.
+    returned : float
+        Tokens that the daemon has given up.
+    rate, burst : float
+        Of the share that it holds.
+
+    """
+
+    account: ids.AccountName
+    term: Term
+    serial: int
+    per_s: float
+    wanted: int
+    returned: float
+    rate: float
+    burst: float
+
+
+class Share(msgspec.Struct, frozen=True, array_like=True):
+    """A daemon's part of an account's rate.
+
+    Parameters
+    ==========
+
+    tokens : float
+        Tokens that come with it; they fit into its burst.
+    next_ms : int
+        Time until the owner may have more, in milliseconds; 0 if the daemon
+        has got what it wanted.
+    renews : bool
+        Whether it only continues the share of a former owner, which must not
+        have expired when this one arrives.
+
+    """
+
+    account: ids.AccountName
+    serial: int
+    rate: float
+    burst: float
+    tokens: float = 0.0
+    next_ms: int = 0
+    renews: bool = False
+
+
+def shard_of(account: ids.AccountName) -> Shard:
+    """Return the shard of an account.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.rates import share_terms
+    >>> 0 <= share_terms.shard_of("a") < share_terms.SHARDS
+    True
+
+    """
+    digest = hashlib.blake2b(account.encode(), digest_size=8).digest()
+    return Shard(int.from_bytes(digest, "big") % SHARDS)
