Admit operations of accounts by their rate over all daemons

Rates hold for all daemons together, but each daemon admitted everything. Daemons now report demand to the owner of an account's shard and spend the shares that it grants; the key of a shard is acquired and renewed in the store, and its owner is polled with everything else.

148 tests of links, the store and sessions pass, 25 of rates.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from burdockcart.emulator import host_link
+from burdockcart.emulator import shard_keys
 from burdockcart.emulator import wire_member
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
@@ -34,6 +35,7 @@
     "complete_since",
     "_daemon_by_lease",
     "_lease_ends_at",
+    "shards",
 )
 
 
@@ -89,6 +91,7 @@
         self._daemon_by_lease: dict[int, ids.DaemonId] = {}
         #: Time at which a lease ends, and its length, in seconds.
         self._lease_ends_at: dict[int, tuple[float, float]] = {}
+        self.shards = shard_keys.ShardKeys()
         self._late_promotions: set[asyncio.Task[None]] = set()
 
     def _next_revision(self) -> int:
@@ -146,6 +149,8 @@
         for lease, (ends_at, _) in list(self._lease_ends_at.items()):
             if ends_at <= now:
                 self._end_lease(lease)
+        for shard in self.shards.ended(now):
+            self.shards.remove(shard, self._next_revision())
 
     def _end_lease(self, lease: int) -> None:
         self._lease_ends_at.pop(lease, None)
@@ -187,6 +192,7 @@
                 complete_since=self.complete_since,
                 roster_by_group=self._rosters(),
                 promotion_by_group=self._promotions(),
+                owner_by_shard=self.shards.owners(self.era),
             )
         )
 
@@ -220,6 +226,7 @@
                 complete_since=self.complete_since,
                 roster_by_group=self._rosters(after),
                 promotion_by_group=self._promotions(after),
+                owner_by_shard=self.shards.owners(self.era, after),
             )
         )
 
@@ -398,6 +405,37 @@
         self._start_lease(lease.number, ttl_s)
         return result.Success(None)
 
+    async def acquire_shard(
+        self, shard: int, daemon: ids.DaemonId, ttl_s: float
+    ):
+        """Write the key of a shard, if there is none."""
+        fault = await self._store_fault()
+        if fault is not None:
+            return fault
+        self.shards.attempts += 1
+        owner = self.shards.owner(shard, self.era)
+        if owner is not None:
+            return result.Failure(owner)
+        lease, revision = self._next_revision(), self._next_revision()
+        now = asyncio.get_running_loop().time()
+        self.shards.write(shard, daemon, lease, revision, now, ttl_s)
+        return result.Success(
+            coordination.ShardHold(
+                coordination.Lease(self.era, lease), self._position(revision)
+            )
+        )
+
+    async def renew_shard(self, lease: coordination.Lease):
+        """Renew the lease of a shard's key."""
+        fault = await self._store_fault(lease.era)
+        if fault is not None:
+            return fault
+        self.shards.renewals += 1
+        now = asyncio.get_running_loop().time()
+        if self.shards.renew(lease.number, now):
+            return result.Success(None)
+        return result.Failure(CallFault.MISSING)
+
     async def reachable(self):
         """Return whether the store answers at all."""
         return await self._store_fault() is None
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -249,6 +249,9 @@
                 promotion_by_group=store_values.read_promotions(
                     page.items, self.eras.current
                 ),
+                owner_by_shard=store_values.read_owners(
+                    page.items, self.eras.current
+                ),
             )
         )
 
@@ -511,6 +514,56 @@
         )
         return _status(answer)
 
+    async def acquire_shard(
+        self, shard: int, daemon: ids.DaemonId, ttl_s: float
+    ) -> result.Result[
+        coordination.ShardHold,
+        coordination.ShardOwner | coordination.CallFault,
+    ]:
+        """Write the key of a shard, if there is none, under a new lease."""
+        granted = await self._call(
+            "/api/kv-lease",
+            store_messages.Lease,
+            "POST",
+            body={"ttl-ms": int(ttl_s * 1000)},
+        )
+        if isinstance(granted, result.Failure):
+            return granted
+        era = self.eras.current
+        lease = coordination.Lease(era, granted.unwrap().lease)
+        key = f"{store_values.QUOTA_PREFIX}{shard}"
+        answer = await self._write(
+            {key: 0}, {key: daemon.encode()}, lease.number, era=era
+        )
+        if isinstance(answer, coordination.CallFault):
+            return result.Failure(answer)
+        try:
+            if answer.code == 200:
+                written = decoding.decode(answer.body, store_messages.Written)
+                position = store_era.position(era, written.revision)
+                return result.Success(coordination.ShardHold(lease, position))
+            if answer.code == 412:
+                page = decoding.decode(answer.body, store_messages.Range)
+                owners = store_values.read_owners(page.items, era)
+                return result.Failure(
+                    owners.get(shard, coordination.CallFault.CONFLICT)
+                )
+        except msgspec.MsgspecError as error:
+            loguru.logger.error(
+                "event=answer_unreadable path=/api/kv-txn error={!r}",
+                str(error),
+            )
+            return result.Failure(coordination.CallFault.NO_ANSWER)
+        failed = _status(answer)
+        assert isinstance(failed, result.Failure)
+        return failed
+
+    async def renew_shard(
+        self, lease: coordination.Lease
+    ) -> result.Result[None, coordination.CallFault]:
+        """Renew the lease of a shard's key."""
+        return await self.renew_daemon(lease)
+
     async def reachable(self) -> bool:
         """Return whether the store answers at all."""
         query = {"prefix": store_values.DAEMON_PREFIX, "serializable": "1"}
--- a/burdockcart/platform/store_values.py
+++ b/burdockcart/platform/store_values.py
@@ -16,6 +16,7 @@
 
 MANIFEST_KEY = "op/config"
 MEMBER_PREFIX = "servers/"
+QUOTA_PREFIX = "quota/"
 PROMOTION_PREFIX = "promotions/"
 ROSTER_PREFIX = "rosters/"
 DAEMON_PREFIX = "daemons/"
@@ -78,9 +79,46 @@
         complete_since=complete[-1] if complete else None,
         roster_by_group=read_rosters(seen.events, era),
         promotion_by_group=read_promotions(seen.events, era),
+        owner_by_shard=read_owners(seen.events, era),
     )
 
 
+def read_owners(
+    items: list[store_messages.StoredItem], era: ids.StoreEra
+) -> dict[int, coordination.ShardOwner]:
+    """Return the owners of shards among some items, by shard.
+
+    The newest one of each shard counts; an unreadable one tells nothing.
+    """
+    return {
+        int(number): owner
+        for item in items
+        if item.key.startswith(QUOTA_PREFIX)
+        if (number := item.key.removeprefix(QUOTA_PREFIX)).isdecimal()
+        if (owner := read_owner(item, era)) is not None
+    }
+
+
+def read_owner(
+    item: store_messages.StoredItem, era: ids.StoreEra
+) -> coordination.ShardOwner | None:
+    """Return the owner of a shard; None for an unreadable one."""
+    position = store_era.position(era, item.revision)
+    if item.tombstone:
+        return coordination.ShardOwner(None, position)
+    try:
+        return coordination.ShardOwner(
+            ids.DaemonId(item.data.decode()), position
+        )
+    except (decoding.UnreadableValue, UnicodeDecodeError) as error:
+        loguru.logger.error(
+            "event=shard_owner_unreadable key={} error={!r}",
+            item.key,
+            str(error),
+        )
+        return None
+
+
 def read_promotions(
     items: list[store_messages.StoredItem], era: ids.StoreEra
 ) -> dict[ids.GroupId, coordination.StoredPromotion]:
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -38,6 +38,8 @@
 from burdockcart.process.gateway import task_keeper
 from burdockcart.process.peers import fleet_key
 from burdockcart.process.peers import relay
+from burdockcart.process.rates import account_rates
+from burdockcart.process.rates import rate_metrics
 from burdockcart.version import manifest
 
 #: Time for which a new session waits for the first manifest, in seconds;
@@ -146,6 +148,18 @@
             config.first_start,
             self._store,
         )
+        self.rates = account_rates.AccountRates(
+            config.daemon,
+            platform,
+            self.relay.shares,
+            lambda: self.tables.entry_by_daemon,
+            self._clock,
+            self._boot_clock,
+            rng,
+            rate_metrics.RateMetrics(self.metrics.registry),
+            config.first_start,
+        )
+        self.relay.shares.serve(self.rates.reported)
         self._restore_wait = restore_wait.RestoreWait(
             config.daemon,
             platform,
@@ -218,6 +232,7 @@
         self._tasks.run_to_end(self._listing.run)
         self._tasks.run_always(self._supervise)
         self._tasks.run_always(self._rosters.run)
+        self._tasks.run_always(self.rates.run)
         if self._settings.promotions_fenced:
             # Without fencing, a token claimed in advance could be used after
             # a higher one.
@@ -348,6 +363,7 @@
 
     def manifest_changed(self, found: manifest.Manifest) -> None:
         """Apply a new manifest."""
+        self.rates.use_manifest(found)
         for limits in found.limits_by_group.values():
             group = self.group_by_id.get(limits.id)
             if group is None:
@@ -376,6 +392,7 @@
 
     def measure(self) -> bytes:
         """Update the gauges and return all metrics."""
+        self.rates.measure()
         current = self.tables.current
         self.metrics.sessions.set(len(self._connections()))
         self.metrics.ready.set(self.ready())
@@ -438,6 +455,15 @@
         for group, stored in stored_by_group.items():
             self._failover.claims.polled(group, stored, _wall_ms(), now)
 
+    def owners_changed(
+        self,
+        owner_by_shard: dict[int, coordination.ShardOwner],
+        position: ids.StorePosition,
+        complete: bool,
+    ) -> None:
+        """Note the owners of shards up to a position of the store."""
+        self.rates.use_owners(owner_by_shard, position, complete)
+
     def store_listed(self) -> None:
         """Note that the whole store has been read."""
         for group in self.group_by_id.values():
@@ -455,12 +481,14 @@
     ) -> None:
         """Apply a new list of the registered daemons."""
         self.relay.use_daemons(entry_by_id)
+        self.rates.use_daemons()
         loguru.logger.info("event=daemons_listed count={}", len(entry_by_id))
         self._divide_connections()
 
     def era_changed(self, era: ids.StoreEra) -> None:
         """Forget positions of other eras of the store."""
         self._failover.era_changed(era)
+        self.rates.note_era()
         if self._restore_wait.begin(era):
             self.metrics.store_restores.inc()
             for group in self.group_by_id.values():
--- a/burdockcart/process/gateway/store/coordination.py
+++ b/burdockcart/process/gateway/store/coordination.py
@@ -96,6 +96,20 @@
     position: ids.StorePosition
 
 
+class ShardOwner(msgspec.Struct, frozen=True):
+    """Owner of a shard of the accounts at a position; None without a key."""
+
+    daemon: ids.DaemonId | None
+    position: ids.StorePosition
+
+
+class ShardHold(msgspec.Struct, frozen=True):
+    """Lease of a shard's key, and the position at which it was written."""
+
+    lease: Lease
+    position: ids.StorePosition
+
+
 class StoredPromotion(msgspec.Struct, frozen=True):
     """A group's promotion record and its position in the store."""
 
@@ -122,6 +136,7 @@
     promotion_by_group: dict[ids.GroupId, StoredPromotion] = msgspec.field(
         default_factory=dict
     )
+    owner_by_shard: dict[int, ShardOwner] = msgspec.field(default_factory=dict)
 
 
 class StoreChanges(msgspec.Struct, frozen=True, kw_only=True):
@@ -143,6 +158,7 @@
     promotion_by_group: dict[ids.GroupId, StoredPromotion] = msgspec.field(
         default_factory=dict
     )
+    owner_by_shard: dict[int, ShardOwner] = msgspec.field(default_factory=dict)
 
 
 class PromotionRecord(msgspec.Struct, frozen=True):
@@ -269,5 +285,18 @@
     ) -> result.Result[None, CallFault]:
         """Remove an entry of this incarnation, whatever its lease."""
 
+    async def acquire_shard(
+        self, shard: int, daemon: ids.DaemonId, ttl_s: float
+    ) -> result.Result[ShardHold, ShardOwner | CallFault]:
+        """Write the key of a shard, if there is none, under a new lease.
+
+        Fails with the owner whose key there is.
+        """
+
+    async def renew_shard(
+        self, lease: Lease
+    ) -> result.Result[None, CallFault]:
+        """Renew the lease of a shard's key."""
+
     async def reachable(self) -> bool:
         """Return whether the store answers."""
--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -67,6 +67,17 @@
     ) -> None:
         """Note new promotion records of groups."""
 
+    def owners_changed(
+        self,
+        owner_by_shard: dict[int, coordination.ShardOwner],
+        position: ids.StorePosition,
+        complete: bool,
+    ) -> None:
+        """Note the owners of shards up to a position of the store.
+
+        ``complete`` tells that shards that are not named have no owner.
+        """
+
     def store_listed(self) -> None:
         """Note that the whole store has been read."""
 
@@ -355,6 +366,9 @@
             self._use_manifest(found.tables)
         self._listener.rosters_changed(self.roster_by_group)
         self._listener.promotions_changed(found.promotion_by_group)
+        self._listener.owners_changed(
+            found.owner_by_shard, found.position, complete=True
+        )
         self._listener.store_listed()
         self._notify_members(list(self.catalog.entry_by_id.values()))
         if found.fleet_key is not None:
@@ -374,6 +388,10 @@
             self._listener.rosters_changed(self.roster_by_group)
         if changes.promotion_by_group:
             self._listener.promotions_changed(changes.promotion_by_group)
+        if changes.owner_by_shard:
+            self._listener.owners_changed(
+                changes.owner_by_shard, changes.position, complete=False
+            )
         entries = changes.entry_by_member
         self.catalog.changed(entries, now)
         self._notify_members(
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -220,7 +220,13 @@
             self._answer(message)
 
     def _answer(
-        self, message: messages.Answered | messages.Status | messages.Noticed
+        self,
+        message: (
+            messages.Answered
+            | messages.Status
+            | messages.Noticed
+            | messages.Shares
+        ),
     ) -> None:
         """Resolve a request; the answer to one given up is dropped."""
         future = self._future_by_number.get(message.number)
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -10,6 +10,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import ids
+from burdockcart.process.rates import share_terms
 from burdockcart.request import command
 from burdockcart.request import log_position
 
@@ -157,6 +158,13 @@
     position: ids.StorePosition
 
 
+class ShareReport(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Report the demand of accounts to the owner of a shard."""
+
+    number: int
+    report: share_terms.Report
+
+
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag=20):
     """Answer of a member, or the reason why it has none.
 
@@ -242,6 +250,13 @@
     certain: tuple[int, int] | None = None
 
 
+class Shares(msgspec.Struct, frozen=True, array_like=True, tag=26):
+    """Answer to a report of demand."""
+
+    number: int
+    answer: share_terms.Answer
+
+
 Request = Union[
     Run,
     RunInTransaction,
@@ -252,8 +267,9 @@
     Ping,
     CallNotice,
     Withdrawal,
+    ShareReport,
 ]
-Reply = Union[Answered, Status, Pong, Leaving, Closing, Noticed]
+Reply = Union[Answered, Status, Pong, Leaving, Closing, Noticed, Shares]
 
 encode = msgspec.msgpack.Encoder().encode
 request_decoder: msgspec.msgpack.Decoder[Request] = msgspec.msgpack.Decoder(
--- /dev/null
+++ b/burdockcart/process/peers/peer_shares.py
@@ -0,0 +1,54 @@
+"""Reports of demand on the links between daemons, and their answers."""
+
+import asyncio
+from typing import Callable
+
+from burdockcart import ids
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.peers import messages
+from burdockcart.process.peers import relay_connector
+from burdockcart.process.rates import share_terms
+
+#: Timeout of a report, in seconds; the next one replaces it.
+TIMEOUT_S = 0.25
+
+Serve = Callable[[ids.DaemonId, share_terms.Report], share_terms.Answer]
+
+
+class PeerShares:
+    """Carries reports to the owners of shards, and answers those of others."""
+
+    def __init__(self, links: relay_connector.HolderLinks):
+        self._links = links
+        self._serve: Serve | None = None
+
+    def serve(self, serve: Serve) -> None:
+        """Answer reports of other daemons from now on."""
+        self._serve = serve
+
+    async def send(
+        self, daemon: coordination.DaemonEntry, report: share_terms.Report
+    ) -> share_terms.Answer | None:
+        """Report to a daemon; None without an answer in time."""
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                link = await self._links.link(daemon)
+                if link is None:
+                    return None
+                reply = await link.request(
+                    lambda number: messages.ShareReport(number, report),
+                    TIMEOUT_S,
+                )
+        except TimeoutError:
+            return None
+        return reply.answer if isinstance(reply, messages.Shares) else None
+
+    def reported(
+        self, daemon: ids.DaemonId, message: messages.ShareReport
+    ) -> messages.Shares:
+        """Answer the report of another daemon."""
+        if self._serve is None:
+            answer = share_terms.Answer(None, ids.StorePosition(-1))
+        else:
+            answer = self._serve(daemon, message.report)
+        return messages.Shares(message.number, answer)
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -18,6 +18,7 @@
 from burdockcart.process.peers import holding
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import peer_notices
+from burdockcart.process.peers import peer_shares
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.peers import relay_service
 from burdockcart.request import log_position
@@ -82,6 +83,7 @@
         self.notices = peer_notices.PeerNotices(
             group_by_id, self.holding, self._links, loop_clock
         )
+        self.shares = peer_shares.PeerShares(self._links)
         self.service = relay_service.RelayService(self, sender, loop_clock)
         self.connector = relay_connector.RelayConnector(
             direct, self._links, self, loop_clock, boot_clock
@@ -243,6 +245,12 @@
         """Note that a promotion call was not sent."""
         self.notices.withdrawn(withdrawal)
 
+    def shares_reported(
+        self, daemon: ids.DaemonId, message: messages.ShareReport
+    ) -> messages.Shares:
+        """Answer a daemon that reports the demand of accounts."""
+        return self.shares.reported(daemon, message)
+
     def held_pool(
         self, group: ids.GroupId, member: ids.MemberId
     ) -> tuple[groups.Group, member_pool.MemberPool] | None:
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -67,6 +67,11 @@
     def withdrawn(self, withdrawal: messages.Withdrawal) -> None:
         """Note that a promotion call was not sent."""
 
+    def shares_reported(
+        self, daemon: ids.DaemonId, message: messages.ShareReport
+    ) -> messages.Shares:
+        """Answer a daemon that reports the demand of accounts."""
+
 
 class Service(Protocol):
     """What the sessions of all links share."""
@@ -142,6 +147,10 @@
         if isinstance(message, messages.CallNotice):
             self._send(self._service.pools.notified(message))
             return
+        if isinstance(message, messages.ShareReport):
+            pools = self._service.pools
+            self._send(pools.shares_reported(self._daemon, message))
+            return
         if len(self._tasks) >= MAX_STATEMENTS:
             self._refuse(message.number, "too many statements on this link")
             return
--- a/burdockcart/process/rates/division.py
+++ b/burdockcart/process/rates/division.py
@@ -9,8 +9,12 @@
 #: Part of the rate that the owner keeps for daemons that join, while demand
 #: allows it.
 RESERVE = 0.2
-#: A daemon's rate relative to its demand, so that it seldom has to ask.
-HEADROOM = 1.2
+#: Rate that a daemon gets beyond its demand, in square roots of the demand:
+#: Poisson arrivals and their measurement vary by about one.
+HEADROOM = 2.0
+
+#: Tokens to divide from which on they are divided.
+MIN_DIVIDED = 4
 
 Key = TypeVar("Key")
 
@@ -46,15 +50,18 @@
     ========
 
     >>> from burdockcart.process.rates import division
-    >>> division.divide_rate(10.0, {"a": 5.0})
-    {'a': 6.0}
+    >>> division.divide_rate(20.0, {"a": 4.0})
+    {'a': 8.0}
     >>> division.divide_rate(10.0, {"a": 50.0, "b": 50.0})
     {'a': 5.0, 'b': 5.0}
 
     """
     spare = rate - sum(demand_by_key.values())
     reserve = max(0.0, min(RESERVE * rate, spare))
-    wants = {key: HEADROOM * each for key, each in demand_by_key.items()}
+    wants = {
+        key: each + HEADROOM * math.sqrt(each)
+        for key, each in demand_by_key.items()
+    }
     return max_min(rate - reserve, wants)
 
 
@@ -66,22 +73,28 @@
     Explanation
     ===========
 
-    A daemon needs what it spends between two reports.  The rest stays with
-    the owner, whose tokens any daemon can get at once; with more daemons
-    than tokens all of them do.
+    A daemon needs what it spends between two reports.  The rest, at least
+    half, stays with the owner, whose tokens any daemon can get at once.  If
+    that leaves few tokens to divide, all of them do: with a rate and burst
+    of 5 on three daemons, tokens that lay unused on one of them cost 22 % of
+    the operations on the others.
 
     Examples
     ========
 
     >>> from burdockcart.process.rates import division
-    >>> division.divide_burst(5.0, {"a": 3.0, "b": 1.0})
-    {'a': 3, 'b': 1}
-    >>> division.divide_burst(2.0, {"a": 3.0, "b": 1.0})
-    {'a': 0, 'b': 0}
+    >>> division.divide_burst(5.0, {"a": 3.0})
+    {'a': 0}
+    >>> division.divide_burst(10.0, {"a": 3.0, "b": 1.0})
+    {'a': 3, 'b': 2}
+    >>> division.divide_burst(10.0, {"a": 3.0, "b": 1.0, "c": 1.0})
+    {'a': 0, 'b': 0, 'c': 0}
+    >>> division.divide_burst(40.0, {"a": 30.0, "b": 1.0})
+    {'a': 16, 'b': 2}
 
     """
-    whole = math.floor(burst) - 1
-    if whole < len(demand_by_key):
+    whole = math.floor(burst / 2)
+    if whole < max(MIN_DIVIDED, 2 * len(demand_by_key)):
         return {key: 0 for key in demand_by_key}
     wants = {
         key: math.ceil(each * share_terms.REPORT_S)
--- a/burdockcart/process/rates/local_shares.py
+++ b/burdockcart/process/rates/local_shares.py
@@ -8,8 +8,9 @@
 from burdockcart.process.rates import token_bucket
 
 #: Time constant of the measured demand, in seconds: shares follow demand
-#: within a second.
-DEMAND_S = 0.5
+#: within a second.  With 0.5 s, shares that could not change while an owner
+#: was replaced were too small by chance.
+DEMAND_S = 1.0
 #: Age of a share from which on unsent operations are given back, in seconds;
 #: longer than any operation.  An operation that was counted in an expired
 #: share must not be given back to the next one.
@@ -86,9 +87,9 @@
         if self._serial and now - self._started_at >= REFUND_AGE_S:
             self._bucket.add(1.0, now)
 
-    def exhausted(self, now: float) -> bool:
-        """Return whether the owner has said that nothing is available."""
-        return now < self._exhausted_until
+    def exhausted_s(self, now: float) -> float:
+        """Return for how long the owner said that it has nothing more."""
+        return max(0.0, self._exhausted_until - now)
 
     def wait_s(self, now: float) -> float:
         """Return the time until there is a token, in seconds."""
@@ -197,6 +198,15 @@
         shares = self._by_shard[shard].values()
         return max((each.valid_until for each in shares), default=-math.inf)
 
+    def granted_rates(self, now: float) -> dict[ids.AccountName, float]:
+        """Return the rates of all shares that are valid."""
+        return {
+            account: each.limits[0]
+            for by_account in self._by_shard.values()
+            for account, each in by_account.items()
+            if now < each.valid_until
+        }
+
     def next_sequence(self) -> int:
         """Return the number of the next report."""
         self._sequence += 1
@@ -220,7 +230,8 @@
         shard: share_terms.Shard,
         shares: Iterable[share_terms.Share],
         term: share_terms.Term,
-        valid_until: float,
+        sent_at: float,
+        valid_ms: int,
         now: float,
     ) -> None:
         """Use the shares in the answer to the last report.
@@ -228,13 +239,15 @@
         Parameters
         ==========
 
-        valid_until : float
-            Time at which they expire, in seconds, counted from the time at
-            which the report was sent.
+        sent_at : float
+            Time at which the report was sent, in seconds.
+        valid_ms : int
+            Time for which they are valid after that, in milliseconds.
 
         """
         by_account = self._by_shard[shard]
         for share in shares:
             local = by_account.get(share.account)
             if local is not None:
-                local.apply(share, term, valid_until, now)
+                ms = min(valid_ms, share.valid_ms or valid_ms)
+                local.apply(share, term, sent_at + ms / 1000, now)
--- /dev/null
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -0,0 +1,205 @@
+"""Owns a shard while the store lets it: its key, lease and ledger."""
+
+import asyncio
+import math
+from typing import Callable
+from typing import Iterable
+from typing import Mapping
+
+import loguru
+from returns import result
+
+from burdockcart import clock
+from burdockcart import ids
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.rates import shard_ownership
+from burdockcart.process.rates import share_ledger
+from burdockcart.process.rates import share_terms
+
+CallFault = coordination.CallFault
+
+#: Faults of a renewal after which the lease is known to have ended.
+_ENDED = (CallFault.MISSING, CallFault.RESTORED)
+Limits = Mapping[ids.AccountName, share_ledger.Limit]
+
+
+class ShardKeeper:
+    """One shard, as a daemon that may own it sees it.
+
+    Parameters
+    ==========
+
+    listed : callable
+        Returns the ids of the registered daemons.
+    first_start : bool
+        Whether the whole deployment starts for the first time, so that its
+        store cannot have been restored lately.
+
+    """
+
+    def __init__(
+        self,
+        shard: share_terms.Shard,
+        daemon: ids.DaemonId,
+        platform: coordination.Platform,
+        listed: Callable[[], Iterable[ids.DaemonId]],
+        boot_clock: clock.Clock,
+        first_start: bool,
+    ):
+        self.ownership = shard_ownership.ShardOwnership(daemon)
+        self._shard = shard
+        self._daemon = daemon
+        self._platform = platform
+        self._listed = listed
+        self._clock = boot_clock
+        self._first_start = first_start
+        self._era: ids.StoreEra | None = None
+        self._ledger: share_ledger.ShareLedger | None = None
+        self._limits: Limits = {}
+        self._changed = asyncio.Event()
+
+    # Hints
+
+    def use_limits(self, limits: Limits) -> None:
+        """Use the limits of a manifest."""
+        self._limits = limits
+        if self._ledger is not None:
+            self._ledger.use_limits(limits, self._clock.now())
+        self.use_daemons()
+
+    def use_daemons(self) -> None:
+        """Note that the list of daemons, or the owner, has changed."""
+        daemons = list(self._listed())
+        if self._daemon in daemons:
+            order = shard_ownership.in_order(self._shard, daemons)
+            rank = order.index(self._daemon)
+            self.ownership.use_rank(rank, self._clock.now())
+        self._changed.set()
+
+    def hear(
+        self, position: ids.StorePosition, owner: ids.DaemonId | None
+    ) -> None:
+        """Note the owner at a position of the store."""
+        self.ownership.hear(position, owner)
+
+    def asked(self, lease_left_s: float) -> None:
+        """Note that a daemon takes this one for the next owner."""
+        self.ownership.asked(self._clock.now(), lease_left_s)
+        self._changed.set()
+
+    def note_era(self) -> None:
+        """Note the era that the store's last answer has shown."""
+        era = self._platform.eras.current
+        if era != self._era:
+            # Before the first era no store has been restored.
+            known_first = self._era is None and (self._first_start or era == 0)
+            self._era = era
+            self.ownership.era_seen(self._clock.now(), not known_first)
+
+    # Shares
+
+    def answer(
+        self,
+        holder: share_terms.Holder,
+        report: share_terms.Report,
+    ) -> share_terms.Answer:
+        """Answer a report; without shares if this daemon is not the owner."""
+        now = self._clock.now()
+        own, ledger = self.ownership.own, self._ledger
+        if own is None or ledger is None or not self.ownership.owns(now):
+            owner = self.ownership.owner
+            if owner in (None, self._daemon, holder[0], report.missed):
+                self.asked(report.lease_left_ms / 1000)
+            position, owner = self.ownership.heard
+            return share_terms.Answer(
+                None if owner == self._daemon else owner, position
+            )
+        ends_at = own.authority_until + share_terms.GRACE_S
+        shares = ledger.answer(
+            holder, report.sequence, report.demands, ends_at, now
+        )
+        return share_terms.Answer(
+            self._daemon,
+            ids.StorePosition(own.term),
+            int(1000 * (ends_at - now)),
+            shares or [],
+        )
+
+    # Calls to the store
+
+    async def run(self) -> None:
+        """Acquire the key when it is this daemon's turn, and renew it."""
+        while True:
+            self._changed.clear()
+            await self._pause()
+            if not self._limits:
+                continue
+            now = self._clock.now()
+            if self.ownership.expired(now):
+                self._lose("not renewed in time")
+            lease = self.ownership.renewing(now)
+            if lease is not None:
+                await self._renew(lease)
+            elif self.ownership.attempting(now):
+                await self._acquire()
+
+    async def _pause(self) -> None:
+        """Wait until a call is due; without limits, for limits."""
+        pause_s = None
+        if self._limits:
+            due_s = self.ownership.due_at() - self._clock.now()
+            if due_s <= 0:
+                return
+            pause_s = None if due_s == math.inf else due_s
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    async def _acquire(self) -> None:
+        sent_at = self._clock.now()
+        acquired = await self._platform.acquire_shard(
+            self._shard, self._daemon, share_terms.LEASE_S
+        )
+        self.note_era()
+        now = self._clock.now()
+        if isinstance(acquired, result.Failure):
+            failure = acquired.failure()
+            if isinstance(failure, coordination.ShardOwner):
+                self.hear(failure.position, failure.daemon)
+            taken = failure is not CallFault.NO_ANSWER and (
+                failure is not CallFault.UNAVAILABLE
+            )
+            self.ownership.refused(now, taken)
+            return
+        hold = acquired.unwrap()
+        if hold.lease.era != self._platform.eras.current:
+            self.ownership.refused(now, False)
+            return
+        self.ownership.acquired(hold.lease, hold.position, sent_at)
+        self._ledger = share_ledger.ShareLedger(
+            share_terms.Term(hold.position), *self.ownership.grant_times(now)
+        )
+        self._ledger.use_limits(self._limits, now)
+        loguru.logger.info(
+            "event=shard_owned shard={} position={}",
+            self._shard,
+            hold.position,
+        )
+
+    async def _renew(self, lease: coordination.Lease) -> None:
+        sent_at = self._clock.now()
+        renewed = await self._platform.renew_shard(lease)
+        self.note_era()
+        if isinstance(renewed, result.Success):
+            self.ownership.renewed(lease, sent_at)
+        elif renewed.failure() in _ENDED:
+            self._lose(renewed.failure().value)
+
+    def _lose(self, cause: str) -> None:
+        self._ledger = None
+        self.ownership.lose(self._clock.now())
+        loguru.logger.warning(
+            "event=shard_lost shard={} cause={!r}", self._shard, cause
+        )
--- a/burdockcart/process/rates/shard_ownership.py
+++ b/burdockcart/process/rates/shard_ownership.py
@@ -16,11 +16,11 @@
 NEXT_CANDIDATE_S = 0.5
 #: Pause after an attempt that another daemon's key, or a fault, refused, in
 #: seconds.
-RETRY_S = 0.25
+RETRY_S = 0.15
 #: Attempts that find another daemon's key before the pause gets longer, and
 #: the longer one, in seconds: that daemon is alive, and only cut off from
 #: those that report to this one.
-MAX_TAKEN = 4
+MAX_TAKEN = 6
 TAKEN_RETRY_S = 1.0
 #: Part of a share's validity that lies after the end of the lease that its
 #: owner last knew of, in seconds.
@@ -109,10 +109,15 @@
         self,
         position: ids.StorePosition,
         owner: ids.DaemonId | None,
-        rank: int,
-        now: float,
     ) -> None:
-        """Note the owner of a position; None if there was no key.
+        """Note the owner of a position; None if there was no key."""
+        if position <= self._heard[0]:
+            return
+        self._taken = 0
+        self._heard = position, owner
+
+    def use_rank(self, rank: int, now: float) -> None:
+        """Acquire a key that the store does not hold, in turn.
 
         Parameters
         ==========
@@ -121,11 +126,9 @@
             Place of this daemon in the order of possible owners.
 
         """
-        if position <= self._heard[0]:
-            return
-        self._taken = 0
-        self._heard = position, owner
-        if owner is None and self._own is None and rank < CANDIDATES:
+        position, owner = self._heard
+        absent = position >= 0 and owner is None
+        if absent and self._own is None and rank < CANDIDATES:
             self._attempt_by(now + rank * NEXT_CANDIDATE_S)
 
     def era_seen(self, now: float, restored: bool) -> None:
--- /dev/null
+++ b/burdockcart/process/rates/shard_reports.py
@@ -0,0 +1,217 @@
+"""Reports a daemon's demand to the owner of a shard while there is any."""
+
+import asyncio
+import math
+from typing import Mapping
+from typing import Protocol
+
+import loguru
+
+from burdockcart import clock
+from burdockcart import ids
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.rates import local_shares
+from burdockcart.process.rates import shard_keeper
+from burdockcart.process.rates import shard_ownership
+from burdockcart.process.rates import share_terms
+
+#: Interval of reports that no owner answers, in seconds.
+RETRY_S = 0.1
+#: Questions that may follow each other at once; more keep the interval.  With
+#: none, an operation 2 ms after a report could not be told within 50 ms.
+ASKS = 2
+#: Time for which a daemon that has not answered is passed over, in seconds.
+SUSPECT_S = 1.0
+
+
+class Carrier(Protocol):
+    """Carries reports to other daemons."""
+
+    async def send(
+        self, daemon: coordination.DaemonEntry, report: share_terms.Report
+    ) -> share_terms.Answer | None:
+        """Report to a daemon; None without an answer in time."""
+
+
+class Daemons(Protocol):
+    """The registered daemons."""
+
+    def __call__(self) -> Mapping[ids.DaemonId, coordination.DaemonEntry]:
+        """Return their entries."""
+
+
+class ShardReports:
+    """Reports to the owner of one shard.
+
+    Parameters
+    ==========
+
+    holder : Holder
+        This process.
+
+    """
+
+    def __init__(
+        self,
+        shard: share_terms.Shard,
+        holder: share_terms.Holder,
+        keeper: shard_keeper.ShardKeeper,
+        local: local_shares.LocalShares,
+        carrier: Carrier,
+        daemons: Daemons,
+        loop_clock: clock.Clock,
+        boot_clock: clock.Clock,
+    ):
+        self._shard = shard
+        self._holder = holder
+        self._keeper = keeper
+        self._local = local
+        self._carrier = carrier
+        self._daemons = daemons
+        self._clock = loop_clock
+        self._boot_clock = boot_clock
+        self._asked = asyncio.Event()
+        #: Set, and replaced, with each answer.
+        self.answered = asyncio.Event()
+        #: Whether the last report was answered by the owner.
+        self.has_owner = False
+        self._reported_at = -math.inf
+        self._ask_at = -math.inf
+        self._suspect_until: dict[ids.DaemonId, float] = {}
+        #: Position of an owner that has said that it is none.
+        self._disowned = ids.StorePosition(-1)
+
+    def ask(self) -> None:
+        """Report as soon as possible."""
+        self._asked.set()
+
+    async def run(self) -> None:
+        """Report until cancelled; wait without a timer if there is none."""
+        while True:
+            if not self._local.active(self._shard):
+                await self._asked.wait()
+            await self._pause()
+            self._asked.clear()
+            self._reported_at = self._clock.now()
+            answered = await self._report()
+            if answered != self.has_owner:
+                self._log(answered)
+            self.has_owner = answered
+            done, self.answered = self.answered, asyncio.Event()
+            done.set()
+
+    def _log(self, answered: bool) -> None:
+        if answered:
+            loguru.logger.info("event=shares_granted shard={}", self._shard)
+        else:
+            loguru.logger.warning(
+                "event=shares_refused shard={} owner={}",
+                self._shard,
+                self._keeper.ownership.owner,
+            )
+
+    async def _pause(self) -> None:
+        """Wait for the next report; a question shortens the wait."""
+        interval_s = share_terms.REPORT_S if self.has_owner else RETRY_S
+        due_at = self._reported_at + interval_s
+        try:
+            async with asyncio.timeout(max(0.0, due_at - self._clock.now())):
+                await self._asked.wait()
+        except TimeoutError:
+            return
+        if self._keeper.ownership.owns(self._boot_clock.now()):
+            return
+        now = self._clock.now()
+        await asyncio.sleep(max(0.0, self._ask_at - now))
+        self._ask_at = (
+            max(self._ask_at, now - ASKS * share_terms.ASK_S)
+            + share_terms.ASK_S
+        )
+
+    def _usable(self, daemon: ids.DaemonId) -> bool:
+        return self._suspect_until.get(daemon, 0.0) <= self._clock.now()
+
+    def _target(
+        self, entries: Mapping[ids.DaemonId, coordination.DaemonEntry]
+    ) -> ids.DaemonId:
+        """Return the owner, or the daemon that should become the owner."""
+        position, owner = self._keeper.ownership.heard
+        if owner == self._holder[0]:
+            return owner
+        if (
+            owner is not None
+            and position != self._disowned
+            and owner in entries
+            and self._usable(owner)
+        ):
+            return owner
+        order = shard_ownership.in_order(self._shard, entries)
+        return next(
+            (
+                each
+                for each in order[: shard_ownership.CANDIDATES]
+                if each == self._holder[0] or self._usable(each)
+            ),
+            self._holder[0],
+        )
+
+    async def _report(self) -> bool:
+        """Report once; return whether the owner has answered."""
+        sent_at = self._boot_clock.now()
+        entries = self._daemons()
+        valid_left_s = self._local.valid_until(self._shard) - sent_at
+        left_s = shard_ownership.lease_left_s(valid_left_s)
+        target = self._target(entries)
+        owner = self._keeper.ownership.owner
+        report = share_terms.Report(
+            self._shard,
+            self._holder[1],
+            self._local.next_sequence(),
+            None if owner == target else owner,
+            math.ceil(1000 * left_s),
+            self._local.report(self._shard, sent_at),
+        )
+        if target == self._holder[0]:
+            answer = self._keeper.answer(self._holder, report)
+        else:
+            sent = await self._carrier.send(entries[target], report)
+            if sent is None:
+                until = self._clock.now() + SUSPECT_S
+                self._suspect_until = {
+                    **self._unsuspected(),
+                    target: until,
+                }
+                return False
+            answer = sent
+        return self._use(target, answer, sent_at)
+
+    def _unsuspected(self) -> dict[ids.DaemonId, float]:
+        now = self._clock.now()
+        return {
+            daemon: until
+            for daemon, until in self._suspect_until.items()
+            if until > now
+        }
+
+    def _use(
+        self,
+        target: ids.DaemonId,
+        answer: share_terms.Answer,
+        sent_at: float,
+    ) -> bool:
+        if answer.valid_ms <= 0:
+            position, owner = self._keeper.ownership.heard
+            if owner == target:
+                self._disowned = position
+            self._keeper.hear(answer.position, answer.owner)
+            return False
+        self._keeper.hear(answer.position, target)
+        self._local.apply(
+            self._shard,
+            answer.shares,
+            share_terms.Term(answer.position),
+            sent_at,
+            answer.valid_ms,
+            self._boot_clock.now(),
+        )
+        return True
--- a/burdockcart/process/rates/share_ledger.py
+++ b/burdockcart/process/rates/share_ledger.py
@@ -1,5 +1,6 @@
 """The owner's side: which shares of an account may still be spent."""
 
+import itertools
 import math
 from typing import Iterable
 from typing import Mapping
@@ -8,6 +9,7 @@
 
 from burdockcart import ids
 from burdockcart.process.rates import division
+from burdockcart.process.rates import outstanding_shares
 from burdockcart.process.rates import share_terms
 from burdockcart.process.rates import token_bucket
 
@@ -24,77 +26,6 @@
     burst: float
 
 
-class _Grant(msgspec.Struct, frozen=True):
-    serial: int
-    rate: float
-    burst: float
-    tokens: float
-    ends_at: float
-
-
-class _Outstanding:
-    """Shares of one holder that may still be spent."""
-
-    def __init__(self) -> None:
-        #: The share that the holder has reported, and later ones of which it
-        #: has not; at most one of them can be in use.
-        self._held: _Grant | None = None
-        self._sent: list[_Grant] = []
-        self.demand = 0.0
-        self.demand_at = -math.inf
-
-    def acknowledged(self, serial: int, returned: bool) -> bool:
-        """Forget all shares but the one that the holder has.
-
-        It no longer accepts answers to what it sent before this report.
-        Returns whether the share that it reports is still in force: the
-        tokens that come back from an expired one have been granted anew.
-
-        Parameters
-        ==========
-
-        returned : bool
-            Whether it has given up that share, too.
-
-        """
-        grants = [*self._sent, *([self._held] if self._held else [])]
-        self._held = next((g for g in grants if g.serial == serial), None)
-        self._sent = []
-        in_force = self._held is not None
-        if returned:
-            self._held = None
-        return in_force
-
-    def expire(self, now: float) -> None:
-        """Forget shares that have expired."""
-        if self._held is not None and self._held.ends_at <= now:
-            self._held = None
-        self._sent = [each for each in self._sent if each.ends_at > now]
-
-    def add(self, grant: _Grant) -> None:
-        """Record a share that is about to be sent."""
-        self._sent.append(grant)
-
-    @property
-    def rate(self) -> float:
-        """Highest rate at which the holder may spend."""
-        held = self._held.rate if self._held else 0.0
-        return max([held, *(each.rate for each in self._sent)])
-
-    @property
-    def burst(self) -> float:
-        """Most tokens that the holder has, with those that are sent."""
-        most = self._held.burst if self._held else 0.0
-        for each in self._sent:
-            most = max(most + each.tokens, each.burst)
-        return most
-
-    @property
-    def empty(self) -> bool:
-        """Whether nothing can be spent."""
-        return self._held is None and not self._sent
-
-
 class AccountLedger:
     """Shares of one account.
 
@@ -126,7 +57,9 @@
         self._limit = limit
         self._renews_from = renews_from
         self._grants_from = grants_from
-        self._by_holder: dict[share_terms.Holder, _Outstanding] = {}
+        self._by_holder: dict[
+            share_terms.Holder, outstanding_shares.OutstandingShares
+        ] = {}
         self._pool = token_bucket.TokenBucket(
             limit.rate, limit.burst, grants_from
         )
@@ -165,8 +98,18 @@
         self._pool.set_limits(*self._free(), now)
 
     def _expire(self, now: float) -> None:
+        """Let the pool have what has expired, from the time at which it did.
+
+        A pool that was full would otherwise not refill until the next report.
+        """
+        ends = itertools.chain.from_iterable(
+            each.ends() for each in self._by_holder.values()
+        )
+        for ended_at in sorted({each for each in ends if each <= now}):
+            for each in self._by_holder.values():
+                each.expire(ended_at)
+            self._settle_pool(ended_at)
         for holder, each in list(self._by_holder.items()):
-            each.expire(now)
             if each.empty and each.demand_at + share_terms.IDLE_S <= now:
                 del self._by_holder[holder]
 
@@ -190,7 +133,9 @@
 
         """
         self._expire(now)
-        found = self._by_holder.setdefault(holder, _Outstanding())
+        found = self._by_holder.setdefault(
+            holder, outstanding_shares.OutstandingShares()
+        )
         in_force = found.acknowledged(
             demand.serial if own_term else 0, demand.per_s <= 0
         )
@@ -214,7 +159,7 @@
 
     def _renew(
         self,
-        found: _Outstanding,
+        found: outstanding_shares.OutstandingShares,
         demand: share_terms.Demand,
         claimed: bool,
         ends_at: float,
@@ -236,7 +181,7 @@
     def _grant(
         self,
         holder: share_terms.Holder,
-        found: _Outstanding,
+        found: outstanding_shares.OutstandingShares,
         demand: share_terms.Demand,
         ends_at: float,
         now: float,
@@ -255,7 +200,7 @@
         )
         free_rate, free_burst = self._free()
         target = bursts.get(holder, 0.0)
-        burst = min(max(target, demand.wanted), found.burst + free_burst)
+        burst = min(target, found.burst + free_burst)
         rate = min(rates.get(holder, 0.0), found.rate + free_rate)
         # A new share begins with the tokens that it is to hold, unless they
         # would leave too few for others.
@@ -277,7 +222,7 @@
 
     def _add(
         self,
-        found: _Outstanding,
+        found: outstanding_shares.OutstandingShares,
         demand: share_terms.Demand,
         rate: float,
         burst: float,
@@ -288,7 +233,15 @@
         shrinking: bool = False,
     ) -> share_terms.Share:
         self._serial += 1
-        found.add(_Grant(self._serial, rate, burst, tokens, ends_at))
+        valid_ms = 0
+        if rate <= 0 and not renews:
+            valid_ms = int(1000 * share_terms.TOKEN_S)
+            ends_at = min(ends_at, now + share_terms.TOKEN_S)
+        found.add(
+            outstanding_shares.Grant(
+                self._serial, rate, burst, tokens, ends_at
+            )
+        )
         self._settle_pool(now)
         next_ms = 0
         if demand.wanted > tokens + token_bucket.EPSILON:
@@ -297,7 +250,14 @@
                 SHRINKING_MS if shrinking else EXHAUSTED_MS,
             )
         return share_terms.Share(
-            demand.account, self._serial, rate, burst, tokens, next_ms, renews
+            demand.account,
+            self._serial,
+            rate,
+            burst,
+            tokens,
+            next_ms,
+            valid_ms,
+            renews,
         )
 
     def _next_ms(self, now: float) -> int:
--- a/burdockcart/process/rates/share_terms.py
+++ b/burdockcart/process/rates/share_terms.py
@@ -23,6 +23,10 @@
 REPORT_S = 0.5
 #: Shortest time between two reports to one owner, in seconds.
 ASK_S = 0.05
+#: Validity of a share that is only a token for an operation that waits, in
+#: seconds.  Its place in the burst is free again after that; with the usual
+#: validity, three daemons would hold three of five places without tokens.
+TOKEN_S = 0.1
 #: Time without demand after which a share is returned, in seconds.
 IDLE_S = 2.0
 
@@ -73,6 +77,9 @@
     next_ms : int
         Time until the owner may have more, in milliseconds; 0 if the daemon
         has got what it wanted.
+    valid_ms : int
+        Time for which it is valid after the report was sent, in milliseconds;
+        0 for that of the whole answer.
     renews : bool
         Whether it only continues the share of a former owner, which must not
         have expired when this one arrives.
@@ -85,9 +92,55 @@
     burst: float
     tokens: float = 0.0
     next_ms: int = 0
+    valid_ms: int = 0
     renews: bool = False
 
 
+class Report(msgspec.Struct, frozen=True, array_like=True):
+    """Demand of a daemon, as it is sent to the owner of a shard.
+
+    Parameters
+    ==========
+
+    instance : int
+        Differs between the processes of a daemon.
+    sequence : int
+        Increases with each report; answers to earlier ones are void.
+    missed : DaemonId or None
+        Owner that does not answer the sender.
+    lease_left_ms : int
+        Time until the last known lease of an owner ends, in milliseconds.
+
+    """
+
+    shard: Shard
+    instance: int
+    sequence: int
+    missed: ids.DaemonId | None
+    lease_left_ms: int
+    demands: list[Demand]
+
+
+class Answer(msgspec.Struct, frozen=True, array_like=True):
+    """Answer to a report.
+
+    Parameters
+    ==========
+
+    position : int
+        Position in the store at which the owner became one.
+    valid_ms : int
+        Time for which the shares are valid after the report was sent, in
+        milliseconds; 0 if the daemon is not the owner and grants nothing.
+
+    """
+
+    owner: ids.DaemonId | None
+    position: ids.StorePosition
+    valid_ms: int = 0
+    shares: list[Share] = []
+
+
 def shard_of(account: ids.AccountName) -> Shard:
     """Return the shard of an account.
 
