Test that failed loops of the rates are started again

A loop of a task group that is cancelled from within ended unnoticed; it now ends the group, which the task keeper starts again.

--- a/burdockcart/process/gateway/tests/test_tasks.py
+++ b/burdockcart/process/gateway/tests/test_tasks.py
@@ -6,6 +6,8 @@
 
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.process.rates import share_terms
+from burdockcart.process.rates.tests import rate_case
 from burdockcart.tests import gateway_deployment
 
 scenario = test_sessions.scenario
@@ -144,6 +146,41 @@
 
         scenario(check, daemons=1)
 
+    def check_rates(self, owner, step, fault):
+        """Let a loop of the rates end; the daemon is not ready then."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            rated = rate_case.with_accounts(
+                gateway_deployment.tables(), [rate_case.account("a", 9.0)], 2
+            )
+            deployment.platform.put_tables(rated)
+            await asyncio.sleep(6.0)
+            self.assertIsNone(await daemon.rates.begin_operation("a", 0.05))
+            shard = share_terms.shard_of("a")
+            found = getattr(daemon.rates, owner)[shard]
+            setattr(found, step, fault)
+            await asyncio.sleep(4.0)
+            await daemon.rates.begin_operation("a", 0.05)
+            await asyncio.sleep(4.0)
+            self.assertFalse(daemon.ready())
+            delattr(found, step)
+            await asyncio.sleep(8.0)
+            self.assertTrue(daemon.ready())
+            self.assertIsNone(await daemon.rates.begin_operation("a", 0.05))
+
+        scenario(check, daemons=1)
+
+    def test_shard_keeper(self):
+        """Guards against a shard that nobody owns."""
+        self.check_rates("_keepers", "_pause", self.fail_later)
+        self.check_rates("_keepers", "_pause", self.cancel)
+
+    def test_shard_reports(self):
+        """Guards against a daemon that gets no shares."""
+        self.check_rates("_reports", "_pause", self.fail_later)
+        self.check_rates("_reports", "_pause", self.cancel)
+
     def test_task_that_returns(self):
         """Guards against a loop that ends without an error."""
         kept = []
@@ -168,6 +205,7 @@
             tasks = deployment.daemons[0]._tasks._tasks
             self.assertEqual(
                 [
+                    "AccountRates.run",
                     "GatewayApplication._supervise",
                     "LinkKey.run",
                     "Listing.run",
--- a/burdockcart/process/rates/account_rates.py
+++ b/burdockcart/process/rates/account_rates.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+from typing import Awaitable
 from typing import Callable
 from typing import Mapping
 
@@ -147,9 +148,9 @@
         await self._enabled.wait()
         async with asyncio.TaskGroup() as group:
             for keeper in self._keepers.values():
-                group.create_task(keeper.run(), name="shard_keeper")
+                group.create_task(_unending(keeper.run), name="shard_keeper")
             for reports in self._reports.values():
-                group.create_task(reports.run(), name="shard_reports")
+                group.create_task(_unending(reports.run), name="shard_reports")
 
     # Operations
 
@@ -239,6 +240,20 @@
         )
 
 
+async def _unending(run: Callable[[], Awaitable[None]]) -> None:
+    """Run a loop; fail if something that it waits for was cancelled.
+
+    A task group takes a cancelled task for one that has ended as it should.
+    """
+    try:
+        await run()
+    except asyncio.CancelledError as error:
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            raise
+        raise RuntimeError("a loop was cancelled") from error
+
+
 async def _pause(event: asyncio.Event, longest_s: float) -> None:
     """Wait for an event, for a limited time."""
     try:
