--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -226,6 +226,7 @@
             | messages.Status
             | messages.Noticed
             | messages.Polled
+            | messages.Shares
         ),
     ) -> None:
         """Resolve a request; the answer to one given up is dropped."""
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -10,6 +10,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import ids
+from burdockcart.process.rates import share_terms
 from burdockcart.request import command
 from burdockcart.request import log_position
 
@@ -164,6 +165,13 @@
     after: ids.StorePosition
 
 
+class ShareReport(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Report the demand of accounts to the owner of a shard."""
+
+    number: int
+    report: share_terms.Report
+
+
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag=20):
     """Answer of a member, or the reason why it has none.
 
@@ -268,6 +276,13 @@
     changes: bytes | None
 
 
+class Shares(msgspec.Struct, frozen=True, array_like=True, tag=26):
+    """Answer to a report of demand."""
+
+    number: int
+    answer: share_terms.Answer
+
+
 Request = Union[
     Run,
     RunInTransaction,
@@ -279,8 +294,11 @@
     CallNotice,
     Withdrawal,
     PollRequest,
+    ShareReport,
+]
+Reply = Union[
+    Answered, Status, Pong, Leaving, Closing, Noticed, Polled, Shares
 ]
-Reply = Union[Answered, Status, Pong, Leaving, Closing, Noticed, Polled]
 
 encode = msgspec.msgpack.Encoder().encode
 request_decoder: msgspec.msgpack.Decoder[Request] = msgspec.msgpack.Decoder(
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -72,6 +72,11 @@
     async def poll(self, message: messages.PollRequest) -> messages.Polled:
         """Return the changes of the store for another daemon."""
 
+    def shares_reported(
+        self, daemon: ids.DaemonId, message: messages.ShareReport
+    ) -> messages.Shares:
+        """Answer a daemon that reports the demand of accounts."""
+
 
 class Service(Protocol):
     """What the sessions of all links share."""
@@ -150,6 +155,10 @@
         if isinstance(message, messages.PollRequest):
             self._spawn(self._serve_poll(message))
             return
+        if isinstance(message, messages.ShareReport):
+            pools = self._service.pools
+            self._send(pools.shares_reported(self._daemon, message))
+            return
         if len(self._tasks) >= MAX_STATEMENTS:
             self._refuse(message.number, "too many statements on this link")
             return
