--- a/burdockcart/process/peers/tcp.py
+++ b/burdockcart/process/peers/tcp.py
@@ -4,7 +4,6 @@
 import socket
 from typing import Callable
 from typing import Protocol
-import weakref
 
 import loguru
 
@@ -23,10 +22,6 @@
 #: Unsent bytes of a link from which on it is closed: a peer that does not read
 #: must not fill this daemon's memory.
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
-#: The same for all links together, unless the host's memory asks for less.
-MAX_UNSENT_SUM_BYTES = 64 * 1024 * 1024
-#: Unsent bytes of a link below which the sum is not checked.
-SMALL_UNSENT_BYTES = 64 * 1024
 
 
 class Receiver(Protocol):
@@ -57,34 +52,6 @@
         """End the link."""
 
 
-class LinkMemory:
-    """Bounds the unsent bytes of all links of a process together.
-
-    Parameters
-    ==========
-
-    most : int
-        Bytes that all links may have unsent.
-
-    """
-
-    def __init__(self, most: int = MAX_UNSENT_SUM_BYTES):
-        self._most = most
-        self._links: weakref.WeakSet[Transport] = weakref.WeakSet()
-
-    def add(self, link: Transport) -> None:
-        """Count a link from now on."""
-        self._links.add(link)
-
-    def exceeded_by(self, link: Transport) -> bool:
-        """Return whether a link is to be closed, as it has most unsent."""
-        unsent = link.unsent
-        if unsent <= SMALL_UNSENT_BYTES:
-            return False
-        sizes = [each.unsent for each in self._links]
-        return sum(sizes) > self._most and unsent >= max(sizes)
-
-
 class FrameProtocol(asyncio.Protocol):
     """Exchanges greetings, then frames.
 
@@ -107,11 +74,8 @@
         fleet_key: Callable[[], bytes | None],
         accept: Callable[[frames.Greeting, "FrameProtocol"], Receiver],
         dials: bool,
-        memory: LinkMemory | None = None,
     ):
         self._dials = dials
-        self._memory = memory or LinkMemory()
-        self._memory.add(self)
         self._own = own
         self._fleet_key = fleet_key
         self._accept = accept
@@ -120,8 +84,6 @@
         self._sealer: frames.Sealer | None = None
         self._verifier: frames.Sealer | None = None
         self._receiver: Receiver | None = None
-        #: Whether the connection was made and has ended.
-        self.ended = False
         #: Resolves once the other side has greeted.
         self.greeted: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
@@ -187,7 +149,6 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the receiver that the link has ended."""
         self._transport = None
-        self.ended = True
         if not self.greeted.done():
             self.greeted.cancel()
         receiver, self._receiver = self._receiver, None
@@ -198,7 +159,7 @@
         """Send the content of a frame."""
         if self._transport is None or self._sealer is None:
             return
-        if self.unsent > MAX_UNSENT_BYTES or self._memory.exceeded_by(self):
+        if self.unsent > MAX_UNSENT_BYTES:
             loguru.logger.warning("event=peer_link_congested")
             self._transport.abort()
             return
@@ -211,11 +172,6 @@
         if self._transport is not None:
             self._transport.close()
 
-    def abort(self) -> None:
-        """End the link without sending what is unsent."""
-        if self._transport is not None:
-            self._transport.abort()
-
 
 class TcpPeers:
     """Opens and accepts links over TCP.
@@ -227,11 +183,6 @@
         Random; differs for each start of the daemon.
     fleet_key : callable
         Returns the key that all daemons share, or None if it is not known.
-    max_ungreeted : int
-        Accepted connections without a greeting; the oldest is closed for a
-        new one.
-    max_unsent_bytes : int
-        Unsent bytes of all links together; the one with most is closed.
 
     """
 
@@ -240,17 +191,12 @@
         daemon: ids.DaemonId,
         incarnation: str,
         fleet_key: Callable[[], bytes | None],
-        max_ungreeted: int = MAX_UNGREETED,
-        max_unsent_bytes: int = MAX_UNSENT_SUM_BYTES,
     ):
-        self._max_ungreeted = max_ungreeted
-        self._memory = LinkMemory(max_unsent_bytes)
         self._daemon = daemon
         self._incarnation = incarnation
         self._fleet_key = fleet_key
         self._server: asyncio.Server | None = None
-        #: In the order of acceptance.
-        self._ungreeted: dict[FrameProtocol, None] = {}
+        self._ungreeted: set[FrameProtocol] = set()
         self._accepted: set[FrameProtocol] = set()
 
     async def dial(
@@ -308,16 +254,16 @@
         """Accept links on ``ip:port``."""
 
         def accepted(other: frames.Greeting, link: FrameProtocol) -> Receiver:
-            self._ungreeted.pop(link, None)
+            self._ungreeted.discard(link)
             self._accepted.add(link)
             link.enable_dead_peer_detection()
             return accept(other.daemon, link)
 
         def protocol() -> FrameProtocol:
             link = self._protocol(accepted, dials=False)
-            self._ungreeted[link] = None
-            # The transport exists from the next iteration on.
-            asyncio.get_running_loop().call_soon(self._close_oldest)
+            if len(self._ungreeted) >= MAX_UNGREETED:
+                asyncio.get_running_loop().call_soon(link.close)
+            self._ungreeted.add(link)
             asyncio.get_running_loop().call_later(
                 GREETING_TIMEOUT_S, self._close_ungreeted, link
             )
@@ -334,20 +280,11 @@
         dials: bool,
     ) -> FrameProtocol:
         own = frames.greeting(self._daemon, self._incarnation)
-        return FrameProtocol(own, self._fleet_key, accept, dials, self._memory)
-
-    def _close_oldest(self) -> None:
-        """Close the oldest connections without a greeting over the limit."""
-        self._ungreeted = {
-            each: None for each in self._ungreeted if not each.ended
-        }
-        excess = len(self._ungreeted) - self._max_ungreeted
-        for link in list(self._ungreeted)[: max(excess, 0)]:
-            link.abort()
+        return FrameProtocol(own, self._fleet_key, accept, dials)
 
     def _close_ungreeted(self, link: FrameProtocol) -> None:
         if link in self._ungreeted:
-            self._ungreeted.pop(link, None)
+            self._ungreeted.discard(link)
             link.close()
         self._accepted = {
             each for each in self._accepted if not each.is_closed
@@ -361,5 +298,5 @@
 
     def close_links(self) -> None:
         """Close all accepted links."""
-        for link in self._accepted | self._ungreeted.keys():
+        for link in self._accepted | self._ungreeted:
             link.close()
