Bound links without a valid frame and their unsent bytes

Idle connections to the link port took descriptors until a timeout, a stranger could greet without the key and begin frames of 4 MiB, and unsent bytes were bounded for each link only.

Close the oldest link without a greeting or without a valid frame over a limit, and the link with most incomplete or most unsent bytes over a sum.

--- a/burdockcart/platform/tests/crowded_daemon.py
+++ b/burdockcart/platform/tests/crowded_daemon.py
@@ -271,6 +271,7 @@
         watch = None
         try:
             await daemon.start()
+            await self.prepare(daemon)
             watch = asyncio.create_task(daemon.watch_fds())
             await act(daemon)
         finally:
@@ -281,6 +282,9 @@
                 await daemon.stop()
             place.stop()
 
+    async def prepare(self, daemon):
+        """Wait for what the test needs besides a served request."""
+
     async def check(self, daemon):
         """Check that the daemon lives, is bounded, and serves a new client.
 
--- a/burdockcart/platform/tests/test_crowded_ports.py
+++ b/burdockcart/platform/tests/test_crowded_ports.py
@@ -5,6 +5,7 @@
 
 from burdockcart.platform import ready
 from burdockcart.platform.tests import crowded_daemon
+from burdockcart.process.peers import frames
 
 MIB = crowded_daemon.MIB
 NEVER_S = 3600
@@ -105,6 +106,35 @@
         self.crowd("link", CROWD, work)
 
 
+class TestStrangers(crowded_daemon.CrowdedDaemonCase):
+    """Connections to the port of links that greet without the key."""
+
+    prefix = "127.61.9"
+    GREETING = frames.encode_greeting(frames.greeting("stranger", "1"))
+
+    async def prepare(self, daemon):
+        """Wait until the daemon knows the key and accepts greetings."""
+        async with asyncio.timeout(crowded_daemon.START_S):
+            answer = b""
+            while not answer:
+                await asyncio.sleep(crowded_daemon.RETRY_S)
+                reader, writer = await asyncio.open_connection(*daemon.link)
+                writer.write(self.GREETING)
+                answer = await reader.read(100)
+                writer.transport.abort()
+
+    def test_endless_frames(self):
+        """A stranger's frames must not fill the memory before their MAC."""
+        begun = struct.pack("!I12s", frames.MAX_FRAME_BYTES, bytes(12))
+
+        async def work(reader, writer):
+            writer.write(self.GREETING + begun)
+            await crowded_daemon.send(writer, b"x" * (4 * MIB - 100))
+            await asyncio.sleep(NEVER_S)
+
+        self.crowd("link", 2 * CROWD, work, 2.0)
+
+
 class TestDescriptors(crowded_daemon.CrowdedDaemonCase):
     """Idle connections to ports other than that of clients."""
 
--- a/burdockcart/process/peers/frames.py
+++ b/burdockcart/process/peers/frames.py
@@ -171,6 +171,11 @@
         #: Maximum size of a frame; small until the greeting was received.
         self.limit = MAX_GREETING_BYTES
 
+    @property
+    def buffered(self) -> int:
+        """Bytes of the frame that is incomplete."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[tuple[bytes, bytes]]:
         """Return the frames that are complete now: content and MAC.
 
--- a/burdockcart/process/peers/tcp.py
+++ b/burdockcart/process/peers/tcp.py
@@ -11,6 +11,7 @@
 from burdockcart.connection import sockets
 from burdockcart import ids
 from burdockcart.process.peers import frames
+from burdockcart.process.peers import link_memory
 
 #: Timeout of opening a link, in seconds: two round trips between failure
 #: domains, and a daemon whose loop is busy for some milliseconds.
@@ -74,8 +75,11 @@
         fleet_key: Callable[[], bytes | None],
         accept: Callable[[frames.Greeting, "FrameProtocol"], Receiver],
         dials: bool,
+        memory: link_memory.LinkMemory | None = None,
     ):
         self._dials = dials
+        self._memory = memory or link_memory.LinkMemory()
+        self._memory.add(self)
         self._own = own
         self._fleet_key = fleet_key
         self._accept = accept
@@ -84,6 +88,10 @@
         self._sealer: frames.Sealer | None = None
         self._verifier: frames.Sealer | None = None
         self._receiver: Receiver | None = None
+        #: Whether a frame with a valid MAC has arrived.
+        self.verified = False
+        #: Whether the connection was made and has ended.
+        self.ended = False
         #: Resolves once the other side has greeted.
         self.greeted: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
@@ -101,6 +109,13 @@
             return 0
         return self._transport.get_write_buffer_size()
 
+    @property
+    def unverified_bytes(self) -> int:
+        """Bytes of an incomplete frame while no valid frame has arrived."""
+        if self.verified or self.is_closed:
+            return 0
+        return self._reader.buffered
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the greeting, if this side has opened the link."""
         assert isinstance(transport, asyncio.Transport)
@@ -117,7 +132,10 @@
                 else:
                     assert self._verifier is not None
                     self._verifier.verify(content, mac)
+                    self.verified = True
                     self._receiver.received(content)
+            if not self.verified:
+                self._end(self._memory.most_unverified(self))
         except frames.FrameError as error:
             loguru.logger.warning(
                 "event=peer_frame_refused error={!r}", str(error)
@@ -149,6 +167,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the receiver that the link has ended."""
         self._transport = None
+        self._reader = frames.FrameReader()
+        self.ended = True
         if not self.greeted.done():
             self.greeted.cancel()
         receiver, self._receiver = self._receiver, None
@@ -160,8 +180,9 @@
         if self._transport is None or self._sealer is None:
             return
         if self.unsent > MAX_UNSENT_BYTES:
-            loguru.logger.warning("event=peer_link_congested")
-            self._transport.abort()
+            self._end(self)
+        self._end(self._memory.most_unsent(self))
+        if self.is_closed:
             return
         self._transport.write(
             frames.encode(content, self._sealer.seal(content))
@@ -172,6 +193,17 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _end(self, largest: link_memory.Link | None) -> None:
+        """End the link that keeps too much, if there is one."""
+        if largest is not None:
+            loguru.logger.warning("event=peer_link_congested")
+            largest.abort()
+
+    def abort(self) -> None:
+        """End the link without sending what is unsent."""
+        if self._transport is not None:
+            self._transport.abort()
+
 
 class TcpPeers:
     """Opens and accepts links over TCP.
@@ -183,6 +215,13 @@
         Random; differs for each start of the daemon.
     fleet_key : callable
         Returns the key that all daemons share, or None if it is not known.
+    max_ungreeted : int
+        Accepted connections without a greeting, and those without a valid
+        frame; the oldest is closed for a new one.
+    max_unsent_bytes : int
+        Unsent bytes of all links together; the one with most is closed.
+    count : callable
+        Called with the port and the reason of each application of a limit.
 
     """
 
@@ -191,12 +230,21 @@
         daemon: ids.DaemonId,
         incarnation: str,
         fleet_key: Callable[[], bytes | None],
+        max_ungreeted: int = MAX_UNGREETED,
+        max_unsent_bytes: int = link_memory.MAX_UNSENT_BYTES,
+        count: Callable[[str, str], None] = lambda port, reason: None,
     ):
+        self._count = count
+        self._max_ungreeted = max_ungreeted
+        self._memory = link_memory.LinkMemory(max_unsent_bytes)
         self._daemon = daemon
         self._incarnation = incarnation
         self._fleet_key = fleet_key
         self._server: asyncio.Server | None = None
-        self._ungreeted: set[FrameProtocol] = set()
+        #: In the order of acceptance.
+        self._ungreeted: dict[FrameProtocol, None] = {}
+        #: Links that have greeted, until their first valid frame.
+        self._unverified: dict[FrameProtocol, None] = {}
         self._accepted: set[FrameProtocol] = set()
 
     async def dial(
@@ -254,16 +302,18 @@
         """Accept links on ``ip:port``."""
 
         def accepted(other: frames.Greeting, link: FrameProtocol) -> Receiver:
-            self._ungreeted.discard(link)
+            self._ungreeted.pop(link, None)
             self._accepted.add(link)
+            self._unverified[link] = None
+            self._unverified = self._close_oldest(self._unverified)
             link.enable_dead_peer_detection()
             return accept(other.daemon, link)
 
         def protocol() -> FrameProtocol:
             link = self._protocol(accepted, dials=False)
-            if len(self._ungreeted) >= MAX_UNGREETED:
-                asyncio.get_running_loop().call_soon(link.close)
-            self._ungreeted.add(link)
+            self._ungreeted[link] = None
+            # The transport exists from the next iteration on.
+            asyncio.get_running_loop().call_soon(self._limit_ungreeted)
             asyncio.get_running_loop().call_later(
                 GREETING_TIMEOUT_S, self._close_ungreeted, link
             )
@@ -280,11 +330,31 @@
         dials: bool,
     ) -> FrameProtocol:
         own = frames.greeting(self._daemon, self._incarnation)
-        return FrameProtocol(own, self._fleet_key, accept, dials)
+        return FrameProtocol(own, self._fleet_key, accept, dials, self._memory)
+
+    def _limit_ungreeted(self) -> None:
+        self._ungreeted = self._close_oldest(self._ungreeted)
+
+    def _close_oldest(
+        self, links: dict[FrameProtocol, None]
+    ) -> dict[FrameProtocol, None]:
+        """Close the oldest links over the limit; return those that count."""
+        open_links = [
+            each for each in links if not (each.ended or each.verified)
+        ]
+        excess = max(len(open_links) - self._max_ungreeted, 0)
+        for link in open_links[:excess]:
+            self._count("link", "connections")
+            loguru.logger.info(
+                "event=client_limited port=link reason=connections "
+                "action=closed"
+            )
+            link.abort()
+        return dict.fromkeys(open_links[excess:])
 
     def _close_ungreeted(self, link: FrameProtocol) -> None:
         if link in self._ungreeted:
-            self._ungreeted.discard(link)
+            self._ungreeted.pop(link, None)
             link.close()
         self._accepted = {
             each for each in self._accepted if not each.is_closed
@@ -298,5 +368,5 @@
 
     def close_links(self) -> None:
         """Close all accepted links."""
-        for link in self._accepted | self._ungreeted:
+        for link in self._accepted | self._ungreeted.keys():
             link.close()
--- a/burdockcart/process/peers/tests/test_tcp.py
+++ b/burdockcart/process/peers/tests/test_tcp.py
@@ -9,6 +9,7 @@
 from burdockcart.connection import own_link
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import holder_link
+from burdockcart.process.peers import link_memory
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import relay_service
 from burdockcart.process.peers import tcp
@@ -84,6 +85,39 @@
     asyncio.run(whole())
 
 
+class Link:
+    """A link with fixed sizes."""
+
+    def __init__(self, unsent=0, unverified_bytes=0):
+        self.unsent = unsent
+        self.unverified_bytes = unverified_bytes
+
+
+class TestLinkMemory(testtools.TestCase):
+    """Bound of what all links together keep."""
+
+    def test_slow_receivers(self):
+        """Several slow receivers must not fill a holder's memory."""
+        memory = link_memory.LinkMemory(1_000_000)
+        links = [Link(unsent) for unsent in (400_000, 700_000, 1000)]
+        for link in links:
+            memory.add(link)
+        self.assertIs(links[1], memory.most_unsent(links[0]))
+        self.assertIsNone(memory.most_unsent(links[2]))
+        links[1].unsent = 0
+        self.assertIsNone(memory.most_unsent(links[0]))
+
+    def test_incomplete_frames(self):
+        """Strangers that begin frames must not fill the memory."""
+        memory = link_memory.LinkMemory()
+        links = [Link(unverified_bytes=2**22 - each) for each in range(5)]
+        for link in links:
+            memory.add(link)
+        self.assertIs(links[0], memory.most_unverified(links[4]))
+        links[0].unverified_bytes = 0
+        self.assertIsNone(memory.most_unverified(links[4]))
+
+
 class TestLinks(testtools.TestCase):
     """Opening, using and ending links."""
 
@@ -104,6 +138,23 @@
 
         run(check)
 
+    def test_oldest_without_greeting_is_closed(self):
+        """A crowd without greetings must keep no daemon out."""
+
+        async def check(pair):
+            pair.listener._max_ungreeted = 3
+            crowd = [
+                await asyncio.open_connection(HOST, pair.port)
+                for _ in range(8)
+            ]
+            self.assertIsNotNone(await pair.dial())
+            self.assertEqual(b"", await crowd[0][0].read())
+            self.assertLessEqual(len(pair.listener._ungreeted), 3)
+            for _, writer in crowd:
+                writer.close()
+
+        run(check)
+
     def test_wrong_key(self):
         """The first frame of a stranger must end the link."""
 
