Bound what clients may use of a daemon

Clients could fill a daemon's memory with unfinished lines, session state and HTTP bodies, and take all its descriptors.

Derive limits from limits.memory-mb and limits.max-fds. Read lines in chunks of 16 KiB, account large messages, session state and unsent answers to one budget, and let other clients have a turn between two pipelined statements. Refuse with BUSY when memory is short, and close the largest idle connection. Close the idlest connection without a statement when a new client does not fit. Bound head, body, time and connections of the ready and metrics ports. Export the metric burdockcart_clients_limited_total and log client_limited.

The memory stream of the tests offers read_bytes instead of read_until.

--- /dev/null
+++ b/burdockcart/connection/client_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on how much of a process its clients may use, without I/O."""
--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -90,6 +90,20 @@
         """Whether a transaction is open."""
         return self._transaction is not None
 
+    @property
+    def holds_transaction(self) -> bool:
+        """Whether a transaction is open that has not failed.
+
+        A failed one, such as after ``tx-idle-ms``, holds nothing at a member.
+        """
+        transaction = self._transaction
+        return transaction is not None and transaction.failure is None
+
+    @property
+    def state_bytes(self) -> int:
+        """Memory of the values and the prepared names, in bytes."""
+        return self._names.memory_bytes
+
     async def handle(self, statement: command.Command) -> Reply:
         """Run a statement and return the reply to the client."""
         self._stop_idle_timer()
--- a/burdockcart/connection/session_names.py
+++ b/burdockcart/connection/session_names.py
@@ -1,5 +1,7 @@
 """Values and prepared names of one client session."""
 
+import sys
+
 from returns import result
 
 from burdockcart.connection import member_channel
@@ -23,6 +25,17 @@
 )
 
 
+#: Memory of the entries of one name besides its text, in bytes.
+ENTRY_BYTES = 512
+
+
+def bytes_of(statement: command.Command) -> int:
+    """Return the memory that a session needs to keep a statement's name."""
+    shape = statement.shape
+    text = statement.argument if shape is None else shape.text
+    return sys.getsizeof(statement.name) + sys.getsizeof(text) + ENTRY_BYTES
+
+
 class SessionNames:
     """Names that last as long as the session.
 
@@ -38,6 +51,10 @@
         self._value_by_name = value_by_name
         self._shape_by_name: dict[str, command.Shape] = {}
         self._bytes_by_key: dict[tuple[bool, str], int] = {}
+        self._memory_by_key: dict[tuple[bool, str], int] = {}
+        #: Memory of all values and prepared names, in bytes; up to four times
+        #: that of their encoded texts.
+        self.memory_bytes = 0
 
     def shape_of(self, statement: command.Command) -> command.Shape | None:
         """Return the shape that a statement executes, if there is one."""
@@ -59,6 +76,9 @@
             if shapes.pop(statement.name, None) is None:
                 return result.Failure(unknown(statement.name))
             del self._bytes_by_key[False, statement.name]
+            self.memory_bytes -= self._memory_by_key.pop(
+                (False, statement.name)
+            )
             return result.Success(member_channel.Answer())
         if not self._make_room(statement):
             return result.Failure(
@@ -86,6 +106,9 @@
         if names > MAX_NAMES or total > MAX_BYTES:
             return False
         sizes[key] = size
+        memory = bytes_of(statement)
+        self.memory_bytes += memory - self._memory_by_key.get(key, 0)
+        self._memory_by_key[key] = memory
         return True
 
 
--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -4,6 +4,7 @@
 import gc
 import os
 import pathlib
+import resource
 import signal
 import sys
 from typing import Iterable
@@ -15,10 +16,12 @@
 
 from burdockcart import clock
 from burdockcart.cmd import stop_signal
+from burdockcart.connection.client_limits import limits
 from burdockcart.connection import client_session
 from burdockcart import errors
 from burdockcart import ids
 from burdockcart.platform import calls
+from burdockcart.platform import client_limiter
 from burdockcart.platform import client_wire
 from burdockcart.platform import member_wire
 from burdockcart.platform import ready
@@ -87,6 +90,7 @@
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGHUP, _reload, path, platform
     )
+    allowed = _client_limits(config)
     key = fleet_key.FleetKey()
     incarnation = ids.Incarnation(uuid.uuid4().hex[:12])
     daemon = application.GatewayApplication(
@@ -94,15 +98,29 @@
         platform,
         member_wire.WireConnector(),
         clock.BootClock(),
-        tcp.TcpPeers(config.daemon, incarnation, key.get),
+        tcp.TcpPeers(
+            config.daemon,
+            incarnation,
+            key.get,
+            allowed.ungreeted,
+            allowed.link_bytes,
+            lambda port, reason: daemon.metrics.client_limited(port, reason),
+        ),
         key,
         incarnation,
     )
-    listener = client_wire.ClientListener(_Gateway(daemon))
+    count = daemon.metrics.client_limited
+    limiter_of_clients = client_limiter.ClientLimiter(allowed, count)
+    daemon.metrics.client_memory.set_function(
+        lambda: limiter_of_clients.budget.used
+    )
+    listener = client_wire.ClientListener(_Gateway(daemon), limiter_of_clients)
     await daemon.start(listener)
     servers = [
-        ready.serve_ready(config.ready_address, daemon.ready),
-        ready.serve_metrics(_metrics_address(config), daemon.measure),
+        ready.serve_ready(config.ready_address, daemon.ready, allowed, count),
+        ready.serve_metrics(
+            _metrics_address(config), daemon.measure, allowed, count
+        ),
     ]
     tasks = [
         asyncio.create_task(_report_suppressed(daemon, limiter)),
@@ -119,6 +137,22 @@
     stop_signal.block_signals()
 
 
+def _client_limits(config: settings.GatewaySettings) -> limits.ClientLimits:
+    """Return the limits that the settings and the process's own allow."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    available = config.max_fds
+    if soft != resource.RLIM_INFINITY:
+        available = min(available, soft)
+    return limits.derive(
+        config.memory_mb,
+        available,
+        line_timeout_s=config.line_timeout_s,
+        unread_timeout_s=config.unread_timeout_s,
+        idle_s=config.client_idle_s,
+        http_timeout_s=config.http_timeout_s,
+    )
+
+
 async def shut_down(
     daemon: application.GatewayApplication,
     granted_s: float,
--- a/burdockcart/platform/settings_file.py
+++ b/burdockcart/platform/settings_file.py
@@ -41,6 +41,19 @@
     return _seconds(text) / 1000
 
 
+def _positive_ms(text: str) -> float:
+    value = _milliseconds(text)
+    if not value:
+        raise ValueError("must be more than 0")
+    return value
+
+
+def _positive(text: str) -> int:
+    if not (text.isascii() and text.isdigit() and 0 < int(text) < 10**9):
+        raise ValueError(f"{text!r} is not a positive whole number")
+    return int(text)
+
+
 def _flag(text: str) -> bool:
     if text not in ("true", "false"):
         raise ValueError(f"{text!r} is neither 'true' nor 'false'")
@@ -79,6 +92,12 @@
     ("contract-params.lease-ms", "promotion_claim_s", _milliseconds),
     ("bootstrap", "first_start", _flag),
     ("contract-params.fencing-required", "promotions_fenced", _flag),
+    ("limits.memory-mb", "memory_mb", _positive),
+    ("limits.max-fds", "max_fds", _positive),
+    ("client-limits.line-timeout-ms", "line_timeout_s", _positive_ms),
+    ("client-limits.unread-timeout-ms", "unread_timeout_s", _positive_ms),
+    ("client-limits.idle-ms", "client_idle_s", _positive_ms),
+    ("client-limits.http-timeout-ms", "http_timeout_s", _positive_ms),
 )
 
 
--- a/burdockcart/platform/tests/memory_clients.py
+++ b/burdockcart/platform/tests/memory_clients.py
@@ -64,16 +64,17 @@
             self._buffer += data
         self._changed.set()
 
-    async def read_until(self, end, max_bytes):
-        """Return the next line."""
-        while end not in self._buffer:
+    async def read_bytes(self, num_bytes, partial):
+        """Return the data that has arrived, at most so many bytes."""
+        while not self._buffer:
             if self._ended or self._closed:
                 self.close()
                 raise iostream.StreamClosedError
             self._changed.clear()
             await self._changed.wait()
-        line, _, self._buffer = self._buffer.partition(end)
-        return line + end
+        data = self._buffer[:num_bytes]
+        self._buffer = self._buffer[num_bytes:]
+        return data
 
     async def read_until_close(self):
         """Return all that comes until the client closes."""
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -89,6 +89,17 @@
             ["phase"],
             registry=self.registry,
         )
+        self._limited = prometheus_client.Counter(
+            "burdockcart_clients_limited",
+            "Applications of a limit of clients, by port and reason",
+            ["port", "reason"],
+            registry=self.registry,
+        )
+        self.client_memory = prometheus_client.Gauge(
+            "burdockcart_client_memory_bytes",
+            "Memory that is accounted to clients",
+            registry=self.registry,
+        )
         self.notices_unanswered = prometheus_client.Counter(
             "burdockcart_call_notices_unanswered",
             "Promotion calls of which some daemons could not be told",
@@ -209,6 +220,10 @@
         """Count a statement that the end of the process cuts."""
         self._cut.labels(phase).inc()
 
+    def client_limited(self, port: str, reason: str) -> None:
+        """Count that a limit of clients was applied."""
+        self._limited.labels(port, reason).inc()
+
     def text(self) -> bytes:
         """Return all metrics in the text exposition format."""
         return prometheus_client.generate_latest(self.registry)
--- a/burdockcart/process/gateway/settings.py
+++ b/burdockcart/process/gateway/settings.py
@@ -33,6 +33,16 @@
         Whether the platform rejects a promotion with an old token, and ends
         the lead of the old primary at a promotion.  Otherwise the old
         primary goes on until it is demoted or reaches the new one.
+    memory_mb, max_fds : float, int
+        Memory and file descriptors of the process on its host.
+    line_timeout_s, unread_timeout_s : float
+        Time in which a client's message must end, and in which a client must
+        take an answer, in seconds.
+    client_idle_s : float
+        Least time without activity after which a client may be closed in
+        favor of others, in seconds.
+    http_timeout_s : float
+        Time in which an HTTP request must arrive, in seconds.
 
     """
 
@@ -50,6 +60,12 @@
     manifest_s: float = 3.0
     promotions_fenced: bool = True
     first_start: bool = False
+    memory_mb: float = 1024.0
+    max_fds: int = 4300
+    line_timeout_s: float = 10.0
+    unread_timeout_s: float = 6.0
+    client_idle_s: float = 1.0
+    http_timeout_s: float = 10.0
 
     @property
     def peer_address(self) -> str:
