Choose a connection to close at most every 50 ms in vain

Each client that waits for memory, and each new connection over the limit, looked at all connections, so that the cost of a crowd grew with the square of its size. After a choice in vain no other is made for 50 ms. 60 tests of crowds, readers, sockets and drains pass.

--- a/burdockcart/platform/client_limiter.py
+++ b/burdockcart/platform/client_limiter.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from typing import Callable
+from typing import Iterable
 from typing import Protocol
 
 import loguru
@@ -18,6 +19,12 @@
 RETRY_S = 0.05
 
 
+#: Chooses a connection to close, given the least idle time in seconds.
+Choice = Callable[
+    [Iterable[eviction.Candidate], float], memory_budget.ClientNumber | None
+]
+
+
 class Connection(Protocol):
     """A client connection, as far as its limits concern it."""
 
@@ -56,6 +63,8 @@
         self._count = count
         self._clock = clock.LoopClock()
         self._numbers = itertools.count(1)
+        #: When a choice last found no connection to close.
+        self._none_at_by_choice: dict[Choice, float] = {}
         self._connection_by_number: dict[
             memory_budget.ClientNumber, Connection
         ] = {}
@@ -87,15 +96,25 @@
         """
         if len(self._connection_by_number) < self.allowed.clients:
             return True
-        victim = eviction.for_connection(
-            self._candidates(), self.allowed.idle_s
-        )
+        victim = self._victim(eviction.for_connection)
         return victim is not None and self._evict(victim, "connections")
 
-    def _candidates(self) -> list[eviction.Candidate]:
-        return [
-            each.candidate() for each in self._connection_by_number.values()
-        ]
+    def _victim(self, choice: Choice) -> memory_budget.ClientNumber | None:
+        """Return the connection to close, if there is one.
+
+        After a choice in vain, no other is made for a moment: a crowd that
+        waits would look at all connections for each of its members.
+        """
+        now = self._clock.now()
+        if now - self._none_at_by_choice.get(choice, -RETRY_S) < RETRY_S:
+            return None
+        found = choice(
+            [each.candidate() for each in self._connection_by_number.values()],
+            self.allowed.idle_s,
+        )
+        if found is None:
+            self._none_at_by_choice[choice] = now
+        return found
 
     def _evict(self, victim: memory_budget.ClientNumber, reason: str) -> bool:
         connection = self._connection_by_number.pop(victim)
@@ -106,7 +125,7 @@
 
     def _free_memory(self) -> bool:
         """Close the largest idle connection; return whether there was one."""
-        victim = eviction.for_memory(self._candidates(), self.allowed.idle_s)
+        victim = self._victim(eviction.for_memory)
         return victim is not None and self._evict(victim, "memory")
 
     def hold(
