Let a session end with errors in the soak's check of NOAUTH

A daemon that ends a session first sends an error that answers nothing, and then closes. It now wants errors only, and the end of the connection in the same time.

--- a/burdockcart/platform/standin/client_session.py
+++ b/burdockcart/platform/standin/client_session.py
@@ -127,10 +127,16 @@
         )
 
     async def _closes(self) -> bool:
-        """Return whether the daemon closes the connection in time."""
+        """Return whether the daemon closes the connection in time.
+
+        Before that, it may send errors that answer nothing.
+        """
         try:
             async with asyncio.timeout(CLOSED_S):
-                return not await self._reader.read(1)
+                rest = await self._reader.read()
+            return all(
+                line.startswith(b"ERROR ") for line in rest.splitlines()
+            )
         except TimeoutError:
             return False
         except OSError:
