--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -251,7 +251,7 @@
         self._tasks.run_to_end(self._listing.run)
         self._tasks.run_always(self._supervise)
         self._tasks.run_always(self._rosters.run)
-        self._tasks.run_always(self.rates.run)
+        self._tasks.run_always(self._run_rates)
         if self._settings.promotions_fenced:
             # Without fencing, a token claimed in advance could be used after
             # a higher one.
@@ -273,6 +273,15 @@
         except TimeoutError:
             pass
 
+    async def _run_rates(self) -> None:
+        """Take part in the rates of accounts until cancelled.
+
+        With an incomplete list of daemons, those that registered first would
+        own all shards.
+        """
+        await self._settled()
+        await self.rates.run()
+
     async def drain(self) -> None:
         """Close sessions gradually, within the time granted for shutdown."""
         if not self._admission.stopping:
--- a/burdockcart/process/gateway/tests/test_tasks.py
+++ b/burdockcart/process/gateway/tests/test_tasks.py
@@ -205,7 +205,7 @@
             tasks = deployment.daemons[0]._tasks._tasks
             self.assertEqual(
                 [
-                    "AccountRates.run",
+                    "GatewayApplication._run_rates",
                     "GatewayApplication._supervise",
                     "LinkKey.run",
                     "Listing.run",
--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 from typing import Callable
-from typing import Iterable
 from typing import Mapping
 
 import loguru
@@ -42,7 +41,7 @@
         shard: share_terms.Shard,
         daemon: ids.DaemonId,
         platform: coordination.Platform,
-        listed: Callable[[], Iterable[ids.DaemonId]],
+        listed: Callable[[], Mapping[ids.DaemonId, coordination.DaemonEntry]],
         boot_clock: clock.Clock,
         first_start: bool,
     ):
@@ -69,9 +68,9 @@
 
     def use_daemons(self) -> None:
         """Note that the list of daemons, or the owner, has changed."""
-        daemons = list(self._listed())
-        if self._daemon in daemons:
-            order = shard_ownership.in_order(self._shard, daemons)
+        entry_by_id = self._listed()
+        if self._daemon in entry_by_id:
+            order = shard_ownership.in_order(self._shard, entry_by_id)
             rank = order.index(self._daemon)
             self.ownership.use_rank(rank, self._clock.now())
         self._changed.set()
--- a/burdockcart/process/rates/shard_ownership.py
+++ b/burdockcart/process/rates/shard_ownership.py
@@ -1,8 +1,9 @@
 """Who may own a shard, and from when on an owner may grant shares."""
 
 import hashlib
+import itertools
 import math
-from typing import Iterable
+from typing import Mapping
 
 import msgspec
 
@@ -28,15 +29,49 @@
 
 
 def in_order(
-    shard: share_terms.Shard, daemons: Iterable[ids.DaemonId]
+    shard: share_terms.Shard,
+    entry_by_id: Mapping[ids.DaemonId, coordination.DaemonEntry],
 ) -> list[ids.DaemonId]:
-    """Return daemons in the order in which they should own a shard."""
-    return sorted(
-        daemons,
-        key=lambda daemon: hashlib.blake2b(
-            f"{shard} {daemon}".encode(), digest_size=8
-        ).digest(),
-    )
+    """Return daemons in the order in which they should own a shard.
+
+    The shards begin in different failure domains, and the daemons that follow
+    are of the other ones: when one failure domain was cut off, all four
+    shards had their owner there.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.gateway.store import coordination
+    >>> from burdockcart.process.rates import shard_ownership
+    >>> entries = {
+    ...     name: coordination.DaemonEntry(name, "-", name[0], "-")
+    ...     for name in ("a1", "a2", "b1", "b2", "c1", "c2")}
+    >>> for shard in range(3):
+    ...     order = shard_ownership.in_order(shard, entries)
+    ...     print([name[0] for name in order])
+    ['a', 'b', 'c', 'a', 'b', 'c']
+    ['b', 'c', 'a', 'b', 'c', 'a']
+    ['c', 'a', 'b', 'c', 'a', 'b']
+
+    """
+    domains = sorted({each.domain for each in entry_by_id.values()})
+    ids_by_domain = {
+        domain: sorted(
+            (
+                daemon
+                for daemon, entry in entry_by_id.items()
+                if entry.domain == domain
+            ),
+            key=lambda daemon: hashlib.blake2b(
+                f"{shard} {daemon}".encode(), digest_size=8
+            ).digest(),
+        )
+        for domain in domains
+    }
+    first = shard % len(domains) if domains else 0
+    rotated = domains[first:] + domains[:first]
+    rounds = itertools.zip_longest(*(ids_by_domain[each] for each in rotated))
+    return [daemon for each in rounds for daemon in each if daemon is not None]
 
 
 class Ownership(msgspec.Struct, frozen=True):
