Grant tokens of small accounts without the grace period

A new owner waited 1 s for shares of the former one to expire, also for accounts that never have any.

--- a/burdockcart/process/rates/division.py
+++ b/burdockcart/process/rates/division.py
@@ -65,6 +65,20 @@
     return max_min(rate - reserve, wants)
 
 
+def is_divided(burst: float) -> bool:
+    """Return whether a burst is ever divided among daemons.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.rates import division
+    >>> division.is_divided(5.0), division.is_divided(8.0)
+    (False, True)
+
+    """
+    return math.floor(burst / 2) >= MIN_DIVIDED
+
+
 def divide_burst(
     burst: float, demand_by_key: Mapping[Key, float]
 ) -> dict[Key, float]:
--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -11,12 +11,18 @@
 from burdockcart import clock
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.rates import division
 from burdockcart.process.rates import shard_ownership
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
 
 CallFault = coordination.CallFault
 
+#: Time after which a former owner knew a limit as well, and shares by an
+#: earlier one have expired, in seconds: a manifest is in force within 5 s, and
+#: a share is valid for 4 s.
+STEADY_S = 10.0
+
 #: Faults of a renewal after which the lease is known to have ended.
 _ENDED = (CallFault.MISSING, CallFault.RESTORED)
 Limits = Mapping[ids.AccountName, share_ledger.Limit]
@@ -55,12 +61,23 @@
         self._era: ids.StoreEra | None = None
         self._ledger: share_ledger.ShareLedger | None = None
         self._limits: Limits = {}
+        #: When the limit of each account last changed.
+        self._changed_at_by_account: dict[ids.AccountName, float] = {}
         self._changed = asyncio.Event()
 
     # Hints
 
     def use_limits(self, limits: Limits) -> None:
         """Use the limits of a manifest."""
+        now = self._clock.now()
+        self._changed_at_by_account = {
+            account: (
+                self._changed_at_by_account[account]
+                if self._limits.get(account) == limit
+                else now
+            )
+            for account, limit in limits.items()
+        }
         self._limits = limits
         if self._ledger is not None:
             self._ledger.use_limits(limits, self._clock.now())
@@ -185,7 +202,9 @@
             return
         self.ownership.acquired(hold.lease, hold.position, sent_at)
         self._ledger = share_ledger.ShareLedger(
-            share_terms.Term(hold.position), *self.ownership.grant_times(now)
+            share_terms.Term(hold.position),
+            *self.ownership.grant_times(now),
+            self._undivided(now),
         )
         self._ledger.use_limits(self._limits, now)
         loguru.logger.info(
@@ -194,6 +213,15 @@
             hold.position,
         )
 
+    def _undivided(self, now: float) -> list[ids.AccountName]:
+        """Return the accounts of which no share can be in use."""
+        return [
+            account
+            for account, limit in self._limits.items()
+            if not division.is_divided(limit.burst)
+            and now - self._changed_at_by_account[account] >= STEADY_S
+        ]
+
     async def _renew(self, lease: coordination.Lease) -> None:
         sent_at = self._clock.now()
         renewed = await self._platform.renew_shard(lease)
--- a/burdockcart/process/rates/share_ledger.py
+++ b/burdockcart/process/rates/share_ledger.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+from typing import Collection
 from typing import Iterable
 from typing import Mapping
 
@@ -275,13 +276,20 @@
 
     renews_from, grants_from : float
         See :class:`AccountLedger`.
+    undivided : collection of AccountName
+        Accounts of which a former owner has granted single tokens only.
 
     """
 
     def __init__(
-        self, term: share_terms.Term, renews_from: float, grants_from: float
+        self,
+        term: share_terms.Term,
+        renews_from: float,
+        grants_from: float,
+        undivided: Collection[ids.AccountName] = (),
     ):
         self.term = term
+        self._undivided = frozenset(undivided)
         self._renews_from = renews_from
         self._grants_from = grants_from
         self._limit_by_account: dict[ids.AccountName, Limit] = {}
@@ -308,9 +316,11 @@
         ledger = self._ledger_by_account.get(account)
         limit = self._limit_by_account.get(account)
         if ledger is None and limit is not None:
-            ledger = AccountLedger(
-                limit, self._renews_from, self._grants_from, now
-            )
+            grants_from = self._grants_from
+            if account in self._undivided:
+                # No share outlives a former owner for the grace period.
+                grants_from = self._renews_from + share_terms.TOKEN_S
+            ledger = AccountLedger(limit, self._renews_from, grants_from, now)
             self._ledger_by_account[account] = ledger
         return ledger
 
--- a/burdockcart/process/rates/tests/share_world.py
+++ b/burdockcart/process/rates/tests/share_world.py
@@ -12,13 +12,17 @@
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.store import store_era
+from burdockcart.process.rates import division
 from burdockcart.process.rates import local_shares
+from burdockcart.process.rates import shard_keeper
 from burdockcart.process.rates import shard_ownership
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
 
 ACCOUNT = ids.AccountName("a")
 SHARD = share_terms.shard_of(ACCOUNT)
+#: Time in which a manifest is in force, in seconds.
+APPLY_S = 5.0
 
 
 class Store:
@@ -99,6 +103,8 @@
         self.spent = []
         #: Limits that some daemon may have used, from when on.
         self.limits = [(self.now, self.limit)]
+        #: Since when all daemons know the newest limit.
+        self.agreed_since = self.now
 
     def _new(self, index):
         return Daemon(
@@ -116,11 +122,15 @@
         """Write a manifest that no daemon has read."""
         self.limit = limit
         self.limits.append((self.now, limit))
+        self.agreed_since = None
 
     def read_limit(self, index):
         """Let a daemon read the manifest."""
         daemon = self.daemons[index]
         daemon.limit = self.limit
+        agreed = all(each.limit == self.limit for each in self.daemons)
+        if agreed and self.agreed_since is None:
+            self.agreed_since = self.now
         if daemon.ledger is not None:
             daemon.ledger.use_limits({ACCOUNT: daemon.limit}, self.now)
 
@@ -196,9 +206,21 @@
         daemon.ledger = share_ledger.ShareLedger(
             share_terms.Term(position),
             *daemon.ownership.grant_times(self.now),
+            self._undivided(),
         )
         daemon.ledger.use_limits({ACCOUNT: daemon.limit}, self.now)
 
+    def _undivided(self):
+        """Return the account if no daemon can hold a share of it."""
+        steady_s = shard_keeper.STEADY_S - APPLY_S
+        agreed = (
+            self.agreed_since is not None
+            and self.now - self.agreed_since >= steady_s
+        )
+        if agreed and not division.is_divided(self.limit.burst):
+            return [ACCOUNT]
+        return []
+
     def _on_renew(self, daemon, content):
         lease, sent_at = content
         done = self.store.renew(lease, self.now)
--- a/burdockcart/process/rates/tests/test_share_rules.py
+++ b/burdockcart/process/rates/tests/test_share_rules.py
@@ -1,14 +1,21 @@
 """Rules that random orders of events seldom put to the test."""
 
+import asyncio
+
+import msgspec
 import testtools
 
+from burdockcart import clock
 from burdockcart import ids
 from burdockcart.process.rates import division
 from burdockcart.process.rates import local_shares
+from burdockcart.process.rates import shard_keeper
 from burdockcart.process.rates import shard_ownership
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
+from burdockcart.tests import gateway_deployment
 
+SHARD = share_terms.Shard(0)
 ACCOUNT = ids.AccountName("a")
 HOLDERS = [share_terms.Holder((f"d{n}", n)) for n in range(3)]
 LIMIT = share_ledger.Limit(20.0, 20.0)
@@ -116,6 +123,42 @@
         self.assertEqual((0, 0, 0), (found.rate, found.burst, found.tokens))
         self.assertGreater(found.next_ms, 0)
 
+    def test_small_accounts_do_not_wait_for_the_grace_period(self):
+        """Guards against refusals for a second after each change of owner.
+
+        No share of them can be in use, as their burst is never divided.
+        """
+        small = share_ledger.Limit(5.0, 5.0)
+        ledger = share_ledger.ShareLedger(
+            share_terms.Term(9), 10.0, 11.0, {ACCOUNT}
+        )
+        ledger.use_limits({ACCOUNT: small, "large": LIMIT}, 10.0)
+        told = [
+            demand(wanted=1),
+            msgspec.structs.replace(demand(wanted=1), account="large"),
+        ]
+        early = ledger.answer(HOLDERS[0], 1, told, 14.0, 10.05)
+        self.assertEqual([0.0, 0.0], [each.tokens for each in early])
+        later = ledger.answer(HOLDERS[0], 2, told, 14.0, 10.5)
+        self.assertEqual([1.0, 0.0], [each.tokens for each in later])
+
+    def test_account_whose_limit_was_lowered_waits(self):
+        """Guards against shares of the former limit that are still in use."""
+
+        async def check():
+            keeper = shard_keeper.ShardKeeper(
+                SHARD, "d0", None, dict, clock.LoopClock(), True
+            )
+            keeper.use_limits({ACCOUNT: LIMIT})
+            await asyncio.sleep(20.0)
+            keeper.use_limits({ACCOUNT: share_ledger.Limit(5.0, 5.0)})
+            await asyncio.sleep(shard_keeper.STEADY_S - 0.1)
+            now = asyncio.get_running_loop().time()
+            self.assertEqual([], keeper._undivided(now))
+            self.assertEqual([ACCOUNT], keeper._undivided(now + 0.2))
+
+        gateway_deployment.run(check())
+
     def test_nothing_is_continued_right_after_a_restore(self):
         """The former owner may still grant what its shares give up."""
         ledger = share_ledger.AccountLedger(LIMIT, 3.0, 4.0, 0.0)
