--- a/burdockcart/platform/client_limiter.py
+++ b/burdockcart/platform/client_limiter.py
@@ -102,8 +102,8 @@
     def _victim(self, choice: Choice) -> memory_budget.ClientNumber | None:
         """Return the connection to close, if there is one.
 
-        After a choice in vain, no other is made for a moment: a crowd that
-        waits would look at all connections for each of its members.
+        After a choice in vain, no other is made for a moment: each of many
+        clients that wait would look at all connections.
         """
         now = self._clock.now()
         if now - self._none_at_by_choice.get(choice, -RETRY_S) < RETRY_S:
--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -110,11 +110,11 @@
         incarnation,
     )
     count = daemon.metrics.client_limited
-    limiter_of_clients = client_limiter.ClientLimiter(allowed, count)
+    clients_limiter = client_limiter.ClientLimiter(allowed, count)
     daemon.metrics.client_memory.set_function(
-        lambda: limiter_of_clients.budget.used
+        lambda: clients_limiter.budget.used
     )
-    listener = client_wire.ClientListener(_Gateway(daemon), limiter_of_clients)
+    listener = client_wire.ClientListener(_Gateway(daemon), clients_limiter)
     await daemon.start(listener)
     servers = [
         ready.serve_ready(config.ready_address, daemon.ready, allowed, count),
--- a/burdockcart/platform/ready.py
+++ b/burdockcart/platform/ready.py
@@ -52,8 +52,8 @@
 class _LimitedServer(httpserver.HTTPServer):
     """HTTP server with a limit of connections.
 
-    A new connection closes the oldest one, so that a crowd of idle ones keeps
-    no probe out.
+    A new connection closes the oldest one, so that many idle ones do not
+    keep a probe out.
     """
 
     def limit(
--- a/burdockcart/process/accounts/keyed_access.py
+++ b/burdockcart/process/accounts/keyed_access.py
@@ -63,7 +63,7 @@
         """Do nothing."""
 
 
-class Gatekeeper:
+class Authenticator:
     """Accounts, keys and evidence of one daemon, for all its sessions.
 
     Parameters
@@ -222,12 +222,12 @@
 
     def __init__(
         self,
-        keeper: Gatekeeper,
+        authenticator: Authenticator,
         database: ids.DatabaseName,
         digest: account_keys.KeyDigest | None,
         account: ids.AccountName | None,
     ):
-        self._keeper = keeper
+        self._authenticator = authenticator
         self._database = database
         self._digest = digest
         self._account = account
@@ -243,28 +243,29 @@
         A session that has an account needs its key for as long as it is open,
         also if its route has become anonymous.
         """
-        keeper = self._keeper
+        authenticator = self._authenticator
         if self._account is None and (
-            not keeper.active or keeper.is_anonymous(self._database)
+            not authenticator.active
+            or authenticator.is_anonymous(self._database)
         ):
             return None
-        account = keeper.account_of(self._digest)
+        account = authenticator.account_of(self._digest)
         if account is None:
-            return keeper.refuse_key(
+            return authenticator.refuse_key(
                 self._database, self._account, "statement"
             )
         self._account = account
-        return keeper.refuse_old_evidence()
+        return authenticator.refuse_old_evidence()
 
     async def begin_operation(self, limit_s: float) -> errors.Failure | None:
         """Count an operation; return why it may not run."""
         if self._account is None:
             return None
-        return await self._keeper.limits.begin_operation(
+        return await self._authenticator.limits.begin_operation(
             self._account, limit_s
         )
 
     def operation_unsent(self) -> None:
         """Give back an operation that no member has run."""
         if self._account is not None:
-            self._keeper.limits.operation_unsent(self._account)
+            self._authenticator.limits.operation_unsent(self._account)
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -147,7 +147,7 @@
         evidence = key_evidence.KeyEvidence(
             config.key_bound_s, config.manifest_s
         )
-        self.gatekeeper = keyed_access.Gatekeeper(
+        self.authenticator = keyed_access.Authenticator(
             evidence,
             boot_clock,
             key_metrics.KeyMetrics(self.metrics.registry),
@@ -178,7 +178,7 @@
             config.first_start,
         )
         self.relay.shares.serve(self.rates.reported)
-        self.gatekeeper.limits = self.rates
+        self.authenticator.limits = self.rates
         self._restore_wait = restore_wait.RestoreWait(
             config.daemon,
             platform,
@@ -385,7 +385,7 @@
                     f"no route names the database {database[:60]!r}",
                 )
             )
-        return self.gatekeeper.open(database, key).map(
+        return self.authenticator.open(database, key).map(
             lambda access: client_session.ClientSession(
                 database,
                 self.tables,
@@ -401,7 +401,7 @@
 
     def manifest_changed(self, found: manifest.Manifest) -> None:
         """Apply a new manifest."""
-        self.gatekeeper.use_manifest(found)
+        self.authenticator.use_manifest(found)
         self.rates.use_manifest(found)
         for limits in found.limits_by_group.values():
             group = self.group_by_id.get(limits.id)
@@ -439,7 +439,7 @@
         self.metrics.manifest_version.set(current.version if current else 0)
         self.metrics.tasks_failing.set(len(self._tasks.failing))
         self.metrics.store_age.set(self.tables.age_s)
-        self.gatekeeper.measure()
+        self.authenticator.measure()
         for group in self.group_by_id.values():
             pools = group.pool_by_member.values()
             open_count = sum(pool.open_count for pool in pools)
@@ -528,7 +528,7 @@
 
     def era_changed(self, era: ids.StoreEra) -> None:
         """Forget positions of other eras of the store."""
-        self.gatekeeper.evidence.era_changed(self._boot_clock.now())
+        self.authenticator.evidence.era_changed(self._boot_clock.now())
         self._failover.era_changed(era)
         self.rates.note_era()
         if self._restore_wait.begin(era):
