--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -225,10 +225,10 @@
         Its statements are over in about the time of a handshake, so at the
         limit no other account's connection is closed at once.
         """
-        running = sum(
-            each.account == account and each.active for each in self._busy
+        return (
+            self.open_count >= self.share.hard_limit
+            and self._running(account) >= count
         )
-        return self.open_count >= self.share.hard_limit and running >= count
 
     def has_connection(self, account: ids.AccountName | None) -> bool:
         """Return whether an account has a connection or soon gets one."""
--- a/burdockcart/process/rates/shard_ownership.py
+++ b/burdockcart/process/rates/shard_ownership.py
@@ -35,8 +35,8 @@
     """Return daemons in the order in which they should own a shard.
 
     The shards begin in different failure domains, and the daemons that follow
-    are of the other ones: when one failure domain was cut off, all four
-    shards had their owner there.
+    are of the other ones: when one failure domain was cut off, three of
+    four shards lost their owner at once.
 
     Examples
     ========
