Make the model of shares and the addresses of crowd tests independent

The tests of untrusted clients used fixed loopback addresses, which two suites on one machine share.

Change: the messages are a tuple, in the order of sending. The tests take free addresses by process id.

--- a/burdockcart/platform/tests/crowded_daemon.py
+++ b/burdockcart/platform/tests/crowded_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import pathlib
 import resource
@@ -28,6 +29,31 @@
 MAX_FDS = 4300
 MIB = 1024 * 1024
 MEMBER_CONNECTIONS = 40
+#: Numbers of the tests of this process, which each have addresses of their
+#: own: two suites on one machine took the same fixed addresses.
+_NUMBERS = itertools.count()
+ATTEMPTS = 20
+
+
+async def start_site():
+    """Start a store and members on free addresses; return their prefix."""
+    for _ in range(ATTEMPTS):
+        number = (os.getpid() + next(_NUMBERS) * 7919) % 60000
+        prefix = f"127.{16 + number // 250}.{1 + number % 250}"
+        place = site.Site(
+            prefix,
+            histories.History(),
+            lambda *args, **fields: None,
+            MEMBER_CONNECTIONS,
+            lambda host, port: {},
+        )
+        try:
+            await place.start()
+        except OSError:
+            place.stop()
+            continue
+        return prefix, place
+    raise OSError("no free loopback addresses")
 
 
 class Refused(Exception):
@@ -231,8 +257,6 @@
 class CrowdedDaemonCase(testtools.TestCase):
     """Crowds a daemon and checks that it survives and still serves."""
 
-    #: First three bytes of the addresses; differ between classes.
-    prefix = "127.61.0"
     max_fds = MAX_FDS
     settings = ""
 
@@ -255,19 +279,9 @@
             asyncio.run(self._play(act, folder))
 
     async def _play(self, act, folder):
-        history = histories.History()
-        place = site.Site(
-            self.prefix,
-            history,
-            lambda *args, **fields: None,
-            MEMBER_CONNECTIONS,
-            lambda host, port: {},
-        )
-        await place.start()
+        prefix, place = await start_site()
         beat = asyncio.create_task(place.run())
-        daemon = DaemonProcess(
-            self.prefix, folder, self.max_fds, self.settings
-        )
+        daemon = DaemonProcess(prefix, folder, self.max_fds, self.settings)
         watch = None
         try:
             await daemon.start()
--- a/burdockcart/platform/tests/test_crowded_clients.py
+++ b/burdockcart/platform/tests/test_crowded_clients.py
@@ -28,8 +28,6 @@
 class TestMessages(crowded_daemon.CrowdedDaemonCase):
     """Clients that send large messages, or parts of them."""
 
-    prefix = "127.61.1"
-
     def test_incomplete_statements(self):
         """Statements without an end must not fill the memory."""
 
@@ -107,8 +105,6 @@
 class TestAnswers(crowded_daemon.CrowdedDaemonCase):
     """Clients that do not read their answers."""
 
-    prefix = "127.61.2"
-
     def test_pipelined_reads(self):
         """Clients that read no answer must not keep new ones out."""
         reads = b"".join(
@@ -170,8 +166,6 @@
 class TestSessionState(crowded_daemon.CrowdedDaemonCase):
     """Clients that pile up values and prepared names."""
 
-    prefix = "127.61.3"
-
     async def _pile(self, reader, writer, word, size, count):
         """Set values whose text takes four bytes a character."""
         for number in range(count):
@@ -216,7 +210,6 @@
 class TestConnections(crowded_daemon.CrowdedDaemonCase):
     """Clients that take the descriptors."""
 
-    prefix = "127.61.4"
     max_fds = 400
     CONNECTIONS = 500
 
--- a/burdockcart/platform/tests/test_crowded_ports.py
+++ b/burdockcart/platform/tests/test_crowded_ports.py
@@ -57,8 +57,6 @@
 class TestReady(HttpCase):
     """Requests to the port of the load balancer."""
 
-    prefix = "127.61.5"
-
     def test_endless_headers(self):
         """Headers without an end must not fill the memory."""
         self.endless_headers("ready")
@@ -75,8 +73,6 @@
 class TestMetrics(HttpCase):
     """Requests to the port of the metrics."""
 
-    prefix = "127.61.6"
-
     def test_endless_headers(self):
         """Headers without an end must not fill the memory."""
         self.endless_headers("metrics")
@@ -93,8 +89,6 @@
 class TestLinkFrames(crowded_daemon.CrowdedDaemonCase):
     """Connections to the port of links that send no greeting."""
 
-    prefix = "127.61.7"
-
     def test_endless_greetings(self):
         """A greeting that never ends must not fill the memory."""
 
@@ -109,7 +103,6 @@
 class TestStrangers(crowded_daemon.CrowdedDaemonCase):
     """Connections to the port of links that greet without the key."""
 
-    prefix = "127.61.9"
     GREETING = frames.encode_greeting(frames.greeting("stranger", "1"))
 
     async def prepare(self, daemon):
@@ -138,7 +131,6 @@
 class TestDescriptors(crowded_daemon.CrowdedDaemonCase):
     """Idle connections to ports other than that of clients."""
 
-    prefix = "127.61.8"
     max_fds = 400
     CONNECTIONS = 500
 
--- a/burdockcart/tests/rate_model.py
+++ b/burdockcart/tests/rate_model.py
@@ -112,7 +112,8 @@
     owners: tuple[Owner, ...] = (Owner(), Owner())
     shares: tuple[Share, ...] = (Share(), Share())
     reports: tuple[int, ...] = (0, 0)
-    messages: frozenset = frozenset()
+    #: In a fixed order: that of a set differs between processes.
+    messages: tuple = ()
     serial: int = 0
 
 
@@ -120,6 +121,10 @@
     return (*values[:index], value, *values[index + 1 :])
 
 
+def _without(messages: tuple, message: Message) -> tuple:
+    return tuple(each for each in messages if each != message)
+
+
 def _check(state: State) -> int:
     """Return the sum of the shares that can be spent."""
     spendable = sum(
@@ -180,7 +185,7 @@
         yield dataclasses.replace(
             state,
             reports=_replaced(state.reports, daemon, number),
-            messages=state.messages | {message},
+            messages=(*state.messages, message),
         )
 
 
@@ -234,7 +239,7 @@
         state,
         owners=_replaced(state.owners, message.to_owner, owner),
         serial=share.serial,
-        messages=state.messages | {dataclasses.replace(message, answer=share)},
+        messages=(*state.messages, dataclasses.replace(message, answer=share)),
     )
 
 
@@ -257,7 +262,7 @@
     """Let a message arrive."""
     for message in state.messages:
         without = dataclasses.replace(
-            state, messages=state.messages - {message}
+            state, messages=_without(state.messages, message)
         )
         arrives = _apply if message.answer else _grant
         yield from arrives(without, message, rules)
@@ -270,7 +275,9 @@
 def _lose(state: State, rules: Rules) -> Iterator[State]:
     """Lose a message."""
     for message in state.messages:
-        yield dataclasses.replace(state, messages=state.messages - {message})
+        yield dataclasses.replace(
+            state, messages=_without(state.messages, message)
+        )
 
 
 #: Kinds of steps and how often one is taken.
