Retry a failed poll of the store after the backoff alone

After one failed poll the follower waited for its backoff and then for a whole interval (2.75 s), so two polls could be more than 5 s apart. Deployments with accounts already retried at once.

Change: every failed poll is retried after the backoff. After two failures the whole store was read again with the same backoff before, so the number of calls to a store that is away does not change.

Measured: test_poll_without_an_answer fails before (version 1) and passes; 165 tests of the follower, accounts and peers pass.

--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -414,9 +414,9 @@
 
     def _pause_s(self, failures: int) -> float:
         """Return the pause before the next poll, after failed ones."""
-        if failures and self._evidence.needed_for(self.current):
-            # The backoff was the pause: a whole interval more would leave the
-            # evidence too old after one poll without an answer.
+        if failures:
+            # The backoff was the pause: with a whole interval more, one poll
+            # without an answer would leave a manifest unknown for too long.
             return 0.0
         if self._first_pauses_s:
             return self._first_pauses_s.pop()
--- a/burdockcart/process/gateway/tests/test_store_follower.py
+++ b/burdockcart/process/gateway/tests/test_store_follower.py
@@ -40,6 +40,24 @@
 
         scenario(check)
 
+    def test_poll_without_an_answer(self):
+        """One lost poll must not delay a manifest beyond the limit."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            await gateway_deployment.until(
+                lambda: daemon.tables.next_poll_s > 1.5
+            )
+            deployment.platform.put_tables(gateway_deployment.tables(2))
+            await asyncio.sleep(daemon.tables.next_poll_s - 0.05)
+            daemon.link.store_cut = True
+            await asyncio.sleep(0.3)
+            daemon.link.store_cut = False
+            await asyncio.sleep(1.2)
+            self.assertEqual(2, version(deployment))
+
+        scenario(check)
+
     def test_versions_only_go_up(self):
         """An older manifest that is read again must be ignored."""
 
