Let the candidate of a promotion lag 0.3 s before writes are refused

Cause: while a promotion call is open or prepared, writes are refused when its candidate lacks a commit of 0.1 s ago. Replicas that receive commits 150 ms late lack one all the time, so the group refused writes as long as any were sent. On the deployment with 87 daemons, after a partition of a primary, more than 30 daemons blocked commits for over 1.6 s.

Change: the limit is 0.3 s. What clients are told as done does not change: the candidate must still report each commit first.

--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -20,6 +20,7 @@
 """
 
 import asyncio
+import collections
 import enum
 import math
 from typing import Callable
@@ -43,11 +44,14 @@
 QUERY_TIMEOUT_S = 1.0
 #: Pause before a member that lacks a commit is asked again, in seconds.
 RETRY_PAUSE_S = 0.01
-#: Interval between looks at the candidate, in seconds; also the time for which
-#: it may lag until writes are refused.
+#: Interval between looks at the candidate, in seconds.
 LOOK_INTERVAL_S = 0.1
 #: The same while no replica has been seen on hold, in seconds.
 QUIET_INTERVAL_S = 0.4
+#: Time for which the candidate may lag until writes are refused, in seconds:
+#: twice the usual lag of replicas that are 150 ms behind.  With 0.1 s, such a
+#: group refused writes for as long as any were sent.
+LAG_ALLOWED_S = 0.3
 #: Least time between two log lines of commits that are passed on without
 #: knowledge of the calls, in seconds.
 UNKNOWN_LOG_S = 1.0
@@ -185,7 +189,7 @@
                 continue
             if coverage is not Coverage.PENDING:
                 return coverage is Coverage.HELD
-            if self._clock.now() - began_at >= LOOK_INTERVAL_S:
+            if self._clock.now() - began_at >= LAG_ALLOWED_S:
                 self._block(commit)
             await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -323,7 +327,10 @@
 
     async def _look(self) -> None:
         """Refuse writes while the candidate lags; ends when not needed."""
-        newest: log_position.LogPosition | None = None
+        #: When the primary had which position, the oldest first.
+        seen: collections.deque[tuple[float, log_position.LogPosition]]
+        seen = collections.deque()
+        due: log_position.LogPosition | None = None
         while self._call_possible():
             now = self._clock.now()
             if not self.blocked and now - self._watched_at >= IDLE_S:
@@ -333,17 +340,19 @@
                 await self._observe_replicas()
                 await asyncio.sleep(QUIET_INTERVAL_S)
                 continue
+            while seen and now - seen[0][0] >= LAG_ALLOWED_S:
+                due = seen.popleft()[1]
             if self._required is not None:
-                newest = max(self._required, newest or self._required)
-            if newest is not None:
-                coverage = await self._coverage(newest)
+                due = max(self._required, due or self._required)
+            if due is not None:
+                coverage = await self._coverage(due)
                 if coverage is Coverage.PENDING:
-                    self._block(newest)
+                    self._block(due)
                 else:
                     self._resume(coverage.value)
             status = await self._observe(self._primary.leadership.member)
             if status and status.role is member_channel.Role.PRIMARY:
-                newest = status.received
+                seen.append((now, status.received))
             await asyncio.sleep(LOOK_INTERVAL_S)
         self._resume("no call is open")
 
--- a/burdockcart/process/gateway/tests/test_open_calls.py
+++ b/burdockcart/process/gateway/tests/test_open_calls.py
@@ -282,6 +282,38 @@
 
         test_sessions.scenario(check, daemons=3)
 
+    def test_candidate_that_always_lags(self):
+        """A candidate 150 ms behind must not keep writes from the primary."""
+
+        async def check(deployment):
+            writers = Writers(deployment, range(3))
+            await asyncio.sleep(1.0)
+            deployment.enter(
+                deployment.group.primary, manifest.MemberState.DRAINING
+            )
+            record = deployment.platform.record_by_group
+            await gateway_deployment.until(
+                lambda: GROUP in record
+                and record[GROUP][0].prepared is not None
+            )
+            name = record[GROUP][0].prepared
+            candidate = deployment.group.member_by_id[name]
+            loop = asyncio.get_running_loop()
+            receive, began_at = candidate.receive, loop.time()
+            candidate.receive = lambda commits: loop.call_later(
+                0.15, receive, commits
+            )
+            await asyncio.sleep(1.8)
+            writers.stop()
+            refused = [
+                at
+                for at, _, outcome in writers.answers
+                if isinstance(outcome, result.Failure) and at > began_at
+            ]
+            self.assertEqual([], refused)
+
+        test_sessions.scenario(check, daemons=3)
+
     def test_all_daemons_know_before_the_call(self):
         """A poll must lie between the record and the first hold."""
 
