--- a/burdockcart/emulator/shard_keys.py
+++ b/burdockcart/emulator/shard_keys.py
@@ -17,7 +17,7 @@
         self._lease_ends_at: dict[int, tuple[float, float]] = {}
         self._changes: list[tuple[int, int, ids.DaemonId | None]] = []
         #: Calls that were executed, for tests.
-        self.attempts = self.renewals = 0
+        self.attempts = self.renewals = self.reads = 0
 
     def __copy__(self) -> "ShardKeys":
         copied = ShardKeys()
@@ -26,6 +26,7 @@
         copied._changes = copy.copy(self._changes)
         copied.attempts = self.attempts
         copied.renewals = self.renewals
+        copied.reads = self.reads
         return copied
 
     def ended(self, now: float) -> list[int]:
@@ -61,7 +62,7 @@
         now: float,
         ttl_s: float,
     ) -> None:
-        """Write the key of a shard that has none."""
+        """Write the key of a shard, under another lease than before."""
         self._key_by_shard[shard] = daemon, revision, lease
         self._lease_ends_at[lease] = now + ttl_s, ttl_s
         self._changes.append((revision, shard, daemon))
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -428,16 +428,22 @@
         return result.Success(None)
 
     async def acquire_shard(
-        self, shard: int, daemon: ids.DaemonId, ttl_s: float
+        self,
+        shard: int,
+        daemon: ids.DaemonId,
+        ttl_s: float,
+        expected: ids.StorePosition | None = None,
     ):
-        """Write the key of a shard, if there is none."""
-        fault = await self._store_fault()
+        """Write the key of a shard, if there is none but the expected one."""
+        era = None if expected is None else store_era.era_of(expected)
+        fault = await self._store_fault(era)
         if fault is not None:
             return fault
         self.shards.attempts += 1
         owner = self.shards.owner(shard, self.era)
-        if owner is not None:
-            return result.Failure(owner)
+        found = None if owner is None else owner.position
+        if found != expected:
+            return result.Failure(owner or CallFault.CONFLICT)
         lease, revision = self._next_revision(), self._next_revision()
         now = asyncio.get_running_loop().time()
         self.shards.write(shard, daemon, lease, revision, now, ttl_s)
@@ -447,6 +453,17 @@
             )
         )
 
+    async def read_shard(self, shard: int):
+        """Return the owner of a shard."""
+        fault = await self._store_fault()
+        if fault is not None:
+            return fault
+        self.shards.reads += 1
+        owner = self.shards.owner(shard, self.era)
+        if owner is None:
+            return result.Failure(CallFault.MISSING)
+        return result.Success(owner)
+
     async def renew_shard(self, lease: coordination.Lease):
         """Renew the lease of a shard's key."""
         fault = await self._store_fault(lease.era)
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -515,16 +515,25 @@
         return _status(answer)
 
     async def acquire_shard(
-        self, shard: int, daemon: ids.DaemonId, ttl_s: float
+        self,
+        shard: int,
+        daemon: ids.DaemonId,
+        ttl_s: float,
+        expected: ids.StorePosition | None = None,
     ) -> result.Result[
         coordination.ShardHold,
         coordination.ShardOwner | coordination.CallFault,
     ]:
-        """Write the key of a shard, if there is none, under a new lease."""
+        """Write the key of a shard under a new lease.
+
+        There must be no key, or one at the expected position.
+        """
+        revision = 0 if expected is None else store_era.revision_of(expected)
         granted = await self._call(
             "/api/kv-lease",
             store_messages.Lease,
             "POST",
+            era=None if expected is None else store_era.era_of(expected),
             body={"ttl-ms": int(ttl_s * 1000)},
         )
         if isinstance(granted, result.Failure):
@@ -533,7 +542,7 @@
         lease = coordination.Lease(era, granted.unwrap().lease)
         key = f"{store_values.QUOTA_PREFIX}{shard}"
         answer = await self._write(
-            {key: 0}, {key: daemon.encode()}, lease.number, era=era
+            {key: revision}, {key: daemon.encode()}, lease.number, era=era
         )
         if isinstance(answer, coordination.CallFault):
             return result.Failure(answer)
@@ -558,6 +567,22 @@
         assert isinstance(failed, result.Failure)
         return failed
 
+    async def read_shard(
+        self, shard: int
+    ) -> result.Result[coordination.ShardOwner, coordination.CallFault]:
+        """Return the owner of a shard; fails with MISSING without a key."""
+        key = f"{store_values.QUOTA_PREFIX}{shard}"
+        found = await self._call(
+            "/api/kv-key?" + parse.urlencode({"key": key}),
+            store_messages.StoredItem,
+        )
+        if isinstance(found, result.Failure):
+            return found
+        owner = store_values.read_owner(found.unwrap(), self.eras.current)
+        if owner is None:
+            return result.Failure(coordination.CallFault.UNREADABLE)
+        return result.Success(owner)
+
     async def renew_shard(
         self, lease: coordination.Lease
     ) -> result.Result[None, coordination.CallFault]:
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -170,6 +170,7 @@
             config.daemon,
             platform,
             self.relay.shares,
+            self.relay.offers,
             lambda: self.tables.entry_by_daemon,
             self._clock,
             self._boot_clock,
@@ -178,6 +179,7 @@
             config.first_start,
         )
         self.relay.shares.serve(self.rates.reported)
+        self.relay.offers.serve(self.rates.offered)
         self.authenticator.limits = self.rates
         self._restore_wait = restore_wait.RestoreWait(
             config.daemon,
--- a/burdockcart/process/gateway/store/coordination.py
+++ b/burdockcart/process/gateway/store/coordination.py
@@ -288,13 +288,23 @@
         """Remove an entry of this incarnation, whatever its lease."""
 
     async def acquire_shard(
-        self, shard: int, daemon: ids.DaemonId, ttl_s: float
+        self,
+        shard: int,
+        daemon: ids.DaemonId,
+        ttl_s: float,
+        expected: ids.StorePosition | None = None,
     ) -> result.Result[ShardHold, ShardOwner | CallFault]:
-        """Write the key of a shard, if there is none, under a new lease.
+        """Write the key of a shard under a new lease.
 
-        Fails with the owner whose key there is.
+        There must be no key, or one at the expected position.  Fails with the
+        owner whose key there is.
         """
 
+    async def read_shard(
+        self, shard: int
+    ) -> result.Result[ShardOwner, CallFault]:
+        """Return the owner of a shard; fails with MISSING without a key."""
+
     async def renew_shard(
         self, lease: Lease
     ) -> result.Result[None, CallFault]:
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -227,6 +227,7 @@
             | messages.Noticed
             | messages.Polled
             | messages.Shares
+            | messages.ShardOffered
         ),
     ) -> None:
         """Resolve a request; the answer to one given up is dropped."""
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -172,6 +172,24 @@
     report: share_terms.Report
 
 
+class ShardOffer(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Offer a shard to a possible successor; see :class:`share_terms.Offer`.
+
+    Parameters
+    ==========
+
+    shares_end_ms : int
+        Time until the last share of the owner expires.
+
+    """
+
+    number: int
+    shard: share_terms.Shard
+    position: ids.StorePosition
+    take: bool
+    shares_end_ms: int
+
+
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag=20):
     """Answer of a member, or the reason why it has none.
 
@@ -283,6 +301,21 @@
     answer: share_terms.Answer
 
 
+class ShardOffered(msgspec.Struct, frozen=True, array_like=True, tag=28):
+    """Answer to the offer of a shard.
+
+    Parameters
+    ==========
+
+    ready : bool
+        Whether the daemon could write the key, or has written it.
+
+    """
+
+    number: int
+    ready: bool
+
+
 Request = Union[
     Run,
     RunInTransaction,
@@ -295,9 +328,18 @@
     Withdrawal,
     PollRequest,
     ShareReport,
+    ShardOffer,
 ]
 Reply = Union[
-    Answered, Status, Pong, Leaving, Closing, Noticed, Polled, Shares
+    Answered,
+    Status,
+    Pong,
+    Leaving,
+    Closing,
+    Noticed,
+    Polled,
+    Shares,
+    ShardOffered,
 ]
 
 encode = msgspec.msgpack.Encoder().encode
--- /dev/null
+++ b/burdockcart/process/peers/peer_offers.py
@@ -0,0 +1,63 @@
+"""Offers of shards on the links between daemons, and their answers."""
+
+import asyncio
+from typing import Awaitable
+from typing import Callable
+
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.peers import messages
+from burdockcart.process.peers import relay_connector
+from burdockcart.process.rates import share_terms
+
+Serve = Callable[[share_terms.Offer], Awaitable[bool]]
+
+
+class PeerOffers:
+    """Carries offers to other daemons, and answers theirs."""
+
+    def __init__(self, links: relay_connector.HolderLinks):
+        self._links = links
+        self._serve: Serve | None = None
+
+    def serve(self, serve: Serve) -> None:
+        """Answer offers of other daemons from now on."""
+        self._serve = serve
+
+    async def offer(
+        self,
+        daemon: coordination.DaemonEntry,
+        offer: share_terms.Offer,
+        timeout_s: float,
+    ) -> bool:
+        """Offer a shard; False if it is refused, or without an answer."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                link = await self._links.reach(daemon)
+                if link is None:
+                    return False
+                reply = await link.request(
+                    lambda number: messages.ShardOffer(
+                        number,
+                        offer.shard,
+                        offer.position,
+                        offer.take,
+                        offer.shares_end_ms,
+                    ),
+                    timeout_s,
+                )
+        except (TimeoutError, ConnectionRefusedError):
+            return False
+        return isinstance(reply, messages.ShardOffered) and reply.ready
+
+    async def offered(
+        self, message: messages.ShardOffer
+    ) -> messages.ShardOffered:
+        """Answer the offer of another daemon."""
+        offer = share_terms.Offer(
+            message.shard,
+            message.position,
+            message.take,
+            message.shares_end_ms,
+        )
+        ready = self._serve is not None and await self._serve(offer)
+        return messages.ShardOffered(message.number, ready)
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -18,6 +18,7 @@
 from burdockcart.process.peers import holding
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import peer_notices
+from burdockcart.process.peers import peer_offers
 from burdockcart.process.peers import peer_shares
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.peers import relay_service
@@ -95,6 +96,7 @@
             sender.metrics.store_polled,
         )
         self.shares = peer_shares.PeerShares(self._links)
+        self.offers = peer_offers.PeerOffers(self._links)
         self.service = relay_service.RelayService(self, sender, loop_clock)
         self.connector = relay_connector.RelayConnector(
             direct, self._links, self, loop_clock, boot_clock
@@ -270,6 +272,12 @@
         """Answer a daemon that reports the demand of accounts."""
         return self.shares.reported(daemon, message)
 
+    async def shard_offered(
+        self, message: messages.ShardOffer
+    ) -> messages.ShardOffered:
+        """Answer an owner that offers its shard."""
+        return await self.offers.offered(message)
+
     def held_pool(
         self, group: ids.GroupId, member: ids.MemberId
     ) -> tuple[groups.Group, member_pool.MemberPool] | None:
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -77,6 +77,11 @@
     ) -> messages.Shares:
         """Answer a daemon that reports the demand of accounts."""
 
+    async def shard_offered(
+        self, message: messages.ShardOffer
+    ) -> messages.ShardOffered:
+        """Answer an owner that offers its shard."""
+
 
 class Service(Protocol):
     """What the sessions of all links share."""
@@ -159,6 +164,9 @@
             pools = self._service.pools
             self._send(pools.shares_reported(self._daemon, message))
             return
+        if isinstance(message, messages.ShardOffer):
+            self._spawn(self._serve_offer(message))
+            return
         if len(self._tasks) >= MAX_STATEMENTS:
             self._refuse(message.number, "too many statements on this link")
             return
@@ -174,6 +182,9 @@
     async def _serve_poll(self, message: messages.PollRequest) -> None:
         self._send(await self._service.pools.poll(message))
 
+    async def _serve_offer(self, message: messages.ShardOffer) -> None:
+        self._send(await self._service.pools.shard_offered(message))
+
     def _register(self, message: messages.Begin) -> bool:
         """Know of a transaction before it begins; False if it is known.
 
--- a/burdockcart/process/rates/account_rates.py
+++ b/burdockcart/process/rates/account_rates.py
@@ -14,6 +14,7 @@
 from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import rate_metrics
 from burdockcart.process.rates import shard_keeper
+from burdockcart.process.rates import shard_offers
 from burdockcart.process.rates import shard_reports
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
@@ -48,6 +49,7 @@
         daemon: ids.DaemonId,
         platform: coordination.Platform,
         carrier: shard_reports.Carrier,
+        offers: shard_offers.Carrier,
         daemons: Callable[[], Mapping[ids.DaemonId, coordination.DaemonEntry]],
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
@@ -70,6 +72,19 @@
             )
             for shard in shards
         }
+        self._offers = {
+            shard: shard_offers.ShardOffers(
+                shard,
+                daemon,
+                keeper,
+                platform,
+                offers,
+                daemons,
+                boot_clock,
+                metrics,
+            )
+            for shard, keeper in self._keepers.items()
+        }
         self._reports = {
             shard: shard_reports.ShardReports(
                 shard,
@@ -143,12 +158,19 @@
         holder = share_terms.Holder((daemon, report.instance))
         return keeper.answer(holder, report)
 
+    async def offered(self, offer: share_terms.Offer) -> bool:
+        """Answer an owner that offers its shard; see ShardOffers."""
+        offers = self._offers.get(offer.shard)
+        return offers is not None and await offers.offered(offer)
+
     async def run(self) -> None:
         """Own shards and report demand until cancelled."""
         await self._enabled.wait()
         async with asyncio.TaskGroup() as group:
             for keeper in self._keepers.values():
                 group.create_task(_unending(keeper.run), name="shard_keeper")
+            for offers in self._offers.values():
+                group.create_task(_unending(offers.run), name="shard_offers")
             for reports in self._reports.values():
                 group.create_task(_unending(reports.run), name="shard_reports")
 
--- a/burdockcart/process/rates/rate_metrics.py
+++ b/burdockcart/process/rates/rate_metrics.py
@@ -27,6 +27,17 @@
             registry=registry,
         )
 
+        self._transfers = prometheus_client.Counter(
+            "burdockcart_shard_transfers",
+            "Attempts of this daemon to transfer a shard, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
+
+    def count_transfer(self, outcome: str) -> None:
+        """Count an attempt: taken, unconfirmed or no_successor."""
+        self._transfers.labels(outcome).inc()
+
     def _label(self, account: ids.AccountName) -> str:
         if account not in self._labels:
             if len(self._labels) >= MAX_LABELS:
--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -64,6 +64,10 @@
         #: When the limit of each account last changed.
         self._changed_at_by_account: dict[ids.AccountName, float] = {}
         self._changed = asyncio.Event()
+        #: Set when this daemon has become the owner, or shuts down.
+        self.transfer_changed = asyncio.Event()
+        #: Held by the one attempt to acquire the key that may run.
+        self._acquiring = asyncio.Lock()
 
     # Hints
 
@@ -107,6 +111,7 @@
         """Let other daemons own the shard when the lease has ended."""
         self.ownership.leave()
         self._changed.set()
+        self.transfer_changed.set()
 
     def note_era(self) -> None:
         """Note the era that the store's last answer has shown."""
@@ -136,6 +141,7 @@
                 None if owner == self._daemon else owner,
                 position,
                 leaving=self.ownership.leaving,
+                store_silent=self.ownership.store_silent(now),
             )
         ends_at = own.authority_until + share_terms.GRACE_S
         shares = ledger.answer(
@@ -148,6 +154,38 @@
             shares=shares or [],
         )
 
+    # Transfer
+
+    def drop_ledger(self) -> None:
+        """Forget the shares after the ownership was given up."""
+        self._ledger = None
+        self._changed.set()
+
+    def may_take(self) -> bool:
+        """Return whether this daemon could own the shard."""
+        leaving = self.ownership.leaving
+        return bool(self._limits) and not leaving and not self.ownership.own
+
+    async def take(
+        self, position: ids.StorePosition, shares_end_at: float
+    ) -> bool:
+        """Take the key from an owner that has stepped down.
+
+        Parameters
+        ==========
+
+        position : int
+            Position at which the key must still be.
+        shares_end_at : float
+            Time at which the last share of that owner expires, in seconds.
+
+        """
+        if self.may_take():
+            await self._acquire(position, shares_end_at)
+            self._changed.set()
+        own = self.ownership.own
+        return own is not None and own.term > position
+
     # Calls to the store
 
     async def run(self) -> None:
@@ -180,10 +218,22 @@
         except TimeoutError:
             pass
 
-    async def _acquire(self) -> None:
+    async def _acquire(
+        self,
+        expected: ids.StorePosition | None = None,
+        shares_end_at: float = -math.inf,
+    ) -> None:
+        async with self._acquiring:
+            if self.ownership.own is None:
+                await self._write_key(expected, shares_end_at)
+
+    async def _write_key(
+        self, expected: ids.StorePosition | None, shares_end_at: float
+    ) -> None:
         sent_at = self._clock.now()
+        self.ownership.attempt_sent(sent_at)
         acquired = await self._platform.acquire_shard(
-            self._shard, self._daemon, share_terms.LEASE_S
+            self._shard, self._daemon, share_terms.LEASE_S, expected
         )
         self.note_era()
         now = self._clock.now()
@@ -194,7 +244,8 @@
             taken = failure is not CallFault.NO_ANSWER and (
                 failure is not CallFault.UNAVAILABLE
             )
-            self.ownership.refused(now, taken)
+            silent = failure is CallFault.NO_ANSWER
+            self.ownership.refused(now, taken, silent)
             return
         hold = acquired.unwrap()
         if hold.lease.era != self._platform.eras.current:
@@ -203,14 +254,16 @@
         self.ownership.acquired(hold.lease, hold.position, sent_at)
         self._ledger = share_ledger.ShareLedger(
             share_terms.Term(hold.position),
-            *self.ownership.grant_times(now),
+            *self.ownership.grant_times(now, shares_end_at),
             self._undivided(now),
         )
         self._ledger.use_limits(self._limits, now)
+        self.transfer_changed.set()
         loguru.logger.info(
-            "event=shard_owned shard={} position={}",
+            "event=shard_owned shard={} position={} transferred={}",
             self._shard,
             hold.position,
+            expected is not None,
         )
 
     def _undivided(self, now: float) -> list[ids.AccountName]:
@@ -228,9 +281,14 @@
         self.note_era()
         if isinstance(renewed, result.Success):
             self.ownership.renewed(lease, sent_at)
-        elif renewed.failure() in _ENDED:
+        elif renewed.failure() in _ENDED and self._holds(lease):
             self._lose(renewed.failure().value)
 
+    def _holds(self, lease: coordination.Lease) -> bool:
+        """Return whether the shard is still owned under a lease."""
+        own = self.ownership.own
+        return own is not None and own.lease == lease
+
     def _lose(self, cause: str) -> None:
         self._ledger = None
         self.ownership.lose(self._clock.now())
--- a/burdockcart/process/rates/shard_ownership.py
+++ b/burdockcart/process/rates/shard_ownership.py
@@ -26,6 +26,12 @@
 #: Part of a share's validity that lies after the end of the lease that its
 #: owner last knew of, in seconds.
 AFTER_LEASE_S = share_terms.GRACE_S - share_terms.CLOCK_MARGIN_S
+#: Time after which an attempt counts as unanswered, in seconds; a store that
+#: is slowed a hundredfold answers in 0.4 s.
+SILENT_AFTER_S = 0.5
+#: Time for which a daemon without an answer of the store is passed over, in
+#: seconds.
+SILENT_S = 1.0
 
 
 def in_order(
@@ -123,6 +129,10 @@
         #: Time by which every owner of a former era has lost its authority.
         self._restored_until = -math.inf
         self._next_renewal_at = math.inf
+        #: Start of an attempt that runs, and time until which the last one
+        #: without an answer counts.
+        self._pending_since = math.inf
+        self._silent_until = -math.inf
         #: Whether this daemon shuts down.
         self.leaving = False
 
@@ -219,6 +229,15 @@
         self._attempt_at, self._attempted_at = math.inf, now
         return True
 
+    def attempt_sent(self, now: float) -> None:
+        """Note that the store is asked for the key."""
+        self._pending_since = now
+
+    def store_silent(self, now: float) -> bool:
+        """Return whether the store does not respond to this daemon."""
+        pending_s = now - self._pending_since
+        return pending_s >= SILENT_AFTER_S or now < self._silent_until
+
     def acquired(
         self,
         lease: coordination.Lease,
@@ -231,10 +250,23 @@
         )
         self._heard = position, self._daemon
         self._taken = 0
+        self._pending_since, self._silent_until = math.inf, -math.inf
         self._next_renewal_at = sent_at + share_terms.RENEW_S
 
-    def refused(self, now: float, taken: bool) -> None:
-        """Note that an attempt failed; ``taken`` if the key exists."""
+    def refused(self, now: float, taken: bool, silent: bool = False) -> None:
+        """Note that an attempt failed.
+
+        Parameters
+        ==========
+
+        taken : bool
+            Whether the key exists.
+        silent : bool
+            Whether the store has not responded.
+
+        """
+        self._pending_since = math.inf
+        self._silent_until = now + SILENT_S if silent else -math.inf
         self._attempted_at = now
         self._taken = self._taken + 1 if taken else 0
         if not taken or self._heard[1] in (None, self._daemon):
@@ -252,13 +284,24 @@
         """Return whether this daemon may grant shares."""
         return self._own is not None and now < self._own.authority_until
 
-    def grant_times(self, now: float) -> tuple[float, float]:
+    def grant_times(
+        self, now: float, shares_end_at: float = -math.inf
+    ) -> tuple[float, float]:
         """Return from when on to continue and to grant shares.
 
         Called right after the key was acquired.
+
+        Parameters
+        ==========
+
+        shares_end_at : float
+            Time at which the last share of an owner that has transferred the
+            shard expires, in seconds.
+
         """
         renews_from = max(now, self._restored_until)
-        return renews_from, renews_from + share_terms.GRACE_S
+        grants_from = renews_from + share_terms.GRACE_S
+        return renews_from, max(grants_from, shares_end_at)
 
     def renewing(self, now: float) -> coordination.Lease | None:
         """Return the lease if it is to be renewed now."""
@@ -283,6 +326,24 @@
         self._heard = self._heard[0], None
         self._attempt_by(now + RETRY_S)
 
+    def step_down(self, successor: ids.DaemonId) -> None:
+        """Give up the authority, so that another daemon may take the key.
+
+        Nothing but the write of an absent key makes this daemon an owner
+        again.
+        """
+        position = self.heard[0]
+        self._own = None
+        self._next_renewal_at = math.inf
+        self.name_successor(position, successor)
+
+    def name_successor(
+        self, position: ids.StorePosition, successor: ids.DaemonId
+    ) -> None:
+        """Name the daemon that is to follow the owner of a position."""
+        if self._own is None and self._heard[0] <= position:
+            self._heard = position, successor
+
     def expired(self, now: float) -> bool:
         """Return whether the authority has ended without an answer."""
         return self._own is not None and now >= self._own.authority_until
--- a/burdockcart/process/rates/shard_reports.py
+++ b/burdockcart/process/rates/shard_reports.py
@@ -78,8 +78,12 @@
         self._reported_at = -math.inf
         self._ask_at = -math.inf
         self._suspect_until: dict[ids.DaemonId, float] = {}
-        #: Position of an owner that has said that it is none.
+        #: Daemons that the store does not respond to, and until when.
+        self._silent_until: dict[ids.DaemonId, float] = {}
+        #: Position of an owner that has said that it is none, and the daemon
+        #: to which it has transferred the shard, if any.
         self._disowned = ids.StorePosition(-1)
+        self._successor: ids.DaemonId | None = None
 
     def ask(self) -> None:
         """Report as soon as possible."""
@@ -135,25 +139,35 @@
         self, entries: Mapping[ids.DaemonId, coordination.DaemonEntry]
     ) -> ids.DaemonId:
         """Return the owner, or the daemon that should become the owner."""
-        position, owner = self._keeper.ownership.heard
+        owner = self._owner()
         if owner == self._holder[0]:
             return owner
-        if (
-            owner is not None
-            and position != self._disowned
-            and owner in entries
-            and self._usable(owner)
-        ):
+        if owner is not None and owner in entries and self._usable(owner):
             return owner
         order = shard_ownership.in_order(self._shard, entries)
-        return next(
-            (
-                each
-                for each in order[: shard_ownership.CANDIDATES]
-                if self._usable(each)
-            ),
-            self._holder[0],
-        )
+        usable = [
+            each
+            for each in order[: shard_ownership.CANDIDATES]
+            if self._usable(each)
+        ]
+        now = self._clock.now()
+        # If the store responds to none of them, other daemons are not asked.
+        reaching = [
+            each for each in usable if self._silent_until.get(each, 0.0) <= now
+        ]
+        return next(iter(reaching or usable), self._holder[0])
+
+    def _owner(self) -> ids.DaemonId | None:
+        """Return the owner, or its successor; None if it has none."""
+        position, owner = self._keeper.ownership.heard
+        return self._successor if position == self._disowned else owner
+
+    def _missed(self, target: ids.DaemonId) -> ids.DaemonId | None:
+        """Return the daemon that the target may still take for the owner."""
+        position, owner = self._keeper.ownership.heard
+        if owner != target:
+            return owner
+        return self._successor if position == self._disowned else None
 
     async def _report(self) -> bool:
         """Report once; return whether the owner has answered."""
@@ -162,12 +176,11 @@
         valid_left_s = self._local.valid_until(self._shard) - sent_at
         left_s = shard_ownership.lease_left_s(valid_left_s)
         target = self._target(entries)
-        owner = self._keeper.ownership.owner
         report = share_terms.Report(
             self._shard,
             self._holder[1],
             self._local.next_sequence(),
-            None if owner == target else owner,
+            self._missed(target),
             math.ceil(1000 * left_s),
             self._local.report(self._shard, sent_at),
         )
@@ -182,13 +195,18 @@
         return self._use(target, answer, sent_at)
 
     def _pass_over(self, target: ids.DaemonId) -> None:
+        self._suspect_until = self._extended(self._suspect_until, target)
+
+    def _extended(
+        self, until_by_daemon: dict[ids.DaemonId, float], target: ids.DaemonId
+    ) -> dict[ids.DaemonId, float]:
         now = self._clock.now()
         current = {
             daemon: until
-            for daemon, until in self._suspect_until.items()
+            for daemon, until in until_by_daemon.items()
             if until > now
         }
-        self._suspect_until = {**current, target: now + SUSPECT_S}
+        return {**current, target: now + SUSPECT_S}
 
     def _use(
         self,
@@ -199,9 +217,13 @@
         if answer.valid_ms <= 0:
             position, owner = self._keeper.ownership.heard
             if owner == target:
-                self._disowned = position
+                self._disowned, self._successor = position, None
+                if answer.position == position and answer.owner != target:
+                    self._successor = answer.owner
             if answer.leaving:
                 self._pass_over(target)
+            if answer.store_silent:
+                self._silent_until = self._extended(self._silent_until, target)
             self._keeper.hear(answer.position, answer.owner)
             return False
         self._keeper.hear(answer.position, target)
--- a/burdockcart/process/rates/share_terms.py
+++ b/burdockcart/process/rates/share_terms.py
@@ -134,6 +134,9 @@
         milliseconds; 0 if the daemon is not the owner and grants nothing.
     leaving : bool
         Whether the daemon shuts down and will not become the owner.
+    store_silent : bool
+        Whether the daemon cannot become the owner now, as the store does not
+        respond to it.
 
     """
 
@@ -142,6 +145,29 @@
     valid_ms: int = 0
     leaving: bool = False
     shares: list[Share] = []
+    store_silent: bool = False
+
+
+class Offer(msgspec.Struct, frozen=True, array_like=True):
+    """What an owner that gives up its shard sends to a possible successor.
+
+    Parameters
+    ==========
+
+    position : int
+        Position in the store at which the owner became one.
+    take : bool
+        Whether the owner has stepped down and the daemon is to write the key;
+        otherwise it is only asked whether it could.
+    shares_end_ms : int
+        Time until the last share of the owner expires, in milliseconds.
+
+    """
+
+    shard: Shard
+    position: ids.StorePosition
+    take: bool
+    shares_end_ms: int
 
 
 def shard_of(account: ids.AccountName) -> Shard:
