--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -61,6 +61,8 @@
         self._era: ids.StoreEra | None = None
         self._ledger: share_ledger.ShareLedger | None = None
         self._limits: Limits = {}
+        #: Since when there have been limits.
+        self._limited_since = math.inf
         #: When the limit of each account last changed.
         self._changed_at_by_account: dict[ids.AccountName, float] = {}
         self._changed = asyncio.Event()
@@ -82,6 +84,10 @@
             )
             for account, limit in limits.items()
         }
+        if not limits:
+            self._limited_since = math.inf
+        elif not self._limits:
+            self._limited_since = now
         self._limits = limits
         if self._ledger is not None:
             self._ledger.use_limits(limits, self._clock.now())
@@ -162,9 +168,15 @@
         self._changed.set()
 
     def may_take(self) -> bool:
-        """Return whether this daemon could own the shard."""
+        """Return whether an owner may step down for this daemon.
+
+        For a daemon that has just started no account would be steady: small
+        accounts would wait for the shares of large ones to expire, longer
+        than after the end of a lease.
+        """
+        steady = self._clock.now() - self._limited_since >= STEADY_S
         leaving = self.ownership.leaving
-        return bool(self._limits) and not leaving and not self.ownership.own
+        return steady and not leaving and self.ownership.own is None
 
     async def take(
         self, position: ids.StorePosition, shares_end_at: float
