--- a/burdockcart/platform/tests/test_shard_calls.py
+++ b/burdockcart/platform/tests/test_shard_calls.py
@@ -19,9 +19,9 @@
 }
 
 
-def acquire(store):
+def acquire(store, expected=None):
     """Return a call that acquires a shard."""
-    return store.client.acquire_shard(2, ids.DaemonId("d1"), 3.0)
+    return store.client.acquire_shard(2, ids.DaemonId("d1"), 3.0, expected)
 
 
 class TestShardCalls(testtools.TestCase):
@@ -98,3 +98,54 @@
             3: coordination.ShardOwner(None, 41),
         }
         self.assertEqual(expected, owners)
+
+    def test_taken_over(self):
+        """A successor must replace only the key that it was offered."""
+
+        async def check(store):
+            store.era = 1
+            offered = store_era.position(1, 40)
+            store.client.eras.observe(ids.StoreEra(1))
+            store.answer_by_path["/api/kv-lease"] = (200, {"lease": 9})
+            store.answer_by_path["/api/kv-txn"] = (200, {"revision": 41})
+            hold = await acquire(store, offered)
+            self.assertEqual(store_era.position(1, 41), hold.unwrap().position)
+            self.assertIn(
+                b'{"key":"quota/2","revision":40}', store.seen[-1].body
+            )
+            store.answer_by_path["/api/kv-txn"] = (412, {"items": []})
+            gone = await acquire(store, offered)
+            self.assertIs(CallFault.CONFLICT, gone.failure())
+
+        test_calls.run(check)
+
+    def test_taken_over_after_a_restore(self):
+        """A position of a former era must not match the restored key."""
+
+        async def check(store):
+            store.era = 2
+            store.answer_by_path["/api/kv-lease"] = (200, {"lease": 9})
+            store.answer_by_path["/api/kv-txn"] = (200, {"revision": 41})
+            for _ in range(2):
+                taken = await acquire(store, store_era.position(1, 40))
+                self.assertIs(CallFault.RESTORED, taken.failure())
+            paths = {request.path for request in store.seen}
+            self.assertNotIn("/api/kv-txn", paths)
+
+        test_calls.run(check)
+
+    def test_read(self):
+        """The position must be of the era that the answer shows."""
+
+        async def check(store):
+            store.era = 1
+            store.answer_by_path["/api/kv-key"] = (200, KEY)
+            owner = (await store.client.read_shard(2)).unwrap()
+            position = store_era.position(1, 40)
+            self.assertEqual(coordination.ShardOwner("d7", position), owner)
+            self.assertEqual("key=quota%2F2", store.seen[-1].query)
+            store.answer_by_path["/api/kv-key"] = (404, {})
+            missing = await store.client.read_shard(2)
+            self.assertIs(CallFault.MISSING, missing.failure())
+
+        test_calls.run(check)
--- a/burdockcart/process/rates/tests/share_world.py
+++ b/burdockcart/process/rates/tests/share_world.py
@@ -16,6 +16,7 @@
 from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import shard_keeper
 from burdockcart.process.rates import shard_ownership
+from burdockcart.process.rates import shard_transfer
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
 
@@ -41,12 +42,13 @@
                 self.key = None
         return self.key
 
-    def acquire(self, daemon, now):
-        """Return lease and position, or None if there is a key."""
+    def acquire(self, daemon, now, expected=None):
+        """Return lease and position, or None if there is another key."""
         self.revision += 1
         lease = coordination.Lease(self.era, self.revision)
         self.lease_ends_at[lease] = now + share_terms.LEASE_S
-        if self.holder(now) is not None:
+        found = self.holder(now)
+        if (found and found[2]) != expected:
             return None
         self.revision += 1
         position = store_era.position(self.era, self.revision)
@@ -154,7 +156,31 @@
         daemon = self.daemons[index]
         daemon.ownership.asked(self.now, 0.0)
         if daemon.ownership.attempting(self.now):
-            self.messages.append((daemon, "acquire", self.now))
+            request = self.now, None, -math.inf
+            self.messages.append((daemon, "acquire", request))
+
+    def transfer(self, index, target):
+        """Let an owner step down, and offer its shard to another daemon."""
+        daemon, own = self.daemons[index], self.daemons[index].ownership.own
+        if own is None or index == target:
+            return
+        successor = self.daemons[target]
+        transfer = shard_transfer.ShardTransfer(
+            SHARD, daemon.name, daemon.ownership
+        )
+        # As if it shut down, but for what it does later.
+        daemon.ownership.leaving = True
+        stepped_down = transfer.step_down(
+            ids.StorePosition(own.term),
+            successor.name,
+            self.now,
+            daemon.ledger.shares_end_at(),
+        )
+        daemon.ownership.leaving = False
+        if stepped_down is not None:
+            daemon.ledger = None
+            offer = stepped_down.offer(SHARD, self.now)
+            self.messages.append((successor, "take", offer))
 
     def renew(self, index):
         daemon = self.daemons[index]
@@ -187,14 +213,20 @@
         """Drop a message."""
         self.messages.pop(position)
 
-    def _on_acquire(self, daemon, sent_at):
-        answer = self.store.acquire(daemon.name, self.now)
-        self.messages.append(
-            (daemon, "acquired", (answer, self.store.era, sent_at))
-        )
+    def _on_take(self, daemon, offer):
+        if daemon.ownership.own is None:
+            shares_end_at = self.now + offer.shares_end_ms / 1000
+            request = self.now, offer.position, shares_end_at
+            self.messages.append((daemon, "acquire", request))
+
+    def _on_acquire(self, daemon, request):
+        sent_at, expected, shares_end_at = request
+        answer = self.store.acquire(daemon.name, self.now, expected)
+        content = answer, self.store.era, sent_at, shares_end_at
+        self.messages.append((daemon, "acquired", content))
 
     def _on_acquired(self, daemon, content):
-        answer, era, sent_at = content
+        answer, era, sent_at, shares_end_at = content
         if daemon.era is not None and era < daemon.era:
             return
         daemon.era_seen(era, self.now)
@@ -205,7 +237,7 @@
         daemon.ownership.acquired(lease, position, sent_at)
         daemon.ledger = share_ledger.ShareLedger(
             share_terms.Term(position),
-            *daemon.ownership.grant_times(self.now),
+            *daemon.ownership.grant_times(self.now, shares_end_at),
             self._undivided(),
         )
         daemon.ledger.use_limits({ACCOUNT: daemon.limit}, self.now)
@@ -295,8 +327,14 @@
     def check_shares(self):
         """Raise an error if shares and pools sum to more than the limit.
 
-        A fault shows here before clients happen to use it.
+        A fault shows here before clients happen to use it.  At most one
+        daemon may have authority; after a restore of the store the next one
+        waits until that of the former one has ended.
         """
+        owners = [
+            each.name for each in self.daemons if each.ownership.owns(self.now)
+        ]
+        assert len(owners) <= 1 or self.store.era > 0, f"owners {owners}"
         shares = [each.local.share(ACCOUNT, self.now) for each in self.daemons]
         # The tokens first: this is when an expired share is forgotten.
         levels = [each.level(self.now) for each in shares]
--- a/burdockcart/process/rates/tests/test_share_bound.py
+++ b/burdockcart/process/rates/tests/test_share_bound.py
@@ -31,6 +31,7 @@
     strategies.tuples(strategies.just("report_to_owner"), _index),
     strategies.tuples(strategies.just("acquire"), _index),
     strategies.tuples(strategies.just("renew"), _index),
+    strategies.tuples(strategies.just("transfer"), _index, _index),
     strategies.tuples(strategies.just("deliver"), strategies.integers(0, 9)),
     strategies.tuples(strategies.just("deliver_last")),
     strategies.tuples(strategies.just("settle")),
@@ -63,6 +64,8 @@
             world.acquire(arguments[0])
         case "renew":
             world.renew(arguments[0])
+        case "transfer":
+            world.transfer(*arguments)
         case "deliver" | "lose":
             if arguments[0] < len(world.messages):
                 getattr(world, kind)(arguments[0])
@@ -101,6 +104,7 @@
         ("report", index, rng.randrange(DAEMONS)): 2,
         ("acquire", index): 6,
         ("renew", index): 30,
+        ("transfer", index, rng.randrange(DAEMONS)): 1,
         ("settle",): 16,
         ("deliver", rng.randrange(4)): 8,
         ("deliver_last",): 6,
