--- a/burdockcart/process/rates/outstanding_shares.py
+++ b/burdockcart/process/rates/outstanding_shares.py
@@ -59,10 +59,16 @@
             yield self._held.ends_at
 
     def expire(self, now: float) -> None:
-        """Forget shares that have expired."""
-        if self._held is not None and self._held.ends_at <= now:
-            self._held = None
+        """Forget shares that have expired.
+
+        The tokens of the share that was held may have passed to one that was
+        sent, so it counts until that one is reported or has expired.
+        """
         self._sent = [each for each in self._sent if each.ends_at > now]
+        if self._held is None or self._sent:
+            return
+        if self._held.ends_at <= now:
+            self._held = None
 
     def add(self, grant: Grant) -> None:
         """Record a share that is about to be sent."""
--- a/burdockcart/process/rates/tests/test_share_rules.py
+++ b/burdockcart/process/rates/tests/test_share_rules.py
@@ -106,6 +106,16 @@
         )
         self.assertEqual(before, self.ledger.pool(10.6)[2])
 
+    def test_tokens_that_passed_to_a_later_share(self):
+        """They must count although the share that they came with has ended."""
+        first = self._answer(0, demand(wanted=4), 1.0, ends_at=3.0)
+        before = self.ledger.granted_burst
+        told = demand(first.serial, wanted=2)
+        later = self._answer(0, told, 2.9, ends_at=6.0)
+        _, burst, _ = self.ledger.pool(3.1)
+        self.assertAlmostEqual(LIMIT.burst, burst + before + later.tokens)
+        self.assertEqual(LIMIT.burst, self.ledger.pool(6.0)[1])
+
     def test_tokens_of_a_share_that_is_given_up(self):
         """They must be available to other daemons at once."""
         first = self._answer(0, demand(wanted=9), 1.0)
