Add a rate reserve for times without a shard owner

While a shard has no owner, or its new owner may not grant yet, operations of accounts within their rate were refused: accounts with a small burst are never divided, so no daemon holds a share.

Two daemons have permits for a part of the excess that a window may have, and issue tokens of it. Settings quota-window-s, quota-excess and quota-slack enable it.

--- a/burdockcart/platform/settings_file.py
+++ b/burdockcart/platform/settings_file.py
@@ -37,6 +37,20 @@
     return value
 
 
+def _positive_s(text: str) -> float:
+    value = _seconds(text)
+    if not value:
+        raise ValueError("must be more than 0")
+    return value
+
+
+def _amount(text: str) -> float:
+    value = float(text)
+    if not 0 <= value < math.inf:
+        raise ValueError(f"{text} is negative or not finite")
+    return value
+
+
 def _milliseconds(text: str) -> float:
     return _seconds(text) / 1000
 
@@ -92,6 +106,9 @@
     ("contract-params.lease-ms", "promotion_claim_s", _milliseconds),
     ("contract-params.strict-revoke", "strict_revoke", _flag),
     ("contract-params.revoke-ms", "revoke_s", _milliseconds),
+    ("contract-params.quota-window-s", "quota_window_s", _positive_s),
+    ("contract-params.quota-excess", "quota_excess", _amount),
+    ("contract-params.quota-slack", "quota_slack", _amount),
     ("bootstrap", "first_start", _flag),
     ("contract-params.fencing-required", "promotions_fenced", _flag),
     ("limits.memory-mb", "memory_mb", _positive),
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -176,8 +176,12 @@
             rng,
             rate_metrics.RateMetrics(self.metrics.registry),
             config.first_start,
+            config.reserve,
+            self.relay.reserve,
         )
         self.relay.shares.serve(self.rates.reported)
+        if self.rates.reserve is not None:
+            self.relay.reserve.serve(self.rates.reserve.served)
         self.authenticator.limits = self.rates
         self._restore_wait = restore_wait.RestoreWait(
             config.daemon,
--- a/burdockcart/process/gateway/settings.py
+++ b/burdockcart/process/gateway/settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from burdockcart import ids
+from burdockcart.process.rates import reserve_policy
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -32,6 +33,10 @@
         the store acknowledged its removal, whatever this daemon can reach.
     revoke_s : float
         That time, in seconds.
+    quota_window_s, quota_excess, quota_slack : float or None
+        Window of an account's rate in seconds, and the operations over rate
+        and burst that a window may have: a part of these, and a number.  The
+        rate reserve is disabled unless all three are given.
     first_start : bool
         Whether the whole deployment starts for the first time.
     promotions_fenced : bool
@@ -66,6 +71,9 @@
     promotions_fenced: bool = True
     strict_revoke: bool = False
     revoke_s: float = 5.0
+    quota_window_s: float | None = None
+    quota_excess: float | None = None
+    quota_slack: float | None = None
     first_start: bool = False
     memory_mb: float = 1024.0
     max_fds: int = 4300
@@ -79,6 +87,15 @@
         """Bound on the use of a removed key in seconds; None for none."""
         return self.revoke_s if self.strict_revoke else None
 
+    @property
+    def reserve(self) -> reserve_policy.ReservePolicy | None:
+        """Policy of the rate reserve; None if it is disabled."""
+        window_s = self.quota_window_s
+        excess, slack = self.quota_excess, self.quota_slack
+        if window_s is None or excess is None or slack is None:
+            return None
+        return reserve_policy.ReservePolicy(window_s, excess, slack)
+
     @property
     def peer_address(self) -> str:
         """``ip:port`` on which other daemons connect."""
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -15,6 +15,7 @@
 from burdockcart import ids
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import messages
+from burdockcart.process.peers import reserve_messages
 from burdockcart.process.peers import tcp
 
 #: Time without an answer after which the holder is pinged, in seconds.
@@ -227,6 +228,7 @@
             | messages.Noticed
             | messages.Polled
             | messages.Shares
+            | reserve_messages.ReserveTokens
         ),
     ) -> None:
         """Resolve a request; the answer to one given up is dropped."""
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -10,6 +10,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import ids
+from burdockcart.process.peers import reserve_messages
 from burdockcart.process.rates import share_terms
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -295,9 +296,18 @@
     Withdrawal,
     PollRequest,
     ShareReport,
+    reserve_messages.ReserveRequest,
 ]
 Reply = Union[
-    Answered, Status, Pong, Leaving, Closing, Noticed, Polled, Shares
+    Answered,
+    Status,
+    Pong,
+    Leaving,
+    Closing,
+    Noticed,
+    Polled,
+    Shares,
+    reserve_messages.ReserveTokens,
 ]
 
 encode = msgspec.msgpack.Encoder().encode
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -18,9 +18,11 @@
 from burdockcart.process.peers import holding
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import peer_notices
+from burdockcart.process.peers import peer_reserve
 from burdockcart.process.peers import peer_shares
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.peers import relay_service
+from burdockcart.process.peers import reserve_messages
 from burdockcart.process.peers import shared_polls
 from burdockcart.request import log_position
 
@@ -95,6 +97,7 @@
             sender.metrics.store_polled,
         )
         self.shares = peer_shares.PeerShares(self._links)
+        self.reserve = peer_reserve.PeerReserve(self._links)
         self.service = relay_service.RelayService(self, sender, loop_clock)
         self.connector = relay_connector.RelayConnector(
             direct, self._links, self, loop_clock, boot_clock
@@ -270,6 +273,12 @@
         """Answer a daemon that reports the demand of accounts."""
         return self.shares.reported(daemon, message)
 
+    def reserve_asked(
+        self, message: reserve_messages.ReserveRequest
+    ) -> reserve_messages.ReserveTokens:
+        """Answer a daemon that asks for tokens of the rate reserve."""
+        return self.reserve.asked(message)
+
     def held_pool(
         self, group: ids.GroupId, member: ids.MemberId
     ) -> tuple[groups.Group, member_pool.MemberPool] | None:
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -22,6 +22,7 @@
 from burdockcart.process.peers import held_transaction
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import relay_actions
+from burdockcart.process.peers import reserve_messages
 from burdockcart.process.peers import tcp
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -77,6 +78,11 @@
     ) -> messages.Shares:
         """Answer a daemon that reports the demand of accounts."""
 
+    def reserve_asked(
+        self, message: reserve_messages.ReserveRequest
+    ) -> reserve_messages.ReserveTokens:
+        """Answer a daemon that asks for tokens of the rate reserve."""
+
 
 class Service(Protocol):
     """What the sessions of all links share."""
@@ -159,6 +165,9 @@
             pools = self._service.pools
             self._send(pools.shares_reported(self._daemon, message))
             return
+        if isinstance(message, reserve_messages.ReserveRequest):
+            self._send(self._service.pools.reserve_asked(message))
+            return
         if len(self._tasks) >= MAX_STATEMENTS:
             self._refuse(message.number, "too many statements on this link")
             return
--- a/burdockcart/process/rates/account_rates.py
+++ b/burdockcart/process/rates/account_rates.py
@@ -13,6 +13,9 @@
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import rate_metrics
+from burdockcart.process.rates import rate_reserve
+from burdockcart.process.rates import reserve_policy
+from burdockcart.process.rates import reserve_requests
 from burdockcart.process.rates import shard_keeper
 from burdockcart.process.rates import shard_reports
 from burdockcart.process.rates import share_ledger
@@ -40,6 +43,8 @@
         Returns the entries of the registered daemons.
     first_start : bool
         Whether the whole deployment starts for the first time.
+    policy : ReservePolicy or None
+        Policy of the rate reserve; None without one.
 
     """
 
@@ -54,6 +59,8 @@
         rng: random.Random,
         metrics: rate_metrics.RateMetrics,
         first_start: bool,
+        policy: reserve_policy.ReservePolicy | None,
+        reserve_carrier: reserve_requests.Carrier,
     ):
         self._clock = loop_clock
         self._boot_clock = boot_clock
@@ -83,6 +90,20 @@
             )
             for shard in shards
         }
+        #: The rate reserve, if it is enabled.
+        self.reserve: rate_reserve.RateReserve | None = None
+        if policy is not None:
+            self.reserve = rate_reserve.RateReserve(
+                daemon,
+                policy,
+                self._keepers,
+                self._reports,
+                self._local,
+                reserve_carrier,
+                daemons,
+                loop_clock,
+                boot_clock,
+            )
 
     # What the daemon learns
 
@@ -99,6 +120,8 @@
         }
         for keeper in self._keepers.values():
             keeper.use_limits(self._limit_by_account)
+        if self.reserve is not None:
+            self.reserve.use_limits(self._limit_by_account)
         if self._limit_by_account:
             self._enabled.set()
 
@@ -119,6 +142,8 @@
 
     def use_daemons(self) -> None:
         """Note that the list of daemons has changed."""
+        if self.reserve is not None:
+            self.reserve.use_daemons()
         if self._limit_by_account:
             for keeper in self._keepers.values():
                 keeper.use_daemons()
@@ -132,6 +157,8 @@
         """Prepare to shut down: let other daemons own the shards."""
         for keeper in self._keepers.values():
             keeper.leave()
+        if self.reserve is not None:
+            self.reserve.leave()
 
     def reported(
         self, daemon: ids.DaemonId, report: share_terms.Report
@@ -151,6 +178,8 @@
                 group.create_task(_unending(keeper.run), name="shard_keeper")
             for reports in self._reports.values():
                 group.create_task(_unending(reports.run), name="shard_reports")
+            if self.reserve is not None:
+                group.create_task(_unending(self.reserve.run), name="reserve")
 
     # Operations
 
@@ -194,27 +223,55 @@
                 now = self._boot_clock.now()
                 if share.spend(now):
                     return True
+                reserved, again_s = self._reserved(account, share)
+                if reserved:
+                    return True
                 exhausted_s = share.exhausted_s(now)
-                if exhausted_s > 0 and (
-                    share.waiting > 1 or exhausted_s >= left_s
-                ):
-                    return False
-                if exhausted_s <= 0:
+                if exhausted_s > 0:
+                    no_token = share.waiting > 1 or exhausted_s >= left_s
+                    if no_token and again_s is None:
+                        return False
+                else:
                     reports.ask()
                     exhausted_s = left_s
                 await _pause(
                     reports.answered,
-                    min(left_s, exhausted_s, share.wait_s(now)),
+                    min(
+                        left_s,
+                        exhausted_s,
+                        left_s if again_s is None else again_s,
+                        share.wait_s(now),
+                    ),
                 )
             return share.spend(self._boot_clock.now())
         finally:
             share.waiting -= 1
 
+    def _reserved(
+        self, account: ids.AccountName, share: local_shares.LocalShare
+    ) -> tuple[bool, float | None]:
+        """Return whether the reserve admits an operation.
+
+        Also returns when to look again, in seconds; None if it has no token.
+        """
+        if self.reserve is None:
+            return False, None
+        if not self.reserve.applies(account, share):
+            if share.exhausted_s(self._boot_clock.now()) > 0:
+                return False, None
+            return False, self.reserve.applies_in_s(account)
+        if self.reserve.spend(account, share):
+            self._metrics.count_reserved(account)
+            return True, None
+        if self.reserve.empty(account):
+            return False, None
+        return False, reserve_requests.NEXT_S
+
     def _refused(
         self, account: ids.AccountName, share: local_shares.LocalShare
     ) -> errors.Failure:
         now = self._boot_clock.now()
-        over = share.exhausted_s(now) > 0
+        over = share.exhausted_s(now) > 0 and not share.early
         self._metrics.count(account, "over_rate" if over else "below_rate")
         retry_ms = share.retry_ms(now) * self._rng.uniform(*JITTER)
         text = (
--- a/burdockcart/process/rates/local_shares.py
+++ b/burdockcart/process/rates/local_shares.py
@@ -53,6 +53,9 @@
         self._meter = DemandMeter(now)
         self._offered_at = now
         self._exhausted_until = -math.inf
+        #: Whether the owner may not grant yet, by its last answer.
+        self.early = False
+        self._reserved_at = -math.inf
         #: Operations that wait for a token.
         self.waiting = 0
 
@@ -84,9 +87,17 @@
     def refund(self, now: float) -> None:
         """Give back a token whose operation never left the daemon."""
         self._check(now)
-        if self._serial and now - self._started_at >= REFUND_AGE_S:
+        taken_from = max(self._started_at, self._reserved_at)
+        if self._serial and now - taken_from >= REFUND_AGE_S:
             self._bucket.add(1.0, now)
 
+    def reserved(self, now: float) -> None:
+        """Note that a token of the reserve admitted an operation.
+
+        Such tokens are not part of the share and cannot be given back to it.
+        """
+        self._reserved_at = now
+
     def exhausted_s(self, now: float) -> float:
         """Return for how long the owner said that it has nothing more."""
         return max(0.0, self._exhausted_until - now)
@@ -146,6 +157,7 @@
     ) -> None:
         """Use the share in the answer to the last report."""
         self._check(now)
+        self.early = share.early
         if share.next_ms:
             self._exhausted_until = now + share.next_ms / 1000
         else:
--- a/burdockcart/process/rates/rate_metrics.py
+++ b/burdockcart/process/rates/rate_metrics.py
@@ -20,6 +20,12 @@
             ["account", "outcome"],
             registry=registry,
         )
+        self._reserved = prometheus_client.Counter(
+            "burdockcart_account_reserve_operations",
+            "Operations admitted from the reserve, by account",
+            ["account"],
+            registry=registry,
+        )
         self._granted = prometheus_client.Gauge(
             "burdockcart_account_rate_granted",
             "Operations per second that this daemon may admit, by account",
@@ -38,6 +44,10 @@
         """Count an operation: used, over_rate, below_rate or unsent."""
         self._operations.labels(self._label(account), outcome).inc()
 
+    def count_reserved(self, account: ids.AccountName) -> None:
+        """Count an operation that the reserve admitted."""
+        self._reserved.labels(self._label(account)).inc()
+
     def set_granted(
         self, granted_by_account: dict[ids.AccountName, float]
     ) -> None:
--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -12,6 +12,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import division
+from burdockcart.process.rates import permit_ledger
 from burdockcart.process.rates import shard_ownership
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
@@ -64,6 +65,8 @@
         #: When the limit of each account last changed.
         self._changed_at_by_account: dict[ids.AccountName, float] = {}
         self._changed = asyncio.Event()
+        #: Permits of the reserve that this daemon grants.
+        self.permits: permit_ledger.Permits = permit_ledger.NoPermits()
 
     # Hints
 
@@ -141,11 +144,18 @@
         shares = ledger.answer(
             holder, report.sequence, report.demands, ends_at, now
         )
+        # A report that arrives after a later one claims nothing.
+        claim = None if shares is None else report.permit
+        permit, permitted = self.permits.answer(
+            holder, claim, own.term, own.authority_until, now
+        )
         return share_terms.Answer(
             self._daemon,
             ids.StorePosition(own.term),
             int(1000 * (ends_at - now)),
             shares=shares or [],
+            permit=permit,
+            permitted=permitted,
         )
 
     # Calls to the store
@@ -201,11 +211,12 @@
             self.ownership.refused(now, False)
             return
         self.ownership.acquired(hold.lease, hold.position, sent_at)
+        renews_from, grants_from = self.ownership.grant_times(now)
+        term = share_terms.Term(hold.position)
         self._ledger = share_ledger.ShareLedger(
-            share_terms.Term(hold.position),
-            *self.ownership.grant_times(now),
-            self._undivided(now),
+            term, renews_from, grants_from, self._undivided(now)
         )
+        self.permits.acquired(term, renews_from)
         self._ledger.use_limits(self._limits, now)
         loguru.logger.info(
             "event=shard_owned shard={} position={}",
--- a/burdockcart/process/rates/shard_reports.py
+++ b/burdockcart/process/rates/shard_reports.py
@@ -11,6 +11,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import local_shares
+from burdockcart.process.rates import permit_holder
 from burdockcart.process.rates import shard_keeper
 from burdockcart.process.rates import shard_ownership
 from burdockcart.process.rates import share_terms
@@ -73,6 +74,9 @@
         self._asked = asyncio.Event()
         #: Set, and replaced, with each answer.
         self.answered = asyncio.Event()
+        #: Permit of the reserve, as the reports claim it.
+        self.reserve: permit_holder.Reporter = permit_holder.NoReporter()
+        self._unanswered_since: float | None = None
         #: Whether the last report was answered by the owner.
         self.has_owner = False
         self._reported_at = -math.inf
@@ -89,16 +93,30 @@
         """Report until cancelled; wait without a timer if there is none."""
         while True:
             if not self._local.active(self._shard):
+                self._unanswered_since = None
                 await self._asked.wait()
             await self._pause()
             self._asked.clear()
             self._reported_at = self._clock.now()
+            if self._unanswered_since is None:
+                self._unanswered_since = self._reported_at
             answered = await self._report()
+            if answered:
+                self._unanswered_since = None
             if answered != self.has_owner:
                 self._log(answered)
             self.has_owner = answered
-            done, self.answered = self.answered, asyncio.Event()
-            done.set()
+            self.notify()
+
+    def notify(self) -> None:
+        """Let all operations that wait look for a token."""
+        done, self.answered = self.answered, asyncio.Event()
+        done.set()
+
+    def unanswered_s(self) -> float:
+        """Return for how long the owner has not answered, in seconds."""
+        since = self._unanswered_since
+        return 0.0 if since is None else self._clock.now() - since
 
     def _log(self, answered: bool) -> None:
         if answered:
@@ -170,6 +188,7 @@
             None if owner == target else owner,
             math.ceil(1000 * left_s),
             self._local.report(self._shard, sent_at),
+            self.reserve.claim(sent_at),
         )
         if target == self._holder[0]:
             answer = self._keeper.answer(self._holder, report)
@@ -205,6 +224,7 @@
             self._keeper.hear(answer.position, answer.owner)
             return False
         self._keeper.hear(answer.position, target)
+        self.reserve.answered(answer, sent_at, self._boot_clock.now())
         self._local.apply(
             self._shard,
             answer.shares,
--- a/burdockcart/process/rates/share_ledger.py
+++ b/burdockcart/process/rates/share_ledger.py
@@ -145,7 +145,8 @@
         if now < self._grants_from:
             claimed = not own_term and demand.serial > 0
             if found.burst > 0 or (claimed and now >= self._renews_from):
-                return self._renew(found, demand, claimed, ends_at, now)
+                renewed = self._renew(found, demand, claimed, ends_at, now)
+                return msgspec.structs.replace(renewed, early=True)
             return self._nothing(demand.account, now)
         if in_force:
             self._pool.add(demand.returned, now)
@@ -156,7 +157,9 @@
     ) -> share_terms.Share:
         wait_ms = math.ceil(1000 * (self._grants_from - now))
         self._serial += 1
-        return share_terms.Share(account, self._serial, 0, 0, 0, wait_ms)
+        return share_terms.Share(
+            account, self._serial, 0, 0, 0, wait_ms, early=True
+        )
 
     def _renew(
         self,
--- a/burdockcart/process/rates/share_terms.py
+++ b/burdockcart/process/rates/share_terms.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from burdockcart import ids
+from burdockcart.process.rates import permit_terms
 
 #: Number of parts into which the accounts are divided by hash.
 SHARDS = 4
@@ -83,6 +84,9 @@
     renews : bool
         Whether it only continues the share of a former owner, which must not
         have expired when this one arrives.
+    early : bool
+        Whether the owner may not grant yet, because shares of a former one may
+        be in use.
 
     """
 
@@ -94,6 +98,7 @@
     next_ms: int = 0
     valid_ms: int = 0
     renews: bool = False
+    early: bool = False
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -110,6 +115,9 @@
         Owner that does not answer the sender.
     lease_left_ms : int
         Time until the last known lease of an owner ends, in milliseconds.
+    permit : PermitClaim or None
+        Permit of the reserve that the sender holds; None if it must not get
+        one.
 
     """
 
@@ -119,6 +127,7 @@
     missed: ids.DaemonId | None
     lease_left_ms: int
     demands: list[Demand]
+    permit: permit_terms.PermitClaim | None = None
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True):
@@ -134,6 +143,10 @@
         milliseconds; 0 if the daemon is not the owner and grants nothing.
     leaving : bool
         Whether the daemon shuts down and will not become the owner.
+    permit : PermitGrant or None
+        The sender's permit of the reserve.
+    permitted : list of DaemonId
+        Daemons that have a permit.
 
     """
 
@@ -142,6 +155,8 @@
     valid_ms: int = 0
     leaving: bool = False
     shares: list[Share] = []
+    permit: permit_terms.PermitGrant | None = None
+    permitted: list[ids.DaemonId] = []
 
 
 def shard_of(account: ids.AccountName) -> Shard:
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -27,6 +27,8 @@
     "layers": (manifest.Consistency.READ_YOUR_WRITES, 2.5, 0.8, 0.2, 2),
 }
 
+#: Settings of the rate reserve.
+RESERVE = {"quota_window_s": 5.0, "quota_excess": 0.1, "quota_slack": 20.0}
 GOAL_S = {name: route[3] for name, route in ROUTES.items()}
 
 
@@ -89,9 +91,11 @@
         accounts=(),
         anonymous=(),
         strict_revoke=False,
+        reserve=False,
         **member_options,
     ):
         self.strict_revoke = strict_revoke
+        self.reserve = reserve
         self.fenced = fenced
         self.shutdown_s = shutdown_s
         self.peers = peer_network.PeerNetwork()
@@ -138,6 +142,7 @@
             peer_host=f"d{number}",
             shutdown_s=self.shutdown_s,
             strict_revoke=self.strict_revoke,
+            **(RESERVE if self.reserve else {}),
         )
         connector = wire_connector.EmulatedConnector(
             {member.id: member for member in self.members}
