--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -177,9 +177,13 @@
             rng,
             rate_metrics.RateMetrics(self.metrics.registry),
             config.first_start,
+            config.reserve,
+            self.relay.reserve,
         )
         self.relay.shares.serve(self.rates.reported)
         self.relay.offers.serve(self.rates.offered)
+        if self.rates.reserve is not None:
+            self.relay.reserve.serve(self.rates.reserve.served)
         self.authenticator.limits = self.rates
         self._restore_wait = restore_wait.RestoreWait(
             config.daemon,
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -10,6 +10,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import ids
+from burdockcart.process.peers import reserve_messages
 from burdockcart.process.rates import share_terms
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -329,6 +330,7 @@
     PollRequest,
     ShareReport,
     ShardOffer,
+    reserve_messages.ReserveRequest,
 ]
 Reply = Union[
     Answered,
@@ -340,6 +342,7 @@
     Polled,
     Shares,
     ShardOffered,
+    reserve_messages.ReserveTokens,
 ]
 
 encode = msgspec.msgpack.Encoder().encode
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -22,6 +22,7 @@
 from burdockcart.process.peers import held_transaction
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import relay_actions
+from burdockcart.process.peers import reserve_messages
 from burdockcart.process.peers import tcp
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -82,6 +83,11 @@
     ) -> messages.ShardOffered:
         """Answer an owner that offers its shard."""
 
+    def reserve_asked(
+        self, message: reserve_messages.ReserveRequest
+    ) -> reserve_messages.ReserveTokens:
+        """Answer a daemon that asks for tokens of the rate reserve."""
+
 
 class Service(Protocol):
     """What the sessions of all links share."""
@@ -167,6 +173,9 @@
         if isinstance(message, messages.ShardOffer):
             self._spawn(self._serve_offer(message))
             return
+        if isinstance(message, reserve_messages.ReserveRequest):
+            self._send(self._service.pools.reserve_asked(message))
+            return
         if len(self._tasks) >= MAX_STATEMENTS:
             self._refuse(message.number, "too many statements on this link")
             return
--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -12,6 +12,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import division
+from burdockcart.process.rates import permit_ledger
 from burdockcart.process.rates import shard_ownership
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
@@ -70,6 +71,8 @@
         self.transfer_changed = asyncio.Event()
         #: Held by the one attempt to acquire the key that may run.
         self._acquiring = asyncio.Lock()
+        #: Permits of the reserve that this daemon grants.
+        self.permits: permit_ledger.Permits = permit_ledger.NoPermits()
 
     # Hints
 
@@ -153,11 +156,18 @@
         shares = ledger.answer(
             holder, report.sequence, report.demands, ends_at, now
         )
+        # A report that arrives after a later one claims nothing.
+        claim = None if shares is None else report.permit
+        permit, permitted = self.permits.answer(
+            holder, claim, own.term, own.authority_until, now
+        )
         return share_terms.Answer(
             self._daemon,
             ids.StorePosition(own.term),
             int(1000 * (ends_at - now)),
             shares=shares or [],
+            permit=permit,
+            permitted=permitted,
         )
 
     # Transfer
@@ -262,7 +272,7 @@
             taken = failure is not CallFault.NO_ANSWER and (
                 failure is not CallFault.UNAVAILABLE
             )
-            silent = failure is CallFault.NO_ANSWER
+            silent = failure in (CallFault.NO_ANSWER, CallFault.UNAVAILABLE)
             self.ownership.refused(now, taken, silent)
             return
         hold = acquired.unwrap()
@@ -270,11 +280,14 @@
             self.ownership.refused(now, False)
             return
         self.ownership.acquired(hold.lease, hold.position, sent_at)
+        renews_from, grants_from = self.ownership.grant_times(
+            now, shares_end_at
+        )
+        term = share_terms.Term(hold.position)
         self._ledger = share_ledger.ShareLedger(
-            share_terms.Term(hold.position),
-            *self.ownership.grant_times(now, shares_end_at),
-            self._undivided(now),
+            term, renews_from, grants_from, self._undivided(now)
         )
+        self.permits.acquired(term, renews_from)
         self._ledger.use_limits(self._limits, now)
         self.transfer_changed.set()
         loguru.logger.info(
--- a/burdockcart/process/rates/share_terms.py
+++ b/burdockcart/process/rates/share_terms.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from burdockcart import ids
+from burdockcart.process.rates import permit_terms
 
 #: Number of parts into which the accounts are divided by hash.
 SHARDS = 4
@@ -83,6 +84,9 @@
     renews : bool
         Whether it only continues the share of a former owner, which must not
         have expired when this one arrives.
+    early : bool
+        Whether the owner may not grant yet, because shares of a former one may
+        be in use.
 
     """
 
@@ -94,6 +98,7 @@
     next_ms: int = 0
     valid_ms: int = 0
     renews: bool = False
+    early: bool = False
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -110,6 +115,9 @@
         Owner that does not answer the sender.
     lease_left_ms : int
         Time until the last known lease of an owner ends, in milliseconds.
+    permit : PermitClaim or None
+        Permit of the reserve that the sender holds; None if it must not get
+        one.
 
     """
 
@@ -119,6 +127,7 @@
     missed: ids.DaemonId | None
     lease_left_ms: int
     demands: list[Demand]
+    permit: permit_terms.PermitClaim | None = None
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True):
@@ -137,6 +146,10 @@
     store_silent : bool
         Whether the daemon cannot become the owner now, as the store does not
         respond to it.
+    permit : PermitGrant or None
+        The sender's permit of the reserve.
+    permitted : list of DaemonId
+        Daemons that have a permit.
 
     """
 
@@ -146,6 +159,8 @@
     leaving: bool = False
     shares: list[Share] = []
     store_silent: bool = False
+    permit: permit_terms.PermitGrant | None = None
+    permitted: list[ids.DaemonId] = []
 
 
 class Offer(msgspec.Struct, frozen=True, array_like=True):
