Add named cases of accounts to the soak

Cause: a random schedule mixes faults, so a share of rejected operations could not be assigned to one of them.

--- a/burdockcart/platform/standin/__main__.py
+++ b/burdockcart/platform/standin/__main__.py
@@ -6,9 +6,11 @@
 import re
 import sys
 import tempfile
+from typing import Sequence
 
 from burdockcart.platform.standin import report
 from burdockcart.platform.standin import soak
+from burdockcart.soak import account_cases
 from burdockcart.soak import checks
 
 #: Exit code after SIGTERM or SIGINT.
@@ -60,6 +62,15 @@
         action="store_true",
         help="give clients accounts with keys and rates, which change",
     )
+    parser.add_argument(
+        "--case",
+        choices=[each.value for each in account_cases.CaseName],
+        action="append",
+        default=[],
+        help="run a case of accounts without other faults, and report the "
+        "share of operations within the rate that was rejected; may be "
+        "repeated; replaces --seconds and the options that choose faults",
+    )
     parser.add_argument(
         "--plain-shapes",
         action="store_true",
@@ -72,16 +83,30 @@
     first, _, last = (args.seeds or str(args.seed)).partition("-")
     seeds = range(int(first), int(last or first) + 1)
     folder = args.logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    cases: Sequence[account_cases.CaseName | None] = [
+        account_cases.CaseName(each) for each in args.case
+    ] or [None]
     try:
-        failed = [seed for seed in seeds if not _run(seed, args, folder)]
+        failed = [
+            seed
+            for case in cases
+            for seed in seeds
+            if not _run(seed, case, args, folder)
+        ]
     except (asyncio.CancelledError, KeyboardInterrupt):
         return EXIT_STOPPED
     return 1 if failed else 0
 
 
-def _run(seed: int, args: argparse.Namespace, folder: pathlib.Path) -> bool:
+def _run(
+    seed: int,
+    case: account_cases.CaseName | None,
+    args: argparse.Namespace,
+    folder: pathlib.Path,
+) -> bool:
     """Run one seed and print its result; return whether it was clean."""
-    logs = folder / f"seed-{seed}"
+    prefix = "" if case is None else f"{case.value}-"
+    logs = folder / f"{prefix}seed-{seed}"
     logs.mkdir(parents=True, exist_ok=True)
     run = soak.Soak(
         seed,
@@ -95,6 +120,7 @@
         args.plain_shapes,
         args.cuts,
         args.accounts,
+        case,
     )
     found = asyncio.run(run.run())
     text = "".join(
@@ -102,7 +128,11 @@
         for each in found
     )
     (logs / "violations.txt").write_text(text, encoding="utf-8")
-    print(report.summary(run, found), f"logs={logs}", flush=True)
+    line = f"{report.summary(run, found)} logs={logs}\n" + "".join(
+        f"  {each}\n" for each in report.rejections(run)
+    )
+    (logs / "summary.txt").write_text(line, encoding="utf-8")
+    print(line, end="", flush=True)
     print(text, end="", flush=True)
     return not found
 
--- a/burdockcart/platform/standin/client.py
+++ b/burdockcart/platform/standin/client.py
@@ -53,6 +53,9 @@
         Whether no prepared shape has a space.
     accounts : AccountRecord or None
         Filled with the first messages, if the manifest has accounts.
+    keeps : callable
+        Returns whether a session with a daemon may go on; it ends between
+        two operations.
 
     """
 
@@ -67,6 +70,7 @@
         single: bool,
         plain_shapes: bool = False,
         accounts: account_history.AccountRecord | None = None,
+        keeps: Callable[[str], bool] = lambda _: True,
     ):
         self._rng = rng
         self._generator = client_statements.Generator(rng, plain_shapes)
@@ -77,6 +81,7 @@
         self._who = who
         self._single = single
         self._accounts = accounts
+        self._keeps = keeps
 
     async def run(self) -> None:
         """Open sessions and use each of them as long as it is open."""
@@ -110,6 +115,8 @@
                 await session.wait(self._who.pause_s())
                 if self._single or rng.random() < 0.01:
                     return
+                if not self._keeps(session.daemon):
+                    return
         finally:
             session.close()
 
--- a/burdockcart/platform/standin/client_session.py
+++ b/burdockcart/platform/standin/client_session.py
@@ -81,7 +81,7 @@
         accounts: account_history.AccountRecord | None = None,
     ):
         self.number = number
-        self._daemon = daemon
+        self.daemon = daemon
         self._route = route
         self._record = record
         self._key = key
@@ -122,7 +122,7 @@
             closed = await self._closes()
         self._accounts.startups.append(
             account_history.Startup(
-                self._daemon, self._key, sent_at, words[0], text, closed
+                self.daemon, self._key, sent_at, words[0], text, closed
             )
         )
 
@@ -180,7 +180,7 @@
         request = histories.Request(
             id=f"s{self.number}q{next(self._ids)}",
             session=self.number,
-            daemon=self._daemon,
+            daemon=self.daemon,
             kind=statement.kind,
             text=statement.text,
             attempt=attempt,
--- a/burdockcart/platform/standin/report.py
+++ b/burdockcart/platform/standin/report.py
@@ -22,8 +22,12 @@
     rules = ",".join(f"{r}:{n}" for r, n in sorted(count_by_rule.items()))
     stall_s = max((late_s for _, late_s in history.stalls), default=0.0)
     accounts = account_service.summary(history)
+    case = ""
+    if soak.case is not None:
+        served = account_service.since(history, soak.settled_at)
+        case = f"case={soak.case.value} {served} "
     return (
-        f"seed={soak.seed} requests={len(requests)} {outcomes} "
+        f"{case}seed={soak.seed} requests={len(requests)} {outcomes} "
         f"probes={len(history.probes)} "
         f"runs={len(history.runs)} commits={len(history.log)} "
         f"promotions={len(history.promotions)} "
@@ -33,3 +37,14 @@
         + (f"{accounts} " if accounts else "")
         + f"violations={rules or 'none'}"
     )
+
+
+def rejections(soak: soaks.Soak) -> list[str]:
+    """Return how often a case rejected operations within the rate, by text.
+
+    Empty without a case.
+    """
+    if soak.case is None:
+        return []
+    counted = account_service.rejections(soak.history, soak.settled_at)
+    return [f"{count} {text}" for text, count in counted]
--- a/burdockcart/platform/standin/site_faults.py
+++ b/burdockcart/platform/standin/site_faults.py
@@ -1,15 +1,22 @@
 """Faults of the network, of promotion calls and of replicas."""
 
 import asyncio
+import base64
+import dataclasses
+from typing import Sequence
 
+from burdockcart.platform.standin import daemons
 from burdockcart.platform.standin import site as sites
 from burdockcart.platform.standin import store_server
 from burdockcart.platform import store_values
+from burdockcart.soak import schedule
 
 CallFault = store_server.CallFault
 
 #: Time that a replica which starts again is away, in seconds.
 RESTART_S = 0.3
+#: Interval of looking for the owner of a shard, in seconds.
+OWNER_POLL_S = 0.1
 #: Last byte of the addresses of members that join, at least.
 FIRST_JOINED = 211
 
@@ -98,3 +105,33 @@
     await asyncio.sleep(RESTART_S)
     await server.restart()
     site.changing = False
+
+
+async def kill_of_owner(
+    site: sites.Site,
+    started: Sequence[daemons.Daemon],
+    fault: schedule.Fault,
+) -> schedule.Fault:
+    """Return the kill of the daemon whose name a shard's key holds.
+
+    Waits until the shard has an owner.
+    """
+    key = f"{store_values.QUOTA_PREFIX}{fault.target}"
+    while (item := site.store.item_by_key.get(key)) is None:
+        await asyncio.sleep(OWNER_POLL_S)
+    owner = base64.b64decode(item["value"]).decode()
+    place = [each.name for each in started].index(owner)
+    site.note("owner", shard=fault.target, daemon=owner)
+    return dataclasses.replace(fault, kind=schedule.Kind.KILL, target=place)
+
+
+async def disturb(daemon: daemons.Daemon, fault: schedule.Fault) -> None:
+    """Send a daemon the signal of a fault."""
+    if fault.kind is schedule.Kind.STOP:
+        await daemon.terminate()
+    elif fault.kind is schedule.Kind.RELOAD:
+        daemon.reload()
+    elif fault.kind is schedule.Kind.FREEZE:
+        await daemon.freeze(fault.length_s)
+    else:
+        daemon.kill()
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -16,11 +16,13 @@
 from burdockcart.platform.standin import client
 from burdockcart.platform.standin import daemons
 from burdockcart.platform.standin import identity
+from burdockcart.platform.standin import ingress
 from burdockcart.platform.standin import member_link
 from burdockcart.platform.standin import peer_processes
 from burdockcart.platform.standin import site as sites
 from burdockcart.platform.standin import site_faults
 from burdockcart.platform.standin import store_server
+from burdockcart.soak import account_cases
 from burdockcart.soak import account_schedule
 from burdockcart.soak import checks
 from burdockcart.soak import history as histories
@@ -42,6 +44,7 @@
 
 _OF_DAEMON = frozenset({Kind.STOP, Kind.RELOAD, Kind.FREEZE, Kind.KILL})
 _OF_ACCOUNTS = schedule.PLANNED_OF_ACCOUNTS
+_PLANNED = schedule.PLANNED | _OF_ACCOUNTS | schedule.PLANNED_OF_CASES
 _LINK_FAULT_BY_KIND = {
     Kind.LINK_DELAYED: member_link.LinkFault.DELAYED,
     Kind.LINK_SILENT: member_link.LinkFault.SILENT,
@@ -66,6 +69,9 @@
 
     folder : Path
         Where the daemons' logs and the journal are written.
+    case : CaseName or None
+        Case of accounts that is run in place of a random schedule; its own
+        length replaces ``seconds``.
 
     """
 
@@ -82,24 +88,33 @@
         plain_shapes: bool = False,
         cuts: bool = False,
         accounts: bool = False,
+        case: account_cases.CaseName | None = None,
     ):
         self.seed = seed
+        self.case = case
+        #: Time of the event loop from which a case is reported.
+        self.settled_at = 0.0
         self.folder = folder
         self.history = histories.History()
-        self._seconds = seconds
+        self._seconds = (
+            seconds if case is None else account_cases.seconds(case)
+        )
         self._unplanned = unplanned
         self._restores = restores
         self._odd_entries = odd_entries
         self._plain_shapes = plain_shapes
         self._cuts = cuts
         self._accounts = (
-            account_play.AccountPlay(seed, self.history) if accounts else None
+            account_play.AccountPlay(seed, self.history)
+            if accounts or case is not None
+            else None
         )
         self._count = count
         self._connections = connections
         self._tasks: list[asyncio.Task[None]] = []
         self._journal = open(folder / "journal.jsonl", "w", encoding="utf-8")
         self.daemons: list[daemons.Daemon] = []
+        self._ingress = ingress.Ingress(self.daemons)
 
     def note(self, name: str, **fields: Any) -> None:
         """Write an entry of the journal."""
@@ -193,7 +208,7 @@
 
     def _start_daemons(self) -> None:
         store = f"{self._site.store_host}:{sites.STORE_PORT}"
-        self.daemons = [
+        self.daemons += [
             daemons.Daemon(
                 f"d{place}",
                 sites.ZONES[place % len(sites.ZONES)],
@@ -222,13 +237,14 @@
             user = client.Client(
                 rng,
                 routes,
-                self._pick,
+                self._ingress.pick_for_client,
                 self.history.requests.append,
                 numbers,
                 who,
                 single,
                 self._plain_shapes,
                 self.history.accounts,
+                self._ingress.keeps,
             )
             self._spawn(user.run())
 
@@ -243,23 +259,13 @@
             who = identity.Anybody(rng, pause_s)
             yield rng, who, list(sites.ROUTES), single
 
-    def _pick(self, rng: random.Random) -> tuple[str, str, int] | None:
-        """Return a daemon as the ingress selects it."""
-        ready = [each for each in self.daemons if each.ready]
-        if 2 * len(ready) < len(self.daemons):
-            ready = [each for each in self.daemons if each.alive]
-        if not ready:
-            return None
-        picked = rng.choice(ready)
-        return picked.name, picked.host, daemons.CLIENT_PORT
-
     async def _probe_manifests(self) -> None:
         """Ask daemons for the database of a new or an old manifest."""
         rng = random.Random(self.seed)
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
-            picked = self._pick(rng)
+            picked = self._ingress.pick(rng)
             if picked is None:
                 continue
             daemon, host, port = picked
@@ -290,23 +296,8 @@
         loop = asyncio.get_running_loop()
         start = loop.time()
         self.note("started", seed=self.seed, daemons=self._count)
-        faults = schedule.generate(
-            self.seed,
-            self._seconds,
-            self._count,
-            self._unplanned,
-            self._restores,
-            self._odd_entries,
-            self._cuts,
-        )
-        if self._accounts is not None:
-            faults = sorted(
-                faults
-                + account_schedule.generate(
-                    self.seed, self._seconds, self._count, self._unplanned
-                )
-            )
-        for fault in faults:
+        self.settled_at = start + account_cases.SETTLED_S
+        for fault in self._faults():
             await asyncio.sleep(start + fault.at_s - loop.time())
             self.note(
                 "fault",
@@ -319,15 +310,39 @@
             self._spawn(self._inject(fault))
         await asyncio.sleep(start + self._seconds - loop.time())
 
+    def _faults(self) -> list[schedule.Fault]:
+        """Return the faults in the order of their times."""
+        if self.case is not None:
+            return account_cases.generate(self.case, self.seed, self._count)
+        faults = schedule.generate(
+            self.seed,
+            self._seconds,
+            self._count,
+            self._unplanned,
+            self._restores,
+            self._odd_entries,
+            self._cuts,
+        )
+        if self._accounts is not None:
+            faults += account_schedule.generate(
+                self.seed, self._seconds, self._count, self._unplanned
+            )
+        return sorted(faults)
+
     async def _inject(self, fault: schedule.Fault) -> None:
         """Inject one fault and record how long it lasted."""
+        if fault.kind is Kind.KILL_OWNER:
+            # The checks know it as the end of a daemon.
+            fault = await site_faults.kill_of_owner(
+                self._site, self.daemons, fault
+            )
         begin = asyncio.get_running_loop().time()
         disturbance = histories.Disturbance(
             fault.kind.value,
             str(fault.target),
             begin,
             float("inf"),
-            fault.kind in schedule.PLANNED | _OF_ACCOUNTS,
+            fault.kind in _PLANNED,
         )
         place = len(self.history.disturbances)
         self.history.disturbances.append(disturbance)
@@ -343,7 +358,10 @@
     async def _act(self, fault: schedule.Fault) -> None:
         kind, site = fault.kind, self._site
         if kind in _OF_DAEMON:
-            await _disturb(self.daemons[fault.target], fault)
+            await site_faults.disturb(self.daemons[fault.target], fault)
+        elif kind is Kind.DEMAND_AT:
+            daemon = self.daemons[fault.target]
+            await self._ingress.concentrate(daemon, fault.length_s)
         elif kind is Kind.MANIFEST:
             site.put_manifest()
         elif kind is Kind.ODD_ENTRY:
@@ -380,15 +398,3 @@
             )
         else:
             await site.fail_store(_STORE_FAULT_BY_KIND[kind], fault.length_s)
-
-
-async def _disturb(daemon: daemons.Daemon, fault: schedule.Fault) -> None:
-    """Send a daemon the signal of a fault."""
-    if fault.kind is Kind.STOP:
-        await daemon.terminate()
-    elif fault.kind is Kind.RELOAD:
-        daemon.reload()
-    elif fault.kind is Kind.FREEZE:
-        await daemon.freeze(fault.length_s)
-    else:
-        daemon.kill()
--- a/burdockcart/soak/account_service.py
+++ b/burdockcart/soak/account_service.py
@@ -3,8 +3,10 @@
 import collections
 import dataclasses
 import math
+import re
 from typing import Iterable
 from typing import Iterator
+from typing import Protocol
 
 from burdockcart.request import command
 from burdockcart.soak import account_history
@@ -32,12 +34,15 @@
 
     refused : bool
         Whether the client was told that it was not run, and may try again.
+    detail : str
+        That answer.
 
     """
 
     sent_at: float
     account: str
     refused: bool
+    detail: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,29 +115,46 @@
     names = record.holders(requests[0].key, sent_at, sent_at)
     if not names:
         return None
-    refused = any(each.detail.split(" ")[0] in REFUSALS for each in requests)
-    return Offer(sent_at, min(names), refused)
+    refusals = [
+        each.detail
+        for each in requests
+        if each.detail.split(" ")[0] in REFUSALS
+    ]
+    detail = refusals[0] if refusals else ""
+    return Offer(sent_at, min(names), bool(refusals), detail)
+
+
+class Span(Protocol):
+    """Times of the operations that a report covers."""
+
+    def covers(self, at: float) -> bool:
+        """Return whether a time, in seconds, is part of it."""
+
+
+def within_rate(found: Iterable[Offer], record: Record) -> Iterator[Offer]:
+    """Return the operations within the rate of their account."""
+    bucket_by_account: dict[str, Bucket] = {}
+    for offer in found:
+        name = offer.account
+        bucket = bucket_by_account.setdefault(name, Bucket(record, name))
+        if bucket.take(offer.sent_at):
+            yield offer
 
 
 def services(
-    found: Iterable[Offer], record: Record, calm: "Calm | None" = None
+    found: Iterable[Offer], record: Record, span: Span | None = None
 ) -> list[Service]:
     """Return the service of each account, the worst first.
 
-    Only operations within the rate count; with ``calm``, only those that no
-    fault has disturbed.
+    Only operations within the rate count; with ``span``, only those that it
+    covers.
     """
-    bucket_by_account: dict[str, Bucket] = {}
     inside: collections.Counter[str] = collections.Counter()
     refused: collections.Counter[str] = collections.Counter()
-    for offer in found:
-        name = offer.account
-        bucket = bucket_by_account.setdefault(name, Bucket(record, name))
-        if bucket.take(offer.sent_at) and (
-            calm is None or calm.covers(offer.sent_at)
-        ):
-            inside[name] += 1
-            refused[name] += offer.refused
+    for offer in within_rate(found, record):
+        if span is None or span.covers(offer.sent_at):
+            inside[offer.account] += 1
+            refused[offer.account] += offer.refused
     result = [Service(e, inside[e], refused[e]) for e in inside]
     return sorted(result, key=lambda each: each.served_share)
 
@@ -155,6 +177,42 @@
         return not any(begin <= at <= end for begin, end in self._spans)
 
 
+class Since:
+    """All times from one on."""
+
+    def __init__(self, at: float):
+        self._at = at
+
+    def covers(self, at: float) -> bool:
+        """Return whether a time is not before it."""
+        return self._at <= at
+
+
+def since(history: histories.History, at: float) -> str:
+    """Return fields on the service from a time on, for a case's report."""
+    record = history.accounts
+    if record is None:
+        return ""
+    served = services(offers(history, record), record, Since(at))
+    return " ".join(_fields("_case", served))
+
+
+def rejections(history: histories.History, at: float) -> list[tuple[str, int]]:
+    """Return how often operations within the rate were rejected, by text.
+
+    Counts those from a time on.  Names and numbers are left out of the
+    texts; the most frequent text comes first.
+    """
+    record = history.accounts
+    if record is None:
+        return []
+    return collections.Counter(
+        re.sub(r"'[^']*'|\d+", "*", each.detail)
+        for each in within_rate(offers(history, record), record)
+        if each.refused and at <= each.sent_at
+    ).most_common()
+
+
 def summary(history: histories.History) -> str:
     """Return fields on the service of the accounts for a soak's report."""
     record = history.accounts
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -39,6 +39,8 @@
     RATE_RAISED = "rate raised"
     HOT_ACCOUNT = "hot account"
     STORE_CUT = "store cut"
+    KILL_OWNER = "kill owner"
+    DEMAND_AT = "demand at"
 
 
 #: Planned work, during which no request may be cut.
@@ -62,6 +64,8 @@
         Kind.HOT_ACCOUNT,
     }
 )
+#: Changes in named cases, during which no request may be cut either.
+PLANNED_OF_CASES = frozenset({Kind.DEMAND_AT})
 
 
 @dataclasses.dataclass(frozen=True, order=True)
@@ -77,7 +81,8 @@
         Index of the daemon, or of the member for faults of links; -1 if the
         fault concerns neither.  Number of the variant for odd entries.  The
         daemon that does not reach the primary or the store.  Place of the
-        account.
+        account.  Shard whose owner is killed, or daemon to which all clients
+        connect.
     length_s : float
         Seconds that the fault lasts, for those that do.
     age_s : float
--- a/burdockcart/soak/tests/test_schedule.py
+++ b/burdockcart/soak/tests/test_schedule.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from burdockcart.soak import account_cases
 from burdockcart.soak import account_schedule
 from burdockcart.soak import schedule
 
@@ -39,6 +40,16 @@
     ]
 
 
+def case_faults():
+    """Return the faults of the named cases of many seeds."""
+    return [
+        fault
+        for seed in range(50)
+        for name in account_cases.CaseName
+        for fault in account_cases.generate(name, seed, 4)
+    ]
+
+
 class TestSchedule(testtools.TestCase):
     """Seeded faults."""
 
@@ -63,7 +74,7 @@
 
     def test_every_kind_occurs(self):
         """Guards against a fault that is never injected."""
-        found = faults(True) + account_faults(True)
+        found = faults(True) + account_faults(True) + case_faults()
         self.assertEqual(set(Kind), {fault.kind for fault in found})
 
     def test_planned_work_only(self):
@@ -79,7 +90,11 @@
     def test_no_accounts_by_default(self):
         """Guards against a default run that changes accounts."""
         kinds = {fault.kind for fault in faults(True)}
-        others = schedule.PLANNED_OF_ACCOUNTS | {Kind.STORE_CUT}
+        others = (
+            schedule.PLANNED_OF_ACCOUNTS
+            | schedule.PLANNED_OF_CASES
+            | {Kind.STORE_CUT, Kind.KILL_OWNER}
+        )
         self.assertEqual(set(), kinds & others)
 
     def test_same_changes_of_accounts(self):
