--- a/burdockcart/platform/standin/tests/test_soak.py
+++ b/burdockcart/platform/standin/tests/test_soak.py
@@ -12,6 +12,7 @@
 from burdockcart.platform.standin import peer_processes
 from burdockcart.platform.standin import report
 from burdockcart.platform.standin import soak
+from burdockcart.soak import account_cases
 from burdockcart.soak import history as histories
 from burdockcart.soak import schedule
 
@@ -22,7 +23,7 @@
     """Daemons, members, store and clients over sockets."""
 
     def check(self, seed, unplanned, seconds=25.0, plain=True, **beside):
-        """Run a seed and check that no rule was broken."""
+        """Run a seed, check that no rule was broken, and return the run."""
         with tempfile.TemporaryDirectory() as folder:
             run = soak.Soak(
                 seed,
@@ -44,6 +45,7 @@
         # Otherwise the checks would have had nothing to check.
         self.assertGreater(len(succeeded), 500, text)
         self.assertTrue(run.history.runs and run.history.log, text)
+        return run
 
     def test_planned_work(self):
         """Guards against requests cut or mixed up by planned work."""
@@ -69,6 +71,16 @@
         """Guards against commits lost beside a late promotion."""
         self.check(401, unplanned=True, seconds=10.0, cuts=True)
 
+    def test_named_case(self):
+        """Guards against a case without its fault, or that breaks a rule."""
+        case = account_cases.CaseName.OWNER_KILLED
+        run = self.check(1, unplanned=False, case=case)
+        kinds = {each.kind for each in run.history.disturbances}
+        self.assertEqual({schedule.Kind.KILL.value}, kinds)
+        self.assertEqual(1, len(run.history.process_ends))
+        text = report.summary(run, [])
+        self.assertTrue(text.startswith("case=owner-killed inside_case="))
+
     def test_connections_of_a_daemon(self):
         """Guards against a cut that leaves the daemon's connections."""
         with socket.create_server(("127.0.0.1", 0)) as server:
--- a/burdockcart/soak/tests/test_account_service.py
+++ b/burdockcart/soak/tests/test_account_service.py
@@ -53,6 +53,26 @@
         requests = [self.sent(10.0 + n, n, **BUSY) for n in range(4)]
         self.assertEqual([(4, 4)], self.services(requests))
 
+    def test_since_a_time(self):
+        """Guards against a case's report of what came before its faults."""
+        busy = [
+            f"BUSY account 'a1' is over, retry after {n} ms" for n in (5, 7)
+        ]
+        requests = [self.sent(10.0, 0, **BUSY)]
+        requests += [
+            self.sent(20.0 + n, n + 1, outcome=Outcome.PROMISE, detail=text)
+            for n, text in enumerate(busy)
+        ]
+        requests += [self.sent(30.0 + n, n + 9) for n in range(2)]
+        history = self.history(requests)
+        fields = account_service.since(history, 15.0).split()
+        self.assertIn("inside_case=4", fields)
+        self.assertIn("refused_inside_case=50.0%", fields)
+        self.assertEqual(
+            [("BUSY account * is over, retry after * ms", 2)],
+            account_service.rejections(history, 15.0),
+        )
+
     def test_without_a_limit(self):
         """Guards against a missing rate that leaves nothing inside."""
         requests = [self.sent(10.0, n) for n in range(9)]
