Place statements by evidence that holders attach to answers

Cause: senders tried members that their holders did not reach, and replicas that lacked a position, until their attempts were used up, although the holders knew it.

--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -243,6 +243,11 @@
         """Return whether the member may be tried."""
         return now >= self._retry_at
 
+    @property
+    def retry_at(self) -> float:
+        """Time from which the member may be tried."""
+        return self._retry_at
+
     @property
     def failing(self) -> bool:
         """Whether the last contact failed."""
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -84,6 +84,12 @@
             "Reads that were sent to a second member",
             registry=self.registry,
         )
+        self._evidence = prometheus_client.Counter(
+            "burdockcart_evidence_used",
+            "Work placed by what holders know of members, by decision",
+            ["decision"],
+            registry=self.registry,
+        )
         self._account_connections = prometheus_client.Counter(
             "burdockcart_account_connections",
             "Uses of connections to members by client accounts, by outcome",
@@ -245,6 +251,10 @@
         """Count a read that was sent to a second member."""
         self._hedges.inc()
 
+    def evidence_used(self, decision: str) -> None:
+        """Count work that evidence held back, or that tried a member."""
+        self._evidence.labels(decision).inc()
+
     def account_connection(self, group: str, outcome: str) -> None:
         """Count a hit, miss or eviction of an account's connection."""
         self._account_connections.labels(group, outcome).inc()
--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -16,6 +16,7 @@
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway.members import account_cache
 from burdockcart.process.gateway.members import connection_share
+from burdockcart.process.gateway.members import evidence_placement
 from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.gateway.members import pooled_connection
 from burdockcart.process.gateway.promotion import commit_guard
@@ -123,6 +124,14 @@
             calls,
             self.watch.pass_on,
         )
+        self.placement = evidence_placement.EvidencePlacement(
+            limits.id,
+            self.pool_by_member,
+            self.primary,
+            loop_clock,
+            self.dispatch,
+            metrics,
+        )
         self.queue = work_queue.WorkQueue()
         #: Whether no other failure domain is reachable.
         self.isolated = False
@@ -215,6 +224,7 @@
         pool = self.pool_by_member.pop(member, None)
         if pool is not None:
             pool.retire()
+            self.placement.forget(member)
             self.primary.record_departure(member)
             loguru.logger.info(
                 "event=member_dropped group={} member={} cause={!r}",
@@ -401,6 +411,7 @@
                 chosen is not preferred and self._awaits(work, preferred, now)
             ):
                 continue
+            self.placement.record_taken(chosen, work, now)
             connection = chosen.take(work.value_by_name, work.shape, account)
             connection.charged_to = work.account
             connection.expected_hold_s = self.queue.record_start(work, now)
@@ -510,7 +521,7 @@
             pool = self.primary.pool()
             if pool is None or not pool.takes_new_work(self._drain_s):
                 return []
-            return [pool]
+            return self.placement.primary_pools(pool, work, now)
         usable = [
             pool
             for pool in self.pool_by_member.values()
@@ -518,29 +529,11 @@
             and pool.health.usable(now)
             and pool.takes_new_work(self._drain_s)
         ]
-        position = work.position
-        assert position is not None
-        holding = [
-            pool
-            for pool in usable
-            if pool.entry.id == self.primary.leadership.member
-            or pool.lag.likely_holds(position, work.position_age_s, now)
-        ]
-        replicas = [
-            pool
-            for pool in holding
-            if pool.entry.id != self.primary.leadership.member
-        ]
-        primary = self.primary.pool()
-        if replicas and primary and primary.limit.recently_full(now):
-            # The primary's slots are reserved for work that only it can run.
-            holding = replicas
-        staying = [pool for pool in holding if not pool.draining]
-        # A replica that probably lacks the position is used only if no other
-        # member holds it, not if the others are merely busy.
+        queued_at = self._queued_at.get(work, now)
+        found = self.placement.read_pools(usable, work, queued_at, now)
         return [
             pool
-            for pool in staying or holding or usable
+            for pool in found
             if pool.has_idle_for(work.account)
             or pool.may_open(work.account, self._left_out(work, now))
         ]
@@ -637,6 +630,7 @@
         """Close all connections."""
         if self._dispatch_timer is not None:
             self._dispatch_timer.cancel()
+        self.placement.close()
         self.commits.close()
         self.watch.close()
         for pool in self.pool_by_member.values():
--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -21,6 +21,7 @@
 from burdockcart.process.gateway.members import pooled_connection
 from burdockcart.request import command
 from burdockcart.request import member_choice
+from burdockcart.request import member_evidence
 from burdockcart.request import member_limit
 from burdockcart.request import replica_lag
 from burdockcart.version import manifest
@@ -98,6 +99,8 @@
         #: Whether its connections go to the member and not to a holder.
         self.direct = True
         self.lag = replica_lag.ReplicaLag()
+        #: Positions that the member has reported to any daemon.
+        self.reports = member_evidence.PositionReports()
         self.retired = False
         self._draining_since: float | None = None
         #: Time after which the member announced that it will leave.
@@ -192,6 +195,14 @@
         """Connections that are open or being opened."""
         return len(self._idle) + len(self._busy) + len(self._opening)
 
+    @property
+    def has_detour(self) -> bool:
+        """Whether a connection goes through another daemon."""
+        return any(
+            not each.channel.direct
+            for each in itertools.chain(self._idle, self._busy)
+        )
+
     @property
     def opening_count(self) -> int:
         """Connections that are being opened."""
--- a/burdockcart/process/gateway/sessions/attempts.py
+++ b/burdockcart/process/gateway/sessions/attempts.py
@@ -164,6 +164,13 @@
     ) -> None:
         """Exclude the member; pause if none is left or its queue is full."""
         member = connection.pool.entry.id
+        if (
+            answer.fault is member_channel.MemberFault.BEHIND
+            and member != group.primary.leadership.member
+            and group.placement.knows_position(connection.pool)
+        ):
+            # It is used again when it is expected to hold the position.
+            return
         excluded.add(member)
         if excluded >= group.pool_by_member.keys():
             excluded.clear()
@@ -345,6 +352,8 @@
             connection.pool.limit.record_refusal(health.running, now)
         elif fault is None:
             connection.pool.limit.record_answer()
+        if answer.position is not None:
+            connection.pool.reports.record(answer.position, now)
         if answer.fault is member_channel.MemberFault.UNKNOWN_NAME:
             # What the member lost on one connection it may have lost on all,
             # values included, which it would not report.
@@ -432,15 +441,17 @@
             elif answer.fault is member_channel.MemberFault.NOT_PRIMARY:
                 group.primary.reject(member)
             return
+        now = self.loop_clock.now()
+        assert work.position is not None
         if answer.position is not None:
             pool.lag.record_position(answer.position)
-        assert work.position is not None
+            if answer.fault is member_channel.MemberFault.BEHIND:
+                pool.reports.record_lack(work.position, now)
+            pool.reports.record(answer.position, now)
         if answer.fault is None:
-            pool.lag.record_success(work.position_age_s, self.loop_clock.now())
+            pool.lag.record_success(work.position_age_s, now)
         elif answer.fault is member_channel.MemberFault.BEHIND:
-            pool.lag.record_refusal(
-                work.position, work.position_age_s, self.loop_clock.now()
-            )
+            pool.lag.record_refusal(work.position, work.position_age_s, now)
 
     def remember_commit(
         self, session: Session, answer: member_channel.Answer
--- a/burdockcart/process/gateway/sessions/statement_runner.py
+++ b/burdockcart/process/gateway/sessions/statement_runner.py
@@ -129,7 +129,7 @@
     ) -> attempts.Outcome:
         """Try members one after the other until an attempt succeeds."""
         excluded = series.excluded
-        attempt = 0
+        attempt = excused = 0
         refusal: errors.Failure | None = None
         while True:
             attempt += 1
@@ -143,7 +143,8 @@
                 return refusals.commits_blocked(group)
             acquired = await group.acquire(work)
             if isinstance(acquired, result.Failure):
-                return result.Failure(refusal or acquired.failure())
+                failure = refusal or acquired.failure()
+                return result.Failure(group.placement.explained(work, failure))
             connection = acquired.unwrap()
             if request.writes and group.commits.refuses():
                 group.release(connection)
@@ -168,8 +169,9 @@
                 answer = await self._confirmed(group, session, request, answer)
             if answer.fault is None:
                 return result.Success(answer)
+            excused += group.placement.excuses(connection, answer)
             step = retry_policy.next_step_single(
-                answer.fault, request.writes, attempt
+                answer.fault, request.writes, attempt - excused
             )
             self._attempts.attempt_failed(
                 request, connection, answer, attempt, step
--- a/burdockcart/process/gateway/sessions/transaction_runner.py
+++ b/burdockcart/process/gateway/sessions/transaction_runner.py
@@ -131,7 +131,7 @@
     ) -> result.Result[None, errors.Failure]:
         """Acquire a connection and begin the transaction on it."""
         primary_only = not transaction.read_only
-        attempt = 0
+        attempt = excused = 0
         while True:
             attempt += 1
             work = self._attempts.work(
@@ -139,7 +139,9 @@
             )
             acquired = await group.acquire(work)
             if isinstance(acquired, result.Failure):
-                return result.Failure(acquired.failure())
+                return result.Failure(
+                    group.placement.explained(work, acquired.failure())
+                )
             connection = acquired.unwrap()
             self._attempts.log_placement(
                 group, request, connection, work, attempt
@@ -157,8 +159,9 @@
             if answer.fault is None:
                 self._own(group, transaction, connection, work)
                 return result.Success(None)
+            excused += group.placement.excuses(connection, answer)
             step = retry_policy.NextStep.GIVE_UP
-            if attempt < retry_policy.max_attempts(answer.fault):
+            if attempt - excused < retry_policy.max_attempts(answer.fault):
                 step = retry_policy.NextStep.OTHER_MEMBER
             self._attempts.attempt_failed(
                 request, connection, answer, attempt, step
--- a/burdockcart/process/peers/holder_placement.py
+++ b/burdockcart/process/peers/holder_placement.py
@@ -12,12 +12,14 @@
 
 """
 
+from typing import Iterable
 from typing import Protocol
 import weakref
 
 from burdockcart import clock
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
+from burdockcart.request import member_evidence
 
 #: Time for which a holder without a way to a member is not used for it, in
 #: seconds.
@@ -51,6 +53,8 @@
         self._avoided_until: dict[tuple[ids.DaemonId, ids.MemberId], float] = (
             {}
         )
+        #: The same, by what the holders say themselves.
+        self._no_way_until: dict[tuple[ids.DaemonId, ids.MemberId], float] = {}
         self._full_until: dict[_Key, float] = {}
         self._channels: dict[_Key, weakref.WeakSet[Channel]] = {}
 
@@ -59,9 +63,27 @@
         until = self._clock.now() + AVOIDED_S
         self._avoided_until[daemon, member] = until
 
+    def record_evidence(
+        self,
+        daemon: ids.DaemonId,
+        evidence: Iterable[member_evidence.MemberEvidence],
+    ) -> None:
+        """Use what a holder says of its ways to members."""
+        now = self._clock.now()
+        for each in evidence:
+            found_at = now - each.reachable_age_ms / 1000
+            if each.reachable is False:
+                until = found_at + member_evidence.FRESH_S
+                self._no_way_until[daemon, each.member] = until
+            else:
+                self._no_way_until.pop((daemon, each.member), None)
+
     def avoids(self, daemon: ids.DaemonId, member: ids.MemberId) -> bool:
         """Return whether a holder recently had no way to a member."""
-        until = self._avoided_until.get((daemon, member), 0.0)
+        until = max(
+            self._avoided_until.get((daemon, member), 0.0),
+            self._no_way_until.get((daemon, member), 0.0),
+        )
         return self._clock.now() < until
 
     def record_full(
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -13,6 +13,7 @@
 from burdockcart.process.rates import share_terms
 from burdockcart.request import command
 from burdockcart.request import log_position
+from burdockcart.request import member_evidence
 
 
 class Urgency(msgspec.Struct, frozen=True, array_like=True):
@@ -184,6 +185,8 @@
     call : tuple, or None
         The open promotion call that the holder goes by: member, time of the
         call, and the position of a record in the store.
+    evidence : tuple of MemberEvidence, or None
+        What the holder knows of the members of the group.
 
     """
 
@@ -196,6 +199,7 @@
     position: tuple[int, int] | None
     sample: tuple[int, int, int] | None = None
     call: tuple[ids.MemberId, int, ids.StorePosition] | None = None
+    evidence: tuple[member_evidence.MemberEvidence, ...] | None = None
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True, tag=21):
@@ -363,6 +367,7 @@
     answer: member_channel.Answer,
     sample: tuple[int, int, int] | None = None,
     call: tuple[ids.MemberId, int, ids.StorePosition] | None = None,
+    evidence: tuple[member_evidence.MemberEvidence, ...] | None = None,
 ) -> Answered:
     """Return the message for an answer."""
     return Answered(
@@ -375,6 +380,7 @@
         position_pair(answer.position),
         sample,
         call,
+        evidence,
     )
 
 
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -21,8 +21,10 @@
 from burdockcart.process.peers import peer_shares
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.peers import relay_service
+from burdockcart.process.peers import shared_evidence
 from burdockcart.process.peers import shared_polls
 from burdockcart.request import log_position
+from burdockcart.request import member_evidence
 
 #: Daemons that are asked for a way to a member that this one cannot reach.
 DETOURS = 3
@@ -226,6 +228,26 @@
                 log_position.LogPosition(term, number),
             )
 
+    def evidence(
+        self, group: ids.GroupId, pacer: member_evidence.EvidencePacer
+    ) -> tuple[member_evidence.MemberEvidence, ...] | None:
+        """Return what is known of a group's members, if it is due."""
+        found = self._group_by_id.get(group)
+        if found is None:
+            return None
+        return shared_evidence.attached(found, pacer, self._clock.now())
+
+    def use_evidence(
+        self,
+        group: ids.GroupId,
+        holder: ids.DaemonId,
+        evidence: tuple[member_evidence.MemberEvidence, ...],
+    ) -> None:
+        """Use what a holder knows of a group's members."""
+        found = self._group_by_id.get(group)
+        if found is not None:
+            found.placement.record(holder, evidence)
+
     def open_call(
         self, group: ids.GroupId
     ) -> tuple[ids.MemberId, int, ids.StorePosition] | None:
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -15,8 +15,10 @@
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import holder_link
 from burdockcart.process.peers import holder_placement
+from burdockcart.process.peers import relay_route
 from burdockcart.process.peers import relayed_channel
 from burdockcart.process.peers import tcp
+from burdockcart.request import member_evidence
 
 #: Backoff after a link could not be opened, in seconds, with jitter: all
 #: daemons lose a holder at the same moment.
@@ -52,40 +54,6 @@
         """
 
 
-class Route(Protocol):
-    """Tells how members are reached."""
-
-    def holders_of(
-        self, member: ids.MemberId, account: ids.AccountName | None = None
-    ) -> list[list[coordination.DaemonEntry]] | None:
-        """Return the daemons to relay through; None to connect directly.
-
-        The holders, and those that take over if all holders are lost; in the
-        order of use, which is the same on all daemons for an account.
-        """
-
-    def detours(self, member: ids.MemberId) -> list[coordination.DaemonEntry]:
-        """Return daemons that may reach a member that this one cannot."""
-
-    def use_sample(
-        self,
-        group: ids.GroupId,
-        sent_at: float,
-        sample: tuple[int, int, int],
-    ) -> None:
-        """Use a holder's sample of a group's primary."""
-
-    def use_call(
-        self,
-        group: ids.GroupId,
-        call: tuple[ids.MemberId, int, ids.StorePosition],
-    ) -> None:
-        """Go by a promotion call of which a holder knows."""
-
-    def hold(self, member: ids.MemberId) -> None:
-        """Connect to a member directly from now on."""
-
-
 class HolderLinks:
     """Links to the holders that this daemon uses, opened on demand."""
 
@@ -255,7 +223,7 @@
         self,
         direct: member_channel.Connector,
         links: HolderLinks,
-        route: Route,
+        route: relay_route.Route,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
     ):
@@ -287,10 +255,23 @@
             lambda: self._placement.record_full(
                 link.daemon, member.id, account
             ),
+            lambda evidence: self._use_evidence(
+                member.group, link.daemon, evidence
+            ),
         )
         self._placement.add(link.daemon, member.id, account, channel)
         return channel
 
+    def _use_evidence(
+        self,
+        group: ids.GroupId,
+        holder: ids.DaemonId,
+        evidence: tuple[member_evidence.MemberEvidence, ...],
+    ) -> None:
+        """Use what a holder knows of the members of a group."""
+        self._placement.record_evidence(holder, evidence)
+        self._route.use_evidence(group, holder, evidence)
+
     def _until(self, unchanged: Callable[[], bool]) -> Callable[[], bool]:
         """Return a function that tells whether to use another holder still.
 
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -25,6 +25,7 @@
 from burdockcart.process.peers import tcp
 from burdockcart.request import command
 from burdockcart.request import log_position
+from burdockcart.request import member_evidence
 from burdockcart.request import work_queue
 
 #: Statements that one link may have running or waiting; more are refused.
@@ -52,6 +53,11 @@
     ) -> tuple[ids.MemberId, int, ids.StorePosition] | None:
         """Return the open promotion call of a group, as it is sent."""
 
+    def evidence(
+        self, group: ids.GroupId, pacer: member_evidence.EvidencePacer
+    ) -> tuple[member_evidence.MemberEvidence, ...] | None:
+        """Return what is known of a group's members, if it is due."""
+
     def passed_on(
         self,
         group: ids.GroupId,
@@ -104,6 +110,7 @@
         self._daemon = daemon
         self._transport = transport
         self._ended = ended
+        self._pacer = member_evidence.EvidencePacer()
         self._closed = self._closing = False
         self._last_number = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -197,11 +204,12 @@
         answer: member_channel.Answer,
         group: ids.GroupId | None = None,
     ) -> None:
-        sample = call = None
+        sample = call = evidence = None
         if group is not None:
             sample = self._service.pools.newest_sample(group)
             call = self._service.pools.open_call(group)
-        self._send(messages.answered(number, answer, sample, call))
+            evidence = self._service.pools.evidence(group, self._pacer)
+        self._send(messages.answered(number, answer, sample, call, evidence))
 
     def _refuse(self, number: int, text: str) -> None:
         self._answer(number, _fault(Fault.RELAY_REFUSED, text))
@@ -456,6 +464,10 @@
         except BaseException:
             group.release(connection)
             raise
+        if answer.position is not None:
+            connection.pool.reports.record(
+                answer.position, self._service.clock.now()
+            )
         if answer.fault is None:
             held.begun(group, connection)
         else:
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -11,6 +11,7 @@
 from burdockcart.process.peers import messages
 from burdockcart.request import command
 from burdockcart.request import log_position
+from burdockcart.request import member_evidence
 
 #: Added to the time that a member has for an answer, in seconds: the way to
 #: the holder and back.
@@ -53,6 +54,8 @@
         Whether the holder may be leaving.
     full : callable
         Called when the holder had no connection for a statement in time.
+    use_evidence : callable
+        Called with what the holder knows of the group's members.
 
     """
 
@@ -70,7 +73,11 @@
         account: ids.AccountName | None = None,
         last_resort: bool = False,
         full: Callable[[], None] = lambda: None,
+        use_evidence: Callable[
+            [tuple[member_evidence.MemberEvidence, ...]], None
+        ] = lambda evidence: None,
     ):
+        self._use_evidence = use_evidence
         self._full = full
         self._account = account
         self._last_resort = last_resort
@@ -156,6 +163,8 @@
                 self._use_sample(self._member.group, sent_at, reply.sample)
             if reply.call is not None:
                 self._use_call(self._member.group, reply.call)
+            if reply.evidence is not None:
+                self._use_evidence(reply.evidence)
             answer = messages.read_answer(reply)
             if reply.fault in _NO_WAY:
                 if reply.fault is Fault.RELAY_REFUSED and (
--- a/burdockcart/process/peers/tests/test_relay_session.py
+++ b/burdockcart/process/peers/tests/test_relay_session.py
@@ -49,6 +49,9 @@
             def open_call(self, group):
                 return None
 
+            def evidence(self, group, pacer):
+                return None
+
         service = relay_service.RelayService(
             NoPools(), None, clock.LoopClock()
         )
--- a/burdockcart/request/replica_lag.py
+++ b/burdockcart/request/replica_lag.py
@@ -66,7 +66,7 @@
         """Record a read that succeeded at a position of the given age."""
         self._backoff_s = 0.0
         self.behind_since = None
-        lag_s = self._expected_lag_s(now)
+        lag_s = self.expected_lag_s(now)
         if age_s < lag_s:
             self._update(lag_s + WEIGHT * (age_s - lag_s), now)
 
@@ -76,7 +76,7 @@
         """Record a refusal for lack of the position."""
         if self.behind_since is None:
             self.behind_since = now
-        lag_s = self._expected_lag_s(now)
+        lag_s = self.expected_lag_s(now)
         if age_s >= lag_s:
             lag_s += WEIGHT * (2 * age_s - lag_s)
             self._update(lag_s, now)
@@ -92,8 +92,8 @@
         self._estimate_s = lag_s
         self._estimated_at = now
 
-    def _expected_lag_s(self, now: float) -> float:
-        """Return the estimate, decayed to the present."""
+    def expected_lag_s(self, now: float) -> float:
+        """Return the estimate in seconds, decayed to the present."""
         age_s = now - self._estimated_at
         weight = 0.5 ** (age_s / HALF_LIFE_S)
         return INITIAL_LAG_S + weight * (self._estimate_s - INITIAL_LAG_S)
@@ -114,4 +114,4 @@
         """
         if self._reported is not None and self._reported >= position:
             return True
-        return now >= self._ask_again_at and age_s >= self._expected_lag_s(now)
+        return now >= self._ask_again_at and age_s >= self.expected_lag_s(now)
--- a/burdockcart/request/work_queue.py
+++ b/burdockcart/request/work_queue.py
@@ -59,6 +59,8 @@
         Resolves to the connection, or to the failure that ends the wait.
     account : AccountName or None
         Client account that it belongs to.
+    held_back : bool
+        Whether it waits because evidence says that no member can run it now.
 
     """
 
@@ -73,6 +75,7 @@
     value_by_name: dict[str, str] = msgspec.field(default_factory=dict)
     shape: command.Shape | None = None
     account: ids.AccountName | None = None
+    held_back: bool = False
 
     @property
     def primary_only(self) -> bool:
