Try a replica that was behind with one read at a time

Cause: when evidence ended, all waiting reads tried the replica at once, and all waiting work an unreached primary. Change: one read tries a replica until its answer shows its position; a member that no holder reached needs one more report to count as such for 1 s.

--- a/burdockcart/process/gateway/members/evidence_placement.py
+++ b/burdockcart/process/gateway/members/evidence_placement.py
@@ -178,9 +178,14 @@
         self, pool: member_pool.MemberPool, work: work_queue.Work, now: float
     ) -> None:
         """Record that work is sent to a member; it may be a trial."""
-        if work.member is None and self.unreached(pool, now):
+        if work.member is not None or pool.direct:
+            return
+        if self.unreached(pool, now):
             self._reachability_by_member[pool.entry.id].record_trial(now)
             self._metrics.evidence_used("trial")
+        known = pool.reports.position
+        if None not in (work.position, known) and known < work.position:
+            pool.reports.record_trial(now)
 
     def read_pools(
         self,
--- a/burdockcart/request/member_evidence.py
+++ b/burdockcart/request/member_evidence.py
@@ -30,6 +30,9 @@
 #: Holders without a way to a member after which the others are not tried, too:
 #: with five holders a statement used up its five attempts.
 HOLDERS_NEEDED = 2
+#: Time for which a member that no holder reached needs only one more report to
+#: count as such again, in seconds.
+REMEMBERED_S = 1.0
 #: Time after which a replica that was behind is asked again at the earliest,
 #: in seconds; a third of a replica's usual lag.
 ASK_AGAIN_S = 0.02
@@ -90,11 +93,14 @@
         self.position: log_position.LogPosition | None = None
         self.reported_at = -math.inf
         self._valid_from = -math.inf
+        self._tried_at = -math.inf
 
     def record(self, position: log_position.LogPosition, at: float) -> bool:
         """Record a report; return whether the position is a new one."""
         if at < self._valid_from:
             return False
+        if at > self._tried_at:
+            self._tried_at = -math.inf
         if self.position is not None and position < self.position:
             return False
         if position == self.position:
@@ -103,6 +109,14 @@
         self.position, self.reported_at = position, at
         return True
 
+    def record_trial(self, now: float) -> None:
+        """Record that a read tries the member for a position that it lacked.
+
+        Until the answer shows whether it still does, other reads wait: when
+        evidence ended, all waiting reads tried the member at once.
+        """
+        self._tried_at = now
+
     def record_lack(
         self, needed: log_position.LogPosition, now: float
     ) -> None:
@@ -141,7 +155,11 @@
             return None
         if self.position >= needed:
             return -math.inf
-        if now - self.reported_at >= FRESH_S or self.reported_at < known_at:
+        if self.reported_at < known_at:
+            return None
+        if now - self._tried_at < TRIAL_S:
+            return self._tried_at + TRIAL_S
+        if now - self.reported_at >= FRESH_S:
             return None
         lacked_s = max(self.reported_at - known_at, ASK_AGAIN_S)
         return max(known_at + lag_s, self.reported_at + lacked_s)
@@ -159,9 +177,10 @@
     ===========
 
     The newest report of each holder counts.  The member counts as unreached
-    if two holders have no way to it and none is known to have one.  From then
-    on, one recent report without a way is enough: the holders are tried one
-    after the other, and the older reports end meanwhile.
+    if two holders have no way to it and none is known to have one.  Until one
+    has, one recent report without a way is enough from then on: a holder that
+    waits for its own attempt to connect (0.3 s) sends none, and all waiting
+    statements tried the member when the reports ended.
 
     Examples
     ========
@@ -182,6 +201,7 @@
     def __init__(self) -> None:
         self._report_by_holder: dict[ids.DaemonId, _Report] = {}
         self._unreached = False
+        self._unreached_at = -math.inf
         self._tried_at = -math.inf
 
     def record(self, holder: ids.DaemonId, reachable: bool, at: float) -> bool:
@@ -204,7 +224,10 @@
     def unreached(self, now: float) -> bool:
         """Return whether no holder is expected to reach the member."""
         recent = self._recent(now)
-        needed = 1 if self._unreached else HOLDERS_NEEDED
+        if any(each.reachable for each in recent):
+            self._unreached_at = -math.inf
+        lately = now - self._unreached_at < REMEMBERED_S
+        needed = 1 if lately else HOLDERS_NEEDED
         unreached = len(recent) >= needed and not any(
             each.reachable for each in recent
         )
@@ -212,6 +235,8 @@
             # The attempts that showed it were the first trials.
             self._tried_at = max(each.at for each in recent)
         self._unreached = unreached
+        if unreached:
+            self._unreached_at = now
         return unreached
 
     def valid_until(self, now: float) -> float:
