Search for the primary while no holder reaches the known one

Cause: daemons learned of a new primary by their failed attempts, which evidence prevents; some learned of it 1.6 s later. Change: the failover search runs for such a primary, and leaves it out.

--- a/burdockcart/process/gateway/promotion/failover.py
+++ b/burdockcart/process/gateway/promotion/failover.py
@@ -172,6 +172,10 @@
             self._start_check("search", group, self._search(group))
             self._replace_missing(group)
             return
+        if group.placement.unreached(pool, self._clock.now()):
+            # Work for the primary waits, so that no attempt at it shows a
+            # new primary.
+            self._start_check("search", group, self._search(group))
         self._missing_since.pop(group.id, None)
         if self._promoter.left_on_hold(group) and self.claims.may_try(
             group.id, True, self._clock.now()
@@ -343,10 +347,12 @@
 
     async def _search(self, group: groups.Group) -> None:
         """Ask all usable members whether they are the primary."""
+        now = self._clock.now()
         pools = [
             pool
             for pool in group.pool_by_member.values()
-            if pool.health.usable(self._clock.now())
+            if pool.health.usable(now)
+            and not group.placement.unreached(pool, now)
         ]
         await asyncio.gather(*(group.primary.check(pool) for pool in pools))
         await asyncio.sleep(SEARCH_PAUSE_S)
