Open a direct connection where a detour refuses relayed statements

Cause: an idle detour of a holder answered every relayed statement with 'no way to the member' for up to 1 s after the member could be reached again. Change: the holder also opens a direct connection then.

--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -425,6 +425,9 @@
             # The sender takes the statement for lost, or this daemon does not
             # reach the member itself; the statement must not travel on.
             group.release(connection)
+            if not pool.opening_count and pool.may_open(message.account):
+                # An idle detour hides that the member can be reached again.
+                pool.open(message.account)
             return _fault(Fault.RELAY_REFUSED, "no way to the member")
         return group, connection
 
