--- a/burdockcart/process/gateway/members/evidence_placement.py
+++ b/burdockcart/process/gateway/members/evidence_placement.py
@@ -183,8 +183,7 @@
         if self.unreached(pool, now):
             self._reachability_by_member[pool.entry.id].record_trial(now)
             self._metrics.evidence_used("trial")
-        known = pool.reports.position
-        if None not in (work.position, known) and known < work.position:
+        if work.position is not None and pool.reports.lacked(work.position):
             pool.reports.record_trial(now)
 
     def read_pools(
--- a/burdockcart/request/member_evidence.py
+++ b/burdockcart/request/member_evidence.py
@@ -109,6 +109,10 @@
         self.position, self.reported_at = position, at
         return True
 
+    def lacked(self, needed: log_position.LogPosition) -> bool:
+        """Return whether the newest report lacks a position."""
+        return self.position is not None and self.position < needed
+
     def record_trial(self, now: float) -> None:
         """Record that a read tries the member for a position that it lacked.
 
