Exclude a replica whose report of its position was wrong

Cause: a refusal without a position left the wrong report in force, so that the read tried the replica again at once. Change: the report ends with the refusal in any case.

--- a/burdockcart/process/gateway/members/tests/test_evidence_placement.py
+++ b/burdockcart/process/gateway/members/tests/test_evidence_placement.py
@@ -142,6 +142,22 @@
 
         self.check(check)
 
+    def test_replica_that_lost_its_log(self):
+        """A read must not try a replica again and again by a wrong report.
+
+        It excludes the replica unless evidence says when to ask again.
+        """
+
+        async def check():
+            case = Case()
+            pool = case.replicas[0]
+            pool.reports.record(NEEDED, case.now)
+            self.assertTrue(case.placement.knows_position(pool))
+            pool.reports.record_lack(NEEDED, case.now)
+            self.assertFalse(case.placement.knows_position(pool))
+
+        self.check(check)
+
     def test_direct_daemon(self):
         """A daemon without holders must not use evidence."""
 
--- a/burdockcart/process/gateway/sessions/attempts.py
+++ b/burdockcart/process/gateway/sessions/attempts.py
@@ -443,10 +443,10 @@
             return
         now = self.loop_clock.now()
         assert work.position is not None
+        if answer.fault is member_channel.MemberFault.BEHIND:
+            pool.reports.record_lack(work.position, now)
         if answer.position is not None:
             pool.lag.record_position(answer.position)
-            if answer.fault is member_channel.MemberFault.BEHIND:
-                pool.reports.record_lack(work.position, now)
             pool.reports.record(answer.position, now)
         if answer.fault is None:
             pool.lag.record_success(work.position_age_s, now)
