Leave daemons without holders as they were

Cause: with four daemons that connect directly, a detour's evidence caused an additional look at the queue, and a refused detour a new connection. Change: both only where members are relayed through holders.

--- a/burdockcart/process/gateway/members/evidence_placement.py
+++ b/burdockcart/process/gateway/members/evidence_placement.py
@@ -81,13 +81,14 @@
     ) -> None:
         """Use what a holder has attached to an answer."""
         now = self._clock.now()
-        changed = False
+        relayed_changed = False
         for each in evidence:
+            changed = False
             pool = self._pool_by_member.get(each.member)
             if pool is None or pool.entry.started_ms != each.started_ms:
                 continue
             if each.position is not None:
-                changed |= pool.reports.record(
+                changed = pool.reports.record(
                     log_position.LogPosition(*each.position),
                     now - each.position_age_ms / 1000,
                 )
@@ -99,7 +100,8 @@
                     holder, each.reachable, now - each.reachable_age_ms / 1000
                 )
                 self._log_change(pool, now)
-        if changed:
+            relayed_changed |= changed and not pool.direct
+        if relayed_changed:
             self._dispatch()
 
     def _log_change(self, pool: member_pool.MemberPool, now: float) -> None:
--- a/burdockcart/process/gateway/members/tests/test_evidence_placement.py
+++ b/burdockcart/process/gateway/members/tests/test_evidence_placement.py
@@ -170,6 +170,7 @@
                 case.primary, case.work, case.now
             )
             self.assertEqual([case.primary], found)
+            self.assertEqual([], case.woken)
 
         self.check(check)
 
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -228,6 +228,15 @@
                 log_position.LogPosition(term, number),
             )
 
+    def relayed(self, group: ids.GroupId, member: ids.MemberId) -> bool:
+        """Return whether most daemons reach a member through holders."""
+        found = self._group_by_id.get(group)
+        pool = None if found is None else found.pool_by_member.get(member)
+        if found is None or pool is None:
+            return False
+        connections = found.limits.connections
+        return self.holding.holders(pool.entry, connections) is not None
+
     def evidence(
         self, group: ids.GroupId, pacer: member_evidence.EvidencePacer
     ) -> tuple[member_evidence.MemberEvidence, ...] | None:
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -53,6 +53,9 @@
     ) -> tuple[ids.MemberId, int, ids.StorePosition] | None:
         """Return the open promotion call of a group, as it is sent."""
 
+    def relayed(self, group: ids.GroupId, member: ids.MemberId) -> bool:
+        """Return whether most daemons reach a member through holders."""
+
     def evidence(
         self, group: ids.GroupId, pacer: member_evidence.EvidencePacer
     ) -> tuple[member_evidence.MemberEvidence, ...] | None:
@@ -425,7 +428,11 @@
             # The sender takes the statement for lost, or this daemon does not
             # reach the member itself; the statement must not travel on.
             group.release(connection)
-            if not pool.opening_count and pool.may_open(message.account):
+            if (
+                self._service.pools.relayed(message.group, message.member)
+                and not pool.opening_count
+                and pool.may_open(message.account)
+            ):
                 # An idle detour hides that the member can be reached again.
                 pool.open(message.account)
             return _fault(Fault.RELAY_REFUSED, "no way to the member")
