--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -26,6 +26,7 @@
 from burdockcart.process.peers import tcp
 from burdockcart.request import command
 from burdockcart.request import log_position
+from burdockcart.request import member_evidence
 from burdockcart.request import work_queue
 
 #: Statements that one link may have running or waiting; more are refused.
@@ -53,6 +54,14 @@
     ) -> tuple[ids.MemberId, int, ids.StorePosition] | None:
         """Return the open promotion call of a group, as it is sent."""
 
+    def relayed(self, group: ids.GroupId, member: ids.MemberId) -> bool:
+        """Return whether most daemons reach a member through holders."""
+
+    def evidence(
+        self, group: ids.GroupId, pacer: member_evidence.EvidencePacer
+    ) -> tuple[member_evidence.MemberEvidence, ...] | None:
+        """Return what is known of a group's members, if it is due."""
+
     def passed_on(
         self,
         group: ids.GroupId,
@@ -115,6 +124,7 @@
         self._daemon = daemon
         self._transport = transport
         self._ended = ended
+        self._pacer = member_evidence.EvidencePacer()
         self._closed = self._closing = False
         self._last_number = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -217,11 +227,12 @@
         answer: member_channel.Answer,
         group: ids.GroupId | None = None,
     ) -> None:
-        sample = call = None
+        sample = call = evidence = None
         if group is not None:
             sample = self._service.pools.newest_sample(group)
             call = self._service.pools.open_call(group)
-        self._send(messages.answered(number, answer, sample, call))
+            evidence = self._service.pools.evidence(group, self._pacer)
+        self._send(messages.answered(number, answer, sample, call, evidence))
 
     def _refuse(self, number: int, text: str) -> None:
         self._answer(number, _fault(Fault.RELAY_REFUSED, text))
@@ -437,6 +448,13 @@
             # The sender takes the statement for lost, or this daemon does not
             # reach the member itself; the statement must not travel on.
             group.release(connection)
+            if (
+                self._service.pools.relayed(message.group, message.member)
+                and not pool.opening_count
+                and pool.may_open(message.account)
+            ):
+                # An idle detour hides that the member can be reached again.
+                pool.open(message.account)
             return _fault(Fault.RELAY_REFUSED, "no way to the member")
         return group, connection
 
@@ -476,6 +494,10 @@
         except BaseException:
             group.release(connection)
             raise
+        if answer.position is not None:
+            connection.pool.reports.record(
+                answer.position, self._service.clock.now()
+            )
         if answer.fault is None:
             held.begun(group, connection)
         else:
