--- a/burdockcart/request/work_queue.py
+++ b/burdockcart/request/work_queue.py
@@ -17,6 +17,7 @@
 
 import asyncio
 import itertools
+import math
 
 import msgspec
 
@@ -46,6 +47,8 @@
         Time by which it should be answered, to meet the latency goal.
     give_up_at : float
         Time at which waiting for a connection ends.
+    deadline_at : float
+        Time at which its client gives up.
     position : LogPosition or None
         Position that the member's log must hold; None requires the primary.
     position_age_s : float
@@ -66,6 +69,7 @@
     goal_at: float
     give_up_at: float
     connection: asyncio.Future
+    deadline_at: float = math.inf
     position: log_position.LogPosition | None = None
     position_age_s: float = 0.0
     member: ids.MemberId | None = None
@@ -100,6 +104,9 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def __contains__(self, work: Work) -> bool:
+        return work in self._waiting
+
     def push(self, work: Work, now: float = 0.0) -> None:
         """Add work."""
         if not self._waiting:
