--- a/burdockcart/measure/queue_policies.py
+++ b/burdockcart/measure/queue_policies.py
@@ -1,5 +1,8 @@
 """Policies."""
 
+import math
+from burdockcart.measure import queue_replay
+from burdockcart.request import member_limit
 from burdockcart.request import queue_admission
 from burdockcart.request import work_queue
 
@@ -11,7 +14,20 @@
         return list(self._waiting)
 
 
+class FormerLimit(member_limit.MemberLimit):
+    """Limit that only refusals decrease."""
+
+    def record_answer(
+        self, took_s: float | None = None, now: float = 0.0
+    ) -> None:
+        """Record that the member answered a statement."""
+        super().record_answer()
+
+
 class Former:
+    def limit(self):
+        return FormerLimit(queue_replay.CONNECTIONS)
+
     def queue(self):
         return work_queue.WorkQueue()
 
@@ -22,3 +38,7 @@
 class Fcfs(Former):
     def queue(self):
         return ArrivalOrder()
+
+class Delay(Former):
+    def limit(self):
+        return member_limit.MemberLimit(queue_replay.CONNECTIONS, 1 + math.ceil(queue_replay.SLOTS/queue_replay.HOLDERS))
--- a/burdockcart/measure/queue_replay.py
+++ b/burdockcart/measure/queue_replay.py
@@ -27,7 +27,7 @@
 from burdockcart.request import work_queue
 
 ONE_WAY_S = 0.0005
-SENDERS, HOLDERS, MEMBERS = 6, 2, 3
+SENDERS, HOLDERS, MEMBERS = 10, 5, 3
 SLOTS, MEMBER_QUEUE = 4, 32
 #: Connections of a holder to a member, and relayed ones of a sender.
 CONNECTIONS = 10
@@ -91,6 +91,9 @@
     ) -> queue_admission.Admission:
         """Return what refuses work of a queue."""
 
+    def limit(self) -> member_limit.MemberLimit:
+        """Return the limit of a node's statements at a member."""
+
 
 class Outcome(msgspec.Struct):
     """What became of one arrival.
@@ -116,9 +119,7 @@
         self.queue = policy.queue()
         self.admission = policy.admission(self.queue, seed)
         self.member = member
-        self.limits = [
-            member_limit.MemberLimit(CONNECTIONS) for _ in range(MEMBERS)
-        ]
+        self.limits = [policy.limit() for _ in range(MEMBERS)]
         self.busy = [0] * MEMBERS
 
     def free(self, member: int) -> bool:
@@ -277,7 +278,8 @@
                 tried.work.account, expected_s, held_s, at
             )
             if answer.served:
-                node.limits[member].record_answer()
+                direct_s = None if node.member is None else held_s
+                node.limits[member].record_answer(direct_s, at)
             elif not answer.lost:
                 node.limits[member].record_refusal(node.busy[member], at)
             if node.member is None and not answer.served:
