--- a/burdockcart/cmd/measure.py
+++ b/burdockcart/cmd/measure.py
@@ -22,6 +22,7 @@
     "safety_violations",
     "shutdown",
     "control",
+    "overload",
 )
 DEFAULT_SEED = 20261204
 
--- a/burdockcart/measure/queue_loads.py
+++ b/burdockcart/measure/queue_loads.py
@@ -68,13 +68,17 @@
     rng = random.Random(seed)
     rate = _rate(KINDS)
 
-    def times(mean: float, factor: Callable[[float], float]) -> Iterator[float]:
+    def times(
+        mean: float, factor: Callable[[float], float]
+    ) -> Iterator[float]:
         at = rng.expovariate(mean)
         while at < DURATION_S:
             yield at
             at += rng.expovariate(mean * factor(at))
 
-    def arrival(at: float, kind: Kind, name: str | None) -> queue_replay.Arrival:
+    def arrival(
+        at: float, kind: Kind, name: str | None
+    ) -> queue_replay.Arrival:
         running_s = rng.expovariate(1 / kind.running_s)
         return queue_replay.Arrival(
             at=at,
@@ -103,10 +107,35 @@
     return tuple(sorted(found, key=lambda each: each.at))
 
 
+def _herds(seed: int) -> tuple[queue_replay.Arrival, ...]:
+    """Return the usual load, and 400 reads at once every 2 s.
+
+    Their clients give up early.
+    """
+    found = list(_arrivals(seed))
+    rng = random.Random(seed)
+    read = next(kind for kind in KINDS if kind.name == "read")
+    for second in (1.0, 3.0, 5.0):
+        for _ in range(400):
+            found.append(
+                queue_replay.Arrival(
+                    at=second,
+                    kind=read.name,
+                    priority=read.priority,
+                    goal_s=read.goal_s,
+                    timeout_s=0.4,
+                    running_s=rng.expovariate(1 / read.running_s) + 0.001,
+                )
+            )
+    return tuple(sorted(found, key=lambda each: each.at))
+
+
 def loads(seed: int) -> list[queue_replay.Load]:
     """Return the loads."""
 
-    def during(begin: float, end: float, factor: float) -> Callable[[float], float]:
+    def during(
+        begin: float, end: float, factor: float
+    ) -> Callable[[float], float]:
         return lambda at: factor if begin <= at < end else 1.0
 
     load = queue_replay.Load
@@ -114,16 +143,26 @@
     return [
         load(name="usual", arrivals=usual),
         load(name="rise", arrivals=_arrivals(seed, during(2, 6, 2.0))),
+        load(
+            name="rise with retries",
+            arrivals=_arrivals(seed, during(2, 6, 1.7)),
+            retries=2,
+        ),
+        load(
+            name="herd with retries",
+            arrivals=_herds(seed),
+            retries=4,
+        ),
         load(name="burst", arrivals=_arrivals(seed, during(3, 4, 3.4))),
         load(name="hot account", arrivals=_arrivals(seed, hot=7.0)),
         load(name="long", arrivals=_arrivals(seed, long_factor=4.0)),
+        load(name="slow replica", arrivals=usual, slow=(2, 2.0, 6.0, 5.0)),
+        load(name="slow primary", arrivals=usual, slow=(0, 2.0, 6.0, 5.0)),
         load(
-            name="slow replica", arrivals=usual, slow=(2, 2.0, 6.0, 5.0)
-        ),
-        load(
-            name="slow primary", arrivals=usual, slow=(0, 2.0, 6.0, 5.0)
+            name="lost replica",
+            arrivals=_arrivals(seed, during(2, 6, 1.4)),
+            lost=(2, 2.0),
         ),
-        load(name="lost replica", arrivals=_arrivals(seed, during(2, 6, 1.4)), lost=(2, 2.0)),
     ]
 
 
--- a/burdockcart/measure/queue_replay.py
+++ b/burdockcart/measure/queue_replay.py
@@ -16,6 +16,7 @@
 from typing import Any
 from typing import Callable
 from typing import Protocol
+from typing import runtime_checkable
 
 import msgspec
 
@@ -35,6 +36,10 @@
 WAIT_SHARE = 0.6
 #: First pause after a full queue, as in the sessions.
 QUEUE_FULL_PAUSE_S = 0.008
+#: Running time that the order expects of a statement, in seconds.
+RUNNING_S = 0.011
+#: Pause of a client that is not told when to repeat.
+NO_HINT_S = 0.1
 #: Position that every member holds.
 POSITION = log_position.LogPosition(0, 0)
 
@@ -62,6 +67,9 @@
         Member, begin, end and factor on its running times.
     lost : tuple
         Member and the time from which it runs nothing.
+    retries : int
+        How often a client repeats what was refused, at the time that it was
+        told; only the last try counts.
 
     """
 
@@ -69,6 +77,7 @@
     arrivals: tuple[Arrival, ...]
     slow: tuple[int, float, float, float] = (0, 0.0, 0.0, 1.0)
     lost: tuple[int, float] = (0, float("inf"))
+    retries: int = 0
 
     def factor(self, member: int, now: float) -> float:
         """Return the factor on the running times of a member."""
@@ -81,19 +90,32 @@
 
 
 class Policy(Protocol):
-    """Decides about the queued work of a node."""
+    """Decisions of all nodes."""
 
-    def queue(self) -> work_queue.WorkQueue:
-        """Return an empty queue."""
+    @property
+    def queue(self) -> type[work_queue.WorkQueue]:
+        """Order and estimate of a queue."""
 
-    def admission(
-        self, queue: work_queue.WorkQueue, seed: int
-    ) -> queue_admission.Admission:
-        """Return what refuses work of a queue."""
+    @property
+    def admission(self) -> type[queue_admission.Admission]:
+        """What refuses work of a queue."""
 
-    def limit(self) -> member_limit.MemberLimit:
+    @property
+    def limit(self) -> Callable[[], member_limit.MemberLimit]:
         """Return the limit of a node's statements at a member."""
 
+    @property
+    def counts_all(self) -> bool:
+        """Whether estimates count unusable members and refused work."""
+
+
+@runtime_checkable
+class EndsWaits(Protocol):
+    """Admission that also ends the wait of queued work."""
+
+    def hopeless(self, now: float) -> list[work_queue.Work]:
+        """Return the work that is not expected to be served."""
+
 
 class Outcome(msgspec.Struct):
     """What became of one arrival.
@@ -118,6 +140,7 @@
     def __init__(self, policy: Policy, seed: int, member: int | None = None):
         self.queue = policy.queue()
         self.admission = policy.admission(self.queue, seed)
+        self.counts_all = policy.counts_all
         self.member = member
         self.limits = [policy.limit() for _ in range(MEMBERS)]
         self.busy = [0] * MEMBERS
@@ -143,6 +166,7 @@
     served: bool
     on_arrival: bool = False
     lost: bool = False
+    retry_s: float = 0.0
 
 
 class Replay:
@@ -183,13 +207,20 @@
             action(now, *arguments)
         return self
 
-    def _arrive(self, now: float, arrival: Arrival) -> None:
+    def _arrive(self, now: float, arrival: Arrival, repeats: int = 0) -> None:
         outcome = Outcome(arrival, "", now)
         self.outcomes.append(outcome)
 
         def ended(at: float, answer: Answer) -> None:
             if outcome.how:
                 return
+            if not answer.served and repeats < self.load.retries:
+                self.outcomes.remove(outcome)
+                again_at = at + (answer.retry_s or NO_HINT_S)
+                again = msgspec.structs.replace(arrival, at=again_at)
+                self._at(again_at, self._arrive, again, repeats + 1)
+                outcome.how = "repeated"
+                return
             late = at - arrival.at > arrival.goal_s
             outcome.how = "late" if late else "in time"
             if not answer.served:
@@ -206,7 +237,6 @@
             priority=arrival.priority,
             goal_at=now + arrival.goal_s,
             give_up_at=now + WAIT_SHARE * arrival.timeout_s,
-            deadline_at=now + arrival.timeout_s,
             connection=None,  # type: ignore[arg-type]
             position=None if arrival.writes else POSITION,
             account=arrival.account,
@@ -220,18 +250,31 @@
         if now >= work.give_up_at:
             tried.ended(now, Answer(False))
             return
-        possible = self._possible(work, now)
-        slots = [node.limits[member].statements for member in possible]
-        free = any(node.free(member) for member in possible)
-        refused = node.admission.refusal(work, sum(slots), now, free)
+        usable = self._possible(work, now)
+        refused = node.admission.refusal(
+            work,
+            self._connections(node, work, now),
+            now,
+            lambda: any(node.free(member) for member in usable),
+        )
         if refused is not None:
-            tried.ended(now, Answer(False, on_arrival=True))
+            tried.ended(now, Answer(False, True, retry_s=refused.retry_s))
             return
         work.value_by_name["try"] = tried  # type: ignore[assignment]
         node.queue.push(work, now)
         self._at(work.give_up_at, self._give_up, tried)
         self._dispatch(now, node)
 
+    def _connections(
+        self, node: Node, work: work_queue.Work, now: float
+    ) -> int:
+        """Return the connections that an estimate counts."""
+        if node.counts_all:
+            listed = 1 if work.primary_only or work.member else MEMBERS
+            return listed * CONNECTIONS
+        usable = self._possible(work, now)
+        return sum(node.limits[each].statements for each in usable)
+
     def _possible(self, work: work_queue.Work, now: float) -> list[int]:
         if work.member is not None:
             return [int(work.member)]
@@ -239,16 +282,20 @@
         return [each for each in members if self.load.runs(each, now)]
 
     def _give_up(self, now: float, tried: Try) -> None:
-        if tried.work in tried.node.queue:
-            tried.node.queue.remove(tried.work)
-            tried.ended(now, Answer(False))
+        node, work = tried.node, tried.work
+        if work in node.queue:
+            node.queue.remove(work)
+            retry_s = node.admission.retry_s(
+                work, self._connections(node, work, now), now
+            )
+            tried.ended(now, Answer(False, retry_s=retry_s))
 
     def _dispatch(self, now: float, node: Node) -> None:
-        running_s = 0.01 if node.member is not None else 0.011
-        for work in node.admission.expired(now, running_s):
-            node.queue.remove(work)
-            self._tried(work).ended(now, Answer(False))
-        for work in node.queue.in_order(now, running_s):
+        """Assign free connections to queued work."""
+        if isinstance(node.admission, EndsWaits):
+            for work in node.admission.hopeless(now):
+                self._give_up(now, self._tried(work))
+        for work in node.queue.in_order(now, RUNNING_S):
             free = [
                 each for each in self._possible(work, now) if node.free(each)
             ]
@@ -273,12 +320,14 @@
         def answered(at: float, answer: Answer) -> None:
             node.busy[member] -= 1
             held_s = at - now
-            node.admission.record_hold_time(tried.work, held_s, answer.served)
-            node.queue.record_end(
-                tried.work.account, expected_s, held_s, at
-            )
+            if answer.served or node.counts_all:
+                node.queue.record_hold_time(held_s)
+            node.queue.record_end(tried.work.account, expected_s, held_s, at)
             if answer.served:
-                direct_s = None if node.member is None else held_s
+                measured = node.member is not None and not (
+                    tried.arrival.writes
+                )
+                direct_s = held_s if measured else None
                 node.limits[member].record_answer(direct_s, at)
             elif not answer.lost:
                 node.limits[member].record_refusal(node.busy[member], at)
@@ -333,9 +382,7 @@
             tried, answered = waiting.pop(0)
             self._running[member] += 1
             took_s = tried.arrival.running_s * self.load.factor(member, now)
-            self._at(
-                now + took_s, self._end, member, tried, answered, took_s
-            )
+            self._at(now + took_s, self._end, member, tried, answered, took_s)
 
     def _end(
         self,
--- a/burdockcart/process/gateway/members/connection_share.py
+++ b/burdockcart/process/gateway/members/connection_share.py
@@ -17,6 +17,7 @@
 """
 
 import collections
+import math
 
 import msgspec
 
@@ -98,6 +99,34 @@
     return Share(hard_limit if accounts else soft_limit, hard_limit)
 
 
+def statements_needed(share: Share, connections: int, slots: int) -> int:
+    """Return how many statements a daemon needs to use its part of the slots.
+
+    One more waits at the member, so that no slot is idle until the next one
+    arrives.
+
+    Parameters
+    ==========
+
+    connections : int
+        Connections that the member accepts.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.gateway.members import connection_share
+    >>> share = connection_share.share_of(70, 5, uptime_s=60.0)
+    >>> connection_share.statements_needed(share, 70, slots=4)
+    2
+    >>> share = connection_share.share_of(16, 1, uptime_s=60.0)
+    >>> connection_share.statements_needed(share, 16, slots=4)
+    5
+
+    """
+    part = share.hard_limit / max(BURST_SHARE * connections, 1.0)
+    return math.ceil(min(part, 1.0) * slots) + 1
+
+
 class DaemonCount:
     """Highest number of daemons in a sliding window.
 
--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -16,6 +16,7 @@
 from burdockcart.process.gateway import gateway_metrics
 from burdockcart.process.gateway.members import account_cache
 from burdockcart.process.gateway.members import connection_share
+from burdockcart.process.gateway.members import group_queue
 from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.gateway.members import pooled_connection
 from burdockcart.process.gateway.promotion import commit_guard
@@ -27,12 +28,6 @@
 from burdockcart.request import work_queue
 from burdockcart.version import manifest
 
-#: Retry hint for clients of a daemon that is cut off, in milliseconds: the
-#: load balancer sends them elsewhere by then.
-ISOLATED_RETRY_MS = 1000
-#: The same of a group whose primary leaves, in milliseconds: about the time
-#: until the next attempt to replace it.
-REPLACEMENT_RETRY_MS = 400
 #: Time after which work of an account without a connection is first to get
 #: one, in seconds: longer than a handshake (12 ms), and short against the
 #: least latency goal (100 ms).
@@ -133,11 +128,12 @@
         self._connector = connector
         self._clock = loop_clock
         self._metrics = metrics
-        self._timers: dict[work_queue.Work, asyncio.TimerHandle] = {}
         #: Whether the queue has work of accounts.
         self._mixed = False
         self._dispatch_timer: asyncio.TimerHandle | None = None
-        self._queued_at: dict[work_queue.Work, float] = {}
+        self._group_queue = group_queue.GroupQueue(
+            self, self.queue, domain, drain_s, loop_clock
+        )
 
     # Members
 
@@ -171,6 +167,9 @@
         connections = self.limits.connections
         share = self._plan.share(pool.entry, connections, self.accounts)
         direct = self._plan.holds(pool.entry, connections)
+        pool.limit.needed = connection_share.statements_needed(
+            share, connections, pool.entry.slots
+        )
         if (share, direct) == (pool.share, pool.direct):
             return False
         pool.resize(share, direct)
@@ -235,116 +234,19 @@
         self, work: work_queue.Work
     ) -> result.Result[pooled_connection.PooledConnection, errors.Failure]:
         """Wait for a connection to a member that can run the work."""
-        refusal = self._refusal_for(work)
-        if refusal is not None:
-            return result.Failure(refusal)
-        self._queued_at[work] = self._clock.now()
-        self.queue.push(work, self._queued_at[work])
-        loop = asyncio.get_running_loop()
-        self._timers[work] = loop.call_at(work.give_up_at, self._give_up, work)
-        self.dispatch()
-        try:
-            return await work.connection
-        except asyncio.CancelledError:
-            self._return_unused(work)
-            raise
-        finally:
-            self.queue.remove(work)
-            self._timers.pop(work).cancel()
-            del self._queued_at[work]
-
-    def _return_unused(self, work: work_queue.Work) -> None:
-        """Return the connection of work that has been cancelled."""
-        if work.connection.done() and not work.connection.cancelled():
-            given = work.connection.result().value_or(None)
-            if given is not None:
-                given.pool.give_back(given)
-
-    def _refusal_for(self, work: work_queue.Work) -> errors.Failure | None:
-        """Return a failure if work cannot be served in time."""
-        now = self._clock.now()
-        left_s = work.give_up_at - now
-        if work.member is not None:
-            return self._refusal_for_backlog(work, left_s)
-        if (
-            work.primary_only
-            and self.isolated
-            and not self._primary_is_local()
-        ):
-            return errors.Failure(
-                errors.ErrorKind.NO_PRIMARY,
-                f"the primary of group {self.id} is unreachable",
-                retry_after_ms=ISOLATED_RETRY_MS,
-            )
-        if work.primary_only and self._primary_has_drained():
-            return errors.Failure(
-                errors.ErrorKind.NO_PRIMARY,
-                f"the primary of group {self.id} leaves and is not replaced",
-                retry_after_ms=REPLACEMENT_RETRY_MS,
-            )
-        if work.primary_only and self.primary.expected_at is not None:
-            due_s = self.primary.expected_at - now
-            if due_s > left_s:
-                return errors.Failure(
-                    errors.ErrorKind.NO_PRIMARY,
-                    f"group {self.id} is waiting for a new primary",
-                    retry_after_ms=int(due_s * 1000),
-                )
-        return self._refusal_for_backlog(work, left_s)
-
-    def _refusal_for_backlog(
-        self, work: work_queue.Work, left_s: float
-    ) -> errors.Failure | None:
-        """Return a failure if the queue is too long for work."""
-        connections = sum(
-            pool.share.hard_limit for pool in self._possible_pools(work)
-        )
-        wait_s = self.queue.wait_s(work, connections, self._clock.now())
-        if wait_s <= left_s:
-            return None
-        return errors.Failure(
-            errors.ErrorKind.OVERLOADED,
-            f"{len(self.queue)} statements are queued for group {self.id}",
-            retry_after_ms=int((wait_s - left_s) * 1000),
-        )
+        return await self._group_queue.acquire(work)
 
     def refuse_unservable(self) -> None:
         """Refuse queued work whose deadline is before the next primary."""
-        for work in self.queue.in_order(self._clock.now()):
-            if work.connection.done() or not work.primary_only:
-                continue
-            refusal = self._refusal_for(work)
-            if refusal is not None:
-                self.queue.remove(work)
-                work.connection.set_result(result.Failure(refusal))
-
-    def _give_up(self, work: work_queue.Work) -> None:
-        if work.connection.done():
-            return
-        kind = errors.ErrorKind.OVERLOADED
-        if work.primary_only and self.primary.leadership.member is None:
-            kind = errors.ErrorKind.NO_PRIMARY
-        failure = errors.Failure(kind, f"no connection to group {self.id}")
-        work.connection.set_result(result.Failure(failure))
-        self.queue.remove(work)
-
-    def _primary_has_drained(self) -> bool:
-        """Return whether the primary gets no work any more as it leaves.
+        self._group_queue.refuse_unservable()
 
-        A new one that is about to lead is waited for.
-        """
-        pool = self.primary.pool()
-        return (
-            pool is not None
-            and not pool.takes_new_work(self._drain_s)
-            and self.primary.expected_at is None
+    def has_free(self, work: work_queue.Work) -> bool:
+        """Return whether a connection is free for work."""
+        return any(
+            pool.has_idle_for(work.account) and pool.has_room(work.account)
+            for pool in self._eligible_pools(work, self._clock.now())
         )
 
-    def _primary_is_local(self) -> bool:
-        """Return whether the primary is in this failure domain."""
-        pool = self.primary.pool()
-        return pool is not None and pool.entry.domain == self._domain
-
     def trim(self) -> None:
         """Close idle connections above the soft limit after a burst."""
         for pool in self.pool_by_member.values():
@@ -354,7 +256,8 @@
         """Return a connection to its pool after the work."""
         now = self._clock.now()
         held_s = now - connection.taken_at
-        self.queue.record_hold_time(held_s)
+        if connection.served:
+            self.queue.record_hold_time(held_s)
         account, connection.charged_to = connection.charged_to, None
         if account is not None:
             self.queue.record_end(
@@ -402,7 +305,7 @@
             ):
                 continue
             connection = chosen.take(work.value_by_name, work.shape, account)
-            connection.charged_to = work.account
+            connection.charged_to, connection.served = work.account, False
             connection.expected_hold_s = self.queue.record_start(work, now)
             connection.channel.set_urgency(
                 work.priority, work.goal_at - now, work.give_up_at - now
@@ -429,7 +332,7 @@
         return (
             work.account is not None
             and pool.opening_for(work.account) > 0
-            and now - self._queued_at.get(work, now) < LEFT_OUT_S
+            and self._group_queue.waited_s(work, now) < LEFT_OUT_S
         )
 
     def _dispatch_again(self) -> None:
@@ -460,21 +363,21 @@
             pool.awaited = set()
         # Without accounts one stands for all: a long queue costs nothing.
         for work in works if self._mixed else works[:1]:
-            for pool in self._possible_pools(work):
+            for pool in self.possible_pools(work):
                 pool.awaited.add(work.account)
 
     def _left_out(self, work: work_queue.Work, now: float) -> bool:
         """Return whether work has waited as its account has no connection."""
         if not self._mixed or (
-            now - self._queued_at.get(work, now) < LEFT_OUT_S
+            self._group_queue.waited_s(work, now) < LEFT_OUT_S
         ):
             return False
         return not any(
             pool.has_connection(work.account)
-            for pool in self._possible_pools(work)
+            for pool in self.possible_pools(work)
         )
 
-    def _possible_pools(
+    def possible_pools(
         self, work: work_queue.Work
     ) -> list[member_pool.MemberPool]:
         """Return the pools of the members that work may be meant for."""
@@ -625,7 +528,7 @@
             account, self._left_out(work, now)
         ):
             return
-        waited_s = now - self._queued_at.get(work, now)
+        waited_s = self._group_queue.waited_s(work, now)
         if (
             account is None
             or waited_s >= member_choice.HANDSHAKE_S
--- a/burdockcart/process/gateway/members/pooled_connection.py
+++ b/burdockcart/process/gateway/members/pooled_connection.py
@@ -38,6 +38,9 @@
         #: Account that it was taken for, and the expected hold time.
         self.charged_to: ids.AccountName | None = None
         self.expected_hold_s = 0.0
+        #: Whether a member has run a statement of its work.  What a member
+        #: refuses takes no time and says nothing about that of other work.
+        self.served = False
         self.idle_since = 0.0
         #: Whether a statement runs or is about to; False while a transaction
         #: is idle.
--- a/burdockcart/process/gateway/sessions/attempts.py
+++ b/burdockcart/process/gateway/sessions/attempts.py
@@ -327,8 +327,9 @@
 
         """
         health = connection.pool.health
+        sent_at = self.loop_clock.now()
         ticket = health.record_sent(
-            self.loop_clock.now(),
+            sent_at,
             waits_for_replica,
             connection.channel.relay_silent,
         )
@@ -341,10 +342,15 @@
             fault = refusals.fault_of_member(connection, answer)
             now = self.loop_clock.now()
             health.record_ended(ticket, now, fault)
+            connection.served |= fault not in member_channel.NOT_RUN
         if fault is member_channel.MemberFault.QUEUE_FULL:
             connection.pool.limit.record_refusal(health.running, now)
         elif fault is None:
-            connection.pool.limit.record_answer()
+            # The time of a write also depends on a replica.
+            measured = connection.channel.direct and not waits_for_replica
+            connection.pool.limit.record_answer(
+                now - sent_at if measured else None, now
+            )
         if answer.fault is member_channel.MemberFault.UNKNOWN_NAME:
             # What the member lost on one connection it may have lost on all,
             # values included, which it would not report.
--- a/burdockcart/request/member_limit.py
+++ b/burdockcart/request/member_limit.py
@@ -31,14 +31,14 @@
 FULL_FOR_S = 0.5
 
 
-#: Weight of a running time in the moving average: about the last ten.
-WEIGHT = 0.1
+#: Weight of a running time in the moving average: about the last five.
+WEIGHT = 0.2
 #: Factor on the least moving average above which statements wait at the
 #: member.  The least average of running times that vary as much as their mean
 #: is about half of that mean.
 SLOWER = 2.5
 #: Factor on the limit when statements wait at the member.
-DECREASE_WHEN_SLOWER = 0.9
+DECREASE_WHEN_SLOWER = 0.8
 #: Half of the time for which the least average is kept, in seconds: a member
 #: that has become slower counts as that after twice the time.
 LEAST_KEPT_S = 2.5
--- a/burdockcart/request/queue_admission.py
+++ b/burdockcart/request/queue_admission.py
@@ -1,21 +1,77 @@
-"""Refuses work that a queue cannot serve in time."""
+"""Refuses work on arrival that a queue is not expected to serve.
+
+Explanation
+===========
+
+Load pattern: hundreds of statements arrive at once and are refused.  Clients
+that are all told the same time come back at once and are refused again, so the
+retry time is spread by a random factor.
+
+The estimate of the wait counts all work of at least the same priority as
+ahead.  But in a backlog the newest work goes first, and some of what waits
+gives up, so work is refused only when the estimate exceeds its limit by a
+factor: refusing at the estimate itself served less in the replay
+(docs/design/queue-policies.md).
+"""
 
 import random
+from typing import Callable
+
 import msgspec
 
 from burdockcart.request import work_queue
 
+#: Factor by which the estimated wait may exceed the time that is left.
+WAIT_FACTOR = 2.0
+#: Shortest retry time before it is spread, in seconds; two statements.
+RETRY_MIN_S = 0.05
+#: Range of the random factor on a retry time.  It never becomes shorter than
+#: the time at which capacity is expected.
+RETRY_JITTER = (1.0, 2.0)
+
 
 class Refusal(msgspec.Struct, frozen=True):
-    """Work that is refused, and when capacity is expected, in seconds."""
+    """Refused work.
+
+    Parameters
+    ==========
+
+    retry_s : float
+        Time after which its client should try again, in seconds.
+
+    """
 
     retry_s: float
 
 
 class Admission:
-    """Former decisions."""
+    """Decides whether work may join a queue.
 
-    def __init__(self, queue: work_queue.WorkQueue, seed: int = 0):
+    Parameters
+    ==========
+
+    seed : int or str
+        Seed of the jitter in retry times.
+
+    Examples
+    ========
+
+    >>> from burdockcart.request import queue_admission
+    >>> from burdockcart.request import work_queue
+    >>> queue = work_queue.WorkQueue()
+    >>> work = work_queue.Work(
+    ...     priority=1, goal_at=0.1, give_up_at=0.1, connection=None)
+    >>> for _ in range(100):
+    ...     queue.push(work)
+    >>> admission = queue_admission.Admission(queue)
+    >>> admission.refusal(work, 2, 0.0, lambda: False).retry_s > 1.2
+    True
+    >>> admission.refusal(work, 2, 0.0, lambda: True) is None
+    True
+
+    """
+
+    def __init__(self, queue: work_queue.WorkQueue, seed: int | str = 0):
         self._queue = queue
         self._random = random.Random(seed)
 
@@ -24,16 +80,32 @@
         work: work_queue.Work,
         connections: int,
         now: float,
-        free: bool = False,
+        is_free: Callable[[], bool],
     ) -> Refusal | None:
+        """Return why work may not join the queue, or None.
+
+        Parameters
+        ==========
+
+        connections : int
+            Statements that the usable members may get at the same time.
+        is_free : callable
+            Returns whether a connection is free for the work, which is then
+            not refused, whatever waits for other members.
+
+        """
         wait_s = self._queue.wait_s(work, connections, now)
         left_s = work.give_up_at - now
-        if wait_s <= left_s:
+        if wait_s <= WAIT_FACTOR * left_s or is_free():
             return None
-        return Refusal(wait_s - left_s)
+        return Refusal(self._spread(wait_s - left_s))
 
-    def expired(self, now: float, running_s: float) -> list[work_queue.Work]:
-        return []
+    def retry_s(
+        self, work: work_queue.Work, connections: int, now: float
+    ) -> float:
+        """Return the retry time of work that has waited in vain."""
+        return self._spread(self._queue.wait_s(work, connections, now))
 
-    def record_hold_time(self, work, held_s, served):
-        self._queue.record_hold_time(held_s)
+    def _spread(self, wait_s: float) -> float:
+        longest = self._random.uniform(*RETRY_JITTER)
+        return max(wait_s, RETRY_MIN_S) * longest
--- a/burdockcart/request/work_queue.py
+++ b/burdockcart/request/work_queue.py
@@ -17,7 +17,6 @@
 
 import asyncio
 import itertools
-import math
 
 import msgspec
 
@@ -47,8 +46,6 @@
         Time by which it should be answered, to meet the latency goal.
     give_up_at : float
         Time at which waiting for a connection ends.
-    deadline_at : float
-        Time at which its client gives up.
     position : LogPosition or None
         Position that the member's log must hold; None requires the primary.
     position_age_s : float
@@ -69,7 +66,6 @@
     goal_at: float
     give_up_at: float
     connection: asyncio.Future
-    deadline_at: float = math.inf
     position: log_position.LogPosition | None = None
     position_age_s: float = 0.0
     member: ids.MemberId | None = None
@@ -188,7 +184,7 @@
         ==========
 
         connections : int
-            Connections of this daemon that could serve it.
+            Statements of this daemon that usable members run at a time.
 
         Examples
         ========
