--- a/burdockcart/measure/overload.py
+++ b/burdockcart/measure/overload.py
@@ -51,7 +51,7 @@
         "worst_kind": _served_share(outcomes, "kind")[0],
         "worst_tenth": statistics.fmean(tenth),
         "wasted": replay.wasted_s
-        / (queue_replay.MEMBERS * queue_replay.SLOTS * queue_loads.DURATION_S),
+        / (queue_loads.MEMBERS * queue_loads.SLOTS * queue_loads.DURATION_S),
     }
 
 
--- a/burdockcart/measure/queue_loads.py
+++ b/burdockcart/measure/queue_loads.py
@@ -9,8 +9,9 @@
 import numpy
 
 from burdockcart import ids
-from burdockcart.measure import queue_replay
 
+#: Members of the group, and what each runs at a time.
+MEMBERS, SLOTS = 3, 4
 DURATION_S = 8.0
 #: Share of all slots that the usual load takes.
 UTILISATION = 0.7
@@ -21,6 +22,51 @@
 BUCKET_S = 0.02
 
 
+class Arrival(msgspec.Struct, frozen=True, kw_only=True):
+    """A statement of the load; times are in seconds."""
+
+    at: float
+    kind: str
+    priority: int
+    goal_s: float
+    timeout_s: float
+    running_s: float
+    account: ids.AccountName | None = None
+    writes: bool = False
+
+
+class Load(msgspec.Struct, frozen=True, kw_only=True):
+    """Arrivals, and what happens to the members.
+
+    Parameters
+    ==========
+
+    slow : tuple
+        Member, begin, end and factor on its running times.
+    lost : tuple
+        Member and the time from which it runs nothing.
+    retries : int
+        How often a client repeats what was refused, at the time that it was
+        told; only the last try counts.
+
+    """
+
+    name: str
+    arrivals: tuple[Arrival, ...]
+    slow: tuple[int, float, float, float] = (0, 0.0, 0.0, 1.0)
+    lost: tuple[int, float] = (0, float("inf"))
+    retries: int = 0
+
+    def factor(self, member: int, now: float) -> float:
+        """Return the factor on the running times of a member."""
+        slow, begin, end, factor = self.slow
+        return factor if member == slow and begin <= now < end else 1.0
+
+    def runs(self, member: int, now: float) -> bool:
+        """Return whether a member runs statements."""
+        return member != self.lost[0] or now < self.lost[1]
+
+
 class Kind(msgspec.Struct, frozen=True):
     """A kind of statement; times are in seconds, running times means."""
 
@@ -43,7 +89,7 @@
 
 def _rate(kinds: tuple[Kind, ...]) -> float:
     mean_s = sum(kind.share * kind.running_s for kind in kinds)
-    slots = queue_replay.MEMBERS * queue_replay.SLOTS
+    slots = MEMBERS * SLOTS
     return UTILISATION * slots / mean_s
 
 
@@ -52,7 +98,7 @@
     factor: Callable[[float], float] = lambda at: 1.0,
     hot: float = 0.0,
     long_factor: float = 1.0,
-) -> tuple[queue_replay.Arrival, ...]:
+) -> tuple[Arrival, ...]:
     """Return arrivals at the usual rate times a factor by time.
 
     Parameters
@@ -76,11 +122,9 @@
             yield at
             at += rng.expovariate(mean * factor(at))
 
-    def arrival(
-        at: float, kind: Kind, name: str | None
-    ) -> queue_replay.Arrival:
+    def arrival(at: float, kind: Kind, name: str | None) -> Arrival:
         running_s = rng.expovariate(1 / kind.running_s)
-        return queue_replay.Arrival(
+        return Arrival(
             at=at,
             kind=kind.name,
             priority=kind.priority,
@@ -107,7 +151,7 @@
     return tuple(sorted(found, key=lambda each: each.at))
 
 
-def _herds(seed: int) -> tuple[queue_replay.Arrival, ...]:
+def _herds(seed: int) -> tuple[Arrival, ...]:
     """Return the usual load, and 400 reads at once every 2 s.
 
     Their clients give up early.
@@ -118,7 +162,7 @@
     for second in (1.0, 3.0, 5.0):
         for _ in range(400):
             found.append(
-                queue_replay.Arrival(
+                Arrival(
                     at=second,
                     kind=read.name,
                     priority=read.priority,
@@ -130,7 +174,7 @@
     return tuple(sorted(found, key=lambda each: each.at))
 
 
-def loads(seed: int) -> list[queue_replay.Load]:
+def loads(seed: int) -> list[Load]:
     """Return the loads."""
 
     def during(
@@ -138,7 +182,7 @@
     ) -> Callable[[float], float]:
         return lambda at: factor if begin <= at < end else 1.0
 
-    load = queue_replay.Load
+    load = Load
     usual = _arrivals(seed)
     return [
         load(name="usual", arrivals=usual),
@@ -166,7 +210,7 @@
     ]
 
 
-def bound(load: queue_replay.Load) -> float:
+def bound(load: Load) -> float:
     """Return the most statements that any order could serve in time.
 
     All slots count as one server that may divide statements: then work that
@@ -176,12 +220,10 @@
     latest = max(each.at + each.goal_s for each in load.arrivals)
     buckets = int(latest / BUCKET_S) + 2
     capacity = numpy.zeros(buckets + 1)
-    for bucket, member in itertools.product(
-        range(buckets), range(queue_replay.MEMBERS)
-    ):
+    for bucket, member in itertools.product(range(buckets), range(MEMBERS)):
         now = bucket * BUCKET_S
         if load.runs(member, now):
-            slots = queue_replay.SLOTS / load.factor(member, now)
+            slots = SLOTS / load.factor(member, now)
             capacity[bucket + 1] += slots * BUCKET_S
     total = numpy.cumsum(capacity)
     #: Slot time left in the interval from one bucket to another.
--- a/burdockcart/measure/queue_policies.py
+++ b/burdockcart/measure/queue_policies.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from burdockcart.measure import queue_loads
 from burdockcart.measure import queue_replay
 from burdockcart.request import member_limit
 from burdockcart.request import queue_admission
@@ -108,7 +109,7 @@
 def _limit(
     kind: type[member_limit.MemberLimit],
 ) -> Callable[[], member_limit.MemberLimit]:
-    needed = math.ceil(queue_replay.SLOTS / queue_replay.HOLDERS) + 1
+    needed = math.ceil(queue_loads.SLOTS / queue_replay.HOLDERS) + 1
     return lambda: kind(queue_replay.CONNECTIONS, needed)
 
 
--- a/burdockcart/measure/queue_replay.py
+++ b/burdockcart/measure/queue_replay.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from burdockcart import ids
+from burdockcart.measure import queue_loads
 from burdockcart.request import log_position
 from burdockcart.request import member_limit
 from burdockcart.request import queue_admission
@@ -28,8 +29,7 @@
 from burdockcart.request import work_queue
 
 ONE_WAY_S = 0.0005
-SENDERS, HOLDERS, MEMBERS = 10, 5, 3
-SLOTS, MEMBER_QUEUE = 4, 32
+SENDERS, HOLDERS, MEMBER_QUEUE = 10, 5, 32
 #: Connections of a holder to a member, and relayed ones of a sender.
 CONNECTIONS = 10
 #: Share of the timeout that a statement may wait, as in the sessions.
@@ -44,51 +44,6 @@
 POSITION = log_position.LogPosition(0, 0)
 
 
-class Arrival(msgspec.Struct, frozen=True, kw_only=True):
-    """A statement of the load; times are in seconds."""
-
-    at: float
-    kind: str
-    priority: int
-    goal_s: float
-    timeout_s: float
-    running_s: float
-    account: ids.AccountName | None = None
-    writes: bool = False
-
-
-class Load(msgspec.Struct, frozen=True, kw_only=True):
-    """Arrivals, and what happens to the members.
-
-    Parameters
-    ==========
-
-    slow : tuple
-        Member, begin, end and factor on its running times.
-    lost : tuple
-        Member and the time from which it runs nothing.
-    retries : int
-        How often a client repeats what was refused, at the time that it was
-        told; only the last try counts.
-
-    """
-
-    name: str
-    arrivals: tuple[Arrival, ...]
-    slow: tuple[int, float, float, float] = (0, 0.0, 0.0, 1.0)
-    lost: tuple[int, float] = (0, float("inf"))
-    retries: int = 0
-
-    def factor(self, member: int, now: float) -> float:
-        """Return the factor on the running times of a member."""
-        slow, begin, end, factor = self.slow
-        return factor if member == slow and begin <= now < end else 1.0
-
-    def runs(self, member: int, now: float) -> bool:
-        """Return whether a member runs statements."""
-        return member != self.lost[0] or now < self.lost[1]
-
-
 class Policy(Protocol):
     """Decisions of all nodes."""
 
@@ -117,7 +72,7 @@
         """Return the work that is not expected to be served."""
 
 
-class Outcome(msgspec.Struct):
+class Outcome(msgspec.Struct, eq=False):
     """What became of one arrival.
 
     Parameters
@@ -129,7 +84,7 @@
 
     """
 
-    arrival: Arrival
+    arrival: queue_loads.Arrival
     how: str
     ended_at: float
 
@@ -142,8 +97,8 @@
         self.admission = policy.admission(self.queue, seed)
         self.counts_all = policy.counts_all
         self.member = member
-        self.limits = [policy.limit() for _ in range(MEMBERS)]
-        self.busy = [0] * MEMBERS
+        self.limits = [policy.limit() for _ in range(queue_loads.MEMBERS)]
+        self.busy = [0] * queue_loads.MEMBERS
 
     def free(self, member: int) -> bool:
         """Return whether a connection to a member is free."""
@@ -153,7 +108,7 @@
 class Try(msgspec.Struct, eq=False):
     """One statement on its way, with what happens at its end."""
 
-    arrival: Arrival
+    arrival: queue_loads.Arrival
     node: Node
     work: work_queue.Work
     ended: Callable[[float, "Answer"], None]
@@ -172,7 +127,7 @@
 class Replay:
     """One load under one policy."""
 
-    def __init__(self, load: Load, policy: Policy, seed: int = 1):
+    def __init__(self, load: queue_loads.Load, policy: Policy, seed: int = 1):
         self.load = load
         self.outcomes: list[Outcome] = []
         #: Slot time of statements that ended after their client gave up.
@@ -181,11 +136,11 @@
         self._senders = [Node(policy, seed + n) for n in range(SENDERS)]
         self._holders = [
             [Node(policy, seed + 100 + n, n) for _ in range(HOLDERS)]
-            for n in range(MEMBERS)
+            for n in range(queue_loads.MEMBERS)
         ]
-        self._running = [0] * MEMBERS
+        self._running = [0] * queue_loads.MEMBERS
         self._member_queue: list[list[tuple[Try, Any]]] = [
-            [] for _ in range(MEMBERS)
+            [] for _ in range(queue_loads.MEMBERS)
         ]
         self._events: list[tuple[float, int, Callable[..., None], Any]] = []
         self._serials = itertools.count()
@@ -207,7 +162,9 @@
             action(now, *arguments)
         return self
 
-    def _arrive(self, now: float, arrival: Arrival, repeats: int = 0) -> None:
+    def _arrive(
+        self, now: float, arrival: queue_loads.Arrival, repeats: int = 0
+    ) -> None:
         outcome = Outcome(arrival, "", now)
         self.outcomes.append(outcome)
 
@@ -270,7 +227,9 @@
     ) -> int:
         """Return the connections that an estimate counts."""
         if node.counts_all:
-            listed = 1 if work.primary_only or work.member else MEMBERS
+            listed = (
+                1 if work.primary_only or work.member else queue_loads.MEMBERS
+            )
             return listed * CONNECTIONS
         usable = self._possible(work, now)
         return sum(node.limits[each].statements for each in usable)
@@ -278,7 +237,7 @@
     def _possible(self, work: work_queue.Work, now: float) -> list[int]:
         if work.member is not None:
             return [int(work.member)]
-        members = [0] if work.primary_only else range(MEMBERS)
+        members = [0] if work.primary_only else range(queue_loads.MEMBERS)
         return [each for each in members if self.load.runs(each, now)]
 
     def _give_up(self, now: float, tried: Try) -> None:
@@ -300,7 +259,7 @@
                 each for each in self._possible(work, now) if node.free(each)
             ]
             if not free:
-                if not any(map(node.free, range(MEMBERS))):
+                if not any(map(node.free, range(queue_loads.MEMBERS))):
                     return
                 continue
             member = min(free, key=lambda each: (node.busy[each], each == 0))
@@ -378,7 +337,7 @@
 
     def _run_next(self, now: float, member: int) -> None:
         waiting = self._member_queue[member]
-        while waiting and self._running[member] < SLOTS:
+        while waiting and self._running[member] < queue_loads.SLOTS:
             tried, answered = waiting.pop(0)
             self._running[member] += 1
             took_s = tried.arrival.running_s * self.load.factor(member, now)
--- a/burdockcart/measure/tests/test_queue_replay.py
+++ b/burdockcart/measure/tests/test_queue_replay.py
@@ -37,7 +37,7 @@
         60 statements of 0.1 s arrive at once for 12 slots: 24 are in time.
         """
         arrivals = tuple(
-            queue_replay.Arrival(
+            queue_loads.Arrival(
                 at=0.0,
                 kind="read",
                 priority=1,
@@ -47,7 +47,7 @@
             )
             for _ in range(60)
         )
-        burst = queue_replay.Load(name="one burst", arrivals=arrivals)
+        burst = queue_loads.Load(name="one burst", arrivals=arrivals)
         self.assertAlmostEqual(24, queue_loads.bound(burst), delta=2.5)
         halved = msgspec.structs.replace(burst, lost=(1, 0.1))
         self.assertAlmostEqual(20, queue_loads.bound(halved), delta=2.5)
