--- a/burdockcart/measure/queue_policies.py
+++ b/burdockcart/measure/queue_policies.py
@@ -100,7 +100,7 @@
     """Limit that only refusals decrease."""
 
     def record_answer(
-        self, took_s: float | None = None, now: float = 0.0
+        self, took_s: float | None = None, now: float = 0.0, running: int = 0
     ) -> None:
         """Record that the member answered a statement."""
         super().record_answer()
@@ -109,7 +109,7 @@
 def _limit(
     kind: type[member_limit.MemberLimit],
 ) -> Callable[[], member_limit.MemberLimit]:
-    needed = math.ceil(queue_loads.SLOTS / queue_replay.HOLDERS) + 1
+    needed = math.ceil(queue_loads.SLOTS / queue_replay.HOLDERS) + 2
     return lambda: kind(queue_replay.CONNECTIONS, needed)
 
 
--- a/burdockcart/process/gateway/members/connection_share.py
+++ b/burdockcart/process/gateway/members/connection_share.py
@@ -102,8 +102,10 @@
 def statements_needed(share: Share, connections: int, slots: int) -> int:
     """Return how many statements a daemon needs to use its part of the slots.
 
-    One more waits at the member, so that no slot is idle until the next one
-    arrives.
+    Two more wait at the member, so that no slot is idle until the next one
+    arrives.  With one more, a full link of this daemon, which delays all
+    answers from other domains, moved so much work to the member in its own
+    domain that the daemon took itself for isolated (test_own_link.py).
 
     Parameters
     ==========
@@ -117,14 +119,14 @@
     >>> from burdockcart.process.gateway.members import connection_share
     >>> share = connection_share.share_of(70, 5, uptime_s=60.0)
     >>> connection_share.statements_needed(share, 70, slots=4)
-    2
+    3
     >>> share = connection_share.share_of(16, 1, uptime_s=60.0)
     >>> connection_share.statements_needed(share, 16, slots=4)
-    5
+    6
 
     """
     part = share.hard_limit / max(BURST_SHARE * connections, 1.0)
-    return math.ceil(min(part, 1.0) * slots) + 1
+    return math.ceil(min(part, 1.0) * slots) + 2
 
 
 class DaemonCount:
