--- a/burdockcart/measure/queue_policies.py
+++ b/burdockcart/measure/queue_policies.py
@@ -100,7 +100,7 @@
     """Limit that only refusals decrease."""
 
     def record_answer(
-        self, took_s: float | None = None, now: float = 0.0, running: int = 0
+        self, took_s: float | None = None, now: float = 0.0
     ) -> None:
         """Record that the member answered a statement."""
         super().record_answer()
--- a/burdockcart/measure/queue_replay.py
+++ b/burdockcart/measure/queue_replay.py
@@ -287,9 +287,7 @@
                     tried.arrival.writes
                 )
                 direct_s = held_s if measured else None
-                node.limits[member].record_answer(
-                    direct_s, at, node.busy[member] + 1
-                )
+                node.limits[member].record_answer(direct_s, at)
             elif not answer.lost:
                 node.limits[member].record_refusal(node.busy[member], at)
             if node.member is None and not answer.served:
--- a/burdockcart/process/gateway/sessions/attempts.py
+++ b/burdockcart/process/gateway/sessions/attempts.py
@@ -349,7 +349,7 @@
             # The time of a write also depends on a replica.
             measured = connection.channel.direct and not waits_for_replica
             connection.pool.limit.record_answer(
-                now - sent_at if measured else None, now, health.running + 1
+                now - sent_at if measured else None, now
             )
         if answer.fault is member_channel.MemberFault.UNKNOWN_NAME:
             # What the member lost on one connection it may have lost on all,
--- a/burdockcart/request/member_limit.py
+++ b/burdockcart/request/member_limit.py
@@ -95,7 +95,7 @@
             self._maximum = maximum
 
     def record_answer(
-        self, took_s: float | None = None, now: float = 0.0, running: int = 0
+        self, took_s: float | None = None, now: float = 0.0
     ) -> None:
         """Record that the member answered a statement.
 
@@ -105,13 +105,9 @@
         took_s : float or None
             Time until the answer, in seconds, for a statement that was sent
             to the member itself.
-        running : int
-            Statements that were at the member, including this one; running
-            times decrease the limit only if these were as many as it allows.
 
         """
-        slower = took_s is not None and self._slower(took_s, now)
-        if slower and running >= self.statements:
+        if took_s is not None and self._slower(took_s, now):
             least = min(float(self.needed), self._limit)
             self._limit = max(self._limit * DECREASE_WHEN_SLOWER, least)
             return
--- a/burdockcart/request/tests/test_member_limit.py
+++ b/burdockcart/request/tests/test_member_limit.py
@@ -8,7 +8,7 @@
 def answers(limit, took_s, count, now=0.0):
     """Record answers of one time each 10 ms; return the time after them."""
     for _ in range(count):
-        limit.record_answer(took_s, now, limit.statements)
+        limit.record_answer(took_s, now)
         now += 0.01
     return now
 
