--- a/burdockcart/request/member_limit.py
+++ b/burdockcart/request/member_limit.py
@@ -30,7 +30,6 @@
 #: four times the time in which four slots run 32 statements of 15 ms.
 FULL_FOR_S = 0.5
 
-
 #: Weight of a running time in the moving average: about the last five.
 WEIGHT = 0.2
 #: Factor on the least moving average above which statements wait at the
