--- a/burdockcart/request/work_queue.py
+++ b/burdockcart/request/work_queue.py
@@ -103,6 +103,9 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def __contains__(self, work: Work) -> bool:
+        return work in self._waiting
+
     def push(self, work: Work, now: float = 0.0) -> None:
         """Add work."""
         if not self._waiting:
@@ -184,7 +187,7 @@
         ==========
 
         connections : int
-            Connections of this daemon that could serve it.
+            Statements of this daemon that usable members run at a time.
 
         Examples
         ========
