--- a/burdockcart/process/rates/share_ledger.py
+++ b/burdockcart/process/rates/share_ledger.py
@@ -245,7 +245,10 @@
     ) -> share_terms.Share:
         self._serial += 1
         valid_ms = 0
-        if rate <= 0 and not renews:
+        divided = division.is_divided(self._limit.burst)
+        # The next owner relies on it that no share of an account that is not
+        # divided outlives this one, also if it was continued.
+        if not divided or (rate <= 0 and not renews):
             valid_ms = int(1000 * share_terms.TOKEN_S)
             ends_at = min(ends_at, now + share_terms.TOKEN_S)
         found.add(
--- a/burdockcart/process/rates/tests/test_share_rules.py
+++ b/burdockcart/process/rates/tests/test_share_rules.py
@@ -159,6 +159,16 @@
         later = ledger.answer(HOLDERS[0], 2, told, 14.0, 10.5)
         self.assertEqual([1.0, 0.0], [each.tokens for each in later])
 
+    def test_continued_share_of_a_small_account(self):
+        """It must not outlive an owner whose successor grants at once."""
+        small = share_ledger.Limit(5.0, 5.0)
+        ledger = share_ledger.AccountLedger(small, 10.0, 11.0, 10.0)
+        told = demand(serial=7, burst=4.0)
+        found = ledger.answer(HOLDERS[0], told, False, 14.0, 10.05)
+        self.assertTrue(found.renews)
+        self.assertEqual(1000 * share_terms.TOKEN_S, found.valid_ms)
+        self.assertAlmostEqual(10.15, ledger.ends_at)
+
     def test_account_whose_limit_was_lowered_waits(self):
         """Guards against shares of the former limit that are still in use."""
 
