Move the measure of accounts beside the stand-ins

Cause: test_names.py failed: the measure speaks the platform's protocol and imports its adapter, which code outside burdockcart/platform/ must not do.

Change: it is python -m burdockcart.platform.standin.account_cost now; bounds and rounds are unchanged.

--- a/burdockcart/cmd/measure.py
+++ b/burdockcart/cmd/measure.py
@@ -15,7 +15,6 @@
     "crest",
     "short_long",
     "statement_cost",
-    "account_cost",
     "failover_gap",
     "handover_gap",
     "tables",
--- a/burdockcart/measure/account_cost.py
+++ b/burdockcart/platform/standin/account_cost.py
@@ -12,6 +12,7 @@
 
 """
 
+import argparse
 import asyncio
 import contextlib
 import dataclasses
@@ -20,13 +21,13 @@
 import pathlib
 import random
 import statistics
+import sys
 import tempfile
 from typing import Any
 from typing import AsyncIterator
 from typing import Iterator
 from typing import Mapping
 
-from burdockcart.emulator import deployment
 from burdockcart.measure import line
 from burdockcart.platform.standin import account_book
 from burdockcart.platform.standin import account_play
@@ -340,13 +341,10 @@
     return costs_by_variant
 
 
-def measure(
-    chosen: deployment.Deployment, seed: int, folder: pathlib.Path
-) -> list[line.Line]:
+def measure(seed: int) -> list[line.Line]:
     """Return ``account_cost`` of unlimited, divided and small accounts.
 
-    The deployment is always the one of the stand-ins.  Accounts without a
-    rate have no bound.
+    Accounts without a rate have no bound.
     """
     costs_by_variant = asyncio.run(_run(seed))
     bare = costs_by_variant[Variant.NONE]
@@ -359,7 +357,7 @@
         lines.append(
             line.Line(
                 "account_cost",
-                chosen.name,
+                "standin",
                 value,
                 bound,
                 bound is None or value < bound,
@@ -375,3 +373,21 @@
             )
         )
     return lines
+
+
+def main() -> int:
+    """Print the measure; return 1 if a bound does not hold."""
+    parser = argparse.ArgumentParser(
+        prog="python -m burdockcart.platform.standin.account_cost",
+        description="Measure the CPU time of a statement with a key and a "
+        "rate against one without accounts.",
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    lines = measure(parser.parse_args().seed)
+    for each in lines:
+        print(each, flush=True)
+    return 0 if all(each.holds for each in lines) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/burdockcart/measure/tests/test_account_cost.py
+++ b/burdockcart/platform/standin/tests/test_account_cost.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from burdockcart.measure import account_cost
 from burdockcart.platform import formats
+from burdockcart.platform.standin import account_cost
 
 Variant = account_cost.Variant
 
