Report no open connection of a suspended daemon in the soak

Change: NOAUTH is not reported for a connection of a daemon whose suspension began within the 2 s in which it had to be closed.

--- a/burdockcart/soak/account_checks.py
+++ b/burdockcart/soak/account_checks.py
@@ -17,6 +17,7 @@
 
 from burdockcart.soak import account_history
 from burdockcart.soak import history as histories
+from burdockcart.soak import schedule
 from burdockcart.soak import violation
 
 Record = account_history.AccountRecord
@@ -25,6 +26,8 @@
 
 #: Ids that a violation of several statements names.
 MAX_IDS = 3
+#: Time in which a refused connection has to be closed, in seconds.
+CLOSED_S = 2.0
 #: The page asks for the rollback of a transaction whose key was removed.
 ALLOWED_AFTER_REMOVAL = frozenset({"ROLLBACK"})
 
@@ -242,7 +245,8 @@
     """NOAUTH: a key of no manifest got another answer, or stays connected.
 
     A daemon that answers nothing, as one that ends, is not reported.  One
-    that stops, or that may not have read a manifest yet, may answer BUSY.
+    that stops, or that may not have read a manifest yet, may answer BUSY, and
+    one that is suspended closes nothing.
     """
     known = record.keys()
     for each in record.startups:
@@ -250,6 +254,8 @@
         if each.answer == "BUSY" and _may_be_busy(history, limits, each):
             continue
         if each.answer == "NOAUTH" and not each.closed:
+            if _suspended(history, each):
+                continue
             message = "connection stays open after NOAUTH"
         elif each.answer not in ("", "NOAUTH") and each.key not in known:
             message = f"unknown key answered with {each.answer}"
@@ -257,6 +263,19 @@
             yield Violation("NOAUTH", message, each.sent_at, (), each.daemon)
 
 
+def _suspended(
+    history: histories.History, startup: account_history.Startup
+) -> bool:
+    """Return whether a daemon was suspended before it had to close."""
+    return any(
+        each.kind == schedule.Kind.FREEZE.value
+        and f"d{each.target}" == startup.daemon
+        and each.begin <= startup.sent_at + CLOSED_S
+        and startup.sent_at <= each.end
+        for each in history.disturbances
+    )
+
+
 def _may_be_busy(
     history: histories.History,
     limits: violation.AccountLimits,
--- a/burdockcart/soak/tests/test_account_checks.py
+++ b/burdockcart/soak/tests/test_account_checks.py
@@ -336,6 +336,25 @@
         stays = self.startup(KEY, "NOAUTH", closed=False)
         self.check(["NOAUTH"], [], startups=stays)
 
+    def test_suspended_daemon(self):
+        """Guards against a report of a daemon that was suspended meanwhile."""
+        stays = self.startup("key-none", "NOAUTH", closed=False)
+        for name, begin, expected in (
+            ("0", 1.0, []),
+            ("1", 1.0, ["NOAUTH"]),
+            ("0", 2.5, ["NOAUTH"]),
+        ):
+            at = stays[0].sent_at + begin
+            suspended = histories.Disturbance(
+                "freeze", name, at, at + 6.0, False
+            )
+            history = histories.History(
+                disturbances=[suspended],
+                accounts=account_history.AccountRecord(startups=stays),
+            )
+            found = checks.violations(history, test_checks.LIMITS)
+            self.assertEqual(expected, [each.rule for each in found])
+
     def test_no_answer(self):
         """Guards against a report of a daemon that ends meanwhile."""
         self.check([], [], startups=self.startup("key-none", ""))
