Start all sites of stand-ins in one place

Cause: the soak, the measure of accounts and the tests of untrusted clients each chose loopback addresses and retried on their own, 20 lines each.

Change: site_start.start_on_free_addresses serves all three; a site knows its prefix. Crowds and bounds of the tests are unchanged.

--- a/burdockcart/platform/standin/account_cost.py
+++ b/burdockcart/platform/standin/account_cost.py
@@ -17,7 +17,6 @@
 import contextlib
 import dataclasses
 import enum
-import os
 import pathlib
 import random
 import statistics
@@ -32,8 +31,8 @@
 from burdockcart.platform.standin import account_book
 from burdockcart.platform.standin import account_play
 from burdockcart.platform.standin import daemons
-from burdockcart.platform.standin import member_link
 from burdockcart.platform.standin import site as sites
+from burdockcart.platform.standin import site_start
 from burdockcart.soak import account_history
 from burdockcart.soak import history as histories
 
@@ -244,29 +243,18 @@
     return {}
 
 
-async def _start_site(
-    book: account_book.AccountBook | None, offset: int
-) -> tuple[sites.Site, str]:
-    """Start stand-ins on free loopback addresses; return the prefix too."""
-    owners: member_link.Owners = _no_owners
-    for attempt in range(20):
-        number = (os.getpid() + offset + attempt * 7919) % 60000
-        prefix = f"127.{16 + number // 250}.{1 + number % 250}"
-        site = sites.Site(
+async def _start_site(book: account_book.AccountBook | None) -> sites.Site:
+    """Start stand-ins on free loopback addresses."""
+    return await site_start.start_on_free_addresses(
+        lambda prefix: sites.Site(
             prefix,
             histories.History(),
             lambda *_args, **_fields: None,
             CONNECTIONS,
-            owners,
+            _no_owners,
             book,
         )
-        try:
-            await site.start()
-        except OSError:
-            site.stop()
-            continue
-        return site, prefix
-    raise RuntimeError("no free loopback addresses")
+    )
 
 
 def _started(
@@ -287,15 +275,13 @@
 
 
 @contextlib.asynccontextmanager
-async def _running(
-    variant: Variant, seed: int, offset: int
-) -> AsyncIterator[_Deployment]:
+async def _running(variant: Variant, seed: int) -> AsyncIterator[_Deployment]:
     """Run a deployment until the context ends."""
     book = _accounts(variant, seed)
-    site, prefix = await _start_site(book, offset)
+    site = await _start_site(book)
     with tempfile.TemporaryDirectory() as folder:
         settings = "" if book is None else account_play.SETTINGS
-        started = list(_started(prefix, pathlib.Path(folder), settings))
+        started = list(_started(site.prefix, pathlib.Path(folder), settings))
         work = [site.run()]
         work += [each.run() for each in started]
         work += [each.watch_ready() for each in started]
@@ -325,10 +311,8 @@
     costs_by_variant: dict[Variant, list[float]] = {e: [] for e in Variant}
     async with contextlib.AsyncExitStack() as stack:
         deployment_by_variant = {
-            variant: await stack.enter_async_context(
-                _running(variant, seed, place)
-            )
-            for place, variant in enumerate(Variant)
+            variant: await stack.enter_async_context(_running(variant, seed))
+            for variant in Variant
         }
         await asyncio.gather(
             *(each.measure_idle() for each in deployment_by_variant.values())
--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -108,6 +108,7 @@
         owners: member_link.Owners,
         book: account_book.AccountBook | None = None,
     ):
+        self.prefix = prefix
         self._history = history
         self._owners = owners
         self._book = book
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import json
-import os
 import pathlib
 import random
 import signal
@@ -21,6 +20,7 @@
 from burdockcart.platform.standin import peer_processes
 from burdockcart.platform.standin import site as sites
 from burdockcart.platform.standin import site_faults
+from burdockcart.platform.standin import site_start
 from burdockcart.platform.standin import store_server
 from burdockcart.soak import account_cases
 from burdockcart.soak import account_schedule
@@ -174,10 +174,8 @@
 
     async def _start_site(self) -> sites.Site:
         """Start the stand-ins on loopback addresses that are free."""
-        for attempt in range(20):
-            number = (os.getpid() + attempt * 7919) % 60000
-            prefix = f"127.{16 + number // 250}.{1 + number % 250}"
-            site = sites.Site(
+        site = await site_start.start_on_free_addresses(
+            lambda prefix: sites.Site(
                 prefix,
                 self.history,
                 self.note,
@@ -185,17 +183,11 @@
                 self._owners,
                 None if self._accounts is None else self._accounts.book,
             )
-            try:
-                await site.start()
-            except OSError:
-                site.stop()
-                continue
-            self._prefix = prefix
-            if self._accounts is not None:
-                self._accounts.begin(site)
-            self._spawn(site.run())
-            return site
-        raise RuntimeError("no free loopback addresses")
+        )
+        if self._accounts is not None:
+            self._accounts.begin(site)
+        self._spawn(site.run())
+        return site
 
     def _owners(self, host: str, port: int) -> dict[int, str]:
         """Return the daemons that have connections to a member, by port."""
@@ -212,7 +204,7 @@
             daemons.Daemon(
                 f"d{place}",
                 sites.ZONES[place % len(sites.ZONES)],
-                f"{self._prefix}.{place + 1}",
+                f"{self._site.prefix}.{place + 1}",
                 store,
                 self.folder,
                 GRACE_S,
--- a/burdockcart/platform/tests/crowded_daemon.py
+++ b/burdockcart/platform/tests/crowded_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import os
 import pathlib
 import resource
@@ -15,6 +14,7 @@
 from burdockcart.platform import ready
 from burdockcart.platform.standin import daemons
 from burdockcart.platform.standin import site
+from burdockcart.platform.standin import site_start
 from burdockcart.soak import history as histories
 
 DATABASE = b"live1"
@@ -29,31 +29,19 @@
 MAX_FDS = 4300
 MIB = 1024 * 1024
 MEMBER_CONNECTIONS = 40
-#: Numbers of the tests of this process, which each have addresses of their
-#: own: two suites on one machine took the same fixed addresses.
-_NUMBERS = itertools.count()
-ATTEMPTS = 20
 
 
 async def start_site():
-    """Start a store and members on free addresses; return their prefix."""
-    for _ in range(ATTEMPTS):
-        number = (os.getpid() + next(_NUMBERS) * 7919) % 60000
-        prefix = f"127.{16 + number // 250}.{1 + number % 250}"
-        place = site.Site(
+    """Start a store and members on free addresses."""
+    return await site_start.start_on_free_addresses(
+        lambda prefix: site.Site(
             prefix,
             histories.History(),
             lambda *args, **fields: None,
             MEMBER_CONNECTIONS,
             lambda host, port: {},
         )
-        try:
-            await place.start()
-        except OSError:
-            place.stop()
-            continue
-        return prefix, place
-    raise OSError("no free loopback addresses")
+    )
 
 
 class Refused(Exception):
@@ -96,7 +84,7 @@
             client_port=daemons.CLIENT_PORT,
             ready_port=daemons.READY_PORT,
             peer_port=daemons.PEER_PORT,
-            store=f"{self._prefix}.250:{site.STORE_PORT}",
+            store=f"{self._site.prefix}.250:{site.STORE_PORT}",
             bootstrap="true",
             grace_s=2,
             drain_ms=2000,
@@ -279,9 +267,11 @@
             asyncio.run(self._play(act, folder))
 
     async def _play(self, act, folder):
-        prefix, place = await start_site()
+        place = await start_site()
         beat = asyncio.create_task(place.run())
-        daemon = DaemonProcess(prefix, folder, self.max_fds, self.settings)
+        daemon = DaemonProcess(
+            place.prefix, folder, self.max_fds, self.settings
+        )
         watch = None
         try:
             await daemon.start()
