Prune the reports of holders when one arrives, and record positions once

Cause: whether holders reach a member is asked for each piece of queued work, and each time the table of reports was built anew. The position in an answer was recorded by exchange() and again by learn().

Change: reports are pruned when one is recorded. learn() records the position again only for a replica that was behind, whose older reports it has just dropped.

--- a/burdockcart/process/gateway/sessions/attempts.py
+++ b/burdockcart/process/gateway/sessions/attempts.py
@@ -449,15 +449,16 @@
             return
         now = self.loop_clock.now()
         assert work.position is not None
-        if answer.fault is member_channel.MemberFault.BEHIND:
-            pool.reports.record_lack(work.position, now)
         if answer.position is not None:
             pool.lag.record_position(answer.position)
-            pool.reports.record(answer.position, now)
         if answer.fault is None:
             pool.lag.record_success(work.position_age_s, now)
         elif answer.fault is member_channel.MemberFault.BEHIND:
             pool.lag.record_refusal(work.position, work.position_age_s, now)
+            pool.reports.record_lack(work.position, now)
+            if answer.position is not None:
+                # Reports of before may have been dropped just now.
+                pool.reports.record(answer.position, now)
 
     def remember_commit(
         self, session: Session, answer: member_channel.Answer
--- a/burdockcart/request/member_evidence.py
+++ b/burdockcart/request/member_evidence.py
@@ -210,6 +210,12 @@
 
     def record(self, holder: ids.DaemonId, reachable: bool, at: float) -> bool:
         """Record what a holder found; return whether that is a change."""
+        # Not at each look, which every piece of queued work takes.
+        self._report_by_holder = {
+            each: report
+            for each, report in self._report_by_holder.items()
+            if at - report.at < FRESH_S
+        }
         known = self._report_by_holder.get(holder)
         if known is not None and at <= known.at:
             return False
@@ -217,13 +223,12 @@
         return known is None or known.reachable is not reachable
 
     def _recent(self, now: float) -> list[_Report]:
-        """Return the reports that count; forget the others."""
-        self._report_by_holder = {
-            holder: report
-            for holder, report in self._report_by_holder.items()
+        """Return the reports that count."""
+        return [
+            report
+            for report in self._report_by_holder.values()
             if now - report.at < FRESH_S
-        }
-        return list(self._report_by_holder.values())
+        ]
 
     def unreached(self, now: float) -> bool:
         """Return whether no holder is expected to reach the member."""
