Ask daemons over their links in one place

Cause: reports, offers and requests for tokens each opened a link, sent a request and mapped timeouts and refused connections to no answer.

Change: link_request.ask does; the three carriers build their messages only.

--- /dev/null
+++ b/burdockcart/process/peers/link_request.py
@@ -0,0 +1,37 @@
+"""Asks a daemon over its link, which is opened if need be."""
+
+import asyncio
+from typing import Callable
+
+from burdockcart.process.gateway.store import coordination
+from burdockcart.process.peers import messages
+from burdockcart.process.peers import relay_connector
+
+
+async def ask(
+    links: relay_connector.HolderLinks,
+    entry: coordination.DaemonEntry,
+    build: Callable[[int], messages.Request],
+    timeout_s: float,
+) -> messages.Reply | None:
+    """Ask a daemon, also one that leaves or that failed lately.
+
+    Returns None without an answer in time, which includes opening the link.
+
+    Parameters
+    ==========
+
+    build : callable
+        Returns the request with a number.
+    timeout_s : float
+        Timeout, in seconds.
+
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            link = await links.reach(entry)
+            if link is None:
+                return None
+            return await link.request(build, timeout_s)
+    except (TimeoutError, ConnectionRefusedError):
+        return None
--- a/burdockcart/process/peers/peer_offers.py
+++ b/burdockcart/process/peers/peer_offers.py
@@ -1,10 +1,10 @@
 """Offers of shards on the links between daemons, and their answers."""
 
-import asyncio
 from typing import Awaitable
 from typing import Callable
 
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.peers import link_request
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.rates import share_terms
@@ -30,23 +30,18 @@
         timeout_s: float,
     ) -> bool:
         """Offer a shard; False if it is refused, or without an answer."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                link = await self._links.reach(daemon)
-                if link is None:
-                    return False
-                reply = await link.request(
-                    lambda number: messages.ShardOffer(
-                        number,
-                        offer.shard,
-                        offer.position,
-                        offer.take,
-                        offer.shares_end_ms,
-                    ),
-                    timeout_s,
-                )
-        except (TimeoutError, ConnectionRefusedError):
-            return False
+        reply = await link_request.ask(
+            self._links,
+            daemon,
+            lambda number: messages.ShardOffer(
+                number,
+                offer.shard,
+                offer.position,
+                offer.take,
+                offer.shares_end_ms,
+            ),
+            timeout_s,
+        )
         return isinstance(reply, messages.ShardOffered) and reply.ready
 
     async def offered(
--- a/burdockcart/process/peers/peer_reserve.py
+++ b/burdockcart/process/peers/peer_reserve.py
@@ -1,9 +1,9 @@
 """Requests for tokens of the rate reserve on the links between daemons."""
 
-import asyncio
 from typing import Callable
 
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.peers import link_request
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.peers import reserve_messages
 from burdockcart.process.rates import reserve_requests
@@ -35,20 +35,15 @@
         counts: reserve_requests.Counts,
     ) -> reserve_requests.Tokens | None:
         """Ask a daemon; None without an answer while it could be used."""
-        try:
-            async with asyncio.timeout(share_terms.TOKEN_S):
-                # Also a daemon that leaves: it has its permit still.
-                link = await self._links.reach(daemon)
-                if link is None:
-                    return None
-                reply = await link.request(
-                    lambda number: reserve_messages.ReserveRequest(
-                        number, shard, counts
-                    ),
-                    share_terms.TOKEN_S,
-                )
-        except (TimeoutError, ConnectionRefusedError):
-            return None
+        # Also a daemon that leaves: it has its permit still.
+        reply = await link_request.ask(
+            self._links,
+            daemon,
+            lambda number: reserve_messages.ReserveRequest(
+                number, shard, counts
+            ),
+            share_terms.TOKEN_S,
+        )
         if not isinstance(reply, reserve_messages.ReserveTokens):
             return None
         return reserve_requests.Tokens(reply.counts, reply.permitted)
--- a/burdockcart/process/peers/peer_shares.py
+++ b/burdockcart/process/peers/peer_shares.py
@@ -1,10 +1,10 @@
 """Reports of demand on the links between daemons, and their answers."""
 
-import asyncio
 from typing import Callable
 
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.peers import link_request
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.rates import share_terms
@@ -30,18 +30,13 @@
         self, daemon: coordination.DaemonEntry, report: share_terms.Report
     ) -> share_terms.Answer | None:
         """Report to a daemon; None without an answer in time."""
-        try:
-            async with asyncio.timeout(TIMEOUT_S):
-                # Also to a daemon that leaves: it may be the owner still.
-                link = await self._links.reach(daemon)
-                if link is None:
-                    return None
-                reply = await link.request(
-                    lambda number: messages.ShareReport(number, report),
-                    TIMEOUT_S,
-                )
-        except (TimeoutError, ConnectionRefusedError):
-            return None
+        # Also to a daemon that leaves: it may be the owner still.
+        reply = await link_request.ask(
+            self._links,
+            daemon,
+            lambda number: messages.ShareReport(number, report),
+            TIMEOUT_S,
+        )
         return reply.answer if isinstance(reply, messages.Shares) else None
 
     def reported(
