Share the order of daemons, the waits and what is passed over in the rates

Cause: reports without an owner sorted all daemons by hash each 0.1 s, beside the reserve, which kept the same order; four loops had the same wait for an event with a timeout, as had two older ones; two classes kept daemons that did not answer for 1 s. Null objects of the reserve repeated its signatures.

Change: ShardOrder is built once a shard for reports and reserve; event_wait and PassedOver serve all; without a reserve there is None. A property of the line reader that nothing used is gone. The assertions of the tests are unchanged; two of them share the start of their senders.

--- a/burdockcart/platform/line_reader.py
+++ b/burdockcart/platform/line_reader.py
@@ -60,11 +60,6 @@
         #: Time at which data last arrived.
         self.received_at = self._clock.now()
 
-    @property
-    def in_line(self) -> bool:
-        """Whether part of a line has arrived."""
-        return bool(self._buffer)
-
     async def read(self) -> bytes:
         """Return the next line without its end.
 
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -13,6 +13,7 @@
 from burdockcart.connection import member_channel
 from burdockcart.connection import own_link
 from burdockcart import errors
+from burdockcart import event_wait
 from burdockcart import ids
 from burdockcart.process.accounts import key_evidence
 from burdockcart.process.accounts import key_metrics
@@ -273,11 +274,7 @@
 
         Before that, this daemon does not know which members it holds.
         """
-        try:
-            async with asyncio.timeout(SETTLE_TIMEOUT_S):
-                await self.tables.settled.wait()
-        except TimeoutError:
-            pass
+        await event_wait.until_set(self.tables.settled, SETTLE_TIMEOUT_S)
 
     async def _run_rates(self) -> None:
         """Take part in the rates of accounts until cancelled.
--- a/burdockcart/process/gateway/store/store_era.py
+++ b/burdockcart/process/gateway/store/store_era.py
@@ -13,6 +13,7 @@
 
 import asyncio
 
+from burdockcart import event_wait
 from burdockcart import ids
 
 #: Bits of a revision within its era; they last for ten years at 3,200 writes
@@ -83,8 +84,4 @@
         """Wait until an answer shows another era, or until the timeout."""
         if self.current != era:
             return
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
-        except TimeoutError:
-            pass
+        await event_wait.until_set(self._changed, timeout_s)
--- a/burdockcart/process/rates/account_rates.py
+++ b/burdockcart/process/rates/account_rates.py
@@ -9,6 +9,7 @@
 
 from burdockcart import clock
 from burdockcart import errors
+from burdockcart import event_wait
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import local_shares
@@ -18,6 +19,7 @@
 from burdockcart.process.rates import reserve_requests
 from burdockcart.process.rates import shard_keeper
 from burdockcart.process.rates import shard_offers
+from burdockcart.process.rates import shard_order
 from burdockcart.process.rates import shard_reports
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
@@ -79,6 +81,9 @@
             )
             for shard in shards
         }
+        self._orders = {
+            shard: shard_order.ShardOrder(shard, daemons) for shard in shards
+        }
         self._offers = {
             shard: shard_offers.ShardOffers(
                 shard,
@@ -100,6 +105,7 @@
                 self._local,
                 carrier,
                 daemons,
+                self._orders[shard],
                 loop_clock,
                 boot_clock,
             )
@@ -111,6 +117,7 @@
             self.reserve = rate_reserve.RateReserve(
                 daemon,
                 policy,
+                self._orders,
                 self._keepers,
                 self._reports,
                 self._local,
@@ -157,8 +164,8 @@
 
     def use_daemons(self) -> None:
         """Note that the list of daemons has changed."""
-        if self.reserve is not None:
-            self.reserve.use_daemons()
+        for order in self._orders.values():
+            order.use_daemons()
         if self._limit_by_account:
             for keeper in self._keepers.values():
                 keeper.use_daemons()
@@ -256,7 +263,7 @@
                 else:
                     reports.ask()
                     exhausted_s = left_s
-                await _pause(
+                await event_wait.until_set(
                     reports.answered,
                     min(
                         left_s,
@@ -331,12 +338,3 @@
         if task is None or task.cancelling():
             raise
         raise RuntimeError("a loop was cancelled") from error
-
-
-async def _pause(event: asyncio.Event, longest_s: float) -> None:
-    """Wait for an event, for a limited time."""
-    try:
-        async with asyncio.timeout(longest_s):
-            await event.wait()
-    except TimeoutError:
-        pass
--- a/burdockcart/process/rates/permit_holder.py
+++ b/burdockcart/process/rates/permit_holder.py
@@ -1,46 +1,20 @@
 """A daemon's part in the reserve of a shard: its permit, and who has one."""
 
 from typing import Mapping
-from typing import Protocol
 
 import loguru
 
 from burdockcart import ids
 from burdockcart.process.rates import local_permit
 from burdockcart.process.rates import permit_terms
-from burdockcart.process.rates import reserve_order
 from burdockcart.process.rates import reserve_policy
+from burdockcart.process.rates import shard_order
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
 
 Limits = Mapping[ids.AccountName, share_ledger.Limit]
 
 
-class Reporter(Protocol):
-    """What the reports to the owner of a shard say about permits."""
-
-    def claim(self, now: float) -> permit_terms.PermitClaim | None:
-        """Return what to report; None if there must be no permit."""
-
-    def answered(
-        self, answer: share_terms.Answer, sent_at: float, now: float
-    ) -> None:
-        """Use the owner's answer to the last report."""
-
-
-class NoReporter:
-    """Reports where there is no reserve."""
-
-    def claim(self, now: float) -> permit_terms.PermitClaim | None:
-        """Return None."""
-        return None
-
-    def answered(
-        self, answer: share_terms.Answer, sent_at: float, now: float
-    ) -> None:
-        """Do nothing."""
-
-
 class PermitHolder:
     """The permit of one daemon, and the daemons that it knows to have one."""
 
@@ -49,7 +23,7 @@
         shard: share_terms.Shard,
         daemon: ids.DaemonId,
         policy: reserve_policy.ReservePolicy,
-        order: reserve_order.ReserveOrder,
+        order: shard_order.ShardOrder,
     ):
         self._shard = shard
         self._daemon = daemon
@@ -101,9 +75,13 @@
         if self.leaving or not self._limits:
             return False
         return self._permit.valid(now) or (
-            self._daemon in self._order.followers(owner)
+            self._daemon in self.preferred(owner)
         )
 
+    def preferred(self, owner: ids.DaemonId | None) -> list[ids.DaemonId]:
+        """Return the daemons that should have the permits under an owner."""
+        return self._order.followers(owner)[: reserve_policy.PERMITS]
+
     def issue(self, account: ids.AccountName, wanted: int, now: float) -> int:
         """Issue up to a number of tokens of an account; return how many."""
         limit = self._limits.get(account)
@@ -117,5 +95,5 @@
 
     def others(self, owner: ids.DaemonId | None) -> list[ids.DaemonId]:
         """Return the other daemons that have a permit, or may have one."""
-        named = self._named or self._order.followers(owner)
+        named = self._named or self.preferred(owner)
         return [each for each in named if each != self._daemon]
--- a/burdockcart/process/rates/permit_ledger.py
+++ b/burdockcart/process/rates/permit_ledger.py
@@ -125,41 +125,6 @@
         """Return those that follow the owner."""
 
 
-class Permits(Protocol):
-    """Permits of a shard as its keeper grants them."""
-
-    def acquired(self, term: share_terms.Term, renews_from: float) -> None:
-        """Note that the daemon owns the shard from now on."""
-
-    def answer(
-        self,
-        holder: share_terms.Holder,
-        claim: permit_terms.PermitClaim | None,
-        term: share_terms.Term,
-        authority_until: float,
-        now: float,
-    ) -> tuple[permit_terms.PermitGrant | None, list[ids.DaemonId]]:
-        """Return a daemon's permit, and the daemons that have one."""
-
-
-class NoPermits:
-    """Permits where there is no reserve."""
-
-    def acquired(self, term: share_terms.Term, renews_from: float) -> None:
-        """Do nothing."""
-
-    def answer(
-        self,
-        holder: share_terms.Holder,
-        claim: permit_terms.PermitClaim | None,
-        term: share_terms.Term,
-        authority_until: float,
-        now: float,
-    ) -> tuple[permit_terms.PermitGrant | None, list[ids.DaemonId]]:
-        """Return no permit."""
-        return None, []
-
-
 class ShardPermits:
     """Permits of a shard that this daemon may own."""
 
--- a/burdockcart/process/rates/rate_reserve.py
+++ b/burdockcart/process/rates/rate_reserve.py
@@ -8,10 +8,10 @@
 from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import permit_holder
 from burdockcart.process.rates import permit_ledger
-from burdockcart.process.rates import reserve_order
 from burdockcart.process.rates import reserve_policy
 from burdockcart.process.rates import reserve_requests
 from burdockcart.process.rates import shard_keeper
+from burdockcart.process.rates import shard_order
 from burdockcart.process.rates import shard_reports
 from burdockcart.process.rates import share_terms
 
@@ -26,7 +26,7 @@
     Parameters
     ==========
 
-    keepers, reports : mapping
+    orders, keepers, reports : mapping
         Those of the daemon, by shard.
 
     """
@@ -35,24 +35,21 @@
         self,
         daemon: ids.DaemonId,
         policy: reserve_policy.ReservePolicy,
+        orders: Mapping[share_terms.Shard, shard_order.ShardOrder],
         keepers: Mapping[share_terms.Shard, shard_keeper.ShardKeeper],
         reports: Mapping[share_terms.Shard, shard_reports.ShardReports],
         local: local_shares.LocalShares,
         carrier: reserve_requests.Carrier,
-        daemons: reserve_order.Daemons,
+        daemons: shard_order.Daemons,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
     ):
         self._boot_clock = boot_clock
         self._keepers = keepers
         self._reports = reports
-        self._orders = {
-            shard: reserve_order.ReserveOrder(shard, daemons)
-            for shard in keepers
-        }
         self._holders = {
             shard: permit_holder.PermitHolder(shard, daemon, policy, order)
-            for shard, order in self._orders.items()
+            for shard, order in orders.items()
         }
         self._requests = {
             shard: reserve_requests.ReserveRequests(
@@ -70,7 +67,7 @@
         }
         for shard, keeper in keepers.items():
             keeper.permits = permit_ledger.ShardPermits(
-                daemon, policy, self._orders[shard].followers
+                daemon, policy, self._holders[shard].preferred
             )
             reports[shard].reserve = self._holders[shard]
 
@@ -79,11 +76,6 @@
         for holder in self._holders.values():
             holder.use_limits(limits)
 
-    def use_daemons(self) -> None:
-        """Note that the list of daemons has changed."""
-        for order in self._orders.values():
-            order.use_daemons()
-
     def leave(self) -> None:
         """Prepare to shut down: let other daemons have the permits."""
         for holder in self._holders.values():
--- a/burdockcart/process/rates/reserve_requests.py
+++ b/burdockcart/process/rates/reserve_requests.py
@@ -9,9 +9,10 @@
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import local_shares
+from burdockcart.process.rates import passed_over
 from burdockcart.process.rates import permit_holder
-from burdockcart.process.rates import reserve_order
 from burdockcart.process.rates import shard_keeper
+from burdockcart.process.rates import shard_order
 from burdockcart.process.rates import shard_reports
 from burdockcart.process.rates import share_terms
 
@@ -21,9 +22,6 @@
 #: Time for which no daemon is asked after all of them had too few tokens, in
 #: seconds.
 EMPTY_S = 0.1
-#: Time for which a daemon that did not answer, or has no permit, is asked
-#: last, in seconds.
-SUSPECT_S = 1.0
 #: Most tokens of an account in one request; a permit has fewer at the usual
 #: rates.
 MAX_WANTED = 100
@@ -73,7 +71,7 @@
         reports: shard_reports.ShardReports,
         local: local_shares.LocalShares,
         carrier: Carrier,
-        daemons: reserve_order.Daemons,
+        daemons: shard_order.Daemons,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
     ):
@@ -91,7 +89,8 @@
         #: Times until which received tokens may be spent.
         self._ends_by_account: dict[ids.AccountName, list[float]] = {}
         self._empty_until: dict[ids.AccountName, float] = {}
-        self._suspect_until: dict[ids.DaemonId, float] = {}
+        #: Daemons that did not answer, or have no permit; they are asked last.
+        self._passed_over = passed_over.PassedOver()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def spend(self, account: ids.AccountName) -> bool:
@@ -152,14 +151,11 @@
         return [
             entries[each]
             for each in sorted(
-                others, key=lambda each: self._suspect(each) > now
+                others, key=lambda each: self._passed_over.has(each, now)
             )
             if each in entries
         ]
 
-    def _suspect(self, daemon: ids.DaemonId) -> float:
-        return self._suspect_until.get(daemon, 0.0)
-
     async def _ask_all(self, accounts: set[ids.AccountName]) -> None:
         """Ask one daemon after the other until there are enough tokens."""
         silent = False
@@ -177,7 +173,7 @@
                 task.result()
             else:
                 silent = True
-                self._pass_over(target.id)
+                self._passed_over.add(target.id, self._clock.now())
         if not silent:
             until = self._clock.now() + EMPTY_S
             for account, _ in self._missing(accounts):
@@ -189,15 +185,12 @@
         sent_at = self._boot_clock.now()
         tokens = await self._carrier.ask(target, self._shard, counts)
         if tokens is None or not tokens.permitted:
-            self._pass_over(target.id)
+            self._passed_over.add(target.id, self._clock.now())
             return
-        self._suspect_until.pop(target.id, None)
+        self._passed_over.remove(target.id)
         until = sent_at + share_terms.TOKEN_S
         wanted = dict(counts)
         for account, count in tokens.counts:
             ends = self._ends_by_account.setdefault(account, [])
             ends.extend([until] * min(count, wanted.get(account, 0)))
         self._reports.notify()
-
-    def _pass_over(self, daemon: ids.DaemonId) -> None:
-        self._suspect_until[daemon] = self._clock.now() + SUSPECT_S
--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -6,9 +6,11 @@
 from typing import Mapping
 
 import loguru
+import msgspec
 from returns import result
 
 from burdockcart import clock
+from burdockcart import event_wait
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import division
@@ -72,7 +74,7 @@
         #: Held by the one attempt to acquire the key that may run.
         self._acquiring = asyncio.Lock()
         #: Permits of the reserve that this daemon grants.
-        self.permits: permit_ledger.Permits = permit_ledger.NoPermits()
+        self.permits: permit_ledger.ShardPermits | None = None
 
     # Hints
 
@@ -156,18 +158,21 @@
         shares = ledger.answer(
             holder, report.sequence, report.demands, ends_at, now
         )
+        answer = share_terms.Answer(
+            self._daemon,
+            ids.StorePosition(own.term),
+            int(1000 * (ends_at - now)),
+            shares=shares or [],
+        )
+        if self.permits is None:
+            return answer
         # A report that arrives after a later one claims nothing.
         claim = None if shares is None else report.permit
         permit, permitted = self.permits.answer(
             holder, claim, own.term, own.authority_until, now
         )
-        return share_terms.Answer(
-            self._daemon,
-            ids.StorePosition(own.term),
-            int(1000 * (ends_at - now)),
-            shares=shares or [],
-            permit=permit,
-            permitted=permitted,
+        return msgspec.structs.replace(
+            answer, permit=permit, permitted=permitted
         )
 
     # Transfer
@@ -234,17 +239,11 @@
 
     async def _pause(self) -> None:
         """Wait until a call is due; without limits, for limits."""
-        pause_s = None
+        due_s = math.inf
         if self._limits:
             due_s = self.ownership.due_at() - self._clock.now()
-            if due_s <= 0:
-                return
-            pause_s = None if due_s == math.inf else due_s
-        try:
-            async with asyncio.timeout(pause_s):
-                await self._changed.wait()
-        except TimeoutError:
-            pass
+        if due_s > 0:
+            await event_wait.until_set(self._changed, due_s)
 
     async def _acquire(
         self,
@@ -269,11 +268,8 @@
             failure = acquired.failure()
             if isinstance(failure, coordination.ShardOwner):
                 self.hear(failure.position, failure.daemon)
-            taken = failure is not CallFault.NO_ANSWER and (
-                failure is not CallFault.UNAVAILABLE
-            )
             silent = failure in (CallFault.NO_ANSWER, CallFault.UNAVAILABLE)
-            self.ownership.refused(now, taken, silent)
+            self.ownership.refused(now, not silent, silent)
             return
         hold = acquired.unwrap()
         if hold.lease.era != self._platform.eras.current:
@@ -287,7 +283,8 @@
         self._ledger = share_ledger.ShareLedger(
             term, renews_from, grants_from, self._undivided(now)
         )
-        self.permits.acquired(term, renews_from)
+        if self.permits is not None:
+            self.permits.acquired(term, renews_from)
         self._ledger.use_limits(self._limits, now)
         self.transfer_changed.set()
         loguru.logger.info(
--- a/burdockcart/process/rates/shard_offers.py
+++ b/burdockcart/process/rates/shard_offers.py
@@ -1,7 +1,6 @@
 """Transfers a shard to another daemon, and takes those of others."""
 
 import asyncio
-import math
 from typing import Callable
 from typing import Mapping
 from typing import Protocol
@@ -9,6 +8,7 @@
 import loguru
 
 from burdockcart import clock
+from burdockcart import event_wait
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import rate_metrics
@@ -79,13 +79,8 @@
         self._keeper.transfer_changed.clear()
         now = self._clock.now()
         due_s = self._transfer.due_at(now, self._keeper.shares_end_at()) - now
-        if due_s <= 0:
-            return
-        try:
-            async with asyncio.timeout(None if due_s == math.inf else due_s):
-                await self._keeper.transfer_changed.wait()
-        except TimeoutError:
-            pass
+        if due_s > 0:
+            await event_wait.until_set(self._keeper.transfer_changed, due_s)
 
     async def _offer(self) -> None:
         """Ask daemons one after the other until one can take the shard."""
--- a/burdockcart/process/rates/shard_order.py
+++ b/burdockcart/process/rates/shard_order.py
@@ -1,11 +1,10 @@
-"""Which daemons should have the permits of a shard."""
+"""The order of the daemons that may own a shard, kept between changes."""
 
 from typing import Mapping
 from typing import Protocol
 
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
-from burdockcart.process.rates import reserve_policy
 from burdockcart.process.rates import shard_ownership
 from burdockcart.process.rates import share_terms
 
@@ -17,8 +16,8 @@
         """Return their entries."""
 
 
-class ReserveOrder:
-    """The daemons that follow the owner of a shard, which have the permits.
+class ShardOrder:
+    """The daemons in the order in which they should own a shard.
 
     The order is kept until the list of daemons changes: it costs a hash for
     each daemon, and is looked up with each report.
@@ -33,16 +32,19 @@
         """Note that the list of daemons has changed."""
         self._order = None
 
+    def daemons(self) -> list[ids.DaemonId]:
+        """Return all daemons in order."""
+        if self._order is None:
+            self._order = shard_ownership.in_order(
+                self._shard, self._daemons()
+            )
+        return self._order
+
     def followers(self, owner: ids.DaemonId | None) -> list[ids.DaemonId]:
         """Return the daemons that follow an owner, the next one first.
 
         Without a known owner, those that follow the first in order.
         """
-        if self._order is None:
-            self._order = shard_ownership.in_order(
-                self._shard, self._daemons()
-            )
-        order = self._order
-        position = order.index(owner) if owner in order else 0
-        rotated = order[position + 1 :] + order[:position]
-        return rotated[: reserve_policy.PERMITS]
+        order = self.daemons()
+        first = owner if owner in order else next(iter(order), None)
+        return shard_ownership.following(order, first)
--- a/burdockcart/process/rates/shard_ownership.py
+++ b/burdockcart/process/rates/shard_ownership.py
@@ -80,6 +80,25 @@
     return [daemon for each in rounds for daemon in each if daemon is not None]
 
 
+def following(
+    order: list[ids.DaemonId], daemon: ids.DaemonId | None
+) -> list[ids.DaemonId]:
+    """Return the daemons after one, the next first; all if it is not there.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.rates import shard_ownership
+    >>> shard_ownership.following(["a", "b", "c"], "b")
+    ['c', 'a']
+
+    """
+    if daemon not in order:
+        return list(order)
+    position = order.index(daemon)
+    return order[position + 1 :] + order[:position]
+
+
 class Ownership(msgspec.Struct, frozen=True):
     """The lease of a shard that this daemon owns.
 
--- a/burdockcart/process/rates/shard_reports.py
+++ b/burdockcart/process/rates/shard_reports.py
@@ -8,11 +8,14 @@
 import loguru
 
 from burdockcart import clock
+from burdockcart import event_wait
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import local_shares
+from burdockcart.process.rates import passed_over
 from burdockcart.process.rates import permit_holder
 from burdockcart.process.rates import shard_keeper
+from burdockcart.process.rates import shard_order
 from burdockcart.process.rates import shard_ownership
 from burdockcart.process.rates import share_terms
 
@@ -21,8 +24,6 @@
 #: Questions that may follow each other at once; more keep the interval.  With
 #: none, an operation 2 ms after a report could not be told within 50 ms.
 ASKS = 2
-#: Time for which a daemon that has not answered is passed over, in seconds.
-SUSPECT_S = 1.0
 
 
 class Carrier(Protocol):
@@ -34,13 +35,6 @@
         """Report to a daemon; None without an answer in time."""
 
 
-class Daemons(Protocol):
-    """The registered daemons."""
-
-    def __call__(self) -> Mapping[ids.DaemonId, coordination.DaemonEntry]:
-        """Return their entries."""
-
-
 class ShardReports:
     """Reports to the owner of one shard.
 
@@ -59,7 +53,8 @@
         keeper: shard_keeper.ShardKeeper,
         local: local_shares.LocalShares,
         carrier: Carrier,
-        daemons: Daemons,
+        daemons: shard_order.Daemons,
+        order: shard_order.ShardOrder,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
     ):
@@ -69,21 +64,23 @@
         self._local = local
         self._carrier = carrier
         self._daemons = daemons
+        self._order = order
         self._clock = loop_clock
         self._boot_clock = boot_clock
         self._asked = asyncio.Event()
         #: Set, and replaced, with each answer.
         self.answered = asyncio.Event()
         #: Permit of the reserve, as the reports claim it.
-        self.reserve: permit_holder.Reporter = permit_holder.NoReporter()
+        self.reserve: permit_holder.PermitHolder | None = None
         self._unanswered_since: float | None = None
         #: Whether the last report was answered by the owner.
         self.has_owner = False
         self._reported_at = -math.inf
         self._ask_at = -math.inf
-        self._suspect_until: dict[ids.DaemonId, float] = {}
-        #: Daemons that the store does not respond to, and until when.
-        self._silent_until: dict[ids.DaemonId, float] = {}
+        #: Daemons that have not answered, and those that the store does not
+        #: respond to.
+        self._unanswering = passed_over.PassedOver()
+        self._without_store = passed_over.PassedOver()
         #: Position of an owner that has said that it is none, and the daemon
         #: to which it has transferred the shard, if any.
         self._disowned = ids.StorePosition(-1)
@@ -136,10 +133,8 @@
         """Wait for the next report; a question shortens the wait."""
         interval_s = share_terms.REPORT_S if self.has_owner else RETRY_S
         due_at = self._reported_at + interval_s
-        try:
-            async with asyncio.timeout(max(0.0, due_at - self._clock.now())):
-                await self._asked.wait()
-        except TimeoutError:
+        left_s = max(0.0, due_at - self._clock.now())
+        if not await event_wait.until_set(self._asked, left_s):
             return
         if self._keeper.ownership.owns(self._boot_clock.now()):
             return
@@ -151,7 +146,7 @@
         )
 
     def _usable(self, daemon: ids.DaemonId) -> bool:
-        return self._suspect_until.get(daemon, 0.0) <= self._clock.now()
+        return not self._unanswering.has(daemon, self._clock.now())
 
     def _target(
         self, entries: Mapping[ids.DaemonId, coordination.DaemonEntry]
@@ -162,16 +157,15 @@
             return owner
         if owner is not None and owner in entries and self._usable(owner):
             return owner
-        order = shard_ownership.in_order(self._shard, entries)
         usable = [
             each
-            for each in order[: shard_ownership.CANDIDATES]
+            for each in self._order.daemons()[: shard_ownership.CANDIDATES]
             if self._usable(each)
         ]
         now = self._clock.now()
         # If the store responds to none of them, other daemons are not asked.
         reaching = [
-            each for each in usable if self._silent_until.get(each, 0.0) <= now
+            each for each in usable if not self._without_store.has(each, now)
         ]
         return next(iter(reaching or usable), self._holder[0])
 
@@ -201,32 +195,18 @@
             self._missed(target),
             math.ceil(1000 * left_s),
             self._local.report(self._shard, sent_at),
-            self.reserve.claim(sent_at),
+            None if self.reserve is None else self.reserve.claim(sent_at),
         )
         if target == self._holder[0]:
             answer = self._keeper.answer(self._holder, report)
         else:
             sent = await self._carrier.send(entries[target], report)
             if sent is None:
-                self._pass_over(target)
+                self._unanswering.add(target, self._clock.now())
                 return False
             answer = sent
         return self._use(target, answer, sent_at)
 
-    def _pass_over(self, target: ids.DaemonId) -> None:
-        self._suspect_until = self._extended(self._suspect_until, target)
-
-    def _extended(
-        self, until_by_daemon: dict[ids.DaemonId, float], target: ids.DaemonId
-    ) -> dict[ids.DaemonId, float]:
-        now = self._clock.now()
-        current = {
-            daemon: until
-            for daemon, until in until_by_daemon.items()
-            if until > now
-        }
-        return {**current, target: now + SUSPECT_S}
-
     def _use(
         self,
         target: ids.DaemonId,
@@ -240,13 +220,14 @@
                 if answer.position == position and answer.owner != target:
                     self._successor = answer.owner
             if answer.leaving:
-                self._pass_over(target)
+                self._unanswering.add(target, self._clock.now())
             if answer.store_silent:
-                self._silent_until = self._extended(self._silent_until, target)
+                self._without_store.add(target, self._clock.now())
             self._keeper.hear(answer.position, answer.owner)
             return False
         self._keeper.hear(answer.position, target)
-        self.reserve.answered(answer, sent_at, self._boot_clock.now())
+        if self.reserve is not None:
+            self.reserve.answered(answer, sent_at, self._boot_clock.now())
         self._local.apply(
             self._shard,
             answer.shares,
--- a/burdockcart/process/rates/shard_transfer.py
+++ b/burdockcart/process/rates/shard_transfer.py
@@ -113,12 +113,10 @@
         if own is None or now < self.due_at(now, shares_end_at):
             return None
         order = shard_ownership.in_order(self._shard, entry_by_id)
-        if self._daemon in order:
-            after = order.index(self._daemon) + 1
-            order = order[after:] + order[: after - 1]
+        following = shard_ownership.following(order, self._daemon)
         position = ids.StorePosition(own.term)
         asked = share_terms.Offer(self._shard, position, False, 0)
-        return asked, order[:CANDIDATES]
+        return asked, following[:CANDIDATES]
 
     def failed(self, now: float) -> None:
         """Note that no daemon was ready."""
--- a/burdockcart/process/rates/tests/test_rates.py
+++ b/burdockcart/process/rates/tests/test_rates.py
@@ -155,6 +155,16 @@
             rate_case.worst_excess(tally.admitted_at, rate, rate), 1e-6
         )
 
+    def _send(self, deployment, rate, owner):
+        """Send the usual demand on the daemons that do not own the shard."""
+        return [
+            asyncio.create_task(
+                deployment.send(number, rate_case.CALM * rate / 3, 16)
+            )
+            for number in range(4)
+            if number != owner
+        ]
+
     def test_owner_is_lost(self):
         """The next owner must continue the shares before they expire."""
 
@@ -163,13 +173,7 @@
             deployment = self._deployment(rate)
             await deployment.settle()
             owner = deployment.owner()
-            others = [n for n in range(4) if n != owner]
-            senders = [
-                asyncio.create_task(
-                    deployment.send(number, rate_case.CALM * rate / 3, 16)
-                )
-                for number in others
-            ]
+            senders = self._send(deployment, rate, owner)
             await asyncio.sleep(4.0 + 0.17 * seed)
             deployment.lose(owner)
             await asyncio.gather(*senders)
@@ -192,13 +196,7 @@
             deployment = self._deployment(rate)
             await deployment.settle()
             owner = deployment.owner()
-            others = [n for n in range(4) if n != owner]
-            senders = [
-                asyncio.create_task(
-                    deployment.send(number, rate_case.CALM * rate / 3, 16)
-                )
-                for number in others
-            ]
+            senders = self._send(deployment, rate, owner)
             await asyncio.sleep(4.0)
             deployment.daemons[owner].rates.leave()
             await asyncio.sleep(4.5)
--- a/burdockcart/process/rates/tests/test_reserve_requests.py
+++ b/burdockcart/process/rates/tests/test_reserve_requests.py
@@ -9,9 +9,9 @@
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import permit_holder
-from burdockcart.process.rates import reserve_order
 from burdockcart.process.rates import reserve_policy
 from burdockcart.process.rates import reserve_requests
+from burdockcart.process.rates import shard_order
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
 from burdockcart.tests import gateway_deployment
@@ -52,7 +52,7 @@
         async def play():
             loop_clock = clock.LoopClock()
             now = loop_clock.now()
-            order = reserve_order.ReserveOrder(SHARD, lambda: ENTRIES)
+            order = shard_order.ShardOrder(SHARD, lambda: ENTRIES)
             policy = reserve_policy.ReservePolicy(5.0, 0.1, 20.0)
             local = local_shares.LocalShares()
             local.share(ACCOUNT, now).waiting = waiting
