--- a/burdockcart/platform/tests/crowded_daemon.py
+++ b/burdockcart/platform/tests/crowded_daemon.py
@@ -84,7 +84,7 @@
             client_port=daemons.CLIENT_PORT,
             ready_port=daemons.READY_PORT,
             peer_port=daemons.PEER_PORT,
-            store=f"{self._site.prefix}.250:{site.STORE_PORT}",
+            store=f"{self._prefix}.250:{site.STORE_PORT}",
             bootstrap="true",
             grace_s=2,
             drain_ms=2000,
