Let a restarted daemon take the shard whose key names it

A key stayed in the store for up to 3 s after its owner had ended, also when the owner's host had started the next process by then. That process now replaces the key at once, if the store itself names this daemon and no write of this process can have put it there. It grants 4 s (lease and grace period) after its start, when the shares of its predecessors have expired.

--- a/burdockcart/process/rates/account_rates.py
+++ b/burdockcart/process/rates/account_rates.py
@@ -157,9 +157,9 @@
         for shard, keeper in self._keepers.items():
             owner = owner_by_shard.get(shard)
             if owner is not None:
-                keeper.hear(owner.position, owner.daemon)
+                keeper.found(owner.position, owner.daemon)
             elif complete:
-                keeper.hear(position, None)
+                keeper.found(position, None)
             keeper.use_daemons()
 
     def use_daemons(self) -> None:
--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -16,6 +16,7 @@
 from burdockcart.process.rates import division
 from burdockcart.process.rates import permit_ledger
 from burdockcart.process.rates import shard_ownership
+from burdockcart.process.rates import shard_succession
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
 
@@ -55,6 +56,9 @@
         first_start: bool,
     ):
         self.ownership = shard_ownership.ShardOwnership(daemon)
+        self._succession = shard_succession.ShardSuccession(
+            daemon, boot_clock.now()
+        )
         self._shard = shard
         self._daemon = daemon
         self._platform = platform
@@ -113,6 +117,16 @@
         """Note the owner at a position of the store."""
         self.ownership.hear(position, owner)
 
+    def found(
+        self, position: ids.StorePosition, owner: ids.DaemonId | None
+    ) -> None:
+        """Note the owner that the store itself has named."""
+        self.hear(position, owner)
+        self._succession.found(position, owner)
+        if self._succession.position is not None:
+            # The owner was a process of this daemon that has ended.
+            self.asked(0.0)
+
     def asked(self, lease_left_s: float) -> None:
         """Note that a daemon takes this one for the next owner."""
         self.ownership.asked(self._clock.now(), lease_left_s)
@@ -235,7 +249,7 @@
             if lease is not None:
                 await self._renew(lease)
             elif self.ownership.attempting(now):
-                await self._acquire()
+                await self._acquire(self._succession.position)
 
     async def _pause(self) -> None:
         """Wait until a call is due; without limits, for limits."""
@@ -247,7 +261,7 @@
 
     async def _acquire(
         self,
-        expected: ids.StorePosition | None = None,
+        expected: ids.StorePosition | None,
         shares_end_at: float = -math.inf,
     ) -> None:
         async with self._acquiring:
@@ -259,6 +273,10 @@
     ) -> None:
         sent_at = self._clock.now()
         self.ownership.attempt_sent(sent_at)
+        succeeds = expected is not None and (
+            expected == self._succession.position
+        )
+        self._succession.write_sent()
         acquired = await self._platform.acquire_shard(
             self._shard, self._daemon, share_terms.LEASE_S, expected
         )
@@ -266,10 +284,15 @@
         now = self._clock.now()
         if isinstance(acquired, result.Failure):
             failure = acquired.failure()
+            silent = failure in (CallFault.NO_ANSWER, CallFault.UNAVAILABLE)
             if isinstance(failure, coordination.ShardOwner):
                 self.hear(failure.position, failure.daemon)
-            silent = failure in (CallFault.NO_ANSWER, CallFault.UNAVAILABLE)
             self.ownership.refused(now, not silent, silent)
+            if failure is CallFault.UNAVAILABLE:
+                self._succession.not_written()
+            elif isinstance(failure, coordination.ShardOwner):
+                self._succession.not_written()
+                self.found(failure.position, failure.daemon)
             return
         hold = acquired.unwrap()
         if hold.lease.era != self._platform.eras.current:
@@ -279,6 +302,8 @@
         renews_from, grants_from = self.ownership.grant_times(
             now, shares_end_at
         )
+        if succeeds:
+            grants_from = max(grants_from, self._succession.shares_end_at)
         term = share_terms.Term(hold.position)
         self._ledger = share_ledger.ShareLedger(
             term, renews_from, grants_from, self._undivided(now)
@@ -288,10 +313,12 @@
         self._ledger.use_limits(self._limits, now)
         self.transfer_changed.set()
         loguru.logger.info(
-            "event=shard_owned shard={} position={} transferred={}",
+            "event=shard_owned shard={} position={} transferred={} "
+            "restarted={}",
             self._shard,
             hold.position,
-            expected is not None,
+            expected is not None and not succeeds,
+            succeeds,
         )
 
     def _undivided(self, now: float) -> list[ids.AccountName]:
--- a/burdockcart/process/rates/tests/rate_case.py
+++ b/burdockcart/process/rates/tests/rate_case.py
@@ -159,6 +159,13 @@
             task.cancel()
         daemon.relay.stop()
 
+    async def restart(self, number):
+        """Start a daemon that was lost again, under the same id."""
+        daemon = self.daemon(number)
+        daemon.clients = self.listener(daemon)
+        self.daemons[number] = daemon
+        await daemon.start(daemon.clients)
+
     def cut_off(self, number):
         """Cut a daemon off from the store and from all other daemons."""
         self.daemons[number].link.cut = True
--- a/burdockcart/process/rates/tests/share_world.py
+++ b/burdockcart/process/rates/tests/share_world.py
@@ -16,6 +16,7 @@
 from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import shard_keeper
 from burdockcart.process.rates import shard_ownership
+from burdockcart.process.rates import shard_succession
 from burdockcart.process.rates import shard_transfer
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates import share_terms
@@ -74,6 +75,7 @@
         self.holder = share_terms.Holder((name, instance))
         self.local = local_shares.LocalShares()
         self.ownership = shard_ownership.ShardOwnership(name)
+        self.succession = shard_succession.ShardSuccession(name, now)
         self.ledger = None
         self.limit = limit
         self.era = None
@@ -103,6 +105,8 @@
         #: Messages: who handles it, kind and content.
         self.messages: list[tuple[Daemon, str, Any]] = []
         self.spent = []
+        #: Keys that daemons have taken from former processes.
+        self.successions = 0
         #: Limits that some daemon may have used, from when on.
         self.limits = [(self.now, self.limit)]
         #: Since when all daemons know the newest limit.
@@ -157,7 +161,24 @@
         daemon.ownership.asked(self.now, 0.0)
         if daemon.ownership.attempting(self.now):
             request = self.now, None, -math.inf
-            self.messages.append((daemon, "acquire", request))
+            self._ask_for_key(daemon, request)
+
+    def succeed(self, index):
+        """Let a daemon read the key, and replace one that it has left."""
+        daemon, key = self.daemons[index], self.store.holder(self.now)
+        if key is None or daemon.ownership.own is not None:
+            return
+        daemon.succession.found(key[2], key[0])
+        if daemon.succession.position is not None:
+            request = self.now, daemon.succession.position, -math.inf
+            self._ask_for_key(daemon, request)
+
+    def _ask_for_key(self, daemon, request):
+        succeeds = request[1] is not None and (
+            request[1] == daemon.succession.position
+        )
+        daemon.succession.write_sent()
+        self.messages.append((daemon, "acquire", (*request, succeeds)))
 
     def transfer(self, index, target):
         """Let an owner step down, and offer its shard to another daemon."""
@@ -216,28 +237,37 @@
     def _on_take(self, daemon, offer):
         if daemon.ownership.own is None:
             shares_end_at = self.now + offer.shares_end_ms / 1000
-            request = self.now, offer.position, shares_end_at
-            self.messages.append((daemon, "acquire", request))
+            self._ask_for_key(
+                daemon, (self.now, offer.position, shares_end_at)
+            )
 
     def _on_acquire(self, daemon, request):
-        sent_at, expected, shares_end_at = request
+        sent_at, expected, shares_end_at, succeeds = request
         answer = self.store.acquire(daemon.name, self.now, expected)
-        content = answer, self.store.era, sent_at, shares_end_at
+        content = answer, self.store.era, sent_at, shares_end_at, succeeds
         self.messages.append((daemon, "acquired", content))
 
     def _on_acquired(self, daemon, content):
-        answer, era, sent_at, shares_end_at = content
+        answer, era, sent_at, shares_end_at, succeeds = content
         if daemon.era is not None and era < daemon.era:
             return
         daemon.era_seen(era, self.now)
         if answer is None:
             daemon.ownership.refused(self.now, True)
+            daemon.succession.not_written()
             return
         lease, position = answer
         daemon.ownership.acquired(lease, position, sent_at)
+        renews_from, grants_from = daemon.ownership.grant_times(
+            self.now, shares_end_at
+        )
+        if succeeds:
+            grants_from = max(grants_from, daemon.succession.shares_end_at)
+            self.successions += 1
         daemon.ledger = share_ledger.ShareLedger(
             share_terms.Term(position),
-            *daemon.ownership.grant_times(self.now, shares_end_at),
+            renews_from,
+            grants_from,
             self._undivided(),
         )
         daemon.ledger.use_limits({ACCOUNT: daemon.limit}, self.now)
--- a/burdockcart/process/rates/tests/test_share_bound.py
+++ b/burdockcart/process/rates/tests/test_share_bound.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 import testtools
 
+from burdockcart.process.rates import shard_succession
 from burdockcart.process.rates import share_ledger
 from burdockcart.process.rates.tests import share_world
 
@@ -30,6 +31,7 @@
     strategies.tuples(strategies.just("report_to_owner"), _index),
     strategies.tuples(strategies.just("report_to_owner"), _index),
     strategies.tuples(strategies.just("acquire"), _index),
+    strategies.tuples(strategies.just("succeed"), _index),
     strategies.tuples(strategies.just("renew"), _index),
     strategies.tuples(strategies.just("transfer"), _index, _index),
     strategies.tuples(strategies.just("deliver"), strategies.integers(0, 9)),
@@ -62,6 +64,8 @@
             world.report(arguments[0], target)
         case "acquire":
             world.acquire(arguments[0])
+        case "succeed":
+            world.succeed(arguments[0])
         case "renew":
             world.renew(arguments[0])
         case "transfer":
@@ -103,6 +107,7 @@
         ("report_to_owner", index): 14,
         ("report", index, rng.randrange(DAEMONS)): 2,
         ("acquire", index): 6,
+        ("succeed", index): 4,
         ("renew", index): 30,
         ("transfer", index, rng.randrange(DAEMONS)): 1,
         ("settle",): 16,
@@ -139,7 +144,23 @@
 
         They must also spend: a world that admits nothing proves nothing.
         """
-        spent = owners = 0
+        spent, owners, successions = self._walk()
+        self.assertGreater(spent, 2000)
+        self.assertGreater(owners, 100)
+        self.assertGreater(successions, 20)
+
+    def test_successor_that_grants_too_early(self):
+        """The walks must find shares of a former process that are ignored."""
+        create = shard_succession.ShardSuccession
+
+        def create_early(daemon, started_at):
+            return create(daemon, started_at - 4.0)
+
+        self.patch(shard_succession, "ShardSuccession", create_early)
+        self.assertRaisesRegex(AssertionError, "seed", self._walk)
+
+    def _walk(self):
+        spent = owners = successions = 0
         for seed in range(50):
             rng = random.Random(seed)
             world = share_world.World(DAEMONS, rng.choice(LIMITS))
@@ -154,6 +175,6 @@
             except AssertionError as error:
                 raise AssertionError(f"seed {seed}: {error}") from None
             spent += len(world.spent)
+            successions += world.successions
             owners += len(terms)
-        self.assertGreater(spent, 2000)
-        self.assertGreater(owners, 100)
+        return spent, owners, successions
