Use no shares or permits of a time in which a daemon was not listed

A new owner can only ask the daemons that the store lists, but a process whose registration had ended, or whose daemon drains, went on using its shares for 4 s and its permit for 9 s. With the settings of the reserve, a share that was not granted under the present registration is now used for 0.1 s, as a single token, and a permit not at all. Such a daemon reports a demand that gets tokens and no share, so that no tokens are lost.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -37,6 +37,7 @@
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.store import link_key
 from burdockcart.process.gateway.store import listing
+from burdockcart.process.gateway.store import registration_time
 from burdockcart.process.gateway.store import restore_wait
 from burdockcart.process.gateway.store import store_follower
 from burdockcart.process.gateway import task_keeper
@@ -167,6 +168,9 @@
             boot_clock,
         )
         self.relay.polls.follower = self.tables
+        registration = registration_time.RegistrationTime(
+            boot_clock, listing.REGISTRATION_TTL_S
+        )
         self.rates = account_rates.AccountRates(
             config.daemon,
             platform,
@@ -180,6 +184,7 @@
             config.first_start,
             config.reserve,
             self.relay.reserve,
+            registration.covers,
         )
         self.relay.shares.serve(self.rates.reported)
         self.relay.offers.serve(self.rates.offered)
@@ -197,7 +202,7 @@
         )
         self._incarnation = incarnation
         self._listing = listing.Listing(
-            platform, rng, self._prepare_registration
+            platform, rng, self._prepare_registration, registration
         )
         self._isolation = isolation_monitor.IsolationMonitor(
             config.domain,
--- a/burdockcart/process/gateway/store/listing.py
+++ b/burdockcart/process/gateway/store/listing.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import registration_time
 from burdockcart.process.gateway.store import store_follower
 
 #: Lifetime of a daemon's registration, and interval between renewals, in
@@ -33,6 +34,8 @@
     prepare : callable
         Called before each registration; returns the entry to register, or
         None if it has to be tried again.
+    times : RegistrationTime or None
+        Notes until when the store has the registration.
 
     """
 
@@ -41,7 +44,9 @@
         platform: coordination.Platform,
         rng: random.Random,
         prepare: Callable[[], Awaitable[coordination.DaemonEntry | None]],
+        times: registration_time.RegistrationTime,
     ):
+        self._times = times
         self._prepare = prepare
         self._entry: coordination.DaemonEntry | None = None
         self._lease: coordination.Lease | None = None
@@ -58,6 +63,7 @@
                 await self._backoff.pause()
                 continue
             self._entry = entry
+            sent_at = self._times.now()
             registered = await self._platform.register_daemon(
                 entry, REGISTRATION_TTL_S
             )
@@ -66,6 +72,7 @@
                 continue
             self._backoff.succeeded()
             self._lease = registered.unwrap()
+            self._times.registered(self._lease.era, sent_at)
             loguru.logger.info(
                 "event=daemon_registered era={}", self._lease.era
             )
@@ -85,6 +92,7 @@
 
     async def _unregister(self) -> None:
         """End the newest lease; try until the store has ended it."""
+        self._times.ended()
         while self._lease is not None and self._entry is not None:
             lease = self._lease
             ended = await self._platform.unregister_daemon(lease)
@@ -110,12 +118,17 @@
             await self._platform.eras.wait_beyond(
                 lease.era, interval_s * self._rng.uniform(0.8, 1.0)
             )
+            sent_at = self._times.now()
             renewed = await self._platform.renew_daemon(lease)
             if isinstance(renewed, result.Failure):
+                if renewed.failure() is coordination.CallFault.MISSING:
+                    self._times.ended()
                 if renewed.failure() in ENDED:
                     return
                 await self._backoff.pause()
                 interval_s = RENEW_RETRY_S
             else:
+                if not self._left:
+                    self._times.renewed(lease.era, sent_at)
                 self._backoff.succeeded()
                 interval_s = RENEW_INTERVAL_S
--- a/burdockcart/process/gateway/tests/test_listing.py
+++ b/burdockcart/process/gateway/tests/test_listing.py
@@ -5,10 +5,12 @@
 
 import testtools
 
+from burdockcart import clock
 from burdockcart.emulator import wire_platform
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.store import listing as listings
+from burdockcart.process.gateway.store import registration_time
 from burdockcart.tests import gateway_deployment
 
 ENTRY = coordination.DaemonEntry(
@@ -40,7 +42,10 @@
 
         async def run():
             platform = SlowPlatform(gateway_deployment.tables(), {})
-            listing = listings.Listing(platform, random.Random(1), prepare)
+            times = registration_time.RegistrationTime(clock.LoopClock(), 8.0)
+            listing = listings.Listing(
+                platform, random.Random(1), prepare, times
+            )
             await check(platform, listing)
 
         gateway_deployment.run(run())
--- a/burdockcart/process/gateway/tests/test_store_follower.py
+++ b/burdockcart/process/gateway/tests/test_store_follower.py
@@ -7,10 +7,12 @@
 from returns import result
 import testtools
 
+from burdockcart import clock
 from burdockcart.process.gateway.promotion import promotion_claims
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.store import listing as listings
 from burdockcart.process.gateway.store import member_catalog
+from burdockcart.process.gateway.store import registration_time
 from burdockcart.process.gateway.store import store_era
 from burdockcart.process.gateway.tests import test_listing
 from burdockcart.process.gateway.tests import test_sessions
@@ -283,7 +285,8 @@
         async def registrations(seed):
             rng = random.Random(seed)
             store = LeaseStore(10.0 + rng.uniform(0.0, 2.5), 4.0)
-            listing = listings.Listing(store, rng, test_listing.prepare)
+            times = registration_time.RegistrationTime(clock.LoopClock(), 8.0)
+            listing = listings.Listing(store, rng, test_listing.prepare, times)
             task = asyncio.create_task(listing.run())
             await asyncio.sleep(25.0)
             task.cancel()
--- a/burdockcart/process/rates/account_rates.py
+++ b/burdockcart/process/rates/account_rates.py
@@ -48,6 +48,9 @@
         Whether the whole deployment starts for the first time.
     policy : ReservePolicy or None
         Policy of the rate reserve; None without one.
+    covers : callable
+        Tells whether the list of daemons has had this process since it sent a
+        report; not asked without a reserve.
 
     """
 
@@ -65,12 +68,15 @@
         first_start: bool,
         policy: reserve_policy.ReservePolicy | None,
         reserve_carrier: reserve_requests.Carrier,
+        covers: local_shares.Covers,
     ):
         self._clock = loop_clock
         self._boot_clock = boot_clock
         self._rng = rng
         self._metrics = metrics
-        self._local = local_shares.LocalShares()
+        self._local = local_shares.LocalShares(
+            local_shares.always_listed if policy is None else covers
+        )
         self._limit_by_account: dict[ids.AccountName, share_ledger.Limit] = {}
         self._enabled = asyncio.Event()
         holder = share_terms.Holder((daemon, secrets.randbits(48)))
@@ -125,6 +131,7 @@
                 daemons,
                 loop_clock,
                 boot_clock,
+                covers,
             )
 
     # What the daemon learns
--- a/burdockcart/process/rates/local_permit.py
+++ b/burdockcart/process/rates/local_permit.py
@@ -4,6 +4,7 @@
 import math
 
 from burdockcart import ids
+from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import permit_terms
 from burdockcart.process.rates import reserve_policy
 from burdockcart.process.rates import share_ledger
@@ -17,10 +18,25 @@
 
     The times of issued tokens outlive the permit: the process may get it, or
     the other one, again within the window.
+
+    Parameters
+    ==========
+
+    covers : callable
+        See :data:`local_shares.Covers`.  A permit that is not covered is not
+        used: an owner that does not know it could grant it again.
+
     """
 
-    def __init__(self, policy: reserve_policy.ReservePolicy):
+    def __init__(
+        self,
+        policy: reserve_policy.ReservePolicy,
+        covers: local_shares.Covers = local_shares.always_listed,
+    ):
         self._policy = policy
+        self._covers = covers
+        #: Time at which the report was sent that the owner has answered.
+        self._sent_at = -math.inf
         self._index: int | None = None
         self._until = -math.inf
         self._issued_by_account: dict[
@@ -34,7 +50,7 @@
 
     def valid(self, now: float) -> bool:
         """Return whether it may issue tokens."""
-        return now < self._until
+        return now < self._until and self._covers(self._sent_at, now)
 
     def claim(self, now: float) -> permit_terms.PermitClaim:
         """Return what to report."""
@@ -60,6 +76,7 @@
             # What it continues may have been granted to another daemon.
             return
         self._index, self._until = grant.index, until
+        self._sent_at = sent_at
 
     def issue(
         self,
--- a/burdockcart/process/rates/local_shares.py
+++ b/burdockcart/process/rates/local_shares.py
@@ -1,6 +1,7 @@
 """A daemon's shares of the accounts' rates: demand, spending and expiry."""
 
 import math
+from typing import Callable
 from typing import Iterable
 
 from burdockcart import ids
@@ -15,10 +16,18 @@
 #: longer than any operation.  An operation that was counted in an expired
 #: share must not be given back to the next one.
 REFUND_AGE_S = 5.0
+#: Tells whether the store has listed this process from a time at which it sent
+#: a report until now.
+Covers = Callable[[float, float], bool]
 #: Longest retry time in an error, in milliseconds.
 MAX_RETRY_MS = 1000
 
 
+def always_listed(sent_at: float, now: float) -> bool:
+    """Return that shares are used whether the daemon is listed or not."""
+    return True
+
+
 class DemandMeter:
     """Operations per second, weighted by their age."""
 
@@ -39,10 +48,28 @@
 
 
 class LocalShare:
-    """The daemon's share of one account."""
+    """The daemon's share of one account.
+
+    Parameters
+    ==========
+
+    covers : callable
+        See :data:`Covers`.  A share that is not covered is used for as long
+        as a single token: what an owner has granted ends soon after it, so
+        that the next one need not know of this daemon.
+
+    """
 
-    def __init__(self, account: ids.AccountName, now: float):
+    def __init__(
+        self,
+        account: ids.AccountName,
+        now: float,
+        covers: Covers = always_listed,
+    ):
         self._account = account
+        self._covers = covers
+        #: Time at which the report was sent that the owner has answered.
+        self._sent_at = -math.inf
         self._bucket = token_bucket.TokenBucket(0.0, 0.0, now)
         self._started_at = now
         self._valid_until = -math.inf
@@ -61,9 +88,17 @@
 
     def _check(self, now: float) -> None:
         """Forget the share if it has expired."""
-        if now >= self._valid_until and self._serial:
+        if self._serial and not self._usable(
+            self._sent_at, self._valid_until, now
+        ):
             self._drop(now)
 
+    def _usable(self, sent_at: float, valid_until: float, now: float) -> bool:
+        """Return whether a share may be used that answers a report."""
+        return now < valid_until and (
+            now < sent_at + share_terms.TOKEN_S or self._covers(sent_at, now)
+        )
+
     def _drop(self, now: float) -> None:
         self._bucket = token_bucket.TokenBucket(0.0, 0.0, now)
         self._returned, self._serial = 0.0, 0
@@ -137,7 +172,7 @@
             self._account,
             self._term,
             self._serial,
-            0.0 if idle else max(self._meter.per_s(now), 1e-6),
+            0.0 if idle else self._demand_per_s(now),
             self.waiting,
             self._returned + (self._bucket.level(now) if idle else 0.0),
             self._bucket.rate,
@@ -148,21 +183,39 @@
             self._drop(now)
         return reported
 
+    def _demand_per_s(self, now: float) -> float:
+        """Return the demand to report while the account is active."""
+        if not self._covers(now, now):
+            # Only tokens for operations that wait: those of a share would be
+            # lost after TOKEN_S.
+            return share_terms.TOKENS_ONLY
+        return max(self._meter.per_s(now), 2 * share_terms.TOKENS_ONLY)
+
     def apply(
         self,
         share: share_terms.Share,
         term: share_terms.Term,
         valid_until: float,
         now: float,
+        sent_at: float = -math.inf,
     ) -> None:
-        """Use the share in the answer to the last report."""
+        """Use the share in the answer to the last report.
+
+        Parameters
+        ==========
+
+        valid_until, sent_at : float
+            Time at which the share expires, and at which the report was sent,
+            in seconds.
+
+        """
         self._check(now)
         self.early = share.early
         if share.next_ms:
             self._exhausted_until = now + share.next_ms / 1000
         else:
             self._exhausted_until = -math.inf
-        if now >= valid_until:
+        if not self._usable(sent_at, valid_until, now):
             return
         if share.renews:
             if not self._serial:
@@ -176,13 +229,22 @@
         self._bucket.add(level, now)
         self._returned += max(0.0, level - share.burst)
         self._term, self._serial = term, share.serial
-        self._valid_until = valid_until
+        self._sent_at, self._valid_until = sent_at, valid_until
 
 
 class LocalShares:
-    """The daemon's shares of all accounts that are active on it."""
+    """The daemon's shares of all accounts that are active on it.
+
+    Parameters
+    ==========
+
+    covers : callable
+        See :class:`LocalShare`.
+
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, covers: Covers = always_listed) -> None:
+        self._covers = covers
         self._by_shard: dict[
             share_terms.Shard, dict[ids.AccountName, LocalShare]
         ] = {share_terms.Shard(n): {} for n in range(share_terms.SHARDS)}
@@ -194,7 +256,7 @@
         """Return the share of an account."""
         by_account = self._by_shard[share_terms.shard_of(account)]
         if account not in by_account:
-            by_account[account] = LocalShare(account, now)
+            by_account[account] = LocalShare(account, now, self._covers)
         return by_account[account]
 
     def known(self, account: ids.AccountName) -> LocalShare | None:
@@ -262,4 +324,4 @@
             local = by_account.get(share.account)
             if local is not None:
                 ms = min(valid_ms, share.valid_ms or valid_ms)
-                local.apply(share, term, sent_at + ms / 1000, now)
+                local.apply(share, term, sent_at + ms / 1000, now, sent_at)
--- a/burdockcart/process/rates/permit_holder.py
+++ b/burdockcart/process/rates/permit_holder.py
@@ -6,6 +6,7 @@
 
 from burdockcart import ids
 from burdockcart.process.rates import local_permit
+from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import permit_terms
 from burdockcart.process.rates import reserve_policy
 from burdockcart.process.rates import shard_order
@@ -24,11 +25,12 @@
         daemon: ids.DaemonId,
         policy: reserve_policy.ReservePolicy,
         order: shard_order.ShardOrder,
+        covers: local_shares.Covers = local_shares.always_listed,
     ):
         self._shard = shard
         self._daemon = daemon
         self._order = order
-        self._permit = local_permit.LocalPermit(policy)
+        self._permit = local_permit.LocalPermit(policy, covers)
         self._limits: Limits = {}
         self._named: list[ids.DaemonId] = []
         #: Permit that was logged as acquired.
--- a/burdockcart/process/rates/rate_reserve.py
+++ b/burdockcart/process/rates/rate_reserve.py
@@ -28,6 +28,8 @@
 
     orders, keepers, reports : mapping
         Those of the daemon, by shard.
+    covers : callable
+        See :data:`local_shares.Covers`.
 
     """
 
@@ -43,12 +45,15 @@
         daemons: shard_order.Daemons,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
+        covers: local_shares.Covers,
     ):
         self._boot_clock = boot_clock
         self._keepers = keepers
         self._reports = reports
         self._holders = {
-            shard: permit_holder.PermitHolder(shard, daemon, policy, order)
+            shard: permit_holder.PermitHolder(
+                shard, daemon, policy, order, covers
+            )
             for shard, order in orders.items()
         }
         self._requests = {
--- a/burdockcart/process/rates/share_ledger.py
+++ b/burdockcart/process/rates/share_ledger.py
@@ -201,7 +201,7 @@
         active = {
             each: outstanding.demand
             for each, outstanding in self._by_holder.items()
-            if outstanding.demand > 0
+            if outstanding.demand > share_terms.TOKENS_ONLY
             and now - outstanding.demand_at < share_terms.IDLE_S
         }
         bursts = division.divide_burst(self._limit.burst, active)
--- a/burdockcart/process/rates/share_terms.py
+++ b/burdockcart/process/rates/share_terms.py
@@ -28,6 +28,9 @@
 #: seconds.  Its place in the burst is free again after that; with the usual
 #: validity, three daemons would hold three of five places without tokens.
 TOKEN_S = 0.1
+#: Demand that a daemon reports which needs tokens for operations that wait,
+#: but no share, in operations per second; 0 would return what it holds.
+TOKENS_ONLY = 1e-6
 #: Time without demand after which a share is returned, in seconds.
 IDLE_S = 2.0
 
--- a/burdockcart/process/rates/tests/test_restart.py
+++ b/burdockcart/process/rates/tests/test_restart.py
@@ -122,6 +122,42 @@
 
         self._play(restart)
 
+    def test_registration_ends(self):
+        """What a daemon that is not listed holds must end with its owner.
+
+        It is admitted from the owner's answers meanwhile.
+        """
+
+        async def cut(deployment):
+            owner = deployment.owner()
+            number = next(n for n in range(4) if n != owner)
+            deployment.daemons[number].link.store_cut = True
+            share = deployment.daemons[number].rates._local.known(
+                rate_case.ACCOUNT
+            )
+            now = deployment.daemons[number].boot_clock.now
+            await asyncio.sleep(4.0)
+            self.assertGreater(share.limits[0], 0.0)
+            await asyncio.sleep(4.5)
+            admitted = self.admitted(deployment, number)
+            await asyncio.sleep(3.0)
+            self.assertGreater(self.admitted(deployment, number), admitted)
+            deployment.cut_off(number)
+            await asyncio.sleep(0.11)
+            self.assertEqual(0.0, share.level(now()))
+            admitted = self.admitted(deployment, number)
+            await asyncio.sleep(2.0)
+            self.assertEqual(admitted, self.admitted(deployment, number))
+
+        self._play(cut, for_s=17.0, reserve=True)
+
+    def admitted(self, deployment, number):
+        """Return the operations that a daemon has admitted."""
+        return deployment.daemons[number].metrics.registry.get_sample_value(
+            "burdockcart_account_operations_total",
+            {"account": rate_case.ACCOUNT, "outcome": "used"},
+        )
+
     def test_response_is_lost(self):
         """A key that this process may have written ends with its lease."""
 
