Ask all listed daemons what they hold of an acquired shard

A new owner granted nothing new until all shares of former owners must have expired, up to 4 s, though after a restart of all daemons none is in use. It now asks all daemons that the store lists (ShardCensus, ShardHeld), which accept no share of a former owner afterwards, and grants the accounts of which nobody holds a share. Only with the settings of the reserve, in the first era of the store, and not after a transfer. Permits of the reserve are granted as before.

--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -213,6 +213,12 @@
         config = item_by_key.get(store_values.MANIFEST_KEY)
         key = item_by_key.get(store_values.FLEET_KEY)
         complete = item_by_key.get(store_values.COMPLETE_KEY)
+        daemons = [
+            store_values.read_daemon(item)
+            for item in page.items
+            if item.key.startswith(store_values.DAEMON_PREFIX)
+            and not item.tombstone
+        ]
         return result.Success(
             coordination.StoreSnapshot(
                 tables=(
@@ -228,10 +234,10 @@
                 },
                 daemon_by_id={
                     daemon.id: daemon
-                    for item in page.items
-                    if item.key.startswith(store_values.DAEMON_PREFIX)
-                    if (daemon := store_values.read_daemon(item)) is not None
+                    for daemon in daemons
+                    if daemon is not None
                 },
+                daemons_unreadable=None in daemons,
                 fleet_key=(
                     None if key is None else store_values.read_fleet_key(key)
                 ),
--- a/burdockcart/platform/tests/test_calls.py
+++ b/burdockcart/platform/tests/test_calls.py
@@ -178,6 +178,22 @@
 
         run(check)
 
+    def test_unusable_daemon(self):
+        """A list without it must not be taken for a complete one."""
+
+        async def check(store):
+            for value, unreadable in (({"x": 1}, True), (None, False)):
+                items = [] if value is None else [item("daemons/d", value)]
+                store.answer_by_path["/api/kv-range"] = (
+                    200,
+                    {"items": items, "store-revision": 9},
+                )
+                found = (await store.client.read_store()).unwrap()
+                self.assertEqual({}, found.daemon_by_id)
+                self.assertEqual(unreadable, found.daemons_unreadable)
+
+        run(check)
+
     def test_end_of_a_registration(self):
         """The store must hear that a daemon leaves."""
 
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -185,9 +185,11 @@
             config.reserve,
             self.relay.reserve,
             registration.covers,
+            self.relay.census,
         )
         self.relay.shares.serve(self.rates.reported)
         self.relay.offers.serve(self.rates.offered)
+        self.relay.census.serve(self.rates.held)
         if self.rates.reserve is not None:
             self.relay.reserve.serve(self.rates.reserve.served)
         self.authenticator.limits = self.rates
--- a/burdockcart/process/gateway/store/coordination.py
+++ b/burdockcart/process/gateway/store/coordination.py
@@ -122,6 +122,8 @@
 
     ``complete_since`` is the newest era of which the daemons have recorded
     that no promotion can be open that its store does not know.
+    ``daemons_unreadable`` tells whether the store has entries of daemons that
+    are not in ``daemon_by_id``.
     """
 
     tables: manifest.Manifest | None
@@ -137,6 +139,7 @@
         default_factory=dict
     )
     owner_by_shard: dict[int, ShardOwner] = msgspec.field(default_factory=dict)
+    daemons_unreadable: bool = False
 
 
 class StoreChanges(msgspec.Struct, frozen=True, kw_only=True):
--- a/burdockcart/process/gateway/store/registration_time.py
+++ b/burdockcart/process/gateway/store/registration_time.py
@@ -5,6 +5,9 @@
 from burdockcart import clock
 from burdockcart import ids
 
+#: Part of the lifetime that is not relied on, for the clocks, in seconds.
+CLOCK_MARGIN_S = 0.2
+
 
 class RegistrationTime:
     """Times in which the list of daemons certainly has this process.
@@ -33,7 +36,7 @@
 
     def __init__(self, boot_clock: clock.Clock, ttl_s: float):
         self._clock = boot_clock
-        self._ttl_s = ttl_s
+        self._ttl_s = ttl_s - CLOCK_MARGIN_S
         self._since = math.inf
         self._until = -math.inf
         #: Since when this daemon is registered in an era after a restore.
--- a/burdockcart/process/gateway/tests/test_registration_time.py
+++ b/burdockcart/process/gateway/tests/test_registration_time.py
@@ -4,7 +4,7 @@
 
 from burdockcart.process.gateway.store import registration_time
 
-TTL_S = 8.0
+TTL_S = 8.0 + registration_time.CLOCK_MARGIN_S
 
 
 class Clock:
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -13,6 +13,7 @@
 from burdockcart.connection import member_channel
 from burdockcart.connection import own_link
 from burdockcart import ids
+from burdockcart.process.peers import census_messages
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import reserve_messages
@@ -230,6 +231,7 @@
             | messages.Shares
             | messages.ShardOffered
             | reserve_messages.ReserveTokens
+            | census_messages.ShardHeld
         ),
     ) -> None:
         """Resolve a request; the answer to one given up is dropped."""
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -10,6 +10,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import ids
+from burdockcart.process.peers import census_messages
 from burdockcart.process.peers import reserve_messages
 from burdockcart.process.rates import share_terms
 from burdockcart.request import command
@@ -335,6 +336,7 @@
     ShareReport,
     ShardOffer,
     reserve_messages.ReserveRequest,
+    census_messages.ShardCensus,
 ]
 Reply = Union[
     Answered,
@@ -347,6 +349,7 @@
     Shares,
     ShardOffered,
     reserve_messages.ReserveTokens,
+    census_messages.ShardHeld,
 ]
 
 encode = msgspec.msgpack.Encoder().encode
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -14,9 +14,11 @@
 from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.gateway.sessions import attempts
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.peers import census_messages
 from burdockcart.process.peers import holder_choice
 from burdockcart.process.peers import holding
 from burdockcart.process.peers import messages
+from burdockcart.process.peers import peer_census
 from burdockcart.process.peers import peer_notices
 from burdockcart.process.peers import peer_offers
 from burdockcart.process.peers import peer_reserve
@@ -102,6 +104,7 @@
         self.shares = peer_shares.PeerShares(self._links)
         self.offers = peer_offers.PeerOffers(self._links)
         self.reserve = peer_reserve.PeerReserve(self._links)
+        self.census = peer_census.PeerCensus(self._links)
         self.service = relay_service.RelayService(self, sender, loop_clock)
         self.connector = relay_connector.RelayConnector(
             direct, self._links, self, loop_clock, boot_clock
@@ -318,6 +321,12 @@
         """Answer a daemon that asks for tokens of the rate reserve."""
         return self.reserve.asked(message)
 
+    def census_asked(
+        self, message: census_messages.ShardCensus
+    ) -> census_messages.ShardHeld:
+        """Answer a new owner that asks what this daemon holds."""
+        return self.census.asked(message)
+
     def held_pool(
         self, group: ids.GroupId, member: ids.MemberId
     ) -> tuple[groups.Group, member_pool.MemberPool] | None:
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -18,6 +18,7 @@
 from burdockcart.process.gateway.members import group as groups
 from burdockcart.process.gateway.members import pooled_connection
 from burdockcart.process.gateway.sessions import attempts
+from burdockcart.process.peers import census_messages
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import held_transaction
 from burdockcart.process.peers import messages
@@ -97,6 +98,11 @@
     ) -> reserve_messages.ReserveTokens:
         """Answer a daemon that asks for tokens of the rate reserve."""
 
+    def census_asked(
+        self, message: census_messages.ShardCensus
+    ) -> census_messages.ShardHeld:
+        """Answer a new owner that asks what this daemon holds."""
+
 
 class Service(Protocol):
     """What the sessions of all links share."""
@@ -186,6 +192,9 @@
         if isinstance(message, reserve_messages.ReserveRequest):
             self._send(self._service.pools.reserve_asked(message))
             return
+        if isinstance(message, census_messages.ShardCensus):
+            self._send(self._service.pools.census_asked(message))
+            return
         if len(self._tasks) >= MAX_STATEMENTS:
             self._refuse(message.number, "too many statements on this link")
             return
--- a/burdockcart/process/rates/account_rates.py
+++ b/burdockcart/process/rates/account_rates.py
@@ -12,6 +12,8 @@
 from burdockcart import event_wait
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.rates import census_requests
+from burdockcart.process.rates import census_terms
 from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import rate_metrics
 from burdockcart.process.rates import rate_reserve
@@ -69,6 +71,7 @@
         policy: reserve_policy.ReservePolicy | None,
         reserve_carrier: reserve_requests.Carrier,
         covers: local_shares.Covers,
+        census_carrier: census_requests.Carrier,
     ):
         self._clock = loop_clock
         self._boot_clock = boot_clock
@@ -79,7 +82,8 @@
         )
         self._limit_by_account: dict[ids.AccountName, share_ledger.Limit] = {}
         self._enabled = asyncio.Event()
-        holder = share_terms.Holder((daemon, secrets.randbits(48)))
+        self._instance = secrets.randbits(48)
+        holder = share_terms.Holder((daemon, self._instance))
         shards = [share_terms.Shard(n) for n in range(share_terms.SHARDS)]
         self._keepers = {
             shard: shard_keeper.ShardKeeper(
@@ -119,7 +123,20 @@
         }
         #: The rate reserve, if it is enabled.
         self.reserve: rate_reserve.RateReserve | None = None
+        self._census: list[census_requests.CensusRequests] = []
         if policy is not None:
+            self._census = [
+                census_requests.CensusRequests(
+                    shard,
+                    daemon,
+                    keeper,
+                    platform,
+                    census_carrier,
+                    self._held,
+                    boot_clock,
+                )
+                for shard, keeper in self._keepers.items()
+            ]
             self.reserve = rate_reserve.RateReserve(
                 daemon,
                 policy,
@@ -204,6 +221,26 @@
         offers = self._offers.get(offer.shard)
         return offers is not None and await offers.offered(offer)
 
+    def held(
+        self, shard: share_terms.Shard, position: ids.StorePosition
+    ) -> census_terms.Held | None:
+        """Answer a new owner that asks what this process holds.
+
+        None without a reserve: then shares outlive the registration.
+        """
+        if self.reserve is None or shard not in self._keepers:
+            return None
+        return self._held(shard, position)
+
+    def _held(
+        self, shard: share_terms.Shard, position: ids.StorePosition
+    ) -> census_terms.Held:
+        now = self._boot_clock.now()
+        permit = None if self.reserve is None else self.reserve.held(shard)
+        return census_terms.Held(
+            self._instance, self._local.held(shard, position, now), permit
+        )
+
     async def run(self) -> None:
         """Own shards and report demand until cancelled."""
         await self._enabled.wait()
@@ -212,6 +249,8 @@
                 group.create_task(_unending(keeper.run), name="shard_keeper")
             for offers in self._offers.values():
                 group.create_task(_unending(offers.run), name="shard_offers")
+            for census in self._census:
+                group.create_task(_unending(census.run), name="shard_census")
             for reports in self._reports.values():
                 group.create_task(_unending(reports.run), name="shard_reports")
             if self.reserve is not None:
--- a/burdockcart/process/rates/local_permit.py
+++ b/burdockcart/process/rates/local_permit.py
@@ -52,6 +52,16 @@
         """Return whether it may issue tokens."""
         return now < self._until and self._covers(self._sent_at, now)
 
+    def held(self, now: float) -> int | None:
+        """Return the index of the permit; give it up if it is not valid.
+
+        A permit that is not covered now could be covered again later.
+        """
+        if not self.valid(now):
+            self._until = -math.inf
+            return None
+        return self._index
+
     def claim(self, now: float) -> permit_terms.PermitClaim:
         """Return what to report."""
         return permit_terms.PermitClaim(
--- a/burdockcart/process/rates/local_shares.py
+++ b/burdockcart/process/rates/local_shares.py
@@ -159,6 +159,15 @@
         """Rate and burst of the share."""
         return self._bucket.rate, self._bucket.burst
 
+    def held(
+        self, position: ids.StorePosition, now: float
+    ) -> tuple[float, float] | None:
+        """Return rate and burst of a share of an owner before a position."""
+        self._check(now)
+        if not self._serial or self._term >= position:
+            return None
+        return self.limits
+
     def level(self, now: float) -> float:
         """Return the number of tokens, with those that are to be returned."""
         self._check(now)
@@ -248,6 +257,10 @@
         self._by_shard: dict[
             share_terms.Shard, dict[ids.AccountName, LocalShare]
         ] = {share_terms.Shard(n): {} for n in range(share_terms.SHARDS)}
+        #: Owners before these are known to have ended.
+        self._least_term = {
+            shard: share_terms.Term(-1) for shard in self._by_shard
+        }
         #: Number of reports; a later one makes the answers to earlier ones
         #: void.
         self._sequence = 0
@@ -281,6 +294,31 @@
             if now < each.valid_until
         }
 
+    def held(
+        self,
+        shard: share_terms.Shard,
+        position: ids.StorePosition,
+        now: float,
+    ) -> list[tuple[ids.AccountName, float, float]]:
+        """Return the shares of owners before that of a position.
+
+        From now on no share of such an owner is accepted.
+        """
+        self._least_term[shard] = max(
+            self._least_term[shard], share_terms.Term(position)
+        )
+        return [
+            (account, *limits)
+            for account, each in self._by_shard[shard].items()
+            if (limits := each.held(position, now)) is not None
+        ]
+
+    def accepts(
+        self, shard: share_terms.Shard, term: share_terms.Term
+    ) -> bool:
+        """Return whether shares of an owner may still be accepted."""
+        return term >= self._least_term[shard]
+
     def next_sequence(self) -> int:
         """Return the number of the next report."""
         self._sequence += 1
@@ -320,6 +358,8 @@
 
         """
         by_account = self._by_shard[shard]
+        if not self.accepts(shard, term):
+            return
         for share in shares:
             local = by_account.get(share.account)
             if local is not None:
--- a/burdockcart/process/rates/permit_holder.py
+++ b/burdockcart/process/rates/permit_holder.py
@@ -46,6 +46,10 @@
         """Return what to report; None while the daemon shuts down."""
         return None if self.leaving else self._permit.claim(now)
 
+    def held(self, now: float) -> int | None:
+        """Return the permit to name to a new owner that asks for it."""
+        return self._permit.held(now)
+
     def answered(
         self, answer: share_terms.Answer, sent_at: float, now: float
     ) -> None:
--- a/burdockcart/process/rates/rate_reserve.py
+++ b/burdockcart/process/rates/rate_reserve.py
@@ -100,6 +100,10 @@
         ]
         return reserve_requests.Tokens(issued, holder.permitted(now))
 
+    def held(self, shard: share_terms.Shard) -> int | None:
+        """Return this daemon's permit of a shard."""
+        return self._holders[shard].held(self._boot_clock.now())
+
     async def run(self) -> None:
         """Report where this daemon has a permit, or should get one."""
         async with asyncio.TaskGroup() as group:
--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -15,6 +15,7 @@
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import division
 from burdockcart.process.rates import permit_ledger
+from burdockcart.process.rates import shard_census
 from burdockcart.process.rates import shard_ownership
 from burdockcart.process.rates import shard_succession
 from burdockcart.process.rates import share_ledger
@@ -75,6 +76,10 @@
         self._changed = asyncio.Event()
         #: Set when this daemon has become the owner, or shuts down.
         self.transfer_changed = asyncio.Event()
+        #: Set when all daemons should be asked what they hold, and time from
+        #: which on only listed ones hold anything.
+        self.census_due = asyncio.Event()
+        self.census_from = math.inf
         #: Held by the one attempt to acquire the key that may run.
         self._acquiring = asyncio.Lock()
         #: Permits of the reserve that this daemon grants.
@@ -189,6 +194,29 @@
             answer, permit=permit, permitted=permitted
         )
 
+    # Census
+
+    def census_position(self) -> ids.StorePosition | None:
+        """Return the position of the key while a census is of use."""
+        now, own, ledger = self._clock.now(), self.ownership.own, self._ledger
+        if own is None or ledger is None or not self.ownership.owns(now):
+            return None
+        if now >= ledger.grants_from:
+            return None
+        return ids.StorePosition(own.term)
+
+    def use_census(
+        self, position: ids.StorePosition, census: shard_census.ShardCensus
+    ) -> bool:
+        """Grant accounts that no daemon holds; return whether it helped."""
+        now, ledger = self._clock.now(), self._ledger
+        if ledger is None or self.census_position() != position:
+            return False
+        if now < self.census_from or census.missing:
+            return False
+        ledger.use_census(census.accounts(), now)
+        return True
+
     # Transfer
 
     def shares_end_at(self) -> float:
@@ -312,6 +340,14 @@
             self.permits.acquired(term, renews_from)
         self._ledger.use_limits(self._limits, now)
         self.transfer_changed.set()
+        if (
+            self.permits is not None
+            and hold.lease.era == 0
+            and (expected is None or succeeds)
+        ):
+            # After a transfer the end of all shares is known.
+            self.census_from = renews_from + shard_census.UNLISTED_S
+            self.census_due.set()
         loguru.logger.info(
             "event=shard_owned shard={} position={} transferred={} "
             "restarted={}",
--- a/burdockcart/process/rates/shard_reports.py
+++ b/burdockcart/process/rates/shard_reports.py
@@ -226,6 +226,11 @@
             self._keeper.hear(answer.position, answer.owner)
             return False
         self._keeper.hear(answer.position, target)
+        if not self._local.accepts(
+            self._shard, share_terms.Term(answer.position)
+        ):
+            # A later owner has been told what this daemon holds.
+            return False
         if self.reserve is not None:
             self.reserve.answered(answer, sent_at, self._boot_clock.now())
         self._local.apply(
--- a/burdockcart/process/rates/share_ledger.py
+++ b/burdockcart/process/rates/share_ledger.py
@@ -67,6 +67,17 @@
         self._pool.level(now)
         self._serial = 0
 
+    @property
+    def grants_from(self) -> float:
+        """Time from which on no share of a former owner can be spent."""
+        return self._grants_from
+
+    def grant_from(self, now: float) -> None:
+        """Grant from now on: no share of a former owner can be used."""
+        if now < self._grants_from:
+            self._grants_from = now
+            self._pool = token_bucket.TokenBucket(*self._free(), now)
+
     def use_limit(self, limit: Limit, now: float) -> None:
         """Use another limit from now on."""
         if limit != self._limit:
@@ -308,6 +319,9 @@
         self._limit_by_account: dict[ids.AccountName, Limit] = {}
         self._ledger_by_account: dict[ids.AccountName, AccountLedger] = {}
         self._sequence_by_holder: dict[share_terms.Holder, int] = {}
+        #: Accounts of which shares of former owners may be in use, once they
+        #: are known.
+        self._held: Collection[ids.AccountName] | None = None
 
     def use_limits(
         self, limit_by_account: Mapping[ids.AccountName, Limit], now: float
@@ -335,8 +349,29 @@
                 grants_from = self._renews_from + share_terms.TOKEN_S
             ledger = AccountLedger(limit, self._renews_from, grants_from, now)
             self._ledger_by_account[account] = ledger
+            if self._held is not None and account not in self._held:
+                ledger.grant_from(now)
         return ledger
 
+    @property
+    def grants_from(self) -> float:
+        """Time from which on no share of a former owner is in use."""
+        return self._grants_from
+
+    def use_census(
+        self, held: Collection[ids.AccountName], now: float
+    ) -> None:
+        """Grant other accounts than those of which daemons hold shares.
+
+        Those are continued as before: if new ones were granted besides, as
+        much as the former ones leave, daemons would have less until these
+        expire.
+        """
+        self._held = held
+        for account, ledger in self._ledger_by_account.items():
+            if account not in held:
+                ledger.grant_from(now)
+
     def answer(
         self,
         holder: share_terms.Holder,
@@ -378,6 +413,8 @@
 
     def pools(self, now: float) -> list[tuple[float, float, float]]:
         """Return rate, burst and tokens of all that may be granted."""
-        if now < self._grants_from:
-            return []
-        return [each.pool(now) for each in self._ledger_by_account.values()]
+        return [
+            each.pool(now)
+            for each in self._ledger_by_account.values()
+            if now >= each.grants_from
+        ]
--- a/burdockcart/process/rates/tests/test_restart.py
+++ b/burdockcart/process/rates/tests/test_restart.py
@@ -180,3 +180,46 @@
             self.assertIsNone(self._keeper(deployment, owner).ownership.own)
 
         self._play(restart)
+
+    def test_all_daemons_start_again(self):
+        """Nothing must wait for shares of processes that have ended.
+
+        Before the census 235 of 522 operations were refused in four runs,
+        most in the 3.8 s after the daemons ran again.
+        """
+
+        async def restart(deployment):
+            for number in range(4):
+                deployment.lose(number)
+            await asyncio.sleep(0.8)
+            for number in range(4):
+                await deployment.restart(number)
+            self.again_at = asyncio.get_running_loop().time()
+
+        tally = self._play(restart, reserve=True)
+        late = tally.between(self.again_at + 1.5, self.again_at + 6.0)
+        self.assertGreater(late[0], 30)
+        self.assertLessEqual(late[2], 1)
+
+    def test_daemon_that_does_not_answer(self):
+        """Its shares may be in use, so nothing is granted before they end."""
+
+        async def restart(deployment):
+            owner = deployment.owner()
+            cut = next(n for n in range(4) if n != owner)
+            deployment.peers.cut |= {
+                frozenset((f"d{cut}", f"d{other}"))
+                for other in range(4)
+                if other != cut
+            }
+            deployment.lose(owner)
+            await asyncio.sleep(0.1)
+            await deployment.restart(owner)
+            await self._until_owned(deployment, owner)
+            keeper = self._keeper(deployment, owner)
+            await asyncio.sleep(3.0)
+            self.assertIsNotNone(keeper.census_position())
+            await asyncio.sleep(1.0)
+            self.assertIsNone(keeper.census_position())
+
+        self._play(restart, reserve=True)
