Crowd a holder over the links of daemons that relay

Cause: only unit tests checked a slow receiver of relayed rows, and none the values of sessions that are copied into relayed statements.

--- a/burdockcart/platform/tests/crowded_daemon.py
+++ b/burdockcart/platform/tests/crowded_daemon.py
@@ -31,14 +31,14 @@
 MEMBER_CONNECTIONS = 40
 
 
-async def start_site():
-    """Start a store and members on free addresses."""
+async def start_site(connections=MEMBER_CONNECTIONS):
+    """Start a store, and members with some connections, on free addresses."""
     return await site_start.start_on_free_addresses(
         lambda prefix: site.Site(
             prefix,
             histories.History(),
             lambda *args, **fields: None,
-            MEMBER_CONNECTIONS,
+            connections,
             lambda host, port: {},
         )
     )
@@ -60,11 +60,22 @@
         ``limits.max-fds``, and RLIMIT_NOFILE of the process.
     extra : str
         Further lines of the settings.
+    number, zone : int, str
+        Part of its name and address, and its failure domain.
 
     """
 
-    def __init__(self, prefix, folder, max_fds, extra=""):
-        self.host = f"{prefix}.1"
+    def __init__(
+        self,
+        prefix,
+        folder,
+        max_fds,
+        extra="",
+        number=1,
+        zone=site.ZONES[0],
+    ):
+        self.name = f"d{number}"
+        self.host = f"{prefix}.{number}"
         self.client = (self.host, daemons.CLIENT_PORT)
         self.ready = (self.host, daemons.READY_PORT)
         self.metrics = (self.host, ready.METRICS_PORT)
@@ -75,11 +86,12 @@
         self._prefix = prefix
         self._folder = pathlib.Path(folder)
         self._extra = extra
+        self._zone = zone
 
     def _settings(self):
         return daemons.SETTINGS.format(
-            name="d1",
-            zone=site.ZONES[0],
+            name=self.name,
+            zone=self._zone,
             host=self.host,
             client_port=daemons.CLIENT_PORT,
             ready_port=daemons.READY_PORT,
@@ -95,10 +107,10 @@
 
     async def start(self):
         """Start the process and wait until it answers a request."""
-        path = self._folder / "d1.conf"
+        path = self._folder / f"{self.name}.conf"
         path.write_text(self._settings(), encoding="utf-8")
         limit = (self.max_fds, self.max_fds)
-        with open(self._folder / "d1.log", "ab") as log:
+        with open(self._folder / f"{self.name}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -188,6 +200,18 @@
                         writer.transport.abort()
                 await asyncio.sleep(RETRY_S)
 
+    async def metrics_text(self):
+        """Return what the metrics port answers."""
+        reader, writer = await asyncio.open_connection(*self.metrics)
+        try:
+            writer.write(
+                f"GET {ready.METRICS_PATH} HTTP/1.1\r\nHost: a\r\n"
+                "Connection: close\r\n\r\n".encode()
+            )
+            return (await reader.read()).decode()
+        finally:
+            writer.transport.abort()
+
 
 class Crowd:
     """Connections that stay open until the test ends.
@@ -247,6 +271,7 @@
 
     max_fds = MAX_FDS
     settings = ""
+    connections = MEMBER_CONNECTIONS
 
     def crowd(self, port, count, work, work_s=3.0):
         """Crowd one port (an attribute of DaemonProcess) of a new daemon."""
@@ -267,7 +292,7 @@
             asyncio.run(self._play(act, folder))
 
     async def _play(self, act, folder):
-        place = await start_site()
+        place = self.place = await start_site(self.connections)
         beat = asyncio.create_task(place.run())
         daemon = DaemonProcess(
             place.prefix, folder, self.max_fds, self.settings
