Count relayed statements and members' responses toward the memory budget

Cause: statements that wait at a holder keep the values of their sessions, up to 1 MiB each and 1,024 a link, and responses of members up to 2 MiB a connection; neither was accounted. Change: a relayed statement over 16 KiB and a response over 64 KiB take memory of the clients' budget (two copies are counted), which closes the largest idle clients for it. Without room the statement is not run (RELAY_REFUSED, so that the other daemon uses another holder), or the connection to the member is closed with a fault that is no sign against the member. Both are counted and logged as client_limited, ports link and member. No new setting: the budget is that of limits.memory-mb.

--- a/burdockcart/connection/client_limits/memory_budget.py
+++ b/burdockcart/connection/client_limits/memory_budget.py
@@ -2,9 +2,14 @@
 
 import collections
 import enum
+import itertools
 from typing import NewType
+from typing import Protocol
 
+#: Identifies a client connection, a relayed statement or a connection to a
+#: member.
 ClientNumber = NewType("ClientNumber", int)
+_NUMBERS = itertools.count(1)
 #: Part of the budget that values and prepared names of sessions may fill; the
 #: rest always remains for statements and answers.
 STATE_SHARE = 0.5
@@ -19,6 +24,36 @@
     STATE = "state"
     #: An answer that the client has not taken yet.
     UNSENT = "unsent"
+    #: A statement that another daemon relays, with the values of its session.
+    RELAYED = "relayed"
+    #: A response of a member that is being received.
+    RESPONSE = "response"
+
+
+def new_number() -> ClientNumber:
+    """Return a number that no other user of memory has."""
+    return ClientNumber(next(_NUMBERS))
+
+
+class Memory(Protocol):
+    """The memory of a process, for what its clients cause elsewhere."""
+
+    def hold(self, client: ClientNumber, use: Use, size: int) -> bool:
+        """Account memory if it fits, or fits once others are closed."""
+
+    def limited(self, reason: str, action: str, port: str) -> None:
+        """Log and count that a limit was applied."""
+
+
+class Unlimited:
+    """Memory for tests and tools, which have no host's limits."""
+
+    def hold(self, client: ClientNumber, use: Use, size: int) -> bool:
+        """Return True."""
+        return True
+
+    def limited(self, reason: str, action: str, port: str) -> None:
+        """Do nothing."""
 
 
 class MemoryBudget:
--- a/burdockcart/platform/client_limiter.py
+++ b/burdockcart/platform/client_limiter.py
@@ -1,7 +1,6 @@
 """Applies the limits of clients to the connections of one process."""
 
 import asyncio
-import itertools
 from typing import Callable
 from typing import Iterable
 from typing import Protocol
@@ -62,7 +61,6 @@
         self.budget = memory_budget.MemoryBudget(allowed.memory_bytes)
         self._count = count
         self._clock = clock.LoopClock()
-        self._numbers = itertools.count(1)
         #: When a choice last found no connection to close.
         self._none_at_by_choice: dict[Choice, float] = {}
         self._connection_by_number: dict[
@@ -71,7 +69,7 @@
 
     def admit(self, connection: Connection) -> memory_budget.ClientNumber:
         """Add a connection and return its number."""
-        number = memory_budget.ClientNumber(next(self._numbers))
+        number = memory_budget.new_number()
         self._connection_by_number[number] = connection
         return number
 
@@ -80,11 +78,12 @@
         self._connection_by_number.pop(client, None)
         self.budget.release(client)
 
-    def limited(self, reason: str, action: str) -> None:
+    def limited(self, reason: str, action: str, port: str = "client") -> None:
         """Log and count that a limit was applied."""
-        self._count("client", reason)
+        self._count(port, reason)
         loguru.logger.info(
-            "event=client_limited port=client reason={} action={}",
+            "event=client_limited port={} reason={} action={}",
+            port,
             reason,
             action,
         )
--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -93,10 +93,14 @@
     allowed = _client_limits(config)
     key = fleet_key.FleetKey()
     incarnation = ids.Incarnation(uuid.uuid4().hex[:12])
+    clients_limiter = client_limiter.ClientLimiter(
+        allowed,
+        lambda port, reason: daemon.metrics.client_limited(port, reason),
+    )
     daemon = application.GatewayApplication(
         config,
         platform,
-        member_wire.WireConnector(),
+        member_wire.WireConnector(clients_limiter),
         clock.BootClock(),
         tcp.TcpPeers(
             config.daemon,
@@ -108,9 +112,9 @@
         ),
         key,
         incarnation,
+        clients_limiter,
     )
     count = daemon.metrics.client_limited
-    clients_limiter = client_limiter.ClientLimiter(allowed, count)
     daemon.metrics.client_memory.set_function(
         lambda: clients_limiter.budget.used
     )
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -8,10 +8,12 @@
 
 from burdockcart.connection import answer_timeout
 from burdockcart.connection import channel_state
+from burdockcart.connection.client_limits import memory_budget
 from burdockcart.connection import member_channel
 from burdockcart.connection import member_session
 from burdockcart.connection import sockets
 from burdockcart import ids
+from burdockcart.platform import response_stream
 from burdockcart.platform import wire
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -34,7 +36,7 @@
 
     def __init__(
         self,
-        stream: iostream.IOStream,
+        stream: response_stream.ResponseStream,
         member: member_channel.MemberAddress,
     ):
         self._stream = stream
@@ -100,6 +102,8 @@
                 self._member.id,
                 text,
             )
+        finally:
+            self._stream.release()
         self.close()
         missing = len(lines) - len(answers)
         return answers + [_failed_answer(fault, text)] * missing
@@ -282,6 +286,9 @@
     """
     if isinstance(error.real_error, TimeoutError):
         return member_channel.MemberFault.SILENT
+    if isinstance(error.real_error, response_stream.NoMemory):
+        # This says nothing about the member.
+        return member_channel.MemberFault.OTHER
     return member_channel.MemberFault.BROKEN
 
 
@@ -305,7 +312,18 @@
 
 
 class WireConnector:
-    """Opens connections to members over the line protocol."""
+    """Opens connections to members over the line protocol.
+
+    Parameters
+    ==========
+
+    memory : Memory or None
+        Accounts large responses; None for no limit.
+
+    """
+
+    def __init__(self, memory: memory_budget.Memory | None = None):
+        self._memory = memory or memory_budget.Unlimited()
 
     async def detour(
         self,
@@ -349,8 +367,8 @@
         except OSError as error:
             return _no_socket(member, error)
         sockets.enable_dead_peer_detection(connection)
-        stream = iostream.IOStream(
-            connection, max_buffer_size=4 * wire.MAX_MESSAGE_BYTES
+        stream = response_stream.ResponseStream(
+            connection, self._memory, 4 * wire.MAX_MESSAGE_BYTES
         )
         try:
             async with answer_timeout.AnswerTimeout(timeout_s):
@@ -359,6 +377,7 @@
                 data = await stream.read_until_regex(
                     _STARTUP_END, max_bytes=wire.MAX_MESSAGE_BYTES
                 )
+                stream.release()
             answer = wire.read_answer(data)
         except TimeoutError:
             stream.close()
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from burdockcart import clock
+from burdockcart.connection.client_limits import memory_budget
 from burdockcart.connection import client_session
 from burdockcart.connection import member_channel
 from burdockcart.connection import own_link
@@ -84,6 +85,8 @@
 
     boot_clock : Clock
         Also counts the time while the host is suspended.
+    memory : Memory or None
+        Accounts relayed statements; None for no limit.
 
     """
 
@@ -96,6 +99,7 @@
         peers: relay.Peers,
         key: fleet_key.FleetKey,
         incarnation: ids.Incarnation,
+        memory: memory_budget.Memory | None = None,
     ):
         self._settings = config
         self._platform = platform
@@ -131,6 +135,7 @@
             self._boot_clock,
             rng,
             self._link,
+            memory,
         )
         self._link_key = link_key.LinkKey(
             platform, key, self.relay.close_links, rng
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -7,6 +7,7 @@
 import loguru
 
 from burdockcart import clock
+from burdockcart.connection.client_limits import memory_budget
 from burdockcart.connection import member_channel
 from burdockcart.connection import own_link
 from burdockcart import ids
@@ -80,6 +81,7 @@
         boot_clock: clock.Clock,
         rng: random.Random,
         own: own_link.OwnLink,
+        memory: memory_budget.Memory | None = None,
     ):
         self._clock = loop_clock
         self._boot_clock = boot_clock
@@ -102,7 +104,9 @@
         self.shares = peer_shares.PeerShares(self._links)
         self.offers = peer_offers.PeerOffers(self._links)
         self.reserve = peer_reserve.PeerReserve(self._links)
-        self.service = relay_service.RelayService(self, sender, loop_clock)
+        self.service = relay_service.RelayService(
+            self, sender, loop_clock, memory
+        )
         self.connector = relay_connector.RelayConnector(
             direct, self._links, self, loop_clock, boot_clock
         )
--- a/burdockcart/process/peers/relay_service.py
+++ b/burdockcart/process/peers/relay_service.py
@@ -7,6 +7,7 @@
 import loguru
 
 from burdockcart import clock
+from burdockcart.connection.client_limits import memory_budget
 from burdockcart import ids
 from burdockcart.process.gateway.sessions import attempts
 from burdockcart.process.gateway.sessions import shutdown_plan
@@ -30,6 +31,8 @@
 
     sender : StatementSender
         Sends statements and records what their answers show.
+    memory : Memory or None
+        Accounts large statements; None for no limit.
 
     """
 
@@ -38,10 +41,12 @@
         pools: relay_session.Pools,
         sender: attempts.StatementSender,
         loop_clock: clock.Clock,
+        memory: memory_budget.Memory | None = None,
     ):
         self.pools = pools
         self.sender = sender
         self.clock = loop_clock
+        self.memory = memory or memory_budget.Unlimited()
         self.leaving = False
         #: Times at which transactions are rolled back, at which the links
         #: end, whatever is running, and at which they are closed.
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from burdockcart import clock
+from burdockcart.connection.client_limits import memory_budget
 from burdockcart.connection import member_channel
 from burdockcart import errors
 from burdockcart import ids
@@ -31,6 +32,12 @@
 
 #: Statements that one link may have running or waiting; more are refused.
 MAX_STATEMENTS = 1024
+#: Size from which on a statement is accounted, in bytes; as on the client
+#: port, smaller ones are bounded by their number.
+ACCOUNTED_BYTES = 16 * 1024
+#: Copies of a statement and its values while it waits and is sent: the
+#: decoded message, and the lines to the member.
+COPIES = 2
 
 Fault = member_channel.MemberFault
 
@@ -104,6 +111,7 @@
     pools: Pools
     sender: attempts.StatementSender
     clock: clock.Clock
+    memory: memory_budget.Memory
     leaving: bool
     transactions_until: float
     ends_at: float
@@ -189,14 +197,27 @@
         if len(self._tasks) >= MAX_STATEMENTS:
             self._refuse(message.number, "too many statements on this link")
             return
-        if isinstance(message, messages.Begin) and not self._register(message):
-            return
-        self._spawn(self._serve(message))
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        hold, use = self._service.memory.hold, memory_budget.Use.RELAYED
+        held = None
+        if len(content) > ACCOUNTED_BYTES:
+            held = memory_budget.new_number()
+            if not hold(held, use, COPIES * len(content)):
+                self._service.memory.limited("memory", "refused", "link")
+                self._refuse(message.number, "no memory for the statement")
+                return
+        task = None
+        if not isinstance(message, messages.Begin) or self._register(message):
+            task = self._spawn(self._serve(message))
+        if held is not None and task is not None:
+            task.add_done_callback(lambda _: hold(held, use, 0))
+        elif held is not None:
+            hold(held, use, 0)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work, name="relayed")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _serve_poll(self, message: messages.PollRequest) -> None:
         self._send(await self._service.pools.poll(message))
--- a/burdockcart/process/peers/tests/test_relay_session.py
+++ b/burdockcart/process/peers/tests/test_relay_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import testtools
 
 from burdockcart import clock
@@ -33,10 +34,32 @@
         self.is_closed = True
 
 
+class SmallMemory:
+    """Memory that one large statement fills."""
+
+    def __init__(self):
+        self.applied = []
+        self.size_by_user = {}
+
+    def hold(self, client, use, size):
+        """Account the first one only."""
+        if not size:
+            self.size_by_user.pop(client)
+        elif self.size_by_user:
+            return False
+        else:
+            self.size_by_user[client] = size
+        return True
+
+    def limited(self, *args):
+        """Record what was applied."""
+        self.applied.append(args)
+
+
 class TestSession(testtools.TestCase):
     """Invalid and late requests on one link."""
 
-    def session(self):
+    def session(self, memory=None):
         """Return a session without groups, and its outbox."""
 
         class NoPools:
@@ -53,19 +76,19 @@
                 return None
 
         service = relay_service.RelayService(
-            NoPools(), None, clock.LoopClock()
+            NoPools(), None, clock.LoopClock(), memory
         )
         outbox = Outbox()
         return service.accept("d1", outbox), outbox
 
-    def run_message(self, number):
+    def run_message(self, number, statement=STATEMENT):
         """Return a request to run a read."""
         return messages.encode(
             messages.Run(
                 number,
                 "g",
                 "m",
-                STATEMENT,
+                statement,
                 None,
                 False,
                 100,
@@ -99,6 +122,31 @@
 
         asyncio.run(check())
 
+    def test_values_without_memory(self):
+        """Large values must wait at a holder only within its budget."""
+        large = msgspec.structs.replace(
+            STATEMENT, value_by_name={"zone": "x" * 100_000}
+        )
+
+        async def check():
+            memory = SmallMemory()
+            session, outbox = self.session(memory)
+            session.received(self.run_message(1, large))
+            session.received(self.run_message(2, large))
+            self.assertEqual([("memory", "refused", "link")], memory.applied)
+            self.assertEqual(
+                "no memory for the statement", outbox.sent[0].text
+            )
+            session.received(self.run_message(3))
+            await asyncio.sleep(0.01)
+            self.assertEqual(3, len(outbox.sent))
+            self.assertEqual({}, memory.size_by_user)
+            session.received(self.run_message(4, large))
+            self.assertEqual(1, len(memory.applied))
+            await asyncio.sleep(0.01)
+
+        asyncio.run(check())
+
     def test_unknown_transaction(self):
         """A statement of an unknown transaction must not run outside."""
 
