--- a/burdockcart/platform/tests/crowded_daemon.py
+++ b/burdockcart/platform/tests/crowded_daemon.py
@@ -135,6 +135,10 @@
             self.process.kill()
         await self.process.wait()
 
+    def log(self):
+        """Return what the process has logged so far."""
+        return (self._folder / f"{self.name}.log").read_text()
+
     @property
     def peak_kb(self):
         """Largest resident memory so far, in kilobytes; 0 if it ended."""
