--- a/burdockcart/platform/tests/test_limit_settings.py
+++ b/burdockcart/platform/tests/test_limit_settings.py
@@ -102,6 +102,8 @@
                     *others[-1], b"SET zone " + b"x" * 500_000
                 )
                 self.assertTrue(lines[-1].startswith(b"READY"), lines)
+                # Half of the budget of limits.memory-mb, 31 MB.
+                self.assertLess(len(others), 70)
             async with asyncio.timeout(crowded_daemon.GIVE_UP_S):
                 told = await largest[0].read()
             self.assertIn(b"ERROR BUSY", told)
