--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -128,10 +128,19 @@
         """Note the owner that the store itself has named."""
         self.hear(position, owner)
         self._succession.found(position, owner)
-        if self._succession.position is not None:
+        if self._left_position is not None:
             # The owner was a process of this daemon that has ended.
             self.asked(0.0)
 
+    @property
+    def _left_position(self) -> ids.StorePosition | None:
+        """Position of the key that a former process left, if to be replaced.
+
+        Without the reserve there is no census, and grants would begin later
+        than those of a daemon that waits for the end of the lease.
+        """
+        return None if self.permits is None else self._succession.position
+
     def asked(self, lease_left_s: float) -> None:
         """Note that a daemon takes this one for the next owner."""
         self.ownership.asked(self._clock.now(), lease_left_s)
@@ -277,7 +286,7 @@
             if lease is not None:
                 await self._renew(lease)
             elif self.ownership.attempting(now):
-                await self._acquire(self._succession.position)
+                await self._acquire(self._left_position)
 
     async def _pause(self) -> None:
         """Wait until a call is due; without limits, for limits."""
--- a/burdockcart/process/rates/tests/test_restart.py
+++ b/burdockcart/process/rates/tests/test_restart.py
@@ -107,6 +107,23 @@
             owned_after_s = await self._until_owned(deployment, owner)
             self.assertLess(owned_after_s, 1.5)
 
+        self._play(restart, reserve=True)
+
+    def test_owner_starts_again_without_a_reserve(self):
+        """Without a census, grants must not wait longer than for the lease.
+
+        Replacing the key at once refused 260 of 522 operations in four runs,
+        waiting for the end of the lease 227.
+        """
+
+        async def restart(deployment):
+            owner = deployment.owner()
+            deployment.lose(owner)
+            await asyncio.sleep(0.2)
+            await deployment.restart(owner)
+            await asyncio.sleep(1.5)
+            self.assertIsNone(self._keeper(deployment, owner).ownership.own)
+
         self._play(restart)
 
     def test_owner_starts_twice(self):
@@ -120,7 +137,7 @@
                 await deployment.restart(owner)
                 await self._until_owned(deployment, owner)
 
-        self._play(restart)
+        self._play(restart, reserve=True)
 
     def test_registration_ends(self):
         """What a daemon that is not listed holds must end with its owner.
@@ -179,7 +196,7 @@
             await asyncio.sleep(2.5)
             self.assertIsNone(self._keeper(deployment, owner).ownership.own)
 
-        self._play(restart)
+        self._play(restart, reserve=True)
 
     def test_all_daemons_start_again(self):
         """Nothing must wait for shares of processes that have ended.
