Grant permits at once to the first owner of a shard

No daemon had a permit in the first 14.4 s after all had started, because an owner waits until permits of former owners have expired. The first owner that a shard ever has need not wait. Only a process of the first start may use this, and only if the history of the key in the store begins with its own write (read_first_owner, one watch from revision 0), in the first era that the process has seen. A later owner finds the former one, or an incomplete history, and waits.

Virtual time, 4 daemons: both permits are held 4 s after the first start, before none. The model detects a later owner that grants at once.

--- a/burdockcart/emulator/shard_keys.py
+++ b/burdockcart/emulator/shard_keys.py
@@ -53,6 +53,16 @@
         position = store_era.position(era, found[1])
         return coordination.ShardOwner(found[0], position)
 
+    def first_owner(
+        self, shard: int, era: ids.StoreEra
+    ) -> coordination.ShardOwner | None:
+        """Return the first owner of a shard in the history."""
+        for revision, number, daemon in self._changes:
+            if number == shard:
+                position = store_era.position(era, revision)
+                return coordination.ShardOwner(daemon, position)
+        return None
+
     def write(
         self,
         shard: int,
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -464,6 +464,18 @@
             return result.Failure(CallFault.MISSING)
         return result.Success(owner)
 
+    async def read_first_owner(self, shard: int):
+        """Return the first owner of a shard in the history."""
+        fault = await self._store_fault()
+        if fault is not None:
+            return fault
+        if self.oldest_kept > 0:
+            return result.Failure(CallFault.HISTORY_LOST)
+        owner = self.shards.first_owner(shard, self.era)
+        if owner is None:
+            return result.Failure(CallFault.MISSING)
+        return result.Success(owner)
+
     async def renew_shard(self, lease: coordination.Lease):
         """Renew the lease of a shard's key."""
         fault = await self._store_fault(lease.era)
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -583,6 +583,25 @@
             return result.Failure(coordination.CallFault.UNREADABLE)
         return result.Success(owner)
 
+    async def read_first_owner(
+        self, shard: int
+    ) -> result.Result[coordination.ShardOwner, coordination.CallFault]:
+        """Return the first owner of a shard in the history of the store."""
+        key = f"{store_values.QUOTA_PREFIX}{shard}"
+        query = {"prefix": key, "after": 0, "wait-ms": 0}
+        path = "/api/kv-watch?" + parse.urlencode(query)
+        found = await self._call(path, store_messages.Events)
+        if isinstance(found, result.Failure):
+            return found
+        changes = [each for each in found.unwrap().events if each.key == key]
+        if not changes:
+            return result.Failure(coordination.CallFault.MISSING)
+        first = min(changes, key=lambda each: each.revision)
+        owner = store_values.read_owner(first, self.eras.current)
+        if owner is None:
+            return result.Failure(coordination.CallFault.UNREADABLE)
+        return result.Success(owner)
+
     async def renew_shard(
         self, lease: coordination.Lease
     ) -> result.Result[None, coordination.CallFault]:
--- a/burdockcart/platform/tests/test_generated_input.py
+++ b/burdockcart/platform/tests/test_generated_input.py
@@ -241,6 +241,7 @@
                 ("write_fleet_key", (bytes(32), ())),
                 ("write_roster", ("g", coordination.Roster(), 0)),
                 ("read_shard", (1,)),
+                ("read_first_owner", (1,)),
                 ("acquire_shard", (1, "d", 3.0, 5)),
                 ("register_daemon", (entry, 8.0)),
             ):
--- a/burdockcart/platform/tests/test_shard_calls.py
+++ b/burdockcart/platform/tests/test_shard_calls.py
@@ -99,6 +99,29 @@
         }
         self.assertEqual(expected, owners)
 
+    def test_first_owner(self):
+        """The first change of this key must be returned, or the fault."""
+
+        async def check(store):
+            rows = [
+                {"key": "quota/21", "revision": 30, "value": "ZDc="},
+                {"key": "quota/2", "revision": 41, "tombstone": True},
+                KEY,
+            ]
+            path = "/api/kv-watch"
+            body = {"events": rows, "store-revision": 41}
+            store.answer_by_path[path] = (200, body)
+            first = (await store.client.read_first_owner(2)).unwrap()
+            self.assertEqual(coordination.ShardOwner("d7", 40), first)
+            self.assertIn("after=0", store.seen[-1].uri)
+            found = await store.client.read_first_owner(3)
+            self.assertIs(CallFault.MISSING, found.failure())
+            store.answer_by_path[path] = (410, {})
+            found = await store.client.read_first_owner(2)
+            self.assertIs(CallFault.HISTORY_LOST, found.failure())
+
+        test_calls.run(check)
+
     def test_taken_over(self):
         """A successor must replace only the key that it was offered."""
 
--- a/burdockcart/process/gateway/store/coordination.py
+++ b/burdockcart/process/gateway/store/coordination.py
@@ -305,6 +305,15 @@
     ) -> result.Result[ShardOwner, CallFault]:
         """Return the owner of a shard; fails with MISSING without a key."""
 
+    async def read_first_owner(
+        self, shard: int
+    ) -> result.Result[ShardOwner, CallFault]:
+        """Return the first owner of a shard in the history of the store.
+
+        Fails with HISTORY_LOST if the store has not kept all of it, and with
+        MISSING if the shard never had an owner.
+        """
+
     async def renew_shard(
         self, lease: Lease
     ) -> result.Result[None, CallFault]:
--- a/burdockcart/process/rates/permit_ledger.py
+++ b/burdockcart/process/rates/permit_ledger.py
@@ -69,6 +69,10 @@
         #: Times of the last reports of daemons that should get an index.
         self._asked_at_by_id: dict[ids.DaemonId, float] = {}
 
+    def grant_unclaimed(self) -> None:
+        """Grant free indexes from now on: there are no former owners."""
+        self._grants_from = self._renews_from
+
     def answer(
         self,
         holder: share_terms.Holder,
@@ -215,6 +219,11 @@
             self._policy, self._daemon, self._placement, renews_from
         )
 
+    def first_owner_found(self, term: share_terms.Term) -> None:
+        """Note the term of the first owner that the shard ever had."""
+        if self._ledger is not None and self._term == term:
+            self._ledger.grant_unclaimed()
+
     def answer(
         self,
         holder: share_terms.Holder,
--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -26,6 +26,9 @@
 #: a share is valid for 4 s.
 STEADY_S = 10.0
 
+#: Time for the read of a shard's history, in seconds; a renewal waits for it.
+HISTORY_S = share_terms.RENEW_S / 2
+
 #: Faults of a renewal after which the lease is known to have ended.
 _ENDED = (CallFault.MISSING, CallFault.RESTORED)
 Limits = Mapping[ids.AccountName, share_ledger.Limit]
@@ -62,6 +65,8 @@
         self._clock = boot_clock
         self._first_start = first_start
         self._era: ids.StoreEra | None = None
+        #: Whether the store has the whole history of the deployment.
+        self._whole_history = False
         self._ledger: share_ledger.ShareLedger | None = None
         self._limits: Limits = {}
         #: Since when there have been limits.
@@ -131,6 +136,7 @@
             # Before the first era no store has been restored.
             known_first = self._era is None and (self._first_start or era == 0)
             self._era = era
+            self._whole_history = known_first and self._first_start
             self.ownership.era_seen(self._clock.now(), not known_first)
 
     # Shares
@@ -258,6 +264,7 @@
         self, expected: ids.StorePosition | None, shares_end_at: float
     ) -> None:
         sent_at = self._clock.now()
+        heard = self.ownership.owner
         self.ownership.attempt_sent(sent_at)
         acquired = await self._platform.acquire_shard(
             self._shard, self._daemon, share_terms.LEASE_S, expected
@@ -293,6 +300,22 @@
             hold.position,
             expected is not None,
         )
+        if heard is None and expected is None:
+            await self._find_former_owners()
+
+    async def _find_former_owners(self) -> None:
+        """Let permits be granted at once if the shard had no owner before."""
+        if self.permits is None or not self._whole_history:
+            return
+        try:
+            async with asyncio.timeout(HISTORY_S):
+                first = await self._platform.read_first_owner(self._shard)
+        except TimeoutError:
+            return
+        self.note_era()
+        owner = first.value_or(None)
+        if self._whole_history and owner is not None:
+            self.permits.first_owner_found(share_terms.Term(owner.position))
 
     def _undivided(self, now: float) -> list[ids.AccountName]:
         """Return the accounts of which no share can be in use."""
--- a/burdockcart/process/rates/tests/reserve_world.py
+++ b/burdockcart/process/rates/tests/reserve_world.py
@@ -59,7 +59,7 @@
 class World:
     """All processes; each step is that of one of them."""
 
-    def __init__(self):
+    def __init__(self, first_start=False):
         self.now = 100.0
         self.store = share_world.Store()
         self.instances = itertools.count(1)
@@ -67,6 +67,10 @@
         self.messages = []
         self.late = []
         self.grants = 0
+        #: Positions at which the key was written, in order.
+        self.terms = []
+        #: Whether owners look for former ones in the history of the store.
+        self.first_start = first_start
         #: Time, index of the permit, process.
         self.issued = []
         self.spent = []
@@ -74,6 +78,17 @@
     def _new(self, index):
         return Daemon(index, next(self.instances))
 
+    def first_term(self):
+        """Return the position of the first key in the store's history."""
+        return self.terms[0]
+
+    def _written(self, daemon):
+        """Write the key, and return what the store answers."""
+        answer = self.store.acquire(daemon.name, self.now)
+        if answer is not None:
+            self.terms.append(answer[1])
+        return answer
+
     def restart(self, index):
         self.daemons[index] = self._new(index)
 
@@ -82,8 +97,7 @@
         daemon = self.daemons[index]
         daemon.ownership.asked(self.now, 0.0)
         if daemon.ownership.attempting(self.now):
-            answer = self.store.acquire(daemon.name, self.now)
-            content = answer, self.store.era, self.now
+            content = self._written(daemon), self.store.era, self.now
             self.messages.append(("acquired", daemon, content))
 
     def renew(self, index):
@@ -132,8 +146,7 @@
             return
         former.ownership.lose(self.now)
         self.store.key = None
-        answer = self.store.acquire(daemon.name, self.now)
-        content = answer, self.store.era, self.now
+        content = self._written(daemon), self.store.era, self.now
         self.messages.append(("acquired", daemon, content))
 
     def restore(self):
@@ -168,6 +181,8 @@
         daemon.ownership.acquired(lease, position, sent_at)
         renews_from, _ = daemon.ownership.grant_times(self.now)
         daemon.permits.acquired(position, renews_from)
+        if self.first_start and era == 0:
+            daemon.permits.first_owner_found(self.first_term())
 
     def _on_renewed(self, daemon, lease, done, era, sent_at):
         if daemon.era is not None and era < daemon.era:
@@ -275,10 +290,10 @@
             getattr(world, kind)(*arguments)
 
 
-def walk(seed, steps):
+def walk(seed, steps, first_start=False):
     """Return the world after a random walk; raise for a broken rule."""
     rng = random.Random(seed)
-    world = World()
+    world = World(first_start)
     for _ in range(steps):
         do(world, random_step(rng, world))
     world.check()
--- a/burdockcart/process/rates/tests/test_rate_reserve.py
+++ b/burdockcart/process/rates/tests/test_rate_reserve.py
@@ -167,6 +167,40 @@
         virtual_time.run(play())
 
 
+class TestFirstStart(ReserveCase):
+    """Permits right after the start of the deployment."""
+
+    def _grants_in_s(self, deployment):
+        """Return when the owner grants an unclaimed permit, in seconds."""
+        owner = deployment.daemons[deployment.owner()]
+        ledger = owner.rates._keepers[SHARD].permits._ledger
+        return ledger._grants_from - owner.boot_clock.now()
+
+    def test_owners(self):
+        """Guards against no reserve at first, and one index granted twice."""
+
+        async def play(first_start, oldest_kept=0):
+            deployment = rate_case.RateDeployment(
+                [rate_case.account("a", 5.0)],
+                daemons=4,
+                reserve=True,
+                first_start=first_start,
+            )
+            deployment.platform.oldest_kept = oldest_kept
+            await deployment.settle(4.0)
+            permits = len(self._holders(deployment))
+            deployment.lose(deployment.owner())
+            await asyncio.sleep(5.0)
+            # A later owner cannot know which permits are in use.
+            self.assertGreater(self._grants_in_s(deployment), 8.0)
+            return permits
+
+        self.assertEqual(2, virtual_time.run(play(True)))
+        self.assertEqual(0, virtual_time.run(play(False)))
+        # Without the whole history there may have been an owner.
+        self.assertEqual(0, virtual_time.run(play(True, oldest_kept=1)))
+
+
 class TestPlacement(ReserveCase):
     """Permits after a transfer of the shard."""
 
--- a/burdockcart/process/rates/tests/test_reserve_bound.py
+++ b/burdockcart/process/rates/tests/test_reserve_bound.py
@@ -122,7 +122,17 @@
     @hypothesis.given(strategies.integers(0, 2**32))
     def test_any_order(self, seed):
         """One daemon for an index in a window, and the size of the reserve."""
-        reserve_world.walk(seed, STEPS)
+        reserve_world.walk(seed, STEPS, bool(seed % 2))
+
+    def test_first_start(self):
+        """Guards against a reserve that is missing after the first start."""
+        for first_start in (True, False):
+            world = reserve_world.World(first_start)
+            world.acquire(2)
+            reserve_world.do(world, ("settle",))
+            _pass(world, 2, 1.0, 0, 1)
+            valid = [each.permit.valid(world.now) for each in world.daemons]
+            self.assertEqual([first_start, first_start, False], valid)
 
     def test_walks_reach_what_they_guard(self):
         """Guards against walks in which permits never move or are not used."""
@@ -157,12 +167,12 @@
         self.patch(ledger, "_claimed", _renews_for_all(ledger._claimed))
         self.assertRaises(AssertionError, _stale_claim_after_renewals)
 
-    def _detected(self, *patches, seeds=300):
+    def _detected(self, *patches, seeds=300, first_start=False):
         for owner, name, value in patches:
             self.patch(owner, name, value)
         for seed in range(seeds):
             try:
-                reserve_world.walk(seed, STEPS)
+                reserve_world.walk(seed, STEPS, first_start)
             except AssertionError:
                 return
         self.fail("no walk breaks a rule")
@@ -180,6 +190,12 @@
     def test_new_owner_that_does_not_wait(self):
         self._detected((Policy, "unclaimed_s", 0.0))
 
+    def test_later_owner_that_grants_at_once(self):
+        """Use the first start although the shard had an owner before."""
+        world = reserve_world.World
+        self.patch(world, "first_term", lambda world: world.terms[-1])
+        self._detected(first_start=True)
+
     def test_new_owner_that_waits_for_permits_only(self):
         waits_s = reserve_policy.PERMIT_S
         self._detected((Policy, "unclaimed_s", waits_s))
--- a/burdockcart/tests/gateway_deployment.py
+++ b/burdockcart/tests/gateway_deployment.py
@@ -92,10 +92,12 @@
         anonymous=(),
         strict_revoke=False,
         reserve=False,
+        first_start=False,
         **member_options,
     ):
         self.strict_revoke = strict_revoke
         self.reserve = reserve
+        self.first_start = first_start
         self.fenced = fenced
         self.shutdown_s = shutdown_s
         self.peers = peer_network.PeerNetwork()
@@ -142,6 +144,7 @@
             peer_host=f"d{number}",
             shutdown_s=self.shutdown_s,
             strict_revoke=self.strict_revoke,
+            first_start=self.first_start,
             **(RESERVE if self.reserve else {}),
         )
         connector = wire_connector.EmulatedConnector(
