--- a/burdockcart/platform/standin/report.py
+++ b/burdockcart/platform/standin/report.py
@@ -40,11 +40,20 @@
 
 
 def rejections(soak: soaks.Soak) -> list[str]:
-    """Return how often a case rejected operations within the rate, by text.
+    """Return how often operations within the rate were rejected, by text.
 
-    Empty without a case.
+    For a case, those after its start; else all of a run with accounts, and
+    how many of them were sent in times without a fault.
     """
-    if soak.case is None:
-        return []
-    counted = account_service.rejections(soak.history, soak.settled_at)
-    return [f"{count} {text}" for text, count in counted]
+    span = account_service.Since(soak.settled_at)
+    counted = account_service.rejections(soak.history, span)
+    if soak.case is not None:
+        return [f"{count} {text}" for text, count in counted]
+    calm = dict(
+        account_service.rejections(
+            soak.history, account_service.Calm(soak.history)
+        )
+    )
+    return [
+        f"{count} (calm {calm.get(text, 0)}) {text}" for text, count in counted
+    ]
--- a/burdockcart/process/rates/shard_offers.py
+++ b/burdockcart/process/rates/shard_offers.py
@@ -84,7 +84,8 @@
 
     async def _offer(self) -> None:
         """Ask daemons one after the other until one can take the shard."""
-        entries = self._daemons()
+        # Daemons may leave the list while they are asked.
+        entries = dict(self._daemons())
         shares_end_at = self._keeper.shares_end_at()
         begun = self._transfer.begin(entries, self._clock.now(), shares_end_at)
         if begun is None:
--- a/burdockcart/process/rates/tests/test_shard_transfer.py
+++ b/burdockcart/process/rates/tests/test_shard_transfer.py
@@ -242,6 +242,35 @@
 
         virtual_time.run(play())
 
+    def test_candidate_leaves_the_list(self):
+        """Guards against an owner that stops all rates with an error.
+
+        Seen when all daemons shut down at the same time.
+        """
+
+        async def play():
+            deployment = rate_case.RateDeployment(
+                [rate_case.account("a", 5.0)], daemons=4
+            )
+            await deployment.settle(12.0)
+            owner = deployment.daemons[deployment.owner()]
+            shard = share_terms.shard_of(rate_case.ACCOUNT)
+            offers = owner.rates._offers[shard]
+            asked = []
+
+            class Refusing:
+                async def offer(self, entry, offer, timeout_s):
+                    asked.append(entry.id)
+                    offers._daemons().clear()
+                    return False
+
+            offers._carrier = Refusing()
+            owner.rates.leave()
+            await asyncio.sleep(0.3)
+            return asked
+
+        self.assertEqual(3, len(set(virtual_time.run(play()))))
+
     def test_candidate_without_the_store(self):
         """Guards against reports that ask it until it reaches the store."""
 
--- a/burdockcart/soak/account_service.py
+++ b/burdockcart/soak/account_service.py
@@ -197,11 +197,13 @@
     return " ".join(_fields("_case", served))
 
 
-def rejections(history: histories.History, at: float) -> list[tuple[str, int]]:
+def rejections(
+    history: histories.History, span: Span
+) -> list[tuple[str, int]]:
     """Return how often operations within the rate were rejected, by text.
 
-    Counts those from a time on.  Names and numbers are left out of the
-    texts; the most frequent text comes first.
+    Counts those in a span.  Names and numbers are left out of the texts; the
+    most frequent text comes first.
     """
     record = history.accounts
     if record is None:
@@ -209,7 +211,7 @@
     return collections.Counter(
         re.sub(r"'[^']*'|\d+", "*", each.detail)
         for each in within_rate(offers(history, record), record)
-        if each.refused and at <= each.sent_at
+        if each.refused and span.covers(each.sent_at)
     ).most_common()
 
 
--- a/burdockcart/soak/tests/test_account_service.py
+++ b/burdockcart/soak/tests/test_account_service.py
@@ -70,7 +70,7 @@
         self.assertIn("refused_inside_case=50.0%", fields)
         self.assertEqual(
             [("BUSY account * is over, retry after * ms", 2)],
-            account_service.rejections(history, 15.0),
+            account_service.rejections(history, account_service.Since(15.0)),
         )
 
     def test_without_a_limit(self):
