--- a/burdockcart/process/rates/tests/test_rate_reserve.py
+++ b/burdockcart/process/rates/tests/test_rate_reserve.py
@@ -167,6 +167,87 @@
         virtual_time.run(play())
 
 
+class TestFirstStart(ReserveCase):
+    """Permits right after the start of the deployment."""
+
+    def _grants_in_s(self, deployment):
+        """Return when the owner grants an unclaimed permit, in seconds."""
+        owner = deployment.daemons[deployment.owner()]
+        ledger = owner.rates._keepers[SHARD].permits._ledger
+        return ledger._grants_from - owner.boot_clock.now()
+
+    def test_owners(self):
+        """Guards against no reserve at first, and one index granted twice."""
+
+        async def play(first_start, oldest_kept=0):
+            deployment = rate_case.RateDeployment(
+                [rate_case.account("a", 5.0)],
+                daemons=4,
+                reserve=True,
+                first_start=first_start,
+            )
+            deployment.platform.oldest_kept = oldest_kept
+            await deployment.settle(4.0)
+            permits = len(self._holders(deployment))
+            deployment.lose(deployment.owner())
+            await asyncio.sleep(5.0)
+            # A later owner cannot know which permits are in use.
+            self.assertGreater(self._grants_in_s(deployment), 8.0)
+            return permits
+
+        self.assertEqual(2, virtual_time.run(play(True)))
+        self.assertEqual(0, virtual_time.run(play(False)))
+        # Without the whole history there may have been an owner.
+        self.assertEqual(0, virtual_time.run(play(True, oldest_kept=1)))
+
+
+class TestPlacement(ReserveCase):
+    """Permits after a transfer of the shard."""
+
+    def test_third_domain_is_cut_off(self):
+        """Guards against a failure domain without a permit.
+
+        The owner loses the store and transfers the shard to a daemon with a
+        permit.  Its own domain had none 37 s later, and rejected nearly all
+        operations of the shard while it was cut off from the others: without
+        the rule 13 of 13 operations are refused here, with it none.
+        """
+
+        async def play(seed):
+            rate = 5.0
+            deployment = await self._permitted(rate, daemons=9)
+            former = deployment.owner()
+            deployment.daemons[former].link.cut = True
+            await asyncio.sleep(4.0)
+            deployment.daemons[former].link.cut = False
+            owner = deployment.owner()
+            self.assertIn(owner, self._holders(deployment))
+            await asyncio.sleep(26.0)
+            self.assertEqual(owner, deployment.owner())
+            self.assertEqual(
+                {0, 1, 2},
+                {each % 3 for each in (owner, *self._holders(deployment))},
+            )
+            inside = [n for n in range(9) if n % 3 == former % 3]
+            deployment.peers.cut |= {
+                frozenset((f"d{number}", f"d{other}"))
+                for number in inside
+                for other in range(9)
+                if other not in inside
+            }
+            # One permit allows 8 operations in a window.
+            await asyncio.gather(
+                *(deployment.send(n, 0.4, 5.5, seed) for n in inside)
+            )
+            self._bounded(deployment, rate)
+            tally = deployment.tally["a"]
+            return len(tally.refused), len(tally.sent_at)
+
+        results = [virtual_time.run(play(seed)) for seed in range(2)]
+        refused, sent = (sum(each) for each in zip(*results))
+        self.assertLess(refused, 0.1 * sent)
+
+
 class TestReserveCost(ReserveCase):
     """Messages of accounts without demand."""
 
