--- a/burdockcart/process/accounts/key_evidence.py
+++ b/burdockcart/process/accounts/key_evidence.py
@@ -158,7 +158,9 @@
         """Return whether a statement that was just read may rely on it."""
         if self._bound_s is None:
             return True
-        return 0.0 <= self.age_s(now) < self._bound_s - CLOCK_MARGIN_S
+        if self._asked_at is None:
+            return False
+        return 0.0 <= now - self._asked_at < self._bound_s - CLOCK_MARGIN_S
 
     def needed_for(self, in_force: manifest.Manifest | None) -> bool:
         """Return whether a manifest's sessions depend on the evidence."""
--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -309,9 +309,11 @@
                 for pool in pools
                 if pool.has_idle_for(account) and pool.has_room(account)
             ]
-            chosen = preferred
-            if len(free) < len(pools):
-                chosen = self._choose(free, now, work.account)
+            chosen = (
+                preferred
+                if len(free) == len(pools)
+                else self._choose(free, now, work.account)
+            )
             if chosen is None or (
                 chosen is not preferred and self._awaits(work, preferred, now)
             ):
@@ -451,6 +453,8 @@
         now: float,
         account: ids.AccountName | None,
     ) -> member_pool.MemberPool | None:
+        if len(pools) == 1:
+            return pools[0]
         connected = self._connected(pools, account)
         found = member_choice.best(
             member_choice.Candidate(
--- a/burdockcart/process/rates/local_shares.py
+++ b/burdockcart/process/rates/local_shares.py
@@ -15,6 +15,10 @@
 #: longer than any operation.  An operation that was counted in an expired
 #: share must not be given back to the next one.
 REFUND_AGE_S = 5.0
+#: Time after an answer for which reports leave a share out if no operation
+#: waits for it, in seconds.  Operations of the other accounts of a shard
+#: caused 80 reports a second at its owner, each with all accounts.
+SETTLED_S = 0.1
 #: Longest retry time in an error, in milliseconds.
 MAX_RETRY_MS = 1000
 
@@ -53,6 +57,7 @@
         self._meter = DemandMeter(now)
         self._offered_at = now
         self._exhausted_until = -math.inf
+        self._answered_at = -math.inf
         #: Whether the owner may not grant yet, by its last answer.
         self.early = False
         self._reserved_at = -math.inf
@@ -79,9 +84,18 @@
         idle_s = now - self._offered_at
         return self.waiting == 0 and idle_s >= share_terms.IDLE_S
 
+    def due(self, now: float) -> bool:
+        """Return whether the next report is to contain the share."""
+        return (
+            self.waiting > 0
+            or now - self._answered_at >= SETTLED_S
+            or self.idle(now)
+        )
+
     def spend(self, now: float) -> bool:
         """Admit an operation, if there is a token."""
-        self._check(now)
+        if now >= self._valid_until:
+            self._check(now)
         return self._bucket.spend(now)
 
     def refund(self, now: float) -> None:
@@ -157,6 +171,7 @@
     ) -> None:
         """Use the share in the answer to the last report."""
         self._check(now)
+        self._answered_at = now
         self.early = share.early
         if share.next_ms:
             self._exhausted_until = now + share.next_ms / 1000
@@ -232,12 +247,18 @@
     def report(
         self, shard: share_terms.Shard, now: float
     ) -> list[share_terms.Demand]:
-        """Return what to report; shares without demand are given up."""
+        """Return what to report; shares without demand are given up.
+
+        The ledger of each account is independent of the others, so a report
+        may leave some out.  One that was not answered is repeated.
+        """
         by_account = self._by_shard[shard]
         idle = [
             account for account, each in by_account.items() if each.idle(now)
         ]
-        demands = [each.demand(now) for each in by_account.values()]
+        demands = [
+            each.demand(now) for each in by_account.values() if each.due(now)
+        ]
         for account in idle:
             del by_account[account], self._by_account[account]
         return demands
--- a/burdockcart/process/rates/token_bucket.py
+++ b/burdockcart/process/rates/token_bucket.py
@@ -72,9 +72,11 @@
 
     def spend(self, now: float) -> bool:
         """Remove one token, if there is one."""
-        if self.level(now) < 1 - EPSILON:
+        level = self.level(now)
+        if level < 1 - EPSILON:
             return False
-        self._level = max(0.0, self._level - 1)
+        # A token that lacks the tolerance leaves none, not less.
+        self._level = level - 1 if level > 1 else 0.0
         return True
 
     def wait_s(self, now: float) -> float:
