Compute a daemon's turns and holders once for each list

turn.Ranks keeps the places of a daemon until the list of daemons differs. Holding updates the known holders with the daemons that joined, and chooses them anew only if one of them has left or changed; they depend on the failure domain of the member, too. The highest count of daemons is kept as a sliding maximum. A scan of the reachability ends where no member owes an answer, and the end of a relayed channel is asked of its link once instead of twice.

--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -307,7 +307,10 @@
     @property
     def awaits_answer(self) -> bool:
         """Whether the member owes an answer, or has failed to give one."""
-        return bool(self._sent_at_by_ticket or self.failing or self._abandoned)
+        # Asked of each member in each scan, so ``failing`` is not called.
+        return bool(
+            self._sent_at_by_ticket or self.attempts or self._abandoned
+        )
 
     @property
     def running(self) -> int:
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -301,8 +301,9 @@
 
         Once this one has left the list, others hold its tokens.
         """
-        own = {self._settings.daemon} if self._listing.ended else set()
-        return self.tables.daemons - own
+        if not self._listing.ended:
+            return self.tables.daemons
+        return self.tables.daemons - {self._settings.daemon}
 
     def _busy_for_others(self) -> bool:
         """Return whether other daemons or a group need this daemon."""
--- a/burdockcart/process/gateway/members/connection_share.py
+++ b/burdockcart/process/gateway/members/connection_share.py
@@ -145,11 +145,14 @@
     """
 
     def __init__(self, initial: int, now: float):
+        #: Counts above all later ones, the oldest and highest first.
         self._counts = collections.deque([(now, initial)])
 
     def record_count(self, count: int, now: float) -> int:
         """Record a count and return the highest one in the window."""
+        while self._counts and self._counts[-1][1] <= count:
+            self._counts.pop()
         self._counts.append((now, count))
         while now - self._counts[0][0] > COUNT_WINDOW_S:
             self._counts.popleft()
-        return max(seen for _, seen in self._counts)
+        return self._counts[0][1]
--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -735,6 +735,8 @@
 
     def trim(self) -> None:
         """Close idle connections above the soft limit after a burst."""
+        if self.open_count <= self.share.soft_limit:
+            return
         latest = self._clock.now() - connection_share.BURST_IDLE_S
         while self.open_count > self.share.soft_limit:
             unused = [each for each in self._idle if each.idle_since <= latest]
--- a/burdockcart/process/gateway/promotion/failover.py
+++ b/burdockcart/process/gateway/promotion/failover.py
@@ -70,7 +70,7 @@
         notices: call_notice.Notices,
     ):
         self._daemon = daemon
-        self._daemons = daemons
+        self._ranks = turn.Ranks(daemon, daemons)
         self._notice_s = notice_s
         self._metrics = metrics
         #: Since when there has been a cause to replace a group's primary.
@@ -303,14 +303,12 @@
 
     def acts_early(self, group: ids.GroupId) -> bool:
         """Return whether this daemon is among the first to act."""
-        place = turn.rank(self._daemon, group, self._daemons())
-        return turn.delay_s(place) < turn.LATE_S
+        return turn.delay_s(self._ranks.rank(group)) < turn.LATE_S
 
     def _has_turn(self, group: ids.GroupId, now: float) -> bool:
         """Return whether this daemon may act on the cause now."""
         since = self._cause_since.setdefault(group, now)
-        place = turn.rank(self._daemon, group, self._daemons())
-        return now - since >= turn.delay_s(place)
+        return now - since >= turn.delay_s(self._ranks.rank(group))
 
     def _expect_primary(
         self, group: groups.Group, view: failover_rule.PrimaryView
--- a/burdockcart/process/gateway/promotion/reserved_claims.py
+++ b/burdockcart/process/gateway/promotion/reserved_claims.py
@@ -101,6 +101,7 @@
         self._group_by_id = group_by_id
         self._platform = platform
         self._daemons = daemons
+        self._ranks = turn.Ranks(daemon, daemons)
         self._clock = loop_clock
         self._wall_ms = wall_ms
         self._claim_ttl_s = claim_ttl_s
@@ -125,7 +126,7 @@
         self, group: groups.Group, failing_since: float
     ) -> ids.FencingToken | None:
         """Return the reserved token of a group if it may be used now."""
-        own_rank = rank(self._daemon, group.id, self._daemons())
+        own_rank = self._rank(group.id)
         if own_rank is None:
             return None
         wait_s = FIRST_DELAY_S + own_rank * NEXT_DELAY_S
@@ -133,6 +134,13 @@
             return None
         return self._token_by_group.get(group.id)
 
+    def _rank(self, group: ids.GroupId) -> int | None:
+        """Return :func:`rank` of this daemon, computed once for a list."""
+        if self._daemon not in self._daemons():
+            return None
+        place = self._ranks.rank(group)
+        return place if place < HOLDERS else None
+
     def drop_token(self, group: ids.GroupId) -> None:
         """Drop a token that was rejected, or whose call got no answer.
 
@@ -147,7 +155,7 @@
         A token of an earlier term is useless: the change of the primary has
         used a higher one.
         """
-        if rank(self._daemon, group.id, self._daemons()) is None:
+        if self._rank(group.id) is None:
             return False
         if group.primary.pool() is None or group.primary.failing():
             return False
--- a/burdockcart/process/gateway/promotion/roster_keeper.py
+++ b/burdockcart/process/gateway/promotion/roster_keeper.py
@@ -74,12 +74,11 @@
         loop_clock: clock.Clock,
         daemons: Callable[[], Collection[ids.DaemonId]],
     ):
-        self._daemon = daemon
         self._group_by_id = group_by_id
         self._platform = platform
         self._connector = connector
         self._clock = loop_clock
-        self._daemons = daemons
+        self._ranks = turn.Ranks(daemon, daemons)
         #: How a group's roster is outdated, and since when: members of one
         #: of roster and list only, and what the store does not hold yet.
         self._outdated_since: dict[
@@ -106,6 +105,8 @@
             await asyncio.gather(
                 *(self._keep(each) for each in self._group_by_id.values())
             )
+            if not self._next_query:
+                continue
             known = [
                 each.roster.known | _listed(each).keys()
                 for each in self._group_by_id.values()
@@ -172,7 +173,7 @@
         if known != outdated:
             self._outdated_since[group.id] = outdated, now
             since = now
-        place = turn.rank(self._daemon, group.id, self._daemons())
+        place = self._ranks.rank(group.id)
         return place < KEEPERS and now - since >= place * TURN_S
 
     def _query_due(self, member: coordination.RosterMember) -> bool:
--- a/burdockcart/process/gateway/promotion/turn.py
+++ b/burdockcart/process/gateway/promotion/turn.py
@@ -11,6 +11,7 @@
 """
 
 import hashlib
+from typing import Callable
 from typing import Collection
 
 from burdockcart import ids
@@ -55,6 +56,58 @@
     return sum(weight(each) < own for each in daemons)
 
 
+class Ranks:
+    """Places of one daemon, computed once for each list of daemons.
+
+    Explanation
+    ===========
+
+    All groups are scanned 20 times a second, and a place takes a hash of
+    every daemon.
+
+    Parameters
+    ==========
+
+    daemons : callable
+        Returns the registered daemons.
+
+    Examples
+    ========
+
+    >>> from burdockcart.process.gateway.promotion import turn
+    >>> ranks = turn.Ranks("a", lambda: frozenset("abcd"))
+    >>> ranks.rank("g") == turn.rank("a", "g", "abcd")
+    True
+
+    """
+
+    def __init__(
+        self,
+        daemon: ids.DaemonId,
+        daemons: Callable[[], Collection[ids.DaemonId]],
+    ):
+        self._daemon = daemon
+        self._daemons = daemons
+        #: List of daemons that the known places are of.
+        self._ranked: frozenset[ids.DaemonId] = frozenset()
+        self._rank_by_group: dict[ids.GroupId, int] = {}
+
+    def rank(self, group: ids.GroupId) -> int:
+        """Return the daemon's place in the order of a group, from 0."""
+        # A copy is compared, as a caller may change its collection; a frozen
+        # set is not copied.
+        daemons = frozenset(self._daemons())
+        if daemons is not self._ranked:
+            if daemons != self._ranked:
+                self._rank_by_group.clear()
+            self._ranked = daemons
+        found = self._rank_by_group.get(group)
+        if found is None:
+            found = rank(self._daemon, group, daemons)
+            self._rank_by_group[group] = found
+        return found
+
+
 def delay_s(own_rank: int) -> float:
     """Return how long a daemon waits before it acts.
 
--- a/burdockcart/process/gateway/store/daemon_catalog.py
+++ b/burdockcart/process/gateway/store/daemon_catalog.py
@@ -42,12 +42,23 @@
 
     def __init__(self) -> None:
         self.entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry] = {}
+        self._daemons: frozenset[ids.DaemonId] = frozenset()
         self._missing_since: dict[ids.DaemonId, float] = {}
         #: Incarnations that left or were replaced, and when.
         self._left_at: dict[tuple[ids.DaemonId, ids.Incarnation], float] = {}
         #: Restored entries of incarnations that had left.
         self._ended: dict[ids.DaemonId, coordination.DaemonEntry] = {}
 
+    @property
+    def daemons(self) -> frozenset[ids.DaemonId]:
+        """The daemons that have an entry; the same object until they change.
+
+        The scans of all groups ask for them.
+        """
+        if self._daemons != self.entry_by_id.keys():
+            self._daemons = frozenset(self.entry_by_id)
+        return self._daemons
+
     def listed(
         self,
         entry_by_id: dict[ids.DaemonId, coordination.DaemonEntry],
--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -246,7 +246,7 @@
     @property
     def daemons(self) -> frozenset[ids.DaemonId]:
         """The registered daemons."""
-        return frozenset(self._daemons.entry_by_id)
+        return self._daemons.daemons
 
     @property
     def informed(self) -> bool:
--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -111,7 +111,11 @@
             Whether it may be leaving.
 
         """
-        if self.is_closed or self.suspect():
+        return not self.is_closed and self.takes_work(last_resort)
+
+    def takes_work(self, last_resort: bool = False) -> bool:
+        """Return the same of a link that is known to be open."""
+        if self.suspect():
             return False
         return last_resort or not self.leaving
 
--- a/burdockcart/process/peers/holding.py
+++ b/burdockcart/process/peers/holding.py
@@ -2,6 +2,7 @@
 
 import itertools
 from typing import Iterable
+from typing import NamedTuple
 
 from burdockcart import clock
 from burdockcart import ids
@@ -30,6 +31,21 @@
 RELAYED = connection_share.Share(16, 16)
 
 
+class _Key(NamedTuple):
+    """What the holders of a member depend on beside the list of daemons."""
+
+    member: ids.MemberId
+    domain: ids.DomainName
+    size: int
+
+
+class _Found(NamedTuple):
+    """Holders of a member, and whether this daemon is one of them."""
+
+    holders: holder_choice.Holders
+    own: bool
+
+
 class Holding:
     """Chooses the holders of members from the list of daemons."""
 
@@ -54,20 +70,73 @@
             tuple[list[coordination.DaemonEntry], int, float]
         ] = []
         self._drafted_until: dict[ids.MemberId, float] = {}
-        self._holders_by_member: dict[
-            tuple[ids.MemberId, int], holder_choice.Holders
-        ] = {}
+        self._found_by_key: dict[_Key, _Found] = {}
+        #: Those that were asked for since the last change of the list.
+        self._used: set[_Key] = set()
 
     def use_daemons(self, entries: Iterable[coordination.DaemonEntry]) -> None:
         """Use a new list of daemons."""
         now = self._clock.now()
-        before = list(self._entry_by_id.values())
+        former = self._entry_by_id
+        before = list(former.values())
         self._earlier = [
             each for each in self._earlier if now - each[2] < EARLIER_S
         ] + [(before, self._daemons, now)]
         self._entry_by_id = {each.id: each for each in entries}
         self.recount()
-        self._holders_by_member.clear()
+        self._update_holders(former)
+
+    def _update_holders(
+        self, former: dict[ids.DaemonId, coordination.DaemonEntry]
+    ) -> None:
+        """Bring the known holders up to a new list of daemons.
+
+        A daemon that joins is compared with the holders alone: ranking all
+        daemons again for each member and each change takes, while a
+        deployment starts, hashes with the square of its daemons.  Holders of
+        whom one has left or changed are chosen anew when they are needed, and
+        those that nobody has asked for since the last change are dropped.
+        """
+        listed = self._entry_by_id
+        removed = {
+            each for each, entry in former.items() if listed.get(each) != entry
+        }
+        added = [
+            entry
+            for each, entry in listed.items()
+            if each not in former or each in removed
+        ]
+        self._found_by_key = {
+            key: self._with_added(key, found.holders, added)
+            for key, found in self._found_by_key.items()
+            if key in self._used
+            and removed.isdisjoint(each.id for each in found.holders.ranked)
+        }
+        self._used.clear()
+
+    def _with_added(
+        self,
+        key: _Key,
+        holders: holder_choice.Holders,
+        added: list[coordination.DaemonEntry],
+    ) -> _Found:
+        return self._found(
+            key,
+            holder_choice.rank(
+                key.member, key.domain, (*holders.ranked, *added)
+            ),
+        )
+
+    def _found(
+        self, key: _Key, ranked: list[coordination.DaemonEntry]
+    ) -> _Found:
+        active = ranked[: key.size]
+        return _Found(
+            holder_choice.Holders(
+                tuple(ranked[: key.size + SUCCESSORS]), key.size
+            ),
+            any(each.id == self._daemon for each in active),
+        )
 
     def note_listed(self, entries: Iterable[coordination.DaemonEntry]) -> None:
         """Note which daemons are listed, also while this one leaves."""
@@ -90,19 +159,24 @@
         self, member: manifest.MemberEntry, connections: int
     ) -> holder_choice.Holders | None:
         """Return the holders of a member; None if all daemons hold it."""
+        found = self._choose(member, connections)
+        return None if found is None else found.holders
+
+    def _choose(
+        self, member: manifest.MemberEntry, connections: int
+    ) -> _Found | None:
         count = holder_choice.holder_count(connections, self._daemons)
         if count >= self._daemons or not self._entry_by_id:
             return None
-        key = (member.id, count)
-        found = self._holders_by_member.get(key)
+        key = _Key(member.id, member.domain, count)
+        self._used.add(key)
+        found = self._found_by_key.get(key)
         if found is None:
             ranked = holder_choice.rank(
                 member.id, member.domain, self._entry_by_id.values()
             )
-            found = holder_choice.Holders(
-                tuple(ranked[: count + SUCCESSORS]), count
-            )
-            self._holders_by_member[key] = found
+            found = self._found(key, ranked)
+            self._found_by_key[key] = found
         return found
 
     def others(
@@ -175,13 +249,13 @@
 
     def holds(self, member: manifest.MemberEntry, connections: int) -> bool:
         """Return whether this daemon connects to a member directly."""
-        holders = self.holders(member, connections)
-        if holders is None:
-            return True
-        if self._drafted_until.get(member.id, 0.0) >= self._clock.now():
+        found = self._choose(member, connections)
+        if found is None or found.own:
             return True
-        active = holders.ranked[: holders.count]
-        return any(each.id == self._daemon for each in active)
+        drafted_until = self._drafted_until.get(member.id)
+        return drafted_until is not None and (
+            drafted_until >= self._clock.now()
+        )
 
     def share(
         self,
--- a/burdockcart/process/peers/relayed_channel.py
+++ b/burdockcart/process/peers/relayed_channel.py
@@ -107,7 +107,9 @@
             return True
         if self._transaction is not None:
             return False
-        return not (self._link.usable(self._last_resort) and self._chosen())
+        return not (
+            self._link.takes_work(self._last_resort) and self._chosen()
+        )
 
     @property
     def free(self) -> bool:
