Count the work of idle daemons, and budget their function calls

No measure showed what a daemon does at rest and what of it grows with the deployment.

What still grew: the poller of a failure domain was chosen by hashes in each poll, and is now chosen when the list changes; the check of the registrations is a loop instead of a generator. A pool without idle connections is not searched, and evidence of holders is not asked for about a member that this daemon connects to itself, which is the first condition of that evidence.

--- a/burdockcart/cmd/measure.py
+++ b/burdockcart/cmd/measure.py
@@ -23,6 +23,7 @@
     "shutdown",
     "control",
     "overload",
+    "idle_cost",
 )
 DEFAULT_SEED = 20261204
 
--- a/burdockcart/process/accounts/key_evidence.py
+++ b/burdockcart/process/accounts/key_evidence.py
@@ -193,7 +193,8 @@
         Version of the manifest in force on this daemon.
 
     """
-    return all(
-        entry.era == era and entry.manifest_version <= version
-        for entry in entries
-    )
+    # A generator would take a call for each daemon, with each poll.
+    for entry in entries:
+        if entry.era != era or entry.manifest_version > version:
+            return False
+    return True
--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -250,6 +250,8 @@
 
     def has_idle(self) -> bool:
         """Return whether a connection is idle; drop closed ones."""
+        if not self._idle:
+            return False
         dropped = [each for each in self._idle if each.channel.closed]
         for each in dropped:
             self._idle.remove(each)
--- a/burdockcart/process/gateway/promotion/failover.py
+++ b/burdockcart/process/gateway/promotion/failover.py
@@ -172,7 +172,9 @@
             self._start_check("search", group, self._search(group))
             self._replace_missing(group)
             return
-        if group.placement.unreached(pool, self._clock.now()):
+        if not pool.direct and group.placement.unreached(
+            pool, self._clock.now()
+        ):
             # Work for the primary waits, so that no attempt at it shows a
             # new primary.
             self._start_check("search", group, self._search(group))
--- a/burdockcart/process/peers/shared_polls.py
+++ b/burdockcart/process/peers/shared_polls.py
@@ -84,7 +84,8 @@
         self._clock = loop_clock
         self._polled = polled
         self._cache = change_cache.ChangeCache()
-        self._entries: list[coordination.DaemonEntry] = []
+        #: Poller of this failure domain by the list of daemons.
+        self._chosen: coordination.DaemonEntry | None = None
         self._direct_until = loop_clock.now()
         self._asked_at: float | None = None
         #: Set by the application, whose parts depend on each other.
@@ -98,7 +99,7 @@
 
     def use_daemons(self, entries: list[coordination.DaemonEntry]) -> None:
         """Use a new list of daemons."""
-        self._entries = entries
+        self._chosen = poller_choice.poller(self._domain, entries)
 
     @property
     def shared(self) -> bool:
@@ -112,7 +113,7 @@
             return None
         if now < self._direct_until:
             return None
-        found = poller_choice.poller(self._domain, self._entries)
+        found = self._chosen
         if found is None or found.id == self._daemon:
             return None
         return found
