Ask only the relays that can change the oldest statement's age

The age of the oldest unanswered statement asked for each running statement whether its relay is silent, 14 times a statement, and each such question asks the link whether it has ended. A relay is now asked only if its statement is older than the oldest one found so far. The result is the same minimum; a property test compares them, and fails without the comparison of ages.

--- a/burdockcart/connection/member_health.py
+++ b/burdockcart/connection/member_health.py
@@ -10,6 +10,7 @@
 
 import itertools
 from typing import Callable
+from typing import Iterable
 
 from burdockcart.connection import backoff
 from burdockcart.connection import member_channel
@@ -319,15 +320,23 @@
 
     def longest_wait_s(self, now: float) -> float:
         """Return for how long the oldest statement has been unanswered."""
-        oldest = min(
-            (
-                sent_at
-                for ticket, sent_at in self._sent_at_by_ticket.items()
-                if self._awaits_member(ticket)
-            ),
-            default=now,
-        )
-        return now - oldest
+        oldest = self._oldest(self._sent_at_by_ticket)
+        return 0.0 if oldest is None else now - oldest
+
+    def _oldest(self, tickets: Iterable[int]) -> float | None:
+        """Return when the oldest statement that awaits the member was sent.
+
+        Asked several times for each statement.  Most tickets come in the
+        order of their times, so mostly only the first one's relay is asked.
+        """
+        oldest: float | None = None
+        for ticket in tickets:
+            sent_at = self._sent_at_by_ticket[ticket]
+            if (oldest is None or sent_at < oldest) and (
+                self._awaits_member(ticket)
+            ):
+                oldest = sent_at
+        return oldest
 
     def _awaits_member(self, ticket: int) -> bool:
         """Return whether only the member can delay an answer."""
@@ -351,11 +360,4 @@
 
     def oldest_write_at(self) -> float | None:
         """Return when the oldest unanswered write was sent."""
-        return min(
-            (
-                self._sent_at_by_ticket[each]
-                for each in self._write_tickets
-                if self._awaits_member(each)
-            ),
-            default=None,
-        )
+        return self._oldest(self._write_tickets)
--- a/burdockcart/process/peers/tests/test_cached_choices.py
+++ b/burdockcart/process/peers/tests/test_cached_choices.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies
 import testtools
 
+from burdockcart.connection import member_health
 from burdockcart.process.gateway.members import connection_share
 from burdockcart.process.gateway.promotion import turn
 from burdockcart.process.gateway.store import daemon_catalog
@@ -108,3 +109,35 @@
                 if now - at <= connection_share.COUNT_WINDOW_S
             )
             self.assertEqual(highest, count.record_count(value, now))
+
+
+class TestOldestStatement(testtools.TestCase):
+    """Age of the oldest statement that only the member can delay."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 9),
+                strategies.booleans(),
+                strategies.sampled_from((None, True, False)),
+            )
+        )
+    )
+    def test_oldest(self, statements):
+        """Guards against an age of a statement that its relay delays."""
+        health = member_health.MemberHealth(0.0)
+        for sent_at, writes, silent in statements:
+            health.record_sent(
+                sent_at,
+                writes,
+                silent if silent is None else lambda s=silent: s,
+            )
+        awaited = [each for each in statements if not each[2]]
+        self.assertEqual(
+            10.0 - min((sent_at for sent_at, _, _ in awaited), default=10.0),
+            health.longest_wait_s(10.0),
+        )
+        self.assertEqual(
+            min((at for at, writes, _ in awaited if writes), default=None),
+            health.oldest_write_at(),
+        )
