--- a/burdockcart/process/gateway/members/member_pool.py
+++ b/burdockcart/process/gateway/members/member_pool.py
@@ -250,6 +250,8 @@
 
     def has_idle(self) -> bool:
         """Return whether a connection is idle; drop closed ones."""
+        if not self._idle:
+            return False
         dropped = [each for each in self._idle if each.channel.closed]
         for each in dropped:
             self._idle.remove(each)
@@ -738,6 +740,8 @@
 
     def trim(self) -> None:
         """Close idle connections above the soft limit after a burst."""
+        if self.open_count <= self.share.soft_limit:
+            return
         latest = self._clock.now() - connection_share.BURST_IDLE_S
         while self.open_count > self.share.soft_limit:
             unused = [each for each in self._idle if each.idle_since <= latest]
