Take a key that was left only in the first era of the store

Cause: in an era after a restore there is no census, so the process that took its former key granted 4 s after its start.

--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -141,10 +141,12 @@
     def _left_position(self) -> ids.StorePosition | None:
         """Position of the key that a former process left, if to be replaced.
 
-        Without the reserve there is no census, and grants would begin later
-        than those of a daemon that waits for the end of the lease.
+        Without a census (no reserve, or an era after a restore) grants would
+        begin later than those of a daemon that waits for the end of the lease.
         """
-        return None if self.permits is None else self._succession.position
+        if self.permits is None or self._platform.eras.current != 0:
+            return None
+        return self._succession.position
 
     def asked(self, lease_left_s: float) -> None:
         """Note that a daemon takes this one for the next owner."""
