--- a/burdockcart/platform/standin/store_server.py
+++ b/burdockcart/platform/standin/store_server.py
@@ -80,7 +80,8 @@
         #: Fault of the calls that follow a late one.
         self.next_call_fault = CallFault.NONE
         self.revision = 100
-        self.era = 1
+        # Restores are counted.
+        self.era = 0
         self.item_by_key: dict[str, dict[str, Any]] = {}
         self.history: list[dict[str, Any]] = []
         self._due_by_lease: dict[int, tuple[float, float]] = {}
