--- a/burdockcart/platform/tests/test_generated_statements.py
+++ b/burdockcart/platform/tests/test_generated_statements.py
@@ -98,6 +98,9 @@
         """Return the next answer."""
         return self.answers.pop(0)
 
+    def release(self):
+        """Do nothing: no memory is accounted."""
+
     def run(self, statement, text):
         """Return the answer to a statement."""
         word, _, rest = text.partition(" ")
