Dispatch what daemons ask each other in one place

Each kind of question beside statements stood in five places: a branch in RelaySession, a method in its protocol, a method of Relay that passes it on, a check of the answer's type, and for offers and tokens a message that repeated the fields of a structure. Relay.answer dispatches them now, link_request.ask checks the type of the answer, ShardOffer and ReserveTokens carry their structure, and rate_messages has all messages of the rates. A statement's memory is accounted in RelaySession._start, after the checks that need none.

--- a/burdockcart/process/peers/holder_link.py
+++ b/burdockcart/process/peers/holder_link.py
@@ -13,10 +13,8 @@
 from burdockcart.connection import member_channel
 from burdockcart.connection import own_link
 from burdockcart import ids
-from burdockcart.process.peers import census_messages
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import messages
-from burdockcart.process.peers import reserve_messages
 from burdockcart.process.peers import tcp
 
 #: Time without an answer after which the holder is pinged, in seconds.
@@ -227,16 +225,7 @@
 
     def _answer(
         self,
-        message: (
-            messages.Answered
-            | messages.Status
-            | messages.Noticed
-            | messages.Polled
-            | messages.Shares
-            | messages.ShardOffered
-            | reserve_messages.ReserveTokens
-            | census_messages.ShardHeld
-        ),
+        message: messages.Answered | messages.Status | messages.PeerReply,
     ) -> None:
         """Resolve a request; the answer to one given up is dropped."""
         future = self._future_by_number.get(message.number)
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -10,9 +10,7 @@
 
 from burdockcart.connection import member_channel
 from burdockcart import ids
-from burdockcart.process.peers import census_messages
-from burdockcart.process.peers import reserve_messages
-from burdockcart.process.rates import share_terms
+from burdockcart.process.peers import rate_messages
 from burdockcart.request import command
 from burdockcart.request import log_position
 from burdockcart.request import member_evidence
@@ -168,31 +166,6 @@
     after: ids.StorePosition
 
 
-class ShareReport(msgspec.Struct, frozen=True, array_like=True, tag=10):
-    """Report the demand of accounts to the owner of a shard."""
-
-    number: int
-    report: share_terms.Report
-
-
-class ShardOffer(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """Offer a shard to a possible successor; see :class:`share_terms.Offer`.
-
-    Parameters
-    ==========
-
-    shares_end_ms : int
-        Time until the last share of the owner expires.
-
-    """
-
-    number: int
-    shard: share_terms.Shard
-    position: ids.StorePosition
-    take: bool
-    shares_end_ms: int
-
-
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag=20):
     """Answer of a member, or the reason why it has none.
 
@@ -300,28 +273,23 @@
     changes: bytes | None
 
 
-class Shares(msgspec.Struct, frozen=True, array_like=True, tag=26):
-    """Answer to a report of demand."""
-
-    number: int
-    answer: share_terms.Answer
-
-
-class ShardOffered(msgspec.Struct, frozen=True, array_like=True, tag=28):
-    """Answer to the offer of a shard.
-
-    Parameters
-    ==========
-
-    ready : bool
-        Whether the daemon could write the key, or has written it.
-
-    """
-
-    number: int
-    ready: bool
-
-
+#: What daemons ask each other besides statements, and each answer.
+PeerRequest = (
+    CallNotice
+    | PollRequest
+    | rate_messages.ShareReport
+    | rate_messages.ShardOffer
+    | rate_messages.ReserveRequest
+    | rate_messages.ShardCensus
+)
+PeerReply = (
+    Noticed
+    | Polled
+    | rate_messages.Shares
+    | rate_messages.ShardOffered
+    | rate_messages.ReserveTokens
+    | rate_messages.ShardHeld
+)
 Request = Union[
     Run,
     RunInTransaction,
@@ -330,27 +298,10 @@
     Discard,
     Action,
     Ping,
-    CallNotice,
     Withdrawal,
-    PollRequest,
-    ShareReport,
-    ShardOffer,
-    reserve_messages.ReserveRequest,
-    census_messages.ShardCensus,
-]
-Reply = Union[
-    Answered,
-    Status,
-    Pong,
-    Leaving,
-    Closing,
-    Noticed,
-    Polled,
-    Shares,
-    ShardOffered,
-    reserve_messages.ReserveTokens,
-    census_messages.ShardHeld,
+    PeerRequest,
 ]
+Reply = Union[Answered, Status, Pong, Leaving, Closing, PeerReply]
 
 encode = msgspec.msgpack.Encoder().encode
 request_decoder: msgspec.msgpack.Decoder[Request] = msgspec.msgpack.Decoder(
--- a/burdockcart/process/peers/peer_census.py
+++ b/burdockcart/process/peers/peer_census.py
@@ -4,8 +4,8 @@
 
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
-from burdockcart.process.peers import census_messages
 from burdockcart.process.peers import link_request
+from burdockcart.process.peers import rate_messages
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.rates import census_terms
 from burdockcart.process.rates import share_terms
@@ -37,20 +37,17 @@
         reply = await link_request.ask(
             self._links,
             daemon,
-            lambda number: census_messages.ShardCensus(
-                number, shard, position
-            ),
+            lambda number: rate_messages.ShardCensus(number, shard, position),
+            rate_messages.ShardHeld,
             timeout_s,
         )
-        if not isinstance(reply, census_messages.ShardHeld):
-            return None
-        return reply.held
+        return None if reply is None else reply.held
 
     def asked(
-        self, message: census_messages.ShardCensus
-    ) -> census_messages.ShardHeld:
+        self, message: rate_messages.ShardCensus
+    ) -> rate_messages.ShardHeld:
         """Answer the question of another daemon."""
         held = None
         if self._serve is not None:
             held = self._serve(message.shard, message.position)
-        return census_messages.ShardHeld(message.number, held)
+        return rate_messages.ShardHeld(message.number, held)
--- a/burdockcart/process/peers/peer_offers.py
+++ b/burdockcart/process/peers/peer_offers.py
@@ -5,7 +5,7 @@
 
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import link_request
-from burdockcart.process.peers import messages
+from burdockcart.process.peers import rate_messages
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.rates import share_terms
 
@@ -33,26 +33,15 @@
         reply = await link_request.ask(
             self._links,
             daemon,
-            lambda number: messages.ShardOffer(
-                number,
-                offer.shard,
-                offer.position,
-                offer.take,
-                offer.shares_end_ms,
-            ),
+            lambda number: rate_messages.ShardOffer(number, offer),
+            rate_messages.ShardOffered,
             timeout_s,
         )
-        return isinstance(reply, messages.ShardOffered) and reply.ready
+        return reply is not None and reply.ready
 
     async def offered(
-        self, message: messages.ShardOffer
-    ) -> messages.ShardOffered:
+        self, message: rate_messages.ShardOffer
+    ) -> rate_messages.ShardOffered:
         """Answer the offer of another daemon."""
-        offer = share_terms.Offer(
-            message.shard,
-            message.position,
-            message.take,
-            message.shares_end_ms,
-        )
-        ready = self._serve is not None and await self._serve(offer)
-        return messages.ShardOffered(message.number, ready)
+        ready = self._serve is not None and await self._serve(message.offer)
+        return rate_messages.ShardOffered(message.number, ready)
--- a/burdockcart/process/peers/peer_reserve.py
+++ b/burdockcart/process/peers/peer_reserve.py
@@ -4,14 +4,12 @@
 
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import link_request
+from burdockcart.process.peers import rate_messages
 from burdockcart.process.peers import relay_connector
-from burdockcart.process.peers import reserve_messages
-from burdockcart.process.rates import reserve_requests
+from burdockcart.process.rates import permit_terms
 from burdockcart.process.rates import share_terms
 
-Serve = Callable[
-    [share_terms.Shard, reserve_requests.Counts], reserve_requests.Tokens
-]
+Serve = Callable[[share_terms.Shard, permit_terms.Counts], permit_terms.Tokens]
 
 
 class PeerReserve:
@@ -32,29 +30,24 @@
         self,
         daemon: coordination.DaemonEntry,
         shard: share_terms.Shard,
-        counts: reserve_requests.Counts,
-    ) -> reserve_requests.Tokens | None:
+        counts: permit_terms.Counts,
+    ) -> permit_terms.Tokens | None:
         """Ask a daemon; None without an answer while it could be used."""
         # Also a daemon that leaves: it has its permit still.
         reply = await link_request.ask(
             self._links,
             daemon,
-            lambda number: reserve_messages.ReserveRequest(
-                number, shard, counts
-            ),
+            lambda number: rate_messages.ReserveRequest(number, shard, counts),
+            rate_messages.ReserveTokens,
             share_terms.TOKEN_S,
         )
-        if not isinstance(reply, reserve_messages.ReserveTokens):
-            return None
-        return reserve_requests.Tokens(reply.counts, reply.permitted)
+        return None if reply is None else reply.tokens
 
     def asked(
-        self, message: reserve_messages.ReserveRequest
-    ) -> reserve_messages.ReserveTokens:
+        self, message: rate_messages.ReserveRequest
+    ) -> rate_messages.ReserveTokens:
         """Answer the request of another daemon."""
-        if self._serve is None:
-            return reserve_messages.ReserveTokens(message.number, [], False)
-        tokens = self._serve(message.shard, message.counts)
-        return reserve_messages.ReserveTokens(
-            message.number, tokens.counts, tokens.permitted
-        )
+        tokens = permit_terms.Tokens([], False)
+        if self._serve is not None:
+            tokens = self._serve(message.shard, message.counts)
+        return rate_messages.ReserveTokens(message.number, tokens)
--- a/burdockcart/process/peers/peer_shares.py
+++ b/burdockcart/process/peers/peer_shares.py
@@ -5,7 +5,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.peers import link_request
-from burdockcart.process.peers import messages
+from burdockcart.process.peers import rate_messages
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.rates import share_terms
 
@@ -34,17 +34,18 @@
         reply = await link_request.ask(
             self._links,
             daemon,
-            lambda number: messages.ShareReport(number, report),
+            lambda number: rate_messages.ShareReport(number, report),
+            rate_messages.Shares,
             TIMEOUT_S,
         )
-        return reply.answer if isinstance(reply, messages.Shares) else None
+        return None if reply is None else reply.answer
 
     def reported(
-        self, daemon: ids.DaemonId, message: messages.ShareReport
-    ) -> messages.Shares:
+        self, daemon: ids.DaemonId, message: rate_messages.ShareReport
+    ) -> rate_messages.Shares:
         """Answer the report of another daemon."""
         if self._serve is None:
             answer = share_terms.Answer(None, ids.StorePosition(-1))
         else:
             answer = self._serve(daemon, message.report)
-        return messages.Shares(message.number, answer)
+        return rate_messages.Shares(message.number, answer)
--- a/burdockcart/process/peers/relay.py
+++ b/burdockcart/process/peers/relay.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from typing import Any
+from typing import Coroutine
 from typing import Protocol
 
 import loguru
@@ -15,7 +17,6 @@
 from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.gateway.sessions import attempts
 from burdockcart.process.gateway.store import coordination
-from burdockcart.process.peers import census_messages
 from burdockcart.process.peers import holder_choice
 from burdockcart.process.peers import holding
 from burdockcart.process.peers import messages
@@ -24,9 +25,9 @@
 from burdockcart.process.peers import peer_offers
 from burdockcart.process.peers import peer_reserve
 from burdockcart.process.peers import peer_shares
+from burdockcart.process.peers import rate_messages
 from burdockcart.process.peers import relay_connector
 from burdockcart.process.peers import relay_service
-from burdockcart.process.peers import reserve_messages
 from burdockcart.process.peers import shared_evidence
 from burdockcart.process.peers import shared_polls
 from burdockcart.request import log_position
@@ -295,41 +296,27 @@
         """
         self.notices.passed_on(group, commit, asked_at)
 
-    def notified(self, notice: messages.CallNotice) -> messages.Noticed:
-        """Go by a promotion call from now on."""
-        return self.notices.notified(notice)
-
     def withdrawn(self, withdrawal: messages.Withdrawal) -> None:
         """Note that a promotion call was not sent."""
         self.notices.withdrawn(withdrawal)
 
-    async def poll(self, message: messages.PollRequest) -> messages.Polled:
-        """Return the changes of the store for another daemon."""
-        return await self.polls.serve(message)
-
-    def shares_reported(
-        self, daemon: ids.DaemonId, message: messages.ShareReport
-    ) -> messages.Shares:
-        """Answer a daemon that reports the demand of accounts."""
-        return self.shares.reported(daemon, message)
-
-    async def shard_offered(
-        self, message: messages.ShardOffer
-    ) -> messages.ShardOffered:
-        """Answer an owner that offers its shard."""
-        return await self.offers.offered(message)
-
-    def reserve_asked(
-        self, message: reserve_messages.ReserveRequest
-    ) -> reserve_messages.ReserveTokens:
-        """Answer a daemon that asks for tokens of the rate reserve."""
-        return self.reserve.asked(message)
-
-    def census_asked(
-        self, message: census_messages.ShardCensus
-    ) -> census_messages.ShardHeld:
-        """Answer a new owner that asks what this daemon holds."""
-        return self.census.asked(message)
+    def answer(
+        self, daemon: ids.DaemonId, message: messages.PeerRequest
+    ) -> messages.PeerReply | Coroutine[Any, Any, messages.PeerReply]:
+        """Answer what another daemon asks, at once or when it is known."""
+        match message:
+            case messages.CallNotice():
+                return self.notices.notified(message)
+            case messages.PollRequest():
+                return self.polls.serve(message)
+            case rate_messages.ShareReport():
+                return self.shares.reported(daemon, message)
+            case rate_messages.ShardOffer():
+                return self.offers.offered(message)
+            case rate_messages.ReserveRequest():
+                return self.reserve.asked(message)
+            case rate_messages.ShardCensus():
+                return self.census.asked(message)
 
     def held_pool(
         self, group: ids.GroupId, member: ids.MemberId
--- a/burdockcart/process/peers/relay_session.py
+++ b/burdockcart/process/peers/relay_session.py
@@ -19,12 +19,10 @@
 from burdockcart.process.gateway.members import group as groups
 from burdockcart.process.gateway.members import pooled_connection
 from burdockcart.process.gateway.sessions import attempts
-from burdockcart.process.peers import census_messages
 from burdockcart.process.peers import frames
 from burdockcart.process.peers import held_transaction
 from burdockcart.process.peers import messages
 from burdockcart.process.peers import relay_actions
-from burdockcart.process.peers import reserve_messages
 from burdockcart.process.peers import tcp
 from burdockcart.request import command
 from burdockcart.request import log_position
@@ -81,34 +79,13 @@
         It was sent after ``asked_at``.
         """
 
-    def notified(self, notice: messages.CallNotice) -> messages.Noticed:
-        """Go by a promotion call from now on."""
-
     def withdrawn(self, withdrawal: messages.Withdrawal) -> None:
         """Note that a promotion call was not sent."""
 
-    async def poll(self, message: messages.PollRequest) -> messages.Polled:
-        """Return the changes of the store for another daemon."""
-
-    def shares_reported(
-        self, daemon: ids.DaemonId, message: messages.ShareReport
-    ) -> messages.Shares:
-        """Answer a daemon that reports the demand of accounts."""
-
-    async def shard_offered(
-        self, message: messages.ShardOffer
-    ) -> messages.ShardOffered:
-        """Answer an owner that offers its shard."""
-
-    def reserve_asked(
-        self, message: reserve_messages.ReserveRequest
-    ) -> reserve_messages.ReserveTokens:
-        """Answer a daemon that asks for tokens of the rate reserve."""
-
-    def census_asked(
-        self, message: census_messages.ShardCensus
-    ) -> census_messages.ShardHeld:
-        """Answer a new owner that asks what this daemon holds."""
+    def answer(
+        self, daemon: ids.DaemonId, message: messages.PeerRequest
+    ) -> messages.PeerReply | Coroutine[Any, Any, messages.PeerReply]:
+        """Answer what another daemon asks, at once or when it is known."""
 
 
 class Service(Protocol):
@@ -184,43 +161,38 @@
                 f"request {message.number} after {self._last_number}"
             )
         self._last_number = message.number
-        if isinstance(message, messages.CallNotice):
-            self._send(self._service.pools.notified(message))
-            return
-        if isinstance(message, messages.PollRequest):
-            self._spawn(self._serve_poll(message))
-            return
-        if isinstance(message, messages.ShareReport):
-            pools = self._service.pools
-            self._send(pools.shares_reported(self._daemon, message))
-            return
-        if isinstance(message, messages.ShardOffer):
-            self._spawn(self._serve_offer(message))
-            return
-        if isinstance(message, reserve_messages.ReserveRequest):
-            self._send(self._service.pools.reserve_asked(message))
-            return
-        if isinstance(message, census_messages.ShardCensus):
-            self._send(self._service.pools.census_asked(message))
+        if isinstance(message, Served):
+            self._start(message, len(content))
             return
+        reply = self._service.pools.answer(self._daemon, message)
+        if isinstance(reply, Coroutine):
+            self._spawn(self._send_later(reply))
+        else:
+            self._send(reply)
+
+    def _start(self, message: Served, size: int) -> None:
+        """Serve a statement of some bytes, or refuse it."""
         if len(self._tasks) >= MAX_STATEMENTS:
             self._refuse(message.number, "too many statements on this link")
             return
-        hold, use = self._service.memory.hold, memory_budget.Use.RELAYED
-        held = None
-        if len(content) > ACCOUNTED_BYTES:
-            held = memory_budget.new_number()
-            if not hold(held, use, COPIES * len(content)):
-                self._service.memory.limited("memory", "refused", "link")
-                self._refuse(message.number, "no memory for the statement")
-                return
-        task = None
-        if not isinstance(message, messages.Begin) or self._register(message):
-            task = self._spawn(self._serve(message))
-        if held is not None and task is not None:
-            task.add_done_callback(lambda _: hold(held, use, 0))
-        elif held is not None:
-            hold(held, use, 0)
+        if (
+            isinstance(message, messages.Begin)
+            and message.transaction in self._transaction_by_number
+        ):
+            self._refuse(message.number, "the transaction is open")
+            return
+        memory, use = self._service.memory, memory_budget.Use.RELAYED
+        held = memory_budget.new_number()
+        accounted = COPIES * size if size > ACCOUNTED_BYTES else 0
+        if accounted and not memory.hold(held, use, accounted):
+            memory.limited("memory", "refused", "link")
+            self._refuse(message.number, "no memory for the statement")
+            return
+        if isinstance(message, messages.Begin):
+            self._register(message)
+        task = self._spawn(self._serve(message))
+        if accounted:
+            task.add_done_callback(lambda _: memory.hold(held, use, 0))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work, name="relayed")
@@ -228,25 +200,20 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _serve_poll(self, message: messages.PollRequest) -> None:
-        self._send(await self._service.pools.poll(message))
-
-    async def _serve_offer(self, message: messages.ShardOffer) -> None:
-        self._send(await self._service.pools.shard_offered(message))
+    async def _send_later(
+        self, reply: Coroutine[Any, Any, messages.PeerReply]
+    ) -> None:
+        self._send(await reply)
 
-    def _register(self, message: messages.Begin) -> bool:
-        """Know of a transaction before it begins; False if it is known.
+    def _register(self, message: messages.Begin) -> None:
+        """Know of a transaction before it begins.
 
         What follows on the link may already end it.
         """
         number = message.transaction
-        if number in self._transaction_by_number:
-            self._refuse(message.number, "the transaction is open")
-            return False
         self._transaction_by_number[number] = held_transaction.HeldTransaction(
             self._daemon, number
         )
-        return True
 
     def _send(self, message: messages.Reply) -> None:
         self._transport.send(messages.encode(message))
--- a/burdockcart/process/rates/permit_terms.py
+++ b/burdockcart/process/rates/permit_terms.py
@@ -2,6 +2,11 @@
 
 import msgspec
 
+from burdockcart import ids
+
+#: Accounts, each with a number of tokens.
+Counts = list[tuple[ids.AccountName, int]]
+
 
 class PermitClaim(msgspec.Struct, frozen=True, array_like=True):
     """A daemon that may hold a permit of a shard reports.
@@ -34,3 +39,18 @@
     index: int
     valid_ms: int
     renews: bool = False
+
+
+class Tokens(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon issues that was asked for tokens of a shard.
+
+    Parameters
+    ==========
+
+    permitted : bool
+        Whether it has a permit.
+
+    """
+
+    counts: Counts
+    permitted: bool
--- a/burdockcart/process/rates/rate_reserve.py
+++ b/burdockcart/process/rates/rate_reserve.py
@@ -8,6 +8,7 @@
 from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import permit_holder
 from burdockcart.process.rates import permit_ledger
+from burdockcart.process.rates import permit_terms
 from burdockcart.process.rates import reserve_policy
 from burdockcart.process.rates import reserve_requests
 from burdockcart.process.rates import shard_keeper
@@ -87,18 +88,18 @@
             holder.leaving = True
 
     def served(
-        self, shard: share_terms.Shard, counts: reserve_requests.Counts
-    ) -> reserve_requests.Tokens:
+        self, shard: share_terms.Shard, counts: permit_terms.Counts
+    ) -> permit_terms.Tokens:
         """Issue tokens to another daemon."""
         holder = self._holders.get(shard)
         if holder is None:
-            return reserve_requests.Tokens([], False)
+            return permit_terms.Tokens([], False)
         now = self._boot_clock.now()
         issued = [
             (account, holder.issue(account, wanted, now))
             for account, wanted in counts
         ]
-        return reserve_requests.Tokens(issued, holder.permitted(now))
+        return permit_terms.Tokens(issued, holder.permitted(now))
 
     def held(self, shard: share_terms.Shard) -> int | None:
         """Return this daemon's permit of a shard."""
--- a/burdockcart/process/rates/reserve_requests.py
+++ b/burdockcart/process/rates/reserve_requests.py
@@ -3,14 +3,13 @@
 import asyncio
 from typing import Protocol
 
-import msgspec
-
 from burdockcart import clock
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import passed_over
 from burdockcart.process.rates import permit_holder
+from burdockcart.process.rates import permit_terms
 from burdockcart.process.rates import shard_keeper
 from burdockcart.process.rates import shard_order
 from burdockcart.process.rates import shard_reports
@@ -26,23 +25,6 @@
 #: rates.
 MAX_WANTED = 100
 
-Counts = list[tuple[ids.AccountName, int]]
-
-
-class Tokens(msgspec.Struct, frozen=True):
-    """Answer of a daemon that was asked.
-
-    Parameters
-    ==========
-
-    permitted : bool
-        Whether it has a permit.
-
-    """
-
-    counts: Counts
-    permitted: bool
-
 
 class Carrier(Protocol):
     """Carries requests to other daemons."""
@@ -51,8 +33,8 @@
         self,
         daemon: coordination.DaemonEntry,
         shard: share_terms.Shard,
-        counts: Counts,
-    ) -> Tokens | None:
+        counts: permit_terms.Counts,
+    ) -> permit_terms.Tokens | None:
         """Ask a daemon; None without an answer within TOKEN_S."""
 
 
@@ -132,10 +114,10 @@
             for task in self._tasks:
                 task.cancel()
 
-    def _missing(self, accounts: set[ids.AccountName]) -> Counts:
+    def _missing(self, accounts: set[ids.AccountName]) -> permit_terms.Counts:
         """Return how many tokens operations wait for."""
         now = self._boot_clock.now()
-        counts: Counts = []
+        counts: permit_terms.Counts = []
         for account in sorted(accounts):
             share = self._local.known(account)
             waiting = 0 if share is None else share.waiting
@@ -180,7 +162,7 @@
                 self._empty_until[account] = until
 
     async def _ask(
-        self, target: coordination.DaemonEntry, counts: Counts
+        self, target: coordination.DaemonEntry, counts: permit_terms.Counts
     ) -> None:
         sent_at = self._boot_clock.now()
         tokens = await self._carrier.ask(target, self._shard, counts)
--- a/burdockcart/process/rates/tests/test_reserve_requests.py
+++ b/burdockcart/process/rates/tests/test_reserve_requests.py
@@ -9,6 +9,7 @@
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.rates import local_shares
 from burdockcart.process.rates import permit_holder
+from burdockcart.process.rates import permit_terms
 from burdockcart.process.rates import reserve_policy
 from burdockcart.process.rates import reserve_requests
 from burdockcart.process.rates import shard_order
@@ -40,7 +41,7 @@
 
 def tokens(count, permitted=True):
     """Return an answer with tokens."""
-    return reserve_requests.Tokens([(ACCOUNT, count)], permitted)
+    return permit_terms.Tokens([(ACCOUNT, count)], permitted)
 
 
 class TestReserveRequests(testtools.TestCase):
