Describe the policies of the replay once, and refuse with a time alone

queue_policies.Policy repeated the fields of a protocol in queue_replay, a refusal was a structure of one field, and EarlyRefusal counted what is ahead with an iterator and a place. Behavior is unchanged.

--- a/burdockcart/measure/queue_policies.py
+++ b/burdockcart/measure/queue_policies.py
@@ -1,12 +1,9 @@
 """Policies that the replay of queues compares."""
 
-import itertools
-import math
 from typing import Callable
 
 import msgspec
 
-from burdockcart.measure import queue_loads
 from burdockcart.measure import queue_replay
 from burdockcart.request import member_limit
 from burdockcart.request import queue_admission
@@ -47,12 +44,12 @@
         connections: int,
         now: float,
         is_free: Callable[[], bool],
-    ) -> queue_admission.Refusal | None:
-        """Return why work may not join the queue, or None."""
+    ) -> float | None:
+        """Return when to try again, or None."""
         excess_s = self._queue.wait_s(work, connections, now) - (
             work.give_up_at - now
         )
-        return queue_admission.Refusal(excess_s) if excess_s > 0.0 else None
+        return excess_s if excess_s > 0.0 else None
 
     def retry_s(
         self, work: work_queue.Work, connections: int, now: float
@@ -75,8 +72,8 @@
         connections: int,
         now: float,
         is_free: Callable[[], bool],
-    ) -> queue_admission.Refusal | None:
-        """Return why work may not join the queue, or None."""
+    ) -> float | None:
+        """Return when to try again, or None."""
         if not work.primary_only:
             self._connections = connections
         return super().refusal(work, connections, now, is_free)
@@ -84,15 +81,14 @@
     def hopeless(self, now: float) -> list[work_queue.Work]:
         """Return the work that is not expected to be served."""
         found: list[work_queue.Work] = []
-        ahead = itertools.count()
         pace_s = self._queue._hold_s / max(self._connections, 1)
         pace_s /= queue_admission.WAIT_FACTOR
-        place = 0
+        ahead = 0
         for work in self._queue.in_order(now):
-            if now + place * pace_s > work.give_up_at:
+            if now + ahead * pace_s > work.give_up_at:
                 found.append(work)
             else:
-                place = next(ahead) + 1
+                ahead += 1
         return found
 
 
@@ -106,32 +102,13 @@
         super().record_answer()
 
 
-def _limit(
-    kind: type[member_limit.MemberLimit],
-) -> Callable[[], member_limit.MemberLimit]:
-    needed = math.ceil(queue_loads.SLOTS / queue_replay.HOLDERS) + 2
-    return lambda: kind(queue_replay.CONNECTIONS, needed)
-
-
-class Policy(msgspec.Struct, frozen=True, kw_only=True):
-    """Decisions of all nodes; see :class:`queue_replay.Policy`."""
-
-    name: str
-    queue: type[work_queue.WorkQueue] = work_queue.WorkQueue
-    admission: type[queue_admission.Admission] = queue_admission.Admission
-    limit: Callable[[], member_limit.MemberLimit] = _limit(
-        member_limit.MemberLimit
-    )
-    counts_all: bool = False
-
-
-FORMER = Policy(
+FORMER = queue_replay.Policy(
     name="former",
     admission=FormerAdmission,
-    limit=_limit(FormerLimit),
+    limit=queue_replay.limit_of(FormerLimit),
     counts_all=True,
 )
-CURRENT = Policy(name="current")
+CURRENT = queue_replay.Policy(name="current")
 POLICIES = (
     msgspec.structs.replace(FORMER, name="arrival", queue=ArrivalOrder),
     FORMER,
@@ -143,6 +120,6 @@
         counts_all=False,
     ),
     CURRENT,
-    Policy(name="late last", queue=LateLast),
-    Policy(name="early refusal", admission=EarlyRefusal),
+    queue_replay.Policy(name="late last", queue=LateLast),
+    queue_replay.Policy(name="early refusal", admission=EarlyRefusal),
 )
--- a/burdockcart/measure/queue_replay.py
+++ b/burdockcart/measure/queue_replay.py
@@ -12,6 +12,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from typing import Any
 from typing import Callable
@@ -44,24 +45,38 @@
 POSITION = log_position.LogPosition(0, 0)
 
 
-class Policy(Protocol):
-    """Decisions of all nodes."""
+def limit_of(
+    kind: type[member_limit.MemberLimit],
+) -> Callable[[], member_limit.MemberLimit]:
+    """Return what creates the limits of a node's statements at a member."""
+    needed = math.ceil(queue_loads.SLOTS / HOLDERS) + 2
+    return lambda: kind(CONNECTIONS, needed)
 
-    @property
-    def queue(self) -> type[work_queue.WorkQueue]:
-        """Order and estimate of a queue."""
 
-    @property
-    def admission(self) -> type[queue_admission.Admission]:
-        """What refuses work of a queue."""
+class Policy(msgspec.Struct, frozen=True, kw_only=True):
+    """Decisions of all nodes.
 
-    @property
-    def limit(self) -> Callable[[], member_limit.MemberLimit]:
-        """Return the limit of a node's statements at a member."""
+    Parameters
+    ==========
+
+    queue : type
+        Order and estimate of a queue.
+    admission : type
+        What refuses work of a queue.
+    limit : callable
+        Returns the limit of a node's statements at a member.
+    counts_all : bool
+        Whether estimates count unusable members and refused work.
+
+    """
 
-    @property
-    def counts_all(self) -> bool:
-        """Whether estimates count unusable members and refused work."""
+    name: str
+    queue: type[work_queue.WorkQueue] = work_queue.WorkQueue
+    admission: type[queue_admission.Admission] = queue_admission.Admission
+    limit: Callable[[], member_limit.MemberLimit] = limit_of(
+        member_limit.MemberLimit
+    )
+    counts_all: bool = False
 
 
 @runtime_checkable
@@ -208,14 +223,14 @@
             tried.ended(now, Answer(False))
             return
         usable = self._possible(work, now)
-        refused = node.admission.refusal(
+        retry_s = node.admission.refusal(
             work,
             self._connections(node, work, now),
             now,
             lambda: any(node.free(member) for member in usable),
         )
-        if refused is not None:
-            tried.ended(now, Answer(False, True, retry_s=refused.retry_s))
+        if retry_s is not None:
+            tried.ended(now, Answer(False, True, retry_s=retry_s))
             return
         work.value_by_name["try"] = tried  # type: ignore[assignment]
         node.queue.push(work, now)
--- a/burdockcart/process/gateway/members/group_queue.py
+++ b/burdockcart/process/gateway/members/group_queue.py
@@ -143,19 +143,19 @@
         self, work: work_queue.Work, now: float
     ) -> errors.Failure | None:
         """Return a failure if the queue is too long for work."""
-        refusal = self._admission.refusal(
+        retry_s = self._admission.refusal(
             work,
             self._connections(work, now),
             now,
             lambda: self._members.has_free(work),
         )
-        if refusal is None:
+        if retry_s is None:
             return None
         return errors.Failure(
             errors.ErrorKind.OVERLOADED,
             f"{len(self._queue)} statements are queued for group "
             f"{self._members.id}",
-            retry_after_ms=int(refusal.retry_s * 1000),
+            retry_after_ms=int(retry_s * 1000),
         )
 
     def _connections(self, work: work_queue.Work, now: float) -> int:
--- a/burdockcart/request/queue_admission.py
+++ b/burdockcart/request/queue_admission.py
@@ -17,8 +17,6 @@
 import random
 from typing import Callable
 
-import msgspec
-
 from burdockcart.request import work_queue
 
 #: Factor by which the estimated wait may exceed the time that is left.
@@ -30,20 +28,6 @@
 RETRY_JITTER = (1.0, 2.0)
 
 
-class Refusal(msgspec.Struct, frozen=True):
-    """Refused work.
-
-    Parameters
-    ==========
-
-    retry_s : float
-        Time after which its client should try again, in seconds.
-
-    """
-
-    retry_s: float
-
-
 class Admission:
     """Decides whether work may join a queue.
 
@@ -64,7 +48,7 @@
     >>> for _ in range(100):
     ...     queue.push(work)
     >>> admission = queue_admission.Admission(queue)
-    >>> admission.refusal(work, 2, 0.0, lambda: False).retry_s > 1.2
+    >>> admission.refusal(work, 2, 0.0, lambda: False) > 1.2
     True
     >>> admission.refusal(work, 2, 0.0, lambda: True) is None
     True
@@ -81,8 +65,10 @@
         connections: int,
         now: float,
         is_free: Callable[[], bool],
-    ) -> Refusal | None:
-        """Return why work may not join the queue, or None.
+    ) -> float | None:
+        """Return when to try again if work may not join the queue.
+
+        In seconds; None if it may.
 
         Parameters
         ==========
@@ -98,7 +84,7 @@
         left_s = work.give_up_at - now
         if wait_s <= WAIT_FACTOR * left_s or is_free():
             return None
-        return Refusal(self._spread(wait_s - left_s))
+        return self._spread(wait_s - left_s)
 
     def retry_s(
         self, work: work_queue.Work, connections: int, now: float
--- a/burdockcart/request/tests/test_queue_admission.py
+++ b/burdockcart/request/tests/test_queue_admission.py
@@ -38,7 +38,7 @@
 
     def test_retry_times_are_spread(self):
         """Guards against refused clients that come back at once, or early."""
-        times = [self.refusal(1).retry_s for _ in range(200)]
+        times = [self.refusal(1) for _ in range(200)]
         self.assertGreaterEqual(min(times), 2.0)
         self.assertLessEqual(max(times), 4.0)
         self.assertGreater(max(times) - min(times), 1.5)
