--- a/burdockcart/process/gateway/members/reachability.py
+++ b/burdockcart/process/gateway/members/reachability.py
@@ -51,16 +51,11 @@
 
     def scan(self) -> None:
         """Start the checks that are due."""
-        watched = [
-            pool
-            for group in self._group_by_id.values()
-            for pool in group.pool_by_member.values()
-            if pool.awaits_answer
-        ]
+        pools = self._pools()
+        watched = [pool for pool in pools if pool.awaits_answer]
         if not watched:
             return
         now = self._clock.now()
-        pools = self._pools()
         lost_at = min(
             (
                 pool.health.first_failure_at or now
--- a/burdockcart/process/gateway/store/registration_time.py
+++ b/burdockcart/process/gateway/store/registration_time.py
@@ -4,6 +4,7 @@
 
 from burdockcart import clock
 from burdockcart import ids
+from burdockcart.process.gateway.store import store_era
 
 #: Part of the lifetime that is not relied on, for the clocks, in seconds.
 CLOCK_MARGIN_S = 0.2
@@ -49,7 +50,7 @@
     def registered(self, era: ids.StoreEra, sent_at: float) -> None:
         """Note that a registration that was sent at a time was answered."""
         now = self._clock.now()
-        if era > 0:
+        if era > store_era.FIRST:
             # What is held from before is still judged by that registration.
             self._restored_since = min(self._restored_since, now)
         else:
@@ -57,7 +58,7 @@
 
     def renewed(self, era: ids.StoreEra, sent_at: float) -> None:
         """Note that a renewal that was sent at a time was answered."""
-        if era == 0:
+        if era == store_era.FIRST:
             self._until = max(self._until, sent_at + self._ttl_s)
 
     def ended(self) -> None:
--- a/burdockcart/process/gateway/store/store_era.py
+++ b/burdockcart/process/gateway/store/store_era.py
@@ -19,6 +19,9 @@
 #: Bits of a revision within its era; they last for ten years at 3,200 writes
 #: a second.  With them, positions of 8,192 eras are exact as JSON numbers.
 REVISION_BITS = 40
+#: Era of a store that was never restored.  Only there is nothing missing in it
+#: that was acknowledged.
+FIRST = ids.StoreEra(0)
 
 
 def position(era: ids.StoreEra, revision: int) -> ids.StorePosition:
@@ -67,8 +70,8 @@
 
     @property
     def current(self) -> ids.StoreEra:
-        """The newest known era; 0 before the first answer."""
-        return ids.StoreEra(0) if self._newest is None else self._newest
+        """The newest known era; the first one before the first answer."""
+        return FIRST if self._newest is None else self._newest
 
     def observe(self, era: ids.StoreEra) -> bool:
         """Record the era of an answer; False if a newer one is known."""
--- a/burdockcart/process/rates/census_requests.py
+++ b/burdockcart/process/rates/census_requests.py
@@ -8,6 +8,7 @@
 from burdockcart import clock
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_era
 from burdockcart.process.rates import census_terms
 from burdockcart.process.rates import shard_census
 from burdockcart.process.rates import shard_keeper
@@ -77,7 +78,7 @@
             snapshot is None
             or snapshot.position < position
             or snapshot.daemons_unreadable
-            or self._platform.eras.current != 0
+            or self._platform.eras.current != store_era.FIRST
         ):
             return
         entries = snapshot.daemon_by_id
@@ -97,7 +98,8 @@
         left_s = self._keeper.census_from - self._clock.now()
         await asyncio.sleep(max(0.0, left_s))
         # The store may have been restored since the list was read.
-        if not census.missing and self._platform.eras.current == 0:
+        first = self._platform.eras.current == store_era.FIRST
+        if first and not census.missing:
             used = self._keeper.use_census(position, census)
             loguru.logger.info(
                 "event=shard_census shard={} position={} daemons={} used={}",
--- a/burdockcart/process/rates/shard_keeper.py
+++ b/burdockcart/process/rates/shard_keeper.py
@@ -13,6 +13,7 @@
 from burdockcart import event_wait
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_era
 from burdockcart.process.rates import division
 from burdockcart.process.rates import permit_ledger
 from burdockcart.process.rates import shard_census
@@ -144,7 +145,10 @@
         Without a census (no reserve, or an era after a restore) grants would
         begin later than those of a daemon that waits for the end of the lease.
         """
-        if self.permits is None or self._platform.eras.current != 0:
+        if (
+            self.permits is None
+            or self._platform.eras.current != store_era.FIRST
+        ):
             return None
         return self._succession.position
 
@@ -164,7 +168,9 @@
         era = self._platform.eras.current
         if era != self._era:
             # Before the first era no store has been restored.
-            known_first = self._era is None and (self._first_start or era == 0)
+            known_first = self._era is None and (
+                self._first_start or era == store_era.FIRST
+            )
             self._era = era
             self._whole_history = known_first and self._first_start
             self.ownership.era_seen(self._clock.now(), not known_first)
@@ -360,7 +366,7 @@
         self.transfer_changed.set()
         if (
             self.permits is not None
-            and hold.lease.era == 0
+            and hold.lease.era == store_era.FIRST
             and (expected is None or succeeds)
         ):
             # After a transfer the end of all shares is known.
--- a/burdockcart/process/rates/shard_order.py
+++ b/burdockcart/process/rates/shard_order.py
@@ -52,9 +52,16 @@
 
         Without a known owner, those that follow the first in order.
         """
+        return shard_ownership.following(
+            self.daemons(), self._expected_owner(owner)
+        )
+
+    def _expected_owner(
+        self, owner: ids.DaemonId | None
+    ) -> ids.DaemonId | None:
+        """Return a known owner, or else the first daemon in order."""
         order = self.daemons()
-        first = owner if owner in order else next(iter(order), None)
-        return shard_ownership.following(order, first)
+        return owner if owner in order else next(iter(order), None)
 
     def domain_by_id(self) -> permit_placement.DomainById:
         """Return the failure domains of all daemons."""
@@ -68,12 +75,10 @@
     def preferred(self, owner: ids.DaemonId | None) -> list[ids.DaemonId]:
         """Return the daemons that should have the permits under an owner."""
         if owner not in self._preferred_by_owner:
-            order = self.daemons()
-            first = owner if owner in order else next(iter(order), None)
             self._preferred_by_owner[owner] = permit_placement.preferred(
                 self.followers(owner),
                 self.domain_by_id(),
-                first,
+                self._expected_owner(owner),
                 reserve_policy.PERMITS,
             )
         return self._preferred_by_owner[owner]
