Check that a replica is on hold before its log is compared

A member ignores PAUSE with a term that is not above the newest one and answers with its row all the same (PROTOCOL.md). The comparison took each row for a hold, so a replica that had learned of a later term since it was asked went on acknowledging beside the candidate. The emulated member refused such a request, so that no test could show it.

Now a row without a hold ends the attempt, and the emulated member answers as the page says. test_replica_that_ignores_the_hold failed before (a candidate was chosen).

--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -362,12 +362,11 @@
     async def hold_replication(
         self, term: int, timeout_s: float
     ) -> member_channel.MemberStatus | Fault:
-        """Stop replication to the member."""
+        """Stop replication to the member, unless it knows a later term."""
 
         async def work() -> member_channel.Answer:
-            if term <= self.member.term:
-                return self._answer(Fault.OTHER)
-            self.member.held_term = term
+            if term > self.member.term:
+                self.member.held_term = term
             return self._answer()
 
         answer = await self._call(channel_state.Call.CONTROL, work, timeout_s)
--- a/burdockcart/process/gateway/promotion/log_comparison.py
+++ b/burdockcart/process/gateway/promotion/log_comparison.py
@@ -125,10 +125,7 @@
             for member, channel in self._channels.items()
             if member != candidate.id
         }
-        held = await self._query_all(
-            rest,
-            lambda each: each.hold_replication(self.term, QUERY_TIMEOUT_S),
-        )
+        held = await self._hold_all(rest)
         if held is None:
             return None
         if candidate.on_hold and not await self._release(candidate.id):
@@ -150,6 +147,29 @@
             return None
         return longest
 
+    async def _hold_all(
+        self, channels: dict[ids.MemberId, member_channel.Channel]
+    ) -> list[failover_rule.ReplicaView] | None:
+        """Put replicas on hold; None if one of them still receives.
+
+        A replica that knows a later term ignores the request.
+        """
+        held = await self._query_all(
+            channels,
+            lambda each: each.hold_replication(self.term, QUERY_TIMEOUT_S),
+        )
+        receiving = [each for each in held or () if not each.on_hold]
+        for each in receiving:
+            loguru.logger.warning(
+                "event=replica_not_on_hold group={} member={} term={} "
+                "member_term={}",
+                self._group.id,
+                each.id,
+                self.term,
+                each.term,
+            )
+        return None if receiving else held
+
     async def _release(self, candidate: ids.MemberId) -> bool:
         """Let a candidate receive; True if it does.
 
@@ -218,9 +238,8 @@
         held: list[failover_rule.ReplicaView],
     ) -> ids.MemberId | None:
         """Put the candidate on hold too, and choose the longest log."""
-        stopped = await self._query_all(
-            {candidate.id: self._channels[candidate.id]},
-            lambda each: each.hold_replication(self.term, QUERY_TIMEOUT_S),
+        stopped = await self._hold_all(
+            {candidate.id: self._channels[candidate.id]}
         )
         if stopped is None:
             return None
