Don't take a refused link for the end of a daemon

Cause: before a call that was not prepared, the caller tells the daemons that may reach the primary. One that refuses the link counted as ended, so it was not waited for. A cut that resets connections refuses links as well, and the daemon behind it still reaches the primary: until its next poll of the store, up to 1.65 s later, it passes on what a replica has alone that joined or started again.

It needed a second change of the emulated members: a commit that waits for a replica is acknowledged when one receives it, as PROTOCOL.md says; until now it waited for ever, which hid this window.

--- a/burdockcart/emulator/peer_network.py
+++ b/burdockcart/emulator/peer_network.py
@@ -19,6 +19,8 @@
 
     cut : set of pairs of DaemonId
         Pairs between which nothing arrives, in either direction.
+    cuts_refuse : bool
+        Whether new links across a cut are refused at once.
     frozen : set of DaemonId
         Daemons that handle nothing; what arrives waits.
 
@@ -27,6 +29,7 @@
     def __init__(self, latency_s: float = 0.001):
         self.latency_s = latency_s
         self.cut: set[frozenset[ids.DaemonId]] = set()
+        self.cuts_refuse = False
         self.frozen: set[ids.DaemonId] = set()
         self.peers_by_address: dict[str, "MemoryPeers"] = {}
         self.link_by_daemon: dict[ids.DaemonId, host_link.HostLink] = (
@@ -120,15 +123,13 @@
         """Open a link; None if the daemon is unreachable."""
         await asyncio.sleep(self._network.latency_s)
         found = self._network.peers_by_address.get(address)
-        if found is None and self._network.reachable(self._daemon, daemon):
+        reachable = self._network.reachable(self._daemon, daemon)
+        refuses = found is None if reachable else self._network.cuts_refuse
+        if refuses:
             raise ConnectionRefusedError
         if found is not None and found._daemon != daemon:
             return None
-        if (
-            found is None
-            or daemon in self._network.frozen
-            or not self._network.reachable(self._daemon, daemon)
-        ):
+        if found is None or daemon in self._network.frozen or not reachable:
             await asyncio.sleep(tcp.DIAL_TIMEOUT_S)
             return None
         try:
--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -248,7 +248,7 @@
             if writes:
                 self.writes.append((statement.id, statement.text))
             if not await self._finish(writes, commits):
-                await asyncio.Event().wait()
+                await member.await_receipt(member.received())
         finally:
             await member.free_slot()
         if member.loses_answers or statement.id in member.lost_answer_ids:
--- a/burdockcart/emulator/wire_member.py
+++ b/burdockcart/emulator/wire_member.py
@@ -82,6 +82,8 @@
         self.runs: list[Run] = []
         self.acknowledged: list[log_position.LogPosition] = []
         self.serials = itertools.count(1)
+        #: Set, and replaced, whenever a member receives commits.
+        self.receipt = asyncio.Event()
         self.term = 1
         members[0].leads = True
         for member in members:
@@ -190,6 +192,8 @@
         due = asyncio.get_running_loop().time() + self.lag_s
         self.log += commits
         self.pending += [(due, commit) for commit in commits]
+        self.group.receipt.set()
+        self.group.receipt = asyncio.Event()
 
     def follow(self, primary: "EmulatedMember") -> None:
         """Become a replica of a primary; drop the commits that it lacks."""
@@ -273,8 +277,19 @@
             self.running -= 1
             self._slot_free.notify_all()
 
+    async def await_receipt(self, position: log_position.LogPosition) -> None:
+        """Wait until a replica has received a commit, and acknowledge it."""
+        while not any(
+            commit.position == position
+            for each in self.group.member_by_id.values()
+            if each is not self
+            for commit in reversed(each.log)
+        ):
+            await self.group.receipt.wait()
+        self.group.acknowledged.append(position)
+
     def commit(self, writes: list[tuple[str, str]]) -> Commit | None:
-        """Append a commit; None if no replica can receive it."""
+        """Append a commit; None if no replica can receive it at once."""
         receivers = [
             each
             for each in self.group.member_by_id.values()
--- a/burdockcart/process/gateway/promotion/call_notice.py
+++ b/burdockcart/process/gateway/promotion/call_notice.py
@@ -16,14 +16,15 @@
 acknowledged it that is not known yet; what was passed on since then, the
 candidate must have.
 
-A daemon whose process is gone passes nothing on.  One that is silent may still
-reach the primary; then the promotion waits until each daemon that runs knows
-its candidate from the store, like a planned one.
+A daemon without an answer may still reach the primary, also if its port refuses
+links: a cut may reset connections.  Then the promotion waits until each daemon
+that runs knows its candidate from the store, like a planned one.
 
 """
 
 import asyncio
 import enum
+import itertools
 from typing import Protocol
 
 import loguru
@@ -89,7 +90,7 @@
 class NoPromise(enum.Enum):
     """Why there is no promise."""
 
-    GONE = "its process has ended"
+    CLOSED = "its port refuses links"
     SILENT = "no answer"
     REFUSED = "it goes by another call"
 
@@ -190,18 +191,20 @@
         for daemon, answer in zip(daemons, answers, strict=True):
             fault = answer if isinstance(answer, NoPromise) else None
             by_fault.setdefault(fault, []).append(daemon.id)
-        unsure = by_fault.get(NoPromise.SILENT, []) + by_fault.get(
-            NoPromise.REFUSED, []
+        unsure = list(
+            itertools.chain.from_iterable(
+                by_fault.get(each, []) for each in NoPromise
+            )
         )
         if unsure:
             self._metrics.notices_unanswered.inc()
         loguru.logger.info(
-            "event=call_notified group={} candidate={} told={} gone={} "
+            "event=call_notified group={} candidate={} told={} closed={} "
             "silent={} refused={} position={} took_ms={}",
             notice.group,
             notice.candidate,
             ",".join(by_fault.get(None, [])),
-            ",".join(by_fault.get(NoPromise.GONE, [])),
+            ",".join(by_fault.get(NoPromise.CLOSED, [])),
             ",".join(by_fault.get(NoPromise.SILENT, [])),
             ",".join(by_fault.get(NoPromise.REFUSED, [])),
             required,
--- a/burdockcart/process/peers/peer_notices.py
+++ b/burdockcart/process/peers/peer_notices.py
@@ -60,7 +60,7 @@
             try:
                 link = await self._links.reach(daemon)
             except ConnectionRefusedError:
-                return call_notice.NoPromise.GONE
+                return call_notice.NoPromise.CLOSED
             if link is None:
                 break
             reply = await link.request(
