Ask the replicas before a daemon without the store passes on a commit

Cause: a daemon that reaches neither the store nor the caller of a promotion looks at the replicas each 0.4 s, and passed on commits in between without a look.

Now each commit waits for the answers of the replicas, in one query that those that wait share, for 0.1 s at most. Without an answer, or while nothing that this daemon sent in the last 0.1 s has been answered, it is passed on as before: a query for each commit without that limit left the outcome of writes unknown while the daemon's own link was full.

--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -118,6 +118,7 @@
             loop_clock,
             calls,
             self.watch.pass_on,
+            link,
         )
         self.placement = evidence_placement.EvidencePlacement(
             limits.id,
--- a/burdockcart/process/gateway/promotion/call_notice.py
+++ b/burdockcart/process/gateway/promotion/call_notice.py
@@ -16,9 +16,9 @@
 acknowledged it that is not known yet; what was passed on since then, the
 candidate must have.
 
-A daemon without an answer may still reach the primary, also if its port refuses
-links: a cut may reset connections.  Then the promotion waits until each daemon
-that runs knows its candidate from the store, like a planned one.
+A daemon without an answer may still reach the primary, also if its port
+refuses links: a cut may reset connections.  Then the promotion waits until
+each daemon that runs knows its candidate from the store, like a planned one.
 
 """
 
--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -30,6 +30,7 @@
 
 from burdockcart import clock
 from burdockcart.connection import member_channel
+from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.gateway.promotion import open_calls
@@ -48,6 +49,9 @@
 LOOK_INTERVAL_S = 0.1
 #: The same while no replica has been seen on hold, in seconds.
 QUIET_INTERVAL_S = 0.4
+#: Time for which a commit waits for the replicas to tell that none of them is
+#: on hold, in seconds; this daemon's own link may be full for longer.
+LOOK_TIMEOUT_S = 0.1
 #: Time for which the candidate may lag until writes are refused, in seconds:
 #: twice the usual lag of replicas that are 150 ms behind.  With 0.1 s, such a
 #: group refused writes for as long as any were sent.
@@ -91,6 +95,7 @@
         loop_clock: clock.Clock,
         calls: open_calls.OpenCalls,
         passed_on: Callable[[log_position.LogPosition], None],
+        link: own_link.OwnLink,
     ):
         #: Whether the group's commits have to outlive a promotion.
         self.active = True
@@ -103,6 +108,7 @@
         self._primary = primary
         self._clock = loop_clock
         self._passed_on = passed_on
+        self._link = link
         self._blocked_at = 0.0
         self._watched_at = 0.0
         #: Newest commit for which writes were blocked.
@@ -256,10 +262,10 @@
         if candidate is not None:
             return _coverage_by(await self._observe(candidate), commit)
         now = self._clock.now()
+        answers = await self._answers_of_replicas(now)
         if not self._hold_seen(now):
-            # The looks show a hold soon after it began.
+            # Without an answer, the looks show a hold soon after it began.
             return Coverage.HELD
-        answers = await self._observe_replicas()
         found = [
             _coverage_by(each, commit)
             for each in answers
@@ -273,6 +279,24 @@
             return Coverage.PENDING
         return Coverage.HELD
 
+    async def _answers_of_replicas(
+        self, now: float
+    ) -> list[member_channel.MemberStatus | None]:
+        """Return :meth:`_observe_replicas`, none if that takes too long.
+
+        Once a hold was seen, it may take any time.  While this daemon's own
+        link is full, commits would wait in vain and keep their connections.
+        """
+        if self._hold_seen(now):
+            return await self._observe_replicas()
+        if not self._link.answered(now - LOOK_TIMEOUT_S):
+            return []
+        try:
+            async with asyncio.timeout(LOOK_TIMEOUT_S):
+                return await self._observe_replicas()
+        except TimeoutError:
+            return []
+
     async def _observe_replicas(
         self,
     ) -> list[member_channel.MemberStatus | None]:
