Pass on nothing while a daemon without the store knows no replica

Cause: a daemon that has not read the store for 2 s asks the replicas whether one is on hold. One that knows no replica, as their entries had expired, asked nobody, and took that for no hold. A member that it does not know has acknowledged the commit then.

--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -262,6 +262,9 @@
         if candidate is not None:
             return _coverage_by(await self._observe(candidate), commit)
         now = self._clock.now()
+        if not self._knows_replicas:
+            # A member that is not known has acknowledged it.
+            return Coverage.PENDING
         answers = await self._answers_of_replicas(now)
         if not self._hold_seen(now):
             # Without an answer, the looks show a hold soon after it began.
@@ -328,6 +331,12 @@
         )
         return await inquiry.ask(lambda: _observe(pool))
 
+    @property
+    def _knows_replicas(self) -> bool:
+        return not self._pool_by_member.keys() <= {
+            self._primary.leadership.member
+        }
+
     def _hold_seen(self, now: float) -> bool:
         """Return whether a replica was on hold lately, in the present term."""
         return (
@@ -360,7 +369,8 @@
             if not self.blocked and now - self._watched_at >= IDLE_S:
                 return
             if not (self._hold_seen(now) or self.calls.candidate(self._group)):
-                self._resume("no replica is on hold")
+                if self._knows_replicas:
+                    self._resume("no replica is on hold")
                 await self._observe_replicas()
                 await asyncio.sleep(QUIET_INTERVAL_S)
                 continue
