Count suspension when a daemon tells whether it knows the store

A daemon passes on commits unchecked while its last poll of the store began less than 2.0 s ago. That age was measured by the clock of the event loop, which stands still while the host is suspended (DEPLOY.md). After a suspension of seconds a daemon took what it had read before it for recent, and did not look for a promotion call of the meantime.

Now the boot clock counts. test_knowledge_of_before failed before.

--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -239,6 +239,8 @@
         self._applied_at = loop_clock.now()
         #: When the state that is applied was asked for; None before the first.
         self.known_until: float | None = None
+        #: The same by the boot clock.
+        self._asked_at: float | None = None
         self._refresh = asyncio.Event()
         #: Calls of :meth:`refresh` that wait for the next poll to begin.
         self._refreshing: list[asyncio.Future[bool]] = []
@@ -252,11 +254,11 @@
     def informed(self) -> bool:
         """Whether what was in the store some time ago is applied.
 
-        That time is :attr:`notice_s`.
+        That time is :attr:`notice_s`; it includes time in suspension.
         """
-        asked_at = self.known_until
+        asked_at = self._asked_at
         return asked_at is not None and (
-            self._clock.now() - asked_at <= self.notice_s
+            self._boot_clock.now() - asked_at <= self.notice_s
         )
 
     @property
@@ -363,6 +365,7 @@
             self._answered()
             self._use_contents(read.unwrap())
             self._applied_at, self.known_until = self._clock.now(), sent_at
+            self._asked_at = evidence_at
             self._add_evidence(evidence_at)
             await self._poll_changes(read.unwrap().position)
 
@@ -407,6 +410,7 @@
             self._position = position
             self._use_changes(changes)
             self._applied_at, self.known_until = self._clock.now(), sent_at
+            self._asked_at = evidence_at
             self._add_evidence(evidence_at)
             _answer(refreshing, True)
             if not self._first_pauses_s:
--- a/burdockcart/process/gateway/tests/test_uninformed_daemons.py
+++ b/burdockcart/process/gateway/tests/test_uninformed_daemons.py
@@ -11,6 +11,7 @@
 from burdockcart.process.gateway.tests import test_open_calls
 from burdockcart.process.gateway.tests import test_replica_rosters
 from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.tests import gateway_deployment
 
 #: Times without the store, and without a link between the daemons, until the
 #: others lose the primary, in seconds: looks at the replicas differ in phase.
@@ -19,6 +20,26 @@
 JOIN_AFTER_S = 0.02
 
 
+class TestSuspendedDaemon(testtools.TestCase):
+    """A daemon whose host was suspended, so that its clock stood still."""
+
+    def test_knowledge_of_before(self):
+        """What it has read of the store before must not count as recent."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            await gateway_deployment.until(
+                lambda: daemon.tables.next_poll_s > 1.0
+            )
+            self.assertTrue(daemon._open_calls.informed())
+            daemon.boot_clock.suspended_s = 3.0
+            self.assertFalse(daemon._open_calls.informed())
+            await asyncio.sleep(2.0)
+            self.assertTrue(daemon._open_calls.informed())
+
+        test_sessions.scenario(check, daemons=1)
+
+
 class TestUninformedDaemon(testtools.TestCase):
     """One of three daemons knows nothing of the call."""
 
