Send no call with a reserved token while a daemon cannot be told

Cause: a daemon that loses the store replaces a lost primary with a token that it has reserved. No record of the store tells of such a call, so it is only told over the links; a daemon that was not reached was not waited for. If that one still reads the store and reaches the primary, it knows of nothing for as long as the call may be carried out.

Now such a call is put off while any daemon that may reach the primary has not been told. Price: while the store is away and a daemon cannot be reached, a lost primary is replaced once the store is back.

test_daemon_with_the_store_that_is_not_told failed before. test_other_holder_of_a_token cut the links of the third daemon only to prevent a detour; the call that it waits for is no longer sent then. It now cuts that daemon off from the primary instead, and wants all three daemons, not two, to go by the call.

--- a/burdockcart/process/gateway/promotion/promotion_call.py
+++ b/burdockcart/process/gateway/promotion/promotion_call.py
@@ -214,18 +214,18 @@
             if announced is None:
                 return None
             token = announced
-            # An open call was sent after such a wait, unless its token was
-            # reserved.
-            if told.unsure and known is None:
-                put_off(
-                    self._metrics,
-                    group,
-                    "a daemon may not know of the call",
-                    told.unsure,
-                )
-                return CallOutcome.NOTICE_DUE
         else:
             told = await telling
+        # An open call was sent once all daemons knew its candidate.
+        if told.unsure and known is None:
+            put_off(
+                self._metrics,
+                group,
+                "a daemon may not know of the call",
+                told.unsure,
+            )
+            # Without the store, no record can tell it.
+            return CallOutcome.NOTICE_DUE if owned else None
         if (
             told.required is not None
             and not await replacement.comparison.reaches(
--- a/burdockcart/process/gateway/tests/test_missed_daemons.py
+++ b/burdockcart/process/gateway/tests/test_missed_daemons.py
@@ -27,21 +27,44 @@
             for daemon in deployment.daemons:
                 daemon.link.store_cut = True
             # No detour, so that the cause lasts until a token may be used.
-            test_unplanned_calls.cut_links(deployment, 2)
-            for daemon in deployment.daemons[:2]:
+            for daemon in deployment.daemons:
                 daemon.connector.cut.add(primary.id)
             name, _ = await asyncio.wait_for(calls.first, 8.0)
             writers.stop()
             self.assertEqual(
-                [name] * 2,
+                [name] * 3,
                 [
                     each._open_calls.candidate(GROUP)
-                    for each in deployment.daemons[:2]
+                    for each in deployment.daemons
                 ],
             )
 
         test_sessions.scenario(check, daemons=3)
 
+    def test_daemon_with_the_store_that_is_not_told(self):
+        """What it passes on, the candidate of a reserved call may lack."""
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            writers = test_open_calls.Writers(deployment, [2])
+            calls = test_open_calls.Calls(deployment, 7.0, all_late=True)
+            await asyncio.sleep(4.0)
+            test_unplanned_calls.cut_links(deployment, 2)
+            for daemon in deployment.daemons[:2]:
+                daemon.link.store_cut = True
+                daemon.connector.cut.add(primary.id)
+            await asyncio.wait({calls.first}, timeout=4.0)
+            if calls.first.done():
+                name, _ = calls.first.result()
+                deployment.group.member_by_id[name].replication_cut = True
+            test_replica_rosters.new_member(deployment, "m-d").catch_up()
+            await asyncio.sleep(8.0)
+            writers.stop()
+            self.assertGreater(len(writers.told), 50)
+            self.assertEqual([], writers.lost(deployment.group.primary))
+
+        test_sessions.scenario(check, daemons=3)
+
 
 class TestCallThatIsPutOff(testtools.TestCase):
     """A call that is recorded, and not sent for a silent daemon."""
