Note each replica's hold as it answers

Cause: such a daemon asks all replicas before it passes on a commit, for 0.1 s at most, and noted their holds only once all of them had answered. While one was silent (the candidate, here), the hold of another one that had answered at once was dropped with the time-out, for up to 1.0 s.

Now each answer counts when it arrives.

--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -303,21 +303,30 @@
     async def _observe_replicas(
         self,
     ) -> list[member_channel.MemberStatus | None]:
-        """Return the status of each replica; note whether one is on hold."""
-        answers = await asyncio.gather(
+        """Return the status of each replica."""
+        return await asyncio.gather(
             *(
-                self._observe(member)
+                self._observe_replica(member)
                 for member in self._pool_by_member
                 if member != self._primary.leadership.member
             )
         )
+
+    async def _observe_replica(
+        self, member: ids.MemberId
+    ) -> member_channel.MemberStatus | None:
+        """Return a replica's status; note at once whether it is on hold.
+
+        Another replica may take long to answer.
+        """
+        status = await self._observe(member)
         now = self._clock.now()
-        if any(each is not None for each in answers):
+        if status is not None:
             self._answered_at = now
-        if any(each is not None and each.held_term for each in answers):
-            self._hold_until = now + promotion_claims.LATE_CALL_S
-            self._hold_term = self._primary.leadership.term
-        return answers
+            if status.held_term:
+                self._hold_until = now + promotion_claims.LATE_CALL_S
+                self._hold_term = self._primary.leadership.term
+        return status
 
     async def _observe(
         self, member: ids.MemberId | None
