Expect another call once the member of an open one leads

Cause: a call counts as open for 13 s unless the store tells its outcome. While it names the present primary, no other call was expected: neither a prepared one, nor any by a daemon that the store has turned away since, which then passed on commits unchecked.

--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -188,9 +188,9 @@
         """Wait until a commit is safe; False if it may never be."""
         began_at = self._clock.now()
         while True:
-            candidate = self.calls.candidate(self._group)
+            candidate = self._candidate()
             coverage = await self._coverage(commit)
-            if self.calls.candidate(self._group) != candidate:
+            if self._candidate() != candidate:
                 # What was asked meanwhile tells nothing about the new one.
                 continue
             if coverage is not Coverage.PENDING:
@@ -209,7 +209,7 @@
         if (
             quiet_s <= QUERY_TIMEOUT_S + QUIET_INTERVAL_S
             or self.calls.informed()
-            or self.calls.candidate(self._group) is not None
+            or self._candidate() is not None
         ):
             return
         self._unknown_count += 1
@@ -236,10 +236,13 @@
         """Return whether a call may be open or prepared."""
         if not self.active:
             return False
-        candidate = self.calls.candidate(self._group)
-        if candidate is not None:
-            return candidate != self._primary.leadership.member
-        return not self.calls.informed()
+        return self._candidate() is not None or not self.calls.informed()
+
+    def _candidate(self) -> ids.MemberId | None:
+        """Return the member that may be promoted instead of the primary."""
+        return self.calls.candidate(
+            self._group, self._primary.leadership.member
+        )
 
     def _at_risk(self, commit: log_position.LogPosition | None) -> bool:
         """Return whether a commit could be discarded by an open call."""
@@ -258,7 +261,7 @@
             return Coverage.UNKNOWN
         if not self._call_possible():
             return await self._coverage_of_primary(commit)
-        candidate = self.calls.candidate(self._group)
+        candidate = self._candidate()
         if candidate is not None:
             return _coverage_by(await self._observe(candidate), commit)
         now = self._clock.now()
@@ -377,7 +380,7 @@
             now = self._clock.now()
             if not self.blocked and now - self._watched_at >= IDLE_S:
                 return
-            if not (self._hold_seen(now) or self.calls.candidate(self._group)):
+            if not (self._hold_seen(now) or self._candidate()):
                 if self._knows_replicas:
                     self._resume("no replica is on hold")
                 await self._observe_replicas()
@@ -407,7 +410,7 @@
         loguru.logger.warning(
             "event=commits_blocked group={} candidate={} position={}",
             self._group,
-            self.calls.candidate(self._group),
+            self._candidate(),
             f"{commit.term}.{commit.number}",
         )
         self._start_looks()
