Count a prepared member beside an open call for the primary

Cause: the daemon that called for the first promotion ended before it recorded the outcome, so the call counts as open for 13 to 18 s by the clock of each daemon. While a daemon counted it, it went by the member of that call, which led by then, and passed on all commits unchecked, also after another daemon had prepared the replacement of that primary: the prepared member came second. A replica that joined while the others were on hold acknowledged what the candidate lacked.

Now the prepared member counts while the open call names the present primary. The calls' own rules are as before: a daemon that counts a call prepares nobody else.

--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -188,9 +188,9 @@
         """Wait until a commit is safe; False if it may never be."""
         began_at = self._clock.now()
         while True:
-            candidate = self.calls.candidate(self._group)
+            candidate = self._candidate()
             coverage = await self._coverage(commit)
-            if self.calls.candidate(self._group) != candidate:
+            if self._candidate() != candidate:
                 # What was asked meanwhile tells nothing about the new one.
                 continue
             if coverage is not Coverage.PENDING:
@@ -209,7 +209,7 @@
         if (
             quiet_s <= QUERY_TIMEOUT_S + QUIET_INTERVAL_S
             or self.calls.informed()
-            or self.calls.candidate(self._group) is not None
+            or self._candidate() is not None
         ):
             return
         self._unknown_count += 1
@@ -232,11 +232,17 @@
         if self._looks is not None:
             self._looks.cancel()
 
+    def _candidate(self) -> ids.MemberId | None:
+        """Return the member that must have each commit, if there is one."""
+        return self.calls.candidate(
+            self._group, self._primary.leadership.member
+        )
+
     def _call_possible(self) -> bool:
         """Return whether a call may be open or prepared."""
         if not self.active:
             return False
-        candidate = self.calls.candidate(self._group)
+        candidate = self._candidate()
         if candidate is not None:
             return candidate != self._primary.leadership.member
         return not self.calls.informed()
@@ -249,7 +255,7 @@
             self.active
             and commit is not None
             and commit.term < self._primary.leadership.term
-            and self.calls.candidate(self._group) is not None
+            and self._candidate() is not None
         )
 
     async def _coverage(self, commit: log_position.LogPosition) -> Coverage:
@@ -258,7 +264,7 @@
             return Coverage.UNKNOWN
         if not self._call_possible():
             return await self._coverage_of_primary(commit)
-        candidate = self.calls.candidate(self._group)
+        candidate = self._candidate()
         if candidate is not None:
             return _coverage_by(await self._observe(candidate), commit)
         now = self._clock.now()
@@ -377,7 +383,7 @@
             now = self._clock.now()
             if not self.blocked and now - self._watched_at >= IDLE_S:
                 return
-            if not (self._hold_seen(now) or self.calls.candidate(self._group)):
+            if not (self._hold_seen(now) or self._candidate()):
                 if self._knows_replicas:
                     self._resume("no replica is on hold")
                 await self._observe_replicas()
@@ -407,7 +413,7 @@
         loguru.logger.warning(
             "event=commits_blocked group={} candidate={} position={}",
             self._group,
-            self.calls.candidate(self._group),
+            self._candidate(),
             f"{commit.term}.{commit.number}",
         )
         self._start_looks()
--- a/burdockcart/process/gateway/promotion/open_calls.py
+++ b/burdockcart/process/gateway/promotion/open_calls.py
@@ -12,10 +12,19 @@
 class OpenCalls(Protocol):
     """Calls to promote a member, of any daemon."""
 
-    def candidate(self, group: ids.GroupId) -> ids.MemberId | None:
+    def candidate(
+        self, group: ids.GroupId, leader: ids.MemberId | None = None
+    ) -> ids.MemberId | None:
         """Return the member of a call that may be carried out.
 
         Also if the call has only been prepared.
+
+        Parameters
+        ==========
+
+        leader : MemberId or None
+            The present primary; a call for it changes nothing.
+
         """
 
     def informed(self) -> bool:
@@ -68,14 +77,16 @@
         self._tables = tables
         self._clock = loop_clock
 
-    def candidate(self, group: ids.GroupId) -> ids.MemberId | None:
+    def candidate(
+        self, group: ids.GroupId, leader: ids.MemberId | None = None
+    ) -> ids.MemberId | None:
         """Return the member of a call that may be carried out."""
         now = self._clock.now()
         called = self._claims.candidate(group, now)
-        if called is not None:
-            return called
         prepared = self._claims.preparation(group, now)
-        return None if prepared is None else prepared.member
+        if prepared is None or called not in (None, leader):
+            return called
+        return prepared.member
 
     def informed(self) -> bool:
         """Return whether a call of a while ago would be known."""
