Hold commits back for a prepared member until another one is recorded

Cause: a daemon whose turn it is gave up the prepared member by itself when that one failed, or lagged for 0.3 s. It may have been prepared by another daemon, whose call was under way. From then until its next poll the first one went by nobody, and passed on what a replica had alone that joined.

Now a daemon that looks for another member still goes by the prepared one, until a record names another or the preparation expires (6 s). Writes are refused for so long if the store cannot be written meanwhile.

--- a/burdockcart/process/gateway/promotion/failover.py
+++ b/burdockcart/process/gateway/promotion/failover.py
@@ -250,7 +250,8 @@
             return known if known.member == called else None
         pool = group.pool_by_member.get(known.member)
         if pool is None or pool.health.failing or group.commits.blocked:
-            self.claims.give_up_preparation(group.id)
+            # Commits are still held back for it until another is recorded:
+            # the daemon that has prepared it may be calling.
             return None
         return known
 
--- a/burdockcart/process/gateway/tests/test_calls_of_before.py
+++ b/burdockcart/process/gateway/tests/test_calls_of_before.py
@@ -141,3 +141,12 @@
         for restart_after_s in RESTART_AFTER_S:
             with self.subTest(restart_after_s=restart_after_s):
                 self.play(restart_after_s)
+
+    def test_preparation_of_another_daemon(self):
+        """A daemon must not go by no member as the prepared one lags.
+
+        Its own count of the first call ends during the second one.
+        """
+        for restart_after_s in (10.0, 10.2, 10.4):
+            with self.subTest(restart_after_s=restart_after_s):
+                self.play(restart_after_s)
