Ask what others passed on also after the wait for a silent daemon

Cause: before a call that was not prepared, the daemons tell which position their clients' commits certainly need; a candidate without it is not promoted for 5 s. If one daemon cannot be told, the candidate is recorded and promoted 2.0 s later as a planned one, and then nobody was asked: only what the caller itself had passed on counted. Since a refused link does not count as an end any more, each daemon that ends takes this way.

Evidence: test_commits_of_another_daemon_beside_a_silent_one failed before with 10 lost writes: a replica that nobody knew had acknowledged alone, the caller had no clients, another daemon did.

Now a replacement that was not planned tells the others at the second attempt as well; a daemon without an answer does not hold it up again.

--- a/burdockcart/process/gateway/promotion/promoter.py
+++ b/burdockcart/process/gateway/promotion/promoter.py
@@ -248,6 +248,8 @@
             self._claims.prepare(group.id, prepared, self._clock.now())
         channels = asked.channels
         outcome = promotion_call.CallOutcome.NOT_DONE
+        # Until then the primary serves, and all go by the prepared member.
+        planned = cause is failover_rule.Cause.DRAINING
         self._caller.forget(group.id)
         comparison = log_comparison.LogComparison(
             group, channels, asked.listed, self._clock
@@ -289,7 +291,8 @@
                             candidate,
                             asked,
                             comparison,
-                            None if prepared else primary,
+                            None if planned else primary,
+                            prepared is not None,
                         ),
                         token,
                         compared_at,
--- a/burdockcart/process/gateway/promotion/promotion_call.py
+++ b/burdockcart/process/gateway/promotion/promotion_call.py
@@ -65,7 +65,10 @@
     comparison : LogComparison
         Positions that they have reported.
     notify_for : MemberEntry or None
-        The primary if other daemons may not know of the candidate.
+        The primary if other daemons may not know of the candidate, or may
+        have passed on commits before they did.
+    prepared : bool
+        Whether each daemon that runs knows the candidate from the store.
 
     """
 
@@ -75,6 +78,7 @@
     asked: asked_members.AskedMembers
     comparison: log_comparison.LogComparison
     notify_for: manifest.MemberEntry | None
+    prepared: bool
 
 
 class PromotionCaller:
@@ -216,7 +220,7 @@
             token = announced
             # An open call was sent after such a wait, unless its token was
             # reserved.
-            if told.unsure and known is None:
+            if told.unsure and known is None and not replacement.prepared:
                 put_off(
                     self._metrics,
                     group,
--- a/burdockcart/process/gateway/tests/test_unlisted_replicas.py
+++ b/burdockcart/process/gateway/tests/test_unlisted_replicas.py
@@ -9,16 +9,18 @@
 from burdockcart.process.gateway.tests import test_open_calls
 from burdockcart.process.gateway.tests import test_replica_rosters
 from burdockcart.process.gateway.tests import test_sessions
+from burdockcart.process.gateway.tests import test_unplanned_calls
 from burdockcart.request import log_position
+from burdockcart.tests import gateway_deployment
 
 
-async def lose_primary(deployment):
+async def lose_primary(deployment, daemons=range(3)):
     """Lose it after a replica that nobody knows acknowledged alone.
 
-    Returns the writers and that replica.
+    Returns the writers, clients of some daemons, and that replica.
     """
     primary = deployment.group.primary
-    writers = test_open_calls.Writers(deployment, range(3))
+    writers = test_open_calls.Writers(deployment, daemons)
     await asyncio.sleep(3.0)
     for member in deployment.members[1:]:
         member.replication_cut = True
@@ -46,6 +48,27 @@
 
         test_sessions.scenario(check, daemons=3)
 
+    def test_commits_of_another_daemon_beside_a_silent_one(self):
+        """What others passed on counts also after the wait for that one."""
+
+        async def check(deployment):
+            for number in (0, 2):
+                deployment.daemons[number]._failover.leave(0.0)
+            test_unplanned_calls.cut_links(deployment, 2)
+            writers, new = await lose_primary(deployment, (0,))
+            new.replication_cut = True
+            await asyncio.sleep(4.0)
+            deployment.enter(new)
+            lost = deployment.members[0]
+            await gateway_deployment.until(
+                lambda: deployment.group.primary is not lost, 8.0
+            )
+            writers.stop()
+            self.assertGreater(len(writers.told), 50)
+            self.assertEqual([], writers.lost(deployment.group.primary))
+
+        test_sessions.scenario(check, daemons=3)
+
     def test_member_that_is_lost_as_well(self):
         """Guards against a group without a primary for good."""
 
