Count the primary as not asked although the roster lacks it

Cause: a promotion may go on if all members of the roster but one were asked, as that one is the primary. A primary that no keeper has recorded yet is not among them, so that one replica that could not be asked passed for it. Its commits were missed as certain ones for 5 s, then the candidate was promoted without them (event=promotion_with_missing_commits).

Now the primary that is to be replaced counts as one of the members that were not asked, in the roster or not. Without a known primary (cause MISSING) the rule is as before.

--- a/burdockcart/process/gateway/promotion/promoter.py
+++ b/burdockcart/process/gateway/promotion/promoter.py
@@ -364,7 +364,7 @@
             )
             return False
         floor = group.roster.floor
-        gap = group.roster.gap(asked.members)
+        gap = group.roster.gap(asked.members, old)
         if gap is not None:
             position = await group.primary.position_now()
             if position is None:
--- a/burdockcart/process/gateway/promotion/replica_roster.py
+++ b/burdockcart/process/gateway/promotion/replica_roster.py
@@ -162,19 +162,32 @@
         }
         return frozenset(last_by_id.values()) - frozenset(listed)
 
-    def gap(self, asked: Collection[coordination.RosterMember]) -> Gap | None:
+    def gap(
+        self,
+        asked: Collection[coordination.RosterMember],
+        primary: ids.MemberId | None = None,
+    ) -> Gap | None:
         """Return why these members may not hold every acknowledged commit.
 
         None if all that are known were asked, but for one.  As none of those
         leads, that one is the primary, and each acknowledged commit has been
         received by another one.  It may have started more than once.
+
+        Parameters
+        ==========
+
+        primary : MemberId or None
+            The primary, which may not be recorded yet.
+
         """
         if not self._loaded:
             return Gap.NOT_READ
         if not self.history_known:
             return Gap.NO_HISTORY
-        missing = self.known - frozenset(asked)
-        if len({member.id for member in missing}) > 1:
+        missing = {member.id for member in self.known - frozenset(asked)}
+        if primary is not None:
+            missing.add(primary)
+        if len(missing) > 1:
             return Gap.MEMBERS_MISSING
         return None
 
--- a/burdockcart/process/gateway/tests/test_replica_rosters.py
+++ b/burdockcart/process/gateway/tests/test_replica_rosters.py
@@ -289,6 +289,48 @@
         scenario(check, daemons=2)
 
 
+class TestUnrecordedPrimary(testtools.TestCase):
+    """A member leads that is not in the roster yet."""
+
+    def test_replica_that_is_missing_beside_it(self):
+        """One missing member must not be taken for the primary.
+
+        A replica whose entry has lapsed acknowledges alone; daemons no longer
+        reach it when the primary is lost.
+        """
+
+        async def check(deployment):
+            _, deaf, lapsed = deployment.members
+            await test_failover.writes_for(deployment, 1.0)
+            for daemon in deployment.daemons:
+                daemon.group_by_id[GROUP].roster.confirm = lambda member: None
+            joined = new_member(deployment, "m-d")
+            joined.catch_up()
+            await asyncio.sleep(2.0)
+            deployment.group.promote(joined)
+            deployment.enter(joined)
+            await test_failover.writes_for(deployment, 1.0)
+            deployment.platform.remove_member(lapsed.id)
+            for member in (deployment.members[0], deaf):
+                member.replication_cut = True
+            await test_failover.writes_for(deployment, 3.0)
+            self.assertIn(
+                lapsed.received(), deployment.group.acknowledged[-1:]
+            )
+            for daemon in deployment.daemons:
+                daemon.connector.cut.add(lapsed.id)
+            joined.crash()
+            await test_failover.writes_for(deployment, 10.0)
+            self.assertEqual([], deployment.platform.promotions)
+            for daemon in deployment.daemons:
+                daemon.connector.cut.clear()
+            deployment.enter(lapsed)
+            await gateway_deployment.until(lambda: lapsed.leads)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
+
+
 class TestKeeper(testtools.TestCase):
     """Daemons that write the rosters."""
 
