Ask the replicas before a commit of a primary that is not listed

Cause: a primary whose entry has lapsed is replaced after 2.5 s, and nobody is told of the call, as no daemon sends it new work. A transaction that has begun before may end later, while the store still shows nothing. Its commit was passed on unchecked, though a replica that had joined was the only one to have it.

Evidence: test_commit_beside_a_call failed before, two of three commits were lost, one of each daemon but the caller.

Now a daemon goes by the holds of the replicas while it does not list its primary, as one does that has not read the store.

--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -245,7 +245,8 @@
         candidate = self._candidate()
         if candidate is not None:
             return candidate != self._primary.leadership.member
-        return not self.calls.informed()
+        # Nobody is told of a call that replaces an unlisted primary.
+        return not self.calls.informed() or self._primary.pool() is None
 
     def _at_risk(self, commit: log_position.LogPosition | None) -> bool:
         """Return whether a commit could be discarded by an open call."""
