--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -54,7 +54,7 @@
 LOOK_TIMEOUT_S = 0.1
 #: Time without any answer after which this daemon's own link may be full, in
 #: seconds.
-QUIET_S = 0.15
+QUIET_S = 0.25
 #: Time for which the candidate may lag until writes are refused, in seconds:
 #: twice the usual lag of replicas that are 150 ms behind.  With 0.1 s, such a
 #: group refused writes for as long as any were sent.
@@ -239,7 +239,12 @@
         """Return whether a call may be open or prepared."""
         if not self.active:
             return False
-        return self._candidate() is not None or not self.calls.informed()
+        return (
+            self._candidate() is not None
+            or not self.calls.informed()
+            # Nobody is told of a call that replaces an unlisted primary.
+            or self._primary.pool() is None
+        )
 
     def _candidate(self) -> ids.MemberId | None:
         """Return the member that may be promoted instead of the primary."""
@@ -261,13 +266,16 @@
         )
 
     def _replicas_lost(self) -> bool:
-        """Return whether this daemon reaches the primary and no replica.
+        """Return whether this daemon reaches no replica, or knows none.
 
         It may be cut off, and a member that nobody else knows may have
         acknowledged what the primary reports as done.
         """
+        replicas = self._replica_pools()
+        if not replicas:
+            return True
         return self._link.answered(self._clock.now() - QUIET_S) and all(
-            pool.health.failures for pool in self._replica_pools()
+            pool.health.failures for pool in replicas
         )
 
     def _replica_pools(self) -> list[member_pool.MemberPool]:
@@ -284,7 +292,7 @@
         candidate = self._candidate()
         if candidate is not None:
             return _coverage_by(await self._observe(candidate), commit)
-        if self.calls.informed() and not self._replicas_lost():
+        if not (self._call_possible() or self._replicas_lost()):
             return await self._coverage_of_primary(commit)
         now = self._clock.now()
         answers = await self._answers_of_replicas(now)
