Let emulated members follow the protocol in holds and late commits

A PAUSE whose term is not above the newest one changes nothing and answers like any other; the emulator answered with a fault. A commit that no replica has received is acknowledged once one has; the emulator never did. A replica that receives again also gets what it missed, and commits may take time to reach a replica (delay_s).

What members and the promotion service have begun, and what arrives at the other end of a link, ran in the context of the daemon that asked, and stood still with it when its node was paused; each has a context of its own now. VirtualLoop took an empty context for none, so that a task which awaited one of a paused node went on as part of that node.

--- a/burdockcart/emulator/peer_network.py
+++ b/burdockcart/emulator/peer_network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextvars
 from typing import Callable
 
 from burdockcart.connection import answer_timeout
@@ -48,7 +49,11 @@
     unsent = 0
 
     def __init__(
-        self, network: PeerNetwork, own: ids.DaemonId, other: ids.DaemonId
+        self,
+        network: PeerNetwork,
+        own: ids.DaemonId,
+        other: ids.DaemonId,
+        context: contextvars.Context,
     ):
         self._network = network
         self._own = own
@@ -60,7 +65,9 @@
         self._inbox: asyncio.Queue[tuple[bytes | None, float]] = (
             asyncio.Queue()
         )
-        self._pump = asyncio.create_task(self._deliver(), name="memory_link")
+        self._pump = asyncio.create_task(
+            self._deliver(), name="memory_link", context=context
+        )
 
     def send(self, content: bytes) -> None:
         """Send content to the other end."""
@@ -107,6 +114,8 @@
     def __init__(self, network: PeerNetwork, daemon: ids.DaemonId):
         self._network = network
         self._daemon = daemon
+        #: What arrives is handled as part of this daemon.
+        self.context = contextvars.copy_context()
         self.accept: Callable[[ids.DaemonId, tcp.Transport], tcp.Receiver]
         self._address: str | None = None
         self._links: list[MemoryLink] = []
@@ -136,10 +145,10 @@
                 await self._network.link_by_daemon[self._daemon].arrive()
         except TimeoutError:
             return None
-        own = MemoryLink(self._network, self._daemon, daemon)
-        other = MemoryLink(self._network, daemon, self._daemon)
+        own = MemoryLink(self._network, self._daemon, daemon, self.context)
+        other = MemoryLink(self._network, daemon, self._daemon, found.context)
         own.peer, other.peer = other, own
-        other.receiver = found.accept(self._daemon, other)
+        other.receiver = found.context.run(found.accept, self._daemon, other)
         own.receiver = accept(own)
         self._links.append(own)
         found._links.append(other)
--- a/burdockcart/emulator/wire_channel.py
+++ b/burdockcart/emulator/wire_channel.py
@@ -140,7 +140,9 @@
         self, work: Work, timeout_s: float
     ) -> member_channel.Answer:
         """Run work within a timeout; its answer ends with the connection."""
-        served = asyncio.create_task(self._serve(work))
+        served = asyncio.create_task(
+            self._serve(work), context=self.member.context
+        )
         ended = asyncio.create_task(self._ended.wait())
         self._work = served
         try:
@@ -247,23 +249,23 @@
             self._record(statement, shape)
             if writes:
                 self.writes.append((statement.id, statement.text))
-            if not await self._finish(writes, commits):
-                await asyncio.Event().wait()
+            await self._finish(writes, commits)
         finally:
             await member.free_slot()
         if member.loses_answers or statement.id in member.lost_answer_ids:
             await asyncio.Event().wait()
         return self._answer(receipt=f"receipt-{statement.id}")
 
-    async def _finish(self, writes: bool, commits: bool) -> bool:
-        """Commit the pending writes, if due; False if no replica can."""
+    async def _finish(self, writes: bool, commits: bool) -> None:
+        """Commit the pending writes, if due, once a replica has them."""
         ends = commits or (writes and self.state is State.IDLE)
         if commits:
             self.state, self.transaction = State.IDLE, None
         if not ends:
-            return True
+            return
         pending, self.writes = self.writes, []
-        return not pending or self.member.commit(pending) is not None
+        if pending and self.member.commit(pending) is None:
+            await self.member.acknowledgement(self.member.received())
 
     def _refusal(
         self,
@@ -365,9 +367,8 @@
         """Stop replication to the member."""
 
         async def work() -> member_channel.Answer:
-            if term <= self.member.term:
-                return self._answer(Fault.OTHER)
-            self.member.held_term = term
+            if term > self.member.term:
+                self.member.held_term = term
             return self._answer()
 
         answer = await self._call(channel_state.Call.CONTROL, work, timeout_s)
--- a/burdockcart/emulator/wire_connector.py
+++ b/burdockcart/emulator/wire_connector.py
@@ -84,7 +84,9 @@
         target = self.member_by_id[member.id]
         try:
             async with answer_timeout.AnswerTimeout(timeout_s):
-                await target.handshake(self.handshake_s)
+                await asyncio.create_task(
+                    target.handshake(self.handshake_s), context=target.context
+                )
                 await self.link.arrive()
         except TimeoutError:
             return Fault.SILENT
--- a/burdockcart/emulator/wire_member.py
+++ b/burdockcart/emulator/wire_member.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextvars
 import dataclasses
 import itertools
 from typing import Any
@@ -124,6 +125,8 @@
         Seconds that a statement holds a slot.
     lag_s : float
         Seconds until reads see a received commit.
+    delay_s : float
+        Seconds until a commit of the primary arrives.
 
     """
 
@@ -135,6 +138,7 @@
         work_s: float = 0.005,
         lag_s: float = 0.06,
         connection_limit: int = 16,
+        delay_s: float = 0.0,
     ):
         self.id = ids.MemberId(member)
         self.domain = ids.DomainName(domain)
@@ -142,6 +146,9 @@
         self.work_s = work_s
         self.lag_s = lag_s
         self.connection_limit = connection_limit
+        self.delay_s = delay_s
+        #: What the member does goes on when a daemon is paused.
+        self.context = contextvars.copy_context()
         self.group: EmulatedGroup
         self.leads = False
         #: Newest term that it knows; the one that it leads as a primary.
@@ -149,6 +156,10 @@
         self.log: list[Commit] = []
         self.pending: list[tuple[float, Commit]] = []
         self.held_term: int | None = None
+        #: Commits that no replica has received, and who waits for that.
+        self._unacknowledged: dict[
+            log_position.LogPosition, asyncio.Future[None] | None
+        ] = {}
         #: Open channels of all daemons.
         self.connections: set[Any] = set()
         self.running = 0
@@ -190,6 +201,9 @@
         due = asyncio.get_running_loop().time() + self.lag_s
         self.log += commits
         self.pending += [(due, commit) for commit in commits]
+        for each in self.group.member_by_id.values():
+            if each.leads and not each.crashed:
+                each._received_by_replica(commits)
 
     def follow(self, primary: "EmulatedMember") -> None:
         """Become a replica of a primary; drop the commits that it lacks."""
@@ -228,8 +242,9 @@
     def catch_up(self) -> None:
         """Receive what the primary has, as far as commits reach the member."""
         primary = self.group.primary
-        if not self.receives or primary.crashed:
+        if not self.receives or primary.crashed or self.term > primary.term:
             return
+        self.term = primary.term
         held = {commit.position for commit in self.log}
         self.receive(
             [each for each in primary.log if each.position not in held]
@@ -274,22 +289,69 @@
             self._slot_free.notify_all()
 
     def commit(self, writes: list[tuple[str, str]]) -> Commit | None:
-        """Append a commit; None if no replica can receive it."""
-        receivers = [
-            each
-            for each in self.group.member_by_id.values()
-            if each is not self and each.receives and each.term <= self.term
-        ]
+        """Append a commit; None if no replica has received it yet."""
         commit = Commit(
             log_position.LogPosition(self.term, self.received().number + 1),
             tuple(writes),
             asyncio.get_running_loop().time(),
         )
         self.log.append(commit)
-        for each in receivers:
-            each.term = self.term
-            each.receive([commit])
-        if self.group.synchronous and not receivers:
-            return None
-        self.group.acknowledged.append(commit.position)
-        return commit
+        if self.group.synchronous:
+            self._unacknowledged[commit.position] = None
+        else:
+            self.group.acknowledged.append(commit.position)
+        loop = asyncio.get_running_loop()
+        for each in list(self.group.member_by_id.values()):
+            if each is self:
+                continue
+            if each.delay_s:
+                loop.call_later(
+                    each.delay_s,
+                    each._arrive,
+                    self,
+                    commit,
+                    context=each.context,
+                )
+            else:
+                each._arrive(self, commit)
+        return None if commit.position in self._unacknowledged else commit
+
+    async def acknowledgement(
+        self, position: log_position.LogPosition
+    ) -> None:
+        """Wait until a replica has received a commit of this primary."""
+        if position in self._unacknowledged:
+            waiting = asyncio.get_running_loop().create_future()
+            self._unacknowledged[position] = waiting
+            await waiting
+
+    def _arrive(self, primary: "EmulatedMember", commit: Commit) -> None:
+        """Receive a commit, and what is missing before it."""
+        if (
+            not self.receives
+            or primary.crashed
+            or not primary.leads
+            or self.term > primary.term
+        ):
+            return
+        self.term = primary.term
+        if self.log and self.log[-1].position >= commit.position:
+            return
+        received = self.received()
+        missing: list[Commit] = []
+        for each in reversed(primary.log):
+            if each.position <= received:
+                break
+            if each.position <= commit.position:
+                missing.append(each)
+        self.receive(missing[::-1])
+
+    def _received_by_replica(self, commits: list[Commit]) -> None:
+        """Acknowledge commits that have waited for a replica."""
+        for commit in commits:
+            if commit.position not in self._unacknowledged:
+                continue
+            waiting = self._unacknowledged.pop(commit.position)
+            self.group.acknowledged.append(commit.position)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(None)
--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -1,6 +1,7 @@
 """In-memory platform of a gateway: store, promotions, list of daemons."""
 
 import asyncio
+import contextvars
 import copy
 from typing import Any
 from typing import Collection
@@ -96,6 +97,8 @@
         self._lease_ends_at: dict[int, tuple[float, float]] = {}
         self.shards = shard_keys.ShardKeys()
         self._late_promotions: set[asyncio.Task[None]] = set()
+        #: Promotions are carried out although their caller is paused.
+        self._context = contextvars.copy_context()
 
     def _next_revision(self) -> int:
         self.revision += 1
@@ -325,7 +328,8 @@
         if self.lose_promotions:
             self.lose_promotions -= 1
             task = asyncio.create_task(
-                self._promote_later(group, member, token)
+                self._promote_later(group, member, token),
+                context=self._context,
             )
             self._late_promotions.add(task)
             return result.Failure(PromotionFault.NO_ANSWER)
@@ -358,7 +362,10 @@
         self.promotions.append((group, member, token))
         if not target.leads:
             asyncio.get_running_loop().call_later(
-                emulated.promotion_s, emulated.promote, target
+                emulated.promotion_s,
+                emulated.promote,
+                target,
+                context=self._context,
             )
         return result.Success(None)
 
--- a/burdockcart/tests/virtual_time.py
+++ b/burdockcart/tests/virtual_time.py
@@ -77,7 +77,8 @@
             )
 
     def call_soon(self, callback, *args, context=None):
-        context = context or contextvars.copy_context()
+        if context is None:
+            context = contextvars.copy_context()
         node = context.get(NODE)
         if node is None:
             return super().call_soon(callback, *args, context=context)
@@ -96,7 +97,8 @@
         return handle[0]
 
     def call_at(self, when, callback, *args, context=None):
-        context = context or contextvars.copy_context()
+        if context is None:
+            context = contextvars.copy_context()
         node = context.get(NODE)
         if node is None:
             return super().call_at(when, callback, *args, context=context)
