Show that commits on their way at the loss of a primary are lost

The primary and a replica that is not in the store yet have the last commits; the listed replicas have not received them when the primary crashes. The position that a promotion requires as certain (PassedCommits) is one after the newest that was known before a commit was sent. Of commits that were sent side by side it covers the first one only, so a candidate with that one and without the others is promoted at once. The test with replicas that receive nothing (test_commits_before_the_hold_that_it_has_alone) lacks many commits, so that the position tells.

--- a/burdockcart/process/gateway/tests/test_unlisted_replicas.py
+++ b/burdockcart/process/gateway/tests/test_unlisted_replicas.py
@@ -46,6 +46,37 @@
 
         test_sessions.scenario(check, daemons=3)
 
+    def test_commits_on_their_way_at_the_loss(self):
+        """Commits that were sent side by side are covered one by one.
+
+        The listed replicas receive 10 ms later than the new one.
+        """
+        for begins_s in (3.0, 3.007, 3.014, 3.042, 3.049):
+            with self.subTest(begins_s=begins_s):
+                self.lose_on_the_way(begins_s)
+
+    def lose_on_the_way(self, begins_s):
+        """Lose the primary after a replica that nobody knows has joined."""
+
+        async def check(deployment):
+            primary = deployment.group.primary
+            writers = test_open_calls.Writers(deployment, range(3))
+            await asyncio.sleep(begins_s)
+            new = test_replica_rosters.new_member(
+                deployment, "m-d", listed=False
+            )
+            new.catch_up()
+            await asyncio.sleep(0.2)
+            primary.crash()
+            await asyncio.sleep(1.5)
+            deployment.enter(new)
+            await asyncio.sleep(3.0)
+            writers.stop()
+            self.assertIsNot(primary, deployment.group.primary)
+            self.assertEqual([], writers.lost(deployment.group.primary))
+
+        test_sessions.scenario(check, daemons=3, delay_s=0.01)
+
     def test_member_that_is_lost_as_well(self):
         """Guards against a group without a primary for good."""
 
