--- a/burdockcart/process/gateway/tests/promotion_schedule.py
+++ b/burdockcart/process/gateway/tests/promotion_schedule.py
@@ -181,6 +181,74 @@
     return Schedule(events, tuple(calls), tuple(skew_s), tuple(delay_s))
 
 
+def draw_two_losses(seed):
+    """Return a schedule in which the promoted member is lost as well."""
+    rng = random.Random(seed)
+
+    def uniform(begin, end):
+        return round(rng.uniform(begin, end), 3)
+
+    first = uniform(2.5, 3.5)
+    second = first + 1.0 + rng.choice((uniform(0, 2), uniform(0, 5)))
+    events = [
+        Event(first, "lose", {"for_s": rng.choice((1.0, 2.5, 6.0, 9.0))}),
+        Event(
+            second,
+            rng.choice(("lose", "lose", "lose", "drain", "mute")),
+            {"for_s": rng.choice((1.0, 2.5, 6.0, 9.0))},
+        ),
+        Event(
+            2.0,
+            "kill_caller",
+            {"after_s": uniform(0, 4), "for_s": uniform(0.5, 3.5)},
+        ),
+        Event(
+            uniform(first, second + 2),
+            "join",
+            {"listed_after_s": rng.choice((0.0, uniform(0, 2)))},
+        ),
+    ]
+    for kind in ("deaf", "deaf", "restart", "cut_peer", "kill", "freeze"):
+        if rng.random() < 0.5:
+            events.append(
+                Event(
+                    uniform(second - 2, second + 2),
+                    kind,
+                    {"index": rng.randrange(12), "for_s": uniform(0.1, 3)},
+                )
+            )
+    calls = [
+        rng.choice((Call(), Call(), Call(uniform(0.3, 8), answered=False)))
+        for _ in range(20)
+    ]
+    delay_s = [rng.choice((0.0, 0.001, 0.01, 0.03)) for _ in range(3)]
+    return Schedule(
+        sorted(events, key=lambda each: each.at),
+        tuple(calls),
+        delay_s=tuple(delay_s),
+    )
+
+
+def draw_join(seed):
+    """Return a schedule with a loss soon after a replica has joined."""
+    rng = random.Random(seed)
+    at = rng.uniform(2.0, 3.0)
+    events = [
+        Event(
+            at - rng.uniform(0.02, 1.2),
+            "join",
+            {"listed_after_s": rng.uniform(0.5, 2.0)},
+        ),
+        Event(at, "lose", {"for_s": rng.choice((3.0, 7.0, 12.0))}),
+    ]
+    delay_s = [0.0] + [rng.choice((0.01, 0.03, 0.06)) for _ in range(2)]
+    return Schedule(
+        events,
+        delay_s=tuple(delay_s),
+        pause_s=rng.choice((0.05, 0.2, 0.5)),
+    )
+
+
 class Writers(test_open_calls.Writers):
     """Clients that pause longer between their writes.
 
