Wait for a member that may have the last commits of a lost primary

Cause: the position that a candidate certainly needs is one after the newest that was known before a commit was sent. Of commits that are sent side by side it covers the first one only.

Now a candidate without the newest position that was passed on is not promoted for 1.5 s, in which the entry of the replica should arrive. The position may lie beyond what any replica has; so it is no condition.

--- a/burdockcart/process/gateway/promotion/call_notice.py
+++ b/burdockcart/process/gateway/promotion/call_notice.py
@@ -126,12 +126,15 @@
         Newest position that was passed on while replicas were on hold.
     certain : LogPosition or None
         A log without this position lacks a commit that was passed on.
+    newest : LogPosition or None
+        A log with this position lacks none of them.
 
     """
 
     unsure: list[ids.DaemonId]
     required: log_position.LogPosition | None
     certain: log_position.LogPosition | None
+    newest: log_position.LogPosition | None = None
 
 
 class NoticeRounds:
@@ -210,7 +213,11 @@
             required,
             int((now - began_at) * 1000),
         )
-        return Round(unsure, required, certain)
+        newest = max(
+            (each.newest for each in promises if each.newest is not None),
+            default=None,
+        )
+        return Round(unsure, required, certain, newest)
 
     async def _tell(
         self,
--- a/burdockcart/process/gateway/promotion/promotion_call.py
+++ b/burdockcart/process/gateway/promotion/promotion_call.py
@@ -35,6 +35,9 @@
 #: Time for which a promotion waits for a member that has commits which no
 #: known replica has, in seconds; its entry should be in the store by then.
 MISSING_MEMBER_S = 5.0
+#: Time for which a promotion waits for a member that may have such commits, in
+#: seconds: one heartbeat of a member and one poll of the store.
+UNCERTAIN_MEMBER_S = 1.5
 #: Calls for one promotion; each uses a new fencing token.
 MAX_CALLS = 3
 
@@ -117,6 +120,8 @@
         self._missing_by_group: dict[
             ids.GroupId, tuple[log_position.LogPosition, float]
         ] = {}
+        #: Term in which the candidate may lack commits, and since when.
+        self._uncertain_by_group: dict[ids.GroupId, tuple[int, float]] = {}
 
     def forget(self, group: ids.GroupId) -> None:
         """Note that another attempt begins."""
@@ -242,11 +247,19 @@
                 "the candidate may lack commits that were passed on",
             )
             return None
-        if not await self._has_certain(group, replacement, told.certain):
+        complete = await self._waited_for_newest(
+            group, replacement, told.newest
+        )
+        certain = await self._has_certain(group, replacement, told.certain)
+        if not (certain and complete):
             put_off(
                 self._metrics,
                 group,
-                "a member that is not known has acknowledged commits",
+                (
+                    "a member that is not known may have acknowledged commits"
+                    if certain
+                    else "a member that is not known has acknowledged commits"
+                ),
             )
             return None
         if self._boot_clock.now() - compared_at > valid_s:
@@ -333,6 +346,32 @@
         )
         return True
 
+    async def _waited_for_newest(
+        self,
+        group: groups.Group,
+        replacement: Replacement,
+        newest: log_position.LogPosition | None,
+    ) -> bool:
+        """Return whether to promote a candidate as far as it can be told.
+
+        The position covers all commits that were passed on, and may hold
+        later ones that no replica has.  A candidate without it is not
+        promoted for a short while.
+        """
+        if newest is None or await replacement.comparison.reaches(
+            replacement.candidate, newest
+        ):
+            self._uncertain_by_group.pop(group.id, None)
+            return True
+        now = self._clock.now()
+        term, since = self._uncertain_by_group.get(
+            group.id, (newest.term, now)
+        )
+        if term != newest.term:
+            since = now
+        self._uncertain_by_group[group.id] = newest.term, since
+        return now - since >= UNCERTAIN_MEMBER_S
+
     def _withdraw(
         self, group: groups.Group, primary: manifest.MemberEntry | None
     ) -> None:
