Tell for how long a group has had no primary, and why

Cause: a group whose promotion waits showed only as a count of attempts that were put off, without the group. Nothing told an operator that it is read-only, nor for how long.

Change: burdockcart_primary_missing_seconds, by group and reason. The time runs from the last answer as the primary until the next one; a pause of the daemon alone does not end it.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -470,6 +470,15 @@
             self.metrics.commits_blocked.labels(group.id).set(
                 group.commits.blocked
             )
+        now = self._clock.now()
+        absences = self._failover.absences
+        self.metrics.primaries_missing(
+            {
+                group.id: (found.missing_s, found.reason)
+                for group in self.group_by_id.values()
+                for found in [absences.absence(group, now)]
+            }
+        )
         self.metrics.links.labels("this").set(self.relay.open_links)
         self.metrics.links.labels("other").set(self.relay.service.links)
         self.metrics.relayed.set(self.relay.service.pending)
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -191,6 +191,12 @@
             ["group"],
             registry=self.registry,
         )
+        self._primary_missing = prometheus_client.Gauge(
+            "burdockcart_primary_missing_seconds",
+            "Time since a member last answered as the primary, and why",
+            ["group", "reason"],
+            registry=self.registry,
+        )
         self.links = prometheus_client.Gauge(
             "burdockcart_peer_links",
             "Links to other daemons, by the side that opened them",
@@ -248,6 +254,17 @@
         """Count an attempt to replace a primary that was put off."""
         self._promotions_put_off.labels(reason).inc()
 
+    def primaries_missing(
+        self, absence_by_group: dict[ids.GroupId, tuple[float, str]]
+    ) -> None:
+        """Set for how long groups have had no primary, and why.
+
+        Earlier reasons and groups are removed: an alert would go on for them.
+        """
+        self._primary_missing.clear()
+        for group, (missing_s, reason) in absence_by_group.items():
+            self._primary_missing.labels(group, reason).set(missing_s)
+
     def commits_discarded(self, group: str, led: bool, count: int) -> None:
         """Count commits that the promoted member lacked."""
         self._discarded.labels(group, str(led).lower()).inc(count)
--- a/burdockcart/process/gateway/members/group.py
+++ b/burdockcart/process/gateway/members/group.py
@@ -24,6 +24,7 @@
 from burdockcart.process.gateway.promotion import open_calls
 from burdockcart.process.gateway.promotion import primary_tracker
 from burdockcart.process.gateway.promotion import promotion_watch
+from burdockcart.process.gateway.promotion import put_off_note
 from burdockcart.process.gateway.promotion import replica_roster
 from burdockcart.request import member_choice
 from burdockcart.request import work_queue
@@ -111,6 +112,7 @@
         self.watch = promotion_watch.PromotionWatch(
             limits.id, self.pool_by_member, loop_clock, metrics
         )
+        self.put_off = put_off_note.PutOffNote(loop_clock)
         self.commits = commit_guard.CommitGuard(
             limits.id,
             self.pool_by_member,
--- a/burdockcart/process/gateway/promotion/failover.py
+++ b/burdockcart/process/gateway/promotion/failover.py
@@ -19,6 +19,7 @@
 from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.gateway.promotion import call_notice
 from burdockcart.process.gateway.promotion import failover_rule
+from burdockcart.process.gateway.promotion import primary_absence
 from burdockcart.process.gateway.promotion import promoter
 from burdockcart.process.gateway.promotion import promotion_claims
 from burdockcart.process.gateway.promotion import reserved_claims
@@ -78,6 +79,7 @@
         self._group_by_id = group_by_id
         self._clock = loop_clock
         self.claims = promotion_claims.PromotionClaims(daemon, claim_ttl_s)
+        self.absences = primary_absence.PrimaryAbsences(self.claims)
         self._promoter = promoter.Promoter(
             daemon,
             platform,
@@ -149,8 +151,18 @@
         if paused_s > STALL_THRESHOLD_S:
             self._after_stall(paused_s)
         for group in list(self._group_by_id.values()):
+            self._observe_primary(group, now)
             self._scan(group)
 
+    def _observe_primary(self, group: groups.Group, now: float) -> None:
+        """Note whether a group has a primary."""
+        pool = group.primary.pool()
+        lost = pool is None or (
+            pool.health.failures >= failover_rule.MIN_FAILURES
+            and failover_rule.is_lost(_view(pool, group, now), now)
+        )
+        self.absences.observe(group, lost, now)
+
     def _after_stall(self, stalled_s: float) -> None:
         """Ignore the silence of members while this process was stalled."""
         loguru.logger.warning(
--- a/burdockcart/process/gateway/promotion/primary_tracker.py
+++ b/burdockcart/process/gateway/promotion/primary_tracker.py
@@ -48,6 +48,8 @@
         self.samples = sample_window.SampleWindow()
         #: When a new primary is expected, while the current one is failing.
         self.expected_at: float | None = None
+        #: When a member last answered as the primary; None if none has.
+        self.confirmed_at: float | None = None
         #: Former primary that may still consider itself the primary.
         self.superseded: ids.MemberId | None = None
         self._group = group
@@ -102,6 +104,7 @@
         if term < self.leadership.term and member != self.leadership.member:
             self._set_superseded(member)
             return
+        self.confirmed_at = self._clock.now()
         former = self.leadership.member
         if member != former:
             # Until its first commit a new primary reports positions of the
--- a/burdockcart/process/gateway/promotion/promotion_call.py
+++ b/burdockcart/process/gateway/promotion/promotion_call.py
@@ -375,6 +375,7 @@
 ) -> None:
     """Log and count an attempt at a promotion that is given up."""
     metrics.promotion_put_off(reason)
+    group.put_off.note(reason)
     loguru.logger.info(
         "event=promotion_put_off group={} reason={!r} members={}",
         group.id,
