--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -29,6 +29,7 @@
     "entry_changes",
     "record_by_group",
     "roster_by_group",
+    "operator_promotions",
     "daemon_by_id",
     "daemon_changes",
     "fleet_key",
@@ -75,6 +76,10 @@
         self.roster_by_group: dict[
             ids.GroupId, tuple[coordination.Roster, int]
         ] = {}
+        self.operator_promotions: dict[
+            tuple[ids.GroupId, ids.FencingToken],
+            coordination.OperatorPromotion,
+        ] = {}
         self.token_by_group: dict[ids.GroupId, ids.FencingToken] = {}
         self.promotions: list[tuple[ids.GroupId, ids.MemberId, int]] = []
         #: Calls with a token that was lower than that of another call.
@@ -296,6 +301,17 @@
             if revision > after
         }
 
+    async def record_operator_promotion(
+        self, record: coordination.OperatorPromotion, era: ids.StoreEra
+    ):
+        """Write the audit record of an operator's promotion."""
+        fault = await self._store_fault(era)
+        if fault is not None:
+            return fault
+        self.operator_promotions[record.group, record.token] = record
+        self._next_revision()
+        return result.Success(None)
+
     async def write_roster(
         self,
         group: ids.GroupId,
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -359,6 +359,17 @@
             return result.Failure(coordination.CallFault.UNAVAILABLE)
         return result.Failure(coordination.CallFault.NO_ANSWER)
 
+    async def record_operator_promotion(
+        self, record: coordination.OperatorPromotion, era: ids.StoreEra
+    ) -> result.Result[None, coordination.CallFault]:
+        """Write the audit record of an operator's promotion."""
+        key = f"{store_values.OPERATOR_PREFIX}{record.group}/{record.token}"
+        return _status(
+            await self._write(
+                {}, {key: formats.encode_operator_promotion(record)}, era=era
+            )
+        )
+
     async def write_roster(
         self,
         group: ids.GroupId,
--- a/burdockcart/platform/formats.py
+++ b/burdockcart/platform/formats.py
@@ -265,6 +265,13 @@
     return msgspec.json.encode(roster)
 
 
+def encode_operator_promotion(
+    record: coordination.OperatorPromotion,
+) -> bytes:
+    """Encode the audit record of an operator's promotion."""
+    return msgspec.json.encode(record)
+
+
 class _Daemon(msgspec.Struct):
     address: str
     domain: str
--- a/burdockcart/platform/store_values.py
+++ b/burdockcart/platform/store_values.py
@@ -19,6 +19,8 @@
 QUOTA_PREFIX = "quota/"
 PROMOTION_PREFIX = "promotions/"
 ROSTER_PREFIX = "rosters/"
+#: Audit records of the promotions that operators asked for.
+OPERATOR_PREFIX = "operator-promotions/"
 DAEMON_PREFIX = "daemons/"
 FLEET_KEY = "fleet/key"
 #: Newest era in which the store knows all promotions that may be open.
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -24,6 +24,7 @@
 from burdockcart.process.gateway.members import isolation_monitor
 from burdockcart.process.gateway.members import reachability
 from burdockcart.process.gateway.promotion import failover
+from burdockcart.process.gateway.promotion import group_look
 from burdockcart.process.gateway.promotion import open_calls
 from burdockcart.process.gateway.promotion import reserved_claims
 from burdockcart.process.gateway.promotion import roster_keeper
@@ -520,6 +521,16 @@
         now = self._clock.now()
         for group, stored in stored_by_group.items():
             self._failover.claims.polled(group, stored, _wall_ms(), now)
+            if stored.record.holder.startswith(group_look.HOLDER_PREFIX):
+                loguru.logger.warning(
+                    "event=operator_promotion_seen group={} holder={} "
+                    "member={} called={} settled={}",
+                    group,
+                    stored.record.holder,
+                    stored.record.candidate or stored.record.prepared,
+                    stored.record.candidate is not None,
+                    stored.record.settled,
+                )
 
     def owners_changed(
         self,
--- a/burdockcart/process/gateway/promotion/claim_record.py
+++ b/burdockcart/process/gateway/promotion/claim_record.py
@@ -30,7 +30,7 @@
     Parameters
     ==========
 
-    wait : RestoreWait
+    wait : Wait
         Whether the store knows all promotions that may be open.
 
     """
@@ -43,7 +43,7 @@
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
         wall_ms: Callable[[], int],
-        wait: restore_wait.RestoreWait,
+        wait: restore_wait.Wait,
     ):
         self._daemon = daemon
         self._platform = platform
--- a/burdockcart/process/gateway/promotion/failover_rule.py
+++ b/burdockcart/process/gateway/promotion/failover_rule.py
@@ -62,6 +62,7 @@
     DRAINING = "drains"
     REPLICAS_BEHIND = "is overloaded while its replicas lag"
     MISSING = "is not listed, and no other member leads"
+    GIVEN_UP = "is given up by an operator"
 
 
 class PrimaryView(msgspec.Struct, frozen=True, kw_only=True):
--- a/burdockcart/process/gateway/promotion/reserved_claims.py
+++ b/burdockcart/process/gateway/promotion/reserved_claims.py
@@ -81,7 +81,7 @@
         Returns the registered daemons.
     claim_ttl_s : float
         Time that another daemon's promotion may take, in seconds.
-    wait : RestoreWait
+    wait : Wait
         Whether the store knows all promotions that may be open.
 
     """
@@ -95,7 +95,7 @@
         loop_clock: clock.Clock,
         wall_ms: Callable[[], int],
         claim_ttl_s: float,
-        wait: restore_wait.RestoreWait,
+        wait: restore_wait.Wait,
     ):
         self._daemon = daemon
         self._group_by_id = group_by_id
--- a/burdockcart/process/gateway/store/coordination.py
+++ b/burdockcart/process/gateway/store/coordination.py
@@ -190,6 +190,40 @@
     prepared: ids.MemberId | None = None
 
 
+class OperatorPromotion(msgspec.Struct, frozen=True, kw_only=True):
+    """Audit record of a promotion that an operator has asked for.
+
+    Parameters
+    ==========
+
+    holder : DaemonId
+        Name under which the operator has claimed the promotion.
+    token : FencingToken
+        Token of the claim; the calls have higher ones.
+    begun_ms : int
+        Wall-clock time of the operator's host.
+    accepted : tuple of str
+        What the operator has accepted to lose, by name.
+    received : LogPosition
+        Newest position of the member that is promoted.
+    received_by_member : dict of str to LogPosition
+        The same of all members that were asked, by id and start.
+    outcome : str
+        Empty until the command has ended.
+
+    """
+
+    group: ids.GroupId
+    member: ids.MemberId
+    holder: ids.DaemonId
+    token: ids.FencingToken
+    begun_ms: int
+    accepted: tuple[str, ...]
+    received: log_position.LogPosition
+    received_by_member: dict[str, log_position.LogPosition]
+    outcome: str = ""
+
+
 class ClaimLost(msgspec.Struct, frozen=True):
     """The current record and its position, if the claim lost to another."""
 
@@ -236,6 +270,11 @@
     ) -> result.Result[ids.FencingToken, ClaimLost | CallFault]:
         """Claim the right to promote if the record's position matches."""
 
+    async def record_operator_promotion(
+        self, record: OperatorPromotion, era: ids.StoreEra
+    ) -> result.Result[None, CallFault]:
+        """Write an audit record; a later one with its token replaces it."""
+
     async def write_roster(
         self,
         group: ids.GroupId,
--- a/burdockcart/process/gateway/store/restore_wait.py
+++ b/burdockcart/process/gateway/store/restore_wait.py
@@ -12,6 +12,8 @@
 
 """
 
+from typing import Protocol
+
 import loguru
 
 from burdockcart import clock
@@ -27,6 +29,17 @@
 TURN_KEY = ids.GroupId("complete-since")
 
 
+class Wait(Protocol):
+    """Whether promotions have to wait, as the store was restored."""
+
+    @property
+    def store_away(self) -> bool:
+        """Whether the store does not answer, so that no wait helps."""
+
+    def over(self) -> bool:
+        """Return whether the store knows all promotions that may be open."""
+
+
 class RestoreWait:
     """The wait of one daemon after a restore of the store.
 
