--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -30,6 +30,7 @@
 
 from burdockcart import clock
 from burdockcart.connection import member_channel
+from burdockcart.connection import own_link
 from burdockcart import ids
 from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.gateway.promotion import open_calls
@@ -48,6 +49,9 @@
 LOOK_INTERVAL_S = 0.1
 #: The same while no replica has been seen on hold, in seconds.
 QUIET_INTERVAL_S = 0.4
+#: Time for which a commit waits for the replicas to tell that none of them is
+#: on hold, in seconds; this daemon's own link may be full for longer.
+LOOK_TIMEOUT_S = 0.1
 #: Time for which the candidate may lag until writes are refused, in seconds:
 #: twice the usual lag of replicas that are 150 ms behind.  With 0.1 s, such a
 #: group refused writes for as long as any were sent.
@@ -91,6 +95,7 @@
         loop_clock: clock.Clock,
         calls: open_calls.OpenCalls,
         passed_on: Callable[[log_position.LogPosition], None],
+        link: own_link.OwnLink,
     ):
         #: Whether the group's commits have to outlive a promotion.
         self.active = True
@@ -103,6 +108,7 @@
         self._primary = primary
         self._clock = loop_clock
         self._passed_on = passed_on
+        self._link = link
         self._blocked_at = 0.0
         self._watched_at = 0.0
         #: Newest commit for which writes were blocked.
@@ -182,9 +188,9 @@
         """Wait until a commit is safe; False if it may never be."""
         began_at = self._clock.now()
         while True:
-            candidate = self.calls.candidate(self._group)
+            candidate = self._candidate()
             coverage = await self._coverage(commit)
-            if self.calls.candidate(self._group) != candidate:
+            if self._candidate() != candidate:
                 # What was asked meanwhile tells nothing about the new one.
                 continue
             if coverage is not Coverage.PENDING:
@@ -203,7 +209,7 @@
         if (
             quiet_s <= QUERY_TIMEOUT_S + QUIET_INTERVAL_S
             or self.calls.informed()
-            or self.calls.candidate(self._group) is not None
+            or self._candidate() is not None
         ):
             return
         self._unknown_count += 1
@@ -230,10 +236,13 @@
         """Return whether a call may be open or prepared."""
         if not self.active:
             return False
-        candidate = self.calls.candidate(self._group)
-        if candidate is not None:
-            return candidate != self._primary.leadership.member
-        return not self.calls.informed()
+        return self._candidate() is not None or not self.calls.informed()
+
+    def _candidate(self) -> ids.MemberId | None:
+        """Return the member that may be promoted instead of the primary."""
+        return self.calls.candidate(
+            self._group, self._primary.leadership.member
+        )
 
     def _at_risk(self, commit: log_position.LogPosition | None) -> bool:
         """Return whether a commit could be discarded by an open call."""
@@ -252,14 +261,17 @@
             return Coverage.UNKNOWN
         if not self._call_possible():
             return await self._coverage_of_primary(commit)
-        candidate = self.calls.candidate(self._group)
+        candidate = self._candidate()
         if candidate is not None:
             return _coverage_by(await self._observe(candidate), commit)
         now = self._clock.now()
+        if not self._knows_replicas:
+            # A member that is not known has acknowledged it.
+            return Coverage.PENDING
+        answers = await self._answers_of_replicas(now)
         if not self._hold_seen(now):
-            # The looks show a hold soon after it began.
+            # Without an answer, the looks show a hold soon after it began.
             return Coverage.HELD
-        answers = await self._observe_replicas()
         found = [
             _coverage_by(each, commit)
             for each in answers
@@ -273,24 +285,51 @@
             return Coverage.PENDING
         return Coverage.HELD
 
+    async def _answers_of_replicas(
+        self, now: float
+    ) -> list[member_channel.MemberStatus | None]:
+        """Return :meth:`_observe_replicas`, none if that takes too long.
+
+        Once a hold was seen, it may take any time.  While this daemon's own
+        link is full, commits would wait in vain and keep their connections.
+        """
+        if self._hold_seen(now):
+            return await self._observe_replicas()
+        if not self._link.answered(now - LOOK_TIMEOUT_S):
+            return []
+        try:
+            async with asyncio.timeout(LOOK_TIMEOUT_S):
+                return await self._observe_replicas()
+        except TimeoutError:
+            return []
+
     async def _observe_replicas(
         self,
     ) -> list[member_channel.MemberStatus | None]:
-        """Return the status of each replica; note whether one is on hold."""
-        answers = await asyncio.gather(
+        """Return the status of each replica."""
+        return await asyncio.gather(
             *(
-                self._observe(member)
+                self._observe_replica(member)
                 for member in self._pool_by_member
                 if member != self._primary.leadership.member
             )
         )
+
+    async def _observe_replica(
+        self, member: ids.MemberId
+    ) -> member_channel.MemberStatus | None:
+        """Return a replica's status; note at once whether it is on hold.
+
+        Another replica may take long to answer.
+        """
+        status = await self._observe(member)
         now = self._clock.now()
-        if any(each is not None for each in answers):
+        if status is not None:
             self._answered_at = now
-        if any(each is not None and each.held_term for each in answers):
-            self._hold_until = now + promotion_claims.LATE_CALL_S
-            self._hold_term = self._primary.leadership.term
-        return answers
+            if status.held_term:
+                self._hold_until = now + promotion_claims.LATE_CALL_S
+                self._hold_term = self._primary.leadership.term
+        return status
 
     async def _observe(
         self, member: ids.MemberId | None
@@ -304,6 +343,12 @@
         )
         return await inquiry.ask(lambda: _observe(pool))
 
+    @property
+    def _knows_replicas(self) -> bool:
+        return not self._pool_by_member.keys() <= {
+            self._primary.leadership.member
+        }
+
     def _hold_seen(self, now: float) -> bool:
         """Return whether a replica was on hold lately, in the present term."""
         return (
@@ -335,8 +380,9 @@
             now = self._clock.now()
             if not self.blocked and now - self._watched_at >= IDLE_S:
                 return
-            if not (self._hold_seen(now) or self.calls.candidate(self._group)):
-                self._resume("no replica is on hold")
+            if not (self._hold_seen(now) or self._candidate()):
+                if self._knows_replicas:
+                    self._resume("no replica is on hold")
                 await self._observe_replicas()
                 await asyncio.sleep(QUIET_INTERVAL_S)
                 continue
@@ -364,7 +410,7 @@
         loguru.logger.warning(
             "event=commits_blocked group={} candidate={} position={}",
             self._group,
-            self.calls.candidate(self._group),
+            self._candidate(),
             f"{commit.term}.{commit.number}",
         )
         self._start_looks()
--- a/burdockcart/process/gateway/promotion/operator_promotion.py
+++ b/burdockcart/process/gateway/promotion/operator_promotion.py
@@ -561,9 +561,12 @@
         self._claims = claims
         self._clock = loop_clock
 
-    def candidate(self, group: ids.GroupId) -> ids.MemberId | None:
+    def candidate(
+        self, group: ids.GroupId, primary: ids.MemberId | None = None
+    ) -> ids.MemberId | None:
         """Return the member of a call that may be carried out."""
-        return self._claims.candidate(group, self._clock.now())
+        called = self._claims.candidate(group, self._clock.now())
+        return None if called == primary else called
 
     def informed(self) -> bool:
         """Return True: the store was just read."""
