Hold an operator's claim until all daemons have read the store

Cause: the command held its claim for the lifetime of a claim, at least 2.0 s, while daemons read the store at intervals that follow from the time in which a manifest must be in force.

Change: it holds the claim for the same time after which a daemon counts as informed. test_daemons_that_poll_seldom: replicas are put on hold no sooner than 7.0 s after the claim where daemons need as long.

--- a/burdockcart/platform/group.py
+++ b/burdockcart/platform/group.py
@@ -26,6 +26,7 @@
 from burdockcart.process.gateway.promotion import group_look
 from burdockcart.process.gateway.promotion import operator_promotion
 from burdockcart.process.gateway import settings
+from burdockcart.process.gateway.store import store_follower
 
 SETTINGS_VARIABLE = "BURDOCKCART_SETTINGS"
 COMMAND = "python -m burdockcart.platform.group"
@@ -189,6 +190,7 @@
         clock.BootClock(),
         _wall_ms,
         config.promotion_claim_s,
+        store_follower.notice_s(config.manifest_s),
         config.promotions_fenced,
     )
     ending = await promotion.run(
--- a/burdockcart/process/gateway/promotion/operator_promotion.py
+++ b/burdockcart/process/gateway/promotion/operator_promotion.py
@@ -46,9 +46,6 @@
 from burdockcart.request import log_position
 from burdockcart.version import manifest
 
-#: Least time for which the record names the member before it is promoted, in
-#: seconds: each daemon reads the store within it.
-NOTICE_S = 2.0
 #: Interval of renewing the claim meanwhile, in seconds.
 RENEW_S = 1.0
 #: Attempts to claim: a daemon that puts a promotion off writes its own claim
@@ -96,6 +93,8 @@
         Name for the claim; begins with ``HOLDER_PREFIX`` and is used once.
     claim_ttl_s : float
         Time for which a claim holds, in seconds.
+    notice_s : float
+        Time after which each daemon knows an entry of the store, in seconds.
     fenced : bool
         Whether the platform refuses calls with an older token.
 
@@ -110,8 +109,10 @@
         boot_clock: clock.Clock,
         wall_ms: Callable[[], int],
         claim_ttl_s: float,
+        notice_s: float,
         fenced: bool,
     ):
+        self._notice_s = notice_s
         self._holder = holder
         self._platform = platform
         self._connector = connector
@@ -310,7 +311,7 @@
         self, group: ids.GroupId, member: ids.MemberId
     ) -> None:
         """Hold the claim until all daemons know the member."""
-        until = self._clock.now() + max(self._claim_ttl_s, NOTICE_S)
+        until = self._clock.now() + max(self._claim_ttl_s, self._notice_s)
         while True:
             self._claims.prepare(group, member, self._clock.now())
             if not await self._record.renew(group):
--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -165,6 +165,19 @@
             )
 
 
+def notice_s(manifest_s: float) -> float:
+    """Return the time after which each daemon knows what was written.
+
+    Parameters
+    ==========
+
+    manifest_s : float
+        Time in which a new manifest must be in force, in seconds.
+
+    """
+    return POLL_SHARE * manifest_s + POLL_SLACK_S
+
+
 class StoreFollower:
     """Polls the manifest, the members and the list of daemons.
 
@@ -219,6 +232,7 @@
         self._boot_clock = boot_clock
         self._first_pauses_s = list(FIRST_PAUSES_S) if first_start else []
         self._interval_s = POLL_SHARE * manifest_s
+        self._notice_s = notice_s(manifest_s)
         self.current: manifest.Manifest | None = None
         #: Manifest that the store holds; None if it is unreadable or missing.
         self._stored: manifest.Manifest | None = None
@@ -267,7 +281,7 @@
 
         One that has not polled the store in that time knows that, too.
         """
-        return self._interval_s + POLL_SLACK_S
+        return self._notice_s
 
     @property
     def age_s(self) -> float:
--- a/burdockcart/process/gateway/tests/test_operator_promotion.py
+++ b/burdockcart/process/gateway/tests/test_operator_promotion.py
@@ -44,7 +44,7 @@
             deployment.platform, host_link.HostLink()
         )
 
-    def command(self, name="ann"):
+    def command(self, name="ann", notice_s=2.0):
         """Return a command of an operator."""
         return operator_promotion.OperatorPromotion(
             ids.DaemonId(f"operator/{name}/1"),
@@ -54,6 +54,7 @@
             gateway_deployment.SuspendableClock(),
             application._wall_ms,
             CLAIM_TTL_S,
+            notice_s,
             True,
         )
 
@@ -451,6 +452,24 @@
 
         scenario(check, daemons=3)
 
+    def test_daemons_that_poll_seldom(self):
+        """The claim must be held until they know the member."""
+
+        async def check(deployment, host, primary, first, second):
+            loop = asyncio.get_running_loop()
+            command = host.command(notice_s=7.0)
+            running = asyncio.create_task(command.run(GROUP, "m-b", LOST))
+            await claimed(deployment)
+            claimed_at = loop.time()
+            await gateway_deployment.until(
+                lambda: second.held_term is not None
+            )
+            self.assertGreaterEqual(loop.time() - claimed_at, 7.0)
+            ending = await running
+            self.assertIs(Outcome.DONE, ending.outcome)
+
+        scenario(check)
+
     def test_daemons_beside_it(self):
         """Daemons that would promote another member must not.
 
