--- a/burdockcart/process/gateway/promotion/failover.py
+++ b/burdockcart/process/gateway/promotion/failover.py
@@ -19,6 +19,7 @@
 from burdockcart.process.gateway.members import member_pool
 from burdockcart.process.gateway.promotion import call_notice
 from burdockcart.process.gateway.promotion import failover_rule
+from burdockcart.process.gateway.promotion import primary_absence
 from burdockcart.process.gateway.promotion import promoter
 from burdockcart.process.gateway.promotion import promotion_claims
 from burdockcart.process.gateway.promotion import reserved_claims
@@ -78,6 +79,7 @@
         self._group_by_id = group_by_id
         self._clock = loop_clock
         self.claims = promotion_claims.PromotionClaims(daemon, claim_ttl_s)
+        self._absences = primary_absence.PrimaryAbsences(self.claims)
         self._promoter = promoter.Promoter(
             daemon,
             platform,
@@ -151,6 +153,15 @@
         for group in list(self._group_by_id.values()):
             self._scan(group)
 
+    def absence(self, group: groups.Group) -> primary_absence.Absence:
+        """Return for how long a group has had no primary, and why."""
+        now = self._clock.now()
+        pool = group.primary.pool()
+        lost = pool is None or failover_rule.is_lost(
+            _view(pool, group, now), now
+        )
+        return self._absences.absence(group, lost, now)
+
     def _after_stall(self, stalled_s: float) -> None:
         """Ignore the silence of members while this process was stalled."""
         loguru.logger.warning(
