Name the members that a promotion lacks in the line that puts it off

The line event=promotion_put_off had an empty list when members of the roster were not asked, or a listed one could not be reached, so nobody could tell whom a group waits for. It now names each of them by id and start, with the reason: primary, not_reached, not_listed or started_again, and the candidate with the position that it lacks.

--- a/burdockcart/process/gateway/promotion/asked_members.py
+++ b/burdockcart/process/gateway/promotion/asked_members.py
@@ -1,6 +1,7 @@
 """Connections to the members that have to be asked before a promotion."""
 
 import asyncio
+from typing import Iterable
 
 import loguru
 import msgspec
@@ -32,11 +33,14 @@
         The members that are asked, listed or not.
     listed : set of MemberId
         Those that can be promoted.
+    unreached : list of RosterMember
+        Members that have to be asked, and cannot be reached.
 
     """
 
     members: set[coordination.RosterMember]
     listed: set[ids.MemberId]
+    unreached: list[coordination.RosterMember]
     connections: list[pooled_connection.PooledConnection]
     unlisted_channels: dict[ids.MemberId, member_channel.Channel]
 
@@ -92,10 +96,9 @@
     group: groups.Group,
     old: ids.MemberId | None,
     connector: member_channel.Connector,
-) -> AskedMembers | None:
+) -> AskedMembers:
     """Connect to all members but the old primary.
 
-    None if a listed one cannot be reached, unless no daemon ever reached it.
     Of the known ones that are not listed, those that answer are asked.
     """
     pools = [
@@ -118,13 +121,6 @@
         for member, channel in zip(unlisted, answers, strict=True)
         if channel is not None
     }
-    asked = AskedMembers(
-        {replica_roster.of_entry(each.pool.entry) for each in found}
-        | channels.keys(),
-        {each.pool.entry.id for each in found},
-        found,
-        {member.id: channel for member, channel in channels.items()},
-    )
     unreachable = [
         pool
         for pool, connection in zip(pools, taken, strict=True)
@@ -132,10 +128,43 @@
     ]
     for pool in unreachable:
         _log_unreachable(group, pool)
-    if any(must_be_asked(group, pool) for pool in unreachable):
-        asked.close()
-        return None
-    return asked
+    return AskedMembers(
+        {replica_roster.of_entry(each.pool.entry) for each in found}
+        | channels.keys(),
+        {each.pool.entry.id for each in found},
+        [
+            replica_roster.of_entry(pool.entry)
+            for pool in unreachable
+            if must_be_asked(group, pool)
+        ],
+        found,
+        {member.id: channel for member, channel in channels.items()},
+    )
+
+
+def describe(
+    group: groups.Group,
+    old: ids.MemberId | None,
+    members: Iterable[coordination.RosterMember],
+) -> list[str]:
+    """Return the start of each member, and why it was not asked."""
+    listed = {
+        pool.entry.id: replica_roster.of_entry(pool.entry)
+        for pool in group.pool_by_member.values()
+    }
+    last = group.roster.last_unlisted(listed.values())
+    described = []
+    for member in sorted(members):
+        if member.id == old:
+            why = "primary"
+        elif listed.get(member.id) == member:
+            why = "not_reached"
+        elif member in last:
+            why = "not_listed"
+        else:
+            why = "started_again"
+        described.append(f"{member.id}/{member.started_ms}:{why}")
+    return described
 
 
 def _log_unreachable(
--- a/burdockcart/process/gateway/promotion/promoter.py
+++ b/burdockcart/process/gateway/promotion/promoter.py
@@ -141,9 +141,13 @@
             group.primary.leadership.term,
         )
         asked = await asked_members.connect(group, old, self._connector)
-        if asked is None:
+        if asked.unreached:
+            asked.close()
             promotion_call.put_off(
-                self._metrics, group, "a replica cannot be asked"
+                self._metrics,
+                group,
+                "a replica cannot be asked",
+                asked_members.describe(group, old, asked.unreached),
             )
             self._claims.failed(group.id, self._clock.now())
             return
@@ -365,7 +369,14 @@
         if gap is not None:
             position = await group.primary.position_now()
             if position is None:
-                promotion_call.put_off(self._metrics, group, gap.value)
+                promotion_call.put_off(
+                    self._metrics,
+                    group,
+                    gap.value,
+                    asked_members.describe(
+                        group, old, group.roster.known - asked.members
+                    ),
+                )
                 return False
             floor = max(position, floor or position)
         loguru.logger.info(
@@ -386,7 +397,10 @@
         if floor is None or await comparison.reaches(candidate, floor):
             return True
         promotion_call.put_off(
-            self._metrics, group, "the candidate may lack acknowledged commits"
+            self._metrics,
+            group,
+            "the candidate may lack acknowledged commits",
+            [f"{candidate}:below_{floor.term}.{floor.number}"],
         )
         return False
 
