Remove a listed member from the roster once its process has ended

A group that lost two members within seconds had no primary for good: the keeper removed a lost member only after its entry had lapsed, seconds later, and that needs an answer of the primary, which was lost by then.

The first keeper now looks at listed replicas that it has lost, or has no connection to. One whose host says that no process listens is removed, with a position that the primary reports after that and another listed replica holds. Silence and resets prove nothing: a replica that only daemons lose goes on acknowledging. A member that answers again counts at once for each daemon that hears it, and is added once the list is newer than its answer: before, its old start was added if it had started again. A promotion is put off if a member that was left out accepts connections.

--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -258,6 +258,7 @@
             connector,
             self._clock,
             lambda: self.tables.daemons,
+            lambda: self.tables.known_until,
         )
 
     async def start(self, clients: client_listener.ClientListener) -> None:
--- a/burdockcart/process/gateway/tests/test_successive_losses.py
+++ b/burdockcart/process/gateway/tests/test_successive_losses.py
@@ -8,9 +8,11 @@
 import contextlib
 
 import loguru
+import msgspec
 import testtools
 
 from burdockcart.process.gateway.tests import test_failover
+from burdockcart.process.gateway.tests import test_replica_rosters
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.tests import gateway_deployment
 
@@ -35,6 +37,30 @@
         daemon.connector.cut.add(member.id)
 
 
+async def join(deployment):
+    """Let a fourth member join, and wait until the roster names it."""
+    joined = test_replica_rosters.new_member(deployment, "m-d")
+    await test_failover.writes_for(deployment, 4.0)
+    return joined
+
+
+async def lose_primary(deployment):
+    """Crash the primary for good; return the time without one."""
+    loop = asyncio.get_running_loop()
+    lost, lost_at = deployment.group.primary, loop.time()
+    lost.crash()
+    await gateway_deployment.until(
+        lambda: deployment.group.primary is not lost
+    )
+    return loop.time() - lost_at
+
+
+def roster_ids(deployment):
+    """Return the ids of the members that the stored roster names."""
+    stored, _ = deployment.platform.roster_by_group[GROUP]
+    return {each.id for each in stored.members}
+
+
 class TestPutOff(testtools.TestCase):
     """What the log tells of a promotion that is put off."""
 
@@ -71,3 +97,139 @@
             self.assertIn("members=m-c/1:not_reached", "".join(lines))
 
         scenario(check, daemons=2)
+
+
+class TestSecondLoss(testtools.TestCase):
+    """Members are lost for good, one soon after the other."""
+
+    def test_next_primary_is_lost_for_good(self):
+        """The group must not wait for the first primary for good."""
+
+        async def check(deployment):
+            await join(deployment)
+            await lose_primary(deployment)
+            await test_failover.writes_for(deployment, 1.5)
+            self.assertLess(await lose_primary(deployment), 3.0)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+            self.assertEqual(2, len(deployment.platform.promotions))
+
+        scenario(check, daemons=3)
+
+    def test_replica_is_lost_before_the_primary(self):
+        """The group must not wait for a replica that is gone for good."""
+
+        async def check(deployment):
+            await join(deployment)
+            deployment.members[2].crash()
+            await test_failover.writes_for(deployment, 1.5)
+            self.assertLess(await lose_primary(deployment), 3.0)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=3)
+
+    def test_daemons_that_start_between_the_losses(self):
+        """They must know from the store that a member needn't be asked."""
+
+        async def check(deployment):
+            await join(deployment)
+            deployment.members[2].crash()
+            await test_failover.writes_for(deployment, 1.5)
+            await test_replica_rosters.restart_all(deployment)
+            await test_failover.writes_for(deployment, 1.0)
+            self.assertLess(await lose_primary(deployment), 8.0)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=3)
+
+
+class TestMemberThatMayRun(testtools.TestCase):
+    """Members that daemons do not reach, and that may hold commits alone."""
+
+    def test_replica_that_only_daemons_lose(self):
+        """It acknowledges alone; its silence proves nothing."""
+
+        async def check(deployment):
+            primary, deaf, cut = deployment.members
+            await test_failover.writes_for(deployment, 0.5)
+            cut_off(deployment, cut)
+            await test_failover.writes_for(deployment, 4.0)
+            self.assertIn(cut.id, roster_ids(deployment))
+            deaf.replication_cut = True
+            await test_failover.writes_for(deployment, 1.0)
+            self.assertNotEqual(deaf.received(), cut.received())
+            primary.crash()
+            await asyncio.sleep(15.0)
+            self.assertEqual([], deployment.platform.promotions)
+
+        scenario(check, daemons=2)
+
+    def test_replica_that_comes_back(self):
+        """Once it acknowledges alone again, it has to be asked again."""
+
+        async def check(deployment):
+            primary, deaf, member = deployment.members
+            await join(deployment)
+            member.crash()
+            await test_failover.writes_for(deployment, 3.0)
+            self.assertNotIn(member.id, roster_ids(deployment))
+            member.crashed = False
+            member.catch_up()
+            await test_failover.writes_for(deployment, 1.0)
+            self.assertTrue(
+                all(
+                    each.group_by_id[GROUP].roster.returned
+                    for each in deployment.daemons
+                )
+            )
+            await test_failover.writes_for(deployment, 4.0)
+            self.assertIn(member.id, roster_ids(deployment))
+            for each in deployment.group.member_by_id.values():
+                each.replication_cut = each is not member
+            await test_failover.writes_for(deployment, 0.5)
+            cut_off(deployment, member)
+            primary.crash()
+            await asyncio.sleep(10.0)
+            self.assertEqual([], deployment.platform.promotions)
+
+        scenario(check, daemons=2)
+
+    def test_member_that_starts_again_under_an_old_entry(self):
+        """Its start of before must not be added: nobody can ever ask it.
+
+        It answers before the daemons have read its new entry.
+        """
+
+        async def check(deployment):
+            primary, first, member = deployment.members
+            await join(deployment)
+            member.crash()
+            await test_failover.writes_for(deployment, 3.0)
+            member.crashed = False
+            member.catch_up()
+            await test_failover.writes_for(deployment, 0.9)
+            entry = deployment.platform.entry_by_id[member.id]
+            deployment.platform.put_member(
+                msgspec.structs.replace(entry, started_ms=2)
+            )
+            await test_failover.writes_for(deployment, 0.5)
+            self.assertLess(await lose_primary(deployment), 3.0)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=2)
+
+    def test_replica_is_lost_beside_commits_that_it_held_alone(self):
+        """Only a position that others hold covers them."""
+
+        async def check(deployment):
+            primary, deaf, member = deployment.members
+            other = await join(deployment)
+            deaf.replication_cut = other.replication_cut = True
+            await test_failover.writes_for(deployment, 0.5)
+            member.crash()
+            await test_failover.writes_for(deployment, 3.0)
+            self.assertIn(member.id, roster_ids(deployment))
+            primary.crash()
+            await asyncio.sleep(10.0)
+            self.assertEqual([], deployment.platform.promotions)
+
+        scenario(check, daemons=2)
