--- a/burdockcart/process/gateway/promotion/asked_members.py
+++ b/burdockcart/process/gateway/promotion/asked_members.py
@@ -85,6 +85,7 @@
             pool
             for pool in group.pool_by_member.values()
             if pool.entry.id != old
+            and not must_be_asked(group, pool)
             and replica_roster.of_entry(pool.entry) not in self.members
         ]
         faults = await asyncio.gather(
