Close the calls for a member once it is seen to lead

The call of a daemon that had ended, or still waited for its answer, counted as open for 13 s, although its member led: if that member was lost, nobody else was promoted until then. Where the platform checks tokens, such calls change nothing while the member leads and are refused after a promotion with a newer token. A daemon that sees the member lead after it has learned of the call closes it, and drops a token that it had reserved before.

--- a/burdockcart/process/gateway/promotion/failover.py
+++ b/burdockcart/process/gateway/promotion/failover.py
@@ -70,6 +70,7 @@
         notices: call_notice.Notices,
     ):
         self._daemon = daemon
+        self._reserved = reserved
         self._ranks = turn.Ranks(daemon, daemons)
         self._notice_s = notice_s
         self._metrics = metrics
@@ -179,6 +180,7 @@
             # new primary.
             self._start_check("search", group, self._search(group))
         self._missing_since.pop(group.id, None)
+        self._close_spent_calls(group, pool)
         if self._promoter.left_on_hold(group) and self.claims.may_try(
             group.id, True, self._clock.now()
         ):
@@ -234,6 +236,35 @@
             self._promoter.replace(group, pool.entry.id, cause, prepared),
         )
 
+    def _close_spent_calls(
+        self, group: groups.Group, primary: member_pool.MemberPool
+    ) -> None:
+        """Close the open calls for a member that leads.
+
+        Where the platform checks tokens, they change nothing while it leads,
+        and are refused after a promotion with a newer token.
+        """
+        calls = self.claims.calls_for(group.id, primary.entry.id)
+        if calls and group.promotions_fenced:
+            self._start_check(
+                "spent_calls", group, self._check_spent(group, primary, calls)
+            )
+
+    async def _check_spent(
+        self,
+        group: groups.Group,
+        primary: member_pool.MemberPool,
+        calls: list[promotion_claims.OpenCall],
+    ) -> None:
+        # A proof from before the calls were known would not do: the member
+        # may have been replaced since, and be called for again.
+        if await group.primary.check(primary):
+            # A token of before the calls does not keep them out.
+            self._reserved.drop_token(group.id)
+            self.claims.calls_spent(group.id, calls)
+        else:
+            await asyncio.sleep(SEARCH_PAUSE_S)
+
     def _preparation(
         self, group: groups.Group, now: float
     ) -> promotion_claims.Preparation | None:
--- a/burdockcart/process/gateway/promotion/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion/promotion_claims.py
@@ -1,5 +1,7 @@
 """Decides when this daemon may start a promotion in a group."""
 
+from typing import Collection
+
 import loguru
 import msgspec
 
@@ -274,6 +276,34 @@
         if self._open_by_group.pop(group, noticed) is not None:
             loguru.logger.info("event=promotion_call_closed group={}", group)
 
+    def calls_for(
+        self, group: ids.GroupId, member: ids.MemberId
+    ) -> list[OpenCall]:
+        """Return the open calls for a member that do not run here."""
+        noticed = self._noticed_by_group.get(group)
+        known = [
+            self._open_by_group.get(group),
+            None if noticed is None else noticed.call,
+        ]
+        return [e for e in known if e is not None and e.member == member]
+
+    def calls_spent(
+        self, group: ids.GroupId, calls: Collection[OpenCall]
+    ) -> None:
+        """Record that these calls can change the primary no more."""
+        noticed = self._noticed_by_group.get(group)
+        if noticed is not None and noticed.call in calls:
+            del self._noticed_by_group[group]
+        if self._open_by_group.get(group) in calls:
+            del self._open_by_group[group]
+            self._recorded_by_group.pop(group, None)
+        for call in calls:
+            loguru.logger.info(
+                "event=promotion_call_spent group={} member={}",
+                group,
+                call.member,
+            )
+
     def open_call(self, group: ids.GroupId, now: float) -> OpenCall | None:
         """Return the call that may still be carried out, if there is one."""
         running = self._running_by_group.get(group)
--- a/burdockcart/process/gateway/tests/test_successive_losses.py
+++ b/burdockcart/process/gateway/tests/test_successive_losses.py
@@ -233,3 +233,60 @@
             self.assertEqual([], deployment.platform.promotions)
 
         scenario(check, daemons=2)
+
+
+class TestSpentCall(testtools.TestCase):
+    """The member of a call without an answer leads, and is lost then."""
+
+    def test_call_counts_as_open_after_its_effect(self):
+        """The group must not wait for the member of a call that is spent."""
+
+        async def check(deployment):
+            await join(deployment)
+            platform = deployment.platform
+            promote = platform.promote
+
+            async def call_and_hang(*arguments):
+                platform.promote = promote
+                await promote(*arguments)
+                await asyncio.sleep(60.0)
+
+            platform.promote = call_and_hang
+            await lose_primary(deployment)
+            await test_failover.writes_for(deployment, 1.5)
+            # The daemon that waits refuses the next notice.
+            self.assertLess(await lose_primary(deployment), 5.0)
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=3)
+
+    def test_call_whose_effect_was_not_seen(self):
+        """It stays open: its member may be promoted at any time."""
+
+        async def check(deployment):
+            await join(deployment)
+            platform = deployment.platform
+            promote = platform.promote
+            called = []
+
+            async def call_late(group, member, *arguments):
+                called.append(member)
+                platform.promote = promote
+                await asyncio.sleep(6.0)
+                await promote(group, member, *arguments)
+                await asyncio.sleep(60.0)
+
+            platform.promote = call_late
+            deployment.group.primary.crash()
+            await gateway_deployment.until(lambda: called)
+            await asyncio.sleep(3.0)
+            now = asyncio.get_running_loop().time()
+            for daemon in deployment.daemons:
+                self.assertEqual(
+                    called[0], daemon._failover.claims.candidate(GROUP, now)
+                )
+            await asyncio.sleep(10.0)
+            self.assertEqual(called[0], deployment.platform.promotions[-1][1])
+            self.assertEqual([], test_failover.lost_commits(deployment))
+
+        scenario(check, daemons=3)
--- a/burdockcart/tests/roster_model.py
+++ b/burdockcart/tests/roster_model.py
@@ -88,10 +88,16 @@
         Whether a listed member is removed once its process has ended.
     silent : bool
         Whether one that daemons do not reach is taken for one that has ended.
+    spent : bool
+        Whether the calls for a member are closed once it is seen to lead.
+    fenced : bool
+        Whether calls with a lower token than one seen are refused.
     calm : bool
         Whether no member joins, starts again or is released late while a call
         is open or about to be sent.  Then nothing that members acknowledge
         may be lost, so each acknowledgement is passed on at once.
+    max_term : int
+        Newest term that a promotion begins.
 
     """
 
@@ -110,7 +116,10 @@
     losses: bool = False
     ended: bool = True
     silent: bool = False
+    spent: bool = False
+    fenced: bool = True
     calm: bool = False
+    max_term: int = MAX_TERM
 
 
 @dataclasses.dataclass(frozen=True)
@@ -198,6 +207,8 @@
         The same as each daemon knows it.
     told : frozenset
         Commits that clients were told to be done.
+    spent : frozenset
+        Those of the calls that daemons no longer wait for.
     removed : frozenset
         Starts of members that were removed from the roster while listed.
 
@@ -217,8 +228,14 @@
     recorded: int = -1
     sights: tuple = (-1, -1)
     told: frozenset = frozenset()
+    spent: frozenset = frozenset()
     removed: frozenset = frozenset()
 
+    @property
+    def called(self) -> frozenset:
+        """Candidates of the calls that daemons wait for."""
+        return frozenset(each for _, each in self.calls - self.spent)
+
     @property
     def left_out(self) -> frozenset:
         """Listed starts that a promotion leaves out unless they answer."""
@@ -493,7 +510,7 @@
     @staticmethod
     def _prepare(state, rules, daemon, own):
         """Record which member will be promoted."""
-        called = {candidate for _, candidate in state.calls}
+        called = state.called
         for candidate, _ in own.view:
             if candidate == state.primary or (
                 rules.open_calls and called - {candidate}
@@ -532,7 +549,7 @@
     @staticmethod
     def _claim_unplanned(state, rules, daemon, own):
         """Claim although others may not know the candidate."""
-        called = {candidate for _, candidate in state.calls}
+        called = state.called
         for candidate, _ in own.view:
             if candidate == state.primary or (
                 rules.open_calls and called - {candidate}
@@ -578,7 +595,7 @@
             if state.members[start[0]].start == start[1]
         }
         asked = frozenset(listed | unlisted)
-        open_candidates = {candidate for _, candidate in state.calls}
+        open_candidates = state.called
         candidates = [
             index
             for index, _ in listed
@@ -689,7 +706,7 @@
                 state, daemon, dataclasses.replace(own, step="given_up")
             )
             return
-        yield _land(_ended(state, daemon), own.claim, own.candidate)
+        yield _land(_ended(state, daemon), rules, own.claim, own.candidate)
         yield dataclasses.replace(
             _ended(state, daemon),
             calls=state.calls | {(own.claim, own.candidate)},
@@ -701,7 +718,7 @@
         """Release the replicas if no promotion can follow."""
         after = _ended(state, daemon)
         may_release = state.claim == own.claim and state.fresh == daemon
-        if rules.open_calls and state.calls:
+        if rules.open_calls and state.called:
             may_release = False
         if may_release:
             for index, _ in own.asked:
@@ -713,16 +730,28 @@
     """A call without an answer is carried out."""
     for call in state.calls:
         yield _land(
-            dataclasses.replace(state, calls=state.calls - {call}), *call
+            dataclasses.replace(state, calls=state.calls - {call}),
+            rules,
+            *call,
         )
 
 
-def _land(state: State, token: int, candidate: int) -> State:
+def _closes(state: State, rules: Rules) -> Iterator[State]:
+    """A daemon sees the member of open calls lead."""
+    primary = state.members[state.primary]
+    calls = {each for each in state.calls if each[1] == state.primary}
+    if rules.spent and primary.reached and calls - state.spent:
+        yield dataclasses.replace(state, spent=state.spent | calls)
+
+
+def _land(state: State, rules: Rules, token: int, candidate: int) -> State:
     promoted = state.members[candidate]
     newest = state.members[state.primary].leads
-    if token < state.landed or not promoted.up or newest >= MAX_TERM:
+    if rules.fenced and token < state.landed:
+        return state
+    if not promoted.up or newest >= rules.max_term:
         return state
-    state = dataclasses.replace(state, landed=token)
+    state = dataclasses.replace(state, landed=max(token, state.landed))
     if promoted.leads == newest:
         return state
     kept = set(promoted.log)
@@ -757,10 +786,20 @@
     _keeps: 2,
     _promotes: 8,
     _lands: 1,
+    _closes: 2,
     _expires: 1,
 }
 #: The processes that go on once disturbances have ended.
-_CALM = (_polls, _replicates, _recovers, _keeps, _promotes, _lands, _expires)
+_CALM = (
+    _polls,
+    _replicates,
+    _recovers,
+    _keeps,
+    _promotes,
+    _lands,
+    _closes,
+    _expires,
+)
 
 
 def _step(
@@ -778,8 +817,26 @@
     return rng.choice(following[process])
 
 
-def walk(rules: Rules, rng: random.Random, steps: int) -> State:
-    """Take random steps from the first state; return the last one.
+def called_twice() -> State:
+    """Return a state whose primary has a second call that may land late."""
+    state = initial()
+    members = (
+        dataclasses.replace(state.members[0], leads=0),
+        dataclasses.replace(state.members[1], leads=2),
+        *state.members[2:],
+    )
+    return dataclasses.replace(
+        state, members=members, claim=2, landed=1, calls=frozenset({(2, 1)})
+    )
+
+
+def walk(
+    rules: Rules,
+    rng: random.Random,
+    steps: int,
+    state: State | None = None,
+) -> State:
+    """Take random steps from a state, or the first one; return the last.
 
     Raises
     ======
@@ -788,7 +845,7 @@
         If a step breaks the invariant.
 
     """
-    state = initial()
+    state = state or initial()
     for _ in range(steps):
         following = _step(state, rules, rng, _WEIGHT_BY_PROCESS)
         if following is None:
--- a/burdockcart/tests/test_roster_model.py
+++ b/burdockcart/tests/test_roster_model.py
@@ -10,13 +10,13 @@
 STEPS = 90
 
 
-def first_violation(walks, seed=20261205, **without):
+def first_violation(walks, seed=20261205, start=None, **without):
     """Return the first violation on random walks, or None."""
     rng = random.Random(seed)
     rules = dataclasses.replace(roster_model.Rules(), **without)
     for _ in range(walks):
         try:
-            roster_model.walk(rules, rng, STEPS)
+            roster_model.walk(rules, rng, STEPS, start)
         except roster_model.Violation as violation:
             return str(violation)
     return None
@@ -62,6 +62,28 @@
             first_violation(3000, losses=True, calm=True, silent=True)
         )
 
+    def test_calls_that_are_spent(self):
+        """Calls for a member that leads need not be waited for."""
+        start = roster_model.called_twice()
+        for changed in ({"losses": True}, {"unplanned": True}):
+            self.assertIsNone(
+                first_violation(
+                    1200, start=start, spent=True, max_term=5, **changed
+                )
+            )
+
+    def test_spent_calls_without_tokens(self):
+        """Such a call deposes a later primary, which has more commits."""
+        self.assertIsNotNone(
+            first_violation(
+                1200,
+                start=roster_model.called_twice(),
+                spent=True,
+                fenced=False,
+                max_term=5,
+            )
+        )
+
     def test_daemon_passes_on_all_acknowledgements(self):
         """A member that joins or is released acknowledges alone."""
         self.assertIsNotNone(first_violation(1500, answers=False))
