Remember which calls are spent, as records go on naming them

A daemon that claimed the promotion found the record of the caller, which still named the call, and waited for its member again. A call is known by its member and its time.

test_record_that_names_a_spent_call failed before.

--- a/burdockcart/process/gateway/promotion/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion/promotion_claims.py
@@ -25,6 +25,10 @@
 PREPARED_S = 6.0
 
 
+#: Calls without effect that are remembered for a group.
+SPENT_KEPT = 8
+
+
 class OpenCall(msgspec.Struct, frozen=True):
     """A promotion call that may be carried out until some time.
 
@@ -114,6 +118,10 @@
         self._running_by_group: dict[ids.GroupId, OpenCall] = {}
         #: Calls that other daemons have told of, until a later record.
         self._noticed_by_group: dict[ids.GroupId, NoticedCall] = {}
+        #: Calls that were seen to have been carried out: member and time.
+        self._spent_by_group: dict[
+            ids.GroupId, tuple[tuple[ids.MemberId, int], ...]
+        ] = {}
         #: Members that planned replacements will promote.
         self._prepared_by_group: dict[ids.GroupId, Preparation] = {}
         #: Position of the newest record that a poll of the store has shown.
@@ -298,6 +306,11 @@
             del self._open_by_group[group]
             self._recorded_by_group.pop(group, None)
         for call in calls:
+            # Records go on naming it.
+            self._spent_by_group[group] = (
+                *self._spent_by_group.get(group, ())[1 - SPENT_KEPT :],
+                (call.member, call.called_at_ms),
+            )
             loguru.logger.info(
                 "event=promotion_call_spent group={} member={}",
                 group,
@@ -505,7 +518,8 @@
         # from the call itself.
         called_at_ms = record.called_at_ms or record.claimed_at_ms
         left_s = _left_s(called_at_ms, wall_ms)
-        if left_s <= 0:
+        spent = self._spent_by_group.get(group, ())
+        if left_s <= 0 or (record.candidate, called_at_ms) in spent:
             return
         recorded = self._recorded_by_group.get(group)
         if group not in self._open_by_group or (
--- a/burdockcart/process/gateway/tests/test_successive_losses.py
+++ b/burdockcart/process/gateway/tests/test_successive_losses.py
@@ -11,6 +11,7 @@
 import msgspec
 import testtools
 
+from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_replica_rosters
 from burdockcart.process.gateway.tests import test_sessions
@@ -260,6 +261,37 @@
 
         scenario(check, daemons=3)
 
+    def test_record_that_names_a_spent_call(self):
+        """A daemon that claims finds the record of the caller again."""
+
+        async def check(deployment):
+            await join(deployment)
+            platform = deployment.platform
+            promote = platform.promote
+
+            async def call_and_hang(*arguments):
+                platform.promote = promote
+                await promote(*arguments)
+                await asyncio.sleep(60.0)
+
+            platform.promote = call_and_hang
+            await lose_primary(deployment)
+            await test_failover.writes_for(deployment, 1.5)
+            now = asyncio.get_running_loop().time()
+            record, position = platform.record_by_group[GROUP]
+            others = [
+                each._failover.claims
+                for each in deployment.daemons
+                if each._failover._daemon != record.holder
+            ]
+            self.assertIsNotNone(record.candidate)
+            for claims in others:
+                lost = coordination.ClaimLost(record, position + 1)
+                claims.lost(GROUP, lost, record.claimed_at_ms, now)
+                self.assertIsNone(claims.candidate(GROUP, now))
+
+        scenario(check, daemons=3)
+
     def test_call_whose_effect_was_not_seen(self):
         """It stays open: its member may be promoted at any time."""
 
