--- a/burdockcart/process/gateway/promotion/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion/promotion_claims.py
@@ -1,5 +1,7 @@
 """Decides when this daemon may start a promotion in a group."""
 
+from typing import Collection
+
 import loguru
 import msgspec
 
@@ -23,6 +25,10 @@
 PREPARED_S = 6.0
 
 
+#: Calls without effect that are remembered for a group.
+SPENT_KEPT = 8
+
+
 class OpenCall(msgspec.Struct, frozen=True):
     """A promotion call that may be carried out until some time.
 
@@ -112,6 +118,10 @@
         self._running_by_group: dict[ids.GroupId, OpenCall] = {}
         #: Calls that other daemons have told of, until a later record.
         self._noticed_by_group: dict[ids.GroupId, NoticedCall] = {}
+        #: Calls that were seen to have been carried out: member and time.
+        self._spent_by_group: dict[
+            ids.GroupId, tuple[tuple[ids.MemberId, int], ...]
+        ] = {}
         #: Members that planned replacements will promote.
         self._prepared_by_group: dict[ids.GroupId, Preparation] = {}
         #: Position of the newest record that a poll of the store has shown.
@@ -274,6 +284,39 @@
         if self._open_by_group.pop(group, noticed) is not None:
             loguru.logger.info("event=promotion_call_closed group={}", group)
 
+    def calls_for(
+        self, group: ids.GroupId, member: ids.MemberId
+    ) -> list[OpenCall]:
+        """Return the open calls for a member that do not run here."""
+        noticed = self._noticed_by_group.get(group)
+        known = [
+            self._open_by_group.get(group),
+            None if noticed is None else noticed.call,
+        ]
+        return [e for e in known if e is not None and e.member == member]
+
+    def calls_spent(
+        self, group: ids.GroupId, calls: Collection[OpenCall]
+    ) -> None:
+        """Record that these calls can change the primary no more."""
+        noticed = self._noticed_by_group.get(group)
+        if noticed is not None and noticed.call in calls:
+            del self._noticed_by_group[group]
+        if self._open_by_group.get(group) in calls:
+            del self._open_by_group[group]
+            self._recorded_by_group.pop(group, None)
+        for call in calls:
+            # Records go on naming it.
+            self._spent_by_group[group] = (
+                *self._spent_by_group.get(group, ())[1 - SPENT_KEPT :],
+                (call.member, call.called_at_ms),
+            )
+            loguru.logger.info(
+                "event=promotion_call_spent group={} member={}",
+                group,
+                call.member,
+            )
+
     def open_call(self, group: ids.GroupId, now: float) -> OpenCall | None:
         """Return the call that may still be carried out, if there is one."""
         running = self._running_by_group.get(group)
@@ -475,7 +518,8 @@
         # from the call itself.
         called_at_ms = record.called_at_ms or record.claimed_at_ms
         left_s = _left_s(called_at_ms, wall_ms)
-        if left_s <= 0:
+        spent = self._spent_by_group.get(group, ())
+        if left_s <= 0 or (record.candidate, called_at_ms) in spent:
             return
         recorded = self._recorded_by_group.get(group)
         if group not in self._open_by_group or (
