--- a/burdockcart/process/gateway/promotion/operator_promotion.py
+++ b/burdockcart/process/gateway/promotion/operator_promotion.py
@@ -346,6 +346,7 @@
             listed=set(seen.eligible),
             connections=[],
             unlisted_channels=channels,
+            unreached=[],
         )
         comparison = log_comparison.LogComparison(
             group, channels, asked.listed, self._clock
@@ -370,6 +371,7 @@
                     asked,
                     comparison,
                     None,
+                    prepared=True,
                 ),
                 ids.FencingToken(self._claims.position(group.id)),
                 compared_at,
