Revert the removal of listed members whose host refuses connections

What is missing is a proof that a member has ended; docs/design/successive-losses.md. Calls that are spent and the named members of a promotion that is put off stay.

--- a/burdockcart/connection/member_channel.py
+++ b/burdockcart/connection/member_channel.py
@@ -275,10 +275,3 @@
 
         The probe takes no slot, so a member that is merely busy passes.
         """
-
-    async def ended(self, member: MemberAddress, timeout_s: float) -> bool:
-        """Return whether no process listens at a member's address.
-
-        Its host says so itself.  Silence or a reset connection is no such
-        answer: the member may run, and other members may reach it.
-        """
--- a/burdockcart/emulator/wire_connector.py
+++ b/burdockcart/emulator/wire_connector.py
@@ -58,15 +58,6 @@
         except TimeoutError:
             return Fault.SILENT
 
-    async def ended(
-        self, member: member_channel.MemberAddress, timeout_s: float
-    ) -> bool:
-        """Return whether no process listens at a member's address."""
-        if member.id in self.cut:
-            await asyncio.sleep(timeout_s)
-            return False
-        return await self.reach(member, timeout_s) is Fault.REFUSED
-
     async def _connect_fault(
         self, member: ids.MemberId, timeout_s: float
     ) -> Fault | None:
--- a/burdockcart/platform/member_wire.py
+++ b/burdockcart/platform/member_wire.py
@@ -311,28 +311,6 @@
     return member_channel.MemberFault.OTHER
 
 
-async def _probe(
-    member: member_channel.MemberAddress, timeout_s: float
-) -> tuple[member_channel.MemberFault | None, BaseException | None]:
-    """Open a connection and close it; return what prevents it."""
-    host, _, port = member.address.rpartition(":")
-    try:
-        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    except OSError as error:
-        return _no_socket(member, error), None
-    stream = iostream.IOStream(connection)
-    try:
-        async with answer_timeout.AnswerTimeout(timeout_s):
-            await stream.connect((host, int(port)))
-    except TimeoutError:
-        return member_channel.MemberFault.SILENT, None
-    except iostream.StreamClosedError as error:
-        return _connect_fault(error), error.real_error
-    finally:
-        stream.close()
-    return None, None
-
-
 class WireConnector:
     """Opens connections to members over the line protocol.
 
@@ -359,15 +337,22 @@
         self, member: member_channel.MemberAddress, timeout_s: float
     ) -> member_channel.MemberFault | None:
         """Return why a member accepts no connection; None if it accepts."""
-        fault, _ = await _probe(member, timeout_s)
-        return fault
-
-    async def ended(
-        self, member: member_channel.MemberAddress, timeout_s: float
-    ) -> bool:
-        """Return whether no process listens at a member's address."""
-        _, error = await _probe(member, timeout_s)
-        return isinstance(error, ConnectionRefusedError)
+        host, _, port = member.address.rpartition(":")
+        try:
+            connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            return _no_socket(member, error)
+        stream = iostream.IOStream(connection)
+        try:
+            async with answer_timeout.AnswerTimeout(timeout_s):
+                await stream.connect((host, int(port)))
+        except TimeoutError:
+            return member_channel.MemberFault.SILENT
+        except iostream.StreamClosedError as error:
+            return _connect_fault(error)
+        finally:
+            stream.close()
+        return None
 
     async def connect(
         self,
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -259,7 +259,6 @@
             connector,
             self._clock,
             lambda: self.tables.daemons,
-            lambda: self.tables.known_until,
         )
 
     async def start(self, clients: client_listener.ClientListener) -> None:
--- a/burdockcart/process/gateway/promotion/asked_members.py
+++ b/burdockcart/process/gateway/promotion/asked_members.py
@@ -17,9 +17,6 @@
 #: Timeout of a connection to a member that is not listed, and of its first
 #: answer, in seconds; a running member answers without waiting for a slot.
 UNLISTED_TIMEOUT_S = 0.3
-#: Timeout of a connection to a member that was left out, in seconds; one that
-#: runs accepts it without waiting for a slot.
-RETURNED_TIMEOUT_S = 0.1
 #: Time after which a listed member that no daemon has ever reached is left
 #: out, in seconds: its entry may be of another writer.  Daemons ask a new
 #: member within a second.
@@ -77,26 +74,6 @@
         }
         return [each.id for each in now_known - self.members]
 
-    async def returned(
-        self, group: groups.Group, old: ids.MemberId | None
-    ) -> list[ids.MemberId]:
-        """Return members that were left out, but accept connections now."""
-        left_out = [
-            pool
-            for pool in group.pool_by_member.values()
-            if pool.entry.id != old
-            and not must_be_asked(group, pool)
-            and replica_roster.of_entry(pool.entry) not in self.members
-        ]
-        faults = await asyncio.gather(
-            *(pool.reach(RETURNED_TIMEOUT_S) for pool in left_out)
-        )
-        return [
-            pool.entry.id
-            for pool, fault in zip(left_out, faults, strict=True)
-            if fault is None
-        ]
-
     def close(self) -> None:
         """Give all connections back."""
         for connection in self.connections:
@@ -110,7 +87,7 @@
     member = replica_roster.of_entry(pool.entry)
     return (
         not group.roster.recorded
-        or member in group.roster.known | group.roster.returned
+        or member in group.roster.known
         or pool.listed_for_s < UNCONFIRMED_S
     )
 
--- a/burdockcart/process/gateway/promotion/promoter.py
+++ b/burdockcart/process/gateway/promotion/promoter.py
@@ -361,7 +361,7 @@
         member held that could not be asked are covered by a position of the
         primary, recorded earlier or measured now.
         """
-        joined = asked.joined(group, old) + await asked.returned(group, old)
+        joined = asked.joined(group, old)
         if joined:
             promotion_call.put_off(
                 self._metrics, group, "a member has joined", joined
--- a/burdockcart/process/gateway/promotion/replica_roster.py
+++ b/burdockcart/process/gateway/promotion/replica_roster.py
@@ -68,8 +68,6 @@
         self._knew_history = False
         #: Members that are not in the stored roster yet.
         self._unrecorded: set[coordination.RosterMember] = set()
-        #: Members that are not in it any more, but have answered since.
-        self.returned: set[coordination.RosterMember] = set()
         #: Floor of a roster that a restored store has forgotten.
         self._least_floor: log_position.LogPosition | None = None
 
--- a/burdockcart/process/gateway/promotion/roster_keeper.py
+++ b/burdockcart/process/gateway/promotion/roster_keeper.py
@@ -9,18 +9,12 @@
 member whose entry has lapsed, but which still answers, stays: it receives and
 counts for the acknowledgement of commits.
 
-A listed member is removed in the same way if its host says that no process
-listens at its address.  Its entry lapses seconds later only, and the primary
-may be lost before.  If such a member answers again, each daemon counts it at
-once, and the keeper adds it again.
-
 A few daemons of the fleet do this, one after the other, so that a change
 costs one write as long as the first one is there.
 
 """
 
 import asyncio
-import math
 from typing import Callable
 from typing import Collection
 
@@ -56,15 +50,6 @@
 MAX_CONFIRM_PAUSE_S = 60.0
 #: Pause before an unlisted member that answered is asked again, in seconds.
 UNLISTED_PAUSE_S = 2.0
-#: Pause before a listed member is looked at again that has not ended, in
-#: seconds.
-ENDED_PAUSE_S = 1.0
-#: Time in which a member that starts again reports that, in seconds.
-ENTRY_S = 1.0
-#: Time in which a replica must receive what the primary has, in seconds:
-#: twice the usual lag of replicas that are 150 ms behind.
-COVER_S = 0.3
-COVER_PAUSE_S = 0.05
 
 
 class RosterKeeper:
@@ -77,8 +62,6 @@
         Opens connections to members that are not in the list.
     daemons : callable
         Returns the registered daemons.
-    known_until : callable
-        Returns when the known state of the store was asked for.
 
     """
 
@@ -90,9 +73,7 @@
         connector: member_channel.Connector,
         loop_clock: clock.Clock,
         daemons: Callable[[], Collection[ids.DaemonId]],
-        known_until: Callable[[], float | None],
     ):
-        self._known_until = known_until
         self._group_by_id = group_by_id
         self._platform = platform
         self._connector = connector
@@ -116,14 +97,6 @@
         self._next_query: dict[
             coordination.RosterMember, tuple[float, float]
         ] = {}
-        #: Members of the rosters when they were last looked at.
-        self._known_by_group: dict[
-            ids.GroupId, frozenset[coordination.RosterMember]
-        ] = {}
-        #: Members that were removed while listed, and when that was seen.
-        self._removed_at: dict[coordination.RosterMember, float] = {}
-        #: When they were first seen to answer again.
-        self._returned_at: dict[coordination.RosterMember, float] = {}
 
     async def run(self) -> None:
         """Update the rosters until cancelled."""
@@ -132,18 +105,20 @@
             await asyncio.gather(
                 *(self._keep(each) for each in self._group_by_id.values())
             )
-            known: set[coordination.RosterMember] = set()
-            for each in self._group_by_id.values():
-                known |= each.roster.known | _listed(each).keys()
-            for member in self._next_query.keys() - known:
-                del self._next_query[member]
-            for member in self._removed_at.keys() - known:
-                del self._removed_at[member]
-                self._returned_at.pop(member, None)
+            if not self._next_query:
+                continue
+            known = [
+                each.roster.known | _listed(each).keys()
+                for each in self._group_by_id.values()
+            ]
+            self._next_query = {
+                member: due
+                for member, due in self._next_query.items()
+                if any(member in each for each in known)
+            }
 
     async def _keep(self, group: groups.Group) -> None:
         """Update one group's roster if that is this daemon's turn."""
-        self._count_returned(group)
         not_before = self._write_not_before.get(group.id, 0.0)
         if not group.roster.loaded or self._clock.now() < not_before:
             return
@@ -174,54 +149,20 @@
             for member, pool in group.pool_by_member.items()
             if member != group.primary.leadership.member
         ]
-        until = self._clock.now() + COVER_S
-        while True:
-            answers = await asyncio.gather(
-                *(pool.observe(QUERY_TIMEOUT_S) for pool in replicas)
-            )
-            if any(
-                isinstance(answer, member_channel.MemberStatus)
-                and answer.received >= position
-                for answer in answers
-            ):
-                return position
-            if self._clock.now() >= until:
-                return None
-            await asyncio.sleep(COVER_PAUSE_S)
-
-    def _count_returned(self, group: groups.Group) -> None:
-        """Count the members that have answered again since their removal.
-
-        An answer does not tell whether the member has started again.  So the
-        start in the list is added to the roster only if the list is of after
-        the answer.
-        """
-        now = self._clock.now()
-        known = group.roster.known
-        listed = _listed(group)
-        removed = self._known_by_group.get(group.id, known) - known
-        self._known_by_group[group.id] = known
-        for member in removed & listed.keys():
-            self._removed_at.setdefault(member, now)
-        group.roster.returned &= listed.keys() - known
-        for member, pool in listed.items():
-            removed_at = self._removed_at.get(member, math.inf)
-            if member in known:
-                self._removed_at.pop(member, None)
-                self._returned_at.pop(member, None)
-            elif pool.health.last_answer_at > removed_at:
-                group.roster.returned.add(member)
-                since = self._returned_at.setdefault(member, now)
-                if (self._known_until() or 0.0) > since + ENTRY_S:
-                    group.roster.confirm(member)
+        answers = await asyncio.gather(
+            *(pool.observe(QUERY_TIMEOUT_S) for pool in replicas)
+        )
+        covered = any(
+            isinstance(answer, member_channel.MemberStatus)
+            and answer.received >= position
+            for answer in answers
+        )
+        return position if covered else None
 
     def _has_turn(self, group: groups.Group) -> bool:
         """Return whether the roster is outdated and this daemon may act."""
         roster = group.roster
-        place = self._ranks.rank(group.id)
-        different = roster.known ^ _listed(group).keys() | _failing(group)
-        if not place and self._unconnected(group):
-            return True
+        different = roster.known ^ _listed(group).keys()
         unwritten = roster.without((), None)
         if roster.recorded and not different and unwritten is None:
             self._outdated_since.pop(group.id, None)
@@ -232,26 +173,9 @@
         if known != outdated:
             self._outdated_since[group.id] = outdated, now
             since = now
+        place = self._ranks.rank(group.id)
         return place < KEEPERS and now - since >= place * TURN_S
 
-    def _unconnected(
-        self, group: groups.Group
-    ) -> frozenset[coordination.RosterMember]:
-        """Return the listed replicas that no traffic of this daemon shows.
-
-        A process that ends resets its connections; the first keeper looks
-        whether it has.
-        """
-        if self._ranks.rank(group.id):
-            return frozenset()
-        return frozenset(
-            member
-            for member, pool in _listed_replicas(group).items()
-            if not pool.has_idle()
-            and not pool.busy_count
-            and self._query_due(member)
-        )
-
     def _query_due(self, member: coordination.RosterMember) -> bool:
         due_at, _ = self._next_query.get(member, (0.0, 0.0))
         return self._clock.now() >= due_at
@@ -276,14 +200,9 @@
         answer = await pool.observe(QUERY_TIMEOUT_S)
         if isinstance(answer, member_channel.MemberStatus):
             self._next_query.pop(member, None)
-            if member in self._removed_at:
-                return
             group.roster.confirm(member)
             return
         _, pause_s = self._next_query.get(member, (0.0, CONFIRM_PAUSE_S))
-        if member in self._removed_at:
-            # It may be back with its log at any time.
-            pause_s = CONFIRM_PAUSE_S
         self._next_query[member] = (
             self._clock.now() + pause_s,
             min(2 * pause_s, MAX_CONFIRM_PAUSE_S),
@@ -292,28 +211,8 @@
     async def _gone(
         self, group: groups.Group
     ) -> set[coordination.RosterMember]:
-        """Return the known members that have ended, as far as can be told.
-
-        Those that neither are listed nor answer, and listed ones at whose
-        address no process listens.
-        """
+        """Return the known members that neither are listed nor answer."""
         listed = _listed(group).keys()
-        failing = [
-            member
-            for member in _failing(group) | self._unconnected(group)
-            if self._query_due(member)
-        ]
-        ended = await asyncio.gather(
-            *(
-                self._connector.ended(
-                    member_channel.MemberAddress(
-                        member.id, group.id, member.address
-                    ),
-                    QUERY_TIMEOUT_S,
-                )
-                for member in failing
-            )
-        )
         unlisted = [
             member
             for member in group.roster.unlisted(listed)
@@ -332,14 +231,7 @@
         self._next_query |= {
             each: (until, UNLISTED_PAUSE_S) for each in answering
         }
-        self._next_query |= {
-            member: (self._clock.now() + ENDED_PAUSE_S, ENDED_PAUSE_S)
-            for member, each in zip(failing, ended, strict=True)
-            if not each
-        }
-        return set(unlisted) - answering | {
-            member for member, each in zip(failing, ended, strict=True) if each
-        }
+        return set(unlisted) - answering
 
     async def _answers(
         self, group: groups.Group, member: coordination.RosterMember
@@ -383,27 +275,6 @@
         )
 
 
-def _failing(group: groups.Group) -> frozenset[coordination.RosterMember]:
-    """Return the listed replicas of the roster that this daemon has lost."""
-    return frozenset(
-        member
-        for member, pool in _listed_replicas(group).items()
-        if pool.health.failing
-    )
-
-
-def _listed_replicas(
-    group: groups.Group,
-) -> dict[coordination.RosterMember, member_pool.MemberPool]:
-    """Return the listed members of the roster that do not lead."""
-    return {
-        member: pool
-        for member, pool in _listed(group).items()
-        if member in group.roster.known
-        and member.id != group.primary.leadership.member
-    }
-
-
 def _listed(
     group: groups.Group,
 ) -> dict[coordination.RosterMember, member_pool.MemberPool]:
--- a/burdockcart/process/peers/relay_connector.py
+++ b/burdockcart/process/peers/relay_connector.py
@@ -334,12 +334,6 @@
         """
         return await self._direct.reach(member, timeout_s)
 
-    async def ended(
-        self, member: member_channel.MemberAddress, timeout_s: float
-    ) -> bool:
-        """Return whether no process listens at a member's address."""
-        return await self._direct.ended(member, timeout_s)
-
     async def connect(
         self,
         member: member_channel.MemberAddress,
