Look for spent calls once a scan, not in each group

test_idle_cost.py counted 3,224 function calls of an idle daemon, budget 3,115, as each scan of each group looked for open calls of its primary. Now the groups with open calls are looked at, of which there are none mostly. It passes; so do test_successive_losses.py and test_own_link.py.

--- a/burdockcart/process/gateway/promotion/failover.py
+++ b/burdockcart/process/gateway/promotion/failover.py
@@ -153,6 +153,7 @@
             self._after_stall(paused_s)
         for group in list(self._group_by_id.values()):
             self._scan(group)
+        self._close_spent_calls()
 
     def absence(self, group: groups.Group) -> primary_absence.Absence:
         """Return for how long a group has had no primary, and why."""
@@ -191,7 +192,6 @@
             # new primary.
             self._start_check("search", group, self._search(group))
         self._missing_since.pop(group.id, None)
-        self._close_spent_calls(group, pool)
         if self._promoter.left_on_hold(group) and self.claims.may_try(
             group.id, True, self._clock.now()
         ):
@@ -247,19 +247,24 @@
             self._promoter.replace(group, pool.entry.id, cause, prepared),
         )
 
-    def _close_spent_calls(
-        self, group: groups.Group, primary: member_pool.MemberPool
-    ) -> None:
-        """Close the open calls for a member that leads.
+    def _close_spent_calls(self) -> None:
+        """Close the open calls for members that lead.
 
         Where the platform checks tokens, they change nothing while it leads,
         and are refused after a promotion with a newer token.
         """
-        calls = self.claims.calls_for(group.id, primary.entry.id)
-        if calls and group.promotions_fenced:
-            self._start_check(
-                "spent_calls", group, self._check_spent(group, primary, calls)
-            )
+        for group_id in self.claims.groups_with_calls:
+            group = self._group_by_id.get(group_id)
+            primary = None if group is None else group.primary.pool()
+            if group is None or primary is None:
+                continue
+            calls = self.claims.calls_for(group_id, primary.entry.id)
+            if calls and group.promotions_fenced:
+                self._start_check(
+                    "spent_calls",
+                    group,
+                    self._check_spent(group, primary, calls),
+                )
 
     async def _check_spent(
         self,
