Replace an unlisted primary although it still answers

Callers saw (emulated deployment): no primary for good. A daemon that drops a primary whose entry has gone may then get an answer that proves its lead, to a transaction that had begun. It counted as the leader from then on, so each attempt to replace it ended as not needed, while nothing new was sent to a member that is not listed.

--- a/burdockcart/process/gateway/promotion/promoter.py
+++ b/burdockcart/process/gateway/promotion/promoter.py
@@ -226,7 +226,9 @@
         began_at: float,
     ) -> bool:
         """Return whether the old primary must still be replaced."""
-        if group.primary.leadership.member not in (None, old):
+        leader = group.primary.pool()
+        # An unlisted member may still answer as the primary.
+        if leader is not None and leader.entry.id != old:
             return False
         pool = None if old is None else group.pool_by_member.get(old)
         return pool is None or failover_rule.still_needed(
