--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -300,7 +300,7 @@
 
 
 def _position_text(position: log_position.LogPosition | None) -> str:
-    return "-" if position is None else f"{position.term}.{position.number}"
+    return "-" if position is None else str(position)
 
 
 def ready_line(
--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -223,7 +223,7 @@
             "event=commits_passed_on_unknown group={} position={} count={} "
             "store_age_ms={} replicas_answered_ms_ago={}",
             self._group,
-            f"{commit.term}.{commit.number}",
+            commit,
             self._unknown_count,
             None if age_s is None else int(age_s * 1000),
             None if math.isinf(quiet_s) else int(quiet_s * 1000),
@@ -433,7 +433,7 @@
             "event=commits_blocked group={} candidate={} position={}",
             self._group,
             self._candidate(),
-            f"{commit.term}.{commit.number}",
+            commit,
         )
         self._start_looks()
 
--- a/burdockcart/process/gateway/promotion/group_look.py
+++ b/burdockcart/process/gateway/promotion/group_look.py
@@ -198,7 +198,7 @@
         floor = self.roster.floor
         received = self.eligible.get(member)
         if floor is not None and (received is None or received < floor):
-            names.append(f"floor/{text_of(floor)}")
+            names.append(f"floor/{floor}")
         return names
 
     def verdict(
@@ -257,7 +257,7 @@
                 f"call_open_for={self.open_call() or '-'}"
             )
         if self.roster.floor is not None:
-            lines.append(f"floor={text_of(self.roster.floor)}")
+            lines.append(f"floor={self.roster.floor}")
         if verdict in (Verdict.UNPROVED, Verdict.CALL_OPEN):
             lines += self._choices(command)
         return lines
@@ -273,7 +273,7 @@
             return line + "has started again without this log"
         return line + (
             f"role={status.role.value} term={status.term} "
-            f"position={text_of(status.received)} "
+            f"position={status.received} "
             f"on_hold={_yes(bool(status.held_term))}"
         )
 
@@ -288,12 +288,12 @@
             if received < ranked[0][1]:
                 lines.append(
                     f"not {member}: {ranked[0][0]} holds more "
-                    f"({text_of(ranked[0][1])} after {text_of(received)})"
+                    f"({ranked[0][1]} after {received})"
                 )
                 continue
             lines.append(
                 f"promoting {member} may lose commits after "
-                f"{text_of(received)} that only these hold: " + " ".join(names)
+                f"{received} that only these hold: " + " ".join(names)
             )
             accepted = "".join(f" --accept-loss {name}" for name in names)
             lines.append(
@@ -302,11 +302,6 @@
         return lines
 
 
-def text_of(position: log_position.LogPosition) -> str:
-    """Return a position as the logs show it."""
-    return f"{position.term}.{position.number}"
-
-
 def _yes(value: bool) -> str:
     return "yes" if value else "no"
 
--- a/burdockcart/process/gateway/promotion/operator_promotion.py
+++ b/burdockcart/process/gateway/promotion/operator_promotion.py
@@ -498,7 +498,7 @@
     received_by_member: dict[ids.MemberId, log_position.LogPosition],
 ) -> str:
     return ",".join(
-        f"{member}:{group_look.text_of(position)}"
+        f"{member}:{position}"
         for member, position in sorted(received_by_member.items())
     )
 
--- a/burdockcart/process/gateway/promotion/promoter.py
+++ b/burdockcart/process/gateway/promotion/promoter.py
@@ -405,7 +405,7 @@
             self._metrics,
             group,
             "the candidate may lack acknowledged commits",
-            [f"{candidate}:below_{floor.term}.{floor.number}"],
+            [f"{candidate}:below_{floor}"],
         )
         return False
 
--- a/burdockcart/process/gateway/promotion/promotion_call.py
+++ b/burdockcart/process/gateway/promotion/promotion_call.py
@@ -342,7 +342,7 @@
             "position={}",
             group.id,
             replacement.candidate,
-            f"{certain.term}.{certain.number}",
+            certain,
         )
         return True
 
@@ -403,7 +403,7 @@
         token,
         replacement.cause.value,
         ",".join(
-            f"{member}:{position.term}.{position.number}"
+            f"{member}:{position}"
             for member, position in sorted(received.items())
         ),
         ",".join(sorted(f"{e.id}/{e.started_ms}" for e in not_asked)),
--- a/burdockcart/process/gateway/promotion/promotion_watch.py
+++ b/burdockcart/process/gateway/promotion/promotion_watch.py
@@ -69,8 +69,8 @@
                 self._group,
                 member,
                 self._audit.term,
-                begun and _text(begun.received),
-                passed_on and _text(passed_on),
+                begun and begun.received,
+                passed_on,
             )
         if begun is not None and found:
             self.close()
@@ -130,10 +130,10 @@
                 "event=acknowledged_discarded group={} position={} "
                 "promoted={} term={} received={} commits={}",
                 self._group,
-                _text(finding.position),
+                finding.position,
                 begun.member,
                 begun.term,
-                _text(begun.received),
+                begun.received,
                 finding.commits,
             )
             return
@@ -146,13 +146,9 @@
             self._group,
             finding.member,
             finding.led,
-            _text(finding.position),
+            finding.position,
             begun.member,
             begun.term,
-            _text(begun.received),
+            begun.received,
             finding.commits,
         )
-
-
-def _text(position: log_position.LogPosition) -> str:
-    return f"{position.term}.{position.number}"
--- a/burdockcart/process/gateway/sessions/attempts.py
+++ b/burdockcart/process/gateway/sessions/attempts.py
@@ -144,7 +144,7 @@
             connection.number,
             group.primary.leadership.member,
             group.primary.leadership.term,
-            work.position and f"{work.position.term}.{work.position.number}",
+            work.position,
             int(work.position_age_s * 1000),
             int((now - request.arrived_at) * 1000),
             attempt,
