--- a/burdockcart/process/gateway/tests/test_operator_promotion.py
+++ b/burdockcart/process/gateway/tests/test_operator_promotion.py
@@ -135,7 +135,7 @@
         async def check(deployment, host, primary, first, second):
             seen = await host.look()
             lines = seen.lines(CLAIM_TTL_S, "group")
-            received = group_look.text_of(first.received())
+            received = first.received()
             for line in (
                 f"group=g primary=- verdict={Verdict.UNPROVED.value!r}",
                 "member=m-a start=1 listed=no state=- "
