Ask a candidate once whether it has what was passed on

A candidate with the newest position that was passed on has the certain one as well, which is never later; it was asked twice in each promotion. Both waits keep their start in the same way, so one function does it.

--- a/burdockcart/process/gateway/promotion/call_notice.py
+++ b/burdockcart/process/gateway/promotion/call_notice.py
@@ -24,7 +24,6 @@
 
 import asyncio
 import enum
-import itertools
 from typing import Protocol
 
 import loguru
@@ -194,11 +193,11 @@
         for daemon, answer in zip(daemons, answers, strict=True):
             fault = answer if isinstance(answer, NoPromise) else None
             by_fault.setdefault(fault, []).append(daemon.id)
-        unsure = list(
-            itertools.chain.from_iterable(
-                by_fault.get(each, []) for each in NoPromise
-            )
-        )
+        unsure = [
+            daemon.id
+            for daemon, answer in zip(daemons, answers, strict=True)
+            if isinstance(answer, NoPromise)
+        ]
         if unsure:
             self._metrics.notices_unanswered.inc()
         loguru.logger.info(
--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -337,9 +337,8 @@
         """Return the status of each replica."""
         return await asyncio.gather(
             *(
-                self._observe_replica(member)
-                for member in self._pool_by_member
-                if member != self._primary.leadership.member
+                self._observe_replica(pool.entry.id)
+                for pool in self._replica_pools()
             )
         )
 
--- a/burdockcart/process/gateway/promotion/promotion_call.py
+++ b/burdockcart/process/gateway/promotion/promotion_call.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import enum
+import math
 from typing import Iterable
 from typing import Literal
+from typing import TypeVar
 
 import loguru
 import msgspec
@@ -24,6 +26,8 @@
 from burdockcart.request import log_position
 from burdockcart.version import manifest
 
+T = TypeVar("T")
+
 #: Longest time between the comparison of the logs and a promotion call with a
 #: reserved token, in seconds on the boot clock: a daemon that was suspended in
 #: between must compare again.
@@ -247,20 +251,9 @@
                 "the candidate may lack commits that were passed on",
             )
             return None
-        complete = await self._waited_for_newest(
-            group, replacement, told.newest
-        )
-        certain = await self._has_certain(group, replacement, told.certain)
-        if not (certain and complete):
-            put_off(
-                self._metrics,
-                group,
-                (
-                    "a member that is not known may have acknowledged commits"
-                    if certain
-                    else "a member that is not known has acknowledged commits"
-                ),
-            )
+        lacking = await self._may_lack(group, replacement, told)
+        if lacking is not None:
+            put_off(self._metrics, group, lacking)
             return None
         if self._boot_clock.now() - compared_at > valid_s:
             put_off(self._metrics, group, "the comparison of the logs is old")
@@ -313,64 +306,51 @@
             call_notice.TIMEOUT_S if owned else call_notice.SHORT_TIMEOUT_S,
         )
 
-    async def _has_certain(
+    async def _may_lack(
         self,
         group: groups.Group,
         replacement: Replacement,
-        certain: log_position.LogPosition | None,
-    ) -> bool:
-        """Return whether to promote a candidate as far as commits tell.
-
-        One that lacks an acknowledged commit is not promoted for a while: a
-        member whose entry is not in the store yet may have it, or the
-        primary comes back.
+        told: call_notice.Round,
+    ) -> str | None:
+        """Return why to wait for a member that has commits alone.
+
+        The newest position covers all commits that were passed on, and may
+        hold later ones that no replica has; a log without the certain one
+        lacks a commit.  So a candidate without either is not promoted for a
+        while: a member whose entry is not in the store yet may have them, or
+        the primary comes back.
         """
-        if certain is None or await replacement.comparison.reaches(
-            replacement.candidate, certain
+        reaches = replacement.comparison.reaches
+        candidate, now = replacement.candidate, self._clock.now()
+        waited_s = math.inf
+        if told.newest is not None:
+            if await reaches(candidate, told.newest):
+                self._missing_by_group.pop(group.id, None)
+                self._uncertain_by_group.pop(group.id, None)
+                return None
+            waited_s = now - _known_since(
+                self._uncertain_by_group, group.id, told.newest.term, now
+            )
+        if told.certain is not None and not await reaches(
+            candidate, told.certain
         ):
+            missing_s = now - _known_since(
+                self._missing_by_group, group.id, told.certain, now
+            )
+            if missing_s < MISSING_MEMBER_S:
+                return "a member that is not known has acknowledged commits"
+            loguru.logger.warning(
+                "event=promotion_with_missing_commits group={} candidate={} "
+                "position={}",
+                group.id,
+                candidate,
+                told.certain,
+            )
+        else:
             self._missing_by_group.pop(group.id, None)
-            return True
-        now = self._clock.now()
-        known, since = self._missing_by_group.get(group.id, (None, now))
-        if known != certain:
-            since = now
-        self._missing_by_group[group.id] = certain, since
-        if now - since < MISSING_MEMBER_S:
-            return False
-        loguru.logger.warning(
-            "event=promotion_with_missing_commits group={} candidate={} "
-            "position={}",
-            group.id,
-            replacement.candidate,
-            certain,
-        )
-        return True
-
-    async def _waited_for_newest(
-        self,
-        group: groups.Group,
-        replacement: Replacement,
-        newest: log_position.LogPosition | None,
-    ) -> bool:
-        """Return whether to promote a candidate as far as it can be told.
-
-        The position covers all commits that were passed on, and may hold
-        later ones that no replica has.  A candidate without it is not
-        promoted for a short while.
-        """
-        if newest is None or await replacement.comparison.reaches(
-            replacement.candidate, newest
-        ):
-            self._uncertain_by_group.pop(group.id, None)
-            return True
-        now = self._clock.now()
-        term, since = self._uncertain_by_group.get(
-            group.id, (newest.term, now)
-        )
-        if term != newest.term:
-            since = now
-        self._uncertain_by_group[group.id] = newest.term, since
-        return now - since >= UNCERTAIN_MEMBER_S
+        if waited_s < UNCERTAIN_MEMBER_S:
+            return "a member that is not known may have acknowledged commits"
+        return None
 
     def _withdraw(
         self, group: groups.Group, primary: manifest.MemberEntry | None
@@ -388,6 +368,18 @@
             self._notices.withdraw(primary, notice)
 
 
+def _known_since(
+    since_by_group: dict[ids.GroupId, tuple[T, float]],
+    group: ids.GroupId,
+    what: T,
+    now: float,
+) -> float:
+    """Return since when something has been known of a group; note it."""
+    known, since = since_by_group.get(group, (what, now))
+    since_by_group[group] = what, since if known == what else now
+    return since_by_group[group][1]
+
+
 def _log_call(
     group: groups.Group, replacement: Replacement, token: ids.FencingToken
 ) -> None:
--- a/burdockcart/process/gateway/promotion/promotion_claims.py
+++ b/burdockcart/process/gateway/promotion/promotion_claims.py
@@ -18,13 +18,9 @@
 #: Time for which an unanswered promotion may still be executed, in seconds;
 #: the platform delays calls by up to 12 s.
 LATE_CALL_S = 13.0
-
-
 #: Time for which daemons act on a planned replacement after its last record,
 #: in seconds; each attempt records it again.
 PREPARED_S = 6.0
-
-
 #: Calls without effect that are remembered for a group.
 SPENT_KEPT = 8
 
