Start the wait for the last commits anew after a recovery

The wait for a member that may have the last commits of a lost primary was kept by term. An attempt that the primary's recovery ended left its start behind, so that a loss later in the same term did not wait at all, and commits on their way could be lost as before.

--- a/burdockcart/process/gateway/promotion/promotion_call.py
+++ b/burdockcart/process/gateway/promotion/promotion_call.py
@@ -124,8 +124,10 @@
         self._missing_by_group: dict[
             ids.GroupId, tuple[log_position.LogPosition, float]
         ] = {}
-        #: Term in which the candidate may lack commits, and since when.
-        self._uncertain_by_group: dict[ids.GroupId, tuple[int, float]] = {}
+        #: Newest positions that no candidate has had, and since when.
+        self._uncertain_by_group: dict[
+            ids.GroupId, tuple[log_position.LogPosition, float]
+        ] = {}
 
     def forget(self, group: ids.GroupId) -> None:
         """Note that another attempt begins."""
@@ -329,7 +331,7 @@
                 self._uncertain_by_group.pop(group.id, None)
                 return None
             waited_s = now - _known_since(
-                self._uncertain_by_group, group.id, told.newest.term, now
+                self._uncertain_by_group, group.id, told.newest, now
             )
         if told.certain is not None and not await reaches(
             candidate, told.certain
--- a/burdockcart/process/gateway/tests/test_unplanned_calls.py
+++ b/burdockcart/process/gateway/tests/test_unplanned_calls.py
@@ -9,6 +9,7 @@
 
 import testtools
 
+from burdockcart.process.gateway.promotion import passed_commits
 from burdockcart.process.gateway.tests import test_open_calls
 from burdockcart.process.gateway.tests import test_replica_rosters
 from burdockcart.process.gateway.tests import test_sessions
@@ -296,3 +297,35 @@
             self.assertLess(took_s, 4.0)
 
         self.scenario(check)
+
+    def test_wait_of_an_earlier_attempt(self):
+        """A wait that a recovery has ended must not count for a later loss."""
+
+        async def check(deployment):
+            primary = deployment.group.primary
+
+            guards = [
+                each.group_by_id[GROUP].commits for each in deployment.daemons
+            ]
+
+            def pass_on(number):
+                for guard in guards:
+                    guard.passed.add(log_position.LogPosition(1, number), 0.0)
+
+            pass_on(1_000_000)
+            for daemon in deployment.daemons:
+                daemon.connector.cut.add(primary.id)
+            await asyncio.sleep(1.2)
+            for daemon in deployment.daemons:
+                daemon.connector.cut.clear()
+            await asyncio.sleep(4.0)
+            self.assertEqual([], deployment.platform.promotions)
+            for guard in guards:
+                guard.passed = passed_commits.PassedCommits(guard._clock)
+            await asyncio.sleep(1.0)
+            pass_on(2_000_000)
+            took_s = await lose_primary(deployment)
+            self.assertGreater(took_s, 1.5)
+            self.assertLess(took_s, 4.0)
+
+        self.scenario(check)
