Count an unrecorded primary in the operator's look as the daemons do

The look of the operator's command still went by the roster alone: it took such a group for proved and refused to promote, while the daemons waited for a proof. The group had no way out.

Now both give the same rule the primary; the look takes it from the entry that claims leadership. test_primary_that_the_roster_lacks failed before (nothing missing, wanted m-a/1 and m-c/1); 30 tests of the command pass.

--- a/burdockcart/process/gateway/promotion/group_look.py
+++ b/burdockcart/process/gateway/promotion/group_look.py
@@ -187,7 +187,8 @@
 
         Empty if the member holds every acknowledged commit.
         """
-        gap = self.roster.gap(self.asked)
+        asked = self.asked
+        gap = self.roster.gap(asked, self._unasked_primary(asked))
         names = []
         if gap is not None:
             if gap is not replica_roster.Gap.MEMBERS_MISSING:
@@ -201,6 +202,22 @@
             names.append(f"floor/{floor}")
         return names
 
+    def _unasked_primary(
+        self, asked: set[coordination.RosterMember]
+    ) -> ids.MemberId | None:
+        """Return the member whose entry claims leadership, unless asked.
+
+        The roster may lack it; the daemons count it all the same.
+        """
+        return next(
+            (
+                entry.id
+                for entry in self.entries
+                if entry.leads and replica_roster.of_entry(entry) not in asked
+            ),
+            None,
+        )
+
     def verdict(
         self, claim_ttl_s: float, before: "GroupLook | None" = None
     ) -> Verdict:
--- a/burdockcart/process/gateway/tests/test_operator_promotion.py
+++ b/burdockcart/process/gateway/tests/test_operator_promotion.py
@@ -129,6 +129,21 @@
 class TestLook(OperatorCase):
     """What an operator is shown."""
 
+    def test_primary_that_the_roster_lacks(self):
+        """The daemons count it, so it must not pass for a proof."""
+
+        async def check(deployment, host, primary, first, second):
+            lost = deployment.group.member_by_id["m-c"]
+            deployment.enter(lost)
+            deployment.platform.record_roster(GROUP, [first, second, lost])
+            deployment.platform.remove_member(lost.id)
+            deployment.enter(primary)
+            seen = await host.look()
+            self.assertEqual(sorted(LOST), seen.missing(first.id))
+            self.assertIs(Verdict.UNPROVED, seen.verdict(CLAIM_TTL_S))
+
+        scenario(check)
+
     def test_group_without_a_proof(self):
         """Each member, its position, and what may be missing must be shown."""
 
