Use the daemons' own view of open calls in the operator's command

The command had a copy of KnownCalls that differed in how old the knowledge of the store is. Its 30 tests, the interplay and the sockets' tests pass.

--- a/burdockcart/process/gateway/promotion/open_calls.py
+++ b/burdockcart/process/gateway/promotion/open_calls.py
@@ -6,7 +6,18 @@
 from burdockcart import clock
 from burdockcart import ids
 from burdockcart.process.gateway.promotion import promotion_claims
-from burdockcart.process.gateway.store import store_follower
+
+
+class StoreKnowledge(Protocol):
+    """How recent the knowledge of the store is."""
+
+    @property
+    def informed(self) -> bool:
+        """Whether what was in the store some time ago is known."""
+
+    @property
+    def known_until(self) -> float | None:
+        """When what is known was asked for; None if nothing is known."""
 
 
 class OpenCalls(Protocol):
@@ -60,15 +71,15 @@
     Parameters
     ==========
 
-    tables : StoreFollower
-        Tells how old this daemon's knowledge of the store is.
+    tables : StoreKnowledge
+        Tells how old this process's knowledge of the store is.
 
     """
 
     def __init__(
         self,
         claims: promotion_claims.PromotionClaims,
-        tables: store_follower.StoreFollower,
+        tables: StoreKnowledge,
         loop_clock: clock.Clock,
         wall_ms: Callable[[], int],
     ):
--- a/burdockcart/process/gateway/promotion/operator_promotion.py
+++ b/burdockcart/process/gateway/promotion/operator_promotion.py
@@ -38,6 +38,7 @@
 from burdockcart.process.gateway.promotion import failover_rule
 from burdockcart.process.gateway.promotion import group_look
 from burdockcart.process.gateway.promotion import log_comparison
+from burdockcart.process.gateway.promotion import open_calls
 from burdockcart.process.gateway.promotion import promotion_call
 from burdockcart.process.gateway.promotion import promotion_claims
 from burdockcart.process.gateway.promotion import replica_roster
@@ -407,7 +408,9 @@
             self._boot_clock,
             _OneConnection(),
             own_link.OwnLink(self._clock.now()),
-            _OwnCalls(self._claims, self._clock),
+            open_calls.KnownCalls(
+                self._claims, _JustRead(), self._clock, self._wall_ms
+            ),
             self._metrics,
             self._fenced,
         )
@@ -553,50 +556,8 @@
         return True
 
 
-class _OwnCalls:
-    """Calls that the command knows of; it passes on no commits."""
-
-    def __init__(
-        self,
-        claims: promotion_claims.PromotionClaims,
-        loop_clock: clock.Clock,
-    ):
-        self._claims = claims
-        self._clock = loop_clock
-
-    def candidate(
-        self, group: ids.GroupId, primary: ids.MemberId | None = None
-    ) -> ids.MemberId | None:
-        """Return the member of a call that may be carried out."""
-        called = self._claims.candidate(group, self._clock.now())
-        return None if called == primary else called
-
-    def informed(self) -> bool:
-        """Return True: the store was just read."""
-        return True
-
-    def age_s(self) -> float | None:
-        """Return 0.0: the store was just read."""
-        return 0.0
+class _JustRead:
+    """The command reads the store before it acts."""
 
-    def known_call(
-        self, group: ids.GroupId
-    ) -> tuple[ids.MemberId, int, ids.StorePosition] | None:
-        """Return the open call."""
-        return self._claims.known_call(group, self._clock.now())
-
-    def noticed(
-        self,
-        group: ids.GroupId,
-        call: tuple[ids.MemberId, int, ids.StorePosition],
-    ) -> bool:
-        """Return False: nobody tells the command of calls."""
-        return False
-
-    def withdrawn(
-        self,
-        group: ids.GroupId,
-        member: ids.MemberId,
-        position: ids.StorePosition,
-    ) -> None:
-        """Do nothing."""
+    informed = True
+    known_until = None
