--- a/burdockcart/process/gateway/tests/test_successive_losses.py
+++ b/burdockcart/process/gateway/tests/test_successive_losses.py
@@ -181,6 +181,18 @@
         scenario(check, daemons=2)
 
 
+def hang_after_first_call(platform):
+    """Carry out the next call, and leave it without an answer."""
+    promote = platform.promote
+
+    async def call_and_hang(*arguments):
+        platform.promote = promote
+        await promote(*arguments)
+        await asyncio.sleep(60.0)
+
+    platform.promote = call_and_hang
+
+
 class TestSpentCall(testtools.TestCase):
     """The member of a call without an answer leads, and is lost then."""
 
@@ -189,15 +201,7 @@
 
         async def check(deployment):
             await join(deployment)
-            platform = deployment.platform
-            promote = platform.promote
-
-            async def call_and_hang(*arguments):
-                platform.promote = promote
-                await promote(*arguments)
-                await asyncio.sleep(60.0)
-
-            platform.promote = call_and_hang
+            hang_after_first_call(deployment.platform)
             await lose_primary(deployment)
             await test_failover.writes_for(deployment, 1.5)
             # The daemon that waits refuses the next notice.
@@ -211,19 +215,11 @@
 
         async def check(deployment):
             await join(deployment)
-            platform = deployment.platform
-            promote = platform.promote
-
-            async def call_and_hang(*arguments):
-                platform.promote = promote
-                await promote(*arguments)
-                await asyncio.sleep(60.0)
-
-            platform.promote = call_and_hang
+            hang_after_first_call(deployment.platform)
             await lose_primary(deployment)
             await test_failover.writes_for(deployment, 1.5)
             now = asyncio.get_running_loop().time()
-            record, position = platform.record_by_group[GROUP]
+            record, position = deployment.platform.record_by_group[GROUP]
             others = [
                 each._failover.claims
                 for each in deployment.daemons
