Look at the own link only if no replica is reached

Each commit asked first whether anything of this daemon's link had been answered, which walks over all sources of answers, and then whether the replicas fail, which they mostly don't. The order is turned round; the result is the same. The tests of the own link, of uninformed and of missed daemons pass.

--- a/burdockcart/process/gateway/promotion/commit_guard.py
+++ b/burdockcart/process/gateway/promotion/commit_guard.py
@@ -274,8 +274,8 @@
         replicas = self._replica_pools()
         if not replicas:
             return True
-        return self._link.answered(self._clock.now() - QUIET_S) and all(
-            pool.health.failures for pool in replicas
+        return all(pool.health.failures for pool in replicas) and (
+            self._link.answered(self._clock.now() - QUIET_S)
         )
 
     def _replica_pools(self) -> list[member_pool.MemberPool]:
--- a/burdockcart/process/gateway/promotion/promoter.py
+++ b/burdockcart/process/gateway/promotion/promoter.py
@@ -254,7 +254,7 @@
             self._claims.prepare(group.id, prepared, self._clock.now())
         channels = asked.channels
         outcome = promotion_call.CallOutcome.NOT_DONE
-        # Until then the primary serves, and all go by the prepared member.
+        # The primary serves meanwhile, and all go by the prepared member.
         planned = cause is failover_rule.Cause.DRAINING
         self._caller.forget(group.id)
         comparison = log_comparison.LogComparison(
