Log what reads of the store cost, and how old the manifest is

Reads use a connection of their own instead of the general client, which hides how much of an answer had arrived when it was given up; timeouts are as before. A poller tells its version with each answer.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -237,6 +237,7 @@
             coordination.StoreChanges(
                 tables=[each for each in written if each is not None],
                 tables_unreadable=bool(written) and written[-1] is None,
+                versions=len(written),
                 entry_by_member={
                     member: entry
                     for revision, member, entry in self.entry_changes
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -1,7 +1,9 @@
 """HTTP client of the platform's key-value store and promotion service."""
 
 import base64
+import time
 from typing import Any
+from typing import Callable
 from typing import Collection
 from urllib import parse
 
@@ -15,6 +17,7 @@
 from burdockcart.platform import decoding
 from burdockcart.platform import formats
 from burdockcart.platform import store_messages
+from burdockcart.platform import store_reads
 from burdockcart.platform import store_values
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.store import store_era
@@ -22,15 +25,16 @@
 #: Timeout of a call, in seconds; the store answers in 4 ms normally, and in
 #: 0.4 s when it is slowed a hundredfold.
 CALL_TIMEOUT_S = 1.0
-CONNECT_TIMEOUT_S = 0.5
 #: Timeout of a read, in seconds.  A manifest of 1,400 routes takes over a
 #: second on a link of 5 Mbit/s.  The timeout doubles after a read without an
 #: answer, up to the maximum.
 READ_TIMEOUT_S = 2.0
 MAX_READ_TIMEOUT_S = 4.0
+#: A read is logged from this size, in bytes, or this time, in seconds.
+LOGGED_READ_BYTES = 64 * 1024
+LOGGED_READ_S = 0.5
 #: Concurrent calls, including open watches.
 MAX_CALLS = 50
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 #: Statuses that say that a promotion was not carried out.  Any other one, as
 #: of a proxy in between, leaves open whether it will be.
@@ -75,6 +79,8 @@
     """
 
     def __init__(self, store_address: str, promotion_address: str):
+        #: Called with the cost of each read.
+        self.on_read: Callable[[store_reads.ReadCost], None] = lambda _: None
         self.store_address = store_address
         self.promotion_address = promotion_address
         self.eras = store_era.EraWatch()
@@ -82,7 +88,7 @@
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_CALLS,
-            max_buffer_size=MAX_ANSWER_BYTES,
+            max_buffer_size=store_reads.MAX_ANSWER_BYTES,
             resolver=_AddressResolver(),
         )
 
@@ -97,7 +103,7 @@
         body: object = None,
         headers: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> httpclient.HTTPResponse | None:
+    ) -> store_reads.Answer | None:
         data = None
         if method not in _WITHOUT_BODY:
             data = msgspec.json.encode(body or {})
@@ -106,15 +112,16 @@
             method=method,
             body=data,
             headers={"Content-Type": "application/json", **(headers or {})},
-            connect_timeout=CONNECT_TIMEOUT_S,
+            connect_timeout=store_reads.CONNECT_TIMEOUT_S,
             request_timeout=timeout_s,
             follow_redirects=False,
         )
         try:
-            return await self._client.fetch(request, raise_error=False)
+            answer = await self._client.fetch(request, raise_error=False)
         except (OSError, httpclient.HTTPError) as error:
             loguru.logger.debug("event=call_failed url={} {}", url, error)
             return None
+        return store_reads.Answer(answer.code, answer.headers, answer.body)
 
     async def _ask_store(
         self,
@@ -122,16 +129,25 @@
         method: str = "GET",
         era: ids.StoreEra | None = None,
         **options: Any,
-    ) -> httpclient.HTTPResponse | coordination.CallFault:
-        """Call the store, and note the era of its answer.
-
-        An answer counts only if it is of the newest known era, and of the
-        given one: positions and leases of another era name something else.
-        """
+    ) -> store_reads.Answer | coordination.CallFault:
+        """Call the store, and note the era of its answer."""
         if era not in (None, self.eras.current):
             return coordination.CallFault.RESTORED
         url = f"http://{self.store_address}{path}"
         answer = await self._send(url, method, **options)
+        return self._of_current_era(path, answer, era)
+
+    def _of_current_era(
+        self,
+        path: str,
+        answer: store_reads.Answer | None,
+        era: ids.StoreEra | None,
+    ) -> store_reads.Answer | coordination.CallFault:
+        """Return an answer unless it belongs to another era.
+
+        An answer counts only if it is of the newest known era, and of the
+        given one: positions and leases of another era name something else.
+        """
         if answer is None or answer.code == 599:
             return coordination.CallFault.NO_ANSWER
         known = self.eras.current
@@ -157,18 +173,7 @@
         After a success the answer is of the newest known era.
         """
         answer = await self._ask_store(path, method, **options)
-        if isinstance(answer, coordination.CallFault):
-            return result.Failure(answer)
-        status = _status(answer)
-        if isinstance(status, result.Failure):
-            return status
-        try:
-            return result.Success(decoding.decode(answer.body, kind))
-        except msgspec.MsgspecError as error:
-            loguru.logger.error(
-                "event=answer_unreadable path={} error={!r}", path, str(error)
-            )
-            return result.Failure(coordination.CallFault.UNREADABLE)
+        return _decode(path, answer, kind)
 
     async def _write(
         self,
@@ -177,7 +182,7 @@
         lease: int = 0,
         deletes: tuple[str, ...] = (),
         era: ids.StoreEra | None = None,
-    ) -> httpclient.HTTPResponse | coordination.CallFault:
+    ) -> store_reads.Answer | coordination.CallFault:
         """Write keys at once if others have the expected revisions."""
         body = {
             "expect-rev": [
@@ -280,16 +285,43 @@
         self, path: str, kind: Any, era: ids.StoreEra | None = None
     ) -> result.Result[Any, coordination.CallFault]:
         """Read a value that may be large; double the timeout on failure."""
-        answer = await self._call(
-            path, kind, era=era, timeout_s=self._read_timeout_s
+        if era not in (None, self.eras.current):
+            return result.Failure(coordination.CallFault.RESTORED)
+        answer, cost = await store_reads.read(
+            self.store_address, path, self._read_timeout_s
         )
-        if answer == result.Failure(coordination.CallFault.NO_ANSWER):
+        decoded_from = time.monotonic()
+        found = _decode(path, self._of_current_era(path, answer, era), kind)
+        self._note_read(cost, time.monotonic() - decoded_from)
+        if found == result.Failure(coordination.CallFault.NO_ANSWER):
             self._read_timeout_s = min(
                 2 * self._read_timeout_s, MAX_READ_TIMEOUT_S
             )
         else:
             self._read_timeout_s = READ_TIMEOUT_S
-        return answer
+        return found
+
+    def _note_read(self, cost: store_reads.ReadCost, decoded_s: float) -> None:
+        """Count a read; log one that was large, slow or not answered."""
+        self.on_read(cost)
+        if (
+            cost.outcome is store_reads.ReadOutcome.COMPLETE
+            and cost.received < LOGGED_READ_BYTES
+            and cost.took_s < LOGGED_READ_S
+        ):
+            return
+        loguru.logger.info(
+            "event=store_read path={} outcome={!r} status={} bytes={} "
+            "length={} first_byte_ms={} took_ms={} decoded_ms={}",
+            cost.path,
+            cost.outcome.value,
+            cost.status,
+            cost.received,
+            cost.length,
+            _milliseconds(cost.first_byte_s),
+            _milliseconds(cost.took_s),
+            _milliseconds(decoded_s),
+        )
 
     async def _range(
         self, prefix: str
@@ -636,7 +668,30 @@
         )
 
 
-def _era(answer: httpclient.HTTPResponse) -> ids.StoreEra | None:
+def _decode(
+    path: str,
+    answer: store_reads.Answer | coordination.CallFault,
+    kind: Any,
+) -> result.Result[Any, coordination.CallFault]:
+    """Return the value of a successful answer."""
+    status = _status(answer)
+    if isinstance(status, result.Failure):
+        return status
+    assert not isinstance(answer, coordination.CallFault)
+    try:
+        return result.Success(decoding.decode(answer.body, kind))
+    except msgspec.MsgspecError as error:
+        loguru.logger.error(
+            "event=answer_unreadable path={} error={!r}", path, str(error)
+        )
+        return result.Failure(coordination.CallFault.UNREADABLE)
+
+
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else int(seconds * 1000)
+
+
+def _era(answer: store_reads.Answer) -> ids.StoreEra | None:
     """Return the era that an answer shows, if it shows one."""
     text = answer.headers.get(ERA_HEADER, "")
     if not text.isdecimal() or len(text) > MAX_ERA_DIGITS:
@@ -645,7 +700,7 @@
 
 
 def _status(
-    answer: httpclient.HTTPResponse | coordination.CallFault,
+    answer: store_reads.Answer | coordination.CallFault,
 ) -> result.Result[None, coordination.CallFault]:
     """Return whether the store did what it was asked for."""
     if isinstance(answer, coordination.CallFault):
--- a/burdockcart/platform/launch.py
+++ b/burdockcart/platform/launch.py
@@ -114,6 +114,9 @@
         incarnation,
         clients_limiter,
     )
+    platform.on_read = lambda cost: daemon.metrics.store_read(
+        cost.path, cost.outcome.value, cost.received, cost.took_s
+    )
     count = daemon.metrics.client_limited
     daemon.metrics.client_memory.set_function(
         lambda: clients_limiter.budget.used
--- /dev/null
+++ b/burdockcart/platform/store_reads.py
@@ -0,0 +1,168 @@
+"""Reads of the platform's store, each over a connection of its own.
+
+Explanation
+===========
+
+The general HTTP client tells neither how much of an answer arrived before it
+was given up nor when it began.  Both show what delays a read: a large answer,
+a full link, or a store that does not answer.
+
+"""
+
+import asyncio
+import enum
+import socket
+import time
+
+import msgspec
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+
+CONNECT_TIMEOUT_S = 0.5
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class ReadOutcome(enum.Enum):
+    """How a read ended."""
+
+    COMPLETE = "complete"
+    NO_ANSWER = "no answer"
+
+
+class ReadCost(msgspec.Struct, frozen=True):
+    """What a read cost.
+
+    Parameters
+    ==========
+
+    path : str
+        Path of the call, without its query.
+    status : int
+        Status of the answer; 0 without one.
+    received : int
+        Bytes of the body that arrived.
+    length : int
+        Bytes of the body by its header; 0 if it is not known.
+    first_byte_s : float or None
+        Time to the headers of the answer, in seconds.
+    took_s : float
+        Time to the end of the read, in seconds.
+
+    """
+
+    path: str
+    outcome: ReadOutcome
+    status: int
+    received: int
+    length: int
+    first_byte_s: float | None
+    took_s: float
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A complete answer of the store."""
+
+    code: int
+    headers: httputil.HTTPHeaders
+    body: bytes
+
+
+class _Receiver(httputil.HTTPMessageDelegate):
+    """Collects an answer."""
+
+    def __init__(self) -> None:
+        self.code = 0
+        self.headers = httputil.HTTPHeaders()
+        self.body = bytearray()
+        self.began_at: float | None = None
+        self.complete = False
+
+    @property
+    def length(self) -> int:
+        """Length of the body by its header; 0 if it is not known."""
+        text = self.headers.get("Content-Length", "")
+        return int(text) if text.isdecimal() else 0
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Note the status and the headers."""
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        self.began_at = time.monotonic()
+        self.code, self.headers = start_line.code, headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Add a part of the body."""
+        self.body += chunk
+
+    def finish(self) -> None:
+        """Note that the whole body has arrived."""
+        self.complete = True
+
+
+async def read(
+    address: str, path: str, timeout_s: float
+) -> tuple[Answer | None, ReadCost]:
+    """Return the answer to a GET request, and its cost.
+
+    The answer is None unless it has arrived completely in time.
+
+    Parameters
+    ==========
+
+    address : str
+        ``ip:port`` of the store.
+    timeout_s : float
+        Timeout of the whole read, in seconds.
+
+    """
+    sent_at = time.monotonic()
+    receiver = _Receiver()
+    try:
+        async with asyncio.timeout(timeout_s):
+            await _receive(address, path, receiver)
+    except (TimeoutError, OSError, iostream.StreamClosedError):
+        pass
+    cost = ReadCost(
+        path.partition("?")[0],
+        ReadOutcome.COMPLETE if receiver.complete else ReadOutcome.NO_ANSWER,
+        receiver.code,
+        len(receiver.body),
+        receiver.length,
+        None if receiver.began_at is None else receiver.began_at - sent_at,
+        time.monotonic() - sent_at,
+    )
+    if not receiver.complete:
+        return None, cost
+    body = bytes(receiver.body)
+    return Answer(receiver.code, receiver.headers, body), cost
+
+
+async def _receive(address: str, path: str, receiver: _Receiver) -> None:
+    """Send a request and wait until its answer has ended."""
+    host, _, port = address.rpartition(":")
+    stream = iostream.IOStream(
+        socket.socket(socket.AF_INET, socket.SOCK_STREAM),
+        max_buffer_size=MAX_ANSWER_BYTES,
+    )
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await stream.connect((host, int(port)))
+        connection = http1connection.HTTP1Connection(
+            stream,
+            is_client=True,
+            params=http1connection.HTTP1ConnectionParameters(
+                no_keep_alive=True, max_body_size=MAX_ANSWER_BYTES
+            ),
+        )
+        await connection.write_headers(
+            httputil.RequestStartLine("GET", path, "HTTP/1.1"),
+            httputil.HTTPHeaders({"Host": address, "Connection": "close"}),
+        )
+        connection.finish()
+        await connection.read_response(receiver)
+    finally:
+        stream.close()
--- a/burdockcart/platform/store_values.py
+++ b/burdockcart/platform/store_values.py
@@ -86,6 +86,7 @@
     return coordination.StoreChanges(
         tables=[each for each in written if each is not None],
         tables_unreadable=bool(written) and written[-1] is None,
+        versions=len(written),
         entry_by_member=entry_by_member,
         entry_by_daemon=entry_by_daemon,
         fleet_key=keys[-1] if keys else None,
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -20,6 +20,7 @@
 from burdockcart.process.accounts import key_metrics
 from burdockcart.process.accounts import keyed_access
 from burdockcart.process.gateway import gateway_metrics
+from burdockcart.process.gateway import loop_lag
 from burdockcart.process.gateway.members import group as groups
 from burdockcart.process.gateway.members import isolation_monitor
 from burdockcart.process.gateway.members import reachability
@@ -110,6 +111,7 @@
         rng = random.Random(config.daemon)
         self._rng = rng
         self._divided_at = self._clock.now()
+        self._lag = loop_lag.LoopLag(self._clock)
         self._link = own_link.OwnLink(self._clock.now())
         self._store = self._link.source()
         self._started_at = self._clock.now()
@@ -456,6 +458,10 @@
         self.metrics.manifest_version.set(current.version if current else 0)
         self.metrics.tasks_failing.set(len(self._tasks.failing))
         self.metrics.store_age.set(self.tables.age_s)
+        self.metrics.manifest_known_version.set(self.tables.known_version)
+        self.metrics.manifest_age.set(self.tables.manifest_age_s)
+        self.metrics.manifests_skipped.set(self.tables.versions_skipped)
+        self.metrics.loop_lag.set(self._lag.take())
         self.authenticator.measure()
         for group in self.group_by_id.values():
             pools = group.pool_by_member.values()
@@ -622,7 +628,7 @@
         await self._settled()
         maintenance: asyncio.Task[None] | None = None
         for step in itertools.count():
-            await asyncio.sleep(SCAN_INTERVAL_S)
+            await self._lag.sleep(SCAN_INTERVAL_S)
             # The failover first: it leaves out time in which the process
             # stood still.
             self._failover.scan()
--- a/burdockcart/process/gateway/gateway_metrics.py
+++ b/burdockcart/process/gateway/gateway_metrics.py
@@ -219,6 +219,39 @@
             ["asked"],
             registry=self.registry,
         )
+        self._store_read_bytes = prometheus_client.Counter(
+            "burdockcart_store_read_bytes",
+            "Bytes that reads of the store have brought, by outcome",
+            ["path", "outcome"],
+            registry=self.registry,
+        )
+        self._store_read_time = prometheus_client.Histogram(
+            "burdockcart_store_read_seconds",
+            "Time of reads of the store, by outcome",
+            ["path", "outcome"],
+            buckets=LATENCY_BUCKETS_S + (4.0, 8.0),
+            registry=self.registry,
+        )
+        self.manifest_known_version = prometheus_client.Gauge(
+            "burdockcart_manifest_known_version",
+            "Newest version of the manifest that this daemon knows of",
+            registry=self.registry,
+        )
+        self.manifest_age = prometheus_client.Gauge(
+            "burdockcart_manifest_age_seconds",
+            "Time since the manifest in force was known to be the newest",
+            registry=self.registry,
+        )
+        self.manifests_skipped = prometheus_client.Gauge(
+            "burdockcart_manifests_skipped",
+            "Versions of the manifest that were written and never in force",
+            registry=self.registry,
+        )
+        self.loop_lag = prometheus_client.Gauge(
+            "burdockcart_event_loop_lag_seconds",
+            "Longest delay of a timer since the metrics were last read",
+            registry=self.registry,
+        )
         self.log_lines_left_out = prometheus_client.Counter(
             "burdockcart_log_lines_left_out",
             "Log lines suppressed or dropped, by event",
@@ -230,6 +263,13 @@
         """Count a poll of the store, made directly or by another daemon."""
         self._store_polls.labels("store" if direct else "daemon").inc()
 
+    def store_read(
+        self, path: str, outcome: str, received: int, took_s: float
+    ) -> None:
+        """Count a read of the store and observe its time."""
+        self._store_read_bytes.labels(path, outcome).inc(received)
+        self._store_read_time.labels(path, outcome).observe(took_s)
+
     def task_failed(self) -> None:
         """Count a task that failed unexpectedly."""
         self._task_failures.inc()
--- a/burdockcart/process/gateway/store/change_cache.py
+++ b/burdockcart/process/gateway/store/change_cache.py
@@ -97,18 +97,22 @@
     return coordination.StoreChanges(
         **{
             field.name: _join(
-                getattr(earlier, field.name), getattr(later, field.name)
+                field.name,
+                getattr(earlier, field.name),
+                getattr(later, field.name),
             )
             for field in msgspec.structs.fields(coordination.StoreChanges)
         }
     )
 
 
-def _join(earlier: Any, later: Any) -> Any:
+def _join(field: str, earlier: Any, later: Any) -> Any:
     if isinstance(earlier, dict):
         return operator.or_(earlier, later)
     if isinstance(earlier, list):
         return earlier + later
     if isinstance(earlier, bool):
         return earlier or later
+    if field == "versions":
+        return earlier + later
     return earlier if later is None else later
--- a/burdockcart/process/gateway/store/coordination.py
+++ b/burdockcart/process/gateway/store/coordination.py
@@ -147,6 +147,7 @@
 
     ``tables`` holds the manifests in the order in which they were written;
     ``tables_unreadable`` tells whether the newest one is unreadable or gone;
+    ``versions`` is the number of manifests that were written;
     ``fleet_key`` and ``complete_since`` are None if they have not changed.
     """
 
@@ -156,6 +157,7 @@
     fleet_key: bytes | None
     position: ids.StorePosition
     tables_unreadable: bool = False
+    versions: int = 0
     complete_since: ids.StoreEra | None = None
     roster_by_group: dict[ids.GroupId, StoredRoster] = msgspec.field(
         default_factory=dict
--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -251,6 +251,13 @@
         self._clock = loop_clock
         self._backoff = Backoff(rng)
         self._applied_at = loop_clock.now()
+        #: When the manifest in force was last known to be the newest.
+        self._newest_at = loop_clock.now()
+        #: Newest version that is known to have been written.
+        self._known_version = 0
+        self._behind_since: float | None = None
+        #: Versions that were written and never in force on this daemon.
+        self.versions_skipped = 0
         #: When the state that is applied was asked for; None before the first.
         self.known_until: float | None = None
         #: The same by the boot clock.
@@ -288,6 +295,53 @@
         """Time since what the store holds was last applied, in seconds."""
         return self._clock.now() - self._applied_at
 
+    @property
+    def version(self) -> int:
+        """Version of the manifest in force; 0 for none."""
+        return self.current.version if self.current is not None else 0
+
+    @property
+    def known_version(self) -> int:
+        """Newest version of the manifest that this daemon knows of."""
+        return max(self._known_version, self.version)
+
+    @property
+    def manifest_age_s(self) -> float:
+        """Time since the manifest in force was the newest, in seconds.
+
+        As far as this daemon knows: an answer that shows this counts from
+        the time at which it was asked for.
+        """
+        return self._clock.now() - self._newest_at
+
+    def version_seen(self, version: int, daemon: ids.DaemonId) -> None:
+        """Note a version that is in force on another daemon."""
+        if version <= self.known_version:
+            return
+        self._known_version = version
+        if self._behind_since is None:
+            self._behind_since = self._clock.now()
+            loguru.logger.info(
+                "event=manifest_behind in_force={} newest={} daemon={} "
+                "age_ms={}",
+                self.version,
+                version,
+                daemon,
+                int(self.manifest_age_s * 1000),
+            )
+
+    def _note_newest(self, asked_at: float) -> None:
+        """Note an answer that shows which manifest is the newest."""
+        self._newest_at = max(self._newest_at, asked_at)
+        if self._behind_since is None or self.version < self._known_version:
+            return
+        loguru.logger.info(
+            "event=manifest_caught_up version={} behind_ms={}",
+            self.version,
+            int((self._clock.now() - self._behind_since) * 1000),
+        )
+        self._behind_since = None
+
     @property
     def has_read(self) -> bool:
         """Whether the store has been read."""
@@ -377,7 +431,7 @@
                 continue
             self._source.record_answer(sent_at, self._clock.now())
             self._answered()
-            self._use_contents(read.unwrap())
+            self._use_contents(read.unwrap(), sent_at)
             self._applied_at, self.known_until = self._clock.now(), sent_at
             self._asked_at = evidence_at
             self._add_evidence(evidence_at)
@@ -422,7 +476,7 @@
             changes = seen.unwrap()
             position = max(position, changes.position)
             self._position = position
-            self._use_changes(changes)
+            self._use_changes(changes, sent_at)
             self._applied_at, self.known_until = self._clock.now(), sent_at
             self._asked_at = evidence_at
             self._add_evidence(evidence_at)
@@ -461,7 +515,9 @@
             ),
         )
 
-    def _use_contents(self, found: coordination.StoreSnapshot) -> None:
+    def _use_contents(
+        self, found: coordination.StoreSnapshot, sent_at: float
+    ) -> None:
         now = self._clock.now()
         era = store_era.era_of(found.position)
         before = self._position
@@ -480,7 +536,8 @@
         self.roster_by_group = dict(found.roster_by_group)
         self._stored = found.tables
         if found.tables is not None:
-            self._use_manifest(found.tables)
+            self._use_manifest(found.tables, sent_at)
+        self._note_newest(sent_at)
         self._listener.rosters_changed(self.roster_by_group)
         self._listener.promotions_changed(found.promotion_by_group)
         self._listener.owners_changed(
@@ -496,11 +553,15 @@
             self.settled.set()
         self._listener.daemons_changed(self.entry_by_daemon)
 
-    def _use_changes(self, changes: coordination.StoreChanges) -> None:
+    def _use_changes(
+        self, changes: coordination.StoreChanges, sent_at: float
+    ) -> None:
         now = self._clock.now()
+        self.versions_skipped += max(changes.versions - 1, 0)
         for found in changes.tables:
             self._stored = found
-            self._use_manifest(found)
+            self._use_manifest(found, sent_at, changes.versions - 1)
+        self._note_newest(sent_at)
         if changes.tables_unreadable:
             self._stored = None
         if changes.roster_by_group:
@@ -537,17 +598,32 @@
             self.catalog.store_recovered(self._clock.now())
         self._backoff.succeeded()
 
-    def _use_manifest(self, found: manifest.Manifest) -> None:
+    def _use_manifest(
+        self, found: manifest.Manifest, sent_at: float, skipped: int = 0
+    ) -> None:
+        """Put a manifest in force unless a newer one is.
+
+        Parameters
+        ==========
+
+        sent_at : float
+            When the call was sent that brought it.
+        skipped : int
+            Number of other versions that were written since the last answer.
+
+        """
         if self.current is not None and found.version <= self.current.version:
             return
         self.current = found
         loguru.logger.info(
             "event=manifest_in_force version={} routes={} groups={} "
-            "accounts={}",
+            "accounts={} skipped={} took_ms={}",
             found.version,
             len(found.route_by_database),
             len(found.limits_by_group),
             len(found.account_by_name),
+            skipped,
+            int((self._clock.now() - sent_at) * 1000),
         )
         self._listener.manifest_changed(found)
 
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -265,12 +265,15 @@
     changes : bytes or None
         The encoded changes by a poll that began after the question arrived;
         None if the daemon has to ask the store itself.
+    version : int
+        Version of the manifest in force on the sender; 0 for none.
 
     """
 
     number: int
     next_ms: int
     changes: bytes | None
+    version: int = 0
 
 
 #: What daemons ask each other besides statements, and each answer.
--- a/burdockcart/process/peers/shared_polls.py
+++ b/burdockcart/process/peers/shared_polls.py
@@ -48,6 +48,13 @@
     def next_poll_s(self) -> float:
         """Time until the next scheduled poll, in seconds."""
 
+    @property
+    def version(self) -> int:
+        """Version of the manifest in force; 0 for none."""
+
+    def version_seen(self, version: int, daemon: ids.DaemonId) -> None:
+        """Note the version that another daemon uses."""
+
 
 class SharedPolls:
     """Asks the poller of this failure domain, or the store itself.
@@ -164,6 +171,7 @@
         if not isinstance(reply, messages.Polled):
             self._poll_directly(entry.id)
             return None
+        self.follower.version_seen(reply.version, entry.id)
         if reply.changes is None:
             if reply.next_ms == 0:
                 self._poll_directly(entry.id)
@@ -199,9 +207,11 @@
         known = self._cache.since(message.after) if applied else None
         if known is None or _is_private(known):
             # The other daemon asks the store itself.
-            return messages.Polled(message.number, self._next_ms(), None)
+            changes = None
+        else:
+            changes = msgspec.msgpack.encode(known)
         return messages.Polled(
-            message.number, self._next_ms(), msgspec.msgpack.encode(known)
+            message.number, self._next_ms(), changes, self.follower.version
         )
 
     def _next_ms(self) -> int:
