End a read by its silence, not by its whole time

Cause: the timeout of a read doubled from 2 to 4 s after one without an answer. Hosts count as in touch again 4 s after an outage. The same limit threw away large answers that were still arriving on a slow link, twice or more in a row.

A read now ends after 2 s in which nothing arrives. That never grows, and a long transfer is no reason to give up.

Both tests of TestReadTimeouts fail without the change: a read without an answer took 4.0 s (bound 2.7), an answer that arrives over 2.5 s was given up.

--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -25,11 +25,12 @@
 #: Timeout of a call, in seconds; the store answers in 4 ms normally, and in
 #: 0.4 s when it is slowed a hundredfold.
 CALL_TIMEOUT_S = 1.0
-#: Timeout of a read, in seconds.  A manifest of 1,400 routes takes over a
-#: second on a link of 5 Mbit/s.  The timeout doubles after a read without an
-#: answer, up to the maximum.
-READ_TIMEOUT_S = 2.0
-MAX_READ_TIMEOUT_S = 4.0
+#: Time in which a read must receive something, in seconds.  It does not limit
+#: the whole read: a large answer on a slow link takes its time.  Together with
+#: the pause that follows, it must be shorter than the time for which late
+#: manifests are excused after an outage, 4 s: a read that begins at the end of
+#: an outage gets no answer.
+READ_SILENCE_S = 2.0
 #: A read is logged from this size, in bytes, or this time, in seconds.
 LOGGED_READ_BYTES = 64 * 1024
 LOGGED_READ_S = 0.5
@@ -84,7 +85,6 @@
         self.store_address = store_address
         self.promotion_address = promotion_address
         self.eras = store_era.EraWatch()
-        self._read_timeout_s = READ_TIMEOUT_S
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_CALLS,
@@ -284,21 +284,15 @@
     async def _read(
         self, path: str, kind: Any, era: ids.StoreEra | None = None
     ) -> result.Result[Any, coordination.CallFault]:
-        """Read a value that may be large; double the timeout on failure."""
+        """Read a value that may be large."""
         if era not in (None, self.eras.current):
             return result.Failure(coordination.CallFault.RESTORED)
         answer, cost = await store_reads.read(
-            self.store_address, path, self._read_timeout_s
+            self.store_address, path, READ_SILENCE_S
         )
         decoded_from = time.monotonic()
         found = _decode(path, self._of_current_era(path, answer, era), kind)
         self._note_read(cost, time.monotonic() - decoded_from)
-        if found == result.Failure(coordination.CallFault.NO_ANSWER):
-            self._read_timeout_s = min(
-                2 * self._read_timeout_s, MAX_READ_TIMEOUT_S
-            )
-        else:
-            self._read_timeout_s = READ_TIMEOUT_S
         return found
 
     def _note_read(self, cost: store_reads.ReadCost, decoded_s: float) -> None:
--- a/burdockcart/platform/store_reads.py
+++ b/burdockcart/platform/store_reads.py
@@ -13,6 +13,7 @@
 import enum
 import socket
 import time
+from typing import Callable
 
 import msgspec
 from tornado import http1connection
@@ -20,6 +21,8 @@
 from tornado import iostream
 
 CONNECT_TIMEOUT_S = 0.5
+#: Longest time of a read whose answer goes on arriving, in seconds.
+MAX_READ_S = 20.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
@@ -69,9 +72,18 @@
 
 
 class _Receiver(httputil.HTTPMessageDelegate):
-    """Collects an answer."""
+    """Collects an answer.
 
-    def __init__(self) -> None:
+    Parameters
+    ==========
+
+    advanced : callable
+        Called when a part of the answer has arrived.
+
+    """
+
+    def __init__(self, advanced: Callable[[], None]) -> None:
+        self._advanced = advanced
         self.code = 0
         self.headers = httputil.HTTPHeaders()
         self.body = bytearray()
@@ -93,10 +105,12 @@
         assert isinstance(start_line, httputil.ResponseStartLine)
         self.began_at = time.monotonic()
         self.code, self.headers = start_line.code, headers
+        self._advanced()
 
     def data_received(self, chunk: bytes) -> None:
         """Add a part of the body."""
         self.body += chunk
+        self._advanced()
 
     def finish(self) -> None:
         """Note that the whole body has arrived."""
@@ -104,7 +118,7 @@
 
 
 async def read(
-    address: str, path: str, timeout_s: float
+    address: str, path: str, silence_s: float
 ) -> tuple[Answer | None, ReadCost]:
     """Return the answer to a GET request, and its cost.
 
@@ -115,14 +129,21 @@
 
     address : str
         ``ip:port`` of the store.
-    timeout_s : float
-        Timeout of the whole read, in seconds.
+    silence_s : float
+        Longest time in which nothing of the answer arrives, in seconds.
 
     """
     sent_at = time.monotonic()
-    receiver = _Receiver()
+    timeout = asyncio.timeout(silence_s)
+    ends_at = asyncio.get_running_loop().time() + MAX_READ_S
+
+    def extend() -> None:
+        now = asyncio.get_running_loop().time()
+        timeout.reschedule(min(now + silence_s, ends_at))
+
+    receiver = _Receiver(extend)
     try:
-        async with asyncio.timeout(timeout_s):
+        async with timeout:
             await _receive(address, path, receiver)
     except (TimeoutError, OSError, iostream.StreamClosedError):
         pass
--- a/burdockcart/platform/tests/test_calls.py
+++ b/burdockcart/platform/tests/test_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import socket
+import time
 
 import msgspec
 from returns import result
@@ -13,6 +14,7 @@
 from burdockcart.platform import calls
 from burdockcart.platform.tests import test_formats
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import store_follower
 
 CallFault = coordination.CallFault
 
@@ -23,6 +25,8 @@
     def __init__(self):
         self.answer_by_path = {}
         self.delay_s = 0.0
+        #: Pause between the tenths of each answer, in seconds.
+        self.pause_s = 0.0
         #: Era in the header of the answers, or one for each of them.
         self.era = None
         self.eras = None
@@ -43,7 +47,15 @@
                 era = store.era if store.eras is None else next(store.eras)
                 if era is not None:
                     self.set_header(calls.ERA_HEADER, str(era))
-                self.finish(msgspec.json.encode(body))
+                data = msgspec.json.encode(body)
+                self.set_header("Content-Length", str(len(data)))
+                size = len(data) // 10 + 1
+                for begin in range(0, len(data), size):
+                    self.write(data[begin : begin + size])
+                    if store.pause_s:
+                        await self.flush()
+                        await asyncio.sleep(store.pause_s)
+                self.finish()
 
         class Quiet(web.Application):
             def log_request(self, handler):
@@ -81,6 +93,44 @@
     asyncio.run(run_check())
 
 
+#: Shortest time after which a host counts as in touch with a store that has
+#: recovered, and the longest pause between two reads, in seconds.
+CONTACT_S = 4.0
+LONGEST_PAUSE_S = store_follower.RETRY_MAX_S
+
+
+class TestReadTimeouts(testtools.TestCase):
+    """How long a read waits."""
+
+    def test_read_that_began_in_a_silent_outage(self):
+        """Such a read must end before the host counts as in touch."""
+
+        async def check(store):
+            store.delay_s = 30.0
+            for _ in range(3):
+                began_at = time.monotonic()
+                answer = await store.client.read_store()
+                took_s = time.monotonic() - began_at
+                self.assertIs(CallFault.NO_ANSWER, answer.failure())
+                self.assertLess(took_s, CONTACT_S - LONGEST_PAUSE_S - 0.5)
+
+        run(check)
+
+    def test_large_answer_over_a_slow_link(self):
+        """An answer must not be given up while it goes on arriving."""
+
+        async def check(store):
+            store.answer_by_path["/api/kv-range"] = (
+                200,
+                {"items": [item(f"servers/{n}", {}) for n in range(50)]},
+            )
+            store.pause_s = 0.25
+            answer = await store.client.read_store()
+            self.assertIsInstance(answer, result.Success)
+
+        run(check)
+
+
 class TestCalls(testtools.TestCase):
     """Calls and their answers."""
 
