Read the newest manifest by itself when changes are many

Cause: a poll is one watch from a position, so it brought every version since the last poll whole, 235 kB each. On 10 Mbit/s six of them took more than the timeout, were thrown away, and were more when asked for again; the first byte came after 8 ms. The class: the cost of catching up grows with what was written, not with what is read.

A poll now has a limit. An answer whose length is above it is not read; the daemon reads the present state of all other keys, and the newest manifest by its key in a task of its own, which news of members and promotions do not wait for. Once the manifest is found unchanged, one watch is enough again. Of several versions in an answer only the newest is decoded and put in force. A poller that has read the state answers no questions from its cache. The census of shards reads no manifest.

Two stand-ins of the tests take the new argument, and the one of unreadable answers also answers reads.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -67,6 +67,12 @@
             (self.revision, tables)
         ]
         self.oldest_kept = 0
+        #: Size of a manifest in an answer, and the rate of the link to each
+        #: daemon, in bytes and bytes a second.
+        self.manifest_bytes = 0
+        self.link_bytes_per_s = float("inf")
+        #: Bytes of manifests that answers have brought.
+        self.manifest_bytes_sent = 0
         self.entry_by_id: dict[ids.MemberId, manifest.MemberEntry] = {}
         self.entry_changes: list[
             tuple[int, ids.MemberId, manifest.MemberEntry | None]
@@ -206,23 +212,54 @@
     def _position(self, revision: int) -> ids.StorePosition:
         return store_era.position(self.era, revision)
 
+    async def _send_manifests(self, count: int) -> None:
+        """Wait until that many manifests are transferred."""
+        size = count * self.manifest_bytes
+        self.manifest_bytes_sent += size
+        await asyncio.sleep(size / self.link_bytes_per_s)
+
     async def read_store(self):
         """Return what the store holds."""
-        return await self._store_fault() or result.Success(
-            coordination.StoreSnapshot(
-                tables=self.tables,
-                entry_by_member=dict(self.entry_by_id),
-                daemon_by_id=dict(self.daemon_by_id),
-                fleet_key=self.fleet_key,
-                position=self._position(self.revision),
-                complete_since=self.complete_since,
-                roster_by_group=self._rosters(),
-                promotion_by_group=self._promotions(),
-                owner_by_shard=self.shards.owners(self.era),
+        fault = await self._store_fault()
+        if fault is not None:
+            return fault
+        found = self._snapshot()
+        await self._send_manifests(1)
+        return result.Success(found)
+
+    async def read_state(self, era: ids.StoreEra):
+        """Return what the store holds without the manifest."""
+        return await self._store_fault(era) or result.Success(
+            msgspec.structs.replace(
+                self._snapshot(), tables=None, tables_read=False
             )
         )
 
-    async def changes(self, position: ids.StorePosition):
+    async def read_manifest(self, era: ids.StoreEra):
+        """Return the manifest in the store."""
+        fault = await self._store_fault(era)
+        if fault is not None:
+            return fault
+        found = coordination.StoredManifest(self.tables)
+        await self._send_manifests(1)
+        return result.Success(found)
+
+    def _snapshot(self) -> coordination.StoreSnapshot:
+        return coordination.StoreSnapshot(
+            tables=self.tables,
+            entry_by_member=dict(self.entry_by_id),
+            daemon_by_id=dict(self.daemon_by_id),
+            fleet_key=self.fleet_key,
+            position=self._position(self.revision),
+            complete_since=self.complete_since,
+            roster_by_group=self._rosters(),
+            promotion_by_group=self._promotions(),
+            owner_by_shard=self.shards.owners(self.era),
+        )
+
+    async def changes(
+        self, position: ids.StorePosition, limit_bytes: int | None = None
+    ):
         """Return what changed after a position."""
         fault = await self._store_fault(store_era.era_of(position))
         if fault is not None:
@@ -233,33 +270,34 @@
         written = [
             tables for revision, tables in self.history if revision > after
         ]
-        return result.Success(
-            coordination.StoreChanges(
-                tables=[each for each in written if each is not None],
-                tables_unreadable=bool(written) and written[-1] is None,
-                versions=len(written),
-                entry_by_member={
-                    member: entry
-                    for revision, member, entry in self.entry_changes
-                    if revision > after
-                },
-                entry_by_daemon={
-                    daemon: entry
-                    for revision, daemon, entry in self.daemon_changes
-                    if revision > after
-                },
-                fleet_key=(
-                    self.fleet_key
-                    if self._fleet_key_revision > after
-                    else None
-                ),
-                position=self._position(self.revision),
-                complete_since=self.complete_since,
-                roster_by_group=self._rosters(after),
-                promotion_by_group=self._promotions(after),
-                owner_by_shard=self.shards.owners(self.era, after),
-            )
+        size = len(written) * self.manifest_bytes
+        if limit_bytes is not None and size > limit_bytes:
+            return result.Failure(CallFault.TOO_LONG)
+        found = coordination.StoreChanges(
+            tables=[each for each in written if each is not None],
+            tables_unreadable=bool(written) and written[-1] is None,
+            versions=len(written),
+            entry_by_member={
+                member: entry
+                for revision, member, entry in self.entry_changes
+                if revision > after
+            },
+            entry_by_daemon={
+                daemon: entry
+                for revision, daemon, entry in self.daemon_changes
+                if revision > after
+            },
+            fleet_key=(
+                self.fleet_key if self._fleet_key_revision > after else None
+            ),
+            position=self._position(self.revision),
+            complete_since=self.complete_since,
+            roster_by_group=self._rosters(after),
+            promotion_by_group=self._promotions(after),
+            owner_by_shard=self.shards.owners(self.era, after),
         )
+        await self._send_manifests(len(written))
+        return result.Success(found)
 
     async def claim_promotion(
         self,
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -43,6 +43,14 @@
     {400, 401, 403, 404, 405, 406, 411, 413, 415, 422, 429, 503}
 )
 
+#: Prefix and key before the first item of the ranges that make up all keys
+#: but the manifest's.
+_STATE_RANGES = (
+    ("", store_values.MANIFEST_KEY),
+    (store_values.DAEMON_PREFIX, ""),
+    (store_values.FLEET_PREFIX, ""),
+)
+
 #: Header of all answers of the store; rises by one when it is restored.
 ERA_HEADER = "Store-Era"
 MAX_ERA_DIGITS = 6
@@ -211,9 +219,52 @@
         later change is missed; some may be seen twice.
         """
         read = await self._range("")
-        if isinstance(read, result.Failure):
-            return read
-        page = read.unwrap()
+        return read.map(self._snapshot)
+
+    async def read_state(
+        self, era: ids.StoreEra
+    ) -> result.Result[coordination.StoreSnapshot, coordination.CallFault]:
+        """Return what the store holds in an era, without the manifest.
+
+        The keys after the manifest's come first: what a promotion depends on
+        is among them.
+        """
+        items: list[store_messages.StoredItem] = []
+        first_revision = None
+        for prefix, after in _STATE_RANGES:
+            read = await self._range(prefix, after, era)
+            if isinstance(read, result.Failure):
+                return read
+            page = read.unwrap()
+            items += page.items
+            if first_revision is None:
+                first_revision = page.store_revision
+        assert first_revision is not None
+        snapshot = self._snapshot(store_messages.Range(items, first_revision))
+        return result.Success(
+            msgspec.structs.replace(snapshot, tables_read=False)
+        )
+
+    async def read_manifest(
+        self, era: ids.StoreEra
+    ) -> result.Result[coordination.StoredManifest, coordination.CallFault]:
+        """Return the newest manifest, whatever was written before."""
+        path = "/api/kv-key?" + parse.urlencode(
+            {"key": store_values.MANIFEST_KEY}
+        )
+        found = await self._read(path, store_messages.StoredItem, era)
+        if found == result.Failure(coordination.CallFault.MISSING):
+            return result.Success(coordination.StoredManifest(None))
+        return found.map(
+            lambda item: coordination.StoredManifest(
+                store_values.read_stored_manifest(item)
+            )
+        )
+
+    def _snapshot(
+        self, page: store_messages.Range
+    ) -> coordination.StoreSnapshot:
+        """Group items into the manifest, members and daemons."""
         item_by_key = {item.key: item for item in page.items}
         config = item_by_key.get(store_values.MANIFEST_KEY)
         key = item_by_key.get(store_values.FLEET_KEY)
@@ -224,50 +275,46 @@
             if item.key.startswith(store_values.DAEMON_PREFIX)
             and not item.tombstone
         ]
-        return result.Success(
-            coordination.StoreSnapshot(
-                tables=(
-                    None
-                    if config is None
-                    else store_values.read_stored_manifest(config)
-                ),
-                entry_by_member={
-                    entry.id: entry
-                    for item in page.items
-                    if item.key.startswith(store_values.MEMBER_PREFIX)
-                    if (entry := store_values.read_member(item)) is not None
-                },
-                daemon_by_id={
-                    daemon.id: daemon
-                    for daemon in daemons
-                    if daemon is not None
-                },
-                daemons_unreadable=None in daemons,
-                fleet_key=(
-                    None if key is None else store_values.read_fleet_key(key)
-                ),
-                position=store_era.position(
-                    self.eras.current, page.store_revision
-                ),
-                complete_since=(
-                    None
-                    if complete is None
-                    else store_values.read_complete_since(complete)
-                ),
-                roster_by_group=store_values.read_rosters(
-                    page.items, self.eras.current
-                ),
-                promotion_by_group=store_values.read_promotions(
-                    page.items, self.eras.current
-                ),
-                owner_by_shard=store_values.read_owners(
-                    page.items, self.eras.current
-                ),
-            )
+        return coordination.StoreSnapshot(
+            tables=(
+                None
+                if config is None
+                else store_values.read_stored_manifest(config)
+            ),
+            entry_by_member={
+                entry.id: entry
+                for item in page.items
+                if item.key.startswith(store_values.MEMBER_PREFIX)
+                if (entry := store_values.read_member(item)) is not None
+            },
+            daemon_by_id={
+                daemon.id: daemon for daemon in daemons if daemon is not None
+            },
+            daemons_unreadable=None in daemons,
+            fleet_key=(
+                None if key is None else store_values.read_fleet_key(key)
+            ),
+            position=store_era.position(
+                self.eras.current, page.store_revision
+            ),
+            complete_since=(
+                None
+                if complete is None
+                else store_values.read_complete_since(complete)
+            ),
+            roster_by_group=store_values.read_rosters(
+                page.items, self.eras.current
+            ),
+            promotion_by_group=store_values.read_promotions(
+                page.items, self.eras.current
+            ),
+            owner_by_shard=store_values.read_owners(
+                page.items, self.eras.current
+            ),
         )
 
     async def changes(
-        self, after: ids.StorePosition
+        self, after: ids.StorePosition, limit_bytes: int | None = None
     ) -> result.Result[coordination.StoreChanges, coordination.CallFault]:
         """Return what changed after a position.
 
@@ -278,23 +325,37 @@
         query = {"prefix": "", "after": revision, "wait-ms": 0}
         path = "/api/kv-watch?" + parse.urlencode(query)
         era = store_era.era_of(after)
-        answer = await self._read(path, store_messages.Events, era)
+        answer = await self._read(
+            path, store_messages.Events, era, limit_bytes
+        )
         return answer.map(lambda seen: store_values.read_changes(seen, era))
 
     async def _read(
-        self, path: str, kind: Any, era: ids.StoreEra | None = None
+        self,
+        path: str,
+        kind: Any,
+        era: ids.StoreEra | None = None,
+        limit_bytes: int | None = None,
     ) -> result.Result[Any, coordination.CallFault]:
         """Read a value that may be large."""
         if era not in (None, self.eras.current):
             return result.Failure(coordination.CallFault.RESTORED)
-        answer, cost = await store_reads.read(
-            self.store_address, path, READ_SILENCE_S
-        )
+        answer, cost = await self._fetch(path, limit_bytes)
         decoded_from = time.monotonic()
         found = _decode(path, self._of_current_era(path, answer, era), kind)
+        if cost.outcome is store_reads.ReadOutcome.TOO_LONG:
+            found = result.Failure(coordination.CallFault.TOO_LONG)
         self._note_read(cost, time.monotonic() - decoded_from)
         return found
 
+    async def _fetch(
+        self, path: str, limit_bytes: int | None
+    ) -> tuple[store_reads.Answer | None, store_reads.ReadCost]:
+        """Return an answer unless it is too long or breaks off."""
+        return await store_reads.read(
+            self.store_address, path, READ_SILENCE_S, limit_bytes
+        )
+
     def _note_read(self, cost: store_reads.ReadCost, decoded_s: float) -> None:
         """Count a read; log one that was large, slow or not answered."""
         self.on_read(cost)
@@ -318,16 +379,26 @@
         )
 
     async def _range(
-        self, prefix: str
+        self,
+        prefix: str,
+        after: str = "",
+        era: ids.StoreEra | None = None,
     ) -> result.Result[store_messages.Range, coordination.CallFault]:
-        """Return all items under a prefix, and the first page's revision."""
+        """Return the items under a prefix, and the first page's revision.
+
+        Parameters
+        ==========
+
+        after : str
+            Key after which the items begin; empty for all.
+
+        """
         items: list[store_messages.StoredItem] = []
         first_revision = None
-        era = None
         while True:
             query = {"prefix": prefix}
-            if items:
-                query["after"] = items[-1].key
+            if items or after:
+                query["after"] = items[-1].key if items else after
             path = "/api/kv-range?" + parse.urlencode(query)
             answer = await self._read(path, store_messages.Range, era)
             page = answer.value_or(None)
--- a/burdockcart/platform/store_reads.py
+++ b/burdockcart/platform/store_reads.py
@@ -31,6 +31,7 @@
 
     COMPLETE = "complete"
     NO_ANSWER = "no answer"
+    TOO_LONG = "too long"
 
 
 class ReadCost(msgspec.Struct, frozen=True):
@@ -79,17 +80,37 @@
 
     advanced : callable
         Called when a part of the answer has arrived.
+    limit_bytes : int or None
+        Longest body that is wanted.
 
     """
 
-    def __init__(self, advanced: Callable[[], None]) -> None:
+    def __init__(
+        self, advanced: Callable[[], None], limit_bytes: int | None
+    ) -> None:
         self._advanced = advanced
+        self._limit_bytes = limit_bytes
+        #: Connection on which the answer arrives.
+        self.stream: iostream.IOStream
         self.code = 0
         self.headers = httputil.HTTPHeaders()
         self.body = bytearray()
         self.began_at: float | None = None
         self.complete = False
 
+    @property
+    def too_long(self) -> bool:
+        """Whether the body is longer than wanted."""
+        known = max(self.length, len(self.body))
+        return self._limit_bytes is not None and known > self._limit_bytes
+
+    @property
+    def outcome(self) -> ReadOutcome:
+        """How the read has ended."""
+        if self.too_long:
+            return ReadOutcome.TOO_LONG
+        return ReadOutcome.COMPLETE if self.complete else ReadOutcome.NO_ANSWER
+
     @property
     def length(self) -> int:
         """Length of the body by its header; 0 if it is not known."""
@@ -105,11 +126,17 @@
         assert isinstance(start_line, httputil.ResponseStartLine)
         self.began_at = time.monotonic()
         self.code, self.headers = start_line.code, headers
-        self._advanced()
+        self._advance()
 
     def data_received(self, chunk: bytes) -> None:
         """Add a part of the body."""
         self.body += chunk
+        self._advance()
+
+    def _advance(self) -> None:
+        if self.too_long:
+            # The rest is not wanted, and would fill the link.
+            self.stream.close()
         self._advanced()
 
     def finish(self) -> None:
@@ -118,7 +145,10 @@
 
 
 async def read(
-    address: str, path: str, silence_s: float
+    address: str,
+    path: str,
+    silence_s: float,
+    limit_bytes: int | None = None,
 ) -> tuple[Answer | None, ReadCost]:
     """Return the answer to a GET request, and its cost.
 
@@ -131,6 +161,9 @@
         ``ip:port`` of the store.
     silence_s : float
         Longest time in which nothing of the answer arrives, in seconds.
+    limit_bytes : int or None
+        Longest body that is wanted; a longer one is given up as soon as its
+        length is known.
 
     """
     sent_at = time.monotonic()
@@ -141,7 +174,7 @@
         now = asyncio.get_running_loop().time()
         timeout.reschedule(min(now + silence_s, ends_at))
 
-    receiver = _Receiver(extend)
+    receiver = _Receiver(extend, limit_bytes)
     try:
         async with timeout:
             await _receive(address, path, receiver)
@@ -149,14 +182,14 @@
         pass
     cost = ReadCost(
         path.partition("?")[0],
-        ReadOutcome.COMPLETE if receiver.complete else ReadOutcome.NO_ANSWER,
+        receiver.outcome,
         receiver.code,
         len(receiver.body),
         receiver.length,
         None if receiver.began_at is None else receiver.began_at - sent_at,
         time.monotonic() - sent_at,
     )
-    if not receiver.complete:
+    if cost.outcome is not ReadOutcome.COMPLETE:
         return None, cost
     body = bytes(receiver.body)
     return Answer(receiver.code, receiver.headers, body), cost
@@ -169,6 +202,7 @@
         socket.socket(socket.AF_INET, socket.SOCK_STREAM),
         max_buffer_size=MAX_ANSWER_BYTES,
     )
+    receiver.stream = stream
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await stream.connect((host, int(port)))
--- a/burdockcart/platform/store_values.py
+++ b/burdockcart/platform/store_values.py
@@ -22,9 +22,10 @@
 #: Audit records of the promotions that operators asked for.
 OPERATOR_PREFIX = "operator-promotions/"
 DAEMON_PREFIX = "daemons/"
-FLEET_KEY = "fleet/key"
+FLEET_PREFIX = "fleet/"
+FLEET_KEY = FLEET_PREFIX + "key"
 #: Newest era in which the store knows all promotions that may be open.
-COMPLETE_KEY = "fleet/complete-since"
+COMPLETE_KEY = FLEET_PREFIX + "complete-since"
 
 
 def read_manifest(data: bytes) -> manifest.Manifest | None:
@@ -48,15 +49,27 @@
     return read_manifest(data)
 
 
+def _newest_manifest(
+    written: list[store_messages.StoredItem],
+) -> tuple[manifest.Manifest | None, bool]:
+    """Return the newest readable manifest, and whether a later one is not.
+
+    Earlier ones are not decoded: each manifest is complete, and they would
+    not be in force.
+    """
+    for later, event in enumerate(reversed(written)):
+        found = None if event.tombstone else read_stored_manifest(event)
+        if found is not None:
+            return found, later > 0
+    return None, bool(written)
+
+
 def read_changes(
     seen: store_messages.Events, era: ids.StoreEra
 ) -> coordination.StoreChanges:
     """Group events into manifests, members and daemons."""
-    written = [
-        None if event.tombstone else read_stored_manifest(event)
-        for event in seen.events
-        if event.key == MANIFEST_KEY
-    ]
+    written = [event for event in seen.events if event.key == MANIFEST_KEY]
+    newest, unreadable = _newest_manifest(written)
     entry_by_member = {
         _member_id(event): entry
         for event in seen.events
@@ -84,8 +97,8 @@
         if (era_found := read_complete_since(event)) is not None
     ]
     return coordination.StoreChanges(
-        tables=[each for each in written if each is not None],
-        tables_unreadable=bool(written) and written[-1] is None,
+        tables=[] if newest is None else [newest],
+        tables_unreadable=unreadable,
         versions=len(written),
         entry_by_member=entry_by_member,
         entry_by_daemon=entry_by_daemon,
--- a/burdockcart/platform/tests/test_generated_input.py
+++ b/burdockcart/platform/tests/test_generated_input.py
@@ -19,6 +19,7 @@
 from burdockcart.platform import decoding
 from burdockcart.platform import formats
 from burdockcart.platform import store_messages
+from burdockcart.platform import store_reads
 from burdockcart.platform import store_values
 from burdockcart.platform import wire
 from burdockcart.process.gateway.store import coordination
@@ -194,6 +195,11 @@
         self.assertIn("whole", seen.entry_by_member)
 
 
+COST = store_reads.ReadCost(
+    "/", store_reads.ReadOutcome.COMPLETE, 200, 0, 0, 0.0, 0.0
+)
+
+
 class TestAnswersOfTheStore(testtools.TestCase):
     """Answers of the store that are no answers."""
 
@@ -206,7 +212,11 @@
             async def answered(*_, **__):
                 return Answer(body)
 
+            async def fetched(*_, **__):
+                return Answer(body), COST
+
             client._send = answered
+            client._fetch = fetched
             try:
                 return await getattr(client, name)(*arguments)
             finally:
@@ -236,6 +246,8 @@
         for body in bodies:
             for name, arguments in (
                 ("read_store", ()),
+                ("read_state", (0,)),
+                ("read_manifest", (0,)),
                 ("changes", (5,)),
                 ("claim_promotion", ("g", record, 0)),
                 ("write_fleet_key", (bytes(32), ())),
--- a/burdockcart/process/accounts/tests/test_keyed_sessions.py
+++ b/burdockcart/process/accounts/tests/test_keyed_sessions.py
@@ -446,9 +446,9 @@
             changes = deployment.platform.changes
             lost = []
 
-            async def lose_one(position):
+            async def lose_one(position, limit_bytes=None):
                 if lost:
-                    return await changes(position)
+                    return await changes(position, limit_bytes)
                 lost.append(position)
                 await asyncio.sleep(2.0)
                 return result.Failure(coordination.CallFault.NO_ANSWER)
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -269,6 +269,7 @@
         clients.listen_on(self._settings.client_address)
         await self.relay.start(self._settings.peer_address)
         self._tasks.run_always(self.tables.run)
+        self._tasks.run_always(self.tables.manifests.run)
         self._tasks.run_always(self._link_key.run)
         self._tasks.run_to_end(self._listing.run)
         self._tasks.run_always(self._supervise)
--- a/burdockcart/process/gateway/store/change_cache.py
+++ b/burdockcart/process/gateway/store/change_cache.py
@@ -28,6 +28,10 @@
     def __init__(self) -> None:
         self._polls: collections.deque[_Poll] = collections.deque()
 
+    def clear(self) -> None:
+        """Forget all changes: some after them are not known."""
+        self._polls.clear()
+
     def record(
         self,
         after: ids.StorePosition,
--- a/burdockcart/process/gateway/store/coordination.py
+++ b/burdockcart/process/gateway/store/coordination.py
@@ -28,6 +28,7 @@
     RESTORED = "the store was restored from a copy"
     UNREADABLE = "unreadable"
     CONFLICT = "another daemon wrote first"
+    TOO_LONG = "longer than was asked for"
 
 
 class DaemonEntry(msgspec.Struct, frozen=True):
@@ -122,6 +123,7 @@
 
     ``complete_since`` is the newest era of which the daemons have recorded
     that no promotion can be open that its store does not know.
+    ``tables_read`` is false if the manifest was left out.
     ``daemons_unreadable`` tells whether the store has entries of daemons that
     are not in ``daemon_by_id``.
     """
@@ -140,14 +142,21 @@
     )
     owner_by_shard: dict[int, ShardOwner] = msgspec.field(default_factory=dict)
     daemons_unreadable: bool = False
+    tables_read: bool = True
+
+
+class StoredManifest(msgspec.Struct, frozen=True):
+    """The manifest in the store; None if it is unreadable or missing."""
+
+    tables: manifest.Manifest | None
 
 
 class StoreChanges(msgspec.Struct, frozen=True, kw_only=True):
     """Changes of the store up to a position; None for a removed entry.
 
-    ``tables`` holds the manifests in the order in which they were written;
-    ``tables_unreadable`` tells whether the newest one is unreadable or gone;
-    ``versions`` is the number of manifests that were written;
+    ``tables`` holds the newest readable one of the manifests that were
+    written; ``tables_unreadable`` tells whether a later one is unreadable or
+    gone, and ``versions`` how many were written;
     ``fleet_key`` and ``complete_since`` are None if they have not changed.
     """
 
@@ -259,10 +268,23 @@
     async def read_store(self) -> result.Result[StoreSnapshot, CallFault]:
         """Read all data of the store."""
 
+    async def read_state(
+        self, era: ids.StoreEra
+    ) -> result.Result[StoreSnapshot, CallFault]:
+        """Read all data of the store in an era but the manifest."""
+
+    async def read_manifest(
+        self, era: ids.StoreEra
+    ) -> result.Result[StoredManifest, CallFault]:
+        """Read the manifest in an era of the store."""
+
     async def changes(
-        self, after: ids.StorePosition
+        self, after: ids.StorePosition, limit_bytes: int | None = None
     ) -> result.Result[StoreChanges, CallFault]:
-        """Return the changes since a position."""
+        """Return the changes since a position.
+
+        Fails with TOO_LONG if there are more bytes of them than the limit.
+        """
 
     async def claim_promotion(
         self,
--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -14,6 +14,7 @@
 from burdockcart.process.accounts import key_evidence
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.store import daemon_catalog
+from burdockcart.process.gateway.store import manifest_reader
 from burdockcart.process.gateway.store import member_catalog
 from burdockcart.process.gateway.store import store_era
 from burdockcart.version import manifest
@@ -33,6 +34,14 @@
 POLL_SLACK_S = 0.35
 #: Consecutive failures after which the whole store is read again.
 REREAD_AFTER = 2
+#: Longest answer to a poll, in bytes, and what each member adds to it: its
+#: entries between two polls.  A longer one is not read: on a slow link it
+#: would take longer than more of it is written.  It consists of versions of a
+#: large manifest, or of changes since a long outage.
+POLL_BYTES = 64 * 1024
+MEMBER_POLL_BYTES = 2 * 1024
+#: A daemon that was behind for this time says so, in seconds.
+LOGGED_BEHIND_S = 1.0
 #: Backoff after a failed call, in seconds, with jitter: all daemons fail at
 #: the same moment when the store fails.
 RETRY_MIN_S = 0.1
@@ -111,10 +120,18 @@
         """Whether another daemon would be asked now."""
 
     async def changes(
-        self, after: ids.StorePosition, fresh: bool = False
+        self,
+        after: ids.StorePosition,
+        fresh: bool = False,
+        limit_bytes: int | None = None,
     ) -> result.Result[coordination.StoreChanges, coordination.CallFault]:
         """Return the changes after a position."""
 
+    async def state(
+        self, era: ids.StoreEra
+    ) -> result.Result[coordination.StoreSnapshot, coordination.CallFault]:
+        """Return all data of the store but the manifest."""
+
 
 class Backoff:
     """Exponential backoff with jitter between failed calls."""
@@ -231,6 +248,7 @@
         self._evidence = evidence
         self._boot_clock = boot_clock
         self._first_pauses_s = list(FIRST_PAUSES_S) if first_start else []
+        self._manifest_s = manifest_s
         self._interval_s = POLL_SHARE * manifest_s
         self._notice_s = notice_s(manifest_s)
         self.current: manifest.Manifest | None = None
@@ -246,6 +264,16 @@
         self._daemons = daemon_catalog.DaemonCatalog()
         #: Position of the last answer; None before the first one.
         self._position: ids.StorePosition | None = None
+        #: Reads the manifest while polls leave it out.
+        self.manifests = manifest_reader.ManifestReader(
+            platform,
+            self._manifest_read,
+            lambda: self._evidence.interval_s(self._interval_s, self.current),
+            loop_clock,
+            boot_clock,
+        )
+        #: Whether the next poll leaves the manifest out.
+        self._apart = False
         self._platform = platform
         self._listener = listener
         self._clock = loop_clock
@@ -321,7 +349,8 @@
         self._known_version = version
         if self._behind_since is None:
             self._behind_since = self._clock.now()
-            loguru.logger.info(
+        if self.manifest_age_s >= self._manifest_s:
+            loguru.logger.warning(
                 "event=manifest_behind in_force={} newest={} daemon={} "
                 "age_ms={}",
                 self.version,
@@ -335,12 +364,14 @@
         self._newest_at = max(self._newest_at, asked_at)
         if self._behind_since is None or self.version < self._known_version:
             return
-        loguru.logger.info(
-            "event=manifest_caught_up version={} behind_ms={}",
-            self.version,
-            int((self._clock.now() - self._behind_since) * 1000),
-        )
+        behind_s = self._clock.now() - self._behind_since
         self._behind_since = None
+        if behind_s >= LOGGED_BEHIND_S:
+            loguru.logger.info(
+                "event=manifest_caught_up version={} behind_ms={}",
+                self.version,
+                int(behind_s * 1000),
+            )
 
     @property
     def has_read(self) -> bool:
@@ -440,8 +471,7 @@
     async def _poll_changes(self, position: ids.StorePosition) -> None:
         """Poll changes until the whole store has to be read again.
 
-        After consecutive failures, all versions of a large manifest since
-        then may be too much for a slow link; the newest one alone is smaller.
+        After consecutive failures the changes since then may be many.
         """
         failures = 0
         while True:
@@ -449,10 +479,7 @@
             await self._pause(era, failures)
             refreshing = self._begin_poll()
             sent_at, evidence_at = self._clock.now(), self._boot_clock.now()
-            fresh, self._fresh = self._fresh, False
-            seen = await self._changes.changes(
-                position, fresh or self._listener.awaits_primary()
-            )
+            seen = await self._poll(position)
             if isinstance(seen, result.Failure):
                 _answer(refreshing, False)
                 fault = seen.failure()
@@ -473,17 +500,60 @@
             if self._changes.direct:
                 self._source.record_answer(sent_at, self._clock.now())
             self._answered()
-            changes = seen.unwrap()
-            position = max(position, changes.position)
-            self._position = position
-            self._use_changes(changes, sent_at)
+            found = seen.unwrap()
+            position = max(position, found.position)
+            if isinstance(found, coordination.StoreSnapshot):
+                self._use_contents(found, sent_at)
+                self._position = position
+                # Only a read that begins now shows all up to this position.
+                self.manifests.request(store_era.era_of(position))
+            else:
+                self._position = position
+                self._use_changes(found, sent_at)
+                self._add_evidence(evidence_at)
             self._applied_at, self.known_until = self._clock.now(), sent_at
             self._asked_at = evidence_at
-            self._add_evidence(evidence_at)
             _answer(refreshing, True)
             if not self._first_pauses_s:
                 self.settled.set()
 
+    async def _poll(self, position: ids.StorePosition) -> result.Result[
+        coordination.StoreChanges | coordination.StoreSnapshot,
+        coordination.CallFault,
+    ]:
+        """Return the changes after a position, or the state without manifest.
+
+        The state is read if the changes are too many, and then until the
+        manifest is found unchanged: its cost does not grow with what was
+        written since the position.
+        """
+        fresh, self._fresh = self._fresh, False
+        if not self._apart and not self.manifests.pending:
+            seen = await self._changes.changes(
+                position,
+                fresh or self._listener.awaits_primary(),
+                POLL_BYTES + MEMBER_POLL_BYTES * len(self.catalog.entry_by_id),
+            )
+            if seen != result.Failure(coordination.CallFault.TOO_LONG):
+                return seen
+            loguru.logger.info("event=manifest_read_apart")
+            self._apart = True
+        return await self._changes.state(store_era.era_of(position))
+
+    def _manifest_read(
+        self,
+        found: coordination.StoredManifest,
+        sent_at: float,
+        evidence_at: float,
+    ) -> None:
+        """Use the manifest that was read by its key."""
+        changed = _version(found.tables) != _version(self._stored)
+        self._apart, self._stored = changed, found.tables
+        if found.tables is not None:
+            self._use_manifest(found.tables, sent_at)
+        self._note_newest(sent_at)
+        self._add_evidence(evidence_at)
+
     def _pause_s(self, failures: int) -> float:
         """Return the pause before the next poll, after failed ones."""
         if failures:
@@ -534,10 +604,11 @@
         self._position = found.position
         self.complete_since = found.complete_since
         self.roster_by_group = dict(found.roster_by_group)
-        self._stored = found.tables
-        if found.tables is not None:
-            self._use_manifest(found.tables, sent_at)
-        self._note_newest(sent_at)
+        if found.tables_read:
+            self._stored = found.tables
+            if found.tables is not None:
+                self._use_manifest(found.tables, sent_at)
+            self._note_newest(sent_at)
         self._listener.rosters_changed(self.roster_by_group)
         self._listener.promotions_changed(found.promotion_by_group)
         self._listener.owners_changed(
@@ -633,6 +704,10 @@
         )
 
 
+def _version(found: manifest.Manifest | None) -> int | None:
+    return None if found is None else found.version
+
+
 def _answer(waiting: list[asyncio.Future[bool]], applied: bool) -> None:
     """Answer calls that waited for a poll, unless they have given up."""
     for each in waiting:
--- a/burdockcart/process/peers/shared_polls.py
+++ b/burdockcart/process/peers/shared_polls.py
@@ -126,7 +126,10 @@
         return found
 
     async def changes(
-        self, after: ids.StorePosition, fresh: bool = False
+        self,
+        after: ids.StorePosition,
+        fresh: bool = False,
+        limit_bytes: int | None = None,
     ) -> result.Result[coordination.StoreChanges, coordination.CallFault]:
         """Return what changed after a position.
 
@@ -136,6 +139,8 @@
         fresh : bool
             Whether a group waits for what may have changed just now, so that
             the store itself is asked.
+        limit_bytes : int or None
+            Longest answer of the store that is wanted.
 
         """
         self.next_in_s = None
@@ -148,11 +153,25 @@
                 return result.Success(changes)
         self.direct = True
         self._polled(True)
-        seen = await self._platform.changes(after)
+        seen = await self._platform.changes(after, limit_bytes)
         if isinstance(seen, result.Success):
             self._cache.record(after, seen.unwrap(), self._clock.now())
         return seen
 
+    async def state(
+        self, era: ids.StoreEra
+    ) -> result.Result[coordination.StoreSnapshot, coordination.CallFault]:
+        """Return all data of the store but the manifest.
+
+        Others ask the store themselves: changes up to this state are not
+        known.
+        """
+        self.next_in_s = None
+        self.direct = True
+        self._polled(True)
+        self._cache.clear()
+        return await self._platform.read_state(era)
+
     async def _ask(
         self, entry: coordination.DaemonEntry, after: ids.StorePosition
     ) -> coordination.StoreChanges | None:
--- a/burdockcart/process/peers/tests/test_shared_polls.py
+++ b/burdockcart/process/peers/tests/test_shared_polls.py
@@ -40,9 +40,9 @@
         name = daemon._settings.daemon
         call = daemon.link.changes
 
-        async def counted(after, name=name, call=call):
+        async def counted(*arguments, name=name, call=call):
             counts[name] += 1
-            return await call(after)
+            return await call(*arguments)
 
         daemon.link.changes = counted
     return counts
--- a/burdockcart/process/rates/census_requests.py
+++ b/burdockcart/process/rates/census_requests.py
@@ -72,7 +72,7 @@
 
     async def _take(self, position: ids.StorePosition) -> None:
         """Ask until all daemons have answered, or nothing is gained."""
-        read = await self._platform.read_store()
+        read = await self._platform.read_state(store_era.FIRST)
         snapshot = read.value_or(None)
         if (
             snapshot is None
