Deny a database for good only if the manifest is confirmed

A daemon said NODB, which ends a client's attempts, whenever its manifest in force had no route, however long ago it had last read the store.

What a daemon knows is dated by the time at which it asked, also by the boot clock. If that is longer ago than a manifest may take to be in force, the answer is BUSY, true as nothing was run, with a time to come back; another daemon may know. In calm a poll is at most 1.7 s old (bound 3 s), so NODB is said as before.

Both tests fail without the change: added databases were denied for 5 s while the daemon did not reach the store, and right after a suspension.

--- a/burdockcart/connection/client_session.py
+++ b/burdockcart/connection/client_session.py
@@ -43,6 +43,9 @@
 
     current: manifest.Manifest | None
 
+    def no_route(self, database: ids.DatabaseName) -> errors.Failure:
+        """Return the answer for a database that no route names."""
+
 
 class ClientSession:
     """Handles the statements of one client, one at a time.
@@ -336,7 +339,9 @@
             )
         route = self._route()
         if route is None:
-            return result.Failure(self._no_route())
+            return result.Failure(
+                self._manifest_source.no_route(self.database)
+            )
         refused = self._admission.refusal_to_begin(route)
         if refused is not None:
             self.ends = True
@@ -360,12 +365,6 @@
             return None
         return current.route_by_database.get(self.database)
 
-    def _no_route(self) -> errors.Failure:
-        return errors.Failure(
-            errors.ErrorKind.NO_ROUTE,
-            f"no route names the database {self.database[:60]!r}",
-        )
-
     async def _forward(
         self, statement: command.Command, shape: command.Shape | None
     ) -> Reply:
@@ -374,7 +373,9 @@
         arrived_at, read_at = self._clock.now(), self._boot_clock.now()
         route = self._route() if transaction is None else transaction.route
         if route is None:
-            return self._reply(result.Failure(self._no_route()))
+            return self._reply(
+                result.Failure(self._manifest_source.no_route(self.database))
+            )
         writes = self._names.writes(statement)
         commits = statement.kind is command.CommandKind.COMMIT
         work = answer_times.Work.READ
--- a/burdockcart/errors.py
+++ b/burdockcart/errors.py
@@ -29,6 +29,7 @@
     REQUEST_TIMEOUT = "request_timeout"
     RATE_LIMITED = "rate_limited"
     CREDENTIALS_UNCONFIRMED = "credentials_unconfirmed"
+    ROUTES_UNCONFIRMED = "routes_unconfirmed"
     OVERLOADED = "overloaded"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     NO_PRIMARY = "no_primary"
@@ -105,6 +106,7 @@
     ErrorKind.REQUEST_TIMEOUT: 408,
     ErrorKind.RATE_LIMITED: 429,
     ErrorKind.CREDENTIALS_UNCONFIRMED: 503,
+    ErrorKind.ROUTES_UNCONFIRMED: 503,
     ErrorKind.OVERLOADED: 503,
     ErrorKind.DEADLINE_UNREACHABLE: 503,
     ErrorKind.NO_PRIMARY: 503,
--- a/burdockcart/platform/wire.py
+++ b/burdockcart/platform/wire.py
@@ -56,6 +56,7 @@
     errors.ErrorKind.NO_ROUTE: "NODB",
     errors.ErrorKind.RATE_LIMITED: "BUSY",
     errors.ErrorKind.CREDENTIALS_UNCONFIRMED: "BUSY",
+    errors.ErrorKind.ROUTES_UNCONFIRMED: "BUSY",
     errors.ErrorKind.OVERLOADED: "BUSY",
     errors.ErrorKind.DEADLINE_UNREACHABLE: "BUSY",
     errors.ErrorKind.DRAINING: "BUSY",
--- a/burdockcart/process/gateway/application.py
+++ b/burdockcart/process/gateway/application.py
@@ -399,12 +399,7 @@
                 )
             )
         if database not in current.route_by_database:
-            return result.Failure(
-                errors.Failure(
-                    errors.ErrorKind.NO_ROUTE,
-                    f"no route names the database {database[:60]!r}",
-                )
-            )
+            return result.Failure(self.tables.no_route(database))
         return self.authenticator.open(database, key).map(
             lambda access: client_session.ClientSession(
                 database,
--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -10,6 +10,7 @@
 from burdockcart import clock
 from burdockcart.connection import backoff
 from burdockcart.connection import own_link
+from burdockcart import errors
 from burdockcart import ids
 from burdockcart.process.accounts import key_evidence
 from burdockcart.process.gateway.store import coordination
@@ -42,6 +43,9 @@
 MEMBER_POLL_BYTES = 2 * 1024
 #: A daemon that was behind for this time says so, in seconds.
 LOGGED_BEHIND_S = 1.0
+#: When a client is told to ask again whether a database exists, in
+#: milliseconds: another daemon may know.
+UNCONFIRMED_RETRY_MS = 500
 #: Backoff after a failed call, in seconds, with jitter: all daemons fail at
 #: the same moment when the store fails.
 RETRY_MIN_S = 0.1
@@ -280,7 +284,7 @@
         self._backoff = Backoff(rng)
         self._applied_at = loop_clock.now()
         #: When the manifest in force was last known to be the newest.
-        self._newest_at = loop_clock.now()
+        self._newest_at = boot_clock.now()
         #: Newest version that is known to have been written.
         self._known_version = 0
         self._behind_since: float | None = None
@@ -338,9 +342,27 @@
         """Time since the manifest in force was the newest, in seconds.
 
         As far as this daemon knows: an answer that shows this counts from
-        the time at which it was asked for.
+        the time at which it was asked for; time in suspension counts.
         """
-        return self._clock.now() - self._newest_at
+        return self._boot_clock.now() - self._newest_at
+
+    def no_route(self, database: ids.DatabaseName) -> errors.Failure:
+        """Return the answer for a database that no route names.
+
+        It is final only if a route that must be in force by now is known.
+        """
+        age_s = self.manifest_age_s
+        if 0.0 <= age_s < self._manifest_s:
+            return errors.Failure(
+                errors.ErrorKind.NO_ROUTE,
+                f"no route names the database {database[:60]!r}",
+            )
+        return errors.Failure(
+            errors.ErrorKind.ROUTES_UNCONFIRMED,
+            f"no route names the database {database[:60]!r}, as far as is "
+            "known since the store was last read",
+            retry_after_ms=UNCONFIRMED_RETRY_MS,
+        )
 
     def version_seen(self, version: int, daemon: ids.DaemonId) -> None:
         """Note a version that is in force on another daemon."""
@@ -360,7 +382,15 @@
             )
 
     def _note_newest(self, asked_at: float) -> None:
-        """Note an answer that shows which manifest is the newest."""
+        """Note an answer which shows that no newer manifest exists.
+
+        Parameters
+        ==========
+
+        asked_at : float
+            When it was asked for, by the boot clock.
+
+        """
         self._newest_at = max(self._newest_at, asked_at)
         if self._behind_since is None or self.version < self._known_version:
             return
@@ -551,7 +581,6 @@
         self._apart, self._stored = changed, found.tables
         if found.tables is not None:
             self._use_manifest(found.tables, sent_at)
-        self._note_newest(sent_at)
         self._add_evidence(evidence_at)
 
     def _pause_s(self, failures: int) -> float:
@@ -574,9 +603,12 @@
             # Later comparisons of the same object cost nothing.
             self._stored = self.current
         assert self._position is not None
+        seen = key_evidence.shown(self._stored, self.current)
+        if seen in (key_evidence.Shown.IN_FORCE, key_evidence.Shown.OLDER):
+            self._note_newest(sent_at)
         self._evidence.polled(
             sent_at,
-            key_evidence.shown(self._stored, self.current),
+            seen,
             self.current is not None
             and key_evidence.complete(
                 self.entry_by_daemon.values(),
@@ -608,7 +640,6 @@
             self._stored = found.tables
             if found.tables is not None:
                 self._use_manifest(found.tables, sent_at)
-            self._note_newest(sent_at)
         self._listener.rosters_changed(self.roster_by_group)
         self._listener.promotions_changed(found.promotion_by_group)
         self._listener.owners_changed(
@@ -632,7 +663,6 @@
         for found in changes.tables:
             self._stored = found
             self._use_manifest(found, sent_at, changes.versions - 1)
-        self._note_newest(sent_at)
         if changes.tables_unreadable:
             self._stored = None
         if changes.roster_by_group:
--- a/burdockcart/process/gateway/tests/test_store_follower.py
+++ b/burdockcart/process/gateway/tests/test_store_follower.py
@@ -8,6 +8,7 @@
 import testtools
 
 from burdockcart import clock
+from burdockcart import errors
 from burdockcart.process.gateway.promotion import promotion_claims
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.store import listing as listings
@@ -100,6 +101,50 @@
 
         scenario(check)
 
+    def test_added_database_is_said_not_to_exist(self):
+        """A daemon that may have missed a route must not deny it for good."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            daemon.link.store_cut = True
+            routes = {
+                **gateway_deployment.ROUTES,
+                "added": gateway_deployment.ROUTES["live"],
+            }
+            deployment.platform.put_tables(
+                gateway_deployment.tables(2, routes=routes)
+            )
+            kinds = []
+            for _ in range(80):
+                await asyncio.sleep(0.1)
+                opened = await daemon.open_session("added", "-")
+                kinds.append(opened.failure().kind)
+            # The store is polled each 1.65 s, and a manifest may take 3 s.
+            self.assertNotIn(errors.ErrorKind.NO_ROUTE, kinds[30:])
+            self.assertIs(errors.ErrorKind.ROUTES_UNCONFIRMED, kinds[-1])
+            daemon.link.store_cut = False
+            await asyncio.sleep(2.0)
+            opened = await daemon.open_session("added", "-")
+            self.assertIsInstance(opened, result.Success)
+            unknown = await daemon.open_session("unknown", "-")
+            self.assertIs(errors.ErrorKind.NO_ROUTE, unknown.failure().kind)
+
+        scenario(check)
+
+    def test_suspended_host_denies_an_added_database(self):
+        """Time in suspension must count when a route is denied."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            await asyncio.sleep(1.0)
+            daemon._boot_clock.suspended_s = 4.0
+            opened = await daemon.open_session("added", "-")
+            self.assertIs(
+                errors.ErrorKind.ROUTES_UNCONFIRMED, opened.failure().kind
+            )
+
+        scenario(check)
+
     def test_start_without_a_store(self):
         """A daemon must not be ready before it has read the store."""
 
