Read the state, not the manifest first, after lost history

The same class as the backlog of manifests: a daemon whose position the store no longer kept read all keys in one range. Behind 5 Mbit/s, news of members and promotions waited 2.2 s for a manifest of 5,000 routes that came with them.

It now reads the state of all other keys, and the manifest by itself, as when the changes are too many.

--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -515,12 +515,6 @@
                 fault = seen.failure()
                 if fault is coordination.CallFault.RESTORED:
                     return
-                if fault is coordination.CallFault.HISTORY_LOST:
-                    loguru.logger.info(
-                        "event=store_history_lost revision={}",
-                        store_era.revision_of(position),
-                    )
-                    return
                 await self._failed(fault)
                 failures += 1
                 if failures >= REREAD_AFTER:
@@ -553,9 +547,9 @@
     ]:
         """Return the changes after a position, or the state without manifest.
 
-        The state is read if the changes are too many, and then until the
-        manifest is found unchanged: its cost does not grow with what was
-        written since the position.
+        The state is read if the changes are too many or no longer kept, and
+        then until the manifest is found unchanged: its cost does not grow
+        with what was written since the position.
         """
         fresh, self._fresh = self._fresh, False
         if not self._apart and not self.manifests.pending:
@@ -564,9 +558,15 @@
                 fresh or self._listener.awaits_primary(),
                 POLL_BYTES + MEMBER_POLL_BYTES * len(self.catalog.entry_by_id),
             )
-            if seen != result.Failure(coordination.CallFault.TOO_LONG):
+            if seen == result.Failure(coordination.CallFault.HISTORY_LOST):
+                loguru.logger.info(
+                    "event=store_history_lost revision={}",
+                    store_era.revision_of(position),
+                )
+            elif seen == result.Failure(coordination.CallFault.TOO_LONG):
+                loguru.logger.info("event=manifest_read_apart")
+            else:
                 return seen
-            loguru.logger.info("event=manifest_read_apart")
             self._apart = True
         return await self._changes.state(store_era.era_of(position))
 
--- a/burdockcart/process/gateway/tests/test_manifest_backlog.py
+++ b/burdockcart/process/gateway/tests/test_manifest_backlog.py
@@ -109,6 +109,27 @@
 
         scenario(check)
 
+    def test_news_of_members_after_lost_history(self):
+        """Lost history must not make news wait for a large manifest."""
+
+        async def check(deployment):
+            with_slow_links(deployment)
+            platform = deployment.platform
+            platform.manifest_bytes = 5 * MANIFEST_BYTES
+            entry = platform.entry_by_id[deployment.members[0].id]
+            platform.put_member(msgspec.structs.replace(entry, sequence=7))
+            platform.put_tables(gateway_deployment.tables(2))
+            platform.oldest_kept = platform.revision
+            await asyncio.sleep(POLL_S + SLACK_S)
+            for daemon in deployment.daemons:
+                known = daemon.tables.catalog.entry_by_id[entry.id]
+                self.assertEqual(7, known.sequence)
+            await asyncio.sleep(MANIFEST_S)
+            for daemon in deployment.daemons:
+                self.assertEqual(2, daemon.tables.current.version)
+
+        scenario(check)
+
     def test_manifest_that_cannot_be_read_at_first(self):
         """A failed read of the manifest must be repeated."""
 
