Change a large manifest on slow links in the soak

The soak's manifest had six routes and its links no rate, so no seed could show a backlog of manifests.

--- a/burdockcart/platform/standin/__main__.py
+++ b/burdockcart/platform/standin/__main__.py
@@ -57,6 +57,12 @@
         help="also cut daemons off from the primary while promotions are "
         "late and replicas join, start again or leave",
     )
+    parser.add_argument(
+        "--large-manifests",
+        action="store_true",
+        help="also change a manifest of 1,000 routes again and again, on "
+        "links of 5 Mbit/s between the daemons and the store",
+    )
     parser.add_argument(
         "--accounts",
         action="store_true",
@@ -119,6 +125,7 @@
         args.odd_entries,
         args.plain_shapes,
         args.cuts,
+        args.large_manifests,
         args.accounts,
         case,
     )
--- a/burdockcart/platform/standin/member_link.py
+++ b/burdockcart/platform/standin/member_link.py
@@ -3,10 +3,14 @@
 import asyncio
 import collections
 import enum
+import math
+from typing import AsyncIterator
 from typing import Callable
 
 LINK_DELAY_S = 0.15
 LINK_POLL_S = 0.05
+#: Bytes of an answer that a slow link passes on at once.
+PART_BYTES = 16 * 1024
 
 #: Daemons by the ports of their connections to a host and port.
 Owners = Callable[[str, int], dict[int, str]]
@@ -38,6 +42,12 @@
         self.fault = LinkFault.NONE
         #: Daemons that nothing reaches, and that reach nothing here.
         self.cut_off: collections.Counter[str] = collections.Counter()
+        #: Rate at which answers reach each daemon, in bytes per second; None
+        #: for no limit.  All answers to a daemon share it.
+        self.rate: float | None = None
+        self._line_by_daemon: dict[str, asyncio.Lock] = (
+            collections.defaultdict(asyncio.Lock)
+        )
         self._address = (host, port)
         self._owners = owners
         self._owner_by_port: dict[int, str] = {}
@@ -58,9 +68,25 @@
         while self.fault in cut_by or await self._is_cut_off(port):
             await asyncio.sleep(LINK_POLL_S)
 
+    async def paced(self, port: int, data: bytes) -> AsyncIterator[bytes]:
+        """Yield an answer to a port in parts, at the rate of the link."""
+        if self.rate is None:
+            yield data
+            return
+        line = self._line_by_daemon[await self._owner(port)]
+        for begin in range(0, len(data), PART_BYTES):
+            part = data[begin : begin + PART_BYTES]
+            async with line:
+                await asyncio.sleep(len(part) / (self.rate or math.inf))
+            yield part
+
     async def _is_cut_off(self, port: int) -> bool:
         if not any(self.cut_off.values()):
             return False
+        return self.cut_off[await self._owner(port)] > 0
+
+    async def _owner(self, port: int) -> str:
+        """Return the daemon whose connection has a port."""
         async with self._lookup:
             if port not in self._owner_by_port:
                 # The system's table of connections may be long.
@@ -69,4 +95,4 @@
                 )
                 # The process that has opened it may have ended.
                 self._owner_by_port.setdefault(port, "")
-        return self.cut_off[self._owner_by_port.get(port, "")] > 0
+        return self._owner_by_port.get(port, "")
--- a/burdockcart/platform/standin/site.py
+++ b/burdockcart/platform/standin/site.py
@@ -139,6 +139,8 @@
             member_link.MemberLink(self.store_host, STORE_PORT, owners),
         )
         self.version = 0
+        #: Routes that a storm has added to the manifest.
+        self.added_routes = 0
         self.changing = False
         self._draining: set[str] = set()
         self._seen_by_member: dict[str, tuple[float, object]] = {}
@@ -206,6 +208,10 @@
             }
             for route in ROUTES
         ]
+        routes += [
+            dict(routes[0], name=f"r-large{each}", host=f"large{each}")
+            for each in range(self.added_routes)
+        ]
         extra: dict[str, Any] = dict(
             routes[0], name="r-extra", host=database_of(self.version)
         )
--- a/burdockcart/platform/standin/site_faults.py
+++ b/burdockcart/platform/standin/site_faults.py
@@ -17,6 +17,9 @@
 RESTART_S = 0.3
 #: Interval of looking for the owner of a shard, in seconds.
 OWNER_POLL_S = 0.1
+#: Routes of a large manifest, and the rate of a link of 5 Mbit/s.
+STORM_ROUTES = 1000
+SLOW_LINK_BYTES_PER_S = 625_000.0
 #: Last byte of the addresses of members that join, at least.
 FIRST_JOINED = 211
 
@@ -44,6 +47,18 @@
     cut_off[daemon] -= 1
 
 
+async def manifest_storm(
+    site: sites.Site, gap_s: float, seconds: float
+) -> None:
+    """Change a large manifest often, on slow links to the store."""
+    site.store.link.rate = SLOW_LINK_BYTES_PER_S
+    site.added_routes = STORM_ROUTES
+    ends_at = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < ends_at:
+        site.put_manifest()
+        await asyncio.sleep(gap_s)
+
+
 async def delay_calls(
     site: sites.Site, following: CallFault, seconds: float
 ) -> None:
--- a/burdockcart/platform/standin/soak.py
+++ b/burdockcart/platform/standin/soak.py
@@ -41,6 +41,8 @@
 CALM_S = 11.0
 STALL_PROBE_S = 0.02
 PROBE_INTERVAL_S = 0.1
+#: Time in which a manifest must be in force, in seconds.
+APPLY_S = checks.Limits.apply_s
 
 _OF_DAEMON = frozenset({Kind.STOP, Kind.RELOAD, Kind.FREEZE, Kind.KILL})
 _OF_ACCOUNTS = schedule.PLANNED_OF_ACCOUNTS
@@ -87,6 +89,7 @@
         odd_entries: bool = False,
         plain_shapes: bool = False,
         cuts: bool = False,
+        large_manifests: bool = False,
         accounts: bool = False,
         case: account_cases.CaseName | None = None,
     ):
@@ -104,6 +107,7 @@
         self._odd_entries = odd_entries
         self._plain_shapes = plain_shapes
         self._cuts = cuts
+        self._large_manifests = large_manifests
         self._accounts = (
             account_play.AccountPlay(seed, self.history)
             if accounts or case is not None
@@ -261,7 +265,7 @@
             if picked is None:
                 continue
             daemon, host, port = picked
-            version, _ = rng.choice(self.history.manifests[-2:])
+            version, _ = rng.choice(self._probed_versions())
             sent_at = loop.time()
             accepted = await client.probe(
                 host, port, sites.database_of(version)
@@ -273,6 +277,22 @@
                     )
                 )
 
+    def _probed_versions(self) -> list[tuple[int, float]]:
+        """Return two versions, one of which a daemon should not use.
+
+        During a storm, those of the last seconds may all be in force.
+        """
+        written = self.history.manifests
+        if not self._large_manifests:
+            return written[-2:]
+        due_before = asyncio.get_running_loop().time() - APPLY_S
+        out_of_force = [
+            each
+            for each, (_, replaced_at) in zip(written, written[1:])
+            if replaced_at < due_before
+        ]
+        return written[-1:] + out_of_force[-1:]
+
     async def _watch_stalls(self) -> None:
         """Record how late this process is at times."""
         loop = asyncio.get_running_loop()
@@ -314,6 +334,7 @@
             self._restores,
             self._odd_entries,
             self._cuts,
+            self._large_manifests,
         )
         if self._accounts is not None:
             faults += account_schedule.generate(
@@ -356,6 +377,8 @@
             await self._ingress.concentrate(daemon, fault.length_s)
         elif kind is Kind.MANIFEST:
             site.put_manifest()
+        elif kind is Kind.MANIFEST_STORM:
+            await site_faults.manifest_storm(site, fault.gap_s, fault.length_s)
         elif kind is Kind.ODD_ENTRY:
             site.put_odd_entry(fault.target)
         elif kind is Kind.CUT_PRIMARY:
--- a/burdockcart/platform/standin/store_server.py
+++ b/burdockcart/platform/standin/store_server.py
@@ -10,6 +10,7 @@
 from typing import Callable
 
 from tornado import httpserver
+from tornado import iostream
 from tornado import web
 
 from burdockcart.platform import calls
@@ -236,6 +237,22 @@
             self.set_status(503)
             self.finish()
 
+    async def send(self, status: int, body: dict[str, Any]) -> None:
+        """Send a JSON answer at the rate of the link."""
+        data = json.dumps(body).encode()
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Length", str(len(data)))
+        connection: Any = self.request.connection
+        port = connection.context.address[1]
+        try:
+            async for part in self.store.link.paced(port, data):
+                self.write(part)
+                await self.flush()
+        except iostream.StreamClosedError:
+            return
+        await self.finish()
+
     def answer(self, status: int, body: dict[str, Any]) -> None:
         """Send a JSON answer."""
         self.set_status(status)
@@ -244,12 +261,12 @@
 
 
 class _ReadHandler(_Handler):
-    def get(self, kind: str) -> None:
+    async def get(self, kind: str) -> None:
         """Return items, or the changes after a revision."""
         store = self.store
         if kind == "key":
             item = store.item_by_key.get(self.get_query_argument("key"))
-            self.answer(
+            await self.send(
                 200 if item else 404,
                 {**(item or {}), "store-revision": store.revision},
             )
@@ -257,7 +274,7 @@
         prefix = self.get_query_argument("prefix", "")
         after = self.get_query_argument("after", "")
         if kind == "watch" and int(after) > store.revision:
-            self.answer(410, {})
+            await self.send(410, {})
             return
         if kind == "watch":
             events = [
@@ -266,7 +283,7 @@
                 if event["revision"] > int(after)
                 and event["key"].startswith(prefix)
             ]
-            self.answer(
+            await self.send(
                 200, {"events": events, "store-revision": store.revision}
             )
             return
@@ -280,7 +297,7 @@
             "has-more": False,
             "store-revision": store.revision,
         }
-        self.answer(200, body)
+        await self.send(200, body)
 
 
 class _TransactionHandler(_Handler):
--- a/burdockcart/platform/standin/tests/test_soak.py
+++ b/burdockcart/platform/standin/tests/test_soak.py
@@ -71,6 +71,10 @@
         """Guards against commits lost beside a late promotion."""
         self.check(401, unplanned=True, seconds=10.0, cuts=True)
 
+    def test_large_manifest_on_slow_links(self):
+        """Guards against a manifest that is late behind its own versions."""
+        self.check(4, unplanned=False, seconds=12.0, large_manifests=True)
+
     def test_named_case(self):
         """Guards against a case without its fault, or that breaks a rule."""
         case = account_cases.CaseName.OWNER_KILLED
--- a/burdockcart/soak/schedule.py
+++ b/burdockcart/soak/schedule.py
@@ -41,6 +41,7 @@
     STORE_CUT = "store cut"
     KILL_OWNER = "kill owner"
     DEMAND_AT = "demand at"
+    MANIFEST_STORM = "manifest storm"
 
 
 #: Planned work, during which no request may be cut.
@@ -49,6 +50,7 @@
         Kind.STOP,
         Kind.RELOAD,
         Kind.MANIFEST,
+        Kind.MANIFEST_STORM,
         Kind.REPLACE_REPLICA,
         Kind.REPLACE_PRIMARY,
     }
@@ -90,6 +92,8 @@
         the store went away.
     factor : float
         Factor of an account's rate or demand.
+    gap_s : float
+        Seconds between two versions of a large manifest.
 
     """
 
@@ -99,6 +103,7 @@
     length_s: float = 0.0
     age_s: float = 0.0
     factor: float = 1.0
+    gap_s: float = 0.0
 
 
 MEMBERS = 3
@@ -236,6 +241,17 @@
     return faults
 
 
+def _manifest_storm(rng: random.Random, daemons: int) -> list[Fault]:
+    """Change a large manifest often; a daemon may end meanwhile."""
+    length_s = rng.uniform(4.0, 8.0)
+    gap_s = rng.choice([0.05, 0.1, 0.33])
+    faults = [Fault(0.0, Kind.MANIFEST_STORM, -1, length_s, gap_s=gap_s)]
+    if rng.random() < 0.5:
+        at_s = rng.uniform(1.0, length_s)
+        faults.append(Fault(at_s, Kind.STOP, rng.randrange(daemons)))
+    return faults
+
+
 def _reload(rng: random.Random, daemons: int) -> list[Fault]:
     count = rng.randint(1, daemons)
     return [
@@ -303,12 +319,13 @@
     restores: bool = False,
     odd_entries: bool = False,
     cuts: bool = False,
+    large_manifests: bool = False,
 ) -> list[Fault]:
     """Return the faults of a soak in the order of their times.
 
     Half of the scenes are planned work in any case.  Restores of the store,
-    odd entries and cuts of the primary come beside them, and leave the
-    others as they are.
+    odd entries, cuts of the primary and storms of a large manifest come
+    beside them, and leave the others as they are.
 
     Examples
     ========
@@ -338,6 +355,10 @@
         rng = random.Random(f"cuts of {seed}")
         for begin_s in _cut_times(rng, seconds):
             faults += begun_at(begin_s, _cut_primary(rng, daemons))
+    if large_manifests:
+        rng = random.Random(f"large manifests of {seed}")
+        for begin_s in _storm_times(rng, seconds):
+            faults += begun_at(begin_s, _manifest_storm(rng, daemons))
     return sorted(fault for fault in faults if fault.at_s < seconds)
 
 
@@ -362,6 +383,13 @@
         at_s += LATE_CALL_S + rng.uniform(4.0, 7.0)
 
 
+def _storm_times(rng: random.Random, seconds: float) -> Iterator[float]:
+    at_s = rng.uniform(1.0, 4.0)
+    while at_s < seconds:
+        yield at_s
+        at_s += rng.uniform(12.0, 18.0)
+
+
 def _scenes(
     rng: random.Random, seconds: float, unplanned: bool
 ) -> Iterator[tuple[float, Scene]]:
--- a/burdockcart/soak/tests/test_schedule.py
+++ b/burdockcart/soak/tests/test_schedule.py
@@ -26,7 +26,7 @@
         fault
         for seed in range(50)
         for fault in schedule.generate(
-            seed, 60.0, 4, unplanned, unplanned, unplanned, unplanned
+            seed, 60.0, 4, unplanned, unplanned, unplanned, unplanned, True
         )
     ]
 
@@ -67,7 +67,13 @@
         for seed in range(50):
             others = schedule.generate(seed, 60.0, 4)
             both = schedule.generate(
-                seed, 60.0, 4, restores=True, odd_entries=True, cuts=True
+                seed,
+                60.0,
+                4,
+                restores=True,
+                odd_entries=True,
+                cuts=True,
+                large_manifests=True,
             )
             self.assertLess(len(others), len(both))
             self.assertEqual([], [each for each in others if each not in both])
