Pass the state of the store on to daemons of the same domain

The poller of a failure domain now passes on the state that it has read. Manifests and the key of the links are left out, as before; a daemon whose position is older than the key gets no state.

test_one_daemon_of_a_domain_reads_the_state fails without the change (all 15 daemons read the state), test_key_that_changes_in_a_storm with the condition on the key taken out.

--- a/burdockcart/emulator/wire_platform.py
+++ b/burdockcart/emulator/wire_platform.py
@@ -250,6 +250,11 @@
             entry_by_member=dict(self.entry_by_id),
             daemon_by_id=dict(self.daemon_by_id),
             fleet_key=self.fleet_key,
+            fleet_key_position=(
+                None
+                if self.fleet_key is None
+                else self._position(self._fleet_key_revision)
+            ),
             position=self._position(self.revision),
             complete_since=self.complete_since,
             roster_by_group=self._rosters(),
--- a/burdockcart/platform/calls.py
+++ b/burdockcart/platform/calls.py
@@ -297,6 +297,11 @@
             position=store_era.position(
                 self.eras.current, page.store_revision
             ),
+            fleet_key_position=(
+                None
+                if key is None
+                else store_era.position(self.eras.current, key.revision)
+            ),
             complete_since=(
                 None
                 if complete is None
--- a/burdockcart/process/gateway/store/coordination.py
+++ b/burdockcart/process/gateway/store/coordination.py
@@ -123,7 +123,9 @@
 
     ``complete_since`` is the newest era of which the daemons have recorded
     that no promotion can be open that its store does not know.
-    ``tables_read`` is false if the manifest was left out.
+    ``tables_read`` is false if the manifest was left out, and
+    ``fleet_key_read`` if the key of the links was, which was written at
+    ``fleet_key_position``, or is missing.
     ``daemons_unreadable`` tells whether the store has entries of daemons that
     are not in ``daemon_by_id``.
     """
@@ -143,6 +145,8 @@
     owner_by_shard: dict[int, ShardOwner] = msgspec.field(default_factory=dict)
     daemons_unreadable: bool = False
     tables_read: bool = True
+    fleet_key_read: bool = True
+    fleet_key_position: ids.StorePosition | None = None
 
 
 class StoredManifest(msgspec.Struct, frozen=True):
@@ -177,6 +181,10 @@
     owner_by_shard: dict[int, ShardOwner] = msgspec.field(default_factory=dict)
 
 
+#: What a poll of the store brings.
+StoreNews = StoreChanges | StoreSnapshot
+
+
 class PromotionRecord(msgspec.Struct, frozen=True):
     """The last claim of the right to promote in a group.
 
--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -128,13 +128,16 @@
         after: ids.StorePosition,
         fresh: bool = False,
         limit_bytes: int | None = None,
-    ) -> result.Result[coordination.StoreChanges, coordination.CallFault]:
-        """Return the changes after a position."""
+    ) -> result.Result[coordination.StoreNews, coordination.CallFault]:
+        """Return the changes after a position, or the state at a later one.
+
+        The state leaves the manifest out.
+        """
 
     async def state(
-        self, era: ids.StoreEra
-    ) -> result.Result[coordination.StoreSnapshot, coordination.CallFault]:
-        """Return all data of the store but the manifest."""
+        self, after: ids.StorePosition, fresh: bool = False
+    ) -> result.Result[coordination.StoreNews, coordination.CallFault]:
+        """Return the state at a later position, or the changes to it."""
 
 
 class Backoff:
@@ -529,11 +532,14 @@
             if isinstance(found, coordination.StoreSnapshot):
                 self._use_contents(found, sent_at)
                 self._position = position
-                # Only a read that begins now shows all up to this position.
-                self.manifests.request(store_era.era_of(position))
+                self._apart = True
             else:
                 self._position = position
                 self._use_changes(found, sent_at)
+            if self._apart or self.manifests.pending:
+                # Only a read that begins now shows all up to this position.
+                self.manifests.request(store_era.era_of(position))
+            else:
                 self._add_evidence(evidence_at)
             self._applied_at, self.known_until = self._clock.now(), sent_at
             self._asked_at = evidence_at
@@ -541,21 +547,21 @@
             if not self._first_pauses_s:
                 self.settled.set()
 
-    async def _poll(self, position: ids.StorePosition) -> result.Result[
-        coordination.StoreChanges | coordination.StoreSnapshot,
-        coordination.CallFault,
-    ]:
+    async def _poll(
+        self, position: ids.StorePosition
+    ) -> result.Result[coordination.StoreNews, coordination.CallFault]:
         """Return the changes after a position, or the state without manifest.
 
         The state is read if the changes are too many or no longer kept, and
         then until the manifest is found unchanged: its cost does not grow
         with what was written since the position.
         """
-        fresh, self._fresh = self._fresh, False
+        fresh = self._fresh or self._listener.awaits_primary()
+        self._fresh = False
         if not self._apart and not self.manifests.pending:
             seen = await self._changes.changes(
                 position,
-                fresh or self._listener.awaits_primary(),
+                fresh,
                 POLL_BYTES + MEMBER_POLL_BYTES * len(self.catalog.entry_by_id),
             )
             if seen == result.Failure(coordination.CallFault.HISTORY_LOST):
@@ -568,7 +574,9 @@
             else:
                 return seen
             self._apart = True
-        return await self._changes.state(store_era.era_of(position))
+            # The poller, if there is one, has just been asked.
+            fresh = True
+        return await self._changes.state(position, fresh)
 
     def _manifest_read(
         self,
@@ -649,7 +657,7 @@
         self._notify_members(list(self.catalog.entry_by_id.values()))
         if found.fleet_key is not None:
             self._listener.fleet_key_changed(found.fleet_key)
-        else:
+        elif found.fleet_key_read:
             self._listener.fleet_key_missing()
         if not self._first_pauses_s:
             self.settled.set()
--- a/burdockcart/process/peers/messages.py
+++ b/burdockcart/process/peers/messages.py
@@ -267,6 +267,9 @@
         None if the daemon has to ask the store itself.
     version : int
         Version of the manifest in force on the sender; 0 for none.
+    state : bytes or None
+        In place of the changes, the encoded state of the store without the
+        manifest; the daemon has to read that itself.
 
     """
 
@@ -274,6 +277,7 @@
     next_ms: int
     changes: bytes | None
     version: int = 0
+    state: bytes | None = None
 
 
 #: What daemons ask each other besides statements, and each answer.
--- a/burdockcart/process/peers/shared_polls.py
+++ b/burdockcart/process/peers/shared_polls.py
@@ -36,6 +36,7 @@
 POLLER_S = 10.0
 
 _decoder = msgspec.msgpack.Decoder(coordination.StoreChanges)
+_state_decoder = msgspec.msgpack.Decoder(coordination.StoreSnapshot)
 
 
 class Follower(Protocol):
@@ -91,6 +92,8 @@
         self._clock = loop_clock
         self._polled = polled
         self._cache = change_cache.ChangeCache()
+        #: What the last poll has read, if that was no list of changes.
+        self._state: coordination.StoreSnapshot | None = None
         #: Poller of this failure domain by the list of daemons.
         self._chosen: coordination.DaemonEntry | None = None
         self._direct_until = loop_clock.now()
@@ -130,8 +133,8 @@
         after: ids.StorePosition,
         fresh: bool = False,
         limit_bytes: int | None = None,
-    ) -> result.Result[coordination.StoreChanges, coordination.CallFault]:
-        """Return what changed after a position.
+    ) -> result.Result[coordination.StoreNews, coordination.CallFault]:
+        """Return what changed after a position, or the present state.
 
         Parameters
         ==========
@@ -143,38 +146,43 @@
             Longest answer of the store that is wanted.
 
         """
-        self.next_in_s = None
-        entry = None if fresh else self._poller()
-        if entry is not None:
-            changes = await self._ask(entry, after)
-            if changes is not None:
-                self.direct = False
-                self._polled(False)
-                return result.Success(changes)
-        self.direct = True
-        self._polled(True)
+        shared = None if fresh else await self._ask_poller(after)
+        if shared is not None:
+            return result.Success(shared)
         seen = await self._platform.changes(after, limit_bytes)
         if isinstance(seen, result.Success):
             self._cache.record(after, seen.unwrap(), self._clock.now())
         return seen
 
     async def state(
-        self, era: ids.StoreEra
-    ) -> result.Result[coordination.StoreSnapshot, coordination.CallFault]:
-        """Return all data of the store but the manifest.
-
-        Others ask the store themselves: changes up to this state are not
-        known.
-        """
-        self.next_in_s = None
-        self.direct = True
-        self._polled(True)
+        self, after: ids.StorePosition, fresh: bool = False
+    ) -> result.Result[coordination.StoreNews, coordination.CallFault]:
+        """Return the present state without the manifest, or the changes."""
+        shared = None if fresh else await self._ask_poller(after)
+        if shared is not None:
+            return result.Success(shared)
+        # Changes up to the state that is read are not known.
         self._cache.clear()
-        return await self._platform.read_state(era)
+        read = await self._platform.read_state(store_era.era_of(after))
+        if isinstance(read, result.Success):
+            self._state = read.unwrap()
+        return read
+
+    async def _ask_poller(
+        self, after: ids.StorePosition
+    ) -> coordination.StoreNews | None:
+        """Ask the poller, if there is one; None to ask the store."""
+        self.next_in_s = None
+        self._state = None
+        entry = self._poller()
+        found = None if entry is None else await self._ask(entry, after)
+        self.direct = found is None
+        self._polled(self.direct)
+        return found
 
     async def _ask(
         self, entry: coordination.DaemonEntry, after: ids.StorePosition
-    ) -> coordination.StoreChanges | None:
+    ) -> coordination.StoreNews | None:
         """Ask the poller; None if the store has to be asked instead."""
         reply: messages.Reply | None = None
         try:
@@ -191,13 +199,13 @@
             self._poll_directly(entry.id)
             return None
         self.follower.version_seen(reply.version, entry.id)
-        if reply.changes is None:
+        if reply.changes is None and reply.state is None:
             if reply.next_ms == 0:
                 self._poll_directly(entry.id)
             return None
         self.next_in_s = max(reply.next_ms / 1000 - EARLY_S, EARLY_S)
         try:
-            changes = _decoder.decode(reply.changes)
+            found = _decoded(reply)
         except msgspec.MsgspecError as error:
             loguru.logger.warning(
                 "event=shared_poll_unreadable daemon={} error={!r}",
@@ -206,10 +214,10 @@
             )
             self._poll_directly(entry.id)
             return None
-        era = store_era.era_of(changes.position)
-        if changes.position < after or not self._platform.eras.observe(era):
+        era = store_era.era_of(found.position)
+        if found.position < after or not self._platform.eras.observe(era):
             return None
-        return changes
+        return found
 
     def _poll_directly(self, daemon: ids.DaemonId) -> None:
         """Do without a poller that does not answer for some time."""
@@ -222,21 +230,56 @@
             # No next poll: the other daemon chooses another poller.
             return messages.Polled(message.number, 0, None)
         self._asked_at = self._clock.now()
-        applied = await self.follower.join_poll(JOIN_S)
-        known = self._cache.since(message.after) if applied else None
-        if known is None or _is_private(known):
-            # The other daemon asks the store itself.
-            changes = None
-        else:
-            changes = msgspec.msgpack.encode(known)
+        changes, state = None, None
+        if await self.follower.join_poll(JOIN_S):
+            changes = self._changes_for(message.after)
+            state = self._state_for(message.after)
         return messages.Polled(
-            message.number, self._next_ms(), changes, self.follower.version
+            message.number,
+            self._next_ms(),
+            changes,
+            self.follower.version,
+            state,
+        )
+
+    def _changes_for(self, after: ids.StorePosition) -> bytes | None:
+        """Return the encoded changes; None if they may not be passed on."""
+        known = self._cache.since(after)
+        if known is None or _is_private(known):
+            return None
+        return msgspec.msgpack.encode(known)
+
+    def _state_for(self, after: ids.StorePosition) -> bytes | None:
+        """Return the encoded state that the last poll has read.
+
+        None if it read changes, or if the key of the links has changed since
+        the position, which is not passed on.
+        """
+        known = self._state
+        if (
+            known is None
+            or known.fleet_key_position is None
+            or known.fleet_key_position > after
+        ):
+            return None
+        return msgspec.msgpack.encode(
+            msgspec.structs.replace(
+                known, fleet_key=None, fleet_key_read=False
+            )
         )
 
     def _next_ms(self) -> int:
         return int(self.follower.next_poll_s * 1000)
 
 
+def _decoded(reply: messages.Polled) -> coordination.StoreNews:
+    """Return what a poller has passed on."""
+    if reply.state is not None:
+        return _state_decoder.decode(reply.state)
+    assert reply.changes is not None
+    return _decoder.decode(reply.changes)
+
+
 def _is_private(changes: coordination.StoreChanges) -> bool:
     """Return whether changes concern what each daemon reads itself."""
     return bool(
--- a/burdockcart/process/peers/tests/test_shared_polls.py
+++ b/burdockcart/process/peers/tests/test_shared_polls.py
@@ -9,6 +9,7 @@
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.store import poller_choice
+from burdockcart.process.gateway.tests import test_manifest_backlog
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.peers import shared_polls
 from burdockcart.tests import gateway_deployment
@@ -33,18 +34,18 @@
     test_sessions.scenario(settled, daemons=daemons)
 
 
-def count_polls(deployment):
+def count_polls(deployment, method="changes"):
     """Return a count of the polls of the store from now on, by daemon."""
     counts = collections.Counter()
     for daemon in deployment.daemons:
         name = daemon._settings.daemon
-        call = daemon.link.changes
+        call = getattr(daemon.link, method)
 
         async def counted(*arguments, name=name, call=call):
             counts[name] += 1
             return await call(*arguments)
 
-        daemon.link.changes = counted
+        setattr(daemon.link, method, counted)
     return counts
 
 
@@ -88,6 +89,43 @@
 
         scenario(check, daemons=6)
 
+    def test_one_daemon_of_a_domain_reads_the_state(self):
+        """Guards against calls that grow with the daemons in a storm."""
+
+        async def check(deployment):
+            counts = count_polls(deployment, "read_state")
+            test_manifest_backlog.with_slow_links(deployment)
+            await test_manifest_backlog.Storm(deployment, 0.1, 20.0).run()
+            await asyncio.sleep(MANIFEST_S)
+            self.assertEqual(
+                {deployment.platform.tables.version},
+                {each.tables.current.version for each in deployment.daemons},
+            )
+            # 12 polls are scheduled; a poller takes part when it has noticed.
+            polling = {name for name, count in counts.items() if count > 4}
+            self.assertEqual(3, len(polling))
+
+        scenario(check)
+
+    def test_key_that_changes_in_a_storm(self):
+        """Guards against a key of the links that a shared state hides."""
+
+        async def check(deployment):
+            test_manifest_backlog.with_slow_links(deployment)
+            storm = test_manifest_backlog.Storm(deployment, 0.1, 15.0)
+            writing = asyncio.create_task(storm.run())
+            await asyncio.sleep(6.0)
+            found = []
+            for daemon in deployment.daemons:
+                daemon.fleet_key_changed = found.append
+            deployment.platform.fleet_key = bytes(range(32))
+            await asyncio.sleep(MANIFEST_S)
+            self.assertEqual({bytes(range(32))}, set(found))
+            self.assertLessEqual(len(deployment.daemons), len(found))
+            writing.cancel()
+
+        scenario(check)
+
     def test_manifest_reaches_all_in_time(self):
         """Guards against a manifest that the poller keeps to itself."""
 
