Guard manifests whose transfer takes 1.3 s

On 5 Mbit/s a manifest of 3,000 routes takes 1.34 s; each version is in force within 3 s, as a read begins every 1.65 s at the latest. The test passes on the code as it is.

--- a/burdockcart/process/gateway/tests/test_manifest_backlog.py
+++ b/burdockcart/process/gateway/tests/test_manifest_backlog.py
@@ -54,20 +54,20 @@
         return now - min(missing) - MANIFEST_S if missing else 0.0
 
 
-def with_slow_links(deployment):
+def with_slow_links(deployment, manifest_bytes=MANIFEST_BYTES):
     """Make manifests large, and the links of all daemons slow."""
-    deployment.platform.manifest_bytes = MANIFEST_BYTES
+    deployment.platform.manifest_bytes = manifest_bytes
     deployment.platform.link_bytes_per_s = LINK_BYTES_PER_S
 
 
 class TestSlowLink(testtools.TestCase):
     """A large manifest that changes often, on a slow link."""
 
-    def check_in_time(self, gap_s, **options):
+    def check_in_time(self, gap_s, manifest_bytes=MANIFEST_BYTES, **options):
         """Check that each version is in force, or a later one, in time."""
 
         async def check(deployment):
-            with_slow_links(deployment)
+            with_slow_links(deployment, manifest_bytes)
             storm = Storm(deployment, gap_s, 20.0)
             writing = asyncio.create_task(storm.run())
             late_s = []
@@ -85,6 +85,11 @@
         for gap_s in (0.05, 0.1, 0.33):
             self.check_in_time(gap_s)
 
+    def test_manifest_whose_transfer_takes_long(self):
+        """A transfer of 1.3 s must leave time to notice the next version."""
+        for gap_s in (0.05, 0.33):
+            self.check_in_time(gap_s, 3 * MANIFEST_BYTES)
+
     def test_manifest_is_late_in_a_domain_that_shares_polls(self):
         """The same where one daemon of a failure domain polls."""
         self.check_in_time(0.1, daemons=12)
