List members and daemons in a storm as polls of changes do

A poll of the state did not use restored entries that had stayed, or remove daemons that had stayed away, until the storm was over, and told of the list of daemons each time, changed or not. Found by reading; no run showed it.

--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -631,6 +631,7 @@
         now = self._clock.now()
         era = store_era.era_of(found.position)
         before = self._position
+        daemons = dict(self.entry_by_daemon)
         if before is None:
             self._listener.era_changed(era)
         if before is not None and store_era.era_of(before) != era:
@@ -640,7 +641,9 @@
             self._daemons.restored(found.daemon_by_id, era, now)
         else:
             self.catalog.listed(found.entry_by_member, now)
+            self.catalog.use_doubted(now)
             self._daemons.listed(found.daemon_by_id, now)
+            self._daemons.remove_missing(now)
         self._position = found.position
         self.complete_since = found.complete_since
         self.roster_by_group = dict(found.roster_by_group)
@@ -661,7 +664,8 @@
             self._listener.fleet_key_missing()
         if not self._first_pauses_s:
             self.settled.set()
-        self._listener.daemons_changed(self.entry_by_daemon)
+        if found.tables_read or daemons != self.entry_by_daemon:
+            self._listener.daemons_changed(self.entry_by_daemon)
 
     def _use_changes(
         self, changes: coordination.StoreChanges, sent_at: float
--- a/burdockcart/process/gateway/tests/test_manifest_backlog.py
+++ b/burdockcart/process/gateway/tests/test_manifest_backlog.py
@@ -7,6 +7,7 @@
 import testtools
 
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.store import member_catalog
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.tests import gateway_deployment
 
@@ -135,6 +136,24 @@
 
         scenario(check)
 
+    def test_removals_during_a_storm(self):
+        """Members and daemons that have left must go from the list."""
+
+        async def check(deployment):
+            with_slow_links(deployment)
+            storm = asyncio.create_task(Storm(deployment, 0.1, 30.0).run())
+            await asyncio.sleep(4.0)
+            gone = deployment.members[2].id
+            deployment.platform.remove_member(gone)
+            deployment.platform.daemon_by_id.pop("d1")
+            await asyncio.sleep(member_catalog.REMOVAL_DELAY_S + 2 * POLL_S)
+            tables = deployment.daemons[0].tables
+            self.assertNotIn(gone, tables.catalog.entry_by_id)
+            self.assertNotIn("d1", tables.daemons)
+            storm.cancel()
+
+        scenario(check)
+
     def test_manifest_that_cannot_be_read_at_first(self):
         """A failed read of the manifest must be repeated."""
 
