--- a/burdockcart/process/gateway/tests/test_manifest_backlog.py
+++ b/burdockcart/process/gateway/tests/test_manifest_backlog.py
@@ -1,6 +1,7 @@
 """Guards against work that grows with the manifests written since a poll."""
 
 import asyncio
+import math
 import random
 
 import msgspec
@@ -8,6 +9,7 @@
 
 from burdockcart.process.gateway.store import coordination
 from burdockcart.process.gateway.store import member_catalog
+from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.tests import gateway_deployment
 
@@ -178,6 +180,40 @@
         scenario(check, daemons=1)
 
 
+def gap_s(crash_at_s, stormy):
+    """Return the time without writes after a primary has crashed."""
+    gaps = []
+
+    async def check(deployment):
+        if stormy:
+            with_slow_links(deployment)
+            storm = asyncio.create_task(Storm(deployment, 0.1, 20.0).run())
+        await asyncio.sleep(crash_at_s)
+        deployment.group.primary.crash()
+        replies = await test_failover.writes_for(deployment, 8.0)
+        times = [at for at, reply in replies if gateway_deployment.ok(reply)]
+        gaps.append(min(times, default=math.inf) - crash_at_s)
+        if stormy:
+            storm.cancel()
+
+    scenario(check)
+    return gaps[0]
+
+
+class TestLostPrimary(testtools.TestCase):
+    """A primary is lost while a large manifest changes."""
+
+    def test_primary_is_replaced_late_in_a_storm(self):
+        """It must be replaced as fast as on a calm day."""
+        crashes = [4.0 + 0.3 * place for place in range(7)]
+        calm, stormy = (
+            sorted(gap_s(at_s, each) for at_s in crashes)
+            for each in (False, True)
+        )
+        self.assertLess(stormy[3] - calm[3], SLACK_S, (calm, stormy))
+        self.assertLess(stormy[-1] - calm[-1], SLACK_S, (calm, stormy))
+
+
 class TestCost(testtools.TestCase):
     """What it costs a daemon to learn the newest manifest."""
 
