Keep the task that reads the manifest among the kept ones

test_every_task_is_kept names all tasks, and failed since the reader was added; a new test ends the reader again and again, as of the others.

--- a/burdockcart/process/gateway/tests/test_tasks.py
+++ b/burdockcart/process/gateway/tests/test_tasks.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from burdockcart.process.gateway.store import store_follower
 from burdockcart.process.gateway.tests import test_failover
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.process.rates import share_terms
@@ -109,6 +110,23 @@
         """Guards against a cancellation that nobody asked for."""
         self.check_not_ready("tables", "_pause", self.cancel)
 
+    def test_manifest_reader(self):
+        """Guards against a daemon that follows no large manifest."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            deployment.platform.manifest_bytes = 10 * store_follower.POLL_BYTES
+            daemon.tables.manifests._read = self.fail_later
+            deployment.platform.put_tables(gateway_deployment.tables(9))
+            await asyncio.sleep(8.0)
+            self.assertFalse(daemon.ready())
+            del daemon.tables.manifests._read
+            await asyncio.sleep(8.0)
+            self.assertTrue(daemon.ready())
+            self.assertEqual(9, daemon.tables.current.version)
+
+        scenario(check, daemons=1)
+
     def test_supervision(self):
         """Guards against a daemon that replaces no primary."""
         self.check_not_ready("_failover", "scan", self.fail)
@@ -209,6 +227,7 @@
                     "GatewayApplication._supervise",
                     "LinkKey.run",
                     "Listing.run",
+                    "ManifestReader.run",
                     "ReservedClaims.run",
                     "RosterKeeper.run",
                     "StoreFollower.run",
