Guard keys while a large manifest changes on slow links

A key that is removed in a storm is refused in time, and the other one of its account is served throughout.

--- a/burdockcart/process/accounts/tests/test_keyed_sessions.py
+++ b/burdockcart/process/accounts/tests/test_keyed_sessions.py
@@ -10,6 +10,7 @@
 
 from burdockcart import errors
 from burdockcart.process.gateway.store import coordination
+from burdockcart.process.gateway.tests import test_manifest_backlog
 from burdockcart.process.gateway.tests import test_sessions
 from burdockcart.request import command
 from burdockcart.tests import gateway_deployment
@@ -403,6 +404,42 @@
 
         scenario(check, anonymous=("archive",))
 
+    def test_key_removed_in_a_storm_of_manifests(self):
+        """Guards keys while a large manifest changes on slow links.
+
+        A removed key must be refused in time, and others must be served.
+        """
+
+        async def check(deployment):
+            test_manifest_backlog.with_slow_links(deployment)
+            clients = [
+                await deployment.client("live", key=key)
+                for key in ("k-old", "k-kept")
+            ]
+            removed_at = None
+
+            async def storm():
+                nonlocal removed_at
+                for version in range(2, 200):
+                    removed = version >= 60
+                    accounts = WITHOUT_OLD if removed else FIRST
+                    written_at = put(deployment, version, accounts)
+                    if removed and removed_at is None:
+                        removed_at = written_at
+                    await asyncio.sleep(0.1)
+
+            writing = asyncio.create_task(storm())
+            last, kept = await asyncio.gather(
+                last_success(clients[0], 18.0),
+                outcomes(clients[1:], 18.0),
+            )
+            self.assertLess(last, removed_at + REVOKE_S)
+            self.assertGreater(last, removed_at - 1.0)
+            self.assertEqual({None}, set(kept[0]))
+            writing.cancel()
+
+        scenario(check)
+
     def test_store_is_silent_for_one_daemon(self):
         """Guards against a removed key on a daemon without the store.
 
