Forget the state of an earlier poll also when a poll is urgent

Found by reading the change again; no run showed it. A poll for a group that waits for a primary skips the poller of the domain, and with it the reset that begins a poll: a poller that had read the state kept it, and could pass it on as the answer of the later poll, dated too young. It also took an earlier answer of a poller for its own, and did not count the poll.

The reset is part of each poll again, as before. test_state_of_an_earlier_poll_is_not_passed_on fails without the change; 85 tests of polls, manifests, tasks and keys pass with it.

--- a/burdockcart/process/peers/shared_polls.py
+++ b/burdockcart/process/peers/shared_polls.py
@@ -146,7 +146,7 @@
             Longest answer of the store that is wanted.
 
         """
-        shared = None if fresh else await self._ask_poller(after)
+        shared = await self._ask_poller(after, fresh)
         if shared is not None:
             return result.Success(shared)
         seen = await self._platform.changes(after, limit_bytes)
@@ -158,7 +158,7 @@
         self, after: ids.StorePosition, fresh: bool = False
     ) -> result.Result[coordination.StoreNews, coordination.CallFault]:
         """Return the present state without the manifest, or the changes."""
-        shared = None if fresh else await self._ask_poller(after)
+        shared = await self._ask_poller(after, fresh)
         if shared is not None:
             return result.Success(shared)
         # Changes up to the state that is read are not known.
@@ -169,12 +169,15 @@
         return read
 
     async def _ask_poller(
-        self, after: ids.StorePosition
+        self, after: ids.StorePosition, fresh: bool
     ) -> coordination.StoreNews | None:
-        """Ask the poller, if there is one; None to ask the store."""
+        """Begin a poll: ask the poller, if there is one and it may be asked.
+
+        None if the store is to be asked.
+        """
         self.next_in_s = None
         self._state = None
-        entry = self._poller()
+        entry = None if fresh else self._poller()
         found = None if entry is None else await self._ask(entry, after)
         self.direct = found is None
         self._polled(self.direct)
--- a/burdockcart/process/peers/tests/test_shared_polls.py
+++ b/burdockcart/process/peers/tests/test_shared_polls.py
@@ -126,6 +126,22 @@
 
         scenario(check)
 
+    def test_state_of_an_earlier_poll_is_not_passed_on(self):
+        """Guards against an old state that counts as that of a new poll."""
+
+        async def check(deployment):
+            daemon = poller_of(deployment, deployment.daemons[0])
+            polls, position = daemon.relay.polls, daemon.tables._position
+            for fresh in (True, False):
+                await polls.state(position, True)
+                self.assertIsNotNone(polls._state_for(position))
+                polls.direct = False
+                await polls.changes(position, fresh)
+                self.assertIsNone(polls._state_for(position))
+                self.assertTrue(polls.direct)
+
+        scenario(check)
+
     def test_manifest_reaches_all_in_time(self):
         """Guards against a manifest that the poller keeps to itself."""
 
