Spread the retries of reads of the manifest

The reader had a pause of its own without jitter, where the follower's Backoff has it for a reason: all daemons fail when the store fails.

--- a/burdockcart/process/gateway/store/manifest_reader.py
+++ b/burdockcart/process/gateway/store/manifest_reader.py
@@ -3,18 +3,24 @@
 import asyncio
 import math
 from typing import Callable
+from typing import Protocol
 
 import loguru
 from returns import result
 
 from burdockcart import clock
-from burdockcart.connection import backoff
 from burdockcart import ids
 from burdockcart.process.gateway.store import coordination
 
-#: Pauses after a failed read, in seconds.
-RETRY_MIN_S = 0.1
-RETRY_MAX_S = 0.4
+
+class Backoff(Protocol):
+    """Pauses between failed calls."""
+
+    def succeeded(self) -> None:
+        """Reset to the shortest pause."""
+
+    async def pause(self) -> None:
+        """Wait before the next attempt."""
 
 
 class ManifestReader:
@@ -36,6 +42,8 @@
     interval_s : callable
         Returns the least time between the beginnings of two reads, in
         seconds; clients use the same link.
+    retries : Backoff
+        Pauses after failed reads.
 
     """
 
@@ -44,12 +52,14 @@
         platform: coordination.Platform,
         use: Callable[[coordination.StoredManifest, float, float], None],
         interval_s: Callable[[], float],
+        retries: Backoff,
         loop_clock: clock.Clock,
         boot_clock: clock.Clock,
     ):
         self._platform = platform
         self._use = use
         self._interval_s = interval_s
+        self._retries = retries
         self._clock = loop_clock
         self._boot_clock = boot_clock
         self._due = asyncio.Event()
@@ -69,7 +79,6 @@
 
     async def run(self) -> None:
         """Read the manifest each time that it is asked for."""
-        failures = 0
         while True:
             await self._due.wait()
             next_at = self._began_at + self._interval_s()
@@ -81,7 +90,7 @@
             finally:
                 self._reading = False
             if fault is None:
-                failures = 0
+                self._retries.succeeded()
                 continue
             loguru.logger.info(
                 "event=manifest_read_failed cause={!r}", fault.value
@@ -91,10 +100,7 @@
                 continue
             self._began_at = -math.inf
             self._due.set()
-            await asyncio.sleep(
-                backoff.longest_s(RETRY_MIN_S, failures, RETRY_MAX_S)
-            )
-            failures += 1
+            await self._retries.pause()
 
     async def _read(self) -> coordination.CallFault | None:
         """Read the manifest once; return why that failed."""
--- a/burdockcart/process/gateway/store/store_follower.py
+++ b/burdockcart/process/gateway/store/store_follower.py
@@ -276,6 +276,7 @@
             platform,
             self._manifest_read,
             lambda: self._evidence.interval_s(self._interval_s, self.current),
+            Backoff(rng),
             loop_clock,
             boot_clock,
         )
